setting: read and check the settings of one VM

Cause: a VM learns its name, addresses, data centre and keys from a file. Change: strict JSON with defaults; each refusal names the field, what it got and what is allowed, also where the decoder itself names no field.

--- /dev/null
+++ b/io/setting/setting_test.go
@@ -0,0 +1,74 @@
+package setting
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"baobabstep"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// refusal is one case of testdata/refused.json: the fields laid over the valid
+// settings, and the error that names them.
+type refusal struct {
+	Name   string                     `json:"name"`
+	Fields map[string]json.RawMessage `json:"fields"`
+	Want   string                     `json:"want"`
+}
+
+func TestParseRefuses(t *testing.T) {
+	var cases []refusal
+	readJSON(t, filepath.Join("testdata", "refused.json"), &cases)
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			var fields map[string]json.RawMessage
+			readJSON(t, filepath.Join("testdata", "valid.json"), &fields)
+			for name, value := range c.Fields {
+				fields[name] = value
+			}
+			raw, err := json.Marshal(fields)
+			qt.Assert(t, err, qt.IsNil)
+			assertRefused(t, raw, c.Want)
+		})
+	}
+}
+
+func TestParseRefusesDamagedFiles(t *testing.T) {
+	valid, err := os.ReadFile(filepath.Join("testdata", "valid.json"))
+	qt.Assert(t, err, qt.IsNil)
+	t.Run("cut short", func(t *testing.T) { assertRefused(t, valid[:len(valid)/2], `.*unexpected EOF.*`) })
+	t.Run("empty", func(t *testing.T) { assertRefused(t, nil, `.*EOF.*`) })
+	t.Run("two objects", func(t *testing.T) {
+		assertRefused(t, append(valid, valid...), `.*data after the settings object.*`)
+	})
+	t.Run("large", func(t *testing.T) {
+		assertRefused(t, make([]byte, maxFileBytes+1), `.*want at most.*`)
+	})
+}
+
+func TestParseFillsDefaults(t *testing.T) {
+	s, err := Read(filepath.Join("testdata", "valid.json"))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, s.Shards, qt.Equals, DefaultShards)
+	qt.Check(t, s.Policy, qt.Equals, Policies[0])
+	qt.Check(t, s.StopTimeout(), qt.Equals, DefaultStopTimeout)
+	qt.Check(t, s.VM().DataAddress, qt.Equals, s.DataAddress)
+	qt.Check(t, Keys(s.PeerKeys)[0], qt.HasLen, MinKeyBytes)
+}
+
+func assertRefused(t *testing.T, raw []byte, want string) {
+	t.Helper()
+	_, err := Parse(raw)
+	qt.Assert(t, err, qt.ErrorMatches, "settings: "+want)
+	qt.Assert(t, baobabstep.CodeOf(err), qt.Equals, baobabstep.CodeSettings)
+}
+
+func readJSON(t *testing.T, path string, into any) {
+	t.Helper()
+	raw, err := os.ReadFile(path)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, json.Unmarshal(raw, into), qt.IsNil)
+}
