--- a/config.go
+++ b/config.go
@@ -31,6 +31,9 @@
 	Account string
 	// Address is where callers reach the service.
 	Address netip.AddrPort
+	// Stream says that callers connect over TCP and that one VM sees the
+	// whole connection; otherwise packets come through the fabric.
+	Stream bool
 	// DataCentres lists the data centres that may serve it.
 	DataCentres []string
 	Targets     []Target
