target: beliefs of targets, choice for flows and slots, gossip

Cause: the flow router and the request engine need a Chooser. Conclusion: the API stands; depth and failure tests follow.

--- /dev/null
+++ b/core/target/news.go
@@ -0,0 +1,298 @@
+package target
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"baobabstep"
+)
+
+// newsBody is what one VM tells the others of targets.
+type newsBody struct {
+	// Epoch is the sender's incarnation: sequences are compared within one.
+	Epoch  uint64        `cbor:"epoch"`
+	Words  []word        `cbor:"words,omitempty"`
+	Leaves []leavingWord `cbor:"leaves,omitempty"`
+}
+
+// word is the sender's own state of one target.
+type word struct {
+	_        struct{} `cbor:",toarray"`
+	Target   baobabstep.TargetID
+	Sequence uint64
+	Flows    uint32
+	// Probed says that Down, Connections and ServiceTime are the sender's
+	// findings as a prober.
+	Probed      bool
+	Down        bool
+	Connections uint32
+	// ServiceTime is in microseconds.
+	ServiceTime uint32
+}
+
+// leavingWord is one source's word. Unlike a word it is passed on.
+type leavingWord struct {
+	_       struct{} `cbor:",toarray"`
+	Target  baobabstep.TargetID
+	Source  Source
+	Version uint64
+	Leaving bool
+}
+
+// Sizes of encoded news, rounded up.
+const (
+	newsHeader  = 32
+	wordBytes   = 40
+	leaveBytes  = 24
+	maxNewsSize = 64 << 10
+)
+
+// peerWord is what another VM told of a target.
+type peerWord struct {
+	vm       baobabstep.VMID
+	sequence uint64
+	flows    int
+	down     bool
+}
+
+// sentWord is what was last told of a target.
+type sentWord struct {
+	flows  int
+	down   bool
+	queued bool
+}
+
+// outgoing holds the targets with something to tell.
+type outgoing struct {
+	epoch    uint64
+	sequence uint64
+	// refresh is the position of the rotation that tells each target again
+	// from time to time, since messages may be lost.
+	rotation []*entry
+}
+
+// changed notes that there may be something to tell. Entries are found by
+// the rotation; the flag keeps small changes from being told at once.
+func (e *entry) changed() { e.sent.queued = true }
+
+// worthTelling tells whether the state differs enough from what was told.
+// Small changes wait for the rotation: a step of 1/32 of the count is below
+// the spread that two random choices leave anyway.
+func (e *entry) worthTelling() bool {
+	if !e.sent.queued {
+		return false
+	}
+	if e.sent.down != e.health.down {
+		return true
+	}
+	change := e.flows - e.sent.flows
+	return max(change, -change) >= max(1, e.sent.flows/32)
+}
+
+// setEpoch takes the own incarnation from the view.
+func (r *Registry) setEpoch(v *baobabstep.View) {
+	for i := range v.Members {
+		if vm := &v.Members[i]; vm.ID == r.opts.Self {
+			r.news.epoch = max(r.news.epoch, vm.Incarnation)
+		}
+	}
+}
+
+// News returns what to tell the other VMs of the region, at most maxBytes, or
+// nil when there is nothing. Leaving words go first, then changed counts, then
+// a few targets by rotation.
+func (r *Registry) News(_ time.Time, maxBytes int) []byte {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := &r.news
+	if len(n.rotation) == 0 {
+		n.fill(r.index.Load())
+	}
+	body := newsBody{Epoch: n.epoch}
+	left := maxBytes - newsHeader
+	left = r.addChanges(&body, left)
+	r.addRotation(&body, left)
+	if len(body.Words) == 0 && len(body.Leaves) == 0 {
+		return nil
+	}
+	b, err := cbor.Marshal(&body)
+	if err != nil {
+		r.breaks("news", err.Error())
+		return nil
+	}
+	return b
+}
+
+func (n *outgoing) fill(x *index) {
+	for _, e := range x.targets {
+		n.rotation = append(n.rotation, e)
+	}
+}
+
+func (r *Registry) addChanges(body *newsBody, left int) int {
+	for _, e := range r.index.Load().targets {
+		if left < wordBytes+leaveBytes {
+			return left
+		}
+		e.pool.mu.Lock()
+		left = e.addLeaving(body, left)
+		if e.worthTelling() {
+			left -= r.addWord(body, e)
+		}
+		e.pool.mu.Unlock()
+	}
+	return left
+}
+
+// rotationStep is how many unchanged targets are told again in each news.
+const rotationStep = 2
+
+func (r *Registry) addRotation(body *newsBody, left int) {
+	n := &r.news
+	for i := 0; i < rotationStep && left >= wordBytes && len(n.rotation) > 0; i++ {
+		last := len(n.rotation) - 1
+		e := n.rotation[last]
+		n.rotation = n.rotation[:last]
+		e.pool.mu.Lock()
+		if e.flows > 0 || e.health.down || e.sent.flows > 0 {
+			left -= r.addWord(body, e)
+		}
+		for s := range e.leaving {
+			if e.leaving[s].version > 0 && e.leaving[s].spread == 0 {
+				e.leaving[s].spread = 1
+			}
+		}
+		e.pool.mu.Unlock()
+	}
+}
+
+func (e *entry) addLeaving(body *newsBody, left int) int {
+	for s := range e.leaving {
+		g := &e.leaving[s]
+		// What the configuration says reaches all VMs with it.
+		if g.spread == 0 || Source(s) == SourceOperator || left < leaveBytes {
+			continue
+		}
+		g.spread--
+		left -= leaveBytes
+		body.Leaves = append(body.Leaves, leavingWord{Target: e.target.ID, Source: Source(s), Version: g.version, Leaving: g.leaving})
+	}
+	return left
+}
+
+func (r *Registry) addWord(body *newsBody, e *entry) int {
+	r.news.sequence++
+	e.sent = sentWord{flows: e.flows, down: e.health.down}
+	body.Words = append(body.Words, word{
+		Target:      e.target.ID,
+		Sequence:    r.news.sequence,
+		Flows:       uint32(e.flows),
+		Probed:      e.health.prober && e.reported.known,
+		Down:        e.health.down,
+		Connections: uint32(e.reported.connections),
+		ServiceTime: uint32(e.health.serviceTime * 1e6),
+	})
+	return wordBytes
+}
+
+// Learn takes the news of another VM. It may be late, doubled or out of order.
+func (r *Registry) Learn(_ time.Time, from baobabstep.VMID, body []byte) error {
+	if len(body) > maxNewsSize {
+		return baobabstep.Errorf(baobabstep.CodeTooLarge, "target.learn", "got %d bytes, want at most %d", len(body), maxNewsSize)
+	}
+	var b newsBody
+	if err := cbor.Unmarshal(body, &b); err != nil {
+		return baobabstep.Errorf(baobabstep.CodeMalformed, "target.learn", "%w", err)
+	}
+	if !r.newEnough(from, b.Epoch) {
+		return nil
+	}
+	for i := range b.Words {
+		r.learnWord(from, &b.Words[i])
+	}
+	for i := range b.Leaves {
+		r.learnLeaving(&b.Leaves[i])
+	}
+	return nil
+}
+
+// newEnough checks the sender's incarnation; words of an older one are dropped
+// when a newer one is heard, since its process and its flows are gone.
+func (r *Registry) newEnough(from baobabstep.VMID, epoch uint64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known, ok := r.epochs[from]
+	if ok && epoch < known {
+		return false
+	}
+	if ok && epoch > known {
+		r.forgetPeer(from)
+	}
+	r.epochs[from] = epoch
+	return true
+}
+
+func (r *Registry) learnWord(from baobabstep.VMID, w *word) {
+	e := r.entryOf(w.Target)
+	if e == nil || from == r.opts.Self {
+		return
+	}
+	e.pool.mu.Lock()
+	defer e.pool.mu.Unlock()
+	p := e.peer(from)
+	if w.Sequence <= p.sequence {
+		return
+	}
+	if p.down != w.Down {
+		e.pool.dirty = true
+	}
+	e.othersFlows += int(w.Flows) - p.flows
+	*p = peerWord{vm: from, sequence: w.Sequence, flows: int(w.Flows), down: w.Down}
+	if w.Probed && !e.health.prober {
+		e.reported = reported{known: true, connections: int(w.Connections), base: e.flows}
+		smooth(&e.health.serviceTime, float64(w.ServiceTime)/1e6, smoothing)
+	}
+	e.recount()
+}
+
+// peer returns the word of a VM, adding an empty one.
+func (e *entry) peer(vm baobabstep.VMID) *peerWord {
+	for i := range e.others {
+		if e.others[i].vm == vm {
+			return &e.others[i]
+		}
+	}
+	e.others = append(e.others, peerWord{vm: vm})
+	return &e.others[len(e.others)-1]
+}
+
+func (e *entry) dropPeer(vm baobabstep.VMID) {
+	for i := range e.others {
+		if e.others[i].vm != vm {
+			continue
+		}
+		e.othersFlows -= e.others[i].flows
+		e.pool.dirty = e.pool.dirty || e.others[i].down
+		e.others = append(e.others[:i], e.others[i+1:]...)
+		e.recount()
+		return
+	}
+}
+
+// learnLeaving merges by version; of two words of one version the one that
+// says leaving wins, so that two VMs that disagree end up on the safe side.
+func (r *Registry) learnLeaving(w *leavingWord) {
+	e := r.entryOf(w.Target)
+	if e == nil || w.Source >= numSources || w.Source == SourceOperator {
+		return
+	}
+	e.pool.mu.Lock()
+	defer e.pool.mu.Unlock()
+	g := &e.leaving[w.Source]
+	if w.Version < g.version || (w.Version == g.version && (g.leaving || !w.Leaving)) {
+		return
+	}
+	*g = register{version: w.Version, leaving: w.Leaving, spread: wordSpread}
+	e.pool.dirty = true
+}
--- /dev/null
+++ b/core/target/target.go
@@ -0,0 +1,239 @@
+// Package target holds what one VM believes of each target and chooses
+// targets for new work.
+//
+// # The model
+//
+// A belief is made of evidence of three ranks. Outcomes of real work come
+// first: a target whose answers fail is ejected whatever it says of itself.
+// Own probes, and those of the other probers, come second: each target is
+// probed by three VMs of its data centre. What a target reports of its load
+// comes last, since reports lag and may be wrong: a report can only make a
+// target look busier than the counts say, never idler.
+//
+// News that a target is leaving comes from three sources (its own word, the
+// platform's list, an operator). Any one of them is enough to stop new work at
+// once, and each source has to take back its own word.
+//
+// # Counts
+//
+// Each VM counts the flows that it holds on each target and tells the other
+// VMs ([Registry.News], [Registry.Learn]). The load of a target is the worst
+// of (own count + counts of the others) and (last report + own flows opened
+// since). Both sums lag, so no choice is made by taking the least loaded of
+// all: two targets are drawn at random and the less loaded one is taken,
+// which bounds what one target attracts to a multiple of its even share,
+// however idle it looks.
+//
+// # Concurrency
+//
+// The targets of one service form a pool under its own lock. Nothing scans
+// the targets of all services but a change of configuration or view.
+package target
+
+import (
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"baobabstep"
+)
+
+// Source is who said that a target is leaving.
+type Source uint8
+
+// Sources of news about leaving targets.
+const (
+	// SourceTarget is the target's own word, in a report or a refusal.
+	SourceTarget Source = iota
+	// SourcePlatform is the platform's list.
+	SourcePlatform
+	// SourceOperator is an operator, through the configuration.
+	SourceOperator
+	numSources
+)
+
+// Options configures a Registry. Zero limits are replaced by the defaults.
+type Options struct {
+	Self       baobabstep.VMID
+	DataCentre string
+	// Rand spreads probes and ejections in time. It is required, and used
+	// under a lock of the registry alone.
+	Rand *rand.Rand
+	// Invariant, when set, is called for each broken invariant, after it
+	// was counted.
+	Invariant func(name, detail string)
+
+	// ProbeInterval is the mean time between two probes of one target by
+	// one VM: 1 s.
+	ProbeInterval time.Duration
+	// ProbeMisses is the number of unanswered probes in a row after which
+	// this VM holds a target for down: 3.
+	ProbeMisses int
+	// Probers is the number of VMs that probe each target: 3.
+	Probers int
+	// ReturnProbes is the number of good probes in a row after which a
+	// target that was down or leaving by its own word may return: 3.
+	ReturnProbes int
+	// SlowStart is the length of the ramp of a joined or returned target: 10 s.
+	SlowStart time.Duration
+	// EjectFailures is the number of failures in a row that eject: 5.
+	EjectFailures int
+	// EjectTime is the length of the first ejection: 5 s. It doubles with
+	// each further one, up to MaxEjectTime: 60 s.
+	EjectTime, MaxEjectTime time.Duration
+	// NearMargin is how far the mean load of the near data centre may be
+	// above the mean of the service before work spills over: 0.05 of the
+	// mean.
+	NearMargin float64
+}
+
+func (o *Options) setDefaults() {
+	setDefault(&o.ProbeInterval, time.Second)
+	setDefault(&o.ProbeMisses, 3)
+	setDefault(&o.Probers, 3)
+	setDefault(&o.ReturnProbes, 3)
+	setDefault(&o.SlowStart, 10*time.Second)
+	setDefault(&o.EjectFailures, 5)
+	setDefault(&o.EjectTime, 5*time.Second)
+	setDefault(&o.MaxEjectTime, time.Minute)
+	setDefault(&o.NearMargin, 0.05)
+}
+
+func setDefault[T comparable](v *T, d T) {
+	var zero T
+	if *v == zero {
+		*v = d
+	}
+}
+
+// Registry is the belief of one VM. It is safe for concurrent use.
+type Registry struct {
+	opts  Options
+	index atomic.Pointer[index]
+
+	// mu guards what follows and is held over SetConfig and SetView. It is
+	// taken before any lock of a pool.
+	mu     sync.Mutex
+	view   *baobabstep.View
+	duties []duty
+	news   outgoing
+	// epochs holds the incarnation under which each VM's words were learned.
+	epochs map[baobabstep.VMID]uint64
+
+	broken atomic.Uint64
+}
+
+// index finds pools and targets. It is immutable.
+type index struct {
+	config  *baobabstep.Config
+	pools   map[baobabstep.ServiceID]*pool
+	targets map[baobabstep.TargetID]*entry
+}
+
+var _ baobabstep.Chooser = (*Registry)(nil)
+
+// New returns a registry that knows no target until SetConfig.
+func New(_ time.Time, o Options) *Registry {
+	o.setDefaults()
+	r := &Registry{opts: o, epochs: make(map[baobabstep.VMID]uint64)}
+	r.index.Store(&index{})
+	return r
+}
+
+// Broken returns how often an invariant was found broken.
+func (r *Registry) Broken() uint64 { return r.broken.Load() }
+
+func (r *Registry) breaks(name, detail string) {
+	r.broken.Add(1)
+	if r.opts.Invariant != nil {
+		r.opts.Invariant(name, detail)
+	}
+}
+
+// SetConfig puts a configuration into force. Targets that were there before
+// keep their state; new ones start with a slow start ramp, unless this is the
+// first configuration, in which nothing is newer than anything else.
+func (r *Registry) SetConfig(now time.Time, c *baobabstep.Config) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	old := r.index.Load()
+	next := &index{
+		config:  c,
+		pools:   make(map[baobabstep.ServiceID]*pool, len(c.Services)),
+		targets: make(map[baobabstep.TargetID]*entry, len(old.targets)),
+	}
+	for i := range c.Services {
+		s := &c.Services[i]
+		p := old.pools[s.ID]
+		if p == nil {
+			p = newPool(r)
+		}
+		next.pools[s.ID] = p
+		p.configure(now, c, s, old, next)
+	}
+	keepRemoved(old, next)
+	r.index.Store(next)
+	r.assignProbes(now)
+}
+
+// keepRemoved keeps targets that left the configuration while flows are still
+// counted on them, so that a target that comes back is not taken for empty.
+func keepRemoved(old, next *index) {
+	for id, e := range old.targets {
+		if next.targets[id] != nil {
+			continue
+		}
+		e.pool.mu.Lock()
+		e.removed = true
+		e.pool.dirty = true
+		if e.flows > 0 || e.slots > 0 {
+			next.targets[id] = e
+		}
+		e.pool.mu.Unlock()
+	}
+}
+
+// SetView tells who is in the region: it decides who probes what, and whose
+// words count. Words of VMs that left the view are dropped.
+func (r *Registry) SetView(now time.Time, v *baobabstep.View) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	old := r.view
+	r.view = v
+	r.assignProbes(now)
+	for _, vm := range goneMembers(old, v) {
+		delete(r.epochs, vm)
+		r.forgetPeer(vm)
+	}
+	r.setEpoch(v)
+}
+
+func goneMembers(old, now *baobabstep.View) []baobabstep.VMID {
+	if old == nil {
+		return nil
+	}
+	there := make(map[baobabstep.VMID]bool, len(now.Members))
+	for i := range now.Members {
+		there[now.Members[i].ID] = true
+	}
+	var gone []baobabstep.VMID
+	for i := range old.Members {
+		if id := old.Members[i].ID; !there[id] {
+			gone = append(gone, id)
+		}
+	}
+	return gone
+}
+
+// forgetPeer drops the words of a VM from all targets.
+func (r *Registry) forgetPeer(vm baobabstep.VMID) {
+	for _, e := range r.index.Load().targets {
+		e.pool.mu.Lock()
+		e.dropPeer(vm)
+		e.pool.mu.Unlock()
+	}
+}
+
+// entryOf returns the state of a target, or nil if it is not known.
+func (r *Registry) entryOf(id baobabstep.TargetID) *entry { return r.index.Load().targets[id] }
