--- a/code_test.go
+++ b/code_test.go
@@ -2,6 +2,11 @@
 
 import (
 	"io"
+	"math"
+	"os"
+	"regexp"
+	"strconv"
+	"strings"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -31,3 +36,24 @@
 	qt.Assert(t, errors.Is(err, io.ErrUnexpectedEOF), qt.IsTrue)
 	qt.Assert(t, err, qt.ErrorMatches, `platform.put: read answer: unexpected EOF \(402 PlatformUnknown\)`)
 }
+
+var documentedCode = regexp.MustCompile(`(?m)^\| (\d+) \| (\w+) \| .+ \|$`)
+
+// Every code that has a generated name has one row in the table, and the table
+// has no other row.
+func TestResultCodesAreDocumented(t *testing.T) {
+	table, err := os.ReadFile("docs/RESULT_CODES.md")
+	qt.Assert(t, err, qt.IsNil)
+	documented := map[string]string{}
+	for _, row := range documentedCode.FindAllStringSubmatch(string(table), -1) {
+		qt.Check(t, documented[row[1]], qt.Equals, "", qt.Commentf("code %s stands twice", row[1]))
+		documented[row[1]] = row[2]
+	}
+	named := map[string]string{}
+	for code := range math.MaxUint16 {
+		if name := Code(code).String(); !strings.HasPrefix(name, "Code(") {
+			named[strconv.Itoa(code)] = name
+		}
+	}
+	qt.Assert(t, documented, qt.DeepEquals, named)
+}
