packet: the end of an earlier context no longer ends a later Receive

The end of one context could set the read deadline after Receive had gone on under the next one. Change: the wake-up checks, under a lock, that its context still is the one that Receive waits under.

--- a/io/packet/packet.go
+++ b/io/packet/packet.go
@@ -60,9 +60,12 @@
 	close   sync.Once
 	counts  counts
 
-	in      []ipv4.Message
-	watched context.Context
-	unwatch func() bool
+	in []ipv4.Message
+	// watchLock guards watched against late ends of earlier contexts; only
+	// Receive writes it.
+	watchLock sync.Mutex
+	watched   context.Context
+	unwatch   func() bool
 
 	sendLock sync.Mutex
 	out      []ipv4.Message
@@ -261,9 +264,21 @@
 	if c.unwatch != nil {
 		c.unwatch()
 	}
-	_ = c.socket.SetReadDeadline(time.Time{})
+	c.watchLock.Lock()
+	defer c.watchLock.Unlock()
 	c.watched = ctx
-	c.unwatch = context.AfterFunc(ctx, func() { _ = c.socket.SetReadDeadline(time.Unix(1, 0)) })
+	_ = c.socket.SetReadDeadline(time.Time{})
+	c.unwatch = context.AfterFunc(ctx, func() { c.wake(ctx) })
+}
+
+// wake ends a read that waits under ctx. The end of an earlier context can come
+// late, after Receive went on under another; it must not end that one's read.
+func (c *Conn) wake(ctx context.Context) {
+	c.watchLock.Lock()
+	defer c.watchLock.Unlock()
+	if c.watched == ctx {
+		_ = c.socket.SetReadDeadline(time.Unix(1, 0))
+	}
 }
 
 // decode fills batch from the first n messages and returns how many were good.
