--- a/config.go
+++ b/config.go
@@ -50,6 +50,26 @@
 	QueueLimit int
 	// MaxEjectedShare bounds the share of targets that may be ejected.
 	MaxEjectedShare float64
+	// ClassRules set the class of requests by their callers' addresses.
+	ClassRules []ClassRule
+}
+
+// ClassRule gives requests from callers within a prefix a class, whatever
+// class the callers ask for.
+type ClassRule struct {
+	Callers netip.Prefix
+	Class   Class
+}
+
+// ClassOf returns the class of a request: that of the first rule that covers
+// the caller, else the one asked for.
+func (s *Service) ClassOf(caller netip.Addr, asked Class) Class {
+	for _, r := range s.ClassRules {
+		if r.Callers.Contains(caller) {
+			return r.Class
+		}
+	}
+	return asked
 }
 
 // Target is one back end: a process on a host that serves one service.
--- /dev/null
+++ b/io/platform/reader.go
@@ -0,0 +1,165 @@
+package platform
+
+import (
+	"context"
+	"time"
+
+	"baobabstep"
+	"baobabstep/core/config"
+)
+
+const (
+	// watchWait is how long a watch waits for a change: long, since each
+	// counts as a call, and short enough to notice a dead connection.
+	watchWait = 20 * time.Second
+	// idleWait is how often a VM that is no reader looks whether it is one.
+	idleWait = 200 * time.Millisecond
+	// retryWait is the least pause after a failed call.
+	retryWait = 200 * time.Millisecond
+	// listAbove is the number of missing objects above which they are
+	// listed by the first digits of their names instead of read one by one.
+	listAbove = 64
+	// peersFirst is how long a VM that has no version yet leaves a large
+	// transfer to its peers before it loads the platform with it.
+	peersFirst = 3 * time.Second
+)
+
+// Reader keeps a replica in step with the platform while the replica says that
+// its VM reads it.
+type Reader struct {
+	platform baobabstep.Platform
+	replica  *config.Replica
+	deliver  func([]config.Out)
+	clock    baobabstep.Clock
+	done     chan struct{}
+}
+
+// NewReader returns a reader; deliver sends what the replica wants sent.
+func NewReader(p baobabstep.Platform, r *config.Replica, clock baobabstep.Clock, deliver func([]config.Out)) *Reader {
+	if clock == nil {
+		clock = wallClock{}
+	}
+	return &Reader{platform: p, replica: r, deliver: deliver, clock: clock, done: make(chan struct{})}
+}
+
+// Done is closed once Run has returned.
+func (r *Reader) Done() <-chan struct{} { return r.done }
+
+// Run reads until the context ends.
+func (r *Reader) Run(ctx context.Context) {
+	defer close(r.done)
+	started := r.clock.Now()
+	var revision uint64
+	for ctx.Err() == nil {
+		if !r.replica.Reader(r.clock.Now()) {
+			pause(ctx, idleWait)
+			continue
+		}
+		next, err := r.step(ctx, revision, started)
+		if err != nil {
+			pause(ctx, retryWait)
+			if baobabstep.CodeOf(err) != baobabstep.CodeCompacted {
+				continue
+			}
+			// Revisions were lost; read the head as it is now.
+			next = 0
+		}
+		revision = next
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// step reads or awaits the head and fetches what it needs. It returns the
+// revision that has been dealt with.
+func (r *Reader) step(ctx context.Context, revision uint64, started time.Time) (uint64, error) {
+	head, err := r.head(ctx, revision)
+	if err != nil {
+		return revision, err
+	}
+	r.replica.PlatformAnswered(r.clock.Now())
+	if head == nil {
+		return revision, nil
+	}
+	objects := map[config.Digest][]byte{}
+	for {
+		missing, err := r.replica.Wants(head.Value, objects)
+		if err != nil {
+			return revision, err
+		}
+		if len(missing) == 0 {
+			break
+		}
+		if r.replica.Current() == nil && len(missing) > listAbove && r.peerHasOne() && r.clock.Now().Sub(started) < peersFirst {
+			pause(ctx, idleWait)
+			if ctx.Err() != nil {
+				return revision, ctx.Err()
+			}
+			continue
+		}
+		if err := r.fetch(ctx, missing, objects); err != nil {
+			return revision, err
+		}
+	}
+	r.deliver(r.replica.FromPlatform(r.clock.Now(), config.Snapshot{Head: head.Value, Objects: objects}))
+	return head.Revision, nil
+}
+
+func (r *Reader) peerHasOne() bool { return r.replica.Status(r.clock.Now()).Newest > 0 }
+
+// head returns the head's value if it changed after revision, else nil.
+func (r *Reader) head(ctx context.Context, revision uint64) (*baobabstep.KeyValue, error) {
+	if revision == 0 {
+		kv, err := r.platform.Get(ctx, config.HeadKey)
+		if err == nil {
+			return &kv, nil
+		}
+		if baobabstep.CodeOf(err) != baobabstep.CodeNotFound {
+			return nil, err
+		}
+	}
+	values, err := r.platform.Watch(ctx, config.HeadKey, revision, watchWait)
+	if err != nil {
+		return nil, err
+	}
+	var last *baobabstep.KeyValue
+	for i := range values {
+		if v := &values[i]; v.Key == config.HeadKey && len(v.Value) > 0 && (last == nil || v.Revision > last.Revision) {
+			last = v
+		}
+	}
+	return last, nil
+}
+
+// fetch reads objects: few by name, many by the first two digits of the name.
+func (r *Reader) fetch(ctx context.Context, missing []config.Missing, objects map[config.Digest][]byte) error {
+	if len(missing) <= listAbove {
+		for _, m := range missing {
+			kv, err := r.platform.Get(ctx, config.ObjectKey(m.Digest))
+			if err != nil {
+				return err
+			}
+			objects[m.Digest] = kv.Value
+		}
+		return nil
+	}
+	const digits = "0123456789abcdef"
+	for i := range len(digits) * len(digits) {
+		prefix := config.ObjectPrefix + string(digits[i/len(digits)]) + string(digits[i%len(digits)])
+		values, err := r.platform.List(ctx, prefix)
+		if err != nil {
+			return err
+		}
+		for _, v := range values {
+			objects[config.MakeDigest(v.Value)] = v.Value
+		}
+	}
+	return nil
+}
--- a/port.go
+++ b/port.go
@@ -69,7 +69,8 @@
 	// Get returns CodeNotFound when the key does not exist.
 	Get(ctx context.Context, key string) (KeyValue, error)
 	// Put writes if the key's revision still is expected (0: must not
-	// exist) and returns the new revision, or CodeConflict.
+	// exist) and returns the new revision, or CodeConflict. An empty value
+	// removes the key; Watch then returns it with an empty value.
 	Put(ctx context.Context, key string, value []byte, expected uint64) (uint64, error)
 	// List returns the values whose keys start with prefix.
 	List(ctx context.Context, prefix string) ([]KeyValue, error)
