member: probes, suspicion, gossip, comparison by digest, relays

Cause: the placeholder sent every entry of the fleet to every VM. Change: incarnations and refutation; probes inside a data centre with indirect ones; suspicion with a timeout; bounded gossip; digests compared in bounded pieces; relays and beats between data centres; pauses noticed before acting.

--- a/core/member/fleet.go
+++ b/core/member/fleet.go
@@ -1,224 +1,365 @@
 // Package member keeps the membership of the fleet: which VMs exist, which of
-// them answer, and which view follows from that. It is pure: messages come in
-// as bytes, messages to send go out as [Out], time is an argument.
+// them answer, and the view that follows. It is pure: messages come in as
+// bytes, messages to send go out as [Out], the present time is an argument.
+//
+// # The model
+//
+// Each VM is described by an entry that only the VM itself may renew. An entry
+// has an incarnation, and of two entries about one VM the one with the higher
+// incarnation is right; within an incarnation, the later state is right: alive,
+// suspect, leaving, dead. Clocks are never compared. A VM that hears itself
+// called suspect or dead refutes with a higher incarnation.
+//
+// Inside a data centre each VM probes one other after the other. One that does
+// not answer, neither itself nor by way of others, is suspect; a suspect that
+// does not refute in time is dead:
+//
+//	alive --probe missed--> suspect --timeout--> dead
+//	  ^------- refutation -----/                  |
+//	  ^------- return with a higher incarnation --/
+//
+// Between data centres nobody is probed. A few relays, chosen by rendezvous
+// from the view, exchange news of their data centre and its beat, a counter
+// that grows while any of its VMs lives. A data centre whose beat stops is
+// suspect as a whole: that judgement is local, is not gossiped, and ends by
+// itself when the beat is heard again.
+//
+// News spreads on probes and in bounded gossip; what gossip missed is found by
+// comparing digests. The platform's list only names VMs to contact. The files
+// follow the model: record.go and merge.go for entries, probe.go, gossip.go,
+// sync.go, relay.go, pause.go, and view.go for what the rest of the program sees.
 package member
 
 import (
 	"math/rand/v2"
 	"net/netip"
-	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"baobabstep"
 )
 
-// Options configure a [Fleet]. Zero durations get the documented defaults.
-type Options struct {
-	Self baobabstep.VM
-	// ProbeInterval is the time between two probes, 500 ms by default.
-	ProbeInterval time.Duration
-	// ProbeTimeout is the time to wait for the answer of a probe before
-	// other VMs are asked to probe, 200 ms by default.
-	ProbeTimeout time.Duration
-	// SuspicionTimeout is the time a suspect has to refute, 1 s by default.
-	SuspicionTimeout time.Duration
-	// PauseLimit is the gap between ticks that counts as a pause, 1 s by
-	// default.
-	PauseLimit time.Duration
-	// Relays is the number of VMs of a data centre that exchange news with
-	// one other data centre, and of VMs asked for an indirect probe; 3 by
-	// default.
-	Relays int
-	Rand   *rand.Rand
-}
-
 // Out is one message to send.
 type Out struct {
 	To baobabstep.VMID
 	// Address is the peer address of To, for VMs that the peers port may not
-	// know yet.
+	// know yet. It is not valid in an answer to a VM not known here either.
 	Address netip.AddrPort
 	Body    []byte
 }
 
-// Stats counts what a [Fleet] did.
+// Stats counts what a [Fleet] did since it started.
 type Stats struct {
-	MessagesIn, MessagesOut, BytesIn, BytesOut uint64
-	Malformed                                  uint64
-	Suspicions, Refutations, Pauses            uint64
+	MessagesIn, MessagesOut uint64
+	// BytesIn and BytesOut count message bodies.
+	BytesIn, BytesOut uint64
+	// Malformed counts messages and entries that were not understood.
+	Malformed uint64
+	// Suspicions counts the VMs that this VM found silent itself.
+	Suspicions uint64
+	// Refutations counts the times this VM was called suspect or dead.
+	Refutations uint64
+	// Deaths counts VMs that this VM declared dead.
+	Deaths uint64
+	Pauses uint64
+	// Saved counts messages not sent since the budget for gossip was spent.
+	Saved uint64
+	// DuplicateNames counts signs that another process uses this VM's name.
+	DuplicateNames uint64
+	// Known is the number of VMs known, the dead not counted.
+	Known int
+	// SilentDataCentres is the number of data centres not heard of now.
+	SilentDataCentres int
 }
 
 // Fleet is the membership as one VM sees it. It is safe for concurrent use.
 type Fleet struct {
-	mu       sync.Mutex
-	o        Options
-	self     baobabstep.VM
-	known    map[baobabstep.VMID]*record
-	view     *baobabstep.View
-	stats    Stats
-	lastTick time.Time
-	nextPing time.Time
-	paused   bool
-}
+	start time.Time
+	o     Options
+	// ticked is the time of the last tick since start; view the last view
+	// built, and stale tells that it has to be built anew. They are read
+	// without the lock, since the data path asks for the view all the time.
+	ticked atomic.Int64
+	view   atomic.Pointer[baobabstep.View]
+	stale  atomic.Bool
 
-type record struct {
-	vm    baobabstep.VM
-	heard time.Time
-}
+	mu    sync.Mutex
+	rand  *rand.Rand
+	stats Stats
+	// now is the latest time seen. A time before it counts as it.
+	now time.Time
+	seq uint64
+
+	me          *record
+	known       map[baobabstep.VMID]*record
+	dataCentres map[uint64]*dataCentre
+	own         *dataCentre
+	// candidates are VMs that the list names and nobody has spoken of yet.
+	candidates map[baobabstep.VMID]baobabstep.VM
+	// changes numbers the changes of records; see [record.changed].
+	changes uint64
+	racks   map[string]string
+
+	probe       probe
+	probeQueue  []*record
+	nextProbe   time.Time
+	forwarded   map[uint64]forwarded
+	nextContact time.Time
 
-type message struct {
-	_  struct{} `cbor:",toarray"`
-	VM baobabstep.VM
+	news       []*record
+	nextGossip time.Time
+	nextSync   time.Time
+	budget     budget
+
+	rolesAt   uint64 // value of changes when the roles were last computed
+	nextRelay time.Time
+
+	pause pause
+	// duplicate tracks other processes with this VM's name.
+	duplicate duplicate
+	nextSweep time.Time
 }
 
 // New returns a fleet that knows only its own VM.
 func New(now time.Time, o Options) *Fleet {
-	if o.ProbeInterval == 0 {
-		o.ProbeInterval = 500 * time.Millisecond
+	o.setDefaults(now)
+	f := &Fleet{
+		start:       now,
+		now:         now,
+		o:           o,
+		rand:        o.Rand,
+		known:       make(map[baobabstep.VMID]*record),
+		dataCentres: make(map[uint64]*dataCentre),
+		candidates:  make(map[baobabstep.VMID]baobabstep.VM),
+		racks:       make(map[string]string),
+		forwarded:   make(map[uint64]forwarded),
 	}
-	if o.PauseLimit == 0 {
-		o.PauseLimit = time.Second
-	}
-	f := &Fleet{o: o, self: o.Self, known: make(map[baobabstep.VMID]*record), lastTick: now}
-	f.self.Incarnation = max(f.self.Incarnation, 1)
-	f.change(now)
+	f.seq = uint64(f.rand.Uint32())
+	f.budget = budget{rate: o.GossipBytesPerSecond, tokens: float64(2 * o.GossipBytesPerSecond), at: now}
+	self := o.Self
+	self.Incarnation = max(self.Incarnation, 1)
+	self.State = baobabstep.VMAlive
+	f.me = f.add(now, self, f.rand.Uint64())
+	f.own = f.me.dataCentre
+	f.nextProbe = now.Add(f.jitter(o.ProbeInterval))
+	f.nextRelay = now.Add(f.jitter(o.ProbeInterval))
+	f.nextSync = now.Add(f.jitter(o.SyncInterval))
+	f.pause = pause{starting: true}
 	return f
 }
 
-// Seeds takes candidates to contact.
-func (f *Fleet) Seeds(_ time.Time, vms []baobabstep.VM) {
+func (f *Fleet) jitter(d time.Duration) time.Duration {
+	return time.Duration(f.rand.Int64N(int64(d)))
+}
+
+// Tick does what is due and returns what to send. Call it every 100 ms.
+func (f *Fleet) Tick(now time.Time) []Out {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, vm := range vms {
-		if vm.ID == f.self.ID || f.known[vm.ID] != nil {
-			continue
-		}
-		vm.State = baobabstep.VMDead
-		vm.Incarnation = 0
-		f.known[vm.ID] = &record{vm: vm}
+	f.observe(now)
+	if stall := f.gap(f.now); stall > f.o.ProbeInterval {
+		f.forgive(stall)
 	}
+	f.ticked.Store(int64(f.now.Sub(f.start)))
+	f.pause.wall = f.now.Round(0)
+	f.rejoin()
+	var out []Out
+	f.judgeDataCentres()
+	f.judgeSuspects(&out)
+	f.probeNext(&out)
+	f.contact(&out)
+	f.relay(&out)
+	f.compare(&out)
+	f.gossip(&out)
+	f.sweep()
+	return out
 }
 
-// Handle takes one message of an authenticated peer.
+// Handle takes one message from an authenticated peer and returns the answers.
+// A message that cannot be understood is counted and dropped.
 func (f *Fleet) Handle(now time.Time, from baobabstep.VMID, body []byte) []Out {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.observe(now)
 	f.stats.MessagesIn++
 	f.stats.BytesIn += uint64(len(body))
-	var m message
-	if err := cbor.Unmarshal(body, &m); err != nil || m.VM.ID != from {
+	m, err := decode(body)
+	if err != nil {
 		f.stats.Malformed++
 		return nil
 	}
-	f.paused = false
-	r := f.known[from]
-	if r == nil {
-		r = &record{}
-		f.known[from] = r
+	if from == f.me.vm.ID {
+		f.sawDuplicate()
+		return nil
 	}
-	r.heard = now
-	if r.vm != m.VM {
-		r.vm = m.VM
-		f.change(now)
+	var out []Out
+	f.learn(from, m)
+	f.answer(&out, from, m)
+	return out
+}
+
+// learn takes in what any message tells.
+func (f *Fleet) learn(from baobabstep.VMID, m *message) {
+	sender := f.known[from]
+	local := sender != nil && sender.dataCentre == f.own
+	for i := range m.News {
+		f.merge(&m.News[i], m.Kind == kindEntries && local)
+	}
+	sender = f.known[from]
+	if sender != nil {
+		f.learnHeader(sender, m)
 	}
-	return nil
+	if m.PeerIncarnation > f.me.vm.Incarnation && m.PeerIncarnation < maxIncarnation {
+		f.raise(m.PeerIncarnation + 1)
+	}
+	f.learnBeats(sender, m.Beats)
 }
 
-// Tick sends what is due. Call it every 100 ms.
-func (f *Fleet) Tick(now time.Time) []Out {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if now.Sub(f.lastTick) > f.o.PauseLimit {
-		f.paused = len(f.known) > 0
-		f.stats.Pauses++
-	}
-	f.lastTick = now
-	for _, r := range f.known {
-		if r.vm.State == baobabstep.VMAlive && now.Sub(r.heard) > 3*time.Second {
-			r.vm.State = baobabstep.VMDead
-			f.change(now)
-		}
+// learnHeader takes what the sender says of itself without a whole entry.
+func (f *Fleet) learnHeader(sender *record, m *message) {
+	sender.acked = m.PeerIncarnation
+	if sender.nonce != m.Nonce {
+		return // another process; its entry will follow
 	}
-	if now.Before(f.nextPing) {
-		return nil
+	if sender.vm.State == baobabstep.VMLeaving {
+		sender.since = time.Time{}
+	}
+	vm := sender.vm
+	vm.Incarnation, vm.State = m.Incarnation, m.State
+	if m.Incarnation < maxIncarnation && supersedes(vm, m.Nonce, sender) {
+		f.update(sender, vm, m.Nonce)
 	}
-	f.nextPing = now.Add(f.o.ProbeInterval)
-	return f.announce()
 }
 
-func (f *Fleet) announce() []Out {
-	body, err := cbor.Marshal(message{VM: f.self})
-	if err != nil {
-		panic(err)
+// answer sends what the message asks for. A sender whose idea of itself is
+// older than what is known here is told so, whatever it sent: it may have
+// started anew, or be called dead without knowing it.
+func (f *Fleet) answer(out *[]Out, from baobabstep.VMID, m *message) {
+	reply := f.reply(from, m)
+	switch m.Kind {
+	case kindPing:
+		reply.Kind, reply.Seq = kindAck, m.Seq
+		reply.News = append(reply.News, f.takeNews(maxPiggyback)...)
+		reply.Beats = f.beats()
+		f.sendTo(out, from, reply)
+		return
+	case kindAck:
+		f.acknowledge(out, from, m)
+	case kindPingRequest:
+		f.forwardProbe(out, from, m)
+	case kindSync:
+		f.answerSync(out, from, m)
+	case kindSummary:
+		f.answerSummary(out, from, m)
+	case kindEntries:
+		f.answerWanted(out, from, m)
+	case kindRelay:
+		reply.Kind, reply.Seq = kindRelayAck, m.Seq
+		reply.Beats = f.beats()
+		f.sendTo(out, from, reply)
+		f.answerSync(out, from, m)
+		return
+	case kindRelayAck:
+		f.relayAcknowledged(from, m)
+	case kindGossip:
 	}
-	var out []Out
-	for id, r := range f.known {
-		out = append(out, Out{To: id, Address: r.vm.PeerAddress, Body: body})
-		f.stats.MessagesOut++
-		f.stats.BytesOut += uint64(len(body))
+	if len(reply.News) > 0 {
+		reply.Kind = kindGossip
+		f.sendTo(out, from, reply)
 	}
-	return out
 }
 
-func (f *Fleet) change(now time.Time) {
-	v := &baobabstep.View{Number: 1, Self: f.self.ID, ChangedAt: now, Unsure: f.paused}
-	if f.view != nil {
-		v.Number = f.view.Number + 1
+// reply returns a message with what the sender has to be told.
+func (f *Fleet) reply(from baobabstep.VMID, m *message) message {
+	var reply message
+	if m.PeerIncarnation != f.me.vm.Incarnation {
+		reply.News = append(reply.News, f.me.entry())
 	}
-	for _, vm := range f.all() {
-		if vm.Region == f.self.Region && vm.State <= baobabstep.VMSuspect {
-			v.Members = append(v.Members, vm)
-		}
+	sender := f.known[from]
+	if sender != nil && sender.isNewer(m) {
+		reply.News = append(reply.News, sender.entry())
+	}
+	if sender != nil && sender.nonce == m.Nonce {
+		reply.PeerIncarnation = sender.vm.Incarnation
 	}
-	f.view = v
+	return reply
 }
 
-func (f *Fleet) all() []baobabstep.VM {
-	vms := []baobabstep.VM{f.self}
-	for _, r := range f.known {
-		vms = append(vms, r.vm)
+// send encodes a message for a known VM.
+func (f *Fleet) send(out *[]Out, to *record, m message) {
+	m.PeerIncarnation = to.vm.Incarnation
+	if to.acked != f.me.vm.Incarnation {
+		m.News = append(m.News, f.me.entry())
 	}
-	sort.Slice(vms, func(i, j int) bool { return vms[i].ID < vms[j].ID })
-	return vms
+	f.emit(out, Out{To: to.vm.ID, Address: to.vm.PeerAddress}, m)
 }
 
-// View returns the membership of the own region. The pointer stays the same
-// while nothing changed.
-func (f *Fleet) View(time.Time) *baobabstep.View {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.view
+// sendTo encodes an answer, to a VM that need not be known.
+func (f *Fleet) sendTo(out *[]Out, to baobabstep.VMID, m message) {
+	o := Out{To: to}
+	if r := f.known[to]; r != nil {
+		o.Address = r.vm.PeerAddress
+	}
+	f.emit(out, o, m)
 }
 
-// All returns every VM known, of all regions and in all states, sorted by ID.
-func (f *Fleet) All(time.Time) []baobabstep.VM {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.all()
+func (f *Fleet) emit(out *[]Out, o Out, m message) {
+	m.Incarnation, m.Nonce, m.State = f.me.vm.Incarnation, f.me.nonce, f.me.vm.State
+	o.Body = encode(&m)
+	f.stats.MessagesOut++
+	f.stats.BytesOut += uint64(len(o.Body))
+	*out = append(*out, o)
 }
 
-// Paused reports whether this VM was paused and no peer has answered since.
-func (f *Fleet) Paused(now time.Time) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.paused || now.Sub(f.lastTick) > f.o.PauseLimit && len(f.known) > 0
+func (f *Fleet) nextSeq() uint64 {
+	f.seq++
+	return f.seq
 }
 
-// Leave announces a planned stop.
+// Leave announces a planned stop. Go on calling Tick and Handle until the VM
+// has handed over what it holds.
 func (f *Fleet) Leave(now time.Time) []Out {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.self.State = baobabstep.VMLeaving
-	f.change(now)
-	return f.announce()
+	f.observe(now)
+	vm := f.me.vm
+	vm.State = baobabstep.VMLeaving
+	vm.Incarnation++
+	f.update(f.me, vm, f.me.nonce)
+	var out []Out
+	for _, r := range f.pick(f.own, maxLeaveMessages, alive) {
+		f.send(&out, r, message{Kind: kindGossip, News: []entry{f.me.entry()}})
+	}
+	for _, d := range f.sortedDataCentres() {
+		if d == f.own {
+			continue
+		}
+		for _, r := range f.pick(d, 1, alive) {
+			f.send(&out, r, message{Kind: kindGossip, News: []entry{f.me.entry()}})
+		}
+	}
+	return out
 }
 
+// maxLeaveMessages bounds the VMs of the own data centre that are told of a
+// planned stop at once; gossip tells the others.
+const maxLeaveMessages = 8
+
 // Stats returns the counters.
 func (f *Fleet) Stats() Stats {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.stats
+	s := f.stats
+	for _, d := range f.dataCentres {
+		for _, r := range d.records {
+			if r.vm.State != baobabstep.VMDead {
+				s.Known++
+			}
+		}
+		if d.silent {
+			s.SilentDataCentres++
+		}
+	}
+	return s
 }
--- /dev/null
+++ b/core/member/sync.go
@@ -0,0 +1,189 @@
+package member
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"baobabstep"
+)
+
+// quickSync is the time to the next comparison after one that found a
+// difference.
+const quickSync = 400 * time.Millisecond
+
+// itemBytes is a generous size of one item of a summary, for estimates.
+const itemBytes = 32
+
+// compare sends digests to a random VM of the own data centre. Other data
+// centres get theirs from the relays.
+func (f *Fleet) compare(out *[]Out) {
+	if f.now.Before(f.nextSync) {
+		return
+	}
+	f.nextSync = f.now.Add(f.o.SyncInterval)
+	for _, r := range f.pick(f.own, 1, alive) {
+		f.send(out, r, message{Kind: kindSync, Digests: f.digests()})
+	}
+}
+
+func (f *Fleet) digests() []digest {
+	digests := make([]digest, 0, len(f.dataCentres))
+	for _, d := range f.sortedDataCentres() {
+		digests = append(digests, digest{DataCentre: d.key, Digest: d.digest})
+	}
+	return digests
+}
+
+// answerSync sends a summary of the first data centre that differs, the own
+// one and its region before others.
+func (f *Fleet) answerSync(out *[]Out, from baobabstep.VMID, m *message) {
+	if len(m.Digests) == 0 {
+		return
+	}
+	theirs := make(map[uint64]uint64, len(m.Digests))
+	for _, d := range m.Digests {
+		theirs[d.DataCentre] = d.Digest
+	}
+	var differing *dataCentre
+	for _, d := range f.sortedDataCentres() {
+		if theirs[d.key] != d.digest && (differing == nil || f.distance(d) < f.distance(differing)) {
+			differing = d
+		}
+	}
+	if differing == nil {
+		return
+	}
+	s := f.summarize(differing)
+	if !f.budget.take(f.now, itemBytes*len(s.Items)) {
+		f.stats.Saved++
+		return
+	}
+	f.sendTo(out, from, message{Kind: kindSummary, Summary: s})
+}
+
+func (f *Fleet) distance(d *dataCentre) int {
+	switch {
+	case d == f.own:
+		return 0
+	case d.region == f.own.region:
+		return 1
+	default:
+		return 2
+	}
+}
+
+// summarize lists a data centre, or a random stretch of one that is too large
+// for a message.
+func (f *Fleet) summarize(d *dataCentre) *summary {
+	s := &summary{DataCentre: d.key, To: math.MaxUint64}
+	records := d.records
+	if len(records) > maxSummary {
+		first := f.rand.IntN(len(records))
+		records = records[first:min(first+maxSummary, len(records))]
+		s.From = records[0].vm.ID
+		if first == 0 {
+			s.From = 0
+		}
+		if last := records[len(records)-1]; last != d.records[len(d.records)-1] {
+			s.To = last.vm.ID
+		}
+	}
+	for _, r := range records {
+		if living(r) {
+			s.Items = append(s.Items, item{ID: r.vm.ID, Incarnation: r.vm.Incarnation, State: r.vm.State, Nonce: r.nonce})
+		}
+	}
+	return s
+}
+
+// answerSummary sends what the other VM lacks and asks for what this one does.
+func (f *Fleet) answerSummary(out *[]Out, from baobabstep.VMID, m *message) {
+	s := m.Summary
+	if s == nil {
+		f.stats.Malformed++
+		return
+	}
+	reply := message{Kind: kindEntries}
+	listed := make(map[baobabstep.VMID]bool, len(s.Items))
+	for i := range s.Items {
+		it := &s.Items[i]
+		listed[it.ID] = true
+		r := f.known[it.ID]
+		order := 1
+		if r != nil {
+			order = compareVersions(it.Incarnation, it.State, it.Nonce, r)
+		}
+		switch {
+		case order > 0:
+			reply.Wanted = append(reply.Wanted, it.ID)
+		case order < 0:
+			reply.News = append(reply.News, r.entry())
+		}
+	}
+	if d := f.dataCentres[s.DataCentre]; d != nil {
+		for _, r := range d.records {
+			if living(r) && r.vm.ID >= s.From && r.vm.ID <= s.To && !listed[r.vm.ID] {
+				reply.News = append(reply.News, r.entry())
+			}
+		}
+	}
+	f.sendEntries(out, from, reply)
+}
+
+// sendEntries sends a piece of what was collected. The next comparison finds
+// the rest; which piece comes first is random, so that no entry has to wait
+// for ever behind others.
+func (f *Fleet) sendEntries(out *[]Out, to baobabstep.VMID, m message) {
+	if len(m.News) == 0 && len(m.Wanted) == 0 {
+		return
+	}
+	f.rand.Shuffle(len(m.News), func(i, j int) { m.News[i], m.News[j] = m.News[j], m.News[i] })
+	f.rand.Shuffle(len(m.Wanted), func(i, j int) { m.Wanted[i], m.Wanted[j] = m.Wanted[j], m.Wanted[i] })
+	m.News = m.News[:min(len(m.News), maxGive)]
+	m.Wanted = m.Wanted[:min(len(m.Wanted), maxWanted)]
+	if !f.budget.take(f.now, entryBytes*len(m.News)+9*len(m.Wanted)) {
+		f.stats.Saved++
+		return
+	}
+	if soon := f.now.Add(quickSync); soon.Before(f.nextSync) {
+		f.nextSync = soon
+	}
+	f.sendTo(out, to, m)
+}
+
+// answerWanted sends the entries that the other VM asked for.
+func (f *Fleet) answerWanted(out *[]Out, from baobabstep.VMID, m *message) {
+	wanted := m.Wanted[:min(len(m.Wanted), maxWanted)]
+	reply := message{Kind: kindEntries}
+	for _, id := range wanted {
+		if r := f.known[id]; r != nil {
+			reply.News = append(reply.News, r.entry())
+		}
+	}
+	if len(reply.News) == 0 {
+		return
+	}
+	if !f.budget.take(f.now, entryBytes*len(reply.News)) {
+		f.stats.Saved++
+		return
+	}
+	f.sendTo(out, from, reply)
+}
+
+// changedSince returns up to n records of a data centre that changed after a
+// number of [Fleet.changes], the oldest change first, and the number up to
+// which the list is complete.
+func (f *Fleet) changedSince(d *dataCentre, after uint64, n int) (records []*record, upTo uint64) {
+	for _, r := range d.records {
+		if r.changed > after {
+			records = append(records, r)
+		}
+	}
+	if len(records) <= n {
+		return records, f.changes
+	}
+	slices.SortFunc(records, func(a, b *record) int { return cmp.Compare(a.changed, b.changed) })
+	return records[:n], records[n-1].changed
+}
