request: ledger, claims, admission, dispatch and retries

Cause: requests need one owner that proves what it says about them. Change: a dispatcher per group of targets; claims stored by most of a set of three VMs, and of each set of a short time ago, before a request that is not idempotent is handed over and before 'not run' is said. The witness told a caller 'unknown' twice; an adopted request now has one result.

--- /dev/null
+++ b/core/request/claim.go
@@ -0,0 +1,280 @@
+package request
+
+import (
+	"slices"
+	"time"
+
+	"baobabstep"
+)
+
+// claim is the progress of this VM's claim of a request.
+type claim struct {
+	begun  bool
+	owned  bool
+	failed bool
+	since  time.Time
+	sent   time.Time
+	// window is how far back the claim has to reach.
+	window time.Duration
+	acks   []baobabstep.VMID
+}
+
+// beginClaim asks the VMs of all sets that have a say to store the claim.
+func (g *group) beginClaim(now time.Time, en *entry, window time.Duration, out *baobabstep.Outbox) {
+	if en.claim.begun {
+		return
+	}
+	en.claim = claim{begun: true, since: now, window: window}
+	if !g.fleet.mayClaim(g.service) || g.engine.paused.Load() {
+		en.claim.failed = true
+		return
+	}
+	if g.engine.age(now) >= window {
+		en.claim.acks = append(en.claim.acks, g.engine.opts.Self)
+	}
+	g.sendClaim(now, en, out)
+	g.judgeClaim(now, en)
+}
+
+// sets calls f for each set that has a say over a claim.
+func (g *group) sets(now time.Time, window time.Duration, f func(members []baobabstep.VMID)) {
+	f(g.set.members)
+	for i := range g.former {
+		former := &g.former[i]
+		if now.Sub(former.until) < window && len(former.set.members) > 0 {
+			f(former.set.members)
+		}
+	}
+}
+
+func (g *group) sendClaim(now time.Time, en *entry, out *baobabstep.Outbox) {
+	en.claim.sent = now
+	var asked []baobabstep.VMID
+	g.sets(now, en.claim.window, func(members []baobabstep.VMID) {
+		for _, vm := range members {
+			if vm == g.engine.opts.Self || slices.Contains(asked, vm) || slices.Contains(en.claim.acks, vm) || !g.fleet.has(vm) {
+				continue
+			}
+			asked = append(asked, vm)
+			g.engine.stats.claims.Add(1)
+			out.VM(vm, g.claimPacket(now, en, baobabstep.PurposeReplicate))
+		}
+	})
+}
+
+// claimPacket carries no payload: a witness never runs the request. Seq is the
+// claimer's token, Attempt the attempt that the claim allows.
+func (g *group) claimPacket(now time.Time, en *entry, purpose baobabstep.Purpose) *baobabstep.Packet {
+	return &baobabstep.Packet{
+		Kind:       baobabstep.KindRequest,
+		Flow:       en.key,
+		Seq:        g.engine.token,
+		Service:    g.id.service,
+		Attempt:    1,
+		Class:      en.class,
+		Idempotent: en.idempotent,
+		Timeout:    max(0, en.deadline.Sub(now)),
+		Route:      baobabstep.Route{Purpose: purpose, From: g.engine.opts.Self},
+	}
+}
+
+// judgeClaim works out whether the claim is owned.
+func (g *group) judgeClaim(now time.Time, en *entry) {
+	owned := true
+	g.sets(now, en.claim.window, func(members []baobabstep.VMID) {
+		n := 0
+		for _, vm := range members {
+			if slices.Contains(en.claim.acks, vm) {
+				n++
+			}
+		}
+		owned = owned && 2*n > len(members)
+	})
+	en.claim.owned = en.claim.owned || owned
+}
+
+// storeClaim is the witness's side: the first owner wins.
+func (g *group) storeClaim(now time.Time, p *baobabstep.Packet, out *baobabstep.Outbox) {
+	en := g.ledger[p.Flow]
+	if en == nil {
+		en = g.add(now, p.Flow, stateStored)
+		if en == nil {
+			return
+		}
+		en.owner = p.Route.From
+		en.token = p.Seq
+		en.class = p.Class
+		en.idempotent = p.Idempotent
+		en.attempt = p.Attempt
+		en.deadline = now.Add(p.Timeout)
+		en.setTimer(now.Add(g.engine.opts.Remember))
+	}
+	code := baobabstep.CodeOK
+	if en.state != stateStored || en.owner != p.Route.From || en.token != p.Seq {
+		code = baobabstep.CodeConflict
+		g.engine.stats.conflicts.Add(1)
+	}
+	owner := en.owner
+	if en.state != stateStored && en.state != stateMoved {
+		owner = g.engine.opts.Self
+	}
+	g.ackClaim(now, p, code, owner, out)
+}
+
+// ackClaim answers a claim. Timeout is the age of this process: what it stored
+// in an earlier life it no longer knows. Tried[0] is the owner, in a conflict.
+func (g *group) ackClaim(now time.Time, p *baobabstep.Packet, code baobabstep.Code, owner baobabstep.VMID, out *baobabstep.Outbox) {
+	q := &baobabstep.Packet{
+		Kind:    baobabstep.KindRequest,
+		Flow:    p.Flow,
+		Seq:     p.Seq,
+		Service: g.id.service,
+		Attempt: p.Attempt,
+		Code:    code,
+		Timeout: g.engine.age(now),
+		Route:   baobabstep.Route{Purpose: baobabstep.PurposeStored, From: g.engine.opts.Self},
+	}
+	if code != baobabstep.CodeOK {
+		q.Route.Tried[0] = owner
+		q.Route.NTried = 1
+	}
+	out.VM(p.Route.From, q)
+}
+
+// claimAnswered takes a witness's answer.
+func (g *group) claimAnswered(now time.Time, p *baobabstep.Packet, out *baobabstep.Outbox) {
+	en := g.ledger[p.Flow]
+	if en == nil || !en.state.open() || !en.claim.begun || en.claim.owned || p.Seq != g.engine.token {
+		return
+	}
+	if p.Code != baobabstep.CodeOK {
+		g.claimLost(now, en, p.Route.Tried[0], out)
+		return
+	}
+	if p.Timeout < en.claim.window || slices.Contains(en.claim.acks, p.Route.From) {
+		return
+	}
+	en.claim.acks = append(en.claim.acks, p.Route.From)
+	g.judgeClaim(now, en)
+	if en.claim.owned {
+		g.claimOwned(now, en, out)
+	}
+}
+
+func (g *group) claimOwned(now time.Time, en *entry, out *baobabstep.Outbox) {
+	if en.state == stateRefusing {
+		en.finish(now, en.verdict, out)
+		return
+	}
+	g.dispatch(now, out)
+}
+
+// claimLost ends this VM's part in a request that another VM owns. If that VM
+// is gone, or is an earlier process of this one, nobody will ever answer.
+func (g *group) claimLost(now time.Time, en *entry, owner baobabstep.VMID, out *baobabstep.Outbox) {
+	if owner == 0 || owner == g.engine.opts.Self || !g.fleet.has(owner) || en.attempt > 0 {
+		g.unknown(now, en, out)
+		return
+	}
+	en.owner = owner
+	en.setState(stateMoved)
+	en.remember(now)
+}
+
+// unknown ends a request of which nothing can be proved.
+func (g *group) unknown(now time.Time, en *entry, out *baobabstep.Outbox) {
+	en.finish(now, result{code: baobabstep.CodeOutcomeUnknown, retryAfter: g.retryAfter(now)}, out)
+}
+
+// forgetClaim tells the witnesses that the caller has its result, so that none
+// of them tells it "unknown" when this VM dies.
+func (en *entry) forgetClaim(out *baobabstep.Outbox) {
+	for _, vm := range en.claim.acks {
+		if vm == en.group.engine.opts.Self {
+			continue
+		}
+		p := en.group.claimPacket(en.deadline, en, baobabstep.PurposeForget)
+		p.Code = en.result.code
+		out.VM(vm, p)
+	}
+}
+
+// forget marks a stored claim as answered. The entry stays as a tombstone: a
+// late copy must not be run.
+func (g *group) forget(now time.Time, p *baobabstep.Packet) {
+	en := g.ledger[p.Flow]
+	if en == nil || en.state != stateStored || en.owner != p.Route.From || en.token != p.Seq {
+		return
+	}
+	en.result.code = p.Code
+	en.setState(stateDone)
+	en.remember(now)
+}
+
+// adopt looks after stored claims whose owner left the view: their callers
+// still wait, and the owner may be dead.
+func (g *group) adopt(now time.Time) {
+	if g.set.acting != g.engine.opts.Self {
+		return
+	}
+	for _, en := range g.ledger {
+		if en.state == stateStored && !en.adopted && !g.fleet.has(en.owner) {
+			en.adopted = true
+			en.setTimer(now.Add(g.adoptGrace(now, en)))
+		}
+	}
+}
+
+// minAdoptGrace leaves time for an answer on its way, and for an owner that
+// stops in good order to finish.
+const minAdoptGrace = time.Second
+
+func (g *group) adoptGrace(now time.Time, en *entry) time.Duration {
+	g.refreshCapacity(now)
+	grace := max(minAdoptGrace, 8*g.capacity.serviceTime)
+	return max(0, min(grace, en.deadline.Sub(now)))
+}
+
+// expireStored ends a stored claim: unanswered by an owner that is gone, or
+// old enough to forget.
+func (g *group) expireStored(now time.Time, en *entry, out *baobabstep.Outbox) {
+	if en.adopted {
+		g.unknown(now, en, out)
+		return
+	}
+	en.remove()
+}
+
+// nextForeign returns the VM that should answer for a request of another VM:
+// the owner while it lives, then the dispatcher. An answer is not entrusted to
+// an owner that is suspect.
+func (g *group) nextForeign(en *entry, p *baobabstep.Packet) baobabstep.VMID {
+	self, acting := g.engine.opts.Self, g.set.acting
+	alive := g.fleet.has(en.owner) && !g.fleet.suspect(en.owner)
+	keep := p.Kind == baobabstep.KindAnswer && acting == self && !alive
+	if g.fleet.has(en.owner) && !tried(p, en.owner) && !keep {
+		return en.owner
+	}
+	if acting != self && acting != 0 && acting != en.owner && !tried(p, acting) {
+		return acting
+	}
+	return 0
+}
+
+// handleForeign handles a packet of a request that belongs to another VM.
+func (g *group) handleForeign(now time.Time, en *entry, p *baobabstep.Packet, out *baobabstep.Outbox) {
+	if next := g.nextForeign(en, p); next != 0 {
+		g.forward(next, p, out)
+		return
+	}
+	switch p.Kind {
+	case baobabstep.KindRequest:
+		// An adopted request gets its result within the grace.
+		if p.Seq > 0 && !en.adopted {
+			g.tellUnknown(now, p, out)
+		}
+	case baobabstep.KindAnswer:
+		g.answeredForeign(now, en, p, out)
+	default:
+	}
+}
--- /dev/null
+++ b/core/request/dispatch.go
@@ -0,0 +1,191 @@
+package request
+
+import (
+	"time"
+
+	"baobabstep"
+)
+
+const (
+	// maxRetryTokens bounds what a quiet time can save up for retries.
+	maxRetryTokens = 10
+	baseBackoff    = 4 * time.Millisecond
+	maxBackoff     = 250 * time.Millisecond
+	// minAttemptTimeout and attemptTimes bound the time after which an
+	// idempotent attempt is taken for lost: attemptTimes service times.
+	minAttemptTimeout = 100 * time.Millisecond
+	attemptTimes      = 8
+)
+
+func (g *group) enqueue(now time.Time, en *entry, out *baobabstep.Outbox) {
+	g.refreshCapacity(now)
+	g.enqueueEntry(en)
+	en.setTimer(en.waitTimer(now))
+	g.dispatch(now, out)
+}
+
+func (g *group) enqueueRetry(now time.Time, en *entry, out *baobabstep.Outbox) {
+	if !now.Before(en.giveUpAt()) {
+		g.refuseNotRun(now, en, result{code: baobabstep.CodeDeadlineExceeded, retryAfter: g.retryAfter(now)}, out)
+		return
+	}
+	g.enqueue(now, en, out)
+}
+
+// dispatch hands over waiting requests while there are slots.
+func (g *group) dispatch(now time.Time, out *baobabstep.Outbox) {
+	for {
+		en := g.nextReady()
+		if en == nil {
+			return
+		}
+		id, code := g.engine.opts.Targets.PickSlot(now, g.slotQuery(en.target))
+		if code != baobabstep.CodeOK {
+			return
+		}
+		g.tookTurn(en)
+		g.handOver(now, en, id, out)
+	}
+}
+
+// nextReady chooses between the classes: urgent first, but while both wait
+// ordinary requests get their floor of the slots.
+func (g *group) nextReady() *entry {
+	urgent := g.queues[0].ready()
+	ordinary := g.queues[1].ready()
+	switch {
+	case urgent == nil:
+		return ordinary
+	case ordinary == nil || g.ordinaryCredit < 1:
+		return urgent
+	default:
+		return ordinary
+	}
+}
+
+func (g *group) tookTurn(en *entry) {
+	if en.class != baobabstep.ClassUrgent {
+		g.ordinaryCredit = max(0, g.ordinaryCredit-1)
+		return
+	}
+	if g.queues[1].n > 0 {
+		g.ordinaryCredit += g.service.OrdinaryFloor / max(0.01, 1-g.service.OrdinaryFloor)
+	}
+}
+
+// handOver sends the next attempt to a target.
+func (g *group) handOver(now time.Time, en *entry, id baobabstep.TargetID, out *baobabstep.Outbox) {
+	if !en.idempotent && (en.attempt > 0 || !en.claim.owned) {
+		g.engine.breaks("I5", "request that is not idempotent handed over twice or without its claim")
+	}
+	en.attempt++
+	en.target = id
+	en.sentAt = now
+	en.slot = true
+	en.setState(stateRunning)
+	g.engine.stats.handedOver.Add(1)
+	out.Target(&baobabstep.Packet{
+		Kind:       baobabstep.KindRequest,
+		Flow:       en.key,
+		Service:    g.id.service,
+		Target:     id,
+		Version:    g.engine.config.Load().Version,
+		Attempt:    en.attempt,
+		Class:      en.class,
+		Idempotent: en.idempotent,
+		Timeout:    en.deadline.Sub(now),
+		Payload:    en.payload,
+	})
+	en.setTimer(g.runTimer(now, en))
+}
+
+// runTimer is the deadline, or earlier the time after which an idempotent
+// attempt is taken for lost.
+func (g *group) runTimer(now time.Time, en *entry) time.Time {
+	if !en.idempotent {
+		return en.deadline
+	}
+	return earlier(en.deadline, now.Add(g.attemptTimeout()))
+}
+
+func (g *group) attemptTimeout() time.Duration {
+	return max(minAttemptTimeout, attemptTimes*g.capacity.serviceTime)
+}
+
+// expireRunning ends an attempt that took too long.
+func (g *group) expireRunning(now time.Time, en *entry, out *baobabstep.Outbox) {
+	if en.cancelled {
+		g.lose(now, en, out)
+		g.unknown(now, en, out)
+		return
+	}
+	if !now.Before(en.deadline) {
+		g.cancelAttempt(en, out)
+		g.lose(now, en, out)
+		g.unknown(now, en, out)
+		return
+	}
+	if !g.mayRetry(en) {
+		// No budget: the attempt may still be answered.
+		en.setTimer(en.deadline)
+		return
+	}
+	g.cancelAttempt(en, out)
+	g.lose(now, en, out)
+	g.retry(now, en)
+}
+
+// lose ends an attempt of which nothing was heard. It is evidence against the
+// target only if the target had a fair time to answer.
+func (g *group) lose(now time.Time, en *entry, _ *baobabstep.Outbox) {
+	en.maybeRan = true
+	code := baobabstep.CodeCancelled
+	if !en.cancelled && now.Sub(en.sentAt) >= g.attemptTimeout() {
+		code = baobabstep.CodeOutcomeUnknown
+	}
+	en.releaseSlot(now, code)
+}
+
+// mayRetry tells whether the request may be handed over once more.
+func (g *group) mayRetry(en *entry) bool {
+	return en.idempotent && !en.cancelled && int(en.attempt) < g.engine.opts.MaxAttempts && g.retryTokens >= 1
+}
+
+// retry waits a random time, so that the requests of one failure do not come
+// back together, and takes its cost from the budget.
+func (g *group) retry(now time.Time, en *entry) {
+	g.retryTokens--
+	g.engine.stats.retries.Add(1)
+	limit := min(baseBackoff<<min(en.attempt, 10), maxBackoff)
+	en.setState(stateBackoff)
+	en.setTimer(earlier(en.deadline, now.Add(time.Duration(g.shard.rand.Int64N(int64(limit))))))
+}
+
+// refusedByTarget handles a target's word that it did not run the attempt.
+func (g *group) refusedByTarget(now time.Time, en *entry, p *baobabstep.Packet, out *baobabstep.Outbox) {
+	if !p.FromTarget || !en.matches(p) {
+		g.engine.stats.lateAnswers.Add(1)
+		return
+	}
+	if p.Code == baobabstep.CodeOutcomeUnknown || p.Code == baobabstep.CodeOK {
+		en.maybeRan = true
+	}
+	en.releaseSlot(now, p.Code)
+	switch {
+	case en.cancelled && !en.maybeRan:
+		g.refuseNotRun(now, en, result{code: baobabstep.CodeCancelled}, out)
+	case en.maybeRan && !en.idempotent:
+		g.unknown(now, en, out)
+	case g.mayRetry(en):
+		g.retry(now, en)
+	default:
+		g.refuseNotRun(now, en, result{code: baobabstep.CodeRefusedNotRun, retryAfter: g.retryAfter(now)}, out)
+	}
+	g.dispatch(now, out)
+}
+
+// matches tells whether an answer is for the attempt that is running: late,
+// doubled, crossed and superseded ones are not.
+func (en *entry) matches(p *baobabstep.Packet) bool {
+	return en.state == stateRunning && p.Attempt == en.attempt && p.Target == en.target
+}
--- /dev/null
+++ b/core/request/fleet_test.go
@@ -0,0 +1,388 @@
+package request
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"baobabstep"
+	"baobabstep/core/target"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	os.Exit(m.Run())
+}
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+var dataCentres = []string{"braga-a", "braga-b", "guimaraes"}
+
+func vmID(i int) baobabstep.VMID { return baobabstep.MakeVMID(fmt.Sprintf("vm-%d", i)) }
+
+func testService(targets int) baobabstep.Service {
+	s := baobabstep.Service{
+		ID:              baobabstep.MakeServiceID("talho", "corte"),
+		Name:            "talho/corte",
+		Address:         netip.MustParseAddrPort("127.0.0.9:443"),
+		DataCentres:     dataCentres,
+		MaxTimeout:      5 * time.Second,
+		DefaultTimeout:  2 * time.Second,
+		OrdinaryFloor:   0.2,
+		RetryShare:      0.1,
+		QueueLimit:      4,
+		MaxEjectedShare: 0.4,
+	}
+	for i := range targets {
+		name := fmt.Sprintf("corte-%02d", i)
+		s.Targets = append(s.Targets, baobabstep.Target{
+			ID: baobabstep.MakeTargetID(name), Name: name, Service: s.ID,
+			Address:    netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 1, byte(i)}), 9000),
+			DataCentre: dataCentres[i%len(dataCentres)],
+			Slots:      2, Connections: 2000,
+		})
+	}
+	return s
+}
+
+// bench is a few engines joined by a queue of packets, with stand-ins for the
+// targets and the callers. Its time moves only in run, and everything random
+// comes from one seed.
+type bench struct {
+	t       testing.TB
+	now     time.Time
+	rand    *rand.Rand
+	service baobabstep.Service
+	config  *baobabstep.Config
+	vms     []*vm
+	targets map[baobabstep.TargetID]*backEnd
+	events  []event
+	order   int
+	// drop, when set, loses the packets for which it returns true.
+	drop func(b *bench, from, to string, p *baobabstep.Packet) bool
+	// double is the share of packets between VMs and callers sent twice.
+	double float64
+	// sticky makes targets answer the VM that asked, not any VM.
+	sticky  bool
+	callers map[baobabstep.FlowKey]*callerState
+	// ran counts how often each request ran to its end on any target.
+	ran map[baobabstep.FlowKey]int
+}
+
+type vm struct {
+	index  int
+	id     baobabstep.VMID
+	engine *Engine
+	slots  *target.Registry
+	dead   bool
+	view   *baobabstep.View
+}
+
+type backEnd struct {
+	busy int
+	// serviceTime is the mean of the random part of the time to serve,
+	// minTime the fixed part.
+	serviceTime, minTime time.Duration
+	// refuse, when set, is the code of each refusal; silent answers nothing.
+	refuse baobabstep.Code
+	silent bool
+}
+
+// callerState is what one caller was told of its request.
+type callerState struct {
+	codes   []baobabstep.Code
+	answers int
+	parts   int
+	retry   time.Duration
+	first   time.Time
+	final   time.Time
+}
+
+type event struct {
+	at    time.Time
+	order int
+	do    func()
+}
+
+const oneWay = 500 * time.Microsecond
+
+func newBench(t testing.TB, vms, targets int, seed uint64) *bench {
+	b := &bench{
+		t: t, now: epoch, rand: rand.New(rand.NewPCG(seed, 1)), service: testService(targets),
+		targets: make(map[baobabstep.TargetID]*backEnd),
+		callers: make(map[baobabstep.FlowKey]*callerState),
+		ran:     make(map[baobabstep.FlowKey]int),
+	}
+	b.config = &baobabstep.Config{Version: 1, Services: []baobabstep.Service{b.service}}
+	b.config.Index()
+	for i := range b.service.Targets {
+		b.targets[b.service.Targets[i].ID] = &backEnd{serviceTime: 10 * time.Millisecond}
+	}
+	for i := range vms {
+		b.vms = append(b.vms, &vm{index: i, id: vmID(i)})
+		b.start(i)
+	}
+	for _, v := range b.vms {
+		b.see(v.index, b.all()...)
+	}
+	// Past this time no VM is new any more.
+	b.run(2 * time.Minute)
+	return b
+}
+
+// start starts or restarts the process of a VM.
+func (b *bench) start(i int) {
+	v := b.vms[i]
+	broken := func(name, detail string) { b.t.Errorf("invariant %s: %s", name, detail) }
+	v.dead = false
+	v.slots = target.New(b.now, target.Options{Self: v.id, DataCentre: b.dataCentre(i), Rand: rand.New(rand.NewPCG(b.rand.Uint64(), 1)), Invariant: broken})
+	v.slots.SetConfig(b.now, b.config)
+	v.engine = New(b.now, Options{Self: v.id, DataCentre: b.dataCentre(i), Targets: v.slots, Rand: rand.New(rand.NewPCG(b.rand.Uint64(), 2)), Invariant: broken})
+	v.engine.SetConfig(b.now, b.config)
+}
+
+func (b *bench) dataCentre(i int) string { return dataCentres[i%len(dataCentres)] }
+
+func (b *bench) all() []int {
+	var all []int
+	for i := range b.vms {
+		all = append(all, i)
+	}
+	return all
+}
+
+// see gives a VM a view of the given members; negative ones are suspect.
+func (b *bench) see(i int, members ...int) {
+	v := &baobabstep.View{Self: b.vms[i].id, ChangedAt: b.now}
+	for _, m := range members {
+		state := baobabstep.VMAlive
+		if m < 0 {
+			m, state = -m-1, baobabstep.VMSuspect
+		}
+		v.Members = append(v.Members, baobabstep.VM{ID: vmID(m), DataCentre: b.dataCentre(m), Incarnation: 1, State: state})
+	}
+	b.vms[i].view = v
+	b.vms[i].engine.SetView(b.now, v)
+	b.vms[i].slots.SetView(b.now, v)
+}
+
+// suspect marks a member as suspect in see.
+func suspect(i int) int { return -i - 1 }
+
+// others returns all VMs but the given ones.
+func (b *bench) others(gone ...int) []int {
+	return slices.DeleteFunc(b.all(), func(i int) bool { return slices.Contains(gone, i) })
+}
+
+func (b *bench) after(d time.Duration, do func()) {
+	b.order++
+	b.events = append(b.events, event{b.now.Add(d), b.order, do})
+	for i := len(b.events) - 1; i > 0 && b.events[i].at.Before(b.events[i-1].at); i-- {
+		b.events[i], b.events[i-1] = b.events[i-1], b.events[i]
+	}
+}
+
+// run lets time pass; engines are ticked every 20 ms.
+func (b *bench) run(d time.Duration) {
+	end := b.now.Add(d)
+	for next := b.now.Add(20 * time.Millisecond); !b.now.Equal(end); next = next.Add(20 * time.Millisecond) {
+		until := earlier(next, end)
+		for len(b.events) > 0 && !b.events[0].at.After(until) {
+			e := b.events[0]
+			b.events = b.events[1:]
+			b.now = e.at
+			e.do()
+		}
+		b.now = until
+		for _, v := range b.vms {
+			if !v.dead {
+				b.decide(v, func(out *baobabstep.Outbox) { v.engine.Tick(b.now, out) })
+			}
+		}
+	}
+}
+
+func (b *bench) decide(v *vm, f func(out *baobabstep.Outbox)) {
+	var out baobabstep.Outbox
+	f(&out)
+	for i := range out {
+		b.send(v, &out[i])
+	}
+}
+
+func (b *bench) send(from *vm, s *baobabstep.Send) {
+	p := s.Packet
+	p.Payload = append([]byte(nil), p.Payload...)
+	name := fmt.Sprintf("vm-%d", from.index)
+	switch s.Dest {
+	case baobabstep.DestCaller:
+		b.carry(name, "caller", &p, func() { b.atCaller(&p) })
+	case baobabstep.DestTarget:
+		b.carry(name, "target", &p, func() { b.atTarget(from, &p) })
+	case baobabstep.DestVM:
+		for _, v := range b.vms {
+			if v.id == s.VM {
+				b.carry(name, fmt.Sprintf("vm-%d", v.index), &p, func() { b.atVM(v, &p) })
+			}
+		}
+	default:
+		b.t.Errorf("got a send to %v", s.Dest)
+	}
+}
+
+func (b *bench) carry(from, to string, p *baobabstep.Packet, arrive func()) {
+	if b.drop != nil && b.drop(b, from, to, p) {
+		return
+	}
+	b.after(oneWay, arrive)
+	if to != "target" && from != "target" && b.rand.Float64() < b.double {
+		b.after(oneWay+time.Duration(b.rand.Int64N(int64(time.Second))), arrive)
+	}
+}
+
+func (b *bench) atVM(v *vm, p *baobabstep.Packet) {
+	if v.dead {
+		return
+	}
+	q := *p
+	b.decide(v, func(out *baobabstep.Outbox) { v.engine.Handle(b.now, &q, out) })
+}
+
+// atTarget is the stand-in of a target: it refuses what finds no free slot.
+func (b *bench) atTarget(from *vm, p *baobabstep.Packet) {
+	t := b.targets[p.Target]
+	answer := *p
+	answer.FromTarget = true
+	answer.Route = baobabstep.Route{}
+	reply := func() {
+		v := from
+		if v.dead || (!b.sticky && b.rand.IntN(4) == 0) {
+			v = b.vms[b.rand.IntN(len(b.vms))]
+		}
+		q := answer
+		b.carry("target", fmt.Sprintf("vm-%d", v.index), &q, func() { b.atVM(v, &q) })
+	}
+	if p.Kind != baobabstep.KindRequest || t.silent {
+		return
+	}
+	if t.refuse != baobabstep.CodeOK || t.busy >= 2 {
+		answer.Kind = baobabstep.KindRefusal
+		answer.Code = t.refuse
+		if t.refuse == baobabstep.CodeOK {
+			answer.Code = baobabstep.CodeShed
+		}
+		reply()
+		return
+	}
+	t.busy++
+	answer.Kind = baobabstep.KindAnswer
+	answer.Parts = 1
+	b.after(t.minTime+time.Duration(b.rand.ExpFloat64()*float64(t.serviceTime)), func() {
+		t.busy--
+		b.ran[p.Flow]++
+		reply()
+	})
+}
+
+func (b *bench) atCaller(p *baobabstep.Packet) {
+	c := b.callers[p.Flow]
+	if c.final.IsZero() {
+		c.final = b.now
+	}
+	c.retry = p.RetryAfter
+	if p.Kind == baobabstep.KindRefusal {
+		c.codes = append(c.codes, p.Code)
+		return
+	}
+	c.parts++
+	if p.Part == 0 {
+		c.answers++
+		c.codes = append(c.codes, baobabstep.CodeOK)
+	}
+}
+
+// request describes one transmission by a caller.
+type request struct {
+	number     uint64
+	seq        uint32
+	class      baobabstep.Class
+	idempotent bool
+	timeout    time.Duration
+}
+
+func (b *bench) key(number uint64) baobabstep.FlowKey {
+	return baobabstep.FlowKey{
+		Caller:  netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 2, byte(number % 16)}), 5000),
+		Service: b.service.Address,
+		Number:  number,
+	}
+}
+
+// ask sends a caller's request to a VM.
+func (b *bench) ask(vm int, r request) baobabstep.FlowKey {
+	key := b.key(r.number)
+	if b.callers[key] == nil {
+		b.callers[key] = &callerState{first: b.now}
+	}
+	p := &baobabstep.Packet{
+		Kind: baobabstep.KindRequest, Flow: key, Seq: r.seq, Class: r.class,
+		Idempotent: r.idempotent, Timeout: r.timeout, Payload: fmt.Appendf(nil, "question %d", r.number),
+	}
+	v := b.vms[vm]
+	b.carry("caller", fmt.Sprintf("vm-%d", vm), p, func() { b.atVM(v, p) })
+	return key
+}
+
+func (b *bench) cancel(vm int, number uint64) {
+	p := &baobabstep.Packet{Kind: baobabstep.KindCancel, Flow: b.key(number)}
+	v := b.vms[vm]
+	b.carry("caller", fmt.Sprintf("vm-%d", vm), p, func() { b.atVM(v, p) })
+}
+
+// members returns the indices of the group's set, dispatcher first.
+func (b *bench) members() []int {
+	f := newFleet(b.now, b.vms[0].view, nil, 0)
+	s := f.setOf(groupID{service: b.service.ID, groups: 1}, &b.service, 0)
+	var m []int
+	for _, id := range s.members {
+		m = append(m, slices.IndexFunc(b.vms, func(v *vm) bool { return v.id == id }))
+	}
+	return m
+}
+
+// outsider returns a VM that is not in the set.
+func (b *bench) outsider() int {
+	m := b.members()
+	return slices.IndexFunc(b.all(), func(i int) bool { return !slices.Contains(m, i) })
+}
+
+// assertTold checks the results that one caller was told, in order.
+func assertTold(t testing.TB, b *bench, key baobabstep.FlowKey, want ...baobabstep.Code) {
+	t.Helper()
+	qt.Assert(t, b.callers[key].codes, qt.DeepEquals, want)
+}
+
+// assertHonest checks I4 and I5 over all requests.
+func assertHonest(t testing.TB, b *bench, idempotent func(key baobabstep.FlowKey) bool) {
+	t.Helper()
+	for key, c := range b.callers {
+		for _, code := range c.codes {
+			notRun := code == baobabstep.CodeRefusedNotRun || code == baobabstep.CodeOverloaded ||
+				code == baobabstep.CodeStopping || code == baobabstep.CodeDeadlineExceeded || code == baobabstep.CodeCancelled
+			if notRun && b.ran[key] > 0 {
+				t.Errorf("request %d: told %v, but it ran", key.Number, code)
+			}
+		}
+		if !idempotent(key) && b.ran[key] > 1 {
+			t.Errorf("request %d: not idempotent and run %d times", key.Number, b.ran[key])
+		}
+	}
+}
--- /dev/null
+++ b/core/request/group.go
@@ -0,0 +1,199 @@
+package request
+
+import (
+	"encoding/binary"
+	"math/bits"
+	"slices"
+	"time"
+
+	"baobabstep"
+	"baobabstep/core/target"
+)
+
+// groupTargets is the number of targets that one dispatcher looks after.
+const groupTargets = 64
+
+type groupID struct {
+	service baobabstep.ServiceID
+	index   int
+	// groups is part of the identity: with another number of groups the
+	// same index stands for other targets and other keys.
+	groups int
+}
+
+// groupOf returns the group that a request belongs to. The number of groups is
+// a power of two, so that it seldom changes.
+func groupOf(s *baobabstep.Service, h baobabstep.KeyHash) groupID {
+	groups := 1
+	if n := len(s.Targets); n > groupTargets {
+		groups = 1 << bits.Len(uint((n-1)/groupTargets))
+	}
+	return groupID{service: s.ID, index: int(binary.LittleEndian.Uint64(h[:8]) % uint64(groups)), groups: groups}
+}
+
+// group is the ledger and the queues of one group of targets.
+type group struct {
+	shard   *shard
+	engine  *Engine
+	id      groupID
+	service *baobabstep.Service
+	fleet   *fleet
+	set     set
+	former  []formerSet
+
+	ledger map[baobabstep.FlowKey]*entry
+	// open counts the requests that this VM owns and has not finished.
+	open   int
+	queues [2]queue
+	// ordinaryCredit grows with each slot given away while both classes
+	// wait; at 1 the next slot is an ordinary request's.
+	ordinaryCredit float64
+	// retryTokens is what is left of the retry budget.
+	retryTokens float64
+	capacity    capacity
+}
+
+// capacity is what the group's targets can do, looked up now and then.
+type capacity struct {
+	at          time.Time
+	slots       int
+	serviceTime time.Duration
+}
+
+const (
+	capacityAge = 20 * time.Millisecond
+	// defaultServiceTime stands in until a service time was seen.
+	defaultServiceTime = 10 * time.Millisecond
+)
+
+func (s *shard) group(now time.Time, f *fleet, service *baobabstep.Service, id groupID) *group {
+	g := s.groups[id]
+	if g == nil {
+		g = &group{shard: s, engine: s.engine, id: id, ledger: make(map[baobabstep.FlowKey]*entry), retryTokens: maxRetryTokens}
+		s.groups[id] = g
+		g.service = service
+		g.start(now, f)
+	}
+	g.service = service
+	return g
+}
+
+func (g *group) refreshCapacity(now time.Time) {
+	if now.Sub(g.capacity.at) < capacityAge && !g.capacity.at.IsZero() {
+		return
+	}
+	slots, serviceTime := g.engine.opts.Targets.Slots(now, g.id.service, g.id.index, g.id.groups)
+	if serviceTime <= 0 {
+		serviceTime = defaultServiceTime
+	}
+	g.capacity = capacity{at: now, slots: slots, serviceTime: serviceTime}
+}
+
+// handle routes a packet to this VM's ledger or to the VM that keeps it.
+func (g *group) handle(now time.Time, p *baobabstep.Packet, out *baobabstep.Outbox) {
+	switch p.Route.Purpose {
+	case baobabstep.PurposeReplicate:
+		g.storeClaim(now, p, out)
+		return
+	case baobabstep.PurposeStored:
+		g.claimAnswered(now, p, out)
+		return
+	case baobabstep.PurposeForget:
+		g.forget(now, p)
+		return
+	case baobabstep.PurposeNone, baobabstep.PurposeForward, baobabstep.PurposeLearn:
+	}
+	if en := g.ledger[p.Flow]; en != nil {
+		g.handleKnown(now, en, p, out)
+		return
+	}
+	if next := g.next(p); next != 0 {
+		g.forward(next, p, out)
+		return
+	}
+	switch p.Kind {
+	case baobabstep.KindRequest:
+		g.admitFirst(now, p, out)
+	case baobabstep.KindCancel:
+		g.cancelUnknown(now, p)
+	case baobabstep.KindAnswer, baobabstep.KindRefusal:
+		g.engine.stats.lateAnswers.Add(1)
+	default:
+	}
+}
+
+// next returns the VM that should handle a packet of a request that this VM
+// does not know, or 0 if that is this VM. Answers search the former sets too,
+// since the VM that sent the attempt may no longer be the dispatcher.
+func (g *group) next(p *baobabstep.Packet) baobabstep.VMID {
+	self := g.engine.opts.Self
+	acting := g.set.acting
+	if acting != 0 && acting != self && !tried(p, acting) {
+		return acting
+	}
+	if acting == self && g.engine.stopping.Load() && p.Kind == baobabstep.KindRequest {
+		return g.successor(p)
+	}
+	if p.Kind == baobabstep.KindRequest {
+		return 0
+	}
+	for i := len(g.former) - 1; i >= 0; i-- {
+		vm := g.former[i].set.acting
+		if vm != self && vm != 0 && !tried(p, vm) && g.fleet.has(vm) {
+			return vm
+		}
+	}
+	return 0
+}
+
+// successor returns another member of the set to take over from a VM that is
+// stopping, or 0.
+func (g *group) successor(p *baobabstep.Packet) baobabstep.VMID {
+	for _, vm := range g.set.members {
+		if vm != g.engine.opts.Self && !tried(p, vm) && !g.fleet.suspect(vm) {
+			return vm
+		}
+	}
+	return 0
+}
+
+func tried(p *baobabstep.Packet, vm baobabstep.VMID) bool {
+	if p.Route.Purpose == baobabstep.PurposeNone {
+		return false
+	}
+	return p.Route.NTried >= baobabstep.MaxTried || slices.Contains(p.Route.Tried[:p.Route.NTried], vm)
+}
+
+// forward passes a packet on, and notes this VM so that no VM asks it again.
+func (g *group) forward(to baobabstep.VMID, p *baobabstep.Packet, out *baobabstep.Outbox) {
+	g.engine.stats.forwarded.Add(1)
+	q := *p
+	if q.Route.Purpose == baobabstep.PurposeNone {
+		q.Route = baobabstep.Route{}
+	}
+	q.Service = g.service.ID
+	q.Route.Purpose = baobabstep.PurposeForward
+	q.Route.From = g.engine.opts.Self
+	if q.Route.NTried < baobabstep.MaxTried {
+		q.Route.Tried[q.Route.NTried] = g.engine.opts.Self
+		q.Route.NTried++
+	}
+	if g.engine.paused.Load() && q.Kind == baobabstep.KindRequest {
+		// The packet may have waited here for as long as the pause was;
+		// it is no longer known to be a first transmission.
+		q.Seq = max(q.Seq, 1)
+	}
+	out.VM(to, &q)
+}
+
+// slotQuery describes the group to the chooser of targets.
+func (g *group) slotQuery(exclude baobabstep.TargetID) target.Slot {
+	return target.Slot{
+		Service: g.service,
+		Group:   g.id.index,
+		Groups:  g.id.groups,
+		Near:    g.engine.opts.DataCentre,
+		Draw:    g.shard.rand.Uint64(),
+		Exclude: exclude,
+	}
+}
--- /dev/null
+++ b/core/request/request.go
@@ -0,0 +1,291 @@
+// Package request decides what becomes of each request: who runs it, when, how
+// often, and what its caller is told.
+//
+// # The model
+//
+// A service has few slots, so whoever hands out work has to know exactly how
+// many are in use. The targets of a service are split into groups of at most
+// 64, and each group has one dispatcher among the VMs at any time: the first
+// VM that is not suspect of the three with the best rendezvous scores, called
+// the group's set. Every other VM passes requests and answers on to it.
+//
+//	caller -> any VM -> dispatcher -> target
+//	                        \-> the other two VMs of the set: claim
+//
+// The dispatcher keeps a ledger with one entry per request, from the first copy
+// of it to the time when no copy can arrive any more:
+//
+//	queued -> running -> done          refusing: "not run" awaits its claim
+//	   \         |  \-> backoff        moved: another VM owns the request
+//	    \-> refusing -> done           stored: claimed here by another VM
+//
+// # Claims
+//
+// Two VMs may both think that they are the dispatcher, and either may die or
+// sleep at any moment. Hence two things are done only by the owner of a claim:
+// handing a request that is not idempotent to a target, and telling a caller
+// that its request was not run. A VM owns the claim of a request once most VMs
+// of the group's set have stored it, and most of every set that was in force a
+// short time ago. A VM stores the claim of one owner only, so two majorities
+// cannot both be had. A VM that started a short time ago may have forgotten
+// what it stored; it says so, and its word is not counted.
+//
+// Without a claim the caller is told that the outcome is unknown.
+//
+// # Partitions
+//
+// The fabric may hand copies of a request to both sides of a partition between
+// data centres, and no message can pass. Only a side that has members in most
+// of the service's data centres may own claims; the other side serves
+// idempotent requests and answers the rest with "outcome unknown" at once.
+package request
+
+import (
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"baobabstep"
+	"baobabstep/core/place"
+	"baobabstep/core/target"
+)
+
+// SlotChooser hands out the slots of targets; [target.Registry] is one.
+type SlotChooser interface {
+	// PickSlot takes a slot until SlotDone.
+	PickSlot(now time.Time, q target.Slot) (baobabstep.TargetID, baobabstep.Code)
+	// SlotDone gives a slot back and says what became of the attempt.
+	SlotDone(now time.Time, id baobabstep.TargetID, code baobabstep.Code, serviceTime time.Duration)
+	// Slots returns the usable slots of a group and the mean service time.
+	Slots(now time.Time, service baobabstep.ServiceID, group, groups int) (int, time.Duration)
+}
+
+var _ SlotChooser = (*target.Registry)(nil)
+
+// Options configures an Engine. Zero limits are replaced by the defaults.
+type Options struct {
+	Self       baobabstep.VMID
+	DataCentre string
+	Targets    SlotChooser
+	// Rand seeds the engine's own generators and is not used after New.
+	Rand *rand.Rand
+	// Invariant, when set, is called for each broken invariant, after it
+	// was counted.
+	Invariant func(name, detail string)
+
+	// Settle is how long a former set still has a say over first
+	// transmissions: 3 s. It has to be longer than two copies of one packet
+	// can be apart plus the time until all VMs that can hear each other
+	// have the same view.
+	Settle time.Duration
+	// Remember is how long a finished request is remembered, and how long a
+	// former set has a say over retransmissions: 60 s. It has to be longer
+	// than any MaxTimeout plus Settle.
+	Remember time.Duration
+	// ClaimTimeout is how long a claim may take before it is given up:
+	// 500 ms. ClaimResend is the time between two tries: 60 ms.
+	ClaimTimeout, ClaimResend time.Duration
+	// MaxAttempts bounds the hand-overs of an idempotent request: 3.
+	MaxAttempts int
+	// MaxAnswer bounds the bytes of an answer in parts: 1 MiB.
+	MaxAnswer int
+	// MaxPending bounds, per shard, the bytes of answers that are not whole
+	// yet, and of whole ones kept for retransmissions: 4 MiB each.
+	MaxPending int
+	// MaxEntries bounds the ledger entries of a shard: 65536.
+	MaxEntries int
+	// UrgentWait bounds the queueing of urgent requests, as a multiple of
+	// the mean service time: 2.
+	UrgentWait float64
+}
+
+func (o *Options) setDefaults() {
+	setDefault(&o.Settle, 3*time.Second)
+	setDefault(&o.Remember, time.Minute)
+	setDefault(&o.ClaimTimeout, 500*time.Millisecond)
+	setDefault(&o.ClaimResend, 60*time.Millisecond)
+	setDefault(&o.MaxAttempts, 3)
+	setDefault(&o.MaxAnswer, 1<<20)
+	setDefault(&o.MaxPending, 4<<20)
+	setDefault(&o.MaxEntries, 1<<16)
+	setDefault(&o.UrgentWait, 2)
+}
+
+func setDefault[T comparable](v *T, d T) {
+	var zero T
+	if *v == zero {
+		*v = d
+	}
+}
+
+const numShards = 64
+
+// Engine is the ledger and dispatcher of one VM. It is safe for concurrent use.
+type Engine struct {
+	opts    Options
+	started time.Time
+	// token tells the claims of this process from those of an earlier one
+	// on the same VM, which this one does not remember.
+	token  uint32
+	config atomic.Pointer[baobabstep.Config]
+	// viewMu lets one SetView run at a time.
+	viewMu   sync.Mutex
+	view     atomic.Pointer[fleet]
+	paused   atomic.Bool
+	stopping atomic.Bool
+	stats    counters
+	shards   [numShards]shard
+}
+
+// shard holds the groups of some services under one lock.
+type shard struct {
+	engine *Engine
+
+	mu     sync.Mutex
+	rand   *rand.Rand
+	groups map[groupID]*group
+	timers timers
+	// entries counts ledger entries; pending and kept count bytes of
+	// answers in parts and of answers kept for retransmissions.
+	entries, pending, kept int
+	keptQueue              []*entry
+}
+
+// New returns an engine that refuses all work until SetConfig and SetView.
+func New(now time.Time, o Options) *Engine {
+	o.setDefaults()
+	e := &Engine{opts: o, started: now, token: o.Rand.Uint32()}
+	for i := range e.shards {
+		e.shards[i] = shard{
+			engine: e,
+			rand:   rand.New(rand.NewPCG(o.Rand.Uint64(), o.Rand.Uint64())),
+			groups: make(map[groupID]*group),
+		}
+	}
+	return e
+}
+
+// SetConfig puts a configuration into force.
+func (e *Engine) SetConfig(_ time.Time, c *baobabstep.Config) { e.config.Store(c) }
+
+// SetView tells which VMs there are.
+func (e *Engine) SetView(now time.Time, v *baobabstep.View) {
+	e.viewMu.Lock()
+	defer e.viewMu.Unlock()
+	f := newFleet(now, v, e.view.Load(), e.opts.Remember)
+	e.view.Store(f)
+	for i := range e.shards {
+		s := &e.shards[i]
+		s.mu.Lock()
+		for _, g := range s.groups {
+			g.follow(now, f)
+		}
+		s.mu.Unlock()
+	}
+}
+
+// SetPaused tells that the VM finds it was paused, or that it no longer is.
+// While paused it takes no new request into its ledger: its view is old, and
+// what it reads may have waited in its buffers for as long as the pause was.
+func (e *Engine) SetPaused(_ time.Time, paused bool) { e.paused.Store(paused) }
+
+// Handle decides about one packet.
+func (e *Engine) Handle(now time.Time, p *baobabstep.Packet, out *baobabstep.Outbox) {
+	service := e.serviceOf(p)
+	f := e.view.Load()
+	if service == nil || f == nil {
+		e.refuseUnknownService(p, out)
+		return
+	}
+	hash := place.Hash(e.config.Load().FlowSecret, p.Flow)
+	id := groupOf(service, hash)
+	s := e.shardOf(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	// The view may have changed since; the shard's groups follow it under
+	// the lock, and a new group must not start behind them.
+	g := s.group(now, e.view.Load(), service, id)
+	g.handle(now, p, out)
+}
+
+// serviceOf finds the service of a packet: callers name its address, VMs and
+// targets its identifier.
+func (e *Engine) serviceOf(p *baobabstep.Packet) *baobabstep.Service {
+	c := e.config.Load()
+	if c == nil {
+		return nil
+	}
+	if p.Service != 0 {
+		return c.Service(p.Service)
+	}
+	return c.ServiceAt(p.Flow.Service)
+}
+
+func (e *Engine) refuseUnknownService(p *baobabstep.Packet, out *baobabstep.Outbox) {
+	e.stats.unknownService.Add(1)
+	if p.Kind != baobabstep.KindRequest || p.Route.Purpose != baobabstep.PurposeNone {
+		return
+	}
+	out.Caller(&baobabstep.Packet{
+		Kind: baobabstep.KindRefusal,
+		Flow: p.Flow,
+		// Another VM may know the service and have run a copy.
+		Code:       baobabstep.CodeOutcomeUnknown,
+		RetryAfter: time.Second,
+	})
+}
+
+func (e *Engine) shardOf(id groupID) *shard {
+	return &e.shards[(uint64(id.service)^uint64(id.index)*0x9e3779b97f4a7c15)>>7%numShards]
+}
+
+// maxTimers bounds the timers that one Tick handles in each shard.
+const maxTimers = 512
+
+// Tick does what has become due: deadlines, retries, claims, tombstones, and
+// queued requests for which a slot became free. Call it every 20 to 50 ms.
+func (e *Engine) Tick(now time.Time, out *baobabstep.Outbox) {
+	for i := range e.shards {
+		e.shards[i].tick(now, out)
+	}
+}
+
+func (s *shard) tick(now time.Time, out *baobabstep.Outbox) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for range maxTimers {
+		t := s.timers.pop(now)
+		if t == nil {
+			break
+		}
+		t.group.expire(now, t, out)
+	}
+	for _, g := range s.groups {
+		g.dispatch(now, out)
+	}
+}
+
+// Stop begins or continues a graceful stop: new requests are passed to another
+// VM of the set, or refused with CodeStopping when there is none. It returns
+// the number of requests that still await their end; call it until that is 0.
+func (e *Engine) Stop(now time.Time, out *baobabstep.Outbox) (remaining int) {
+	e.stopping.Store(true)
+	e.Tick(now, out)
+	for i := range e.shards {
+		s := &e.shards[i]
+		s.mu.Lock()
+		for _, g := range s.groups {
+			remaining += g.open
+		}
+		s.mu.Unlock()
+	}
+	return remaining
+}
+
+func (e *Engine) breaks(name, detail string) {
+	e.stats.broken.Add(1)
+	if e.opts.Invariant != nil {
+		e.opts.Invariant(name, detail)
+	}
+}
--- /dev/null
+++ b/core/request/set.go
@@ -0,0 +1,218 @@
+package request
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"baobabstep"
+)
+
+// setSize is the number of VMs that keep the claims of a group. Three is the
+// least number of which one may die without any claim being lost or stalled.
+const setSize = 3
+
+// fleet is a view with what is looked up in it.
+type fleet struct {
+	view   *baobabstep.View
+	states map[baobabstep.VMID]baobabstep.VMState
+	// former are the fleets of a short time ago, the oldest first. A group
+	// that is first used after a change needs them as much as one that was
+	// there before.
+	former []formerFleet
+}
+
+type formerFleet struct {
+	fleet *fleet
+	until time.Time
+}
+
+// newFleet returns the fleet of a view that follows old.
+func newFleet(now time.Time, v *baobabstep.View, old *fleet, remember time.Duration) *fleet {
+	f := &fleet{view: v, states: make(map[baobabstep.VMID]baobabstep.VMState, len(v.Members))}
+	if old != nil {
+		for _, past := range old.former {
+			if now.Sub(past.until) < remember {
+				f.former = append(f.former, past)
+			}
+		}
+		last := *old
+		last.former = nil
+		f.former = append(f.former, formerFleet{&last, now})
+	}
+	for i := range v.Members {
+		f.states[v.Members[i].ID] = v.Members[i].State
+	}
+	return f
+}
+
+func (f *fleet) has(vm baobabstep.VMID) bool {
+	_, ok := f.states[vm]
+	return ok
+}
+
+func (f *fleet) suspect(vm baobabstep.VMID) bool {
+	return f.states[vm] == baobabstep.VMSuspect
+}
+
+// set is the VMs that keep the claims of a group.
+type set struct {
+	// members has the best rendezvous score first.
+	members []baobabstep.VMID
+	// acting is the dispatcher: the first member that is not suspect. A
+	// suspect member keeps its vote, since it may be alive.
+	acting baobabstep.VMID
+}
+
+// formerSet is a set that was in force until a moment ago.
+type formerSet struct {
+	set   set
+	until time.Time
+}
+
+// setOf computes the set of a group, leaving out one VM.
+func (f *fleet) setOf(id groupID, s *baobabstep.Service, without baobabstep.VMID) set {
+	type scored struct {
+		vm    baobabstep.VMID
+		score uint64
+	}
+	var all []scored
+	for i := range f.view.Members {
+		vm := &f.view.Members[i]
+		if vm.ID == without || !f.serves(s, vm.DataCentre) {
+			continue
+		}
+		all = append(all, scored{vm.ID, score(vm.ID, id)})
+	}
+	slices.SortFunc(all, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.vm, b.vm))
+	})
+	var r set
+	for _, m := range all[:min(setSize, len(all))] {
+		r.members = append(r.members, m.vm)
+		if r.acting == 0 && !f.suspect(m.vm) {
+			r.acting = m.vm
+		}
+	}
+	if r.acting == 0 && len(r.members) > 0 {
+		r.acting = r.members[0]
+	}
+	return r
+}
+
+// serves tells whether VMs of a data centre may dispatch for a service: those
+// of its own data centres, or all when none of these has a VM.
+func (f *fleet) serves(s *baobabstep.Service, dataCentre string) bool {
+	if len(s.DataCentres) == 0 || slices.Contains(s.DataCentres, dataCentre) {
+		return true
+	}
+	return f.reached(s) == 0
+}
+
+// reached counts the service's data centres that have a VM in the view.
+func (f *fleet) reached(s *baobabstep.Service) int {
+	n := 0
+	for _, d := range s.DataCentres {
+		if f.reaches(d) {
+			n++
+		}
+	}
+	return n
+}
+
+func (f *fleet) reaches(dataCentre string) bool {
+	for i := range f.view.Members {
+		if f.view.Members[i].DataCentre == dataCentre {
+			return true
+		}
+	}
+	return false
+}
+
+// mayClaim tells whether this side of a possible partition may own claims: it
+// has VMs in most of the service's data centres, or in half of them with the
+// first by name among them, since only one side can have that.
+func (f *fleet) mayClaim(s *baobabstep.Service) bool {
+	n := len(s.DataCentres)
+	if n == 0 {
+		return true
+	}
+	reached := f.reached(s)
+	if 2*reached == n {
+		return f.reaches(slices.Min(s.DataCentres))
+	}
+	return 2*reached > n
+}
+
+func score(vm baobabstep.VMID, id groupID) uint64 {
+	return mix(mix(uint64(vm)^0xa0761d6478bd642f) ^ mix(uint64(id.service)+uint64(id.index)*0x9e3779b97f4a7c15))
+}
+
+// mix is a bijection whose output bits all depend on all input bits.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// start sets up the sets of a new group. A VM that started a short time ago
+// does not know the sets of before; the most likely one is the present one
+// without itself.
+func (g *group) start(now time.Time, f *fleet) {
+	if g.engine.age(now) < g.engine.opts.Remember {
+		g.former = append(g.former, formerSet{
+			set:   f.setOf(g.id, g.service, g.engine.opts.Self),
+			until: g.engine.started,
+		})
+	}
+	for _, past := range f.former {
+		g.change(past.until, past.fleet.setOf(g.id, g.service, 0))
+	}
+	g.fleet = f
+	g.set = f.setOf(g.id, g.service, 0)
+}
+
+// change notes that a set was in force until a moment. Neighbours that are
+// alike are kept once.
+func (g *group) change(until time.Time, s set) {
+	if n := len(g.former); n > 0 && g.former[n-1].set.equal(s) {
+		g.former[n-1].until = until
+		return
+	}
+	g.former = append(g.former, formerSet{set: s, until: until})
+}
+
+func (s set) equal(t set) bool { return s.acting == t.acting && slices.Equal(s.members, t.members) }
+
+// follow takes over a new view.
+func (g *group) follow(now time.Time, f *fleet) {
+	g.fleet = f
+	g.former = slices.DeleteFunc(g.former, func(s formerSet) bool {
+		return now.Sub(s.until) >= g.engine.opts.Remember
+	})
+	next := f.setOf(g.id, g.service, 0)
+	if !next.equal(g.set) {
+		g.change(now, g.set)
+	}
+	g.set = next
+	g.adopt(now)
+}
+
+func (e *Engine) age(now time.Time) time.Duration { return now.Sub(e.started) }
+
+// changedWithin tells whether another VM may have been the dispatcher a short
+// time ago.
+func (g *group) changedWithin(now time.Time, d time.Duration) bool {
+	if g.engine.age(now) < d {
+		return true
+	}
+	for i := range g.former {
+		former := &g.former[i]
+		if now.Sub(former.until) < d && former.set.acting != g.engine.opts.Self {
+			return true
+		}
+	}
+	return false
+}
