--- /dev/null
+++ b/core/flow/copies.go
@@ -0,0 +1,367 @@
+package flow
+
+import (
+	"time"
+
+	"baobabstep"
+)
+
+// repairAgain is the time after which an unconfirmed copy is sent again.
+const repairAgain = time.Second
+
+// evaluate brings the role that a record caches up to date with the table.
+func (t *turn) evaluate(rec *record) {
+	if rec.gen == t.snap.gen {
+		return
+	}
+	rec.gen = t.snap.gen
+	o := t.owners()
+	rec.clear(flagHolder | flagSecond | flagTried | flagVia | flagCopied)
+	if rec.copies == o.Fingerprint() {
+		rec.set(flagCopied)
+	}
+	switch t.r.o.Self {
+	case o.Holder:
+		rec.set(flagHolder)
+		t.recount(rec)
+	case o.Second:
+		rec.set(flagSecond)
+	}
+	if !rec.has(flagHolder) {
+		t.uncount(rec)
+	}
+}
+
+// otherOwner returns the owner that should have a copy of this VM's record, or
+// 0. A suspected VM gets none: the packet would be lost with it.
+func (t *turn) otherOwner() baobabstep.VMID {
+	other := t.owners().Other(t.r.o.Self)
+	if other == t.r.o.Self || t.suspect(other) {
+		return 0
+	}
+	return other
+}
+
+// viaOther sends the packet by way of the other owner if that one is not known
+// to have the record. It goes this way once, then straight for a while: if the
+// other VM is dead, the packet is lost and its sender repeats it.
+func (t *turn) viaOther(rec *record) bool {
+	t.evaluate(rec)
+	if !rec.live() || !rides(t.p.Kind) || rec.has(flagCopied) || !t.repairDue(rec) {
+		return false
+	}
+	other := t.otherOwner()
+	if other == 0 {
+		t.count(EventSingleCopy)
+		return false
+	}
+	t.count(EventReplicated)
+	rec.lastRepair = uint16(t.tick)
+	rec.set(flagTried)
+	if t.p.Kind == baobabstep.KindOpened {
+		rec.set(flagVia)
+	}
+	s := t.emit(baobabstep.DestVM)
+	s.VM = other
+	s.Packet.Service, s.Packet.Target = t.r.reg.target(rec.target).service, t.r.reg.target(rec.target).id
+	s.Packet.Version = t.snap.config.Version
+	s.Packet.Route.Purpose = baobabstep.PurposeReplicate
+	s.Packet.Route.From = t.r.o.Self
+	s.Packet.Route.Record = t.wire(rec)
+	return true
+}
+
+// rides tells whether a packet may carry a record by way of the other owner.
+// Ends of flows do not: the copy would outlive them.
+func rides(k baobabstep.Kind) bool {
+	switch k {
+	case baobabstep.KindOpen, baobabstep.KindOpened, baobabstep.KindData, baobabstep.KindProbe:
+		return true
+	}
+	return false
+}
+
+// setCopied notes that the present owners have the record.
+func (t *turn) setCopied(rec *record) {
+	rec.copies = t.owners().Fingerprint()
+	rec.set(flagCopied)
+}
+
+// clearCopied notes that the other owner may have an older record.
+func clearCopied(rec *record) {
+	rec.copies = 0
+	rec.clear(flagCopied)
+}
+
+func (t *turn) repairDue(rec *record) bool {
+	return !rec.has(flagTried) || since16(t.tick, rec.lastRepair) >= ticks(repairAgain)
+}
+
+// wire returns the record as it travels between VMs.
+func (t *turn) wire(rec *record) baobabstep.Record {
+	tg := t.r.reg.target(rec.target)
+	return baobabstep.Record{
+		Target:      tg.id,
+		Service:     tg.service,
+		Version:     uint64(rec.version),
+		Established: rec.state == StateEstablished,
+		Age:         t.age(rec),
+		Attempt:     rec.attempt(),
+	}
+}
+
+func (t *turn) age(rec *record) time.Duration {
+	return time.Duration(max(0, int64(t.tick)-int64(rec.opened))) * tickLength
+}
+
+// teach sends the record to another VM.
+func (t *turn) teach(to baobabstep.VMID, rec *record) {
+	s := t.control(baobabstep.DestVM, baobabstep.KindProbe, false)
+	s.VM = to
+	s.Packet.Route.Purpose = baobabstep.PurposeLearn
+	s.Packet.Route.From = t.r.o.Self
+	s.Packet.Route.Record = t.wire(rec)
+}
+
+// answer sends a message without a record to another VM.
+func (t *turn) answer(to baobabstep.VMID, purpose baobabstep.Purpose) {
+	if to == 0 || to == t.r.o.Self {
+		return
+	}
+	s := t.control(baobabstep.DestVM, baobabstep.KindProbe, false)
+	s.VM = to
+	s.Packet.Route.Purpose = purpose
+	s.Packet.Route.From = t.r.o.Self
+}
+
+// tellOwners sends a message with the record's identity to the other owners.
+func (t *turn) tellOwners(purpose baobabstep.Purpose, rec *record) {
+	o := t.owners()
+	for _, vm := range [...]baobabstep.VMID{o.Holder, o.Second} {
+		if vm == 0 || vm == t.r.o.Self {
+			continue
+		}
+		first := len(*t.out)
+		t.answer(vm, purpose)
+		(*t.out)[first].Packet.Target = t.r.reg.target(rec.target).id
+	}
+}
+
+// replicate stores the record that a packet brought and sends the packet on to
+// where it was going.
+func (t *turn) replicate() {
+	if t.snap.paused {
+		t.carryOn()
+		return
+	}
+	from := t.p.Route.From
+	rec := t.take()
+	switch {
+	case rec == nil:
+		// The table is full or the record unusable. The packet still has
+		// to arrive.
+		t.carryOn()
+	case rec.finished():
+		t.answer(from, baobabstep.PurposeForget)
+		t.late(rec)
+	case t.p.FromTarget && t.p.Target != t.r.reg.target(rec.target).id:
+		t.count(EventDroppedWrongTarget)
+		t.refuseTarget()
+	case t.p.FromTarget:
+		t.heardTarget(rec)
+		t.confirmCopy(from)
+		t.emit(baobabstep.DestCaller)
+	default:
+		rec.fromCaller = t.tick
+		t.confirmCopy(from)
+		if tg := t.r.reg.target(rec.target); t.mayReach(rec, tg) {
+			t.straight(tg)
+		}
+	}
+}
+
+// confirmCopy tells the sender that its record is stored. Opens and acceptances
+// need no confirmation: the caller's next packet is one.
+func (t *turn) confirmCopy(from baobabstep.VMID) {
+	if t.p.Kind == baobabstep.KindData || t.p.Kind == baobabstep.KindProbe {
+		t.answer(from, baobabstep.PurposeStored)
+	}
+}
+
+// carryOn sends a packet on by the record that it carries, without storing it.
+func (t *turn) carryOn() {
+	if t.p.FromTarget {
+		t.emit(baobabstep.DestCaller)
+		return
+	}
+	in := t.p.Route.Record
+	i, found := t.r.reg.findTarget(in.Target, in.Service, false)
+	if !found || t.r.reg.target(i).taken.Load() {
+		t.count(EventDroppedUnknown)
+		return
+	}
+	s := t.emit(baobabstep.DestTarget)
+	s.Address = t.r.reg.target(i).address
+	s.Packet.Service, s.Packet.Target = in.Service, in.Target
+}
+
+// learn stores a record that another VM sent.
+func (t *turn) learn() {
+	from := t.p.Route.From
+	if t.snap.paused && t.find() != nil {
+		return
+	}
+	rec := t.take()
+	switch {
+	case rec == nil:
+		return
+	case rec.finished():
+		t.answer(from, baobabstep.PurposeForget)
+	case Beats(t.wire(rec), t.identity()):
+		t.teach(from, rec)
+	default:
+		t.answer(from, baobabstep.PurposeStored)
+	}
+}
+
+// identity returns the packet's record with the fields that Beats compares, as
+// this VM would have stored it.
+func (t *turn) identity() baobabstep.Record {
+	in := t.p.Route.Record
+	in.Version = uint64(clampVersion(in.Version))
+	in.Attempt = min(in.Attempt, maxAttempts)
+	return in
+}
+
+// take merges the packet's record into the table and returns the record that
+// is in force then, or nil if there is none.
+//
+// Two records of one flow arise when two VMs held it at once, such as on two
+// sides of a partition. The order of Beats makes all VMs keep the same one;
+// the target of the other is told, since it would hold the flow for nobody.
+func (t *turn) take() *record {
+	in := t.identity()
+	rec := t.find()
+	if rec == nil {
+		return t.store(in)
+	}
+	if rec.finished() {
+		return rec
+	}
+	mine := t.wire(rec)
+	switch {
+	case Beats(mine, in):
+		if mine.Target != in.Target {
+			t.conflict(mine, in)
+			t.resetLoser(in)
+		}
+	case Beats(in, mine):
+		t.adopt(rec, mine, in)
+		t.noteCopy(rec)
+	default:
+		t.noteCopy(rec)
+	}
+	return rec
+}
+
+// store adds the record that a packet brought.
+func (t *turn) store(in baobabstep.Record) *record {
+	sv, known := t.r.reg.findService(t.p.Flow.Service, in.Service)
+	if !known || !t.roomForCopy(in.Established) {
+		t.count(EventDroppedUnknown)
+		return nil
+	}
+	tg, _ := t.r.reg.findTarget(in.Target, in.Service, true)
+	t.forgetSearch()
+	t.count(EventLearned)
+	rec := t.create(sv, StateOpening, in.Age)
+	t.aim(rec, tg, false)
+	rec.version = clampVersion(in.Version)
+	rec.setAttempt(in.Attempt)
+	if in.Established {
+		t.s.enter(rec, StateEstablished, confirm)
+	}
+	t.evaluate(rec)
+	t.noteCopy(rec)
+	return rec
+}
+
+// roomForCopy bounds the copies of half-open flows to twice the share that this
+// VM allows itself: other holders keep to the same share.
+func (t *turn) roomForCopy(established bool) bool {
+	if t.s.used >= max(1, t.r.o.MaxFlows/len(t.r.shards)) {
+		return false
+	}
+	return established || t.s.half < 2*max(1, t.r.o.MaxHalfOpen/len(t.r.shards))
+}
+
+// adopt lets the incoming record win over the present one.
+func (t *turn) adopt(rec *record, mine, in baobabstep.Record) {
+	if mine.Target != in.Target {
+		t.conflict(mine, in)
+		t.resetTarget(rec, baobabstep.CodeUnknownFlow)
+		tg, _ := t.r.reg.findTarget(in.Target, in.Service, true)
+		t.setTarget(rec, tg)
+	}
+	rec.version = clampVersion(in.Version)
+	rec.setAttempt(in.Attempt)
+	if in.Established && rec.state == StateOpening {
+		t.s.enter(rec, StateEstablished, confirm)
+	}
+	clearCopied(rec)
+}
+
+func (t *turn) conflict(a, b baobabstep.Record) {
+	t.count(EventConflict)
+	if a.Established && b.Established {
+		t.count(EventConflictOfTwo)
+	}
+}
+
+// resetLoser tells the target of a record that lost to let the flow go.
+func (t *turn) resetLoser(in baobabstep.Record) {
+	if i, found := t.r.reg.findTarget(in.Target, in.Service, false); found {
+		t.sendReset(t.r.reg.target(i), baobabstep.CodeUnknownFlow)
+	}
+}
+
+// noteCopy notes that the sender of the packet's record has the same one.
+func (t *turn) noteCopy(rec *record) {
+	t.evaluate(rec)
+	if o := t.owners(); o.Has(t.r.o.Self) && o.Other(t.r.o.Self) == t.p.Route.From {
+		t.setCopied(rec)
+	}
+}
+
+// stored notes that another VM confirmed a copy.
+func (t *turn) stored() {
+	rec := t.find()
+	if rec == nil || !rec.live() {
+		return
+	}
+	t.evaluate(rec)
+	o := t.owners()
+	if o.Has(t.p.Route.From) {
+		t.count(EventConfirmed)
+		t.setCopied(rec)
+	}
+}
+
+// forget ends a flow that ended at another VM. An established flow only ends
+// by a message that names its target: the message may be late, and the key in
+// use for another flow.
+func (t *turn) forget() {
+	rec := t.find()
+	if rec == nil || !rec.live() {
+		return
+	}
+	if t.p.Target != 0 && t.p.Target != t.r.reg.target(rec.target).id {
+		t.count(EventDroppedLate)
+		return
+	}
+	if rec.state == StateOpening {
+		t.drop(rec)
+		return
+	}
+	t.end(rec, StateClosed, baobabstep.CodeOK)
+}
--- /dev/null
+++ b/core/flow/exchange_test.go
@@ -0,0 +1,219 @@
+package flow_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"baobabstep"
+	"baobabstep/core/flow"
+	"baobabstep/core/place"
+)
+
+// exchange moves packets between routers, callers and targets of one test, in
+// a fixed order and without threads.
+type exchange struct {
+	t       testing.TB
+	now     time.Time
+	random  *rand.Rand
+	vms     []baobabstep.VM
+	routers map[baobabstep.VMID]*flow.Router
+	// choosers are those of the routers.
+	choosers map[baobabstep.VMID]*fakeChooser
+	dead     map[baobabstep.VMID]bool
+	config   *baobabstep.Config
+	targets  map[baobabstep.TargetID]*fakeTarget
+	callers  map[baobabstep.FlowKey]*fakeCaller
+	// lose drops a packet if it returns true.
+	lose  func(from baobabstep.VMID, s *baobabstep.Send) bool
+	queue []parcel
+	table *place.Table
+	sent  int
+}
+
+// parcel is a packet under way.
+type parcel struct {
+	from baobabstep.VMID
+	send baobabstep.Send
+}
+
+// fakeTarget holds flows as a target does.
+type fakeTarget struct {
+	config  baobabstep.Target
+	flows   map[baobabstep.FlowKey]int
+	refuse  baobabstep.Code
+	silent  bool
+	refused int
+}
+
+// fakeCaller is one end of one flow.
+type fakeCaller struct {
+	key    baobabstep.FlowKey
+	opened baobabstep.TargetID
+	got    []string
+	closed bool
+	reset  baobabstep.Code
+	silent bool
+}
+
+// fakeChooser takes targets in turn. It may be told to prefer one.
+type fakeChooser struct {
+	next   int
+	prefer baobabstep.TargetID
+	count  map[baobabstep.TargetID]int
+}
+
+func (c *fakeChooser) PickFlow(_ time.Time, s *baobabstep.Service, _ string, _ uint64) (baobabstep.TargetID, baobabstep.Code) {
+	if len(s.Targets) == 0 {
+		return 0, baobabstep.CodeNoTarget
+	}
+	c.next++
+	id := s.Targets[c.next%len(s.Targets)].ID
+	if c.prefer != 0 {
+		id = c.prefer
+	}
+	c.count[id]++
+	return id, baobabstep.CodeOK
+}
+
+func (c *fakeChooser) FlowOpened(_ time.Time, id baobabstep.TargetID) { c.count[id]++ }
+func (c *fakeChooser) FlowClosed(_ time.Time, id baobabstep.TargetID) { c.count[id]-- }
+func (c *fakeChooser) FlowRefused(_ time.Time, id baobabstep.TargetID, _ baobabstep.Code) {
+	c.count[id]--
+	c.prefer = 0
+}
+
+func (x *exchange) push(from baobabstep.VMID, out baobabstep.Outbox) {
+	for _, s := range out {
+		x.queue = append(x.queue, parcel{from, s})
+	}
+}
+
+// enter hands a packet from outside to a VM; 0 lets the fabric choose.
+func (x *exchange) enter(vm baobabstep.VMID, p baobabstep.Packet) {
+	for vm == 0 || x.dead[vm] {
+		vm = x.vms[x.random.IntN(len(x.vms))].ID
+	}
+	x.deliver(vm, p)
+}
+
+func (x *exchange) deliver(vm baobabstep.VMID, p baobabstep.Packet) {
+	if x.dead[vm] || x.routers[vm] == nil {
+		return
+	}
+	var out baobabstep.Outbox
+	x.routers[vm].Handle(x.now, &p, &out)
+	x.push(vm, out)
+}
+
+// run moves packets until none is under way.
+func (x *exchange) run() {
+	for n := 0; len(x.queue) > 0; n++ {
+		if n > 5_000_000 {
+			x.t.Fatal("packets go round without end")
+		}
+		next := x.queue[0]
+		x.queue = x.queue[1:]
+		if x.lose != nil && x.lose(next.from, &next.send) {
+			continue
+		}
+		x.sent++
+		switch next.send.Dest {
+		case baobabstep.DestVM:
+			x.deliver(next.send.VM, next.send.Packet)
+		case baobabstep.DestTarget:
+			x.atTarget(next.send.Packet)
+		case baobabstep.DestCaller:
+			x.atCaller(next.send.Packet)
+		}
+	}
+}
+
+func (x *exchange) atTarget(p baobabstep.Packet) {
+	tg := x.targets[p.Target]
+	if tg == nil || tg.silent {
+		return
+	}
+	back := baobabstep.Packet{FromTarget: true, Flow: p.Flow, Seq: p.Seq, Service: p.Service, Target: p.Target, Version: p.Version}
+	_, holds := tg.flows[p.Flow]
+	switch {
+	case p.Service != tg.config.Service || p.Target != tg.config.ID:
+		back.Kind, back.Code = baobabstep.KindReset, baobabstep.CodeWrongService
+		tg.refused++
+	case p.Kind == baobabstep.KindOpen && tg.refuse != 0 && !holds:
+		back.Kind, back.Code = baobabstep.KindReset, tg.refuse
+	case p.Kind == baobabstep.KindOpen:
+		tg.flows[p.Flow] += 0
+		back.Kind = baobabstep.KindOpened
+	case p.Kind == baobabstep.KindReset || p.Kind == baobabstep.KindClose:
+		delete(tg.flows, p.Flow)
+		return
+	case !holds:
+		back.Kind, back.Code = baobabstep.KindReset, baobabstep.CodeUnknownFlow
+	case p.Kind == baobabstep.KindProbe:
+		back.Kind = baobabstep.KindProbeAck
+	case p.Kind == baobabstep.KindData:
+		tg.flows[p.Flow]++
+		back.Kind, back.Payload = baobabstep.KindData, append([]byte("echo "), p.Payload...)
+	default:
+		return
+	}
+	x.enter(0, back)
+}
+
+func (x *exchange) atCaller(p baobabstep.Packet) {
+	c := x.callers[p.Flow]
+	if c == nil || c.silent {
+		return
+	}
+	switch p.Kind {
+	case baobabstep.KindOpened:
+		c.opened = p.Target
+	case baobabstep.KindData:
+		c.got = append(c.got, string(p.Payload))
+		if c.opened != 0 && p.Target != c.opened {
+			x.t.Fatalf("flow %v of target %x got data of %x", p.Flow, c.opened, p.Target)
+		}
+	case baobabstep.KindClose:
+		c.closed = true
+	case baobabstep.KindReset:
+		c.reset = p.Code
+	case baobabstep.KindProbe:
+		x.enter(0, baobabstep.Packet{Kind: baobabstep.KindProbeAck, Flow: p.Flow, Seq: p.Seq})
+	}
+}
+
+// fleet is the size of an exchange.
+type fleet struct{ vms, dcs, targets int }
+
+// newExchange returns VMs and one service whose targets all data centres have.
+func newExchange(t testing.TB, size fleet) *exchange {
+	x := &exchange{
+		t: t, now: time.Unix(1_000_000, 0), random: rand.New(rand.NewPCG(1, 2)),
+		routers: map[baobabstep.VMID]*flow.Router{}, dead: map[baobabstep.VMID]bool{},
+		targets: map[baobabstep.TargetID]*fakeTarget{}, callers: map[baobabstep.FlowKey]*fakeCaller{},
+		choosers: map[baobabstep.VMID]*fakeChooser{},
+	}
+	s := baobabstep.Service{
+		ID: baobabstep.MakeServiceID("a", "s"), Name: "a/s", Account: "a",
+		Address: netip.MustParseAddrPort("127.0.0.9:443"),
+	}
+	for i := range size.targets {
+		s.Targets = append(s.Targets, baobabstep.Target{
+			ID: baobabstep.MakeTargetID(fmt.Sprint("t", i)), Name: fmt.Sprint("t", i), Service: s.ID, DataCentre: fmt.Sprint("dc", i%size.dcs),
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 1, byte(i)}), 80), Connections: 2000,
+		})
+	}
+	for i := range size.dcs {
+		s.DataCentres = append(s.DataCentres, fmt.Sprint("dc", i))
+	}
+	x.setConfig(&baobabstep.Config{Version: 1, FlowSecret: [16]byte{7}, Services: []baobabstep.Service{s}})
+	for i := range size.vms {
+		x.addVM(i, size.dcs)
+	}
+	x.setViews(x.vms)
+	x.advance(20 * time.Second)
+	return x
+}
--- /dev/null
+++ b/core/flow/flow.go
@@ -0,0 +1,338 @@
+// Package flow routes the packets of flows and keeps the records that tell
+// where each flow goes.
+//
+// # The model
+//
+// Any VM may receive any packet. The record of a flow is kept by two VMs, its
+// holder and its second copy; package place says which. A VM with the record
+// sends a packet straight to the target, a VM without it passes the packet to
+// the holder.
+//
+//	open:    entry -> holder (picks the target) -> second copy -> target
+//	opened:  target -> entry -> holder -> second copy -> caller
+//	data:    entry -> holder -> target          and back the same way
+//
+// The first packet of a flow and its acceptance travel by way of the second
+// copy, which stores the record as they pass. A caller that was told that its
+// flow is open therefore knows that two VMs have the record, and the copy cost
+// no message of its own.
+//
+// # When views differ
+//
+// Two VMs may believe at the same time that they hold a flow, or none may have
+// its record. The rules that keep this safe:
+//
+//   - An owner without the record asks the other owner and the previous ones
+//     by passing the packet on, at most baobabstep.MaxTried times.
+//   - Only the target knows for certain whether it has a flow. A packet from
+//     a target rebuilds a lost record; a caller's packet without a record has
+//     the targets of the service asked, and the caller is told that the flow
+//     is unknown only when none of them answered for it.
+//   - Different records of one flow are ordered by [Beats], the same on each
+//     VM. The target of the loser gets a reset.
+//   - An established record never changes its target by itself.
+//
+// # Time and threads
+//
+// The present time is an argument, and the router starts no goroutine. It is
+// safe for concurrent use: records stand in shards, each under its own lock;
+// view and configuration are immutable and swapped as a whole.
+//
+// The file to read first is handle.go, then open.go, copies.go and find.go.
+package flow
+
+import (
+	"encoding/binary"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"baobabstep"
+	"baobabstep/core/place"
+)
+
+// Options are the settings of a [Router]. Zero values stand for the defaults
+// given with each field.
+type Options struct {
+	Self       baobabstep.VMID
+	DataCentre string
+	Chooser    baobabstep.Chooser
+	// Rand seeds the random numbers of the shards. It is not used later.
+	Rand *rand.Rand
+	// Invariant is called when an invariant is broken, after counting it.
+	// Tests and the demo make it fatal; nil only counts.
+	Invariant func(name, detail string)
+
+	// Shards is the number of parts of the table, a power of two (64).
+	Shards int
+	// MaxFlows bounds the records of all kinds (2,000,000).
+	MaxFlows int
+	// MaxHalfOpen bounds the flows whose caller was not heard after the
+	// target accepted (an eighth of MaxFlows).
+	MaxHalfOpen int
+	// OpenTimeout is how long a target may take to accept a flow (10 s).
+	OpenTimeout time.Duration
+	// ConfirmAfter is the time after which a caller that was not heard
+	// since its flow opened is probed (3 s).
+	ConfirmAfter time.Duration
+	// TombstoneTTL is how long late packets find an ended flow (30 s).
+	TombstoneTTL time.Duration
+	// OpenSearch is the time after a view change during which an open first
+	// visits the previous owners (10 s).
+	OpenSearch time.Duration
+	// Grace is the time after the start, a pause and a mass death during
+	// which nothing is declared unknown or silent (10 s).
+	Grace time.Duration
+	// SearchWait is how long targets may take to answer for a flow without
+	// a record (1 s).
+	SearchWait time.Duration
+	// IdleProbe is the silence of one direction after which it is probed
+	// (15 s).
+	IdleProbe time.Duration
+	// ProbeInterval is the time between probes (2 s).
+	ProbeInterval time.Duration
+	// MaxProbes is the number of probes without an answer after which a
+	// direction is silent (3, at most 7).
+	MaxProbes int
+	// MaxHold bounds the time that resets of silent flows are held back
+	// while the VM itself may be cut off (2 h).
+	MaxHold time.Duration
+	// ProbesPerSecond bounds probes of idle flows (8,000).
+	ProbesPerSecond float64
+	// SearchesPerSecond bounds probes in search of lost flows (2,000).
+	SearchesPerSecond float64
+	// RepairBytesPerSecond bounds the copies made for idle flows (2,048).
+	RepairBytesPerSecond float64
+}
+
+func (o *Options) setDefaults() {
+	orInt(&o.Shards, 64)
+	orInt(&o.MaxFlows, 2_000_000)
+	orInt(&o.MaxHalfOpen, o.MaxFlows/8)
+	orInt(&o.MaxProbes, 3)
+	orDuration(&o.OpenTimeout, 10*time.Second)
+	orDuration(&o.ConfirmAfter, 3*time.Second)
+	orDuration(&o.TombstoneTTL, 30*time.Second)
+	orDuration(&o.OpenSearch, 10*time.Second)
+	orDuration(&o.Grace, 10*time.Second)
+	orDuration(&o.SearchWait, time.Second)
+	orDuration(&o.IdleProbe, 15*time.Second)
+	orDuration(&o.ProbeInterval, 2*time.Second)
+	orDuration(&o.MaxHold, 2*time.Hour)
+	orFloat(&o.ProbesPerSecond, 8000)
+	orFloat(&o.SearchesPerSecond, 2000)
+	orFloat(&o.RepairBytesPerSecond, 2048)
+}
+
+func orInt(v *int, d int) {
+	if *v == 0 {
+		*v = d
+	}
+}
+
+func orDuration(v *time.Duration, d time.Duration) {
+	if *v == 0 {
+		*v = d
+	}
+}
+
+func orFloat(v *float64, d float64) {
+	if *v == 0 {
+		*v = d
+	}
+}
+
+// Router decides for the packets of flows. It is safe for concurrent use.
+type Router struct {
+	o       Options
+	epoch   time.Time
+	shards  []*shard
+	reg     *registry
+	current atomic.Pointer[snapshot]
+
+	// mu serialises changes of the snapshot and the work of Tick and Stop.
+	mu sync.Mutex
+	// searches is under its own lock, taken within a shard's.
+	searches bucket
+	probes   bucket
+	repairs  bucket
+	scan     scan
+	// ticked is the time of the last Tick.
+	ticked atomic.Uint32
+	// callersHeard is the tick of the last packet from any caller.
+	callersHeard atomic.Uint32
+}
+
+// snapshot is the view and configuration that one decision uses.
+type snapshot struct {
+	config  *baobabstep.Config
+	view    *baobabstep.View
+	table   *place.Table
+	history place.History
+	states  map[baobabstep.VMID]baobabstep.VMState
+	// probers finds a member by the mark of its probes.
+	probers map[uint32]baobabstep.VMID
+	// gen counts changes of owners, so that records can cache their role.
+	gen uint16
+	// changed is when the table last changed.
+	changed time.Time
+	// certain is when "no record found" begins to mean something.
+	certain time.Time
+	paused  bool
+	// leaving is set by Stop: the VM owns nothing any more.
+	leaving bool
+}
+
+// New returns a router without view and configuration; packets are dropped
+// until both are set.
+func New(now time.Time, o Options) *Router {
+	o.setDefaults()
+	r := &Router{
+		o:        o,
+		epoch:    now,
+		reg:      newRegistry(),
+		searches: newBucket(o.SearchesPerSecond, now),
+		probes:   newBucket(o.ProbesPerSecond, now),
+		repairs:  newBucket(o.RepairBytesPerSecond, now),
+	}
+	for range o.Shards {
+		r.shards = append(r.shards, &shard{random: rand.New(rand.NewPCG(o.Rand.Uint64(), o.Rand.Uint64()))})
+	}
+	r.current.Store(&snapshot{
+		states:  map[baobabstep.VMID]baobabstep.VMState{},
+		table:   place.New(&baobabstep.View{}),
+		changed: now,
+		certain: now.Add(o.Grace),
+	})
+	return r
+}
+
+// tick converts a time; times before the router was made count as its start.
+func (r *Router) tick(now time.Time) tick {
+	return tick(max(0, now.Sub(r.epoch)) / tickLength)
+}
+
+// change publishes a changed copy of the snapshot.
+func (r *Router) change(f func(s *snapshot)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	next := *r.current.Load()
+	f(&next)
+	r.current.Store(&next)
+}
+
+// SetConfig puts a configuration in force. Versions only grow: an older one is
+// ignored.
+func (r *Router) SetConfig(now time.Time, c *baobabstep.Config) {
+	r.change(func(s *snapshot) {
+		if s.config != nil && c.Version < s.config.Version {
+			return
+		}
+		s.config = c
+		if r.reg.load(c) {
+			s.gen++
+			s.changed = now
+		}
+	})
+}
+
+// SetView takes in a new view of the fleet.
+func (r *Router) SetView(now time.Time, v *baobabstep.View) {
+	r.change(func(s *snapshot) { r.setView(now, s, v) })
+}
+
+// massDeath is the share of members whose loss at one moment means that both
+// copies of many records may be gone.
+const massDeath = 4
+
+func (r *Router) setView(now time.Time, s *snapshot, v *baobabstep.View) {
+	members := v
+	if s.leaving {
+		members = withoutSelf(v, r.o.Self)
+	}
+	states := make(map[baobabstep.VMID]baobabstep.VMState, len(members.Members))
+	for i := range members.Members {
+		states[members.Members[i].ID] = members.Members[i].State
+	}
+	probers := make(map[uint32]baobabstep.VMID, len(v.Members))
+	for i := range v.Members {
+		probers[probeSeq(v.Members[i].ID)] = v.Members[i].ID
+	}
+	lost := 0
+	for id := range s.states {
+		if _, found := states[id]; !found {
+			lost++
+		}
+	}
+	if lost > 1 && lost*massDeath >= len(s.states) {
+		s.certain = now.Add(r.o.Grace)
+	}
+	first := s.view == nil
+	s.view, s.states, s.probers = v, states, probers
+	table := s.table.Update(members)
+	if table == s.table {
+		return
+	}
+	if !first {
+		s.history = s.history.Push(place.Past{Table: s.table, Until: now})
+	}
+	s.table, s.changed = table, now
+	s.gen++
+}
+
+func withoutSelf(v *baobabstep.View, self baobabstep.VMID) *baobabstep.View {
+	next := *v
+	next.Members = nil
+	for i := range v.Members {
+		if v.Members[i].ID != self {
+			next.Members = append(next.Members, v.Members[i])
+		}
+	}
+	return &next
+}
+
+// SetPaused tells that the VM found itself paused, or that it is sure again of
+// its place in the fleet. While paused it never acts as holder and resets
+// nothing: others may have taken over its flows.
+func (r *Router) SetPaused(now time.Time, paused bool) {
+	r.change(func(s *snapshot) {
+		if s.paused && !paused {
+			s.certain = now.Add(r.o.Grace)
+		}
+		s.paused = paused
+	})
+}
+
+// shard returns the shard of a hash. The slot of package place is in the low
+// bits, and all records of this VM share its slots, so others are taken.
+func (r *Router) shard(h *baobabstep.KeyHash) *shard {
+	return r.shards[binary.LittleEndian.Uint64(h[8:])>>32&uint64(len(r.shards)-1)]
+}
+
+// bucket is a token bucket that holds one second's worth at most.
+type bucket struct {
+	mu     sync.Mutex
+	rate   float64
+	tokens float64
+	last   time.Time
+}
+
+func newBucket(rate float64, now time.Time) bucket {
+	return bucket{rate: rate, last: now}
+}
+
+// take takes n tokens, or none and returns false.
+func (b *bucket) take(now time.Time, n float64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if passed := now.Sub(b.last); passed > 0 {
+		b.tokens = min(b.rate, b.tokens+passed.Seconds()*b.rate)
+		b.last = now
+	}
+	if b.tokens < n {
+		return false
+	}
+	b.tokens -= n
+	return true
+}
--- /dev/null
+++ b/core/flow/handle.go
@@ -0,0 +1,417 @@
+package flow
+
+import (
+	"fmt"
+	"time"
+
+	"baobabstep"
+	"baobabstep/core/place"
+)
+
+// turn is the handling of one packet, with its shard locked.
+type turn struct {
+	r    *Router
+	snap *snapshot
+	s    *shard
+	now  time.Time
+	tick tick
+	hash baobabstep.KeyHash
+	p    *baobabstep.Packet
+	// rec is the record that work without a packet is about.
+	rec *record
+	out *baobabstep.Outbox
+
+	own    place.Owners
+	gotOwn bool
+}
+
+// Handle decides what becomes of one packet of a flow and appends what has to
+// be sent. It does not allocate for a flow whose record the VM has.
+func (r *Router) Handle(now time.Time, p *baobabstep.Packet, out *baobabstep.Outbox) {
+	snap := r.current.Load()
+	t := turn{r: r, snap: snap, now: now, tick: r.tick(now), p: p, out: out}
+	if snap.config == nil || snap.view == nil {
+		r.shards[0].mu.Lock()
+		defer r.shards[0].mu.Unlock()
+		r.shards[0].events[EventDroppedNotReady]++
+		return
+	}
+	t.hash = place.Hash(snap.config.FlowSecret, p.Flow)
+	t.s = r.shard(&t.hash)
+	t.s.mu.Lock()
+	defer t.s.mu.Unlock()
+	switch p.Route.Purpose {
+	case baobabstep.PurposeReplicate:
+		t.replicate()
+	case baobabstep.PurposeLearn:
+		t.learn()
+	case baobabstep.PurposeStored:
+		t.stored()
+	case baobabstep.PurposeForget:
+		t.forget()
+	default:
+		t.route()
+	}
+}
+
+func (t *turn) count(e Event) { t.s.events[e]++ }
+
+// broken reports a broken invariant.
+func (t *turn) broken(name, format string, args ...any) {
+	t.count(EventInvariant)
+	if t.r.o.Invariant != nil {
+		t.r.o.Invariant(name, fmt.Sprintf("%v: ", t.flow())+fmt.Sprintf(format, args...))
+	}
+}
+
+// find returns the record, or nil. A search for the flow is no record.
+func (t *turn) find() *record {
+	rec := t.s.find(&t.hash)
+	if rec == nil || rec.state == StateSearching {
+		return nil
+	}
+	return rec
+}
+
+// owners returns the present owners of the packet's flow.
+func (t *turn) owners() place.Owners {
+	if !t.gotOwn {
+		t.own = t.snap.table.Owners(t.hash, t.dataCentres())
+		t.gotOwn = true
+	}
+	return t.own
+}
+
+// dataCentres returns those that may hold the flow; nil stands for all.
+func (t *turn) dataCentres() []string {
+	if t.rec != nil {
+		return t.r.reg.service(t.rec.service).dataCentres
+	}
+	i, found := t.r.reg.findService(t.p.Flow.Service, 0)
+	if !found {
+		return nil
+	}
+	return t.r.reg.service(i).dataCentres
+}
+
+func (t *turn) suspect(vm baobabstep.VMID) bool {
+	return t.snap.states[vm] == baobabstep.VMSuspect
+}
+
+// route handles a packet from outside, or one that another VM passed on.
+func (t *turn) route() {
+	rec := t.find()
+	switch {
+	case t.routeProbeAck():
+	case t.snap.paused:
+		t.passOn()
+	case rec == nil:
+		t.unknown()
+	case rec.finished():
+		t.late(rec)
+	case t.p.FromTarget:
+		t.fromTarget(rec)
+	default:
+		t.fromCaller(rec)
+	}
+}
+
+// fromCaller handles a caller's packet of a flow in the table.
+func (t *turn) fromCaller(rec *record) {
+	switch t.p.Kind {
+	case baobabstep.KindOpen:
+		t.repeatedOpen(rec)
+	case baobabstep.KindData, baobabstep.KindProbe:
+		t.heardCaller(rec)
+		t.toTarget(rec)
+	case baobabstep.KindProbeAck:
+		if t.ownProbe() {
+			t.heardCaller(rec)
+			return
+		}
+		t.toTarget(rec)
+	case baobabstep.KindClose:
+		t.toTarget(rec)
+		t.finish(rec, StateClosed, baobabstep.CodeOK)
+	case baobabstep.KindReset:
+		t.toTarget(rec)
+		t.finish(rec, StateReset, t.p.Code)
+	default:
+		t.count(EventDroppedInvalid)
+	}
+}
+
+// fromTarget handles a target's packet of a flow in the table.
+func (t *turn) fromTarget(rec *record) {
+	tg := t.r.reg.target(rec.target)
+	if t.p.Target != tg.id || t.p.Service != tg.service {
+		t.wrongTarget(rec)
+		return
+	}
+	if heard := tg.heard.Load(); heard != t.tick {
+		tg.heard.Store(t.tick)
+	}
+	switch t.p.Kind {
+	case baobabstep.KindOpened, baobabstep.KindData, baobabstep.KindProbe:
+		t.heardTarget(rec)
+		t.toCaller(rec)
+	case baobabstep.KindProbeAck:
+		if t.ownProbe() {
+			t.heardTarget(rec)
+			return
+		}
+		t.toCaller(rec)
+	case baobabstep.KindClose:
+		t.toCaller(rec)
+		t.finish(rec, StateClosed, baobabstep.CodeOK)
+	case baobabstep.KindReset:
+		t.resetByTarget(rec)
+	default:
+		t.count(EventDroppedInvalid)
+	}
+}
+
+// heardCaller notes a sign of life from the caller. After the acceptance, which
+// reached the caller by way of the other owner, it also proves that copy.
+func (t *turn) heardCaller(rec *record) {
+	rec.fromCaller = t.tick
+	rec.setProbes(toCaller, 0)
+	if t.r.callersHeard.Load() != t.tick {
+		t.r.callersHeard.Store(t.tick)
+	}
+	if rec.state != StateEstablished {
+		return
+	}
+	if !rec.has(flagConfirmed) {
+		t.s.enter(rec, StateEstablished, confirm)
+	}
+	if rec.has(flagVia) {
+		rec.clear(flagVia)
+		t.setCopied(rec)
+	}
+}
+
+// confirm marks a flow whose caller is known to be there.
+func confirm(rec *record) { rec.set(flagConfirmed) }
+
+// heardTarget notes a sign of life from the target. The first one is its word
+// that it holds the flow.
+func (t *turn) heardTarget(rec *record) {
+	rec.fromTarget = t.tick
+	rec.setProbes(toTarget, 0)
+	if rec.state == StateOpening {
+		t.establish(rec)
+	}
+}
+
+// wrongTarget handles a packet from a target other than the record's.
+//
+// If the record is still opening, the sender's word that it holds the flow is
+// worth more: another VM chose it, and the caller may already use it. If the
+// record is established, the sender holds a flow that lost against it or that
+// ended before its key was used again. Its packet must not reach the caller,
+// who would take it for the present flow; a reset lets it go.
+func (t *turn) wrongTarget(rec *record) {
+	claims := t.p.Kind == baobabstep.KindOpened || t.p.Kind == baobabstep.KindData
+	next, valid := t.vouched()
+	if claims && valid && rec.state == StateOpening {
+		t.count(EventConflict)
+		t.resetTarget(rec, baobabstep.CodeUnknownFlow)
+		t.setTarget(rec, next)
+		rec.version = clampVersion(t.p.Version)
+		t.heardTarget(rec)
+		t.toCaller(rec)
+		return
+	}
+	t.count(EventDroppedWrongTarget)
+	t.refuseTarget()
+}
+
+// late handles a packet of a flow that has ended.
+func (t *turn) late(rec *record) {
+	same := t.p.Target == t.r.reg.target(rec.target).id
+	again := t.p.Kind == baobabstep.KindClose && rec.state == StateClosed
+	switch {
+	case again && t.p.FromTarget && same:
+		t.toCaller(rec)
+	case again && !t.p.FromTarget:
+		t.toTarget(rec)
+	case t.p.FromTarget:
+		t.count(EventDroppedLate)
+		t.refuseTarget()
+	case t.p.Kind == baobabstep.KindClose || t.p.Kind == baobabstep.KindReset:
+		t.count(EventDroppedLate)
+	default:
+		t.count(EventDroppedLate)
+		t.refuseCaller(rec.resetCode(), 0)
+	}
+}
+
+// resetCode is what a late packet's sender is told.
+func (rec *record) resetCode() baobabstep.Code {
+	if rec.state == StateReset && rec.code != 0 {
+		return baobabstep.Code(rec.code) + codeBase
+	}
+	return baobabstep.CodeUnknownFlow
+}
+
+// finish turns a record into a mark against late packets, and tells the other
+// owner. What it says must already be in the outbox.
+func (t *turn) finish(rec *record, state State, code baobabstep.Code) {
+	if state == StateClosed {
+		t.count(EventClosed)
+	} else {
+		t.count(EventReset)
+	}
+	t.end(rec, state, code)
+	t.tellOwners(baobabstep.PurposeForget, rec)
+}
+
+// end is finish without telling anyone.
+func (t *turn) end(rec *record, state State, code baobabstep.Code) {
+	t.uncount(rec)
+	t.s.enter(rec, state, nil)
+	rec.fromCaller, rec.fromTarget = t.tick, t.tick
+	rec.code = 0
+	if code > codeBase && code < codeBase+100 {
+		rec.code = uint8(code - codeBase)
+	}
+}
+
+// emit appends the packet, without its route, and returns it for changes.
+func (t *turn) emit(dest baobabstep.Dest) *baobabstep.Send {
+	*t.out = append(*t.out, baobabstep.Send{Dest: dest, Packet: *t.p})
+	s := &(*t.out)[len(*t.out)-1]
+	s.Packet.Route = baobabstep.Route{}
+	return s
+}
+
+// control appends a packet of its own for the same flow.
+func (t *turn) control(dest baobabstep.Dest, kind baobabstep.Kind, fromTarget bool) *baobabstep.Send {
+	*t.out = append(*t.out, baobabstep.Send{Dest: dest})
+	s := &(*t.out)[len(*t.out)-1]
+	s.Packet.Kind = kind
+	s.Packet.FromTarget = fromTarget
+	s.Packet.Flow = t.flow()
+	s.Packet.Version = t.snap.config.Version
+	return s
+}
+
+// flow returns the key of the flow at hand.
+func (t *turn) flow() baobabstep.FlowKey {
+	if t.rec != nil {
+		return t.r.key(t.rec)
+	}
+	return t.p.Flow
+}
+
+// refuseCaller tells the caller that its flow does not exist.
+func (t *turn) refuseCaller(code baobabstep.Code, retry time.Duration) {
+	s := t.control(baobabstep.DestCaller, baobabstep.KindReset, true)
+	s.Packet.Code = code
+	s.Packet.RetryAfter = retry
+}
+
+// refuseTarget tells the target that sent the packet to let the flow go. Ends
+// of flows are not answered, so that two resets never chase each other.
+func (t *turn) refuseTarget() {
+	if t.p.Kind == baobabstep.KindReset || t.p.Kind == baobabstep.KindClose {
+		return
+	}
+	i, found := t.vouched()
+	if !found {
+		return
+	}
+	t.sendReset(t.r.reg.target(i), baobabstep.CodeUnknownFlow)
+}
+
+// resetTarget tells the record's target to let the flow go.
+func (t *turn) resetTarget(rec *record, code baobabstep.Code) {
+	t.sendReset(t.r.reg.target(rec.target), code)
+}
+
+func (t *turn) sendReset(tg *target, code baobabstep.Code) {
+	if tg.taken.Load() {
+		return
+	}
+	s := t.control(baobabstep.DestTarget, baobabstep.KindReset, false)
+	s.Address = tg.address
+	s.Packet.Service, s.Packet.Target = tg.service, tg.id
+	s.Packet.Code = code
+}
+
+// vouched returns the number of the target that the packet says it is from, if
+// it belongs to the service that the caller addressed.
+func (t *turn) vouched() (uint32, bool) {
+	if _, found := t.r.reg.findService(t.p.Flow.Service, t.p.Service); !found {
+		return 0, false
+	}
+	return t.r.reg.findTarget(t.p.Target, t.p.Service, false)
+}
+
+// toCaller sends the packet to the caller, by way of the other owner if that
+// one lacks the record.
+func (t *turn) toCaller(rec *record) {
+	if tg := t.r.reg.target(rec.target); t.p.Target != tg.id {
+		t.broken("I3", "answer of target %x for a flow of %x", t.p.Target, tg.id)
+		return
+	}
+	if t.viaOther(rec) {
+		return
+	}
+	t.emit(baobabstep.DestCaller)
+}
+
+// toTarget sends the packet to the record's target, by way of the other owner
+// if that one lacks the record.
+func (t *turn) toTarget(rec *record) {
+	tg := t.r.reg.target(rec.target)
+	if !t.mayReach(rec, tg) {
+		return
+	}
+	if t.viaOther(rec) {
+		return
+	}
+	t.straight(tg)
+}
+
+// straight sends the packet to a target.
+func (t *turn) straight(tg *target) {
+	s := t.emit(baobabstep.DestTarget)
+	s.Address = tg.address
+	s.Packet.Service, s.Packet.Target = tg.service, tg.id
+	s.Packet.Version = t.snap.config.Version
+}
+
+// mayReach keeps services apart: a packet goes to a target only while the
+// address that the caller used, and the address of the target, still stand for
+// the record's service. Otherwise the flow ends with a reset to both ends; a
+// target whose address was taken is not told, since another service would be.
+func (t *turn) mayReach(rec *record, tg *target) bool {
+	sv := t.r.reg.service(rec.service)
+	if sv.address != t.p.Flow.Service || sv.id != tg.service {
+		t.broken("I2", "service %x at %v, target of %x", sv.id, sv.address, tg.service)
+		return false
+	}
+	if tg.taken.Load() {
+		t.count(EventTargetTaken)
+		t.breakOff(rec, baobabstep.CodeTargetGone)
+		return false
+	}
+	now := t.snap.config.ServiceAt(t.p.Flow.Service)
+	if now != nil && now.ID != sv.id && t.snap.config.Version >= uint64(rec.version) {
+		t.count(EventServiceMoved)
+		t.breakOff(rec, baobabstep.CodeWrongService)
+		return false
+	}
+	return true
+}
+
+// breakOff ends a flow with an explicit reset to both ends.
+func (t *turn) breakOff(rec *record, code baobabstep.Code) {
+	t.refuseCaller(code, 0)
+	t.resetTarget(rec, code)
+	if rec.live() {
+		t.finish(rec, StateReset, code)
+	}
+}
--- /dev/null
+++ b/core/flow/help_test.go
@@ -0,0 +1,197 @@
+package flow_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"baobabstep"
+	"baobabstep/core/flow"
+	"baobabstep/core/place"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "40")
+	os.Exit(m.Run())
+}
+
+func (x *exchange) addVM(i, dcs int) baobabstep.VM {
+	name := fmt.Sprint("vm", i)
+	vm := baobabstep.VM{ID: baobabstep.MakeVMID(name), Name: name, DataCentre: fmt.Sprint("dc", i%dcs), Rack: fmt.Sprint("rack", i%4)}
+	x.vms = append(x.vms, vm)
+	slices.SortFunc(x.vms, func(a, b baobabstep.VM) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	x.choosers[vm.ID] = &fakeChooser{count: map[baobabstep.TargetID]int{}, next: i}
+	r := flow.New(x.now, flow.Options{
+		Self: vm.ID, DataCentre: vm.DataCentre, Shards: 4,
+		Chooser:   x.choosers[vm.ID],
+		Rand:      rand.New(rand.NewPCG(uint64(i), 3)),
+		Invariant: func(name, detail string) { x.t.Fatalf("invariant %s broken at %s: %s", name, vm.Name, detail) },
+	})
+	r.SetConfig(x.now, x.config)
+	x.routers[vm.ID] = r
+	return vm
+}
+
+func (x *exchange) setConfig(c *baobabstep.Config) {
+	c.Index()
+	x.config = c
+	for i := range c.Services {
+		for _, tg := range c.Services[i].Targets {
+			if x.targets[tg.ID] == nil {
+				x.targets[tg.ID] = &fakeTarget{config: tg, flows: map[baobabstep.FlowKey]int{}}
+			}
+		}
+	}
+	for _, r := range x.routers {
+		r.SetConfig(x.now, c)
+	}
+}
+
+// setView gives one VM its own view.
+func (x *exchange) setView(vm baobabstep.VMID, members []baobabstep.VM) {
+	v := &baobabstep.View{Self: vm, Members: slices.Clone(members), ChangedAt: x.now}
+	if r := x.routers[vm]; r != nil {
+		r.SetView(x.now, v)
+	}
+}
+
+// setViews gives all VMs the same view.
+func (x *exchange) setViews(members []baobabstep.VM) {
+	for _, vm := range x.vms {
+		x.setView(vm.ID, members)
+	}
+}
+
+// kill takes VMs down; others keep their views until told.
+func (x *exchange) kill(vms ...baobabstep.VMID) {
+	for _, vm := range vms {
+		x.dead[vm] = true
+		x.routers[vm] = nil
+	}
+}
+
+// alive returns the VMs that run.
+func (x *exchange) alive() []baobabstep.VM {
+	return slices.DeleteFunc(slices.Clone(x.vms), func(vm baobabstep.VM) bool { return x.dead[vm.ID] })
+}
+
+// advance moves the time, with a Tick of each router every 100 ms.
+func (x *exchange) advance(d time.Duration) {
+	for range d / (100 * time.Millisecond) {
+		x.now = x.now.Add(100 * time.Millisecond)
+		for _, vm := range x.vms {
+			if r := x.routers[vm.ID]; r != nil {
+				var out baobabstep.Outbox
+				r.Tick(x.now, &out)
+				x.push(vm.ID, out)
+			}
+		}
+		x.run()
+	}
+}
+
+func (x *exchange) key(n int) baobabstep.FlowKey {
+	return baobabstep.FlowKey{
+		Caller:  netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 2, byte(n >> 8), byte(n)}), 5000),
+		Service: x.config.Services[0].Address, Number: uint64(n) + 1,
+	}
+}
+
+func (x *exchange) owners(key baobabstep.FlowKey, members []baobabstep.VM) place.Owners {
+	h := place.Hash(x.config.FlowSecret, key)
+	if x.table == nil {
+		x.table = place.New(&baobabstep.View{})
+	}
+	x.table = x.table.Update(&baobabstep.View{Members: members})
+	return x.table.Owners(h, x.config.Services[0].DataCentres)
+}
+
+// caller returns the caller's end of flow n, and makes it if needed.
+func (x *exchange) caller(n int) *fakeCaller {
+	key := x.key(n)
+	if x.callers[key] == nil {
+		x.callers[key] = &fakeCaller{key: key}
+	}
+	return x.callers[key]
+}
+
+// sendOpen sends one open by way of a VM, or of any.
+func (x *exchange) sendOpen(n int, vm baobabstep.VMID) *fakeCaller {
+	c := x.caller(n)
+	x.enter(vm, baobabstep.Packet{Kind: baobabstep.KindOpen, Flow: c.key})
+	x.run()
+	return c
+}
+
+// open opens flow n, repeating as a caller does.
+func (x *exchange) open(n int) *fakeCaller {
+	c := x.sendOpen(n, 0)
+	for try := 0; c.opened == 0 && c.reset == 0 && try < 20; try++ {
+		x.advance(200 * time.Millisecond)
+		x.sendOpen(n, 0)
+	}
+	qt.Assert(x.t, c.opened, qt.Not(qt.Equals), baobabstep.TargetID(0), qt.Commentf("reset %v", c.reset))
+	return c
+}
+
+// say sends data, repeating until it is echoed, and returns whether it was.
+func (x *exchange) say(c *fakeCaller, text string, vm baobabstep.VMID) bool {
+	for range 30 {
+		x.enter(vm, baobabstep.Packet{Kind: baobabstep.KindData, Flow: c.key, Payload: []byte(text)})
+		x.run()
+		if slices.Contains(c.got, "echo "+text) {
+			return true
+		}
+		if c.reset != 0 {
+			return false
+		}
+		vm = 0
+		x.advance(300 * time.Millisecond)
+	}
+	return false
+}
+
+// assertAlive checks that flows still reach the targets they were opened on,
+// and that no other target holds them.
+func (x *exchange) assertAlive(flows ...*fakeCaller) {
+	x.t.Helper()
+	for i, c := range flows {
+		if !x.say(c, fmt.Sprintf("check %d at %v", i, x.now.Unix()), 0) {
+			x.t.Fatalf("flow %v broken, reset %v", c.key, c.reset)
+		}
+		x.assertOneTarget(c)
+	}
+}
+
+func (x *exchange) assertOneTarget(c *fakeCaller) {
+	x.t.Helper()
+	for id, tg := range x.targets {
+		if _, holds := tg.flows[c.key]; holds != (id == c.opened) {
+			x.t.Fatalf("flow %v opened on %x: target %x holds it: %v", c.key, c.opened, id, holds)
+		}
+	}
+}
+
+// events sums a counter over the running VMs.
+func (x *exchange) events(name string) (n uint64) {
+	for _, r := range x.routers {
+		if r != nil {
+			n += r.Stats().Events[name]
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/core/flow/table.go
@@ -0,0 +1,149 @@
+package flow
+
+import (
+	"encoding/binary"
+	"math/rand/v2"
+	"sync"
+	"unsafe"
+
+	"baobabstep"
+)
+
+// chunkSize is the number of records allocated together. Records never move,
+// so growing the table copies nothing but the index.
+const chunkSize = 512
+
+// minIndex is the initial size of a shard's index.
+const minIndex = 64
+
+// shard is one part of the flow table, with its own lock. Records stand in
+// chunks; the index is an open-addressing hash table of positions.
+type shard struct {
+	mu     sync.Mutex
+	chunks [][]record
+	// free lists unused positions.
+	free []uint32
+	// index maps a hash to position+1; 0 is empty. Its length is a power
+	// of two, and at most three quarters are in use.
+	index []uint32
+	used  int
+	// counts are the records by state; half those that are half-open.
+	counts [numStates]int
+	half   int
+	random *rand.Rand
+	events [numEvents]uint64
+}
+
+// home returns where the search for h starts. The low bits of the hash chose
+// slot and shard, so others are taken.
+func (s *shard) home(h *baobabstep.KeyHash) uint32 {
+	return uint32(binary.LittleEndian.Uint64(h[:8])>>32) & uint32(len(s.index)-1)
+}
+
+func (s *shard) at(pos uint32) *record {
+	return &s.chunks[pos/chunkSize][pos%chunkSize]
+}
+
+// size returns the number of positions, used or not.
+func (s *shard) size() uint32 { return uint32(len(s.chunks) * chunkSize) }
+
+// find returns the record of h, or nil.
+func (s *shard) find(h *baobabstep.KeyHash) *record {
+	if s.used == 0 {
+		return nil
+	}
+	mask := uint32(len(s.index) - 1)
+	for i := s.home(h); s.index[i] != 0; i = (i + 1) & mask {
+		if rec := s.at(s.index[i] - 1); rec.hash == *h {
+			return rec
+		}
+	}
+	return nil
+}
+
+// insert adds an empty record for h, which must not be present.
+func (s *shard) insert(h *baobabstep.KeyHash) *record {
+	if 4*(s.used+1) > 3*len(s.index) {
+		s.grow()
+	}
+	if len(s.free) == 0 {
+		s.addChunk()
+	}
+	pos := s.free[len(s.free)-1]
+	s.free = s.free[:len(s.free)-1]
+	s.link(h, pos)
+	s.used++
+	rec := s.at(pos)
+	*rec = record{hash: *h}
+	return rec
+}
+
+func (s *shard) addChunk() {
+	first := s.size()
+	s.chunks = append(s.chunks, make([]record, chunkSize))
+	for i := uint32(chunkSize); i > 0; i-- {
+		s.free = append(s.free, first+i-1)
+	}
+}
+
+func (s *shard) link(h *baobabstep.KeyHash, pos uint32) {
+	mask := uint32(len(s.index) - 1)
+	i := s.home(h)
+	for s.index[i] != 0 {
+		i = (i + 1) & mask
+	}
+	s.index[i] = pos + 1
+}
+
+func (s *shard) grow() {
+	old := s.index
+	s.index = make([]uint32, max(minIndex, 2*len(old)))
+	for _, entry := range old {
+		if entry != 0 {
+			s.link(&s.at(entry-1).hash, entry-1)
+		}
+	}
+}
+
+// remove takes out a record. Entries behind it move back, so that the index
+// needs no marks for removed ones and a search stays short.
+func (s *shard) remove(rec *record) {
+	mask := uint32(len(s.index) - 1)
+	i := s.home(&rec.hash)
+	for s.at(s.index[i]-1) != rec {
+		i = (i + 1) & mask
+	}
+	s.free = append(s.free, s.index[i]-1)
+	*rec = record{}
+	s.used--
+	for j := (i + 1) & mask; s.index[j] != 0; j = (j + 1) & mask {
+		home := s.home(&s.at(s.index[j] - 1).hash)
+		if (j-home)&mask >= (j-i)&mask {
+			s.index[i] = s.index[j]
+			i = j
+		}
+	}
+	s.index[i] = 0
+}
+
+// enter changes the state of a record and keeps the counts. change may alter
+// the flags that decide whether it is half-open.
+func (s *shard) enter(rec *record, state State, change func(*record)) {
+	s.counts[rec.state]--
+	if rec.halfOpen() {
+		s.half--
+	}
+	rec.state = state
+	if change != nil {
+		change(rec)
+	}
+	s.counts[rec.state]++
+	if rec.halfOpen() {
+		s.half++
+	}
+}
+
+// bytes returns the memory of the shard's records and index.
+func (s *shard) bytes() int {
+	return len(s.chunks)*chunkSize*int(unsafe.Sizeof(record{})) + 4*cap(s.index) + 4*cap(s.free)
+}
--- a/core/place/table.go
+++ b/core/place/table.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sort"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -217,18 +218,19 @@
 // for its repair is found through them.
 const historySize = 16
 
-// History holds previous tables, the newest first. It is immutable.
-type History []*Table
+// Past is a table that was in use until another replaced it.
+type Past struct {
+	Table *Table
+	Until time.Time
+}
+
+// History holds past tables, the newest first. It is immutable.
+type History []Past
 
-// Push returns the history with t as its newest table.
-func (h History) Push(t *Table) History {
+// Push returns the history with p as its newest table; the oldest is dropped
+// once there are too many.
+func (h History) Push(p Past) History {
 	next := make(History, 0, historySize)
-	next = append(next, t)
-	for _, old := range h {
-		if len(next) == historySize {
-			break
-		}
-		next = append(next, old)
-	}
-	return next
+	next = append(next, p)
+	return append(next, h[:min(len(h), historySize-1)]...)
 }
