root: records say whether the caller confirmed its flow

Cause: two VMs on two sides of a partition may each have an established record of one flow. Which one the caller uses decides whether dropping the other one breaks the flow, and no field said so. Change: Record.Confirmed, carried by the datagram format; a probe's acknowledgement is documented to echo Seq. Conclusion: the order of records can prefer the one in use.

--- a/io/wire/part.go
+++ b/io/wire/part.go
@@ -232,6 +232,7 @@
 	Established bool
 	Age         int64
 	Attempt     uint16
+	Confirmed   bool
 }
 
 func (r *route) set(p *baobabstep.Packet) {
@@ -247,6 +248,7 @@
 	r.Service = uint64(from.Record.Service)
 	r.Version = from.Record.Version
 	r.Established = from.Record.Established
+	r.Confirmed = from.Record.Confirmed
 	r.Age = int64(from.Record.Age)
 	r.Attempt = from.Record.Attempt
 }
@@ -265,6 +267,7 @@
 		Service:     baobabstep.ServiceID(r.Service),
 		Version:     r.Version,
 		Established: r.Established,
+		Confirmed:   r.Confirmed,
 		Age:         time.Duration(r.Age),
 		Attempt:     r.Attempt,
 	}
--- a/packet.go
+++ b/packet.go
@@ -24,7 +24,8 @@
 	KindReset
 	// KindProbe asks whether the receiver still knows the flow.
 	KindProbe
-	// KindProbeAck answers KindProbe.
+	// KindProbeAck answers KindProbe and echoes its Seq, by which the entry
+	// VM finds the VM that asked.
 	KindProbeAck
 	// KindRequest carries one request.
 	KindRequest
@@ -135,6 +136,9 @@
 	Version uint64
 	// Established is set once the target has accepted the flow.
 	Established bool
+	// Confirmed is set once the caller was heard after the target accepted:
+	// the caller uses the flow.
+	Confirmed bool
 	// Age is the time since the flow was opened, relative for the reason
 	// given at Packet.Timeout.
 	Age time.Duration
