--- a/core/config/fleet.go
+++ b/core/config/fleet.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/binary"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -14,6 +15,11 @@
 	// defaultReaders is the number of VMs per data centre that read the
 	// platform: one may be down or paused without delaying a change.
 	defaultReaders = 2
+	// maxStandIns is the number of VMs, first by rank, that watch those above
+	// them, and silentAfter the silence after which one counts as gone. The
+	// membership notices a death too, later and for all.
+	maxStandIns = 8
+	silentAfter = 4 * time.Second
 	// fanout is the number of children in the tree that offers travel along.
 	fanout = 4
 	// trees is the number of trees. A VM that died takes its subtree with
@@ -32,14 +38,18 @@
 	far []baobabstep.VMID
 	// readers are the readers of each data centre.
 	readers map[string][]baobabstep.VMID
-	sizes   map[string]int
 	centres map[baobabstep.VMID]string
+	// order ranks the VMs of self's data centre; the first are the readers,
+	// and the next stand in for those that fall silent.
+	order []baobabstep.VMID
+	// since says when a VM of the data centre first appeared.
+	since map[baobabstep.VMID]time.Time
 }
 
 func newFleet(self baobabstep.VM, all []baobabstep.VM, readers int) fleet {
 	f := fleet{
 		self: self, near: []baobabstep.VMID{self.ID}, readers: map[string][]baobabstep.VMID{},
-		sizes: map[string]int{}, centres: map[baobabstep.VMID]string{self.ID: self.DataCentre},
+		centres: map[baobabstep.VMID]string{self.ID: self.DataCentre}, since: map[baobabstep.VMID]time.Time{},
 	}
 	byCentre := map[string][]baobabstep.VMID{self.DataCentre: {self.ID}}
 	for i := range all {
@@ -57,8 +67,10 @@
 		}
 	}
 	for centre, vms := range byCentre {
-		f.sizes[centre] = len(vms)
 		ordered := rank(vms, readerSalt)
+		if centre == self.DataCentre {
+			f.order = ordered
+		}
 		f.readers[centre] = ordered[:min(readers, len(ordered))]
 	}
 	return f
@@ -88,21 +100,24 @@
 	return xxhash.Sum64(buf[:])
 }
 
-func (f *fleet) isReader(id baobabstep.VMID) bool {
-	return slices.Contains(f.readers[f.centres[id]], id)
+// above returns the VMs of the data centre that would read before self does, or
+// false if self is too far down to stand in.
+func (f *fleet) above() ([]baobabstep.VMID, bool) {
+	at := slices.Index(f.order, f.self.ID)
+	return f.order[:at], at < maxStandIns
 }
 
 // children returns the VMs that this VM offers a version to: its children in
-// each tree of its data centre, the roots if it is a reader, and, for a reader,
-// one reader of each other data centre.
-func (f *fleet) children(version uint64) []baobabstep.VMID {
+// each tree of its data centre, the readers there, to whom all report, and, if
+// it reads the platform itself, the roots and one reader of each other data
+// centre.
+func (f *fleet) children(version uint64, reader bool) []baobabstep.VMID {
 	var out []baobabstep.VMID
 	add := func(id baobabstep.VMID) {
 		if id != f.self.ID && !slices.Contains(out, id) {
 			out = append(out, id)
 		}
 	}
-	reader := f.isReader(f.self.ID)
 	for tree := range uint64(trees) {
 		order := rank(f.near, version*trees+tree)
 		at := slices.Index(order, f.self.ID)
--- /dev/null
+++ b/core/config/main_test.go
@@ -0,0 +1,372 @@
+package config_test
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"baobabstep"
+	"baobabstep/core/config"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	os.Exit(m.Run())
+}
+
+var testStart = time.Date(2026, 3, 7, 6, 0, 0, 0, time.UTC)
+
+// store is a map in the platform's place. Faults are set per call by hooks.
+type store struct {
+	revision uint64
+	keys     map[string]baobabstep.KeyValue
+	down     bool
+	// onPut may replace the outcome of a write: it gets the write and says
+	// whether it takes effect and with which code it is answered.
+	onPut func(key string) (takesEffect bool, code baobabstep.Code)
+	puts  int
+	gets  int
+	bytes int
+}
+
+func newStore() *store { return &store{keys: map[string]baobabstep.KeyValue{}} }
+
+func codeError(code baobabstep.Code) error {
+	if code == baobabstep.CodeOK {
+		return nil
+	}
+	return baobabstep.Errorf(code, "store", "got a fault, want none")
+}
+
+func (s *store) get(key string) (baobabstep.KeyValue, error) {
+	s.gets++
+	if s.down {
+		return baobabstep.KeyValue{}, codeError(baobabstep.CodePlatformUnavailable)
+	}
+	kv, ok := s.keys[key]
+	if !ok {
+		return kv, codeError(baobabstep.CodeNotFound)
+	}
+	s.bytes += len(kv.Value)
+	return kv, nil
+}
+
+func (s *store) put(key string, value []byte, expected uint64) (uint64, error) {
+	s.puts++
+	if s.down {
+		return 0, codeError(baobabstep.CodePlatformUnavailable)
+	}
+	takes, code := true, baobabstep.CodeOK
+	if s.onPut != nil {
+		takes, code = s.onPut(key)
+	}
+	if takes {
+		if s.keys[key].Revision != expected {
+			return 0, codeError(baobabstep.CodeConflict)
+		}
+		s.revision++
+		s.keys[key] = baobabstep.KeyValue{Key: key, Value: value, Revision: s.revision}
+	}
+	return s.revision, codeError(code)
+}
+
+// accept carries a change through the store.
+func (s *store) accept(now time.Time, c config.Change, o config.AcceptOptions) config.Result {
+	a := config.NewAccept(c, o)
+	for step := a.Start(); step.Kind != config.StepDone; {
+		step = s.step(now, a, step)
+	}
+	return a.Result()
+}
+
+func (s *store) step(now time.Time, a *config.Accept, step config.Step) config.Step {
+	var answer config.Answer
+	if step.Kind == config.StepGet {
+		answer.KeyValue, answer.Err = s.get(step.Key)
+	} else {
+		answer.Revision, answer.Err = s.put(step.Key, step.Value, step.Expected)
+	}
+	return a.Next(now, answer)
+}
+
+// snapshot reads what a reader of the platform would hand to the replica.
+func (s *store) snapshot(r *config.Replica) (config.Snapshot, bool) {
+	kv, err := s.get(config.HeadKey)
+	if err != nil {
+		return config.Snapshot{}, false
+	}
+	out := config.Snapshot{Head: kv.Value, Objects: map[config.Digest][]byte{}}
+	for {
+		missing, err := r.Wants(kv.Value, out.Objects)
+		if err != nil || len(missing) == 0 {
+			return out, err == nil
+		}
+		for _, m := range missing {
+			object, err := s.get(config.ObjectKey(m.Digest))
+			if err != nil {
+				return out, false
+			}
+			out.Objects[m.Digest] = object.Value
+		}
+	}
+}
+
+// testTemplate is a template with few parameters.
+func testTemplate() *config.Template {
+	raw := func(s string) json.RawMessage { return json.RawMessage(s) }
+	return &config.Template{
+		Format: 1, Name: "plain", SchemaVersion: 1, Doc: "for tests",
+		Parameters: []config.Parameter{
+			{Name: "address", Type: config.TypeAddress, Doc: "where callers reach it"},
+			{Name: "targets", Type: config.TypeTargetList, Doc: "what serves it"},
+			{Name: "queue_limit", Type: config.TypeInteger, Doc: "length of the queue", Default: raw("8"), Min: raw("0"), Max: raw("100")},
+			{Name: "max_timeout", Type: config.TypeDuration, Doc: "longest time", Default: raw(`"10s"`), Min: raw(`"1s"`), Max: raw(`"1m"`)},
+		},
+		Service: config.Shape{
+			Address: raw(`"$address"`), DataCentres: raw(`["a","b","c"]`), Targets: raw(`"$targets"`),
+			QueueLimit: raw(`"$queue_limit"`), MaxTimeout: raw(`"$max_timeout"`),
+		},
+	}
+}
+
+// testAccount is an account with one service and the given targets; number
+// keeps its names and addresses apart from those of other accounts.
+func testAccount(number, targets int) *config.Account {
+	list := make([]config.TargetValue, targets)
+	for i := range list {
+		list[i] = config.TargetValue{
+			Name: fmt.Sprintf("t-%d-%d", number, i), DataCentre: string(rune('a' + i%3)),
+			Address: fmt.Sprintf("127.%d.%d.%d:%d", 100+number>>8, number&255, 1+i%250, 9000+i/250),
+		}
+	}
+	return &config.Account{
+		Format: 1, Name: accountName(number), Doc: "for tests",
+		Services: []config.AccountService{{
+			Name: "main", Template: "plain", Values: map[string]json.RawMessage{
+				"address": json.RawMessage(fmt.Sprintf(`"127.%d.%d.0:7000"`, 50+number>>8, number&255)),
+				"targets": config.Encode(list),
+			},
+		}},
+	}
+}
+
+func accountName(number int) string { return fmt.Sprintf("account-%d", number) }
+
+// firstChange sets up a template and accounts.
+func firstChange(accounts, targets int) config.Change {
+	c := config.Change{ID: "first", Operator: "ana", Reason: "set up", Action: "config import"}
+	c.Edits = append(c.Edits, config.Edit{Kind: config.ObjectTemplate, Name: "plain", Document: config.Encode(testTemplate())})
+	for i := range accounts {
+		c.Edits = append(c.Edits, config.Edit{Kind: config.ObjectAccount, Name: accountName(i), Document: config.Encode(testAccount(i, targets))})
+	}
+	return c
+}
+
+// queueChange sets the queue limit of an account.
+func queueChange(id string, number, targets, from, to int) config.Change {
+	return config.Change{ID: id, Operator: "ana", Reason: "tune", Action: "account accept", Edits: []config.Edit{{
+		Kind: config.ObjectAccount, Name: accountName(number),
+		Base:     config.Encode(withQueue(testAccount(number, targets), from)),
+		Document: config.Encode(withQueue(testAccount(number, targets), to)),
+	}}}
+}
+
+func withQueue(a *config.Account, limit int) *config.Account {
+	if limit >= 0 {
+		a.Services[0].Values["queue_limit"] = json.RawMessage(fmt.Sprint(limit))
+	}
+	return a
+}
+
+func mustAccept(c *qt.C, s *store, change config.Change) config.Result {
+	c.Helper()
+	res := s.accept(testStart, change, config.AcceptOptions{})
+	c.Assert(res.Err, qt.IsNil)
+	return res
+}
+
+// fleet is a set of replicas on one virtual clock, joined by a network that
+// delays, loses, doubles and reorders.
+type fleet struct {
+	now      time.Time
+	vms      []baobabstep.VM
+	replicas map[baobabstep.VMID]*config.Replica
+	queue    []delivery
+	rand     *rand.Rand
+	store    *store
+	lossy    float64
+	// cut says whether two VMs cannot reach each other, or, with to 0, a VM
+	// cannot reach the platform.
+	cut      func(from, to baobabstep.VMID) bool
+	versions map[baobabstep.VMID]uint64
+	reverted int
+	violated []string
+	sent     map[baobabstep.VMID]int
+	messages int
+}
+
+type delivery struct {
+	at       time.Time
+	from, to baobabstep.VMID
+	body     []byte
+}
+
+// tick is the step of the virtual clock.
+const tick = 100 * time.Millisecond
+
+// newFleet makes perCentre VMs in each of the data centres a, b, ...
+func newFleet(centres, perCentre int, s *store) *fleet {
+	f := &fleet{
+		now: testStart, replicas: map[baobabstep.VMID]*config.Replica{}, rand: rand.New(rand.NewPCG(1, 2)), store: s,
+		versions: map[baobabstep.VMID]uint64{}, sent: map[baobabstep.VMID]int{},
+	}
+	for d := range centres {
+		for i := range perCentre {
+			name := fmt.Sprintf("vm-%c-%d", 'a'+d, i)
+			f.vms = append(f.vms, baobabstep.VM{ID: baobabstep.MakeVMID(name), Name: name, DataCentre: string(rune('a' + d))})
+		}
+	}
+	for i := range f.vms {
+		f.start(f.vms[i].ID)
+	}
+	return f
+}
+
+// start replaces a VM by one that knows nothing.
+func (f *fleet) start(id baobabstep.VMID) {
+	for _, vm := range f.vms {
+		if vm.ID != id {
+			continue
+		}
+		r := config.NewReplica(f.now, config.ReplicaOptions{
+			Self: vm, Rand: rand.New(rand.NewPCG(uint64(id), 7)),
+			Violated: func(invariant, detail string) { f.violated = append(f.violated, invariant+": "+detail) },
+		})
+		r.SetFleet(f.now, f.vms)
+		f.replicas[id] = r
+		f.versions[id] = 0
+	}
+}
+
+func (f *fleet) isCut(from, to baobabstep.VMID) bool { return f.cut != nil && f.cut(from, to) }
+
+func (f *fleet) send(from baobabstep.VMID, outs []config.Out) {
+	for _, o := range outs {
+		f.sent[from] += len(o.Body)
+		f.messages++
+		if f.isCut(from, o.To) || f.rand.Float64() < f.lossy {
+			continue
+		}
+		delay := time.Duration(1+f.rand.IntN(3)) * time.Millisecond
+		if f.rand.Float64() < f.lossy {
+			f.queue = append(f.queue, delivery{f.now.Add(delay + 300*time.Millisecond), from, o.To, o.Body})
+		}
+		f.queue = append(f.queue, delivery{f.now.Add(delay), from, o.To, o.Body})
+	}
+}
+
+// step lets one tick pass.
+func (f *fleet) step() {
+	end := f.now.Add(tick)
+	for {
+		at := -1
+		for i := range f.queue {
+			if !f.queue[i].at.After(end) && (at < 0 || f.queue[i].at.Before(f.queue[at].at)) {
+				at = i
+			}
+		}
+		if at < 0 {
+			break
+		}
+		d := f.queue[at]
+		f.queue[at] = f.queue[len(f.queue)-1]
+		f.queue = f.queue[:len(f.queue)-1]
+		if d.at.After(f.now) {
+			f.now = d.at
+		}
+		if r := f.replicas[d.to]; r != nil && !f.isCut(d.from, d.to) {
+			f.send(d.to, r.Handle(f.now, d.from, d.body))
+		}
+	}
+	f.now = end
+	for _, vm := range f.vms {
+		r := f.replicas[vm.ID]
+		if r == nil {
+			continue
+		}
+		f.send(vm.ID, r.Tick(f.now))
+		f.read(vm.ID, r)
+		f.watch(vm.ID, r)
+	}
+}
+
+// read does what a reader's waiting watch does.
+func (f *fleet) read(id baobabstep.VMID, r *config.Replica) {
+	if f.store.down || f.isCut(id, 0) || !r.Reader(f.now) {
+		return
+	}
+	if s, ok := f.store.snapshot(r); ok {
+		f.send(id, r.FromPlatform(f.now, s))
+	}
+}
+
+// watch checks that versions only grow.
+func (f *fleet) watch(id baobabstep.VMID, r *config.Replica) {
+	c := r.Current()
+	if c == nil {
+		return
+	}
+	if c.Version < f.versions[id] {
+		f.reverted++
+	}
+	f.versions[id] = c.Version
+}
+
+// run lets time pass until all VMs have the version, at most for d, and
+// returns how long it took.
+func (f *fleet) run(d time.Duration, version uint64) (time.Duration, bool) {
+	start := f.now
+	for f.now.Sub(start) < d {
+		if f.all(version) {
+			return f.now.Sub(start), true
+		}
+		f.step()
+	}
+	return f.now.Sub(start), f.all(version)
+}
+
+func (f *fleet) all(version uint64) bool {
+	for _, r := range f.replicas {
+		if c := r.Current(); c == nil || c.Version < version {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *fleet) wait(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); {
+		f.step()
+	}
+}
+
+func assertSound(c *qt.C, f *fleet) {
+	c.Helper()
+	c.Assert(f.violated, qt.HasLen, 0)
+	c.Assert(f.reverted, qt.Equals, 0)
+}
+
+func assertInForce(c *qt.C, f *fleet, within time.Duration, version uint64) time.Duration {
+	c.Helper()
+	took, ok := f.run(within, version)
+	c.Assert(ok, qt.IsTrue, qt.Commentf("version %d not in force everywhere within %v: %v", version, within, f.versions))
+	assertSound(c, f)
+	return took
+}
--- a/core/config/replica.go
+++ b/core/config/replica.go
@@ -149,19 +149,53 @@
 }
 
 // SetFleet says which VMs there are; roles follow from it.
-func (r *Replica) SetFleet(_ time.Time, all []baobabstep.VM) {
+func (r *Replica) SetFleet(now time.Time, all []baobabstep.VM) {
 	f := newFleet(r.o.Self, all, r.o.ReadersPerDataCentre)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	for _, id := range f.near {
+		f.since[id] = now
+		if was, ok := r.fleet.since[id]; ok {
+			f.since[id] = was
+		}
+	}
 	r.fleet = f
 }
 
 // Reader says whether this VM reads the platform now: it is one of the few
-// chosen in its data centre, or no peer is in reach who could.
+// chosen in its data centre, or stands in for those that fell silent, or no
+// peer is in reach who could.
 func (r *Replica) Reader(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.fleet.isReader(r.o.Self.ID) || r.cutOffFromPeers(now)
+	return r.reads(now)
+}
+
+func (r *Replica) reads(now time.Time) bool {
+	if r.cutOffFromPeers(now) {
+		return true
+	}
+	above, near := r.fleet.above()
+	if !near {
+		return false
+	}
+	alive := 0
+	for _, id := range above {
+		if !r.silent(now, id) {
+			alive++
+		}
+	}
+	return alive < r.o.ReadersPerDataCentre
+}
+
+// silent says whether a VM ranked above this one has not been heard although
+// it was asked; see compare.
+func (r *Replica) silent(now time.Time, id baobabstep.VMID) bool {
+	last := r.fleet.since[id]
+	if p := r.peers[id]; p != nil && p.heardAt.After(last) {
+		last = p.heardAt
+	}
+	return now.Sub(last) > silentAfter
 }
 
 func (r *Replica) cutOffFromPeers(now time.Time) bool {
--- a/core/config/spread.go
+++ b/core/config/spread.go
@@ -128,7 +128,7 @@
 // offer tells this VM's children in the trees which version is in force here.
 func (r *Replica) offer(now time.Time) []Out {
 	var outs []Out
-	for _, id := range r.fleet.children(r.version()) {
+	for _, id := range r.fleet.children(r.version(), r.reads(now)) {
 		if p := r.peers[id]; p != nil && p.version >= r.version() {
 			continue
 		}
@@ -193,7 +193,14 @@
 		ask(r.fleet.far)
 		return outs
 	}
-	if r.fleet.isReader(r.o.Self.ID) || r.rounds%farPeriod == 0 {
+	if above, near := r.fleet.above(); near {
+		for _, id := range above {
+			m := r.header(now, messageHave)
+			m.Answer = true
+			outs = append(outs, r.out(id, m))
+		}
+	}
+	if r.reads(now) || r.rounds%farPeriod == 0 {
 		ask(r.fleet.farReaders(r.o.Rand.IntN))
 	}
 	return outs
--- /dev/null
+++ b/core/config/spread_test.go
@@ -0,0 +1,248 @@
+package config_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"baobabstep"
+	"baobabstep/core/config"
+)
+
+func TestSpread(t *testing.T) {
+	for _, size := range []struct{ centres, per int }{{1, 1}, {1, 2}, {3, 3}, {4, 12}} {
+		t.Run(fmt.Sprintf("%d data centres of %d", size.centres, size.per), func(t *testing.T) {
+			c := qt.New(t)
+			s := newStore()
+			mustAccept(c, s, firstChange(10, 4))
+			f := newFleet(size.centres, size.per, s)
+			assertInForce(c, f, 6*time.Second, 1)
+			mustAccept(c, s, queueChange("second", 3, 4, -1, 9))
+			assertInForce(c, f, 6*time.Second, 2)
+		})
+	}
+}
+
+// TestSpreadFaults: an operator accepts a change while messages are lost,
+// doubled and late. The caller of the old version must not see it come back:
+// the change is in force on every VM in reach within seconds, and no VM returns
+// to an earlier one, since each compares versions before it takes one.
+func TestSpreadFaults(t *testing.T) {
+	for _, fault := range []struct {
+		name   string
+		within time.Duration
+		set    func(f *fleet)
+	}{
+		{"one message in five lost, one in five doubled late", 15 * time.Second, func(f *fleet) { f.lossy = 0.2 }},
+		{"the first two VMs of each data centre are gone", 6 * time.Second, func(f *fleet) {
+			for i, vm := range f.vms {
+				if i%4 < 2 {
+					delete(f.replicas, vm.ID)
+				}
+			}
+		}},
+		{"only one VM reaches the platform", 6 * time.Second, func(f *fleet) {
+			reader := f.reader("b")
+			f.cut = func(from, to baobabstep.VMID) bool { return to == 0 && from != reader }
+		}},
+	} {
+		t.Run(fault.name, func(t *testing.T) {
+			c := qt.New(t)
+			s := newStore()
+			mustAccept(c, s, firstChange(10, 4))
+			f := newFleet(3, 4, s)
+			assertInForce(c, f, 6*time.Second, 1)
+			fault.set(f)
+			for i := range 3 {
+				mustAccept(c, s, queueChange(fmt.Sprint(i), i, 4, -1, 9))
+				assertInForce(c, f, fault.within, uint64(2+i))
+			}
+		})
+	}
+}
+
+// reader returns a VM of the data centre that reads the platform.
+func (f *fleet) reader(centre string) baobabstep.VMID {
+	for _, vm := range f.vms {
+		if vm.DataCentre == centre && f.replicas[vm.ID].Reader(f.now) {
+			return vm.ID
+		}
+	}
+	return 0
+}
+
+// TestPlatformDownForHours: the platform is out of reach and every VM is
+// replaced in turn meanwhile. Callers go on being served by the version
+// accepted last: each new VM gets it from its peers, and none serves nothing.
+func TestPlatformDownForHours(t *testing.T) {
+	c := qt.New(t)
+	s := newStore()
+	mustAccept(c, s, firstChange(40, 4))
+	mustAccept(c, s, queueChange("second", 3, 4, -1, 9))
+	f := newFleet(3, 3, s)
+	assertInForce(c, f, 6*time.Second, 2)
+	s.down = true
+	for range 2 {
+		for _, vm := range f.vms {
+			f.wait(10 * time.Second)
+			f.start(vm.ID)
+			assertInForce(c, f, 6*time.Second, 2)
+		}
+	}
+	f.wait(time.Minute)
+	status := f.replicas[f.vms[0].ID].Status(f.now)
+	c.Assert(status.CutOffPlatform, qt.IsTrue)
+	c.Assert(status.CutOffPeers, qt.IsFalse)
+	s.down = false
+	mustAccept(c, s, queueChange("third", 4, 4, -1, 9))
+	assertInForce(c, f, 6*time.Second, 3)
+}
+
+// TestPartition: one data centre is cut off from the others and the platform,
+// and a change is accepted on the other side. The cut-off side goes on with the
+// version it has and says so; after healing it catches up and nothing reverts.
+func TestPartition(t *testing.T) {
+	c := qt.New(t)
+	s := newStore()
+	mustAccept(c, s, firstChange(10, 4))
+	f := newFleet(3, 3, s)
+	assertInForce(c, f, 6*time.Second, 1)
+	centre := map[baobabstep.VMID]string{}
+	for _, vm := range f.vms {
+		centre[vm.ID] = vm.DataCentre
+	}
+	f.cut = func(from, to baobabstep.VMID) bool { return (centre[from] == "c") != (centre[to] == "c") }
+	mustAccept(c, s, queueChange("second", 3, 4, -1, 9))
+	f.wait(time.Minute)
+	for _, vm := range f.vms {
+		want := uint64(2)
+		if vm.DataCentre == "c" {
+			want = 1
+		}
+		status := f.replicas[vm.ID].Status(f.now)
+		c.Assert(status.Version, qt.Equals, want)
+		c.Assert(status.CutOffPlatform, qt.Equals, vm.DataCentre == "c")
+	}
+	f.cut = nil
+	assertInForce(c, f, 6*time.Second, 2)
+}
+
+// TestDataCentreRestartedAlone: all VMs of a data centre restart while it is
+// cut off from the rest and the platform. Nothing there knows a configuration;
+// the VMs say what they lack instead of serving a guess.
+func TestDataCentreRestartedAlone(t *testing.T) {
+	c := qt.New(t)
+	s := newStore()
+	mustAccept(c, s, firstChange(10, 4))
+	f := newFleet(3, 3, s)
+	assertInForce(c, f, 6*time.Second, 1)
+	centre := map[baobabstep.VMID]string{}
+	for _, vm := range f.vms {
+		centre[vm.ID] = vm.DataCentre
+	}
+	f.cut = func(from, to baobabstep.VMID) bool { return (centre[from] == "c") != (centre[to] == "c") }
+	for _, vm := range f.vms {
+		if vm.DataCentre == "c" {
+			f.start(vm.ID)
+		}
+	}
+	f.wait(time.Minute)
+	for _, vm := range f.vms {
+		if vm.DataCentre == "c" {
+			c.Assert(f.replicas[vm.ID].Current(), qt.IsNil)
+			c.Assert(f.replicas[vm.ID].Status(f.now).Lacks, qt.HasLen, 2)
+		}
+	}
+	f.cut = nil
+	assertInForce(c, f, 6*time.Second, 1)
+}
+
+// TestOldVersionReturns: a VM that was cut off with version 1 returns after all
+// others were replaced and have version 3. It must take 3, and no other may
+// take 1, neither from it nor from a platform that was set back.
+func TestOldVersionReturns(t *testing.T) {
+	c := qt.New(t)
+	s := newStore()
+	mustAccept(c, s, firstChange(10, 4))
+	f := newFleet(1, 5, s)
+	assertInForce(c, f, 6*time.Second, 1)
+	old := newStore()
+	for k, v := range s.keys {
+		old.keys[k] = v
+	}
+	old.revision = s.revision
+	lost := f.vms[0].ID
+	f.cut = func(from, to baobabstep.VMID) bool { return from == lost || to == lost }
+	mustAccept(c, s, queueChange("second", 3, 4, -1, 9))
+	mustAccept(c, s, queueChange("third", 4, 4, -1, 9))
+	f.wait(5 * time.Second)
+	s.down = true
+	for _, vm := range f.vms[1:4] {
+		f.start(vm.ID)
+		f.wait(5 * time.Second)
+	}
+	f.cut = nil
+	assertInForce(c, f, 6*time.Second, 3)
+
+	f.store = old
+	f.wait(10 * time.Second)
+	assertSound(c, f)
+	for _, vm := range f.vms {
+		c.Assert(f.replicas[vm.ID].Current().Version, qt.Equals, uint64(3))
+	}
+	res := old.accept(testStart, queueChange("on-old", 5, 4, -1, 9), config.AcceptOptions{Current: f.replicas[lost].Set()})
+	c.Assert(baobabstep.CodeOf(res.Err), qt.Equals, baobabstep.CodeOldVersion)
+}
+
+// TestMissedByTheTree: each VM in turn hears nothing while a change spreads. It
+// would keep the old version until the next change, since nobody offers it the
+// new one again; the comparison with a random peer must bring it within seconds.
+func TestMissedByTheTree(t *testing.T) {
+	c := qt.New(t)
+	s := newStore()
+	mustAccept(c, s, firstChange(10, 4))
+	f := newFleet(1, 14, s)
+	assertInForce(c, f, 6*time.Second, 1)
+	s.down = false
+	for i, vm := range f.vms {
+		f.cut = func(from, to baobabstep.VMID) bool { return from == vm.ID || to == vm.ID }
+		mustAccept(c, s, queueChange(fmt.Sprint(i), 3, 4, i-1, i))
+		f.wait(time.Second)
+		s.down = true
+		f.cut = nil
+		assertInForce(c, f, 5*time.Second, uint64(2+i))
+		s.down = false
+	}
+}
+
+// TestStartNextToOldPeer: a VM starts while the platform is down, and the first
+// peer to answer is one that was cut off long ago. Applying its version would
+// bring back what operators replaced, so the VM hears several peers first.
+func TestStartNextToOldPeer(t *testing.T) {
+	for seed := range 8 {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			c := qt.New(t)
+			s := newStore()
+			mustAccept(c, s, firstChange(10, 4))
+			f := newFleet(1, 6, s)
+			assertInForce(c, f, 6*time.Second, 1)
+			old, fresh := f.vms[seed%6].ID, f.vms[(seed+1)%6].ID
+			f.cut = func(from, to baobabstep.VMID) bool { return from == old || to == old }
+			mustAccept(c, s, queueChange("second", 3, 4, -1, 9))
+			f.wait(5 * time.Second)
+			s.down = true
+			f.start(fresh)
+			// At first the VM that starts hears only the old peer.
+			f.cut = func(from, to baobabstep.VMID) bool {
+				return (from == fresh) != (to == fresh) && from != old && to != old || from != fresh && to != fresh
+			}
+			f.wait(800 * time.Millisecond)
+			c.Assert(f.replicas[fresh].Current(), qt.IsNil)
+			f.cut = nil
+			assertInForce(c, f, 6*time.Second, 2)
+			c.Assert(f.replicas[fresh].Status(f.now).Counts.Adopted, qt.Equals, uint64(1))
+		})
+	}
+}
--- a/core/config/status.go
+++ b/core/config/status.go
@@ -57,7 +57,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := ReplicaStatus{
-		Version: r.version(), Reader: r.fleet.isReader(r.o.Self.ID), Counts: r.counts,
+		Version: r.version(), Reader: r.reads(now), Counts: r.counts,
 		CutOffPeers: r.cutOffFromPeers(now), PlatformAgeMS: -1, Objects: len(r.objects),
 	}
 	for _, b := range r.objects {
@@ -130,7 +130,7 @@
 // allSummaries returns one summary for each data centre known. A reader makes
 // the one of its own data centre, since every VM there reports to it.
 func (r *Replica) allSummaries(now time.Time) []Summary {
-	if r.fleet.isReader(r.o.Self.ID) || r.summaries[r.o.Self.DataCentre].at.IsZero() {
+	if r.reads(now) || r.summaries[r.o.Self.DataCentre].at.IsZero() {
 		r.summaries[r.o.Self.DataCentre] = r.ownSummary(now)
 	}
 	var out []Summary
