node: one VM wired from the deciding parts and the adapters; commands balance, check-settings, version

Cause: the parts stood alone; nothing carried a packet from a caller to a target. Change: package node (data goroutine a socket, control goroutine, watermill router for the control path, planned stop in stated order, address book, metrics) and the command that runs it. Settings name one platform address, since the platform client takes one.

--- /dev/null
+++ b/cmd/baobabstep/balance.go
@@ -0,0 +1,107 @@
+package main
+
+import (
+	"context"
+	"math/rand/v2"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/apex/log"
+	jsonlog "github.com/apex/log/handlers/json"
+
+	"baobabstep"
+	"baobabstep/io/packet"
+	"baobabstep/io/peer"
+	"baobabstep/io/platform"
+	"baobabstep/io/setting"
+	"baobabstep/node"
+)
+
+// platformSeed keeps the platform client's random numbers apart from the VM's.
+const platformSeed = 8
+
+type balance struct {
+	Settings string `required:"" help:"Settings file (JSON); docs/SETTINGS.md lists the fields." type:"existingfile"`
+	Seed     uint64 `help:"Seed of the VM's random numbers; 0 draws one." default:"0"`
+}
+
+// systemClock is the machine's clock. Its readings are monotonic within the
+// process, which is all that decisions use.
+type systemClock struct{}
+
+var _ baobabstep.Clock = systemClock{}
+
+// Now implements [baobabstep.Clock].
+func (systemClock) Now() time.Time { return time.Now() }
+
+// Run implements the command.
+func (b balance) Run() error {
+	s, err := setting.Read(b.Settings)
+	if err != nil {
+		return err
+	}
+	logger := newLogger(s.LogLevel)
+	n, err := b.build(s, logger)
+	if err != nil {
+		return err
+	}
+	stop, hurry := stopSignals(logger)
+	return n.Run(stop, hurry)
+}
+
+// build opens the sockets and makes the VM.
+func (b balance) build(s *setting.Settings, logger log.Interface) (*node.Node, error) {
+	book := new(node.Book)
+	sockets, err := packet.New(packet.Options{
+		Listen: s.DataAddress, Shards: s.Shards, Keys: setting.Keys(s.PeerKeys), Book: book,
+	})
+	if err != nil {
+		return nil, err
+	}
+	peers, err := peer.New(peer.Options{
+		Self: s.VM(), Listen: s.PeerAddress, LocalIP: s.PeerAddress.Addr(),
+		Keys: setting.Keys(s.PeerKeys), Logger: logger,
+	})
+	if err != nil {
+		return nil, err
+	}
+	packets := make([]baobabstep.Packets, len(sockets))
+	for i, socket := range sockets {
+		packets[i] = socket
+	}
+	seed := b.Seed
+	if seed == 0 {
+		seed = rand.Uint64()
+	}
+	client := platform.NewClient(platform.Options{
+		URL: s.PlatformURL, LocalAddress: s.PeerAddress.Addr().AsSlice(), Clock: systemClock{},
+		Rand: rand.New(rand.NewPCG(seed, platformSeed)),
+	})
+	return node.New(node.Options{
+		Settings: s, Logger: logger, Clock: systemClock{}, Platform: client,
+		Peers: peers, Packets: packets, Book: book, Seed: seed,
+	}), nil
+}
+
+func newLogger(level string) log.Interface {
+	logger := &log.Logger{Handler: jsonlog.New(os.Stderr), Level: log.MustParseLevel(level)}
+	return logger
+}
+
+// stopSignals returns a context that ends at the first SIGTERM or interrupt,
+// and one that ends at the second.
+func stopSignals(logger log.Interface) (stop, hurry context.Context) {
+	stop, cancelStop := context.WithCancel(context.Background())
+	hurry, cancelHurry := context.WithCancel(context.Background())
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		logger.WithField("signal", (<-signals).String()).Info("stop asked for")
+		cancelStop()
+		logger.WithField("signal", (<-signals).String()).Warn("stop at once asked for")
+		cancelHurry()
+	}()
+	return stop, hurry
+}
--- /dev/null
+++ b/cmd/baobabstep/main.go
@@ -0,0 +1,61 @@
+// Command baobabstep runs one VM of the load balancer and carries the
+// operators' commands.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kong"
+
+	"baobabstep"
+)
+
+// version is set at link time for releases.
+var version = "0.1.0-dev"
+
+// commands is the command line.
+type commands struct {
+	Balance       balance       `cmd:"" help:"Run one VM with the given settings file, until SIGTERM (planned stop) or a second SIGTERM (at once)."`
+	CheckSettings checkSettings `cmd:"" help:"Check a settings file and print it with its defaults filled in."`
+	Version       showVersion   `cmd:"" help:"Print the version."`
+}
+
+type showVersion struct{}
+
+// Run implements the command.
+func (showVersion) Run() error {
+	fmt.Println("baobabstep", version)
+	return nil
+}
+
+func main() {
+	os.Exit(run(os.Args[1:]))
+}
+
+// run returns the exit status: 0, or the first digit of the result code's
+// hundred, so that scripts can tell a conflict (3) from an outage (4).
+func run(args []string) int {
+	var c commands
+	parser, err := kong.New(&c,
+		kong.Name("baobabstep"),
+		kong.Description("A layer-4 load balancer whose VMs are all alike. Each failure ends with a result code; docs/RESULT_CODES.md explains them."),
+		kong.UsageOnError(),
+	)
+	if err != nil {
+		panic(err)
+	}
+	parsed, err := parser.Parse(args)
+	if err != nil {
+		return report(baobabstep.Errorf(baobabstep.CodeUsage, "baobabstep", "%v", err))
+	}
+	return report(parsed.Run())
+}
+
+func report(err error) int {
+	if err == nil {
+		return 0
+	}
+	fmt.Fprintln(os.Stderr, err)
+	return int(baobabstep.CodeOf(err)) / 100
+}
--- a/io/setting/setting.go
+++ b/io/setting/setting.go
@@ -66,8 +66,8 @@
 	// port of each service address; empty turns the TCP listeners off.
 	StreamHost netip.Addr `json:"stream_host,omitzero"`
 
-	// PlatformURLs are the base URLs of the platform's service.
-	PlatformURLs []string `json:"platform_urls"`
+	// PlatformURL is the base URL of the platform's service.
+	PlatformURL string `json:"platform_url"`
 	// Seeds are peer addresses tried until the platform's list is known.
 	Seeds []netip.AddrPort `json:"seeds,omitempty"`
 
@@ -229,14 +229,9 @@
 }
 
 func (s *Settings) checkPlatform() error {
-	if len(s.PlatformURLs) == 0 {
-		return fail("platform_urls: got none, want at least one http or https URL")
-	}
-	for i, raw := range s.PlatformURLs {
-		u, err := url.Parse(raw)
-		if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
-			return fail("platform_urls[%d]: got %q, want an http or https URL", i, raw)
-		}
+	u, err := url.Parse(s.PlatformURL)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		return fail("platform_url: got %q, want an http or https URL", s.PlatformURL)
 	}
 	seen := map[netip.AddrPort]bool{}
 	for i, seed := range s.Seeds {
--- a/io/setting/setting_test.go
+++ b/io/setting/setting_test.go
@@ -4,6 +4,9 @@
 	"encoding/json"
 	"os"
 	"path/filepath"
+	"reflect"
+	"regexp"
+	"strings"
 	"testing"
 
 	"baobabstep"
@@ -72,3 +75,33 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, json.Unmarshal(raw, into), qt.IsNil)
 }
+
+var documentedSetting = regexp.MustCompile("(?m)^\\| `(\\w+)` \\|")
+
+func TestSettingsAreDocumented(t *testing.T) {
+	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "SETTINGS.md"))
+	qt.Assert(t, err, qt.IsNil)
+	documented := map[string]bool{}
+	for _, row := range documentedSetting.FindAllStringSubmatch(string(page), -1) {
+		documented[row[1]] = true
+	}
+	fields := map[string]bool{}
+	settings := reflect.TypeFor[Settings]()
+	for i := range settings.NumField() {
+		name, _, _ := strings.Cut(settings.Field(i).Tag.Get("json"), ",")
+		fields[name] = true
+	}
+	qt.Assert(t, documented, qt.DeepEquals, fields)
+}
+
+func TestExamplesAreValid(t *testing.T) {
+	examples, err := filepath.Glob(filepath.Join("..", "..", "settings", "*.json"))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, examples, qt.HasLen, 2)
+	for _, example := range examples {
+		t.Run(filepath.Base(example), func(t *testing.T) {
+			_, err := Read(example)
+			qt.Assert(t, err, qt.IsNil)
+		})
+	}
+}
--- /dev/null
+++ b/node/data.go
@@ -0,0 +1,87 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"baobabstep"
+)
+
+// batchSize is the number of packets read at once.
+const batchSize = 64
+
+// serve is one data goroutine.
+func (n *Node) serve(ctx context.Context, packets baobabstep.Packets) error {
+	batch := make([]baobabstep.Packet, batchSize)
+	out := make(baobabstep.Outbox, 0, 2*batchSize)
+	for {
+		count, err := packets.Receive(ctx, batch)
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return err
+		}
+		now := n.clock.Now()
+		n.notePause(now)
+		out = out[:0]
+		for i := range batch[:count] {
+			n.handle(now, &batch[i], &out)
+		}
+		n.send(packets, out)
+	}
+}
+
+// notePause stops the VM from acting on roles that it held before a pause. The
+// data goroutines of a process that was stopped and continued may run before
+// its control goroutine does, with packets that waited in the socket; by then
+// another VM may hold its flows and requests.
+func (n *Node) notePause(now time.Time) {
+	gap := now.Sub(n.start) - time.Duration(n.lastTick.Load())
+	if gap > pauseLimit && n.lastTick.Load() != 0 {
+		n.setPaused(now, true)
+	}
+}
+
+func (n *Node) setPaused(now time.Time, paused bool) {
+	n.flows.SetPaused(now, paused)
+	n.work.SetPaused(now, paused)
+}
+
+// handle lets the part that a packet belongs to decide.
+func (n *Node) handle(now time.Time, p *baobabstep.Packet, out *baobabstep.Outbox) {
+	if p.Route.Purpose != baobabstep.PurposeNone {
+		n.counts.fromVMs.Add(1)
+	}
+	switch p.Kind {
+	case baobabstep.KindOpen, baobabstep.KindOpened, baobabstep.KindData, baobabstep.KindClose,
+		baobabstep.KindReset, baobabstep.KindProbe, baobabstep.KindProbeAck:
+		n.flows.Handle(now, p, out)
+	case baobabstep.KindRequest, baobabstep.KindAnswer, baobabstep.KindRefusal, baobabstep.KindCancel:
+		n.work.Handle(now, p, out)
+	case baobabstep.KindHealthReport:
+		n.targets.Report(now, p.Target, p.Report)
+	default:
+		n.counts.unexpected.Add(1)
+	}
+}
+
+// send counts what goes to other VMs as control when it is not a caller's or a
+// target's packet on its way.
+func (n *Node) send(packets baobabstep.Packets, out baobabstep.Outbox) {
+	if len(out) == 0 {
+		return
+	}
+	for i := range out {
+		if out[i].Dest == baobabstep.DestVM && isControl(out[i].Packet.Route.Purpose) {
+			n.counts.dataControl.Add(1)
+		}
+	}
+	if err := packets.Send(out); err != nil {
+		n.counts.sendErrors.Add(1)
+	}
+}
+
+func isControl(p baobabstep.Purpose) bool {
+	return p == baobabstep.PurposeLearn || p == baobabstep.PurposeForget || p == baobabstep.PurposeStored
+}
--- /dev/null
+++ b/node/metrics.go
@@ -0,0 +1,85 @@
+package node
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"baobabstep/io/metric"
+)
+
+// counters are the node's own counts; the parts count for themselves.
+type counters struct {
+	invariants   atomic.Uint64
+	fromVMs      atomic.Uint64
+	unexpected   atomic.Uint64
+	sendErrors   atomic.Uint64
+	dataControl  atomic.Uint64
+	controlBytes atomic.Uint64
+	controlNanos atomic.Uint64
+	peerErrors   atomic.Uint64
+	malformed    atomic.Uint64
+	streams      eventCounts
+}
+
+// eventCounts counts events by name.
+type eventCounts struct {
+	mu     sync.Mutex
+	counts map[string]float64
+}
+
+func (e *eventCounts) add(name string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.counts == nil {
+		e.counts = make(map[string]float64)
+	}
+	e.counts[name]++
+}
+
+func (e *eventCounts) read() map[string]float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	counts := make(map[string]float64, len(e.counts))
+	for name, count := range e.counts {
+		counts[name] = count
+	}
+	return counts
+}
+
+func count(c *atomic.Uint64) func() map[string]float64 {
+	return func() map[string]float64 { return metric.Value(float64(c.Load())) }
+}
+
+func (n *Node) registerMetrics() {
+	n.metrics.Register(
+		metric.Source{Name: "invariant_failures_total", Help: "Broken invariants.", Read: count(&n.counts.invariants)},
+		metric.Source{Name: "packets_from_vms_total", Help: "Packets received from other VMs.", Read: count(&n.counts.fromVMs)},
+		metric.Source{Name: "packets_unexpected_total", Help: "Packets of a kind that a VM does not take.", Read: count(&n.counts.unexpected)},
+		metric.Source{Name: "send_errors_total", Help: "Failed sends of a batch.", Read: count(&n.counts.sendErrors)},
+		metric.Source{Name: "peer_send_errors_total", Help: "Control messages that could not be queued.", Read: count(&n.counts.peerErrors)},
+		metric.Source{Name: "peer_malformed_total", Help: "Control messages that could not be decoded.", Read: count(&n.counts.malformed)},
+		metric.Source{Name: "control_bytes_total", Help: "Bytes of control messages sent and received.", Read: count(&n.counts.controlBytes)},
+		metric.Source{Name: "control_cpu_seconds_total", Help: "Time spent in control work.", Read: n.controlSeconds},
+		metric.Source{Name: "config_version", Help: "Configuration version in force.", Gauge: true, Read: n.configVersion},
+		metric.Source{Name: "members", Help: "VMs of the region that may hold flows.", Gauge: true, Read: n.memberCount},
+		metric.Source{Name: "stream_events_total", Help: "Events of TCP connections.", Label: "event", Read: n.counts.streams.read},
+	)
+}
+
+func (n *Node) controlSeconds() map[string]float64 {
+	return metric.Value(float64(n.counts.controlNanos.Load()) / 1e9)
+}
+
+func (n *Node) configVersion() map[string]float64 {
+	if c := n.config.Load(); c != nil {
+		return metric.Value(float64(c.Version))
+	}
+	return metric.Value(0)
+}
+
+func (n *Node) memberCount() map[string]float64 {
+	if v := n.view.Load(); v != nil {
+		return metric.Value(float64(len(v.Members)))
+	}
+	return metric.Value(0)
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,209 @@
+// Package node is one VM: it wires the parts that decide (core) to the parts
+// that talk (io).
+//
+// Three kinds of goroutine run in a VM. A data goroutine for each socket reads
+// a batch of packets, lets the flow router or the request engine decide, and
+// sends what they want sent. The control goroutine ticks every part and carries
+// news between them: a new view of the fleet or a new configuration is handed to
+// everyone who routes by it. The control path's messages from other VMs arrive
+// through a watermill router, one handler for each topic.
+//
+// All state lives in the parts, each behind its own locks; the node itself only
+// keeps what it last handed out. The order of a planned stop is in stop.go.
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"baobabstep"
+	"baobabstep/core/config"
+	"baobabstep/core/flow"
+	"baobabstep/core/member"
+	"baobabstep/core/request"
+	"baobabstep/core/target"
+	"baobabstep/io/metric"
+	"baobabstep/io/setting"
+	"baobabstep/io/stream"
+)
+
+// Intervals of the control goroutine.
+const (
+	// dataTick drives timeouts of requests and flows.
+	dataTick = 20 * time.Millisecond
+	// controlTick drives membership and the spread of the configuration.
+	controlTick = 100 * time.Millisecond
+	// newsInterval is the time between two rounds of target news.
+	newsInterval = 500 * time.Millisecond
+	// listInterval is the time between two readings of the platform's list.
+	listInterval = 5 * time.Second
+	// pauseLimit is the gap between two ticks past which the VM takes
+	// itself to have been paused: others may hold its roles by then.
+	pauseLimit = 1500 * time.Millisecond
+)
+
+// Options are what a Node needs besides its settings.
+type Options struct {
+	Settings *setting.Settings
+	Logger   log.Interface
+	Clock    baobabstep.Clock
+	Platform baobabstep.Platform
+	Peers    baobabstep.Peers
+	// Packets has one value for each data goroutine.
+	Packets []baobabstep.Packets
+	// Book is the address book that Packets was made with.
+	Book *Book
+	// Seed seeds the random numbers of the VM.
+	Seed uint64
+}
+
+// Node is one VM.
+type Node struct {
+	options Options
+	self    baobabstep.VM
+	log     log.Interface
+	clock   baobabstep.Clock
+	start   time.Time
+
+	fleet   *member.Fleet
+	replica *config.Replica
+	targets *target.Registry
+	flows   *flow.Router
+	work    *request.Engine
+	streams *stream.Proxy
+	metrics *metric.Server
+	counts  counters
+	// newsDraw picks whom to tell; streamDraw picks targets of TCP callers.
+	newsDraw, streamDraw *lockedRand
+
+	// lastTick is when the control goroutine last ran, in nanoseconds since
+	// start.
+	lastTick atomic.Int64
+	view     atomic.Pointer[baobabstep.View]
+	config   atomic.Pointer[baobabstep.Config]
+	stopping atomic.Bool
+	done     chan struct{}
+}
+
+// New makes the parts of a VM; Run starts them.
+func New(o Options) *Node {
+	now := o.Clock.Now()
+	self := o.Settings.VM()
+	self.Incarnation = uint64(now.UnixMilli())
+	n := &Node{
+		options: o,
+		self:    self,
+		clock:   o.Clock,
+		start:   now,
+		log: o.Logger.WithFields(log.Fields{
+			"vm": self.Name, "data_centre": self.DataCentre,
+		}),
+		done: make(chan struct{}),
+	}
+	n.fleet = member.New(now, member.Options{Self: self, PauseLimit: pauseLimit, Rand: n.random(1)})
+	n.replica = config.NewReplica(now, config.ReplicaOptions{Self: self, Rand: n.random(2)})
+	n.targets = target.New(now, target.Options{
+		Self: self.ID, DataCentre: self.DataCentre, Rand: n.random(3), Invariant: n.broken,
+	})
+	n.flows = flow.New(now, flow.Options{
+		Self: self.ID, DataCentre: self.DataCentre, Chooser: n.targets, Rand: n.random(4),
+		Invariant: n.broken,
+	})
+	n.work = request.New(now, request.Options{
+		Self: self.ID, DataCentre: self.DataCentre, Targets: n.targets, Rand: n.random(5),
+		Invariant: n.broken,
+	})
+	n.streamDraw = &lockedRand{r: n.random(6)}
+	n.newsDraw = &lockedRand{r: n.random(7)}
+	n.metrics = metric.New(o.Settings.MetricsAddress, n.Ready)
+	n.registerMetrics()
+	return n
+}
+
+// random returns the random numbers of one part.
+func (n *Node) random(part uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(n.options.Seed, uint64(n.self.ID)+part))
+}
+
+// broken counts a broken invariant, and ends the process where the settings
+// ask for it: in tests a broken invariant must not go unseen.
+func (n *Node) broken(name, detail string) {
+	n.counts.invariants.Add(1)
+	entry := n.log.WithFields(log.Fields{"invariant": name, "detail": detail})
+	if n.options.Settings.FatalInvariants {
+		entry.Fatal("invariant broken")
+	}
+	entry.Error("invariant broken")
+}
+
+// Ready says why the VM cannot serve yet; nil once it can.
+func (n *Node) Ready() error {
+	switch {
+	case n.config.Load() == nil:
+		return baobabstep.Errorf(baobabstep.CodeIncomplete, "node.ready", "no configuration yet")
+	case n.view.Load() == nil:
+		return baobabstep.Errorf(baobabstep.CodeIncomplete, "node.ready", "no view of the fleet yet")
+	case n.stopping.Load():
+		return baobabstep.Errorf(baobabstep.CodeStopping, "node.ready", "stopping")
+	}
+	return nil
+}
+
+// Run starts the VM and serves until ctx ends or a part fails. Then it stops as
+// planned: it refuses new work, hands over what it holds and tells its peers,
+// within the settings' stop timeout or until hurry ends.
+func (n *Node) Run(ctx, hurry context.Context) error {
+	running, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if err := n.metrics.Start(running); err != nil {
+		return err
+	}
+	if host := n.options.Settings.StreamHost; host.IsValid() {
+		n.streams = n.newStreams(host)
+	}
+	ends := make(chan error)
+	parts := n.parts(running)
+	for _, part := range parts {
+		go func() { ends <- part() }()
+	}
+	left := len(parts)
+	var failed error
+	select {
+	case <-ctx.Done():
+		n.drain(hurry)
+	case failed = <-ends:
+		left--
+	}
+	cancel()
+	n.closeSockets()
+	for range left {
+		if err := <-ends; failed == nil {
+			failed = err
+		}
+	}
+	<-n.metrics.Done()
+	close(n.done)
+	return failed
+}
+
+// Done is closed when Run has returned and every part has ended.
+func (n *Node) Done() <-chan struct{} { return n.done }
+
+// parts returns the long-running functions of the VM. Each ends when ctx does,
+// or with an error that ends the VM.
+func (n *Node) parts(ctx context.Context) []func() error {
+	parts := []func() error{
+		func() error { return n.control(ctx) },
+		func() error { return n.listen(ctx) },
+		func() error { return n.readConfig(ctx) },
+		func() error { return n.readList(ctx) },
+	}
+	for _, packets := range n.options.Packets {
+		parts = append(parts, func() error { return n.serve(ctx, packets) })
+	}
+	return parts
+}
--- /dev/null
+++ b/node/stop.go
@@ -0,0 +1,95 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+
+	"baobabstep"
+)
+
+// drainInterval is the time between two steps of a planned stop.
+const drainInterval = 20 * time.Millisecond
+
+// stopResult is what a planned stop left behind.
+type stopResult struct {
+	flows, requests, connections int
+}
+
+// drain is a planned stop. The order matters:
+//
+//  1. The peers learn that the VM leaves, so that their views drop it and new
+//     work goes to others. Until they have, packets still arrive here and are
+//     passed on.
+//  2. Requests: no new ones are taken; those in flight finish or are refused as
+//     not run while that is still true.
+//  3. Flows: each record is handed to its present owners, and taken back by
+//     nobody else before they confirm.
+//  4. TCP connections cannot move; they may finish until the limit.
+//
+// The data goroutines go on throughout. drain returns when nothing is left, at
+// the settings' stop timeout, or when hurry ends, and logs what was cut.
+func (n *Node) drain(hurry context.Context) {
+	n.stopping.Store(true)
+	limit, cancel := context.WithTimeout(hurry, n.options.Settings.StopTimeout())
+	defer cancel()
+	began := n.clock.Now()
+	n.log.Info("planned stop begins")
+	n.sendMember(n.fleet.Leave(began))
+
+	cut := make(chan int, 1)
+	go func() { cut <- n.stopStreams(limit) }()
+	left := n.handOver(limit)
+	left.connections = <-cut
+
+	entry := n.log.WithFields(log.Fields{
+		"took_ms": n.clock.Now().Sub(began).Milliseconds(), "flows_left": left.flows,
+		"requests_left": left.requests, "connections_cut": left.connections,
+	})
+	if left == (stopResult{}) {
+		entry.Info("planned stop complete")
+		return
+	}
+	entry.Warn("planned stop cut short")
+}
+
+// handOver steps the flow router and the request engine until both are empty.
+func (n *Node) handOver(limit context.Context) stopResult {
+	ticker := time.NewTicker(drainInterval)
+	defer ticker.Stop()
+	var out baobabstep.Outbox
+	for {
+		now := n.clock.Now()
+		out = out[:0]
+		left := stopResult{requests: n.work.Stop(now, &out), flows: n.flows.Stop(now, &out)}
+		n.send(n.options.Packets[0], out)
+		if left == (stopResult{}) {
+			return left
+		}
+		select {
+		case <-limit.Done():
+			return left
+		case <-ticker.C:
+		}
+	}
+}
+
+func (n *Node) stopStreams(limit context.Context) (cut int) {
+	if n.streams == nil {
+		return 0
+	}
+	return n.streams.Stop(limit)
+}
+
+// closeSockets ends the data goroutines and the control path.
+func (n *Node) closeSockets() {
+	for _, packets := range n.options.Packets {
+		if err := packets.Close(); err != nil {
+			n.log.WithError(err).Warn("close packets")
+		}
+	}
+	if err := n.options.Peers.Close(); err != nil {
+		n.log.WithError(err).Warn("close peers")
+	}
+}
