--- a/core/config/accept.go
+++ b/core/config/accept.go
@@ -55,10 +55,7 @@
 	// Theirs lists what others changed since the base, on a conflict.
 	Theirs []FieldChange         `json:"theirs"`
 	Entry  baobabstep.AuditEntry `json:"entry"`
-	// Previous is the entry of the version before, for an audit trail whose
-	// last entry was lost on the way.
-	Previous baobabstep.AuditEntry `json:"previous"`
-	Err      error                 `json:"-"`
+	Err    error                 `json:"-"`
 }
 
 // AcceptOptions are what an accept starts from.
@@ -434,6 +431,7 @@
 	var items []QuarantineItem
 	if a.before != nil {
 		m.FlowSecret = a.before.Manifest.FlowSecret
+		m.Previous = a.before.Digest
 		items = a.before.quarantine
 	}
 	m.Pages = pageRefs(refs, a.objects)
@@ -486,12 +484,16 @@
 		BaseVersion: a.head.Version, NewVersion: a.head.Version + 1,
 		Difference: a.result.Difference,
 	}
-	if len(e.Difference) > maxDifferences {
-		more := fmt.Sprintf("and %d more", len(e.Difference)-maxDifferences)
-		e.Difference = append(slices.Clone(e.Difference[:maxDifferences]), more)
+	if n := len(e.Difference); n > maxDifferences {
+		e.Difference = append(slices.Clone(e.Difference[:maxDifferences]), fmt.Sprintf("and %d more", n-maxDifferences))
+	}
+	for i, line := range e.Difference {
+		if len(line) > maxDifferenceLine {
+			e.Difference = slices.Clone(e.Difference)
+			e.Difference[i] = line[:maxDifferenceLine] + "..."
+		}
 	}
 	if a.before != nil {
-		a.result.Previous = a.before.Manifest.Entry
 		e.PreviousHash = a.before.Manifest.Entry.Hash
 	}
 	e.Hash = EntryHash(e)
--- a/core/config/change.go
+++ b/core/config/change.go
@@ -42,9 +42,12 @@
 
 // Limits of a change.
 const (
-	maxText        = 512
-	maxEdits       = 8192
-	maxDifferences = 200
+	maxText  = 512
+	maxEdits = 8192
+	// maxDifferences and maxDifferenceLine bound an audit entry to some
+	// 10 kB, so that a segment of the trail stays below a megabyte.
+	maxDifferences    = 32
+	maxDifferenceLine = 300
 )
 
 // Draft is an edit of an account that has not been accepted. It is kept under
--- a/core/config/main_test.go
+++ b/core/config/main_test.go
@@ -18,6 +18,9 @@
 func TestMain(m *testing.M) {
 	flag.Parse()
 	_ = flag.Set("rapid.seed", "1")
+	if f := flag.Lookup("rapid.checks"); f.Value.String() == f.DefValue {
+		_ = flag.Set("rapid.checks", "25")
+	}
 	os.Exit(m.Run())
 }
 
--- a/core/config/tree.go
+++ b/core/config/tree.go
@@ -96,6 +96,9 @@
 	Pages      []PageRef `json:"pages"`
 	// Quarantine names the object with the list, if there is one.
 	Quarantine Digest `json:"quarantine"`
+	// Previous names the manifest of the version before, which holds the
+	// audit entry before Entry until it is collected.
+	Previous Digest `json:"previous"`
 	// Entry is the audit entry of the change that made the version. It is
 	// part of the version so that no crash can separate the two.
 	Entry baobabstep.AuditEntry `json:"entry"`
@@ -192,6 +195,15 @@
 // flowSecretSize is the length of the key of the flow hash, in bytes.
 const flowSecretSize = 16
 
+// DecodeManifest reads the bytes of a manifest.
+func DecodeManifest(b []byte) (*Manifest, error) {
+	var m Manifest
+	if err := Decode(b, &m); err != nil {
+		return nil, err
+	}
+	return &m, m.check()
+}
+
 // DecodeHead reads the value of [HeadKey].
 func DecodeHead(b []byte) (*Head, error) {
 	var h Head
--- /dev/null
+++ b/io/audit/audit_test.go
@@ -0,0 +1,146 @@
+package audit_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
+	qt "github.com/frankban/quicktest"
+
+	"baobabstep"
+	"baobabstep/core/config"
+	"baobabstep/io/audit"
+	"baobabstep/io/platform"
+	standin "baobabstep/standin/platform"
+)
+
+// trailOf accepts n changes on a new platform and copies the last.
+func trailOf(c *qt.C, n, segments int) (*platform.Client, *standin.Platform, *audit.Trail) {
+	c.Helper()
+	p := standin.New(standin.Options{})
+	server := httptest.NewServer(p)
+	c.Cleanup(server.Close)
+	client := platform.NewClient(platform.Options{URL: server.URL, MaxCalls: 1e6, Burst: 1e6})
+	c.Cleanup(client.Close)
+	export, err := platform.LoadExport("../../examples/tas-south")
+	c.Assert(err, qt.IsNil)
+	ctx := c.Context()
+	for i := range n {
+		export.Accounts[0] = json.RawMessage(strings.Replace(string(export.Accounts[0]), `"doc": "`, fmt.Sprintf(`"doc": "%d`, i), 1))
+		res := platform.Import(ctx, client, export, config.Change{ID: fmt.Sprint(i), Operator: "ana", Reason: "test", Action: "config import"})
+		c.Assert(res.Err, qt.IsNil)
+	}
+	t := audit.NewTrail(client, segments)
+	c.Assert(t.CatchUp(ctx), qt.IsNil)
+	return client, p, t
+}
+
+func edit(c *qt.C, client *platform.Client, segment int, f func(*audit.Segment)) {
+	c.Helper()
+	key := fmt.Sprintf("audit/segment/%012d", segment)
+	kv, err := client.Get(c.Context(), key)
+	c.Assert(err, qt.IsNil)
+	var s audit.Segment
+	c.Assert(json.Unmarshal(kv.Value, &s), qt.IsNil)
+	f(&s)
+	_, err = client.Put(c.Context(), key, config.Encode(s), kv.Revision)
+	c.Assert(err, qt.IsNil)
+}
+
+// TestVerify: somebody with access to the store changes the trail. The operator
+// who verifies it is told which entry is wrong, since each names the hash of the
+// one before and the last is part of the version in force.
+func TestVerify(t *testing.T) {
+	for _, one := range []struct {
+		name string
+		text string
+		f    func(*audit.Segment)
+	}{
+		{"untouched", "", func(*audit.Segment) {}},
+		{"changed", "entry 2 was changed", func(s *audit.Segment) { s.Entries[1].Operator = "rui" }},
+		{"changed with its hash", "entry 3 names", func(s *audit.Segment) {
+			s.Entries[1].Operator = "rui"
+			s.Entries[1].Hash = config.EntryHash(s.Entries[1])
+		}},
+		{"missing", "entry 3 follows entry 1", func(s *audit.Segment) { s.Entries = append(s.Entries[:1], s.Entries[2:]...) }},
+		{"reordered", "entry 3 follows entry 1", func(s *audit.Segment) { s.Entries[1], s.Entries[2] = s.Entries[2], s.Entries[1] }},
+		{"last one missing", "the trail ends with entry 4", func(s *audit.Segment) { s.Entries = s.Entries[:4] }},
+	} {
+		t.Run(one.name, func(t *testing.T) {
+			c := qt.New(t)
+			client, _, trail := trailOf(c, 5, 0)
+			edit(c, client, 0, one.f)
+			n, err := trail.Verify(t.Context())
+			if one.text == "" {
+				c.Assert(err, qt.IsNil)
+				c.Assert(n, qt.Equals, 5)
+				return
+			}
+			c.Assert(baobabstep.CodeOf(err), qt.Equals, baobabstep.CodeAuditBroken)
+			c.Assert(err.Error(), qt.Contains, one.text)
+		})
+	}
+}
+
+// TestCatchUp: several changes were accepted whose entries did not reach the
+// trail, because the VM stopped or the platform did not answer. The entries are
+// part of the versions, so the next call copies all of them, once each.
+func TestCatchUp(t *testing.T) {
+	c := qt.New(t)
+	_, p, trail := trailOf(c, 3, 0)
+	n, err := trail.Verify(t.Context())
+	c.Assert(err, qt.IsNil)
+	c.Assert(n, qt.Equals, 3)
+	p.SetFaults(standin.Faults{LoseAnswers: 1})
+	entries, err := trail.List(t.Context(), 0, 0)
+	c.Assert(err, qt.IsNil)
+	c.Assert(trail.Append(t.Context(), entries[2]), qt.IsNil)
+	next := baobabstep.AuditEntry{Sequence: 4, PreviousHash: entries[2].Hash, Operator: "ana"}
+	next.Hash = config.EntryHash(next)
+	c.Assert(trail.Append(t.Context(), next), qt.IsNil)
+	entries, err = trail.List(t.Context(), 0, 0)
+	c.Assert(err, qt.IsNil)
+	c.Assert(entries, qt.HasLen, 4)
+	next.Sequence = 9
+	next.Hash = config.EntryHash(next)
+	c.Assert(baobabstep.CodeOf(trail.Append(t.Context(), next)), qt.Equals, baobabstep.CodeIncomplete)
+}
+
+// TestBounded: the trail keeps a set number of segments, and what is left still
+// verifies from the anchor that was noted before the oldest were dropped.
+func TestBounded(t *testing.T) {
+	c := qt.New(t)
+	client, _, trail := trailOf(c, 0, 2)
+	hash := ""
+	const entries = 3*audit.SegmentEntries + 5
+	for i := range entries {
+		e := baobabstep.AuditEntry{Sequence: uint64(i + 1), PreviousHash: hash}
+		e.Hash = config.EntryHash(e)
+		hash = e.Hash
+		c.Assert(trail.Append(t.Context(), e), qt.IsNil)
+	}
+	values, err := client.List(t.Context(), audit.Prefix)
+	c.Assert(err, qt.IsNil)
+	c.Assert(values, qt.HasLen, 3)
+	kept, err := trail.List(t.Context(), 0, 0)
+	c.Assert(err, qt.IsNil)
+	c.Assert(kept[0].Sequence, qt.Equals, uint64(2*audit.SegmentEntries+1))
+	c.Assert(config.VerifyTrail(config.Anchor{Sequence: kept[0].Sequence - 1, Hash: kept[0].PreviousHash}, kept, config.Anchor{Sequence: entries, Hash: hash}), qt.IsNil)
+}
+
+func TestLog(t *testing.T) {
+	c := qt.New(t)
+	h := memory.New()
+	l := audit.NewLog(&log.Logger{Handler: h, Level: log.InfoLevel}, "vm-1")
+	set := &config.Set{Manifest: &config.Manifest{Version: 4}}
+	for range 3 {
+		l.InForce(time.Now(), set)
+	}
+	c.Assert(h.Entries, qt.HasLen, 1)
+	c.Assert(h.Entries[0].Fields["version"], qt.Equals, uint64(4))
+}
