node, metric: counts of every part on /metrics

Cause: a fault in a fleet of processes is found by its counters or not at all. Change: the Stats of flows, requests, membership, configuration, peers and packets as labelled metrics; a pause is logged when it is noticed and when over.

--- a/node/data.go
+++ b/node/data.go
@@ -44,6 +44,10 @@
 }
 
 func (n *Node) setPaused(now time.Time, paused bool) {
+	if n.paused.Swap(paused) == paused {
+		return
+	}
+	n.log.WithField("paused", paused).Warn("pause noticed or over")
 	n.flows.SetPaused(now, paused)
 	n.work.SetPaused(now, paused)
 }
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 
 	"baobabstep/io/metric"
+	"baobabstep/io/packet"
+	"baobabstep/io/peer"
 )
 
 // counters are the node's own counts; the parts count for themselves.
@@ -62,6 +64,14 @@
 		metric.Source{Name: "control_cpu_seconds_total", Help: "Time spent in control work.", Read: n.controlSeconds},
 		metric.Source{Name: "config_version", Help: "Configuration version in force.", Gauge: true, Read: n.configVersion},
 		metric.Source{Name: "members", Help: "VMs of the region that may hold flows.", Gauge: true, Read: n.memberCount},
+		metric.Source{Name: "flow_events_total", Help: "Events of flows.", Label: "event", Read: n.flowEvents},
+		metric.Source{Name: "flows", Help: "Flow records by state.", Label: "state", Gauge: true, Read: n.flowStates},
+		metric.Source{Name: "flow_table_bytes", Help: "Memory of the flow table.", Gauge: true, Read: func() map[string]float64 { return metric.Value(float64(n.flows.Stats().Bytes)) }},
+		metric.Source{Name: "request_counts", Help: "Counts and gauges of the request ledger.", Label: "event", Gauge: true, Read: func() map[string]float64 { return metric.Fields(n.work.Stats()) }},
+		metric.Source{Name: "member_counts", Help: "Counts and gauges of the membership.", Label: "event", Gauge: true, Read: func() map[string]float64 { return metric.Fields(n.fleet.Stats()) }},
+		metric.Source{Name: "config_counts", Help: "Counts of the spread of the configuration.", Label: "event", Gauge: true, Read: n.configCounts},
+		metric.Source{Name: "peer_counts", Help: "Counts and gauges of connections between VMs.", Label: "event", Gauge: true, Read: n.peerCounts},
+		metric.Source{Name: "packet_counts", Help: "Datagrams received, sent and dropped.", Label: "event", Gauge: true, Read: n.packetCounts},
 		metric.Source{Name: "stream_events_total", Help: "Events of TCP connections.", Label: "event", Read: n.counts.streams.read},
 	)
 }
@@ -83,3 +93,40 @@
 	}
 	return metric.Value(0)
 }
+
+func (n *Node) flowEvents() map[string]float64 {
+	events := make(map[string]float64)
+	for event, count := range n.flows.Stats().Events {
+		events[event] = float64(count)
+	}
+	return events
+}
+
+func (n *Node) flowStates() map[string]float64 {
+	states := make(map[string]float64)
+	for state, count := range n.flows.Stats().Flows {
+		states[state] = float64(count)
+	}
+	return states
+}
+
+func (n *Node) configCounts() map[string]float64 {
+	return metric.Fields(n.replica.Status(n.clock.Now()).Counts)
+}
+
+func (n *Node) peerCounts() map[string]float64 {
+	if peers, ok := n.options.Peers.(interface{ Stats() peer.Stats }); ok {
+		return metric.Fields(peers.Stats())
+	}
+	return nil
+}
+
+func (n *Node) packetCounts() map[string]float64 {
+	sum := make(map[string]float64)
+	for _, packets := range n.options.Packets {
+		if conn, ok := packets.(interface{ Stats() packet.Stats }); ok {
+			sum = metric.Sum(sum, metric.Fields(conn.Stats()))
+		}
+	}
+	return sum
+}
--- a/node/node.go
+++ b/node/node.go
@@ -86,6 +86,7 @@
 	view     atomic.Pointer[baobabstep.View]
 	config   atomic.Pointer[baobabstep.Config]
 	stopping atomic.Bool
+	paused   atomic.Bool
 	done     chan struct{}
 }
 
