--- a/core/config/builder.go
+++ b/core/config/builder.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"slices"
 	"sort"
 
 	"baobabstep"
@@ -312,3 +313,14 @@
 	r, ok := s.refs[refKey{kind, name}]
 	return r, ok
 }
+
+// Users returns the number of accounts that use a template.
+func (s *Set) Users(template string) int {
+	n := 0
+	for _, a := range s.accounts {
+		if slices.ContainsFunc(a.Services, func(one AccountService) bool { return one.Template == template }) {
+			n++
+		}
+	}
+	return n
+}
--- a/core/config/export.go
+++ b/core/config/export.go
@@ -17,6 +17,13 @@
 	Accounts  []json.RawMessage `json:"accounts"`
 }
 
+// DecodeExport reads the file of an export strictly.
+func DecodeExport(b []byte) (Export, error) {
+	var e Export
+	err := decodeAny(b, &e)
+	return e, err
+}
+
 // Export returns the documents of the version.
 func (s *Set) Export() Export {
 	e := Export{Format: Format, Version: s.Manifest.Version, Digest: s.Digest.String()}
--- a/io/audit/audit_test.go
+++ b/io/audit/audit_test.go
@@ -130,7 +130,11 @@
 	kept, err := trail.List(t.Context(), 0, 0)
 	c.Assert(err, qt.IsNil)
 	c.Assert(kept[0].Sequence, qt.Equals, uint64(2*audit.SegmentEntries+1))
-	c.Assert(config.VerifyTrail(config.Anchor{Sequence: kept[0].Sequence - 1, Hash: kept[0].PreviousHash}, kept, config.Anchor{Sequence: entries, Hash: hash}), qt.IsNil)
+	kv, err := client.Get(t.Context(), audit.Prefix+"base")
+	c.Assert(err, qt.IsNil)
+	var anchor config.Anchor
+	c.Assert(json.Unmarshal(kv.Value, &anchor), qt.IsNil)
+	c.Assert(config.VerifyTrail(anchor, kept, config.Anchor{Sequence: entries, Hash: hash}), qt.IsNil)
 }
 
 func TestLog(t *testing.T) {
--- a/io/platform/load.go
+++ b/io/platform/load.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/rand"
-	"encoding/json"
 	"os"
 	"path/filepath"
 	"strings"
@@ -26,7 +25,7 @@
 		if err != nil {
 			return e, baobabstep.Errorf(baobabstep.CodeNotFound, op, "%w", err)
 		}
-		return e, json.Unmarshal(b, &e)
+		return config.DecodeExport(b)
 	}
 	files, err := filepath.Glob(filepath.Join(path, "*.json"))
 	if err != nil {
