node: send membership messages to the address they name

Cause: VMs of the platform's list are not yet among the peers' addresses, so every first message failed (114 of 114 sends) and each VM stayed alone: six views of one member, requests claimed from nobody, flows known to one VM. Ruled out: the list itself (six VMs in it), keys, relay ports. Change: a message that names an address is sent to that address.

--- a/node/control.go
+++ b/node/control.go
@@ -127,7 +127,7 @@
 	direct, _ := n.options.Peers.(peer.AddressSender)
 	for _, o := range outs {
 		m := baobabstep.PeerMessage{Topic: baobabstep.TopicMember, Body: o.Body}
-		if o.To == 0 && direct != nil {
+		if o.Address.IsValid() && direct != nil {
 			n.countControl(len(o.Body))
 			n.notePeerError(direct.SendAddress(o.Address, m))
 			continue
