flow: differing views no longer let a stale record end a flow

Change: a VM that stores a copy and knows better teaches the sender; a VM that owns nothing and has not heard the caller asks the holder; a wrong target is reset only by a VM whose record the caller uses. Lives of VMs count in the fingerprint of copies. Data of an opening flow asks before it goes anywhere.

--- a/core/flow/copies.go
+++ b/core/flow/copies.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"baobabstep"
+	"baobabstep/core/place"
 )
 
 // repairAgain is the time after which an unconfirmed copy is sent again.
@@ -17,7 +18,7 @@
 	rec.gen = t.snap.gen
 	o := t.owners()
 	rec.clear(flagHolder | flagSecond | flagTried | flagVia | flagCopied)
-	if rec.copies == o.Fingerprint() {
+	if rec.copies == t.fingerprint(o) {
 		rec.set(flagCopied)
 	}
 	switch t.r.o.Self {
@@ -47,7 +48,7 @@
 // other VM is dead, the packet is lost and its sender repeats it.
 func (t *turn) viaOther(rec *record) bool {
 	t.evaluate(rec)
-	if !rec.live() || !rides(t.p.Kind) || rec.has(flagCopied) || !t.repairDue(rec) {
+	if !rec.live() || !rides(t.p.Kind) || !t.outsider(rec) && (rec.has(flagCopied) || !t.repairDue(rec)) {
 		return false
 	}
 	other := t.otherOwner()
@@ -83,10 +84,17 @@
 
 // setCopied notes that the present owners have the record.
 func (t *turn) setCopied(rec *record) {
-	rec.copies = t.owners().Fingerprint()
+	rec.copies = t.fingerprint(t.owners())
 	rec.set(flagCopied)
 }
 
+// fingerprint identifies the lives of two owners. A VM that left and came back
+// may have lost its memory, so its copy does not count any more.
+func (t *turn) fingerprint(o place.Owners) uint32 {
+	lives := t.snap.lives[o.Holder].epoch + t.snap.lives[o.Second].epoch
+	return o.Fingerprint() + lives<<1
+}
+
 // clearCopied notes that the other owner may have an older record.
 func clearCopied(rec *record) {
 	rec.copies = 0
@@ -106,6 +114,7 @@
 		Version:     uint64(rec.version),
 		Established: rec.state == StateEstablished,
 		Age:         t.age(rec),
+		Confirmed:   rec.state == StateEstablished && rec.detail == detailInUse,
 		Attempt:     rec.attempt(),
 	}
 }
@@ -166,14 +175,18 @@
 		t.late(rec)
 	case t.p.FromTarget && t.p.Target != t.r.reg.target(rec.target).id:
 		t.count(EventDroppedWrongTarget)
-		t.refuseTarget()
+		t.teach(from, rec)
 	case t.p.FromTarget:
 		t.heardTarget(rec)
 		t.confirmCopy(from)
 		t.emit(baobabstep.DestCaller)
 	default:
 		rec.fromCaller = t.tick
-		t.confirmCopy(from)
+		if t.disagrees(rec) {
+			t.teach(from, rec)
+		} else {
+			t.confirmCopy(from)
+		}
 		if tg := t.r.reg.target(rec.target); t.mayReach(rec, tg) {
 			t.straight(tg)
 		}
@@ -217,13 +230,19 @@
 		return
 	case rec.finished():
 		t.answer(from, baobabstep.PurposeForget)
-	case Beats(t.wire(rec), t.identity()):
+	case t.disagrees(rec):
 		t.teach(from, rec)
 	default:
 		t.answer(from, baobabstep.PurposeStored)
 	}
 }
 
+// disagrees tells whether the sender of the packet's record has to learn better.
+func (t *turn) disagrees(rec *record) bool {
+	in := t.p.Route.Record
+	return t.r.reg.target(rec.target).id != in.Target || rec.state == StateEstablished && !in.Established
+}
+
 // identity returns the packet's record with the fields that Beats compares, as
 // this VM would have stored it.
 func (t *turn) identity() baobabstep.Record {
@@ -250,20 +269,50 @@
 	}
 	mine := t.wire(rec)
 	switch {
-	case Beats(mine, in):
-		if mine.Target != in.Target {
-			t.conflict(mine, in)
-			t.resetLoser(in)
-		}
+	case mine.Target == in.Target:
+		t.merge(rec, mine, in)
+	case mine.Confirmed && in.Confirmed:
+		t.endBoth(rec, in)
 	case Beats(in, mine):
 		t.adopt(rec, mine, in)
-		t.noteCopy(rec)
 	default:
-		t.noteCopy(rec)
+		t.conflict(mine, in)
+		t.resetLoser(in)
 	}
 	return rec
 }
 
+// merge takes in what another VM knows of the same flow on the same target.
+func (t *turn) merge(rec *record, mine, in baobabstep.Record) {
+	if Beats(in, mine) {
+		rec.version = clampVersion(in.Version)
+		rec.setAttempt(in.Attempt)
+	}
+	t.accept(rec, in)
+	if in.Established || !mine.Established {
+		t.noteCopy(rec)
+	}
+}
+
+// accept takes over from in what its target and caller are known to have done.
+func (t *turn) accept(rec *record, in baobabstep.Record) {
+	if in.Established && rec.state == StateOpening {
+		t.s.enter(rec, StateEstablished, confirm)
+	}
+	if in.Confirmed {
+		rec.detail = detailInUse
+	}
+}
+
+// endBoth ends a flow that its caller used on two targets, such as on two sides
+// of a partition. Neither target has seen all of it, so to go on with one of
+// them would be a guess: all ends get a reset.
+func (t *turn) endBoth(rec *record, in baobabstep.Record) {
+	t.conflict(t.wire(rec), in)
+	t.resetLoser(in)
+	t.breakOff(rec, baobabstep.CodeUnknownFlow)
+}
+
 // store adds the record that a packet brought.
 func (t *turn) store(in baobabstep.Record) *record {
 	sv, known := t.r.reg.findService(t.p.Flow.Service, in.Service)
@@ -278,9 +327,7 @@
 	t.aim(rec, tg, false)
 	rec.version = clampVersion(in.Version)
 	rec.setAttempt(in.Attempt)
-	if in.Established {
-		t.s.enter(rec, StateEstablished, confirm)
-	}
+	t.accept(rec, in)
 	t.evaluate(rec)
 	t.noteCopy(rec)
 	return rec
@@ -295,20 +342,18 @@
 	return established || t.s.half < 2*max(1, t.r.o.MaxHalfOpen/len(t.r.shards))
 }
 
-// adopt lets the incoming record win over the present one.
+// adopt lets the incoming record of another target win over the present one.
 func (t *turn) adopt(rec *record, mine, in baobabstep.Record) {
-	if mine.Target != in.Target {
-		t.conflict(mine, in)
-		t.resetTarget(rec, baobabstep.CodeUnknownFlow)
-		tg, _ := t.r.reg.findTarget(in.Target, in.Service, true)
-		t.setTarget(rec, tg)
-	}
+	t.conflict(mine, in)
+	t.resetTarget(rec, baobabstep.CodeUnknownFlow)
+	tg, _ := t.r.reg.findTarget(in.Target, in.Service, true)
+	t.setTarget(rec, tg)
 	rec.version = clampVersion(in.Version)
 	rec.setAttempt(in.Attempt)
-	if in.Established && rec.state == StateOpening {
-		t.s.enter(rec, StateEstablished, confirm)
-	}
+	rec.detail = 0
+	t.accept(rec, in)
 	clearCopied(rec)
+	t.noteCopy(rec)
 }
 
 func (t *turn) conflict(a, b baobabstep.Record) {
--- a/core/flow/exchange_test.go
+++ b/core/flow/exchange_test.go
@@ -29,6 +29,7 @@
 	// lose drops a packet if it returns true.
 	lose  func(from baobabstep.VMID, s *baobabstep.Send) bool
 	queue []parcel
+	trace *fakeCaller
 	table *place.Table
 	sent  int
 }
@@ -120,6 +121,9 @@
 			continue
 		}
 		x.sent++
+		if x.trace != nil && next.send.Packet.Flow == x.trace.key {
+			fmt.Printf("%v %x -> %v vm=%x tg=%x %v ft=%v purpose=%v tried=%d ex=%v rec=%x/%v code=%v\n", x.now.UnixMilli(), next.from, next.send.Dest, next.send.VM, next.send.Packet.Target, next.send.Packet.Kind, next.send.Packet.FromTarget, next.send.Packet.Route.Purpose, next.send.Packet.Route.NTried, next.send.Packet.Route.Exhausted, next.send.Packet.Route.Record.Target, next.send.Packet.Route.Record.Established, next.send.Packet.Code)
+		}
 		switch next.send.Dest {
 		case baobabstep.DestVM:
 			x.deliver(next.send.VM, next.send.Packet)
--- a/core/flow/flow.go
+++ b/core/flow/flow.go
@@ -171,6 +171,11 @@
 	table   *place.Table
 	history place.History
 	states  map[baobabstep.VMID]baobabstep.VMState
+	// lives tells the members' lives apart; a VM that came back may have
+	// lost its records.
+	lives map[baobabstep.VMID]life
+	// epoch numbers the lives that began.
+	epoch uint32
 	// probers finds a member by the mark of its probes.
 	probers map[uint32]baobabstep.VMID
 	// gen counts changes of owners, so that records can cache their role.
@@ -269,6 +274,9 @@
 		s.certain = now.Add(r.o.Grace)
 	}
 	first := s.view == nil
+	if s.trackLives(members) {
+		s.gen++
+	}
 	s.view, s.states, s.probers = v, states, probers
 	table := s.table.Update(members)
 	if table == s.table {
@@ -281,6 +289,32 @@
 	s.gen++
 }
 
+// life is one run of a VM, or at least a time in which it was not given up.
+type life struct {
+	incarnation uint64
+	epoch       uint32
+}
+
+// trackLives gives a new epoch to members that joined or whose incarnation
+// grew, and tells whether there are any. A VM that only refuted a suspicion
+// gets one as well: its records are then copied once more than needed.
+func (s *snapshot) trackLives(v *baobabstep.View) (changed bool) {
+	lives := make(map[baobabstep.VMID]life, len(v.Members))
+	for i := range v.Members {
+		vm := &v.Members[i]
+		l, known := s.lives[vm.ID]
+		if s.view != nil && vm.ID != v.Self && (!known || vm.Incarnation > l.incarnation) {
+			s.epoch++
+			l.epoch = s.epoch
+			changed = true
+		}
+		l.incarnation = vm.Incarnation
+		lives[vm.ID] = l
+	}
+	s.lives = lives
+	return changed
+}
+
 func withoutSelf(v *baobabstep.View, self baobabstep.VMID) *baobabstep.View {
 	next := *v
 	next.Members = nil
--- a/core/flow/handle.go
+++ b/core/flow/handle.go
@@ -110,18 +110,36 @@
 	case rec.finished():
 		t.late(rec)
 	case t.p.FromTarget:
+		t.noteAsked(rec)
 		t.fromTarget(rec)
 	default:
+		t.noteAsked(rec)
 		t.fromCaller(rec)
 	}
 }
 
+// noteAsked takes back that the other owner has the record if the packet was
+// there and found none: it may have restarted.
+func (t *turn) noteAsked(rec *record) {
+	if t.p.Route.NTried == 0 || !rec.has(flagCopied) {
+		return
+	}
+	if other := t.owners().Other(t.r.o.Self); t.tried(other) {
+		clearCopied(rec)
+		rec.clear(flagTried)
+	}
+}
+
 // fromCaller handles a caller's packet of a flow in the table.
 func (t *turn) fromCaller(rec *record) {
 	switch t.p.Kind {
 	case baobabstep.KindOpen:
 		t.repeatedOpen(rec)
 	case baobabstep.KindData, baobabstep.KindProbe:
+		if rec.state == StateOpening {
+			t.tooEarly(rec)
+			return
+		}
 		t.heardCaller(rec)
 		t.toTarget(rec)
 	case baobabstep.KindProbeAck:
@@ -141,10 +159,30 @@
 	}
 }
 
+// tooEarly handles data of a flow that this VM still believes to be opening.
+// The caller heard of an acceptance that went by other VMs, and it may have
+// come from another target than the record's: data must not go there on a
+// guess. An owner that knows is asked, and if none does, the target is.
+func (t *turn) tooEarly(rec *record) {
+	if next := t.nextToAsk(); next != 0 && !t.p.Route.Exhausted {
+		t.forward(next)
+		return
+	}
+	t.count(EventDroppedUnsure)
+	if t.r.probes.take(t.now, 1) {
+		t.probe(rec, toTarget)
+	}
+}
+
 // fromTarget handles a target's packet of a flow in the table.
 func (t *turn) fromTarget(rec *record) {
 	tg := t.r.reg.target(rec.target)
-	if t.p.Target != tg.id || t.p.Service != tg.service {
+	t.evaluate(rec)
+	switch {
+	case t.outsider(rec) && t.mayForward():
+		t.forward(t.owners().Holder)
+		return
+	case t.p.Target != tg.id || t.p.Service != tg.service:
 		t.wrongTarget(rec)
 		return
 	}
@@ -182,6 +220,7 @@
 	if rec.state != StateEstablished {
 		return
 	}
+	rec.detail = detailInUse
 	if !rec.has(flagConfirmed) {
 		t.s.enter(rec, StateEstablished, confirm)
 	}
@@ -208,23 +247,42 @@
 //
 // If the record is still opening, the sender's word that it holds the flow is
 // worth more: another VM chose it, and the caller may already use it. If the
-// record is established, the sender holds a flow that lost against it or that
+// record is established, the sender holds a flow that lost against it, or that
 // ended before its key was used again. Its packet must not reach the caller,
-// who would take it for the present flow; a reset lets it go.
+// who would take it for the present flow. It gets a reset only if the caller is
+// known to use this record: otherwise this one may be the one that lost.
 func (t *turn) wrongTarget(rec *record) {
 	claims := t.p.Kind == baobabstep.KindOpened || t.p.Kind == baobabstep.KindData
 	next, valid := t.vouched()
-	if claims && valid && rec.state == StateOpening {
+	switch {
+	case claims && valid && rec.state == StateOpening:
 		t.count(EventConflict)
 		t.resetTarget(rec, baobabstep.CodeUnknownFlow)
 		t.setTarget(rec, next)
 		rec.version = clampVersion(t.p.Version)
 		t.heardTarget(rec)
 		t.toCaller(rec)
-		return
+	case !rec.has(flagHolder) && t.mayForward():
+		t.forward(t.owners().Holder)
+	case rec.detail == detailInUse:
+		t.count(EventDroppedWrongTarget)
+		t.refuseTarget()
+	default:
+		t.count(EventDroppedWrongTarget)
 	}
-	t.count(EventDroppedWrongTarget)
-	t.refuseTarget()
+}
+
+// outsider tells whether the VM has a record that the owners may have replaced
+// without its knowledge: it is no owner, and the caller is not known to use the
+// flow, so that another record may have won.
+func (t *turn) outsider(rec *record) bool {
+	return !rec.has(flagHolder) && !rec.has(flagSecond) && rec.detail != detailInUse
+}
+
+// mayForward tells whether the holder may still be asked about the packet.
+func (t *turn) mayForward() bool {
+	holder := t.owners().Holder
+	return t.p.Route.Purpose == baobabstep.PurposeNone && holder != 0 && holder != t.r.o.Self && !t.suspect(holder)
 }
 
 // late handles a packet of a flow that has ended.
@@ -249,8 +307,8 @@
 
 // resetCode is what a late packet's sender is told.
 func (rec *record) resetCode() baobabstep.Code {
-	if rec.state == StateReset && rec.code != 0 {
-		return baobabstep.Code(rec.code) + codeBase
+	if rec.state == StateReset && rec.detail != 0 {
+		return baobabstep.Code(rec.detail) + codeBase
 	}
 	return baobabstep.CodeUnknownFlow
 }
@@ -272,9 +330,9 @@
 	t.uncount(rec)
 	t.s.enter(rec, state, nil)
 	rec.fromCaller, rec.fromTarget = t.tick, t.tick
-	rec.code = 0
+	rec.detail = 0
 	if code > codeBase && code < codeBase+100 {
-		rec.code = uint8(code - codeBase)
+		rec.detail = uint8(code - codeBase)
 	}
 }
 
--- a/core/flow/help_test.go
+++ b/core/flow/help_test.go
@@ -195,3 +195,28 @@
 	}
 	return n
 }
+
+// stop stops a VM in good order and returns the calls that it took.
+func (x *exchange) stop(vm baobabstep.VMID) (calls int) {
+	for ; calls < 200; calls++ {
+		var out baobabstep.Outbox
+		remaining := x.routers[vm].Stop(x.now, &out)
+		x.push(vm, out)
+		x.run()
+		if remaining == 0 {
+			return calls
+		}
+		x.advance(100 * time.Millisecond)
+	}
+	x.t.Fatal("stop did not come to an end")
+	return calls
+}
+
+func (x *exchange) assertNobodyHolds(c *fakeCaller) {
+	x.t.Helper()
+	for id, tg := range x.targets {
+		if _, holds := tg.flows[c.key]; holds {
+			x.t.Fatalf("target %x still holds the ended flow %v", id, c.key)
+		}
+	}
+}
--- a/core/flow/open.go
+++ b/core/flow/open.go
@@ -265,7 +265,7 @@
 		return
 	}
 	t.evaluate(rec)
-	if !rec.has(flagHolder) && t.p.Route.Purpose != baobabstep.PurposeForward {
+	if !rec.has(flagHolder) && t.mayForward() {
 		t.forward(t.owners().Holder)
 		return
 	}
--- a/core/flow/record.go
+++ b/core/flow/record.go
@@ -86,10 +86,15 @@
 	flags      uint8
 	// tries holds three counters: see countProbes and attempt.
 	tries uint8
-	// code is why the flow was reset, less codeBase.
-	code uint8
+	// detail is why a finished flow was reset, less codeBase; of an open one
+	// it tells whether the caller uses it.
+	detail uint8
 }
 
+// detailInUse is the detail of an open flow whose caller was heard after the
+// target accepted.
+const detailInUse uint8 = 1
+
 // codeBase makes flow codes fit a byte.
 const codeBase = 100
 
@@ -180,11 +185,13 @@
 func clampVersion(v uint64) uint32 { return uint32(min(v, math.MaxUint32)) }
 
 // Beats tells whether record a wins over b when two VMs hold different records
-// of one flow. It is a strict total order on (established, attempt, version,
-// target), so that VMs agree whatever the order in which they learn the two,
+// of one flow. It is a strict total order on (established,
+// confirmed, attempt, version, target), so that VMs agree whatever the order in which they learn the two,
 // and it needs no clock:
 //
 //   - a flow that a target accepted goes before one that is still opening;
+//   - a flow that its caller is known to use goes before one that may be the
+//     leftover of a repeated open;
 //   - among opening ones the later attempt wins, since the earlier was refused;
 //   - then the lower version, the choice that was made first;
 //   - then the lower target.
@@ -192,6 +199,9 @@
 	if a.Established != b.Established {
 		return a.Established
 	}
+	if a.Confirmed != b.Confirmed {
+		return a.Confirmed
+	}
 	if !a.Established && a.Attempt != b.Attempt {
 		return a.Attempt > b.Attempt
 	}
--- a/core/flow/tick.go
+++ b/core/flow/tick.go
@@ -268,7 +268,7 @@
 func (t *turn) keptByOther(rec *record) bool {
 	for i := range t.snap.history {
 		o := t.ownersUnder(t.snap.history[i].Table)
-		if rec.copies == o.Fingerprint() && (t.stays(o.Holder) || t.stays(o.Second)) {
+		if rec.copies == t.fingerprint(o) && (t.stays(o.Holder) || t.stays(o.Second)) {
 			return true
 		}
 	}
--- /dev/null
+++ b/core/flow/view_test.go
@@ -0,0 +1,184 @@
+package flow_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"baobabstep"
+)
+
+// The caller opens flows and uses old ones while VMs come or go. Half of the
+// VMs act on the news, half do not yet, so an open and its repetition may reach
+// two holders, and data a holder that has no record. Each flow must keep one
+// target, and no other may hold it, since its data would then be split.
+func TestViewsThatDiffer(t *testing.T) {
+	for differ := 1; differ <= 3; differ++ {
+		for _, order := range []string{"gone", "joined", "gone dead"} {
+			t.Run(fmt.Sprintf("%d %s", differ, order), func(t *testing.T) {
+				x := newExchange(t, fleet{vms: 12, dcs: 2, targets: 6})
+				old, next := x.vms, x.vms[differ:]
+				if order == "joined" {
+					old, next = next, old
+					x.setViews(old)
+					x.advance(time.Minute)
+				}
+				var flows []*fakeCaller
+				for n := range 200 {
+					flows = append(flows, x.open(n))
+				}
+				if order == "gone dead" {
+					for _, vm := range old[:differ] {
+						x.kill(vm.ID)
+					}
+				}
+				for i, vm := range x.vms {
+					if i%2 == 0 {
+						x.setView(vm.ID, next)
+					}
+				}
+				x.assertAlive(flows...)
+				for n := 200; n < 300; n++ {
+					x.sendOpen(n, x.alive()[n%2].ID)
+					x.sendOpen(n, x.alive()[(n+1)%2].ID)
+				}
+				x.setViews(next)
+				for n := 200; n < 300; n++ {
+					flows = append(flows, x.open(n))
+				}
+				x.advance(5 * time.Second)
+				x.assertAlive(flows...)
+				x.advance(time.Minute)
+				x.assertAlive(flows...)
+			})
+		}
+	}
+}
+
+// Volunteers hold their flows for a week while every VM is replaced, one after
+// the other. A flow breaks if both its owners are replaced before either record
+// was copied on, so copies must be made faster than VMs go.
+func TestAllVMsReplacedOneAfterAnother(t *testing.T) {
+	for _, how := range []string{"killed", "stopped"} {
+		t.Run(how, func(t *testing.T) {
+			x := newExchange(t, fleet{vms: 9, dcs: 3, targets: 6})
+			var flows []*fakeCaller
+			for n := range 150 {
+				flows = append(flows, x.open(n))
+			}
+			for i, old := range slices.Clone(x.vms) {
+				x.advance(2 * time.Second)
+				x.addVM(9+i, 3)
+				if how == "stopped" {
+					x.stop(old.ID)
+				}
+				x.kill(old.ID)
+				x.setViews(x.alive())
+				x.advance(30 * time.Second)
+				x.assertAlive(flows[i*10 : i*10+10]...)
+			}
+			x.assertAlive(flows...)
+			qt.Assert(t, x.events("target_search"), qt.Equals, uint64(0))
+		})
+	}
+}
+
+// Half of the VMs die at once, and with them both copies of about a fifth of
+// the flows. The bound: none breaks while its target holds it, and each goes on
+// as soon as its targets could be asked, which the search budget bounds.
+func TestHalfTheVMsDieAtOnce(t *testing.T) {
+	x := newExchange(t, fleet{vms: 12, dcs: 1, targets: 6})
+	var flows []*fakeCaller
+	for n := range 500 {
+		flows = append(flows, x.open(n))
+	}
+	x.advance(5 * time.Second)
+	lost := 0
+	dead := x.vms[:6]
+	for _, vm := range dead {
+		x.kill(vm.ID)
+	}
+	for _, c := range flows {
+		o := x.owners(c.key, x.vms)
+		if x.dead[o.Holder] && x.dead[o.Second] {
+			lost++
+		}
+	}
+	x.setViews(x.alive())
+	x.assertAlive(flows...)
+	qt.Assert(t, x.events("recovered_from_target"), qt.Equals, uint64(lost))
+	t.Logf("both copies of %d of %d flows died; all went on", lost, len(flows))
+}
+
+// A VM announces its stop. A record that only it has, since the copy's owner
+// died a moment ago, would go with it: the stop must not end before another VM
+// has each record.
+func TestStopHandsOverWhatNobodyElseHas(t *testing.T) {
+	x := newExchange(t, fleet{vms: 9, dcs: 1, targets: 6})
+	var flows []*fakeCaller
+	for n := range 300 {
+		flows = append(flows, x.open(n))
+	}
+	leaver, victim := x.vms[0].ID, x.vms[1].ID
+	x.kill(victim)
+	x.setViews(x.alive())
+	sends := x.stop(leaver)
+	qt.Assert(t, sends > 0, qt.IsTrue)
+	x.kill(leaver)
+	x.setViews(x.alive())
+	x.assertAlive(flows...)
+	qt.Assert(t, x.events("target_search"), qt.Equals, uint64(0))
+}
+
+// A VM comes back from a pause of a minute, in which others took over its
+// flows, closed some and opened others. Its old records must neither carry
+// packets nor bring an ended flow back.
+func TestPausedVMResumes(t *testing.T) {
+	x := newExchange(t, fleet{vms: 9, dcs: 1, targets: 6})
+	paused := x.vms[0].ID
+	x.choosers[paused].prefer = x.config.Services[0].Targets[0].ID
+	var flows []*fakeCaller
+	for n := range 200 {
+		if n%10 == 0 {
+			// The paused VM keeps an open that nobody else heard of.
+			x.lose = func(from baobabstep.VMID, s *baobabstep.Send) bool {
+				return from == paused && s.Dest == baobabstep.DestVM
+			}
+			x.sendOpen(n, paused)
+			x.lose = nil
+			continue
+		}
+		flows = append(flows, x.open(n))
+	}
+	router := x.routers[paused]
+	x.kill(paused)
+	others := x.vms[1:]
+	x.setViews(others)
+	x.advance(time.Minute)
+	for n := 0; n < 200; n += 10 {
+		flows = append(flows, x.open(n))
+	}
+	for _, c := range flows[:20] {
+		x.enter(0, baobabstep.Packet{Kind: baobabstep.KindClose, Flow: c.key})
+		x.run()
+	}
+	x.routers[paused], x.dead[paused] = router, false
+	router.SetPaused(x.now, true)
+	for _, c := range flows[20:] {
+		x.say(c, "while paused", paused)
+		x.assertOneTarget(c)
+	}
+	router.SetPaused(x.now, false)
+	x.setViews(x.vms)
+	for _, c := range flows[20:] {
+		x.say(c, "after the pause", paused)
+	}
+	x.advance(2 * time.Minute)
+	x.assertAlive(flows[20:]...)
+	for _, c := range flows[:20] {
+		x.assertNobodyHolds(c)
+	}
+}
