--- a/core/flow/copies.go
+++ b/core/flow/copies.go
@@ -339,7 +339,7 @@
 	if t.s.used >= max(1, t.r.o.MaxFlows/len(t.r.shards)) {
 		return false
 	}
-	return established || t.s.half < 2*max(1, t.r.o.MaxHalfOpen/len(t.r.shards))
+	return established || t.s.half < 2*t.r.halfOpenShare()
 }
 
 // adopt lets the incoming record of another target win over the present one.
--- a/core/flow/flow.go
+++ b/core/flow/flow.go
@@ -71,6 +71,9 @@
 	// MaxHalfOpen bounds the flows whose caller was not heard after the
 	// target accepted (an eighth of MaxFlows).
 	MaxHalfOpen int
+	// MaxHalfOpenPerCaller bounds those of one caller address, or of the few
+	// that share a counter with it (a sixteenth of MaxHalfOpen).
+	MaxHalfOpenPerCaller int
 	// OpenTimeout is how long a target may take to accept a flow (10 s).
 	OpenTimeout time.Duration
 	// ConfirmAfter is the time after which a caller that was not heard
@@ -92,9 +95,6 @@
 	IdleProbe time.Duration
 	// ProbeInterval is the time between probes (2 s).
 	ProbeInterval time.Duration
-	// MaxProbes is the number of probes without an answer after which a
-	// direction is silent (3, at most 7).
-	MaxProbes int
 	// MaxHold bounds the time that resets of silent flows are held back
 	// while the VM itself may be cut off (2 h).
 	MaxHold time.Duration
@@ -110,7 +110,7 @@
 	orInt(&o.Shards, 64)
 	orInt(&o.MaxFlows, 2_000_000)
 	orInt(&o.MaxHalfOpen, o.MaxFlows/8)
-	orInt(&o.MaxProbes, 3)
+	orInt(&o.MaxHalfOpenPerCaller, max(1, o.MaxHalfOpen/16))
 	orDuration(&o.OpenTimeout, 10*time.Second)
 	orDuration(&o.ConfirmAfter, 3*time.Second)
 	orDuration(&o.TombstoneTTL, 30*time.Second)
@@ -160,8 +160,11 @@
 	scan     scan
 	// ticked is the time of the last Tick.
 	ticked atomic.Uint32
-	// callersHeard is the tick of the last packet from any caller.
+	// callersHeard is the tick of the last packet from any caller, and
+	// callersAcked of the last answer to a probe of this VM.
 	callersHeard atomic.Uint32
+	callersAcked atomic.Uint32
+	callers      callerCounts
 }
 
 // snapshot is the view and configuration that one decision uses.
@@ -201,8 +204,12 @@
 		probes:   newBucket(o.ProbesPerSecond, now),
 		repairs:  newBucket(o.RepairBytesPerSecond, now),
 	}
+	r.scan.wanted = make(map[string]tick)
+	r.scan.witnesses = make(map[string]int)
+	r.callers.seed = o.Rand.Uint64()
 	for range o.Shards {
-		r.shards = append(r.shards, &shard{random: rand.New(rand.NewPCG(o.Rand.Uint64(), o.Rand.Uint64()))})
+		random := rand.New(rand.NewPCG(o.Rand.Uint64(), o.Rand.Uint64()))
+		r.shards = append(r.shards, &shard{random: random, callers: &r.callers})
 	}
 	r.current.Store(&snapshot{
 		states:  map[baobabstep.VMID]baobabstep.VMState{},
--- a/core/flow/handle.go
+++ b/core/flow/handle.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"time"
 
 	"baobabstep"
@@ -144,6 +145,7 @@
 		t.toTarget(rec)
 	case baobabstep.KindProbeAck:
 		if t.ownProbe() {
+			t.noteAck(rec)
 			t.heardCaller(rec)
 			return
 		}
@@ -195,6 +197,7 @@
 		t.toCaller(rec)
 	case baobabstep.KindProbeAck:
 		if t.ownProbe() {
+			t.noteAck(rec)
 			t.heardTarget(rec)
 			return
 		}
@@ -254,6 +257,10 @@
 func (t *turn) wrongTarget(rec *record) {
 	claims := t.p.Kind == baobabstep.KindOpened || t.p.Kind == baobabstep.KindData
 	next, valid := t.vouched()
+	if valid && t.p.Code == baobabstep.CodeUnknownFlow {
+		// The answer of a neighbour that was asked to show the path.
+		t.r.reg.target(next).acked.Store(t.tick)
+	}
 	switch {
 	case claims && valid && rec.state == StateOpening:
 		t.count(EventConflict)
@@ -338,16 +345,30 @@
 
 // emit appends the packet, without its route, and returns it for changes.
 func (t *turn) emit(dest baobabstep.Dest) *baobabstep.Send {
-	*t.out = append(*t.out, baobabstep.Send{Dest: dest, Packet: *t.p})
-	s := &(*t.out)[len(*t.out)-1]
+	s := t.add()
+	s.Dest, s.VM, s.Address = dest, 0, netip.AddrPort{}
+	s.Packet = *t.p
 	s.Packet.Route = baobabstep.Route{}
 	return s
 }
 
+// add makes room for one more packet. It extends the outbox in place, since a
+// Send is large enough for copies of it to count.
+func (t *turn) add() *baobabstep.Send {
+	out := *t.out
+	if len(out) < cap(out) {
+		out = out[:len(out)+1]
+	} else {
+		out = append(out, baobabstep.Send{})
+	}
+	*t.out = out
+	return &out[len(out)-1]
+}
+
 // control appends a packet of its own for the same flow.
 func (t *turn) control(dest baobabstep.Dest, kind baobabstep.Kind, fromTarget bool) *baobabstep.Send {
-	*t.out = append(*t.out, baobabstep.Send{Dest: dest})
-	s := &(*t.out)[len(*t.out)-1]
+	s := t.add()
+	*s = baobabstep.Send{Dest: dest}
 	s.Packet.Kind = kind
 	s.Packet.FromTarget = fromTarget
 	s.Packet.Flow = t.flow()
@@ -456,8 +477,7 @@
 		t.breakOff(rec, baobabstep.CodeTargetGone)
 		return false
 	}
-	now := t.snap.config.ServiceAt(t.p.Flow.Service)
-	if now != nil && now.ID != sv.id && t.snap.config.Version >= uint64(rec.version) {
+	if sv.moved.Load() && t.snap.config.Version >= uint64(rec.version) {
 		t.count(EventServiceMoved)
 		t.breakOff(rec, baobabstep.CodeWrongService)
 		return false
--- a/core/flow/live.go
+++ b/core/flow/live.go
@@ -1,14 +1,6 @@
 package flow
 
-import (
-	"time"
-
-	"baobabstep"
-)
-
-// silentHold is how long resets wait while a target is silent as a whole but
-// its data centre is not: the target may be restarting its network.
-const silentHold = 30 * time.Second
+import "baobabstep"
 
 // probeSeq marks the probes of a VM. Callers and targets echo it, which tells
 // the entry VM whose probe an acknowledgement answers.
@@ -21,7 +13,7 @@
 		return
 	}
 	t.count(EventProbed)
-	rec.setProbes(d, rec.countProbes(d)+1)
+	rec.setProbes(d, max(1, rec.countProbes(d)))
 	rec.lastProbe = uint16(t.tick)
 	dest := baobabstep.DestCaller
 	if d == toTarget {
@@ -54,6 +46,19 @@
 // here.
 func (t *turn) ownProbe() bool { return t.p.Seq == probeSeq(t.r.o.Self) }
 
+// Weights of the evidence that an unanswered probe gives, and the sum at which
+// a flow counts as silent. The first probe starts the sum at 1, so three
+// probes suffice with strong evidence and six with weak.
+const (
+	strongEvidence = 2
+	weakEvidence   = 1
+	enoughEvidence = probeMask
+)
+
+// fewSilent is the number of flows that may be silent at once without casting
+// doubt on this VM's own path.
+const fewSilent = 3
+
 // checkAlive probes the directions of a flow that are idle, and ends the flow
 // if one stayed silent over all probes. It reports whether the flow ended.
 //
@@ -62,18 +67,19 @@
 func (t *turn) checkAlive(rec *record) bool {
 	for d := toCaller; d <= toTarget; d++ {
 		if since(t.tick, t.lastHeard(rec, d)) < t.idleLimit(rec, d) {
+			t.witness(rec, d)
 			continue
 		}
-		started := rec.tries&0x3f != 0
-		if started && since16(t.tick, rec.lastProbe) < ticks(t.r.o.ProbeInterval) {
-			continue
+		started := rec.countProbes(d) > 0
+		if started {
+			t.r.scan.silent[d]++
 		}
-		if rec.countProbes(d) >= t.r.o.MaxProbes {
-			if t.silent(rec, d) {
-				return true
-			}
+		if rec.tries&0x3f != 0 && since16(t.tick, rec.lastProbe) < ticks(t.r.o.ProbeInterval) {
 			continue
 		}
+		if started && t.silent(rec, d) {
+			return true
+		}
 		if !t.r.probes.take(t.now, 1) {
 			t.count(EventProbeLimit)
 			return false
@@ -91,24 +97,38 @@
 }
 
 // idleLimit returns the silence after which a direction is probed. It is spread
-// by the key, so that flows that opened together are not probed together.
+// by the key, so that flows that opened together are not probed together. A
+// caller not heard since its flow opened is probed sooner, and at once when
+// half-open flows use up their share.
 func (t *turn) idleLimit(rec *record, d direction) tick {
 	if d == toCaller && !rec.has(flagConfirmed) {
+		if 2*t.s.half > t.r.halfOpenShare() {
+			return ticks(evictAge)
+		}
 		return ticks(t.r.o.ConfirmAfter)
 	}
 	limit := ticks(t.r.o.IdleProbe)
 	return limit - limit*uint32(rec.hash[15])/1024
 }
 
-// silent handles a direction that answered no probe. The flow is reset at both
-// ends so that the caller can open another within seconds, unless the silence
-// may be this VM's own: a healthy flow must not end because the VM that looks
-// at it is cut off.
+// silent handles a probe that was not answered, and tells whether that ended
+// the flow. It is reset at both ends, so that the caller can open another
+// within seconds, unless the silence may be this VM's own: a healthy flow must
+// not end because the VM that looks at it is cut off.
 func (t *turn) silent(rec *record, d direction) bool {
-	if t.unsure() || t.now.Sub(t.snap.changed) < t.r.o.Grace || t.held(rec, d) {
-		t.count(EventSilentHeld)
-		rec.lastProbe = uint16(t.tick)
-		t.reprobe(rec, d)
+	weight := 0
+	if !t.unsure() && t.now.Sub(t.snap.changed) >= t.r.o.Grace {
+		weight = t.evidence(rec, d)
+	}
+	t.r.scan.wanted[t.path(rec, d)] = t.tick
+	if weight == 0 {
+		t.hold(rec, d)
+	}
+	if since(t.tick, t.lastHeard(rec, d)) > ticks(t.r.o.MaxHold) {
+		weight = enoughEvidence
+	}
+	rec.setProbes(d, rec.countProbes(d)+weight)
+	if rec.countProbes(d) < enoughEvidence {
 		return false
 	}
 	t.count(EventSilent)
@@ -116,57 +136,125 @@
 	return true
 }
 
-// reprobe keeps asking while a reset is held back, so that the flow counts as
-// alive as soon as the path is back.
-func (t *turn) reprobe(rec *record, d direction) {
-	if t.r.probes.take(t.now, 1) {
-		t.probe(rec, d)
+// evidence weighs an unanswered probe. It says something of the flow only if
+// the way to that end and back is known to have worked after the probe was
+// sent: this VM's probes of other flows of the same end were answered. So a
+// path that was down and comes back leaves a flow one weight at most, and its
+// own next answer clears that.
+func (t *turn) evidence(rec *record, d direction) int {
+	probed := since16(t.tick, rec.lastProbe)
+	after := func(heard tick) bool { return since(t.tick, heard) <= probed }
+	few := t.r.scan.silentBefore[d] <= fewSilent
+	if d == toCaller {
+		switch {
+		case after(t.r.callersAcked.Load()):
+			return strongEvidence
+		case few && after(t.r.callersHeard.Load()):
+			return weakEvidence
+		}
+		return 0
 	}
+	tg := t.r.reg.target(rec.target)
+	switch {
+	case after(tg.acked.Load()):
+		return strongEvidence
+	case after(t.r.ackedIn(tg.dataCentre)), few && after(tg.heard.Load()):
+		return weakEvidence
+	}
+	return 0
 }
 
-// unsure tells whether "nobody answered" may be this VM's own fault.
-func (t *turn) unsure() bool {
-	return t.snap.paused || t.snap.view.Unsure || t.now.Before(t.snap.certain)
+// path names the way of which evidence is wanted: to the targets of one data
+// centre, or to callers.
+func (t *turn) path(rec *record, d direction) string {
+	if d == toCaller {
+		return callersPath
+	}
+	return t.r.reg.target(rec.target).dataCentre
 }
 
-// probeWindow is the time in which a silent direction was probed.
-func (t *turn) probeWindow() tick {
-	return ticks(time.Duration(t.r.o.MaxProbes)*t.r.o.ProbeInterval + time.Second)
-}
+// callersPath is the path to callers. No data centre has this name.
+const callersPath = "\x00callers"
 
-// held tells whether the reset of a silent flow has to wait.
-func (t *turn) held(rec *record, d direction) bool {
-	if since(t.tick, t.lastHeard(rec, d)) > ticks(t.r.o.MaxHold) {
-		return false
+// maxWitnesses bounds the flows of one path that are probed in one pass to
+// learn whether the path works.
+const maxWitnesses = 16
+
+// witness probes a flow that is not idle if a flow on the same path is silent.
+// Its answer tells a flow that was forgotten from a path that is down.
+func (t *turn) witness(rec *record, d direction) {
+	path := t.path(rec, d)
+	wanted, found := t.r.scan.wanted[path]
+	if !found || rec.tries&0x3f != 0 || since(t.tick, wanted) > passTicks*2 || t.r.scan.witnesses[path] >= maxWitnesses {
+		return
 	}
+	if t.r.probes.take(t.now, 1) {
+		t.r.scan.witnesses[path]++
+		t.probe(rec, d)
+	}
+}
+
+// hold notes that a silent flow is not reset since its path is in doubt.
+func (t *turn) hold(rec *record, d direction) {
+	t.count(EventSilentHeld)
 	if d == toCaller {
-		return since(t.tick, t.r.callersHeard.Load()) > t.probeWindow()
+		return
 	}
 	tg := t.r.reg.target(rec.target)
-	quiet := since(t.tick, tg.heard.Load())
-	if quiet <= t.probeWindow() {
-		tg.silent.Store(0)
-		return false
-	}
 	if tg.silent.Add(1) == suspectFrom {
 		t.count(EventPathSuspected)
 	}
-	return since(t.tick, t.r.heardIn(tg.dataCentre)) > t.probeWindow() || quiet <= ticks(silentHold)
+	t.askNeighbour(tg)
 }
 
-// suspectFrom is the number of silent flows of one silent target from which its
+// askNeighbour asks another target of the data centre for the flow. It has not
+// got it and says so, which shows that the path works also to a VM that has no
+// other flow there.
+func (t *turn) askNeighbour(silent *target) {
+	var neighbour *target
+	t.r.reg.targetsOf(silent.service, func(tg *target) {
+		if tg.dataCentre == silent.dataCentre && tg.id != silent.id && !tg.taken.Load() {
+			neighbour = tg
+		}
+	})
+	if neighbour == nil || !t.r.probes.take(t.now, 1) {
+		return
+	}
+	s := t.control(baobabstep.DestTarget, baobabstep.KindProbe, false)
+	s.Address = neighbour.address
+	s.Packet.Seq = probeSeq(t.r.o.Self)
+	s.Packet.Service, s.Packet.Target = neighbour.service, neighbour.id
+}
+
+// suspectFrom is the number of unanswered probes of one target from which its
 // path is suspected.
-const suspectFrom = 4
+const suspectFrom = 8
+
+// unsure tells whether "nobody answered" may be this VM's own fault.
+func (t *turn) unsure() bool {
+	return t.snap.paused || t.snap.view.Unsure || t.now.Before(t.snap.certain)
+}
+
+// noteAck notes the answer to a probe of this VM: the way there and back works.
+func (t *turn) noteAck(rec *record) {
+	if !t.p.FromTarget {
+		t.r.callersAcked.Store(t.tick)
+		return
+	}
+	tg := t.r.reg.target(rec.target)
+	tg.acked.Store(t.tick)
+	tg.silent.Store(0)
+}
 
-// heardIn returns when the targets of a data centre were last heard.
-func (r *Router) heardIn(dataCentre string) tick {
-	if r.scan.heardBy == nil {
-		r.scan.heardBy = make(map[string]tick)
+// ackedIn returns when a target of a data centre last answered a probe.
+func (r *Router) ackedIn(dataCentre string) tick {
+	if r.scan.ackedBy == nil {
+		r.scan.ackedBy = make(map[string]tick)
 		for _, tg := range *r.reg.targets.Load() {
 			if tg != nil {
-				r.scan.heardBy[tg.dataCentre] = max(r.scan.heardBy[tg.dataCentre], tg.heard.Load())
+				r.scan.ackedBy[tg.dataCentre] = max(r.scan.ackedBy[tg.dataCentre], tg.acked.Load())
 			}
 		}
 	}
-	return r.scan.heardBy[dataCentre]
+	return r.scan.ackedBy[dataCentre]
 }
--- /dev/null
+++ b/core/flow/live_test.go
@@ -0,0 +1,190 @@
+package flow_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"baobabstep"
+)
+
+func openMany(x *exchange, n int) (flows []*fakeCaller) {
+	for i := range n {
+		flows = append(flows, x.open(i))
+	}
+	return flows
+}
+
+// Something between the ends lost track of a flow while new ones work: the
+// volunteer's screen shows old news for days. The silent end answers no probe,
+// so both ends get a reset within half a minute, and the caller reconnects.
+func TestSilentFlowIsReset(t *testing.T) {
+	tests := []struct {
+		name string
+		lose func(c *fakeCaller) func(baobabstep.VMID, *baobabstep.Send) bool
+	}{
+		{"caller's side", func(c *fakeCaller) func(baobabstep.VMID, *baobabstep.Send) bool {
+			return func(_ baobabstep.VMID, s *baobabstep.Send) bool {
+				return s.Dest == baobabstep.DestCaller && s.Packet.Flow == c.key && s.Packet.Kind != baobabstep.KindReset
+			}
+		}},
+		{"target's side", func(c *fakeCaller) func(baobabstep.VMID, *baobabstep.Send) bool {
+			return func(_ baobabstep.VMID, s *baobabstep.Send) bool {
+				return s.Dest == baobabstep.DestTarget && s.Packet.Flow == c.key && s.Packet.Kind != baobabstep.KindReset
+			}
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			x := newExchange(t, fleet{vms: 9, dcs: 3, targets: 6})
+			flows := openMany(x, 60)
+			x.advance(time.Minute)
+			x.lose = test.lose(flows[7])
+			x.advance(40 * time.Second)
+			x.lose = nil
+			qt.Assert(t, flows[7].reset, qt.Equals, baobabstep.CodeFlowSilent)
+			x.assertNobodyHolds(flows[7])
+			x.assertAlive(flows[:7]...)
+		})
+	}
+}
+
+// Flows that nobody uses stay open, since both ends answer probes.
+func TestQuietFlowsAreNeverCut(t *testing.T) {
+	x := newExchange(t, fleet{vms: 9, dcs: 3, targets: 6})
+	flows := openMany(x, 20)
+	x.advance(4 * time.Minute)
+	for _, c := range flows {
+		qt.Assert(t, c.reset, qt.Equals, baobabstep.CodeOK)
+		x.assertOneTarget(c)
+	}
+	x.assertAlive(flows...)
+}
+
+// A VM is cut off from targets or callers for minutes and sees all of its
+// flows silent at once. They are healthy: other VMs still carry them. Resets
+// from the VM that is cut off would break them all.
+func TestVMThatIsCutOffResetsNothing(t *testing.T) {
+	for _, dest := range []baobabstep.Dest{baobabstep.DestTarget, baobabstep.DestCaller} {
+		t.Run(dest.String(), func(t *testing.T) {
+			x := newExchange(t, fleet{vms: 9, dcs: 3, targets: 6})
+			flows := openMany(x, 60)
+			x.advance(time.Minute)
+			alone := x.owners(flows[0].key, x.vms).Holder
+			x.lose = func(from baobabstep.VMID, s *baobabstep.Send) bool {
+				return from == alone && s.Dest == dest && s.Packet.Kind == baobabstep.KindProbe
+			}
+			x.deaf = map[baobabstep.VMID]bool{alone: true}
+			x.advance(3 * time.Minute)
+			x.lose, x.deaf = nil, nil
+			qt.Assert(t, x.events("flow_silent_held") > 0, qt.IsTrue)
+			x.advance(time.Minute)
+			x.assertAlive(flows...)
+		})
+	}
+}
+
+// All targets of a data centre fall silent at once: a partition, not so many
+// deaths. Their flows wait and go on when it is over.
+func TestSilentDataCentreIsHeldBack(t *testing.T) {
+	x := newExchange(t, fleet{vms: 9, dcs: 3, targets: 6})
+	flows := openMany(x, 60)
+	x.advance(time.Minute)
+	for _, tg := range x.targets {
+		tg.silent = tg.config.DataCentre == "dc1"
+	}
+	x.advance(4 * time.Minute)
+	qt.Assert(t, x.events("path_suspected") > 0, qt.IsTrue)
+	for _, tg := range x.targets {
+		tg.silent = false
+	}
+	x.advance(time.Minute)
+	x.assertAlive(flows...)
+}
+
+// One target dies while its neighbours live on. Its flows end within a minute.
+func TestFlowsOfADeadTargetEnd(t *testing.T) {
+	x := newExchange(t, fleet{vms: 9, dcs: 3, targets: 6})
+	flows := openMany(x, 60)
+	x.advance(time.Minute)
+	dead := flows[0].opened
+	x.targets[dead].silent = true
+	x.advance(90 * time.Second)
+	for _, c := range flows {
+		if c.opened == dead {
+			qt.Assert(t, c.reset, qt.Equals, baobabstep.CodeFlowSilent)
+		} else {
+			x.assertAlive(c)
+		}
+	}
+}
+
+// Callers open flow after flow and never answer. They must not push out the
+// flows of others. If it is one caller, others still open at once; if they are
+// many, others open as soon as the silent ones were probed.
+func TestOpenFlood(t *testing.T) {
+	tests := []struct {
+		name string
+		key  func(x *exchange, n int) baobabstep.FlowKey
+		wait time.Duration
+	}{
+		{"one caller", func(x *exchange, n int) baobabstep.FlowKey {
+			key := x.key(9)
+			key.Number = uint64(n)
+			return key
+		}, 0},
+		{"many callers", (*exchange).key, 10 * time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			x := newExchange(t, fleet{vms: 3, dcs: 1, targets: 6})
+			flows := openMany(x, 50)
+			x.assertAlive(flows...)
+			for n := 1000; n < 6000; n++ {
+				x.enter(0, baobabstep.Packet{Kind: baobabstep.KindOpen, Flow: test.key(x, n)})
+				x.run()
+			}
+			qt.Assert(t, x.events("half_open_limit") > 0, qt.IsTrue)
+			for _, r := range x.routers {
+				half := r.Stats().HalfOpen
+				qt.Assert(t, half <= 2*maxHalfOpen, qt.IsTrue, qt.Commentf("%d half-open", half))
+			}
+			x.advance(test.wait)
+			x.assertAlive(x.open(100))
+			x.assertAlive(flows...)
+		})
+	}
+}
+
+// The targets refuse an open one after the other. The caller hears of it only
+// when the tries run out, and then when to come back.
+func TestRefusedOpenIsTriedElsewhere(t *testing.T) {
+	x := newExchange(t, fleet{vms: 9, dcs: 3, targets: 4})
+	ids := x.config.Services[0].Targets
+	x.targets[ids[0].ID].refuse = baobabstep.CodeNoCapacity
+	x.targets[ids[1].ID].refuse = baobabstep.CodeTargetLeaving
+	flows := openMany(x, 40)
+	for _, c := range flows {
+		qt.Assert(t, c.reset, qt.Equals, baobabstep.CodeOK)
+	}
+	x.assertAlive(flows...)
+	for _, tg := range x.targets {
+		tg.refuse = baobabstep.CodeNoCapacity
+	}
+	c := x.sendOpen(99, 0)
+	qt.Assert(t, c.reset, qt.Equals, baobabstep.CodeNoCapacity)
+	qt.Assert(t, c.retry > 0, qt.IsTrue)
+	c.reset = baobabstep.CodeOK
+	for _, tg := range x.targets {
+		tg.refuse = 0
+	}
+	x.assertAlive(x.open(99))
+	for id, tg := range x.targets {
+		total := 0
+		for _, chooser := range x.choosers {
+			total += chooser.count[id]
+		}
+		qt.Assert(t, total, qt.Equals, len(tg.flows))
+	}
+}
--- a/core/flow/open.go
+++ b/core/flow/open.go
@@ -84,16 +84,21 @@
 		t.count(EventHalfOpenLimit)
 		return false
 	}
-	if t.s.half < max(1, t.r.o.MaxHalfOpen/len(t.r.shards)) {
-		return true
+	caller := t.p.Flow.Caller.Addr().As16()
+	if int(t.r.callers.of(&caller).Load()) >= t.r.o.MaxHalfOpenPerCaller {
+		t.count(EventHalfOpenLimit)
+		return false
 	}
-	if t.evictHalfOpen() {
+	if t.s.half < t.r.halfOpenShare() || t.evictHalfOpen() {
 		return true
 	}
 	t.count(EventHalfOpenLimit)
 	return false
 }
 
+// halfOpenShare is the number of half-open flows that one shard may hold.
+func (r *Router) halfOpenShare() int { return max(1, r.o.MaxHalfOpen/len(r.shards)) }
+
 // evictTries bounds the positions looked at for one eviction.
 const evictTries = 64
 
@@ -154,9 +159,9 @@
 // create adds a record without a target.
 func (t *turn) create(sv uint32, state State, age time.Duration) *record {
 	rec := t.s.insert(&t.hash)
+	rec.setKey(t.p.Flow)
 	t.s.counts[StateFree]++
 	t.s.enter(rec, state, nil)
-	rec.setKey(t.p.Flow)
 	rec.service = sv
 	rec.target = noTarget
 	rec.opened = int32(t.tick) - int32(min(age/tickLength, 1<<30))
--- a/core/flow/registry.go
+++ b/core/flow/registry.go
@@ -24,7 +24,9 @@
 	taken atomic.Bool
 	// heard is the tick of the last packet from the target.
 	heard atomic.Uint32
-	// silent counts flows found silent while the target was.
+	// acked is the tick of its last answer to a probe of this VM.
+	acked atomic.Uint32
+	// silent counts unanswered probes since, while its path was in doubt.
 	silent atomic.Uint32
 }
 
@@ -33,6 +35,9 @@
 	id          baobabstep.ServiceID
 	address     netip.AddrPort
 	dataCentres []string
+	// moved is set while the configuration gives the address to another
+	// service.
+	moved atomic.Bool
 	// previous are the data centres before the last change of the list;
 	// records may still be placed by them.
 	previous []string
@@ -92,6 +97,10 @@
 		now, found := owner[t.address]
 		t.taken.Store(found && now != t.service)
 	}
+	for _, s := range *reg.services.Load() {
+		now := c.ServiceAt(s.address)
+		s.moved.Store(now != nil && now.ID != s.id)
+	}
 	reg.sweep(c)
 	return moved
 }
--- a/core/flow/table.go
+++ b/core/flow/table.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/binary"
+	"math/bits"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"unsafe"
 
 	"baobabstep"
@@ -30,8 +32,10 @@
 	// counts are the records by state; half those that are half-open.
 	counts [numStates]int
 	half   int
-	random *rand.Rand
-	events [numEvents]uint64
+	// callers counts the half-open records by caller, over all shards.
+	callers *callerCounts
+	random  *rand.Rand
+	events  [numEvents]uint64
 }
 
 // home returns where the search for h starts. The low bits of the hash chose
@@ -132,6 +136,7 @@
 	s.counts[rec.state]--
 	if rec.halfOpen() {
 		s.half--
+		s.callers.of(&rec.caller).Add(-1)
 	}
 	rec.state = state
 	if change != nil {
@@ -140,9 +145,23 @@
 	s.counts[rec.state]++
 	if rec.halfOpen() {
 		s.half++
+		s.callers.of(&rec.caller).Add(1)
 	}
 }
 
+// callerCounts counts half-open flows by caller address. Addresses that share
+// a counter share its limit; the seed keeps callers from aiming at others.
+type callerCounts struct {
+	seed   uint64
+	counts [1 << 12]atomic.Int32
+}
+
+func (c *callerCounts) of(address *[16]byte) *atomic.Int32 {
+	high, low := binary.LittleEndian.Uint64(address[:8]), binary.LittleEndian.Uint64(address[8:])
+	hi, lo := bits.Mul64(low^c.seed, high^bits.RotateLeft64(c.seed, 32)|1)
+	return &c.counts[(hi^lo)%uint64(len(c.counts))]
+}
+
 // bytes returns the memory of the shard's records and index.
 func (s *shard) bytes() int {
 	return len(s.chunks)*chunkSize*int(unsafe.Sizeof(record{})) + 4*cap(s.index) + 4*cap(s.free)
--- a/core/flow/tick.go
+++ b/core/flow/tick.go
@@ -26,9 +26,16 @@
 	// need of a copy; least is the youngest class that is served.
 	pending [ageClasses]int
 	least   int
-	// heardBy is when each data centre's targets were last heard. It is
-	// computed when first asked for in a tick.
-	heardBy map[string]tick
+	// silent counts, by direction, the flows that this pass found with an
+	// unanswered probe; silentBefore is the count of the pass before.
+	silent, silentBefore [2]int
+	// wanted is when evidence of a path was last wanted; witnesses counts
+	// the probes that this pass sent for it.
+	wanted    map[string]tick
+	witnesses map[string]int
+	// ackedBy is when each data centre's targets last answered a probe. It
+	// is computed when first asked for in a tick.
+	ackedBy map[string]tick
 }
 
 // ageClasses is the number of classes of flow age, each twice the one before.
@@ -49,7 +56,7 @@
 	if snap.config == nil || snap.view == nil {
 		return
 	}
-	r.scan.heardBy = nil
+	r.scan.ackedBy = nil
 	left := r.positions()/passTicks + lockedRecords
 	for n := 0; left > 0 && n <= len(r.shards); {
 		s := r.shards[r.scan.shard]
@@ -81,17 +88,19 @@
 	defer s.mu.Unlock()
 	size := s.size()
 	to := min(size, from+n)
+	t := turn{r: r, snap: snap, s: s, now: now, tick: r.tick(now), out: out}
 	for pos := from; pos < to; pos++ {
 		if rec := s.at(pos); rec.state != StateFree {
-			r.visit(r.turnFor(now, snap, s, rec, out), rec)
+			t.turnTo(rec)
+			r.visit(&t, rec)
 		}
 	}
 	return max(to, from) - from, to >= size
 }
 
-// turnFor returns a turn for work that no packet asked for.
-func (r *Router) turnFor(now time.Time, snap *snapshot, s *shard, rec *record, out *baobabstep.Outbox) *turn {
-	return &turn{r: r, snap: snap, s: s, now: now, tick: r.tick(now), hash: rec.hash, rec: rec, out: out}
+// turnTo makes a turn about a record, for work that no packet asked for.
+func (t *turn) turnTo(rec *record) {
+	t.rec, t.hash, t.gotOwn = rec, rec.hash, false
 }
 
 // nextShard moves the scan on. After the last shard it decides from which age
@@ -111,6 +120,8 @@
 	}
 	r.scan.least = least
 	r.scan.pending = [ageClasses]int{}
+	clear(r.scan.witnesses)
+	r.scan.silentBefore, r.scan.silent = r.scan.silent, [2]int{}
 }
 
 // visit does what is due for one record.
@@ -231,12 +242,13 @@
 func (r *Router) stopShard(now time.Time, snap *snapshot, s *shard, sends *int, out *baobabstep.Outbox) (remaining int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	t := turn{r: r, snap: snap, s: s, now: now, tick: r.tick(now), out: out}
 	for pos := range s.size() {
 		rec := s.at(pos)
 		if !rec.live() {
 			continue
 		}
-		t := r.turnFor(now, snap, s, rec, out)
+		t.turnTo(rec)
 		t.evaluate(rec)
 		if rec.has(flagCopied) || t.keptByOther(rec) {
 			continue
