node: a VM asks for packets once its view is settled

Change: /readyz is positive once the view has been sure for 3.5 s, or 15 s after the start in any case.

--- a/node/control.go
+++ b/node/control.go
@@ -82,6 +82,9 @@
 	n.targets.SetView(now, v)
 	n.work.SetView(now, v)
 	n.flows.SetView(now, v)
+	if old := n.view.Load(); !v.Unsure && (old == nil || old.Unsure) {
+		n.sureAt.Store(int64(now.Sub(n.start)))
+	}
 	n.view.Store(v)
 	n.log.WithFields(log.Fields{
 		"view": v.Number, "members": len(v.Members), "unsure": v.Unsure,
--- a/node/node.go
+++ b/node/node.go
@@ -44,6 +44,10 @@
 	// pauseLimit is the gap between two ticks past which the VM takes
 	// itself to have been paused: others may hold its roles by then.
 	pauseLimit = 1500 * time.Millisecond
+	// readySettle is how long the view has to be sure before a VM that has
+	// started asks for packets; readyAnyway bounds the wait.
+	readySettle = 3500 * time.Millisecond
+	readyAnyway = 15 * time.Second
 )
 
 // Options are what a Node needs besides its settings.
@@ -83,6 +87,8 @@
 	// lastTick is when the control goroutine last ran, in nanoseconds since
 	// start.
 	lastTick atomic.Int64
+	// sureAt is when the view last became sure, in nanoseconds since start.
+	sureAt   atomic.Int64
 	view     atomic.Pointer[baobabstep.View]
 	config   atomic.Pointer[baobabstep.Config]
 	stopping atomic.Bool
@@ -141,19 +147,34 @@
 	entry.Error("invariant broken")
 }
 
-// Ready says why the VM cannot serve yet; nil once it can.
+// Ready says why the VM should not get packets from the fabric yet; nil once it
+// should.
+//
+// A VM that has just started cannot tell a flow or request that it never heard
+// of from one that a predecessor held, and has to answer "unknown" to some of
+// them. So it asks to be left out until its view has been sure for a while, but
+// not for ever: cut off from everyone it serves what it can.
 func (n *Node) Ready() error {
+	now := n.clock.Now()
+	v := n.view.Load()
 	switch {
+	case n.stopping.Load():
+		return baobabstep.Errorf(baobabstep.CodeStopping, "node.ready", "stopping")
 	case n.config.Load() == nil:
 		return baobabstep.Errorf(baobabstep.CodeIncomplete, "node.ready", "no configuration yet")
-	case n.view.Load() == nil:
+	case v == nil:
 		return baobabstep.Errorf(baobabstep.CodeIncomplete, "node.ready", "no view of the fleet yet")
-	case n.stopping.Load():
-		return baobabstep.Errorf(baobabstep.CodeStopping, "node.ready", "stopping")
+	case now.Sub(n.start) > readyAnyway:
+		return nil
+	case v.Unsure || now.Sub(n.sureSince()) < readySettle:
+		return baobabstep.Errorf(baobabstep.CodeIncomplete, "node.ready", "view of the fleet not settled yet")
 	}
 	return nil
 }
 
+// sureSince returns when the view last became sure.
+func (n *Node) sureSince() time.Time { return n.start.Add(time.Duration(n.sureAt.Load())) }
+
 // Run starts the VM and serves until ctx ends or a part fails. Then it stops as
 // planned: it refuses new work, hands over what it holds and tells its peers,
 // within the settings' stop timeout or until hurry ends.
