member: failure tests; only probers of a suspect bury it quickly

Cause: at 25 % loss and 15 VMs in a data centre a living VM was declared dead by one that had heard of the suspicion and not yet of the refutation. Two processes with one name corrected each other at the speed of the network. Change: VMs that do not probe a suspect themselves wait three times as long; the suspect is probed every 100 ms by four VMs and its accuser; corrections and raises against an earlier life are rate limited; quick relay messages count against the gossip budget. Failure tests in tables, random runs, a fuzz test.

--- a/core/member/fleet.go
+++ b/core/member/fleet.go
@@ -210,8 +210,8 @@
 	if sender != nil {
 		f.learnHeader(sender, m)
 	}
-	if m.PeerIncarnation > f.me.vm.Incarnation && m.PeerIncarnation < maxIncarnation {
-		f.raise(m.PeerIncarnation + 1)
+	if m.PeerIncarnation > f.me.vm.Incarnation {
+		f.hearOfOther(m.PeerIncarnation)
 	}
 	f.learnBeats(sender, m.Beats)
 }
@@ -236,9 +236,9 @@
 // older than what is known here is told so, whatever it sent: it may have
 // started anew, or be called dead without knowing it.
 func (f *Fleet) answer(out *[]Out, from baobabstep.VMID, m *message) {
-	reply := f.reply(from, m)
 	switch m.Kind {
 	case kindPing:
+		reply := f.reply(from, m)
 		reply.Kind, reply.Seq = kindAck, m.Seq
 		reply.News = append(reply.News, f.takeNews(maxPiggyback)...)
 		reply.Beats = f.beats()
@@ -255,6 +255,7 @@
 	case kindEntries:
 		f.answerWanted(out, from, m)
 	case kindRelay:
+		reply := f.reply(from, m)
 		reply.Kind, reply.Seq = kindRelayAck, m.Seq
 		reply.Beats = f.beats()
 		f.sendTo(out, from, reply)
@@ -264,13 +265,22 @@
 		f.relayAcknowledged(from, m)
 	case kindGossip:
 	}
-	if len(reply.News) > 0 {
-		reply.Kind = kindGossip
-		f.sendTo(out, from, reply)
+	f.correct(out, from, m)
+}
+
+// correct tells a VM that is not waiting for an answer that its idea of itself
+// is old. Two VMs that correct each other would do so at the speed of the
+// network, so each is corrected only once in a while.
+func (f *Fleet) correct(out *[]Out, from baobabstep.VMID, m *message) {
+	r := f.known[from]
+	if r == nil || !r.isNewer(m) || f.now.Before(r.nextCorrection) {
+		return
 	}
+	r.nextCorrection = f.now.Add(f.o.ProbeTimeout)
+	f.sendTo(out, from, message{Kind: kindGossip, News: []entry{r.entry()}, PeerIncarnation: r.vm.Incarnation})
 }
 
-// reply returns a message with what the sender has to be told.
+// reply returns an answer with what the sender has to be told anyway.
 func (f *Fleet) reply(from baobabstep.VMID, m *message) message {
 	var reply message
 	if m.PeerIncarnation != f.me.vm.Incarnation {
--- a/core/member/merge.go
+++ b/core/member/merge.go
@@ -50,6 +50,7 @@
 func (f *Fleet) update(r *record, vm baobabstep.VM, nonce uint64) {
 	if vm.State != r.vm.State {
 		r.since = f.now
+		r.accused = false
 		if vm.State == baobabstep.VMLeaving {
 			r.since = time.Time{}
 		}
@@ -144,14 +145,15 @@
 
 // hearOfOther handles news of a process with this VM's name that is not this
 // one: an earlier life, which a higher incarnation ends, or a VM with the same
-// name in its settings, which tops each incarnation. The rate of raises is
-// bounded, so that two such VMs do not fill the fleet with their quarrel.
+// name in its settings, which tops each incarnation. Raises become rarer, so
+// that two such VMs do not fill the fleet with their quarrel.
 func (f *Fleet) hearOfOther(incarnation uint64) {
 	if f.now.Before(f.duplicate.raise) {
 		return
 	}
-	f.duplicate.raise = f.now.Add(f.o.ProbeInterval)
 	f.sawDuplicate()
+	wait := f.o.ProbeInterval * time.Duration(f.duplicate.count)
+	f.duplicate.raise = f.now.Add(min(wait, duplicateWindow/4))
 	f.raise(incarnation + 1)
 }
 
--- a/core/member/probe.go
+++ b/core/member/probe.go
@@ -9,9 +9,14 @@
 )
 
 const (
-	// suspicionProbers is the number of VMs that go on probing a suspect, so
-	// that one that lives hears of its suspicion even if messages get lost.
+	// suspicionProbers is the number of VMs that go on probing a suspect,
+	// besides the one that suspected it first. One that lives hears of its
+	// suspicion from them even if most messages get lost.
 	suspicionProbers = 4
+	// hearsayFactor stretches the suspicion timeout for VMs that do not
+	// probe the suspect. Its refutation reaches them later than the others,
+	// so they only step in when the probers are gone.
+	hearsayFactor = 3
 	// massFactor stretches the suspicion timeout when more than half of the
 	// data centre is suspect: then this VM is more likely cut off than
 	// everybody else dead.
@@ -114,6 +119,7 @@
 	case baobabstep.VMAlive:
 		f.stats.Suspicions++
 		f.setState(r, baobabstep.VMSuspect)
+		r.accused = true
 	case baobabstep.VMLeaving:
 		if r.since.IsZero() {
 			r.since = f.now
@@ -134,12 +140,7 @@
 		}
 		switch r.vm.State {
 		case baobabstep.VMSuspect:
-			if f.now.Sub(r.since) >= timeout {
-				f.declareDead(r)
-			} else if !f.now.Before(r.nextPing) && f.probesSuspect(r) {
-				r.nextPing = f.now.Add(f.o.ProbeTimeout)
-				f.ping(out, r, f.nextSeq())
-			}
+			f.judgeSuspect(out, r, timeout)
 		case baobabstep.VMLeaving:
 			if !r.since.IsZero() && f.now.Sub(r.since) >= f.o.SuspicionTimeout {
 				f.declareDead(r)
@@ -148,6 +149,20 @@
 	}
 }
 
+func (f *Fleet) judgeSuspect(out *[]Out, r *record, timeout time.Duration) {
+	probes := r.accused || f.probesSuspect(r)
+	if !probes {
+		timeout *= hearsayFactor
+	}
+	switch {
+	case f.now.Sub(r.since) >= timeout:
+		f.declareDead(r)
+	case probes && !f.now.Before(r.nextPing):
+		r.nextPing = f.now.Add(f.o.ProbeTimeout / 2)
+		f.ping(out, r, f.nextSeq())
+	}
+}
+
 func (f *Fleet) massSuspicion() bool {
 	suspects, members := 0, 0
 	for _, r := range f.own.records {
--- /dev/null
+++ b/core/member/random_test.go
@@ -0,0 +1,154 @@
+package member_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"baobabstep"
+	"baobabstep/core/member"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "40")
+	os.Exit(m.Run())
+}
+
+// watch checks what must hold at every moment: no incarnation ever falls, in
+// nobody's eyes, and no VM is missing from its own view unless it is leaving.
+type watch struct {
+	seen map[*member.Fleet]map[baobabstep.VMID]uint64
+}
+
+func (w *watch) check(t testing.TB, x *exchange, leaving map[*member.Fleet]bool) {
+	for _, id := range x.order() {
+		f := x.fleets[id]
+		if x.paused[id] {
+			continue
+		}
+		if w.seen[f] == nil {
+			w.seen[f] = make(map[baobabstep.VMID]uint64)
+		}
+		for _, vm := range f.All(x.now) {
+			qt.Assert(t, vm.Incarnation >= w.seen[f][vm.ID], qt.IsTrue, qt.Commentf("%s fell to %d", vm.Name, vm.Incarnation))
+			w.seen[f][vm.ID] = vm.Incarnation
+		}
+		v := f.View(x.now)
+		self := slices.ContainsFunc(v.Members, func(vm baobabstep.VM) bool { return vm.ID == v.Self })
+		qt.Assert(t, self, qt.Equals, !leaving[f])
+		qt.Assert(t, f.View(x.now), qt.Equals, v)
+	}
+}
+
+// Whatever happens, in whatever order, the views agree with the truth once it
+// stops to happen.
+func TestRandomRuns(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		x := three(t, 12)
+		w := &watch{seen: make(map[*member.Fleet]map[baobabstep.VMID]uint64)}
+		leaving := make(map[*member.Fleet]bool)
+		var names []string
+		for name := range x.vms {
+			names = append(names, name)
+		}
+		slices.Sort(names)
+		pick := rapid.SampledFrom(names)
+		running := func(name string) bool { return x.fleet(name) != nil && !x.paused[x.id(name)] }
+		rt.Repeat(map[string]func(*rapid.T){
+			"kill": func(rt *rapid.T) {
+				name := pick.Draw(rt, "name")
+				x.kill(name)
+				delete(x.paused, x.id(name))
+			},
+			"start": func(rt *rapid.T) {
+				if name := pick.Draw(rt, "name"); x.fleet(name) == nil {
+					x.start(name, name[:1], pick.Draw(rt, "seed"), "a0", "b0", "c0")
+				}
+			},
+			"pause": func(rt *rapid.T) {
+				if name := pick.Draw(rt, "name"); x.fleet(name) != nil {
+					x.paused[x.id(name)] = true
+				}
+			},
+			"resume": func(*rapid.T) { clear(x.paused) },
+			"leave": func(rt *rapid.T) {
+				if name := pick.Draw(rt, "name"); running(name) {
+					x.send(x.id(name), x.fleet(name).Leave(x.now))
+					leaving[x.fleet(name)] = true
+				}
+			},
+			"cut": func(rt *rapid.T) {
+				one := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "data centre")
+				x.cut = func(from, to baobabstep.VM) bool { return (from.DataCentre == one) != (to.DataCentre == one) }
+			},
+			"heal": func(*rapid.T) { x.cut = nil },
+			"loss": func(rt *rapid.T) { x.loss = rapid.SampledFrom([]float64{0, 0.1, 0.5}).Draw(rt, "loss") },
+			"list": func(rt *rapid.T) {
+				if name := pick.Draw(rt, "name"); running(name) {
+					x.fleet(name).Seeds(x.now, x.list(pick.Draw(rt, "first"), pick.Draw(rt, "second")))
+				}
+			},
+			"": func(rt *rapid.T) {
+				x.run(time.Duration(rapid.IntRange(1, 40).Draw(rt, "ticks")) * tick)
+				w.check(t, x, leaving)
+			},
+		})
+		x.settle(t, names, leaving)
+	})
+}
+
+// settle ends all faults, restarts what is down and checks that all views
+// agree, from the list's news or their own.
+func (x *exchange) settle(t *testing.T, names []string, leaving map[*member.Fleet]bool) {
+	x.cut, x.loss = nil, 0
+	clear(x.paused)
+	for _, name := range names {
+		if f := x.fleet(name); f == nil || leaving[f] {
+			x.start(name, name[:1], "a0", "b0", "c0")
+		}
+	}
+	for _, f := range x.fleets {
+		f.Seeds(x.now, x.list(names...))
+	}
+	x.run(40 * time.Second)
+	x.assertConverged(len(names))
+}
+
+// FuzzHandle feeds bytes of a peer that went wrong. Nothing may break, and
+// nothing may make a VM give up itself.
+func FuzzHandle(f *testing.F) {
+	now := time.Unix(1e9, 0)
+	vm := func(name string) baobabstep.VM {
+		return baobabstep.VM{ID: baobabstep.MakeVMID(name), Name: name, Region: "r", DataCentre: "d"}
+	}
+	other := member.New(now, member.Options{Self: vm("b")})
+	other.Seeds(now, []baobabstep.VM{vm("a")})
+	for i := range 40 {
+		for _, out := range other.Tick(now.Add(time.Duration(i) * tick)) {
+			f.Add(out.Body)
+		}
+	}
+	f.Add([]byte("\x9f\xff"))
+	f.Add([]byte(fmt.Sprint("not cbor")))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		fleet := member.New(now, member.Options{Self: vm("a")})
+		fleet.Seeds(now, []baobabstep.VM{vm("b")})
+		for i := range 30 {
+			at := now.Add(time.Duration(i) * tick)
+			for _, out := range fleet.Handle(at, baobabstep.MakeVMID("b"), body) {
+				qt.Assert(t, len(out.Body) < 48<<10, qt.IsTrue)
+			}
+			fleet.Tick(at)
+		}
+		members := fleet.View(now.Add(30 * tick)).Members
+		qt.Assert(t, slices.ContainsFunc(members, func(m baobabstep.VM) bool { return m.Name == "a" }), qt.IsTrue)
+	})
+}
--- a/core/member/record.go
+++ b/core/member/record.go
@@ -32,8 +32,12 @@
 	// news; queued tells that it is in the queue.
 	sendsLeft int
 	queued    bool
+	// accused tells that this VM itself found the other one silent.
+	accused bool
 	// nextPing is the time of the next extra ping of a suspect.
 	nextPing time.Time
+	// nextCorrection is the earliest time of the next unasked correction.
+	nextCorrection time.Time
 }
 
 // dataCentre is what this VM knows of one data centre.
--- a/core/member/relay.go
+++ b/core/member/relay.go
@@ -77,10 +77,12 @@
 	}
 	for _, d := range f.sortedDataCentres() {
 		r := &d.role
-		if d == f.own || !r.relay || !due && f.own.lastChanged <= r.sent {
+		if d == f.own || !r.relay {
 			continue
 		}
-		f.relayTo(out, d)
+		if due || f.own.lastChanged > r.sent && f.budget.take(f.now, entryBytes*maxRelayNews) {
+			f.relayTo(out, d)
+		}
 	}
 }
 
