--- a/core/member/exchange_test.go
+++ b/core/member/exchange_test.go
@@ -80,6 +80,9 @@
 // send puts messages on their way, in any order.
 func (x *exchange) send(from baobabstep.VMID, out []member.Out) {
 	for _, o := range out {
+		if o.To == 0 {
+			o.To = x.at(o.Address)
+		}
 		for copies := 1; copies > 0; copies-- {
 			if x.rand.Float64() < x.doubled {
 				copies++
@@ -130,6 +133,16 @@
 	return true
 }
 
+// at returns the VM with a peer address.
+func (x *exchange) at(address netip.AddrPort) baobabstep.VMID {
+	for _, vm := range x.vms {
+		if vm.PeerAddress == address {
+			return vm.ID
+		}
+	}
+	return 0
+}
+
 func (x *exchange) byID(id baobabstep.VMID) baobabstep.VM {
 	for _, vm := range x.vms {
 		if vm.ID == id {
--- a/core/member/fleet.go
+++ b/core/member/fleet.go
@@ -42,6 +42,7 @@
 
 // Out is one message to send.
 type Out struct {
+	// To is 0 for a seed of which only the address is known.
 	To baobabstep.VMID
 	// Address is the peer address of To, for VMs that the peers port may not
 	// know yet. It is not valid in an answer to a VM not known here either.
@@ -94,7 +95,9 @@
 	me          *record
 	known       map[baobabstep.VMID]*record
 	dataCentres map[uint64]*dataCentre
-	own         *dataCentre
+	// sorted are the data centres by key, so that runs can be repeated.
+	sorted []*dataCentre
+	own    *dataCentre
 	// candidates are VMs that the list names and nobody has spoken of yet.
 	candidates map[baobabstep.VMID]baobabstep.VM
 	// changes numbers the changes of records; see [record.changed].
@@ -302,7 +305,11 @@
 	if to.acked != f.me.vm.Incarnation {
 		m.News = append(m.News, f.me.entry())
 	}
-	f.emit(out, Out{To: to.vm.ID, Address: to.vm.PeerAddress}, m)
+	o := Out{To: to.vm.ID, Address: to.vm.PeerAddress}
+	if to.vm.Name == "" {
+		o.To = 0
+	}
+	f.emit(out, o, m)
 }
 
 // sendTo encodes an answer, to a VM that need not be known.
@@ -341,7 +348,7 @@
 	for _, r := range f.pick(f.own, maxLeaveMessages, alive) {
 		f.send(&out, r, message{Kind: kindGossip, News: []entry{f.me.entry()}})
 	}
-	for _, d := range f.sortedDataCentres() {
+	for _, d := range f.sorted {
 		if d == f.own {
 			continue
 		}
@@ -361,7 +368,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.stats
-	for _, d := range f.dataCentres {
+	for _, d := range f.sorted {
 		for _, r := range d.records {
 			if r.vm.State != baobabstep.VMDead {
 				s.Known++
--- a/core/member/merge.go
+++ b/core/member/merge.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"net/netip"
 	"time"
 
 	"baobabstep"
@@ -33,8 +34,9 @@
 
 // add creates the record of a VM that was not known.
 func (f *Fleet) add(now time.Time, vm baobabstep.VM, nonce uint64) *record {
-	candidate, listed := f.candidates[vm.ID]
-	delete(f.candidates, candidate.ID)
+	_, listed := f.candidates[vm.ID]
+	delete(f.candidates, vm.ID)
+	delete(f.candidates, namelessID(vm.PeerAddress))
 	r := &record{nonce: nonce, since: now, listed: listed, listedNow: listed}
 	r.vm = vm
 	f.known[vm.ID] = r
@@ -178,14 +180,27 @@
 // Seeds takes the VMs of the settings or of the platform's list. They are
 // candidates to contact; a list proves neither life nor death. Only a VM that
 // is suspect here already, and that the list named before and no longer does,
-// is declared dead by it. An empty list is a fault of the platform.
+// is declared dead by it. An empty list is a fault of the platform. A seed may
+// consist of its peer address alone.
 func (f *Fleet) Seeds(now time.Time, vms []baobabstep.VM) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.observe(now)
-	if len(vms) == 0 {
-		return
+	named := vms[:0:0]
+	for _, vm := range vms {
+		if vm.Name == "" {
+			f.addNameless(vm)
+		} else {
+			named = append(named, vm)
+		}
 	}
+	if len(named) > 0 {
+		f.takeList(named)
+	}
+}
+
+// takeList takes a list of VMs with names.
+func (f *Fleet) takeList(vms []baobabstep.VM) {
 	for _, r := range f.known {
 		r.listedNow = false
 	}
@@ -194,18 +209,36 @@
 		vm.ID = baobabstep.MakeVMID(vm.Name)
 		r := f.known[vm.ID]
 		switch {
-		case vm.ID == f.me.vm.ID:
-		case r != nil:
-			r.listed, r.listedNow = true, true
-		default:
+		case r == nil:
 			f.candidates[vm.ID] = vm
+		case r != f.me:
+			r.listed, r.listedNow = true, true
 		}
 	}
 	f.buryUnlisted()
 }
 
+// addNameless takes a seed of which only the address is known. It is kept
+// under an ID made from the address, which no message ever carries.
+func (f *Fleet) addNameless(vm baobabstep.VM) {
+	if !vm.PeerAddress.IsValid() || vm.PeerAddress == f.me.vm.PeerAddress {
+		return
+	}
+	for _, r := range f.known {
+		if r.vm.PeerAddress == vm.PeerAddress {
+			return
+		}
+	}
+	vm.ID = namelessID(vm.PeerAddress)
+	f.candidates[vm.ID] = vm
+}
+
+func namelessID(address netip.AddrPort) baobabstep.VMID {
+	return baobabstep.MakeVMID("seed " + address.String())
+}
+
 func (f *Fleet) buryUnlisted() {
-	for _, d := range f.sortedDataCentres() {
+	for _, d := range f.sorted {
 		for _, r := range d.records {
 			suspect := r.vm.State == baobabstep.VMSuspect || r.vm.State == baobabstep.VMAlive && d.silent
 			if suspect && r.listed && !r.listedNow {
--- a/core/member/pause.go
+++ b/core/member/pause.go
@@ -61,7 +61,7 @@
 // against others.
 func (f *Fleet) forgive(gap time.Duration) {
 	f.probe = probe{}
-	for _, d := range f.dataCentres {
+	for _, d := range f.sorted {
 		d.beatAt = d.beatAt.Add(gap)
 	}
 	for _, r := range f.own.records {
--- a/core/member/probe.go
+++ b/core/member/probe.go
@@ -252,7 +252,7 @@
 // it has any.
 func (f *Fleet) peersAnywhere(n int) []*record {
 	picked := f.pick(f.own, n, alive)
-	for _, d := range f.sortedDataCentres() {
+	for _, d := range f.sorted {
 		if len(picked) == 0 && d != f.own {
 			picked = f.pick(d, n, alive)
 		}
--- a/core/member/record.go
+++ b/core/member/record.go
@@ -135,21 +135,14 @@
 	if d == nil {
 		d = &dataCentre{key: key, name: vm.DataCentre, region: vm.Region, beatAt: f.now}
 		f.dataCentres[key] = d
+		i, _ := slices.BinarySearchFunc(f.sorted, key, func(d *dataCentre, key uint64) int {
+			return cmp.Compare(d.key, key)
+		})
+		f.sorted = slices.Insert(f.sorted, i, d)
 	}
 	return d
 }
 
-// sortedDataCentres returns the data centres in an order that depends on
-// nothing but their names, so that runs can be repeated.
-func (f *Fleet) sortedDataCentres() []*dataCentre {
-	list := make([]*dataCentre, 0, len(f.dataCentres))
-	for _, d := range f.dataCentres {
-		list = append(list, d)
-	}
-	slices.SortFunc(list, func(a, b *dataCentre) int { return cmp.Compare(a.key, b.key) })
-	return list
-}
-
 // Conditions for pick.
 func alive(r *record) bool  { return r.vm.State == baobabstep.VMAlive }
 func living(r *record) bool { return r.vm.State != baobabstep.VMDead }
--- a/core/member/relay.go
+++ b/core/member/relay.go
@@ -33,7 +33,7 @@
 	if f.rolesAt == f.changes {
 		return
 	}
-	for _, d := range f.dataCentres {
+	for _, d := range f.sorted {
 		if d == f.own {
 			continue
 		}
@@ -75,7 +75,7 @@
 	if due {
 		f.nextRelay = f.now.Add(f.o.ProbeInterval)
 	}
-	for _, d := range f.sortedDataCentres() {
+	for _, d := range f.sorted {
 		r := &d.role
 		if d == f.own || !r.relay {
 			continue
@@ -135,7 +135,7 @@
 
 func (f *Fleet) beats() []beat {
 	beats := make([]beat, 0, len(f.dataCentres))
-	for _, d := range f.sortedDataCentres() {
+	for _, d := range f.sorted {
 		if d.beat > 0 {
 			beats = append(beats, beat{DataCentre: d.key, Beat: d.beat})
 		}
@@ -165,7 +165,7 @@
 
 // judgeDataCentres finds data centres whose beat stopped.
 func (f *Fleet) judgeDataCentres() {
-	for _, d := range f.sortedDataCentres() {
+	for _, d := range f.sorted {
 		if d == f.own {
 			continue
 		}
--- a/core/member/sync.go
+++ b/core/member/sync.go
@@ -30,7 +30,7 @@
 
 func (f *Fleet) digests() []digest {
 	digests := make([]digest, 0, len(f.dataCentres))
-	for _, d := range f.sortedDataCentres() {
+	for _, d := range f.sorted {
 		digests = append(digests, digest{DataCentre: d.key, Digest: d.digest})
 	}
 	return digests
@@ -47,7 +47,7 @@
 		theirs[d.DataCentre] = d.Digest
 	}
 	var differing *dataCentre
-	for _, d := range f.sortedDataCentres() {
+	for _, d := range f.sorted {
 		if theirs[d.key] != d.digest && (differing == nil || f.distance(d) < f.distance(differing)) {
 			differing = d
 		}
--- a/core/member/view.go
+++ b/core/member/view.go
@@ -28,7 +28,7 @@
 	}
 	f.stale.Store(false)
 	v := &baobabstep.View{Number: 1, Self: f.me.vm.ID, ChangedAt: f.now, Unsure: f.unsure()}
-	for _, d := range f.dataCentres {
+	for _, d := range f.sorted {
 		if d.region != f.own.region {
 			continue
 		}
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -268,6 +268,7 @@
 		p.links[id] = seed
 		return seed
 	}
+	l.address = seed.address
 	l.queue = append(l.queue, seed.queue...)
 	l.signal()
 	return l
