--- a/io/platform/client.go
+++ b/io/platform/client.go
@@ -254,6 +254,9 @@
 	defer cancel()
 	if err := c.limiter.Wait(ctx); err != nil {
 		c.circuit.release()
+		if ctx.Err() != nil {
+			return baobabstep.Errorf(baobabstep.CodePlatformUnavailable, op, "%w", err)
+		}
 		c.spent.Add(1)
 		return baobabstep.Errorf(baobabstep.CodeBudgetSpent, op, "%w", err)
 	}
