wire: shorter route, record of its own; every field is tested to travel

Change: the list of tried VMs is as long as it must be; the record is a part of its own. A test fails if a field of the packet is added that the wire does not carry.

--- a/io/wire/part.go
+++ b/io/wire/part.go
@@ -17,8 +17,8 @@
 
 var errRange = errors.New("value out of range")
 
-// Flags of the header. A set bit outside allFlags makes a datagram malformed:
-// a new flag needs a new version.
+// Flags of the header. All bits are taken; a new flag needs a new version. A
+// record comes only with a route.
 const (
 	flagFromTarget = 1 << iota
 	flagIdempotent
@@ -27,7 +27,7 @@
 	flagDetail
 	flagReport
 	flagRoute
-	allFlags = 1<<iota - 1
+	flagRecord
 )
 
 // header is the part that every datagram carries. Caller and Address hold an
@@ -81,7 +81,7 @@
 	if h.Flags&flagWide != 0 {
 		limit = 1 << 16
 	}
-	known := h.Kind != 0 && h.Kind <= uint8(lastKind) && h.Flags&^allFlags == 0
+	known := h.Kind != 0 && h.Kind <= uint8(lastKind) && h.Flags&(flagRoute|flagRecord) != flagRecord
 	return known && h.Caller < limit && h.Address < limit
 }
 
@@ -107,6 +107,9 @@
 	}
 	if p.Route.Purpose != baobabstep.PurposeNone {
 		flags |= flagRoute
+		if p.Route.Record != (baobabstep.Record{}) {
+			flags |= flagRecord
+		}
 	}
 	return flags
 }
@@ -218,21 +221,14 @@
 	}
 }
 
-// route carries baobabstep.Route. Age is in nanoseconds.
+// route carries baobabstep.Route but for its record. Tried is as long as
+// Route.NTried: it is most often empty, and each number costs on both ends.
 type route struct {
-	_           struct{} `cbor:",toarray"`
-	Purpose     uint8
-	From        uint64
-	Exhausted   bool
-	NTried      uint8
-	Tried       [baobabstep.MaxTried]uint64
-	Target      uint64
-	Service     uint64
-	Version     uint64
-	Established bool
-	Age         int64
-	Attempt     uint16
-	Confirmed   bool
+	_         struct{} `cbor:",toarray"`
+	Purpose   uint8
+	From      uint64
+	Exhausted bool
+	Tried     []uint64
 }
 
 func (r *route) set(p *baobabstep.Packet) {
@@ -240,17 +236,14 @@
 	r.Purpose = uint8(from.Purpose)
 	r.From = uint64(from.From)
 	r.Exhausted = from.Exhausted
-	r.NTried = from.NTried
-	for i, id := range from.Tried {
-		r.Tried[i] = uint64(id)
+	r.Tried = r.Tried[:0]
+	for _, id := range from.Tried[:from.NTried] {
+		r.Tried = append(r.Tried, uint64(id))
 	}
-	r.Target = uint64(from.Record.Target)
-	r.Service = uint64(from.Record.Service)
-	r.Version = from.Record.Version
-	r.Established = from.Record.Established
-	r.Confirmed = from.Record.Confirmed
-	r.Age = int64(from.Record.Age)
-	r.Attempt = from.Record.Attempt
+}
+
+func (r *route) valid() bool {
+	return r.Purpose != 0 && r.Purpose <= uint8(lastPurpose) && len(r.Tried) <= baobabstep.MaxTried
 }
 
 func (r *route) get(p *baobabstep.Packet) {
@@ -258,11 +251,39 @@
 	to.Purpose = baobabstep.Purpose(r.Purpose)
 	to.From = baobabstep.VMID(r.From)
 	to.Exhausted = r.Exhausted
-	to.NTried = r.NTried
+	to.NTried = uint8(len(r.Tried))
 	for i, id := range r.Tried {
 		to.Tried[i] = baobabstep.VMID(id)
 	}
-	to.Record = baobabstep.Record{
+}
+
+// record carries baobabstep.Record. Age is in nanoseconds.
+type record struct {
+	_           struct{} `cbor:",toarray"`
+	Target      uint64
+	Service     uint64
+	Version     uint64
+	Established bool
+	Confirmed   bool
+	Age         int64
+	Attempt     uint16
+}
+
+func (r *record) set(p *baobabstep.Packet) {
+	from := &p.Route.Record
+	*r = record{
+		Target:      uint64(from.Target),
+		Service:     uint64(from.Service),
+		Version:     from.Version,
+		Established: from.Established,
+		Confirmed:   from.Confirmed,
+		Age:         int64(from.Age),
+		Attempt:     from.Attempt,
+	}
+}
+
+func (r *record) get(p *baobabstep.Packet) {
+	p.Route.Record = baobabstep.Record{
 		Target:      baobabstep.TargetID(r.Target),
 		Service:     baobabstep.ServiceID(r.Service),
 		Version:     r.Version,
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -1,7 +1,7 @@
 // Package wire is the datagram form of [baobabstep.Packet]: a CBOR sequence
 // followed by the payload as it is.
 //
-//	version | header | wide? | detail? | report? | route? | payload | mac?
+//	version | header | wide? | detail? | report? | route? | record? | payload | mac?
 //
 // Each part marked with a question mark is present if its flag is set in the
 // header, so that the packets that matter most, data of an established flow,
@@ -71,6 +71,7 @@
 	detail detail
 	report report
 	route  route
+	record record
 }
 
 var (
@@ -102,6 +103,8 @@
 		return dst, baobabstep.Errorf(baobabstep.CodeMalformed, "wire.append", "got kind %d, want 1 to %d", p.Kind, lastKind)
 	case len(p.Payload) > MaxPayload:
 		return dst, baobabstep.Errorf(baobabstep.CodeTooLarge, "wire.append", "got a payload of %d bytes, want at most %d", len(p.Payload), MaxPayload)
+	case p.Route.NTried > baobabstep.MaxTried:
+		return dst, baobabstep.Errorf(baobabstep.CodeMalformed, "wire.append", "got %d VMs tried, want at most %d", p.Route.NTried, baobabstep.MaxTried)
 	case p.Route.Purpose != baobabstep.PurposeNone && key == (Key{}):
 		return dst, baobabstep.Errorf(baobabstep.CodeUnauthenticated, "wire.append", "got a route without a key")
 	}
@@ -126,7 +129,8 @@
 // clear empties the parts. The codec leaves a field as it was when it meets a
 // null; without this a crafted datagram would read what the one before it held.
 func (s *scratch) clear() {
-	s.header, s.wide, s.detail, s.report, s.route = header{}, wide{}, detail{}, report{}, route{}
+	s.header, s.wide, s.detail, s.report, s.record = header{}, wide{}, detail{}, report{}, record{}
+	s.route = route{Tried: s.route.Tried[:0]}
 }
 
 func (s *scratch) encode(p *baobabstep.Packet) error {
@@ -155,7 +159,13 @@
 	}
 	if flags&flagRoute != 0 {
 		s.route.set(p)
-		return encMode.MarshalToBuffer(&s.route, &s.buf)
+		if err := encMode.MarshalToBuffer(&s.route, &s.buf); err != nil {
+			return err
+		}
+	}
+	if flags&flagRecord != 0 {
+		s.record.set(p)
+		return encMode.MarshalToBuffer(&s.record, &s.buf)
 	}
 	return nil
 }
@@ -244,11 +254,17 @@
 		if rest, err = decMode.UnmarshalFirst(rest, &s.route); err != nil {
 			return nil, malformed("route", err)
 		}
-		if s.route.Purpose == 0 || s.route.Purpose > uint8(lastPurpose) || s.route.NTried > baobabstep.MaxTried {
+		if !s.route.valid() {
 			return nil, malformed("route", errRange)
 		}
 		s.route.get(p)
 	}
+	if flags&flagRecord != 0 {
+		if rest, err = decMode.UnmarshalFirst(rest, &s.record); err != nil {
+			return nil, malformed("record", err)
+		}
+		s.record.get(p)
+	}
 	return rest, nil
 }
 
--- a/io/wire/wire_test.go
+++ b/io/wire/wire_test.go
@@ -145,7 +145,9 @@
 				Age:    time.Duration(duration.Draw(t, "age")),
 			},
 		}
-		p.Route.Tried[2] = 9
+		for i := range p.Route.NTried {
+			p.Route.Tried[i] = baobabstep.VMID(rapid.Uint64().Draw(t, "tried"))
+		}
 	}
 	return p
 }
@@ -176,6 +178,28 @@
 	qt.Assert(t, len(b) <= wire.MaxDatagram, qt.IsTrue, qt.Commentf("%d bytes", len(b)))
 }
 
+// A field that is added to the packet but not to the wire would be lost between
+// two VMs, and only there. Each field is set here, found by reflection.
+func TestEveryFieldTravels(t *testing.T) {
+	want := fullPacket()
+	assertNoZero(t, reflect.ValueOf(want), "packet")
+	var got baobabstep.Packet
+	k := key(t, 1)
+	assertCode(t, wire.Decode(encode(t, &want, k), &got, []wire.Key{k}), baobabstep.CodeOK)
+	qt.Assert(t, equal(got, want), qt.IsTrue, qt.Commentf("got %+v, want %+v", got, want))
+}
+
+func assertNoZero(t *testing.T, v reflect.Value, path string) {
+	t.Helper()
+	qt.Assert(t, v.IsZero(), qt.IsFalse, qt.Commentf("%s is not set", path))
+	if v.Kind() != reflect.Struct || v.Type() == reflect.TypeFor[netip.AddrPort]() {
+		return
+	}
+	for i := range v.NumField() {
+		assertNoZero(t, v.Field(i), path+"."+v.Type().Field(i).Name)
+	}
+}
+
 func TestAppendRefuses(t *testing.T) {
 	for _, test := range []struct {
 		name   string
@@ -185,6 +209,7 @@
 	}{
 		{"no kind", func(p *baobabstep.Packet) { p.Kind = baobabstep.KindInvalid }, key(t, 1), baobabstep.CodeMalformed},
 		{"unknown kind", func(p *baobabstep.Packet) { p.Kind = 200 }, key(t, 1), baobabstep.CodeMalformed},
+		{"too many VMs tried", func(p *baobabstep.Packet) { p.Route.NTried = baobabstep.MaxTried + 1 }, key(t, 1), baobabstep.CodeMalformed},
 		{"payload over limit", func(p *baobabstep.Packet) { p.Payload = make([]byte, wire.MaxPayload+1) }, key(t, 1), baobabstep.CodeTooLarge},
 		{"route without key", func(p *baobabstep.Packet) { p.Route.Purpose = baobabstep.PurposeForward }, wire.Key{}, baobabstep.CodeUnauthenticated},
 	} {
@@ -229,7 +254,7 @@
 		{"cut in the header", encode(t, &plain, current)[:20], keys, baobabstep.CodeMalformed},
 		{"no CBOR", []byte("\x01hello"), keys, baobabstep.CodeMalformed},
 		{"null header", []byte{wire.Version, 0xf6}, keys, baobabstep.CodeMalformed},
-		{"unknown flag", []byte{wire.Version, 0x89, 3, 0x18, 0x80, 1, 1, 1, 1, 1, 1, 1}, keys, baobabstep.CodeMalformed},
+		{"record without route", []byte{wire.Version, 0x89, 3, 0x18, 0x80, 1, 1, 1, 1, 1, 1, 1}, keys, baobabstep.CodeMalformed},
 		{"unknown kind", []byte{wire.Version, 0x89, 0x18, 99, 0, 1, 1, 1, 1, 1, 1, 1}, keys, baobabstep.CodeMalformed},
 		{"foreign version", foreign, keys, baobabstep.CodeForeignVersion},
 		{"over the datagram limit", make([]byte, wire.MaxDatagram+1), keys, baobabstep.CodeTooLarge},
@@ -306,13 +331,17 @@
 }
 
 func bench(b *testing.B, prepare func(*baobabstep.Packet, wire.Key) func() error) {
-	data, request, routed := dataPacket(), dataPacket(), dataPacket()
+	data, request, routed, recorded := dataPacket(), dataPacket(), dataPacket(), dataPacket()
 	request.Kind, request.Attempt, request.Timeout = baobabstep.KindRequest, 1, time.Second
 	routed.Route = baobabstep.Route{Purpose: baobabstep.PurposeForward, From: 1 << 62}
+	recorded.Route = baobabstep.Route{
+		Purpose: baobabstep.PurposeReplicate, From: 1 << 62,
+		Record: baobabstep.Record{Target: 1 << 61, Service: 1 << 62, Version: 12, Established: true, Age: time.Hour},
+	}
 	for _, c := range []struct {
 		name   string
 		packet *baobabstep.Packet
-	}{{"data", &data}, {"request", &request}, {"routed", &routed}} {
+	}{{"data", &data}, {"request", &request}, {"routed", &routed}, {"recorded", &recorded}} {
 		b.Run(c.name, func(b *testing.B) {
 			step := prepare(c.packet, key(b, 1))
 			b.ReportAllocs()
