--- a/core/flow/flow.go
+++ b/core/flow/flow.go
@@ -109,6 +109,7 @@
 func (o *Options) setDefaults() {
 	orInt(&o.Shards, 64)
 	orInt(&o.MaxFlows, 2_000_000)
+	o.MaxFlows = min(o.MaxFlows, o.Shards*maxRecords)
 	orInt(&o.MaxHalfOpen, o.MaxFlows/8)
 	orInt(&o.MaxHalfOpenPerCaller, max(1, o.MaxHalfOpen/16))
 	orDuration(&o.OpenTimeout, 10*time.Second)
--- a/core/flow/table.go
+++ b/core/flow/table.go
@@ -13,7 +13,7 @@
 
 // chunkSize is the number of records allocated together. Records never move,
 // so growing the table copies nothing but the index.
-const chunkSize = 512
+const chunkSize = 128
 
 // minIndex is the initial size of a shard's index.
 const minIndex = 64
@@ -22,11 +22,13 @@
 // chunks; the index is an open-addressing hash table of positions.
 type shard struct {
 	mu     sync.Mutex
-	chunks [][]record
+	chunks []*[chunkSize]record
 	// free lists unused positions.
 	free []uint32
-	// index maps a hash to position+1; 0 is empty. Its length is a power
-	// of two, and at most three quarters are in use.
+	// index maps a hash to an entry: position+1 in the low bits, a tag of
+	// the hash above; 0 is empty. Its length is a power of two, and at most
+	// three quarters are in use. The tag spares most visits to records of
+	// other flows, each of which would miss the processor's caches.
 	index []uint32
 	used  int
 	// counts are the records by state; half those that are half-open.
@@ -51,14 +53,34 @@
 // size returns the number of positions, used or not.
 func (s *shard) size() uint32 { return uint32(len(s.chunks) * chunkSize) }
 
+// Bits of an index entry.
+const (
+	positionBits = 20
+	positionMask = 1<<positionBits - 1
+	// maxRecords is the number of records that one shard may hold.
+	maxRecords = positionMask - chunkSize
+)
+
+// tag returns the bits of an entry that come from the hash.
+func tag(h *baobabstep.KeyHash) uint32 {
+	return uint32(binary.LittleEndian.Uint64(h[8:])>>32) &^ positionMask
+}
+
+// of returns the record of an index entry.
+func (s *shard) of(entry uint32) *record { return s.at(entry&positionMask - 1) }
+
 // find returns the record of h, or nil.
 func (s *shard) find(h *baobabstep.KeyHash) *record {
 	if s.used == 0 {
 		return nil
 	}
 	mask := uint32(len(s.index) - 1)
+	want := tag(h)
 	for i := s.home(h); s.index[i] != 0; i = (i + 1) & mask {
-		if rec := s.at(s.index[i] - 1); rec.hash == *h {
+		if s.index[i]&^positionMask != want {
+			continue
+		}
+		if rec := s.of(s.index[i]); rec.hash == *h {
 			return rec
 		}
 	}
@@ -84,7 +106,7 @@
 
 func (s *shard) addChunk() {
 	first := s.size()
-	s.chunks = append(s.chunks, make([]record, chunkSize))
+	s.chunks = append(s.chunks, new([chunkSize]record))
 	for i := uint32(chunkSize); i > 0; i-- {
 		s.free = append(s.free, first+i-1)
 	}
@@ -96,7 +118,7 @@
 	for s.index[i] != 0 {
 		i = (i + 1) & mask
 	}
-	s.index[i] = pos + 1
+	s.index[i] = tag(h) | (pos + 1)
 }
 
 func (s *shard) grow() {
@@ -104,7 +126,7 @@
 	s.index = make([]uint32, max(minIndex, 2*len(old)))
 	for _, entry := range old {
 		if entry != 0 {
-			s.link(&s.at(entry-1).hash, entry-1)
+			s.link(&s.of(entry).hash, entry&positionMask-1)
 		}
 	}
 }
@@ -114,14 +136,14 @@
 func (s *shard) remove(rec *record) {
 	mask := uint32(len(s.index) - 1)
 	i := s.home(&rec.hash)
-	for s.at(s.index[i]-1) != rec {
+	for s.of(s.index[i]) != rec {
 		i = (i + 1) & mask
 	}
-	s.free = append(s.free, s.index[i]-1)
+	s.free = append(s.free, s.index[i]&positionMask-1)
 	*rec = record{}
 	s.used--
 	for j := (i + 1) & mask; s.index[j] != 0; j = (j + 1) & mask {
-		home := s.home(&s.at(s.index[j] - 1).hash)
+		home := s.home(&s.of(s.index[j]).hash)
 		if (j-home)&mask >= (j-i)&mask {
 			s.index[i] = s.index[j]
 			i = j
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -16,9 +16,9 @@
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
 	_ = flag.Set("rapid.seed", "1")
 	_ = flag.Set("rapid.checks", "30")
+	flag.Parse()
 	os.Exit(m.Run())
 }
 
