--- a/core/member/fleet_test.go
+++ b/core/member/fleet_test.go
@@ -49,6 +49,7 @@
 // in its own data centre first and by way of the relays in the others, they
 // are lost: so the time until the last view drops it has to be short.
 func TestKill(t *testing.T) {
+	t.Parallel()
 	for _, name := range []string{"a0", "a1", "a2", "b0", "b1", "b2", "c0", "c1", "c2"} {
 		t.Run(name, func(t *testing.T) {
 			x := three(t, 9)
@@ -66,6 +67,7 @@
 // Messages get lost, doubled and overtaken; suspicions follow, and each has to
 // be refuted in time, since a suspect hears of it from several VMs.
 func TestLossNeverBuriesTheLiving(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name          string
 		vms, ticks    int
@@ -106,6 +108,7 @@
 // two VMs. So the first thing it is asked or told, whatever that is, has to
 // make it notice, before it acts.
 func TestPauseIsNoticedFirst(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name  string
 		pause time.Duration
@@ -173,6 +176,7 @@
 // A VM that is alone must not wait for peers for ever after a pause: callers
 // would be refused by the only VM there is.
 func TestPauseAlone(t *testing.T) {
+	t.Parallel()
 	x := newExchange(t)
 	f := x.start("a0", "a")
 	x.run(5 * time.Second)
@@ -188,6 +192,7 @@
 // would send it packets of flows that it no longer holds, or bury it again for
 // the silence of its predecessor.
 func TestReturn(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name   string
 		absent time.Duration
@@ -222,6 +227,7 @@
 // records may be on the other side. After healing both sides are one again,
 // and nobody was declared dead.
 func TestPartitionOfDataCentre(t *testing.T) {
+	t.Parallel()
 	for _, length := range []time.Duration{2 * time.Second, 5 * time.Second, 2 * time.Minute} {
 		t.Run(length.String(), func(t *testing.T) {
 			x := three(t, 9)
@@ -254,6 +260,7 @@
 // VMs of c cannot be reached, whatever b says of them: packets sent there are
 // lost, so a must treat them as cut off, and b must not.
 func TestPartitionOfOneLink(t *testing.T) {
+	t.Parallel()
 	x := three(t, 9)
 	x.cut = func(from, to baobabstep.VM) bool {
 		return from.DataCentre+to.DataCentre == "ac" || from.DataCentre+to.DataCentre == "ca"
@@ -268,6 +275,7 @@
 // Inside a data centre one VM cannot reach one other, while a third reaches
 // both. Nobody is dead, and the views must not say so.
 func TestOneLinkBroken(t *testing.T) {
+	t.Parallel()
 	x := three(t, 9)
 	x.cut = func(from, to baobabstep.VM) bool { return from.Name+to.Name == "a0a1" || from.Name+to.Name == "a1a0" }
 	for range 600 {
@@ -281,6 +289,7 @@
 // Changes during a partition: a VM dies and another joins on each side. After
 // healing both sides know both changes, whatever their clocks said.
 func TestPartitionWithChangesOnBothSides(t *testing.T) {
+	t.Parallel()
 	x := three(t, 9)
 	x.cut = func(from, to baobabstep.VM) bool { return (from.DataCentre == "c") != (to.DataCentre == "c") }
 	x.run(20 * time.Second)
@@ -300,6 +309,7 @@
 // its view would be sure of being alone, and flows held by the others would be
 // reset as unknown.
 func TestIsolatedVMStaysUnsure(t *testing.T) {
+	t.Parallel()
 	x := three(t, 9)
 	x.cut = func(from, to baobabstep.VM) bool { return from.Name == "b2" || to.Name == "b2" }
 	x.until(5*time.Second, func(f *member.Fleet) bool {
@@ -318,6 +328,7 @@
 // It may neither bring the dead into the view nor take the living out of it;
 // but a suspect that it has dropped is dead.
 func TestListIsNoProof(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name    string
 		list    []string
@@ -345,6 +356,7 @@
 }
 
 func TestListBuriesSuspects(t *testing.T) {
+	t.Parallel()
 	x := three(t, 9)
 	all := x.list("a0", "a1", "a2", "b0", "b1", "b2", "c0", "c1", "c2")
 	for _, f := range x.fleets {
@@ -368,6 +380,7 @@
 // A rack fails: several VMs of a data centre die in one moment, among them
 // relays. The others must agree on the loss in seconds, also far away.
 func TestRackLoss(t *testing.T) {
+	t.Parallel()
 	x := three(t, 24)
 	for _, name := range []string{"a0", "a3", "a6"} {
 		x.kill(name)
@@ -378,10 +391,31 @@
 	x.assertConverged(21)
 }
 
+// Two data centres lose in one moment the VMs that the relays of the other one
+// write to. Neither hears of the other's loss, so both would go on writing to
+// the dead and take the other for silent.
+func TestRelaysFindAnotherVM(t *testing.T) {
+	t.Parallel()
+	x := newExchange(t)
+	for i := range 8 {
+		x.start(fmt.Sprint("a", i), "a", "a0", "b0")
+		x.start(fmt.Sprint("b", i), "b", "a0", "b0")
+	}
+	x.run(10 * time.Second)
+	f := x.fleet("a0")
+	for _, name := range append(f.RelayPeers("a", "b"), f.RelayPeers("b", "a")...) {
+		x.kill(name)
+	}
+	x.until(8*time.Second, x.sees(10))
+	x.run(8 * time.Second)
+	x.assertConverged(10)
+}
+
 // All VMs of a data centre are replaced at once. Its beat starts from zero,
 // while the others remember a high one and would take it for silent for as
 // long as it had lived before.
 func TestDataCentreStartsAnew(t *testing.T) {
+	t.Parallel()
 	x := three(t, 9)
 	x.run(2 * time.Minute)
 	for _, name := range []string{"b0", "b1", "b2"} {
@@ -395,6 +429,7 @@
 // A planned stop is announced, so that no new work goes to the VM while it
 // hands over; nobody has to suspect it for that.
 func TestLeave(t *testing.T) {
+	t.Parallel()
 	x := three(t, 9)
 	x.send(x.id("a1"), x.fleet("a1").Leave(x.now))
 	took := x.until(time.Second, x.sees(8))
@@ -411,6 +446,7 @@
 // The process stops right after it announced its stop. What it sent with its
 // last breath has to be enough: nobody may lose time on a suspicion.
 func TestLeaveAndStopAtOnce(t *testing.T) {
+	t.Parallel()
 	x := three(t, 9)
 	x.send(x.id("a1"), x.fleet("a1").Leave(x.now))
 	x.kill("a1")
@@ -422,6 +458,7 @@
 // A VM of a new data centre knows one VM of another. All others have to find
 // it, and it them, in seconds: until then they would place flows differently.
 func TestNewDataCentreIsFound(t *testing.T) {
+	t.Parallel()
 	x := three(t, 24)
 	x.start("d0", "d", "b3")
 	took := x.until(15*time.Second, x.sees(25))
@@ -431,6 +468,7 @@
 // The same for a VM that joins where there are many. What it has to learn is
 // no news to the others, so it has to ask.
 func TestJoinLearnsTheFleet(t *testing.T) {
+	t.Parallel()
 	x := newExchange(t)
 	for i := range 40 {
 		x.start(fmt.Sprint("a", i), "a", "a0")
@@ -444,6 +482,7 @@
 
 // The settings name seeds by address only.
 func TestSeedsWithoutNames(t *testing.T) {
+	t.Parallel()
 	x := newExchange(t)
 	x.start("a0", "a")
 	x.start("b0", "b")
@@ -456,6 +495,7 @@
 // Two groups that started apart, as after an outage of the list, become one
 // when the list names one VM of the other group to any VM.
 func TestGroupsMerge(t *testing.T) {
+	t.Parallel()
 	x := newExchange(t)
 	for i := range 3 {
 		x.start(fmt.Sprint("a", i), "a", "a0")
@@ -472,6 +512,7 @@
 // meant for one reaches the other. Both have to say so. The fight for the name
 // must not fill the network.
 func TestTwoVMsWithOneName(t *testing.T) {
+	t.Parallel()
 	x := three(t, 9)
 	first := x.fleet("b1")
 	id := x.id("b1")
@@ -491,6 +532,7 @@
 }
 
 func TestViewPointerStaysWhileNothingChanged(t *testing.T) {
+	t.Parallel()
 	x := three(t, 9)
 	v := x.fleet("a0").View(x.now)
 	x.run(time.Minute)
--- a/core/member/gossip.go
+++ b/core/member/gossip.go
@@ -10,6 +10,10 @@
 	// gossipRepeats times the number of digits of the data centre's size is
 	// the number of messages that carry one piece of news.
 	gossipRepeats = 4
+	// maxNews bounds the queue of news. When a whole fleet starts at once,
+	// pushing everything to everybody costs many times what comparing
+	// digests does, and would leave that no budget.
+	maxNews = 32
 	// entryBytes is a generous size of one entry, for estimates.
 	entryBytes = 120
 )
@@ -39,9 +43,14 @@
 		digits++
 	}
 	r.sendsLeft = gossipRepeats * digits
-	if !r.queued {
-		r.queued = true
-		f.news = append(f.news, r)
+	if r.queued {
+		return
+	}
+	r.queued = true
+	f.news = append(f.news, r)
+	if len(f.news) > maxNews && r != f.me {
+		f.news[0].queued = false
+		f.news = f.news[1:]
 	}
 }
 
--- a/core/member/sync.go
+++ b/core/member/sync.go
@@ -36,8 +36,7 @@
 	return digests
 }
 
-// answerSync sends a summary of the first data centre that differs, the own
-// one and its region before others.
+// answerSync sends a summary of one data centre that differs.
 func (f *Fleet) answerSync(out *[]Out, from baobabstep.VMID, m *message) {
 	if len(m.Digests) == 0 {
 		return
@@ -46,16 +45,16 @@
 	for _, d := range m.Digests {
 		theirs[d.DataCentre] = d.Digest
 	}
-	var differing *dataCentre
+	var differing []*dataCentre
 	for _, d := range f.sorted {
-		if theirs[d.key] != d.digest && (differing == nil || f.distance(d) < f.distance(differing)) {
-			differing = d
+		if theirs[d.key] != d.digest {
+			differing = append(differing, d)
 		}
 	}
-	if differing == nil {
+	if len(differing) == 0 {
 		return
 	}
-	s := f.summarize(differing)
+	s := f.summarize(f.chooseDataCentre(differing))
 	if !f.budget.take(f.now, itemBytes*len(s.Items)) {
 		f.stats.Saved++
 		return
@@ -63,6 +62,16 @@
 	f.sendTo(out, from, message{Kind: kindSummary, Summary: s})
 }
 
+// chooseDataCentre prefers the own data centre, then its region, since the own
+// view depends on them. Every other time the choice is open, so that one that
+// differs all the time does not hide the others.
+func (f *Fleet) chooseDataCentre(list []*dataCentre) *dataCentre {
+	if f.rand.IntN(2) == 0 {
+		return list[f.rand.IntN(len(list))]
+	}
+	return slices.MinFunc(list, func(a, b *dataCentre) int { return cmp.Compare(f.distance(a), f.distance(b)) })
+}
+
 func (f *Fleet) distance(d *dataCentre) int {
 	switch {
 	case d == f.own:
@@ -74,23 +83,21 @@
 	}
 }
 
-// summarize lists a data centre, or a random stretch of one that is too large
-// for a message.
+// summarize lists a data centre, or a random page of one that is too large for
+// a message.
 func (f *Fleet) summarize(d *dataCentre) *summary {
 	s := &summary{DataCentre: d.key, To: math.MaxUint64}
-	records := d.records
-	if len(records) > maxSummary {
-		first := f.rand.IntN(len(records))
-		records = records[first:min(first+maxSummary, len(records))]
-		s.From = records[0].vm.ID
-		if first == 0 {
-			s.From = 0
-		}
-		if last := records[len(records)-1]; last != d.records[len(d.records)-1] {
-			s.To = last.vm.ID
-		}
+	size := len(d.records)
+	pages := max(1, (size+maxSummary-1)/maxSummary)
+	page := f.rand.IntN(pages)
+	first, end := page*size/pages, (page+1)*size/pages
+	if first > 0 {
+		s.From = d.records[first].vm.ID
+	}
+	if end < size {
+		s.To = d.records[end].vm.ID - 1
 	}
-	for _, r := range records {
+	for _, r := range d.records[first:end] {
 		if living(r) {
 			s.Items = append(s.Items, item{ID: r.vm.ID, Incarnation: r.vm.Incarnation, State: r.vm.State, Nonce: r.nonce})
 		}
@@ -105,6 +112,10 @@
 		f.stats.Malformed++
 		return
 	}
+	// There is a difference, be it on this page or on another.
+	if soon := f.now.Add(quickSync); soon.Before(f.nextSync) {
+		f.nextSync = soon
+	}
 	reply := message{Kind: kindEntries}
 	listed := make(map[baobabstep.VMID]bool, len(s.Items))
 	for i := range s.Items {
@@ -147,9 +158,6 @@
 		f.stats.Saved++
 		return
 	}
-	if soon := f.now.Add(quickSync); soon.Before(f.nextSync) {
-		f.nextSync = soon
-	}
 	f.sendTo(out, to, m)
 }
 
