capacity: slopes from benchmarks, budgets at a size; node: flow tick every 100 ms as stated

Cause: whether a VM stays inside its control budget at 2,300 VMs has to follow from measured slopes that anyone can measure again. While reading: the node ticked the flow router every 20 ms, five times as often as its budget for copies and its scan assume.

--- a/cmd/baobabstep/main.go
+++ b/cmd/baobabstep/main.go
@@ -16,9 +16,10 @@
 
 // commands is the command line.
 type commands struct {
-	Balance       balance       `cmd:"" help:"Run one VM with the given settings file, until SIGTERM (planned stop) or a second SIGTERM (at once)."`
-	CheckSettings checkSettings `cmd:"" help:"Check a settings file and print it with its defaults filled in."`
-	Version       showVersion   `cmd:"" help:"Print the version."`
+	Balance       balance          `cmd:"" help:"Run one VM with the given settings file, until SIGTERM (planned stop) or a second SIGTERM (at once)."`
+	CheckSettings checkSettings    `cmd:"" help:"Check a settings file and print it with its defaults filled in."`
+	Capacity      capacityCommands `cmd:"" help:"Measure and print what a VM costs in fleets of any size."`
+	Version       showVersion      `cmd:"" help:"Print the version."`
 }
 
 type showVersion struct{}
--- a/core/flow/bench_test.go
+++ b/core/flow/bench_test.go
@@ -63,7 +63,7 @@
 }
 
 func BenchmarkHeldFlow(b *testing.B) {
-	for _, n := range []int{1000, 500_000} {
+	for _, n := range []int{1000, 28_000, 100_000, 500_000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			r, x, keys := filled(b, n)
 			out := make(baobabstep.Outbox, 0, 8)
@@ -132,7 +132,7 @@
 // BenchmarkTick measures the periodic work per tick, of which there are ten a
 // second.
 func BenchmarkTick(b *testing.B) {
-	for _, n := range []int{28_000, 500_000} {
+	for _, n := range []int{1000, 28_000, 100_000, 500_000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			r, x, _ := filled(b, n)
 			out := make(baobabstep.Outbox, 0, 4096)
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -202,7 +202,7 @@
 }
 
 func BenchmarkOwners(b *testing.B) {
-	for _, n := range []int{9, 164, 2300} {
+	for _, n := range []int{9, 40, 164, 700, 2300} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			v := fleet(n)
 			for i := range v.Members {
@@ -222,7 +222,7 @@
 }
 
 func BenchmarkNew(b *testing.B) {
-	for _, n := range []int{9, 164, 2300} {
+	for _, n := range []int{9, 40, 164, 700, 2300} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			v := fleet(n)
 			b.ReportAllocs()
@@ -234,7 +234,7 @@
 }
 
 func BenchmarkUpdateByOne(b *testing.B) {
-	for _, n := range []int{9, 164, 2300} {
+	for _, n := range []int{9, 40, 164, 700, 2300} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			v := fleet(n)
 			less := without(v, n/2)
--- a/node/control.go
+++ b/node/control.go
@@ -29,7 +29,6 @@
 		n.noteTick(now)
 		out = out[:0]
 		n.work.Tick(now, &out)
-		n.flows.Tick(now, &out)
 		if now.Sub(lastControl) >= controlTick {
 			lastControl = now
 			n.tickControl(ctx, now, &out)
@@ -56,6 +55,7 @@
 // tickControl drives what uses the control budget.
 func (n *Node) tickControl(ctx context.Context, now time.Time, out *baobabstep.Outbox) {
 	began := time.Now()
+	n.flows.Tick(now, out)
 	n.sendMember(n.fleet.Tick(now))
 	n.sendConfig(n.replica.Tick(now))
 	n.refresh(ctx, now)
--- a/node/node.go
+++ b/node/node.go
@@ -33,9 +33,10 @@
 
 // Intervals of the control goroutine.
 const (
-	// dataTick drives timeouts of requests and flows.
+	// dataTick drives timeouts of requests.
 	dataTick = 20 * time.Millisecond
-	// controlTick drives membership and the spread of the configuration.
+	// controlTick drives flows, membership and the spread of the
+	// configuration.
 	controlTick = 100 * time.Millisecond
 	// newsInterval is the time between two rounds of target news.
 	newsInterval = 500 * time.Millisecond
