node, baobabstep: operators' interface on every VM, operators' commands

Cause: operators had no way in: the interface and commands stood alone. Change: each VM serves the interface at operator_address, with status from its own view, target table and replica, and explain from its flow table and ledger; the command line embeds the operators' commands; operator_keys are objects with a name; exit statuses are those of package command; the line for a version that comes into force is the audit log's. Conclusion: the fleet can be driven by commands against any VM.

--- a/cmd/baobabstep/main.go
+++ b/cmd/baobabstep/main.go
@@ -9,6 +9,7 @@
 	"github.com/alecthomas/kong"
 
 	"baobabstep"
+	"baobabstep/io/operator/command"
 )
 
 // version is set at link time for releases.
@@ -16,10 +17,20 @@
 
 // commands is the command line.
 type commands struct {
+	command.Globals
+
 	Balance       balance          `cmd:"" help:"Run one VM with the given settings file, until SIGTERM (planned stop) or a second SIGTERM (at once)."`
 	CheckSettings checkSettings    `cmd:"" help:"Check a settings file and print it with its defaults filled in."`
 	Capacity      capacityCommands `cmd:"" help:"Measure and print what a VM costs in fleets of any size."`
-	Version       showVersion      `cmd:"" help:"Print the version."`
+	Template      command.Template `cmd:"" help:"Templates that services are made from."`
+	Account       command.Account  `cmd:"" help:"Client accounts: edit a draft, see the difference, accept."`
+	Target        command.Target   `cmd:"" help:"Drain and undrain targets."`
+	Status        command.Status   `cmd:"" help:"The fleet as one VM sees it."`
+	Explain       command.Explain  `cmd:"" help:"Where a flow or request went, and why."`
+	Audit         command.Audit    `cmd:"" help:"Who changed what, when and why."`
+	Config        command.Config   `cmd:"" help:"The whole configuration as one file."`
+
+	Version showVersion `cmd:"" help:"Print the version."`
 }
 
 type showVersion struct{}
@@ -34,8 +45,8 @@
 	os.Exit(run(os.Args[1:]))
 }
 
-// run returns the exit status: 0, or the first digit of the result code's
-// hundred, so that scripts can tell a conflict (3) from an outage (4).
+// run returns the exit status; [command.ExitStatus] says how it follows from
+// the result code.
 func run(args []string) int {
 	var c commands
 	parser, err := kong.New(&c,
@@ -50,7 +61,7 @@
 	if err != nil {
 		return report(baobabstep.Errorf(baobabstep.CodeUsage, "baobabstep", "%v", err))
 	}
-	return report(parsed.Run())
+	return report(parsed.Run(&c.Globals))
 }
 
 func report(err error) int {
@@ -58,5 +69,5 @@
 		return 0
 	}
 	fmt.Fprintln(os.Stderr, err)
-	return int(baobabstep.CodeOf(err)) / 100
+	return command.ExitStatus(err)
 }
--- a/cmd/baobabstep/settings.go
+++ b/cmd/baobabstep/settings.go
@@ -18,7 +18,9 @@
 		return err
 	}
 	s.PeerKeys = hide(s.PeerKeys)
-	s.OperatorKeys = hide(s.OperatorKeys)
+	for i := range s.OperatorKeys {
+		s.OperatorKeys[i].Secret = hidden
+	}
 	text, err := json.MarshalIndent(s, "", "  ")
 	if err != nil {
 		return err
@@ -27,10 +29,13 @@
 	return nil
 }
 
+// hidden stands for a secret in what is printed.
+const hidden = "(hidden)"
+
 func hide(keys []string) []string {
-	hidden := make([]string, len(keys))
+	list := make([]string, len(keys))
 	for i := range keys {
-		hidden[i] = "(hidden)"
+		list[i] = hidden
 	}
-	return hidden
+	return list
 }
--- a/cmd/demo/plan.go
+++ b/cmd/demo/plan.go
@@ -317,7 +317,7 @@
 		"platform_url":           "http://" + p.platformAddress(),
 		"seeds":                  p.seeds(vm),
 		"peer_keys":              []string{peerKey},
-		"operator_keys":          []string{operatorKey},
+		"operator_keys":          []map[string]string{{"id": "demo", "secret": operatorKey}},
 		"policy":                 p.flags.Policy,
 	}
 }
--- a/node/control.go
+++ b/node/control.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/hex"
 	"time"
 
 	"github.com/ThreeDotsLabs/watermill"
@@ -117,9 +116,7 @@
 	if n.streams != nil {
 		n.streams.SetConfig(ctx, c)
 	}
-	n.log.WithFields(log.Fields{
-		"version": c.Version, "digest": shortDigest(c), "services": len(c.Services),
-	}).Info("configuration in force")
+	n.inForce.InForce(now, n.replica.Set())
 }
 
 // sendNews tells some peers what this VM learned of the targets.
@@ -215,6 +212,3 @@
 	n.counts.controlNanos.Add(uint64(time.Since(began)))
 	return nil
 }
-
-// shortDigest is enough of a digest to tell two contents apart in a log.
-func shortDigest(c *baobabstep.Config) string { return hex.EncodeToString(c.Digest[:6]) }
--- a/node/node.go
+++ b/node/node.go
@@ -26,6 +26,7 @@
 	"baobabstep/core/member"
 	"baobabstep/core/request"
 	"baobabstep/core/target"
+	"baobabstep/io/audit"
 	"baobabstep/io/metric"
 	"baobabstep/io/setting"
 	"baobabstep/io/stream"
@@ -82,6 +83,8 @@
 	streams *stream.Proxy
 	metrics *metric.Server
 	counts  counters
+	// inForce logs each version that comes into force.
+	inForce *audit.Log
 	// newsDraw picks whom to tell; streamDraw picks targets of TCP callers.
 	newsDraw, streamDraw *lockedRand
 
@@ -129,6 +132,7 @@
 	})
 	n.streamDraw = &lockedRand{r: n.random(6)}
 	n.newsDraw = &lockedRand{r: n.random(7)}
+	n.inForce = audit.NewLog(n.log, self.Name)
 	n.metrics = metric.New(o.Settings.MetricsAddress, n.Ready)
 	n.registerMetrics()
 	return n
@@ -237,6 +241,7 @@
 		func() error { return n.listen(ctx) },
 		func() error { return n.readConfig(ctx) },
 		func() error { return n.readList(ctx) },
+		func() error { return n.serveOperators(ctx) },
 	}
 	for _, packets := range n.options.Packets {
 		parts = append(parts, func() error { return n.serve(ctx, packets) })
