request: returns of refused callers are booked; groups of even size; tombs at once

Cause: refused callers that came back as soon as the queue was gone came back in a storm; a service of 400 targets was dealt into groups of 16 to 64; keys could move between groups without the former set's word. Change: each refusal books its return at 15 % of the slots' work; refused requests leave the ledger at once for a bounded set of tombs, whose loss is told to claimers; targets are dealt evenly; after a change of the number of groups nothing is claimed for 3 s; answered work ends an ejection early, and ends the ramp after 20 answers.

--- a/core/request/admit.go
+++ b/core/request/admit.go
@@ -77,6 +77,9 @@
 	defaultQueueLimit = 4
 	minRetryAfter     = 50 * time.Millisecond
 	maxRetryAfter     = 30 * time.Second
+	// returnShare is the share of the slots' work that is promised to
+	// callers which were refused.
+	returnShare = 0.15
 )
 
 // admissible tells whether the request can be expected to finish in time.
@@ -129,17 +132,23 @@
 	return time.Duration(ahead * float64(g.capacity.serviceTime) / float64(max(1, g.capacity.slots)))
 }
 
-// retryAfter returns when a refused caller should come back: when the present
-// queue is gone, spread by a factor of 0.5 to 1.5, so that the callers refused
-// in one moment do not return in one moment.
+// retryAfter returns when a refused caller should come back. Each refusal books
+// its return behind those before it, at a rate that is a share of what the
+// slots can serve: callers that all came back as soon as the present queue is
+// gone would only be refused again, and more of them each time. The factor of
+// 0.75 to 1.25 breaks up callers that were refused together elsewhere.
 func (g *group) retryAfter(now time.Time) time.Duration {
 	g.refreshCapacity(now)
-	d := g.expectedWait(baobabstep.ClassOrdinary) + 2*g.capacity.serviceTime
-	if g.capacity.slots == 0 {
-		d = time.Second
+	if g.returns.Before(now) {
+		g.returns = now
+	}
+	if g.returns.Sub(now) < maxRetryAfter {
+		perSlot := float64(g.capacity.serviceTime) / returnShare
+		g.returns = g.returns.Add(time.Duration(perSlot / float64(max(1, g.capacity.slots))))
 	}
+	d := g.returns.Sub(now) + g.expectedWait(baobabstep.ClassOrdinary)
 	d = min(max(d, minRetryAfter), maxRetryAfter)
-	return d/2 + time.Duration(g.shard.rand.Int64N(int64(d)))
+	return d*3/4 + time.Duration(g.shard.rand.Int64N(int64(d/2)))
 }
 
 // tellUnknown tells a caller for whose request no entry can be made or used.
--- a/core/request/claim.go
+++ b/core/request/claim.go
@@ -25,11 +25,11 @@
 		return
 	}
 	en.claim = claim{begun: true, since: now, window: window}
-	if !g.fleet.mayClaim(g.service) || g.engine.paused.Load() {
+	if !g.fleet.mayClaim(g.service) || g.engine.paused.Load() || g.engine.movedWithin(now, g.id.service, window) {
 		en.claim.failed = true
 		return
 	}
-	if g.engine.age(now) >= window {
+	if g.memory(now) >= window {
 		en.claim.acks = append(en.claim.acks, g.engine.opts.Self)
 	}
 	g.sendClaim(now, en, out)
@@ -126,8 +126,8 @@
 	g.ackClaim(now, p, code, owner, out)
 }
 
-// ackClaim answers a claim. Timeout is the age of this process: what it stored
-// in an earlier life it no longer knows. Tried[0] is the owner, in a conflict.
+// ackClaim answers a claim. Timeout is how far back this VM's memory reaches.
+// Tried[0] is the owner, in a conflict.
 func (g *group) ackClaim(now time.Time, p *baobabstep.Packet, code baobabstep.Code, owner baobabstep.VMID, out *baobabstep.Outbox) {
 	q := &baobabstep.Packet{
 		Kind:    baobabstep.KindRequest,
@@ -136,7 +136,7 @@
 		Service: g.id.service,
 		Attempt: p.Attempt,
 		Code:    code,
-		Timeout: g.engine.age(now),
+		Timeout: g.memory(now),
 		Route:   baobabstep.Route{Purpose: baobabstep.PurposeStored, From: g.engine.opts.Self},
 	}
 	if code != baobabstep.CodeOK {
@@ -212,8 +212,7 @@
 		return
 	}
 	en.result.code = p.Code
-	en.setState(stateDone)
-	en.remember(now)
+	en.bury(now)
 }
 
 // adopt looks after stored claims whose owner left the view: their callers
--- a/core/request/failure_test.go
+++ b/core/request/failure_test.go
@@ -380,3 +380,40 @@
 		})
 	}
 }
+
+// A service grows past the targets of one group, so the keys of its requests
+// move to other sets, which know nothing of each other. A copy of a request
+// that ran before the change arrives after it: its caller must not get a second
+// run, and is told "unknown". Once no such copy can arrive, all is as before.
+func TestKeysThatMoveBetweenGroups(t *testing.T) {
+	b := newBench(t, 9, 15, 1)
+	var keys []baobabstep.FlowKey
+	for n := range uint64(20) {
+		keys = append(keys, b.ask(0, request{number: n}))
+	}
+	b.run(time.Second)
+	grown := testService(80)
+	b.config = &baobabstep.Config{Version: 2, Services: []baobabstep.Service{grown}}
+	b.config.Index()
+	for _, target := range grown.Targets {
+		if b.targets[target.ID] == nil {
+			b.targets[target.ID] = &backEnd{serviceTime: 10 * time.Millisecond}
+		}
+	}
+	for _, v := range b.vms {
+		v.slots.SetConfig(b.now, b.config)
+		v.engine.SetConfig(b.now, b.config)
+	}
+	for n := range uint64(20) {
+		b.ask(1, request{number: n})
+	}
+	b.run(time.Second)
+	for _, key := range keys {
+		qt.Assert(t, b.ran[key], qt.Equals, 1)
+		qt.Assert(t, b.callers[key].codes[0], qt.Equals, ok)
+	}
+	b.run(3 * time.Second)
+	key := b.ask(1, request{number: 100})
+	b.run(time.Second)
+	assertTold(t, b, key, ok)
+}
--- a/core/request/fleet_test.go
+++ b/core/request/fleet_test.go
@@ -1,6 +1,7 @@
 package request
 
 import (
+	"container/heap"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -64,12 +65,14 @@
 	config  *baobabstep.Config
 	vms     []*vm
 	targets map[baobabstep.TargetID]*backEnd
-	events  []event
+	events  events
 	order   int
 	// drop, when set, loses the packets for which it returns true.
 	drop func(b *bench, from, to string, p *baobabstep.Packet) bool
 	// double is the share of packets between VMs and callers sent twice.
 	double float64
+	// onRefusal is called for each refusal that a caller gets.
+	onRefusal func(key baobabstep.FlowKey, p *baobabstep.Packet)
 	// redirect names the VM that gets a caller's packets instead of another.
 	redirect map[int]int
 	// sticky makes targets answer the VM that asked, not any VM.
@@ -117,6 +120,27 @@
 	do    func()
 }
 
+// events is a heap by time, then by order of making.
+type events []event
+
+func (e events) Len() int { return len(e) }
+
+func (e events) Less(i, j int) bool {
+	if c := e[i].at.Compare(e[j].at); c != 0 {
+		return c < 0
+	}
+	return e[i].order < e[j].order
+}
+
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
 const oneWay = 500 * time.Microsecond
 
 // reporter is what testing.T and rapid.T have in common here.
@@ -195,10 +219,7 @@
 
 func (b *bench) after(d time.Duration, do func()) {
 	b.order++
-	b.events = append(b.events, event{b.now.Add(d), b.order, do})
-	for i := len(b.events) - 1; i > 0 && b.events[i].at.Before(b.events[i-1].at); i-- {
-		b.events[i], b.events[i-1] = b.events[i-1], b.events[i]
-	}
+	heap.Push(&b.events, event{b.now.Add(d), b.order, do})
 }
 
 // run lets time pass; engines are ticked every 20 ms.
@@ -207,8 +228,7 @@
 	for next := b.now.Add(20 * time.Millisecond); !b.now.Equal(end); next = next.Add(20 * time.Millisecond) {
 		until := earlier(next, end)
 		for len(b.events) > 0 && !b.events[0].at.After(until) {
-			e := b.events[0]
-			b.events = b.events[1:]
+			e := heap.Pop(&b.events).(event)
 			b.now = e.at
 			e.do()
 		}
@@ -321,6 +341,9 @@
 	c.retry = p.RetryAfter
 	if p.Kind == baobabstep.KindRefusal {
 		c.codes = append(c.codes, p.Code)
+		if b.onRefusal != nil {
+			b.onRefusal(p.Flow, p)
+		}
 		return
 	}
 	c.parts++
--- a/core/request/group.go
+++ b/core/request/group.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/binary"
-	"math/bits"
 	"slices"
 	"time"
 
@@ -10,9 +9,6 @@
 	"baobabstep/core/target"
 )
 
-// groupTargets is the number of targets that one dispatcher looks after.
-const groupTargets = 64
-
 type groupID struct {
 	service baobabstep.ServiceID
 	index   int
@@ -21,13 +17,9 @@
 	groups int
 }
 
-// groupOf returns the group that a request belongs to. The number of groups is
-// a power of two, so that it seldom changes.
+// groupOf returns the group that a request belongs to.
 func groupOf(s *baobabstep.Service, h baobabstep.KeyHash) groupID {
-	groups := 1
-	if n := len(s.Targets); n > groupTargets {
-		groups = 1 << bits.Len(uint((n-1)/groupTargets))
-	}
+	groups := target.Groups(len(s.Targets))
 	return groupID{service: s.ID, index: int(binary.LittleEndian.Uint64(h[:8]) % uint64(groups)), groups: groups}
 }
 
@@ -49,6 +41,8 @@
 	// ordinaryCredit grows with each slot given away while both classes
 	// wait; at 1 the next slot is an ordinary request's.
 	ordinaryCredit float64
+	// returns is the time up to which refused callers were told to return.
+	returns time.Time
 	// retryTokens is what is left of the retry budget.
 	retryTokens float64
 	capacity    capacity
--- a/core/request/ledger.go
+++ b/core/request/ledger.go
@@ -115,8 +115,11 @@
 	}
 }
 
-// remove forgets an entry whose copies can no longer arrive.
+// remove takes the entry out of the ledger.
 func (en *entry) remove() {
+	if en.timer >= 0 {
+		heap.Remove(&en.group.shard.timers, en.timer)
+	}
 	en.setState(stateDone)
 	en.dropAnswer()
 	en.dropParts()
@@ -137,11 +140,17 @@
 	en.group.engine.stats.finished(r.code)
 	en.result = r
 	en.setState(stateDone)
-	en.remember(now)
 	if !en.cancelled {
 		en.tell(out)
 	}
 	en.forgetClaim(out)
+	if r.code != baobabstep.CodeOK {
+		// A tomb says the same as the entry, and a flood of refused
+		// requests must not fill the ledger.
+		en.bury(now)
+		return
+	}
+	en.remember(now)
 }
 
 // tell sends the result to the caller.
--- /dev/null
+++ b/core/request/overload_test.go
@@ -0,0 +1,154 @@
+package request
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"baobabstep"
+)
+
+// phase is a time of constant load, as a share of what the slots can serve.
+type phase struct {
+	load   float64
+	length time.Duration
+	spoil  func(b *bench)
+}
+
+// tally is what became of the requests first sent in one phase.
+type tally struct {
+	offered, ok, refused, unknown, unanswered int
+	// urgent are the times to the answer of urgent requests.
+	urgent []time.Duration
+	// lastRefusal is the time from the start of the phase to the last
+	// refusal of a request first sent in it.
+	lastRefusal time.Duration
+}
+
+func (t *tally) urgentP99() time.Duration {
+	slices.Sort(t.urgent)
+	return t.urgent[len(t.urgent)*99/100]
+}
+
+// offer runs phases of open-loop load with three urgent requests in ten. A
+// refused caller comes back once, with a new number, when it was told to.
+func (b *bench) offer(phases ...phase) []tally {
+	tallies := make([]tally, len(phases))
+	of := make(map[baobabstep.FlowKey]int)
+	class := make(map[baobabstep.FlowKey]baobabstep.Class)
+	begun := make([]time.Time, len(phases))
+	number := uint64(0)
+	closed := false
+	send := func(phase int) {
+		if closed {
+			return
+		}
+		number++
+		r := request{number: number, idempotent: number%2 == 0, timeout: time.Second, class: baobabstep.ClassOrdinary}
+		if number%10 < 3 {
+			r.class = baobabstep.ClassUrgent
+		}
+		key := b.ask(b.rand.IntN(len(b.vms)), r)
+		of[key] = phase
+		class[key] = r.class
+	}
+	b.onRefusal = func(key baobabstep.FlowKey, p *baobabstep.Packet) {
+		if phase := of[key]; p.RetryAfter > 0 {
+			b.after(p.RetryAfter, func() { send(phase) })
+		}
+	}
+	for i, ph := range phases {
+		begun[i] = b.now
+		if ph.spoil != nil {
+			ph.spoil(b)
+		}
+		slots := 2 * len(b.targets)
+		gap := float64(10*time.Millisecond) / (ph.load * float64(slots))
+		var next func()
+		end := b.now.Add(ph.length)
+		next = func() {
+			if b.now.Before(end) {
+				send(i)
+				b.after(time.Duration(b.rand.ExpFloat64()*gap), next)
+			}
+		}
+		b.after(0, next)
+		b.run(ph.length)
+	}
+	closed = true
+	b.run(3 * time.Second)
+	for key, c := range b.callers {
+		t := &tallies[of[key]]
+		t.offered++
+		switch {
+		case len(c.codes) == 0:
+			t.unanswered++
+		case c.codes[0] == baobabstep.CodeOK:
+			t.ok++
+			if class[key] == baobabstep.ClassUrgent {
+				t.urgent = append(t.urgent, c.final.Sub(c.first))
+			}
+		case c.codes[0] == baobabstep.CodeOutcomeUnknown:
+			t.unknown++
+		default:
+			t.refused++
+			t.lastRefusal = max(t.lastRefusal, c.final.Sub(begun[of[key]]))
+		}
+	}
+	return tallies
+}
+
+// Load rises from half of the slots to 120 % and falls again, and refused
+// callers come back when told. Urgent requests stay about as fast as at half
+// load, nobody is left without an answer, the slots stay busy, and refusals
+// end soon after the overload does: there is no storm of retries.
+func TestOverloadAndBack(t *testing.T) {
+	b := newBench(t, 9, 15, 1)
+	got := b.offer(phase{load: 0.5, length: 2 * time.Second}, phase{load: 1.2, length: 4 * time.Second}, phase{load: 0.5, length: 4 * time.Second})
+	for i, g := range got {
+		t.Logf("phase %d: offered %d, ok %d, refused %d, unknown %d, urgent p99 %v, last refusal after %v",
+			i, g.offered, g.ok, g.refused, g.unknown, g.urgentP99(), g.lastRefusal)
+		qt.Assert(t, g.unanswered, qt.Equals, 0)
+		qt.Assert(t, g.unknown, qt.Equals, 0)
+	}
+	qt.Assert(t, got[0].refused, qt.Equals, 0)
+	qt.Assert(t, got[1].urgentP99() <= 2*got[0].urgentP99(), qt.IsTrue)
+	// 30 slots serve 2,727 requests/s at a round trip of 1 ms.
+	qt.Assert(t, got[1].ok > 4*2400, qt.IsTrue, qt.Commentf("got %d", got[1].ok))
+	qt.Assert(t, got[2].lastRefusal < time.Second, qt.IsTrue)
+	assertHonest(t, b, func(key baobabstep.FlowKey) bool { return key.Number%2 == 0 })
+}
+
+// Two thirds of the targets fall silent for 3 s and come back. So many look
+// unhealthy that health is ignored, and slots are lost to silent targets; the
+// callers are refused or told "unknown" meanwhile. A few seconds after the
+// return nothing is refused any more: callers that come back when told to and
+// retries within their budget do not keep the service overloaded.
+func TestRecoveryFromAMassFailure(t *testing.T) {
+	b := newBench(t, 9, 15, 1)
+	silent := func(on bool) func(b *bench) {
+		return func(b *bench) {
+			for i := range b.service.Targets {
+				if i%3 != 0 {
+					b.targets[b.service.Targets[i].ID].silent = on
+				}
+			}
+		}
+	}
+	got := b.offer(
+		phase{load: 0.7, length: time.Second},
+		phase{load: 0.7, length: 3 * time.Second, spoil: silent(true)},
+		phase{load: 0.7, length: 10 * time.Second, spoil: silent(false)},
+		phase{load: 0.7, length: 2 * time.Second},
+	)
+	for i, g := range got {
+		t.Logf("phase %d: offered %d, ok %d, refused %d, unknown %d, urgent p99 %v, last refusal after %v",
+			i, g.offered, g.ok, g.refused, g.unknown, g.urgentP99(), g.lastRefusal)
+		qt.Assert(t, g.unanswered, qt.Equals, 0)
+	}
+	qt.Assert(t, got[2].lastRefusal < 4*time.Second, qt.IsTrue)
+	qt.Assert(t, got[3].ok, qt.Equals, got[3].offered)
+	assertHonest(t, b, func(key baobabstep.FlowKey) bool { return key.Number%2 == 0 })
+}
--- a/core/request/request.go
+++ b/core/request/request.go
@@ -131,7 +131,9 @@
 	// on the same VM, which this one does not remember.
 	token  uint32
 	config atomic.Pointer[baobabstep.Config]
-	// viewMu lets one SetView run at a time.
+	// moved is when the keys of services last moved between groups.
+	moved atomic.Pointer[map[baobabstep.ServiceID]time.Time]
+	// viewMu lets one SetView or SetConfig run at a time.
 	viewMu   sync.Mutex
 	view     atomic.Pointer[fleet]
 	paused   atomic.Bool
@@ -163,6 +165,7 @@
 func New(now time.Time, o Options) *Engine {
 	o.setDefaults()
 	e := &Engine{opts: o, started: now, token: o.Rand.Uint32()}
+	e.moved.Store(&map[baobabstep.ServiceID]time.Time{})
 	for i := range e.shards {
 		s := &e.shards[i]
 		s.engine = e
@@ -172,8 +175,58 @@
 	return e
 }
 
-// SetConfig puts a configuration into force.
-func (e *Engine) SetConfig(_ time.Time, c *baobabstep.Config) { e.config.Store(c) }
+// SetConfig puts a configuration into force. A change of a service's data
+// centres changes its sets; a change of its number of groups moves keys between
+// sets that know nothing of each other, and then nothing can be claimed until
+// no copy of an older request can arrive.
+func (e *Engine) SetConfig(now time.Time, c *baobabstep.Config) {
+	e.viewMu.Lock()
+	defer e.viewMu.Unlock()
+	old := e.config.Load()
+	moved := e.movedServices(now, old, c)
+	e.moved.Store(&moved)
+	e.config.Store(c)
+	for i := range e.shards {
+		s := &e.shards[i]
+		s.mu.Lock()
+		for _, g := range s.groups {
+			if service := c.Service(g.id.service); service != nil {
+				g.service = service
+				g.follow(now, g.fleet)
+			}
+		}
+		s.mu.Unlock()
+	}
+}
+
+// movedServices returns when the services whose keys moved did so, leaving out
+// those of long ago.
+func (e *Engine) movedServices(now time.Time, old, c *baobabstep.Config) map[baobabstep.ServiceID]time.Time {
+	moved := make(map[baobabstep.ServiceID]time.Time)
+	if old == nil {
+		return moved
+	}
+	for id, at := range *e.moved.Load() {
+		if now.Sub(at) < e.opts.Remember {
+			moved[id] = at
+		}
+	}
+	for i := range c.Services {
+		s := &c.Services[i]
+		before := old.Service(s.ID)
+		regrouped := before != nil && target.Groups(len(before.Targets)) != target.Groups(len(s.Targets))
+		if regrouped || old.FlowSecret != c.FlowSecret {
+			moved[s.ID] = now
+		}
+	}
+	return moved
+}
+
+// movedWithin tells whether the keys of a service moved a short time ago.
+func (e *Engine) movedWithin(now time.Time, id baobabstep.ServiceID, d time.Duration) bool {
+	at, ok := (*e.moved.Load())[id]
+	return ok && now.Sub(at) < d
+}
 
 // SetView tells which VMs there are.
 func (e *Engine) SetView(now time.Time, v *baobabstep.View) {
--- a/core/request/set.go
+++ b/core/request/set.go
@@ -205,10 +205,16 @@
 
 func (e *Engine) age(now time.Time) time.Duration { return now.Sub(e.started) }
 
+// memory is how far back this VM remembers all requests of the group: to the
+// start of its process, or to where a flood made it drop tombs early.
+func (g *group) memory(now time.Time) time.Duration {
+	return min(g.engine.age(now), g.tombs.reach(now))
+}
+
 // changedWithin tells whether another VM may have been the dispatcher a short
 // time ago.
 func (g *group) changedWithin(now time.Time, d time.Duration) bool {
-	if g.engine.age(now) < d {
+	if g.memory(now) < d || g.engine.movedWithin(now, g.id.service, d) {
 		return true
 	}
 	for i := range g.former {
--- a/core/request/tomb.go
+++ b/core/request/tomb.go
@@ -1,6 +1,7 @@
 package request
 
 import (
+	"math"
 	"time"
 
 	"baobabstep"
@@ -20,12 +21,22 @@
 type tombs struct {
 	young, old map[baobabstep.KeyHash]tomb
 	turned     time.Time
+	// lost is when the newest tomb that was dropped early was made.
+	lost time.Time
 }
 
+// maxTombs bounds a generation, and with it the memory that a flood can take:
+// some 50 MB for both.
+const maxTombs = 1 << 19
+
 func (t *tombs) turn(now time.Time, period time.Duration) {
-	if t.young != nil && now.Sub(t.turned) < period {
+	early := len(t.young) >= maxTombs
+	if t.young != nil && now.Sub(t.turned) < period && !early {
 		return
 	}
+	if early && len(t.old) > 0 {
+		t.lost = t.turned
+	}
 	t.old = t.young
 	t.young = make(map[baobabstep.KeyHash]tomb)
 	t.turned = now
@@ -45,6 +56,14 @@
 	return v, ok
 }
 
+// reach is how far back no tomb was lost.
+func (t *tombs) reach(now time.Time) time.Duration {
+	if t.lost.IsZero() {
+		return math.MaxInt64
+	}
+	return now.Sub(t.lost)
+}
+
 func (t *tombs) len() int { return len(t.young) + len(t.old) }
 
 // bury replaces the entry by a tomb, where one is needed: an idempotent
--- a/core/target/evidence.go
+++ b/core/target/evidence.go
@@ -16,6 +16,13 @@
 	minSamples   = 10
 )
 
+// returnAnswers is the number of answers without a failure between them that
+// end an ejection early; rampAnswers is how many end a ramp early.
+const (
+	returnAnswers = 3
+	rampAnswers   = 20
+)
+
 // holdTime is the first pause of a target that refused work for lack of room.
 // It doubles with each refusal in a row, up to maxHoldTime.
 const (
@@ -30,8 +37,10 @@
 
 	// failures counts bad outcomes in a row, refusals those for lack of room.
 	failures, refusals int
-	failing            float64
-	samples            int
+	// answers counts good outcomes since the last failure or return.
+	answers int
+	failing float64
+	samples int
 	// ejectedUntil ends the present ejection; ejections counts the recent
 	// ones, one of which is forgotten for each MaxEjectTime without any.
 	ejectedUntil time.Time
@@ -80,7 +89,7 @@
 	defer e.pool.mu.Unlock()
 	switch code {
 	case baobabstep.CodeOK:
-		e.succeeded(serviceTime)
+		e.succeeded(now, serviceTime)
 	case baobabstep.CodeTargetLeaving:
 		// For a VM that is cut off from all other sources the first
 		// refusal is the news.
@@ -94,12 +103,20 @@
 	}
 }
 
-func (e *entry) succeeded(serviceTime time.Duration) {
+func (e *entry) succeeded(now time.Time, serviceTime time.Duration) {
 	h := &e.health
 	h.failures = 0
 	h.refusals = 0
 	h.samples++
 	h.failing -= smoothing * h.failing
+	h.answers++
+	if now.Before(h.ejectedUntil) && h.answers >= returnAnswers {
+		// Work reached it all the same, in panic mode, and was answered.
+		// Waiting for the end of the ejection would keep a service short
+		// of targets long after a mass failure is over.
+		h.ejectedUntil = now
+		e.pool.dirty = true
+	}
 	if serviceTime <= 0 {
 		return
 	}
@@ -140,6 +157,7 @@
 func (e *entry) failed(now time.Time) {
 	h := &e.health
 	h.failures++
+	h.answers = 0
 	h.samples++
 	h.failing += smoothing * (1 - h.failing)
 	inRow := h.failures >= e.pool.reg.opts.EjectFailures
--- a/core/target/pick.go
+++ b/core/target/pick.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"math/bits"
 	"time"
 
 	"baobabstep"
@@ -134,7 +135,8 @@
 
 // weight is the share of its even part that the target may get now: below 1
 // in the ramp after it joined or returned, and for as long (up to six ramps)
-// as it is seen to be slower than the rest of the pool.
+// as it is seen to be slower than the rest of the pool. The ramp grows with
+// time or, if it gets requests, with what it answered.
 func (e *entry) weight(now time.Time) float64 {
 	if e.since.IsZero() {
 		return 1
@@ -144,7 +146,7 @@
 	if age >= 6*ramp {
 		return 1
 	}
-	w := min(1, float64(age)/float64(ramp))
+	w := min(1, max(float64(age)/float64(ramp), float64(e.health.answers)/rampAnswers))
 	if slow := e.health.serviceTime; slow > 1.5*e.pool.serviceTime && e.pool.serviceTime > 0 {
 		w = min(w, e.pool.serviceTime/slow)
 	}
@@ -179,6 +181,27 @@
 	r.Outcome(now, id, code, 0)
 }
 
+// groupTargets is the most targets that one dispatcher looks after.
+const groupTargets = 64
+
+// Groups returns the number of groups of a service with n targets: a power of
+// two, so that it seldom changes.
+func Groups(n int) int {
+	if n <= groupTargets {
+		return 1
+	}
+	return 1 << bits.Len(uint((n-1)/groupTargets))
+}
+
+// group returns the usable targets of a group; none when the asker acts on a
+// configuration with another number of groups.
+func (p *pool) group(group, groups int) []*entry {
+	if groups != len(p.groups) {
+		return nil
+	}
+	return p.groups[group]
+}
+
 // Slot names what PickSlot may choose from: the targets of one group of a
 // service. Groups split large services between dispatchers.
 type Slot struct {
@@ -192,14 +215,6 @@
 	Exclude baobabstep.TargetID
 }
 
-// GroupOf returns the group of a target among groups.
-func GroupOf(id baobabstep.TargetID, groups int) int {
-	if groups <= 1 {
-		return 0
-	}
-	return int(mix(uint64(id)) % uint64(groups))
-}
-
 // PickSlot takes a slot of the target with the least share of its slots in
 // use, near ones first. The slot is taken until SlotDone. CodeNoCapacity says
 // that all slots are in use, CodeNoTarget that no target may take work.
@@ -229,7 +244,8 @@
 // pickSlot scans the group, which is small by its definition.
 func (p *pool) pickSlot(now time.Time, q *Slot) *entry {
 	d := draws(q.Draw)
-	n := len(p.usable.entries)
+	entries := p.group(q.Group, q.Groups)
+	n := len(entries)
 	if n == 0 {
 		return nil
 	}
@@ -237,8 +253,8 @@
 	var best *entry
 	bestScore := 0.0
 	for i := range n {
-		e := p.usable.entries[(start+i)%n]
-		if GroupOf(e.target.ID, q.Groups) != q.Group || !e.hasSlot(now) {
+		e := entries[(start+i)%n]
+		if !e.hasSlot(now) {
 			continue
 		}
 		score := e.slotScore(now, q)
@@ -298,10 +314,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.refresh(now)
-	for _, e := range p.usable.entries {
-		if GroupOf(e.target.ID, groups) == group {
-			slots += e.slotLimit(now)
-		}
+	for _, e := range p.group(group, groups) {
+		slots += e.slotLimit(now)
 	}
 	return slots, time.Duration(p.serviceTime * float64(time.Second))
 }
--- a/core/target/pool.go
+++ b/core/target/pool.go
@@ -1,7 +1,9 @@
 package target
 
 import (
+	"cmp"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,6 +25,9 @@
 	// all.
 	usable usableSet
 	near   map[string]*usableSet
+	// groups are the usable targets by group; their number follows from
+	// the configuration alone.
+	groups [][]*entry
 	// panicking is set while more targets look unhealthy than the service
 	// allows to eject: then health is ignored.
 	panicking bool
@@ -48,6 +53,7 @@
 type entry struct {
 	pool   *pool
 	target baobabstep.Target
+	group  int
 	// removed is set once the target is in no configuration.
 	removed bool
 	// quarantined is set while the address may still be taken for another
@@ -112,6 +118,27 @@
 		next.targets[t.ID] = e
 		p.entries = append(p.entries, e)
 	}
+	p.dealGroups()
+}
+
+// dealGroups deals the targets to groups in the order of their hashes, so that
+// all VMs deal alike and the groups differ by one target at most: a group with
+// less than its share of slots would shed while others have room.
+func (p *pool) dealGroups() {
+	p.groups = make([][]*entry, Groups(len(p.entries)))
+	if len(p.groups) == 1 {
+		for _, e := range p.entries {
+			e.group = 0
+		}
+		return
+	}
+	order := slices.Clone(p.entries)
+	slices.SortFunc(order, func(a, b *entry) int {
+		return cmp.Compare(mix(uint64(a.target.ID)), mix(uint64(b.target.ID)))
+	})
+	for i, e := range order {
+		e.group = i % len(p.groups)
+	}
 }
 
 // quarantined tells whether a VM that acts on an older configuration may
@@ -137,6 +164,9 @@
 	p.panicking = p.tooManyUnhealthy(now)
 	p.usable = usableSet{entries: p.usable.entries[:0]}
 	p.near = make(map[string]*usableSet)
+	for i := range p.groups {
+		p.groups[i] = p.groups[i][:0]
+	}
 	for _, e := range p.entries {
 		p.place(now, e)
 	}
@@ -169,6 +199,7 @@
 	usable := !e.mayNotServe() && (p.panicking || e.health.good(now, e))
 	if usable && !e.usable && e.wasKnown() {
 		e.since = now
+		e.health.answers = 0
 	}
 	e.usable = usable
 	e.health.seen = true
@@ -184,6 +215,7 @@
 	e.set = set
 	set.add(e)
 	p.usable.add(e)
+	p.groups[e.group] = append(p.groups[e.group], e)
 }
 
 func (s *usableSet) add(e *entry) {
