target: targets behind get a bounded part on top; cut-off data centres; tests of health

Cause: long flows do not move, so a host that returned from a drain stayed behind for most of the life of a flow; a partition looked like a failure of so many targets that health was ignored; a report that lies about its service time set the pace of admission. Change: a target below 85 % of the mean gets up to two even shares of new flows on top of the two random choices, as long as flows are long compared with the age of the counts; targets of a data centre without a VM in the view are out of reach until a probe proves otherwise; service times come from real work alone; work spills over at 2 % above the mean instead of 5 %.

--- a/core/request/dispatch.go
+++ b/core/request/dispatch.go
@@ -122,13 +122,13 @@
 // expireRunning ends an attempt that took too long.
 func (g *group) expireRunning(now time.Time, en *entry, out *baobabstep.Outbox) {
 	if en.cancelled {
-		g.lose(now, en, out)
+		g.lose(now, en)
 		g.unknown(now, en, out)
 		return
 	}
 	if !now.Before(en.deadline) {
 		g.cancelAttempt(en, out)
-		g.lose(now, en, out)
+		g.lose(now, en)
 		g.unknown(now, en, out)
 		return
 	}
@@ -138,13 +138,13 @@
 		return
 	}
 	g.cancelAttempt(en, out)
-	g.lose(now, en, out)
+	g.lose(now, en)
 	g.retry(now, en)
 }
 
 // lose ends an attempt of which nothing was heard. It is evidence against the
 // target only if the target had a fair time to answer.
-func (g *group) lose(now time.Time, en *entry, _ *baobabstep.Outbox) {
+func (g *group) lose(now time.Time, en *entry) {
 	en.maybeRan = true
 	code := baobabstep.CodeCancelled
 	if !en.cancelled && now.Sub(en.sentAt) >= g.attemptTimeout() {
@@ -177,6 +177,9 @@
 	if p.Code == baobabstep.CodeOutcomeUnknown || p.Code == baobabstep.CodeOK {
 		en.maybeRan = true
 	}
+	if en.maybeRan {
+		g.lose(now, en)
+	}
 	en.releaseSlot(now, p.Code)
 	switch {
 	case en.cancelled && !en.maybeRan:
--- a/core/request/fleet_test.go
+++ b/core/request/fleet_test.go
@@ -18,8 +18,10 @@
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
+	// Defaults, which the command line overrides.
 	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "50")
+	flag.Parse()
 	os.Exit(m.Run())
 }
 
--- a/core/target/evidence.go
+++ b/core/target/evidence.go
@@ -196,7 +196,7 @@
 	h := &e.health
 	h.probePending = false
 	h.missed = 0
-	e.learnReport(int(report.Connections), int(report.SlotsUsed), report.ServiceTime)
+	e.learnReport(int(report.Connections))
 	if report.Draining {
 		e.setLeaving(SourceTarget, true)
 	}
@@ -208,18 +208,17 @@
 		return
 	}
 	h.goodProbes++
+	e.pool.dirty = e.pool.dirty || h.goodProbes == 1
 	if h.goodProbes >= r.opts.ReturnProbes {
 		e.setDown(false)
 		e.setLeaving(SourceTarget, false)
 	}
 }
 
-func (e *entry) learnReport(connections, slots int, serviceTime time.Duration) {
-	e.reported = reported{known: true, connections: connections, base: e.flows, slots: slots}
-	if e.health.serviceTime == 0 && serviceTime > 0 {
-		smooth(&e.health.serviceTime, serviceTime.Seconds(), smoothing)
-		smooth(&e.pool.serviceTime, serviceTime.Seconds(), smoothing)
-	}
+func (e *entry) learnReport(connections int) {
+	// The reported service time is left alone: answers of real work tell it
+	// better, and a wrong one would set the pace of admission and retries.
+	e.reported = reported{known: true, connections: connections, base: e.flows}
 	e.recount()
 	e.changed()
 }
--- a/core/target/news.go
+++ b/core/target/news.go
@@ -22,13 +22,11 @@
 	Target   baobabstep.TargetID
 	Sequence uint64
 	Flows    uint32
-	// Probed says that Down, Connections and ServiceTime are the sender's
-	// findings as a prober.
+	// Probed says that the sender is a prober, has an answer to its last
+	// probes, and that Connections is from it.
 	Probed      bool
 	Down        bool
 	Connections uint32
-	// ServiceTime is in microseconds.
-	ServiceTime uint32
 }
 
 // leavingWord is one source's word. Unlike a word it is passed on.
@@ -53,14 +51,15 @@
 	vm       baobabstep.VMID
 	sequence uint64
 	flows    int
-	down     bool
+	// up and down are findings of a prober.
+	up, down bool
 }
 
 // sentWord is what was last told of a target.
 type sentWord struct {
-	flows  int
-	down   bool
-	queued bool
+	flows    int
+	up, down bool
+	queued   bool
 }
 
 // outgoing holds the targets with something to tell.
@@ -76,6 +75,11 @@
 // the rotation; the flag keeps small changes from being told at once.
 func (e *entry) changed() { e.sent.queued = true }
 
+// up tells whether this VM is a prober and had a good answer.
+func (e *entry) up() bool {
+	return e.health.prober && e.reported.known && e.health.goodProbes > 0
+}
+
 // worthTelling tells whether the state differs enough from what was told.
 // Small changes wait for the rotation: a step of 1/32 of the count is below
 // the spread that two random choices leave anyway.
@@ -83,7 +87,7 @@
 	if !e.sent.queued {
 		return false
 	}
-	if e.sent.down != e.health.down {
+	if e.sent.down != e.health.down || e.sent.up != e.up() {
 		return true
 	}
 	change := e.flows - e.sent.flows
@@ -155,7 +159,7 @@
 		e := n.rotation[last]
 		n.rotation = n.rotation[:last]
 		e.pool.mu.Lock()
-		if e.flows > 0 || e.health.down || e.sent.flows > 0 {
+		if e.flows > 0 || e.up() || e.health.down || e.sent.flows > 0 {
 			left -= r.addWord(body, e)
 		}
 		for s := range e.leaving {
@@ -183,15 +187,14 @@
 
 func (r *Registry) addWord(body *newsBody, e *entry) int {
 	r.news.sequence++
-	e.sent = sentWord{flows: e.flows, down: e.health.down}
+	e.sent = sentWord{flows: e.flows, up: e.up(), down: e.health.down}
 	body.Words = append(body.Words, word{
 		Target:      e.target.ID,
 		Sequence:    r.news.sequence,
 		Flows:       uint32(e.flows),
-		Probed:      e.health.prober && e.reported.known,
+		Probed:      e.up(),
 		Down:        e.health.down,
 		Connections: uint32(e.reported.connections),
-		ServiceTime: uint32(e.health.serviceTime * 1e6),
 	})
 	return wordBytes
 }
@@ -244,14 +247,13 @@
 	if w.Sequence <= p.sequence {
 		return
 	}
-	if p.down != w.Down {
+	if p.down != w.Down || p.up != w.Probed {
 		e.pool.dirty = true
 	}
 	e.othersFlows += int(w.Flows) - p.flows
-	*p = peerWord{vm: from, sequence: w.Sequence, flows: int(w.Flows), down: w.Down}
+	*p = peerWord{vm: from, sequence: w.Sequence, flows: int(w.Flows), up: w.Probed, down: w.Down}
 	if w.Probed && !e.health.prober {
 		e.reported = reported{known: true, connections: int(w.Connections), base: e.flows}
-		smooth(&e.health.serviceTime, float64(w.ServiceTime)/1e6, smoothing)
 	}
 	e.recount()
 }
--- a/core/target/pick.go
+++ b/core/target/pick.go
@@ -11,11 +11,6 @@
 // given: with none, nothing would be observed and the ramp could not end.
 const minWeight = 0.1
 
-// wideSpread is the spread of load, as a share of the mean, past which four
-// targets are drawn instead of two: a returned target then fills in a third of
-// the time, at most at four times its even share of new flows.
-const wideSpread = 0.10
-
 // PickFlow implements [baobabstep.Chooser].
 func (r *Registry) PickFlow(now time.Time, service *baobabstep.Service, near string, draw uint64) (baobabstep.TargetID, baobabstep.Code) {
 	p := r.index.Load().pools[service.ID]
@@ -45,6 +40,10 @@
 // are full by their own reports only: such a report may be wrong, and the
 // target refuses if it is not.
 func (p *pool) pickFlow(now time.Time, near string, d draws) *entry {
+	p.opened++
+	if e := p.pickBehind(now, &d); e != nil {
+		return e
+	}
 	if set := p.near[near]; set != nil && set.mean() <= p.usable.mean()*(1+p.reg.opts.NearMargin)+0.005 {
 		if e := set.pickFlow(now, &d); e != nil {
 			return e
@@ -61,7 +60,7 @@
 	return nil
 }
 
-// pickFlow returns the least loaded of a few random targets of the set.
+// pickFlow returns the less loaded of two random targets of the set.
 func (s *usableSet) pickFlow(now time.Time, d *draws) *entry {
 	n := len(s.entries)
 	if n == 0 {
@@ -69,13 +68,9 @@
 	}
 	first := s.entries[d.below(n)]
 	best := first.candidate(now, d)
-	samples := 2
-	for i := 1; i < samples && n > 1; i++ {
-		other := s.entries[d.below(n)]
-		if i == 1 && spread(first, other) > wideSpread {
-			samples = 4
-		}
-		best = lessLoaded(best, other.candidate(now, d))
+	if n > 1 {
+		second := s.entries[d.below(n)]
+		best = lessLoaded(best, second.candidate(now, d))
 	}
 	if best != nil {
 		return best
@@ -117,18 +112,6 @@
 	}
 }
 
-// spread is the difference of two loads as a share of the larger.
-func spread(a, b *entry) float64 {
-	x, y := a.share(), b.share()
-	if x < y {
-		x, y = y, x
-	}
-	if x == 0 {
-		return 0
-	}
-	return (x - y) / x
-}
-
 func (e *entry) share() float64 {
 	return float64(e.load) / float64(max(1, e.target.Connections))
 }
--- a/core/target/pool.go
+++ b/core/target/pool.go
@@ -28,9 +28,17 @@
 	// groups are the usable targets by group; their number follows from
 	// the configuration alone.
 	groups [][]*entry
+	// behind are the targets with too few flows, found at behindAt; opened
+	// counts the own picks since then.
+	behind   []*entry
+	behindAt time.Time
+	opened   int
 	// panicking is set while more targets look unhealthy than the service
 	// allows to eject: then health is ignored.
 	panicking bool
+	// blind is set while all targets are out of reach by their data centres:
+	// then reach is ignored.
+	blind bool
 	// serviceTime is the mean service time over all targets, in seconds.
 	serviceTime float64
 }
@@ -86,8 +94,7 @@
 	connections int
 	// base is the own count when the report came: flows opened since then
 	// are not in it.
-	base  int
-	slots int
+	base int
 }
 
 func newPool(r *Registry) *pool { return &pool{reg: r, dirty: true} }
@@ -161,6 +168,7 @@
 	}
 	p.dirty = false
 	p.changeAt = time.Time{}
+	p.blind = !p.anyInReach()
 	p.panicking = p.tooManyUnhealthy(now)
 	p.usable = usableSet{entries: p.usable.entries[:0]}
 	p.near = make(map[string]*usableSet)
@@ -177,7 +185,7 @@
 func (p *pool) tooManyUnhealthy(now time.Time) bool {
 	candidates, bad := 0, 0
 	for _, e := range p.entries {
-		if e.mayNotServe() {
+		if e.mayNotServe() || e.outOfReach() {
 			continue
 		}
 		candidates++
@@ -189,6 +197,38 @@
 	return bad > 0 && float64(bad) > p.service.MaxEjectedShare*float64(candidates)
 }
 
+func (p *pool) anyInReach() bool {
+	for _, e := range p.entries {
+		if !e.mayNotServe() && (!e.reg().cutOff(e.target.DataCentre) || e.proved()) {
+			return true
+		}
+	}
+	return false
+}
+
+// outOfReach tells whether the target's data centre is cut off and no probe
+// proves otherwise. A partition takes whole data centres at once, which must
+// not look like a failure of so many targets that health is ignored.
+func (e *entry) outOfReach() bool {
+	return !e.pool.blind && e.reg().cutOff(e.target.DataCentre) && !e.proved()
+}
+
+// proved tells whether a VM of another data centre reaches the target: where
+// a data centre has no VM, others probe its targets.
+func (e *entry) proved() bool {
+	if e.health.prober {
+		return e.health.goodProbes > 0 && e.health.missed == 0
+	}
+	for i := range e.others {
+		if e.others[i].up {
+			return true
+		}
+	}
+	return false
+}
+
+func (e *entry) reg() *Registry { return e.pool.reg }
+
 func (p *pool) changesAt(now, t time.Time) {
 	if t.After(now) && (p.changeAt.IsZero() || t.Before(p.changeAt)) {
 		p.changeAt = t
@@ -196,7 +236,7 @@
 }
 
 func (p *pool) place(now time.Time, e *entry) {
-	usable := !e.mayNotServe() && (p.panicking || e.health.good(now, e))
+	usable := !e.mayNotServe() && !e.outOfReach() && (p.panicking || e.health.good(now, e))
 	if usable && !e.usable && e.wasKnown() {
 		e.since = now
 		e.health.answers = 0
--- a/core/target/probe.go
+++ b/core/target/probe.go
@@ -46,6 +46,11 @@
 // setProber drops findings of a duty that ended.
 func (e *entry) setProber(mine bool) {
 	h := &e.health
+	if h.prober != mine {
+		// Probes of an earlier duty prove nothing.
+		h.goodProbes = 0
+		e.pool.dirty = true
+	}
 	if h.prober && !mine {
 		h.missed = 0
 		h.probePending = false
@@ -115,6 +120,7 @@
 	if h.probePending {
 		h.missed++
 		h.goodProbes = 0
+		e.pool.dirty = e.pool.dirty || e.reg().cutOff(e.target.DataCentre)
 	}
 	if h.missed >= r.opts.ProbeMisses {
 		e.setDown(true)
--- a/core/target/target.go
+++ b/core/target/target.go
@@ -31,6 +31,7 @@
 package target
 
 import (
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -79,11 +80,11 @@
 	SlowStart time.Duration
 	// EjectFailures is the number of failures in a row that eject: 5.
 	EjectFailures int
-	// EjectTime is the length of the first ejection: 5 s. It doubles with
+	// EjectTime is the length of the first ejection: 2 s. It doubles with
 	// each further one, up to MaxEjectTime: 60 s.
 	EjectTime, MaxEjectTime time.Duration
 	// NearMargin is how far the mean load of the near data centre may be
-	// above the mean of the service before work spills over: 0.05 of the
+	// above the mean of the service before work spills over: 0.02 of the
 	// mean.
 	NearMargin float64
 }
@@ -95,9 +96,9 @@
 	setDefault(&o.ReturnProbes, 3)
 	setDefault(&o.SlowStart, 10*time.Second)
 	setDefault(&o.EjectFailures, 5)
-	setDefault(&o.EjectTime, 5*time.Second)
+	setDefault(&o.EjectTime, 2*time.Second)
 	setDefault(&o.MaxEjectTime, time.Minute)
-	setDefault(&o.NearMargin, 0.05)
+	setDefault(&o.NearMargin, 0.02)
 }
 
 func setDefault[T comparable](v *T, d T) {
@@ -111,6 +112,9 @@
 type Registry struct {
 	opts  Options
 	index atomic.Pointer[index]
+	// reached are the data centres with a VM in the view; nil before the
+	// first view.
+	reached atomic.Pointer[map[string]bool]
 
 	// mu guards what follows and is held over SetConfig and SetView. It is
 	// taken before any lock of a pool.
@@ -201,6 +205,7 @@
 	defer r.mu.Unlock()
 	old := r.view
 	r.view = v
+	r.setReached(v)
 	r.assignProbes(now)
 	for _, vm := range goneMembers(old, v) {
 		delete(r.epochs, vm)
@@ -209,6 +214,29 @@
 	r.setEpoch(v)
 }
 
+func (r *Registry) setReached(v *baobabstep.View) {
+	reached := make(map[string]bool)
+	for i := range v.Members {
+		reached[v.Members[i].DataCentre] = true
+	}
+	old := r.reached.Swap(&reached)
+	if old != nil && maps.Equal(*old, reached) {
+		return
+	}
+	for _, p := range r.index.Load().pools {
+		p.mu.Lock()
+		p.dirty = true
+		p.mu.Unlock()
+	}
+}
+
+// cutOff tells whether a data centre has no VM in the view: it may be on the
+// other side of a partition, and then its targets are out of reach too.
+func (r *Registry) cutOff(dataCentre string) bool {
+	reached := r.reached.Load()
+	return reached != nil && len(*reached) > 0 && !(*reached)[dataCentre]
+}
+
 func goneMembers(old, now *baobabstep.View) []baobabstep.VMID {
 	if old == nil {
 		return nil
