root: records carry the address of their target

Cause: a VM that starts after a target left the configuration learns the records of its flows but not where to send their packets. Change: Record.Address, carried by the datagram format. Conclusion: flows of drained targets can outlive every VM that saw the target configured.

--- a/io/wire/part.go
+++ b/io/wire/part.go
@@ -267,11 +267,18 @@
 	Confirmed   bool
 	Age         int64
 	Attempt     uint16
+	// Port, High and Low are the target's address as in wide.
+	Port      uint16
+	High, Low uint64
 }
 
 func (r *record) set(p *baobabstep.Packet) {
 	from := &p.Route.Record
+	high, low := splitAddress(from.Address)
 	*r = record{
+		Port:        from.Address.Port(),
+		High:        high,
+		Low:         low,
 		Target:      uint64(from.Target),
 		Service:     uint64(from.Service),
 		Version:     from.Version,
@@ -286,6 +293,7 @@
 	p.Route.Record = baobabstep.Record{
 		Target:      baobabstep.TargetID(r.Target),
 		Service:     baobabstep.ServiceID(r.Service),
+		Address:     joinAddress(r.High, r.Low, r.Port),
 		Version:     r.Version,
 		Established: r.Established,
 		Confirmed:   r.Confirmed,
--- a/io/wire/wire_test.go
+++ b/io/wire/wire_test.go
@@ -80,7 +80,7 @@
 	p.Report = baobabstep.TargetReport{Healthy: true, Draining: true, SlotsUsed: 1<<32 - 1, Connections: 1<<32 - 1, ServiceTime: 1 << 62}
 	p.Route = baobabstep.Route{
 		Purpose: baobabstep.PurposeStored, From: most, Exhausted: true, NTried: baobabstep.MaxTried,
-		Record: baobabstep.Record{Target: most, Service: most, Version: most, Established: true, Confirmed: true, Age: 1 << 62, Attempt: 1<<16 - 1},
+		Record: baobabstep.Record{Target: most, Service: most, Address: p.Flow.Caller, Version: most, Established: true, Confirmed: true, Age: 1 << 62, Attempt: 1<<16 - 1},
 	}
 	for i := range p.Route.Tried {
 		p.Route.Tried[i] = most
--- a/packet.go
+++ b/packet.go
@@ -132,6 +132,9 @@
 type Record struct {
 	Target  TargetID
 	Service ServiceID
+	// Address is the target's, for a VM that started after the target left
+	// the configuration. It is the zero value if the sender does not know.
+	Address netip.AddrPort
 	// Version is the configuration version under which Target was chosen.
 	Version uint64
 	// Established is set once the target has accepted the flow.
