flow: each safeguard is shown by a test that fails without it

Cause: some safeguards were covered by others, so that a test passed without them; a flow of a drained target was lost to VMs that never saw the target.

--- a/core/flow/copies.go
+++ b/core/flow/copies.go
@@ -111,6 +111,7 @@
 	return baobabstep.Record{
 		Target:      tg.id,
 		Service:     tg.service,
+		Address:     tg.address,
 		Version:     uint64(rec.version),
 		Established: rec.state == StateEstablished,
 		Age:         t.age(rec),
@@ -203,13 +204,13 @@
 
 // carryOn sends a packet on by the record that it carries, without storing it.
 func (t *turn) carryOn() {
-	if t.p.FromTarget {
+	in := t.p.Route.Record
+	if t.p.FromTarget && in.Target != 0 && in.Target == t.p.Target {
 		t.emit(baobabstep.DestCaller)
 		return
 	}
-	in := t.p.Route.Record
-	i, found := t.r.reg.findTarget(in.Target, in.Service, false)
-	if !found || t.r.reg.target(i).taken.Load() {
+	i, found := t.r.reg.findTarget(in.Target, in.Service)
+	if t.p.FromTarget || !found || t.r.reg.target(i).taken.Load() {
 		t.count(EventDroppedUnknown)
 		return
 	}
@@ -260,6 +261,10 @@
 // the target of the other is told, since it would hold the flow for nobody.
 func (t *turn) take() *record {
 	in := t.identity()
+	if in.Target == 0 || in.Service == 0 {
+		t.count(EventDroppedInvalid)
+		return nil
+	}
 	rec := t.find()
 	if rec == nil {
 		return t.store(in)
@@ -320,7 +325,7 @@
 		t.count(EventDroppedUnknown)
 		return nil
 	}
-	tg, _ := t.r.reg.findTarget(in.Target, in.Service, true)
+	tg := t.r.reg.learnTarget(in)
 	t.forgetSearch()
 	t.count(EventLearned)
 	rec := t.create(sv, StateOpening, in.Age)
@@ -346,7 +351,7 @@
 func (t *turn) adopt(rec *record, mine, in baobabstep.Record) {
 	t.conflict(mine, in)
 	t.resetTarget(rec, baobabstep.CodeUnknownFlow)
-	tg, _ := t.r.reg.findTarget(in.Target, in.Service, true)
+	tg := t.r.reg.learnTarget(in)
 	t.setTarget(rec, tg)
 	rec.version = clampVersion(in.Version)
 	rec.setAttempt(in.Attempt)
@@ -365,7 +370,7 @@
 
 // resetLoser tells the target of a record that lost to let the flow go.
 func (t *turn) resetLoser(in baobabstep.Record) {
-	if i, found := t.r.reg.findTarget(in.Target, in.Service, false); found {
+	if i, found := t.r.reg.findTarget(in.Target, in.Service); found {
 		t.sendReset(t.r.reg.target(i), baobabstep.CodeUnknownFlow)
 	}
 }
--- a/core/flow/handle.go
+++ b/core/flow/handle.go
@@ -425,7 +425,7 @@
 	if _, found := t.r.reg.findService(t.p.Flow.Service, t.p.Service); !found {
 		return 0, false
 	}
-	return t.r.reg.findTarget(t.p.Target, t.p.Service, false)
+	return t.r.reg.findTarget(t.p.Target, t.p.Service)
 }
 
 // toCaller sends the packet to the caller, by way of the other owner if that
--- a/core/flow/open.go
+++ b/core/flow/open.go
@@ -53,7 +53,7 @@
 		if code != baobabstep.CodeOK {
 			return 0, code
 		}
-		i, found := t.r.reg.findTarget(id, config.ID, false)
+		i, found := t.r.reg.findTarget(id, config.ID)
 		if found && t.mayOpenTo(t.r.reg.target(i)) {
 			return i, baobabstep.CodeOK
 		}
@@ -106,6 +106,11 @@
 // caller answers within a round trip.
 const evictAge = time.Second
 
+// unansweredAge is the age from which a flow whose caller was probed may be
+// evicted. Under pressure the probe goes out after evictAge and at most one
+// pass of the scan; this leaves the caller two seconds to answer.
+const unansweredAge = evictAge + passTicks*tickLength + 2*time.Second
+
 // evictHalfOpen removes a half-open flow that is older than evictAge. A target
 // that had accepted it is told.
 func (t *turn) evictHalfOpen() bool {
@@ -133,7 +138,7 @@
 		return false
 	}
 	if rec.state == StateEstablished {
-		return rec.countProbes(toCaller) > 0 && since16(t.tick, rec.lastProbe) >= ticks(t.r.o.ProbeInterval)
+		return rec.countProbes(toCaller) > 0 && since(t.tick, rec.fromCaller) >= ticks(unansweredAge)
 	}
 	return since(t.tick, rec.fromCaller) >= ticks(evictAge)
 }
--- a/core/flow/registry.go
+++ b/core/flow/registry.go
@@ -59,6 +59,8 @@
 	byService     map[baobabstep.ServiceID][]uint32
 	serviceByKey  map[serviceKey]uint32
 	serviceByAddr map[netip.AddrPort]uint32
+	// owner is the service that the configuration gives an address to.
+	owner map[netip.AddrPort]baobabstep.ServiceID
 }
 
 func newRegistry() *registry {
@@ -67,6 +69,7 @@
 		byService:     make(map[baobabstep.ServiceID][]uint32),
 		serviceByKey:  make(map[serviceKey]uint32),
 		serviceByAddr: make(map[netip.AddrPort]uint32),
+		owner:         make(map[netip.AddrPort]baobabstep.ServiceID),
 	}
 	reg.targets.Store(new([]*target))
 	reg.services.Store(new([]*service))
@@ -81,21 +84,19 @@
 func (reg *registry) load(c *baobabstep.Config) (moved bool) {
 	reg.mu.Lock()
 	defer reg.mu.Unlock()
-	owner := make(map[netip.AddrPort]baobabstep.ServiceID)
+	clear(reg.owner)
 	for i := range c.Services {
 		s := &c.Services[i]
 		moved = reg.addService(s) || moved
 		for j := range s.Targets {
 			reg.addTarget(&s.Targets[j])
-			owner[s.Targets[j].Address] = s.ID
+			reg.owner[s.Targets[j].Address] = s.ID
 		}
 	}
 	for _, t := range *reg.targets.Load() {
-		if t == nil {
-			continue
+		if t != nil {
+			t.taken.Store(reg.takenFrom(t))
 		}
-		now, found := owner[t.address]
-		t.taken.Store(found && now != t.service)
 	}
 	for _, s := range *reg.services.Load() {
 		now := c.ServiceAt(s.address)
@@ -185,32 +186,47 @@
 	reg.targets.Store(&list)
 }
 
-// findTarget returns the number of a target of a service. A target that this
-// VM's configuration does not know yet is added without an address if add is
-// set: another VM vouched for it.
-func (reg *registry) findTarget(id baobabstep.TargetID, of baobabstep.ServiceID, add bool) (uint32, bool) {
+// findTarget returns the number of a target of a service.
+func (reg *registry) findTarget(id baobabstep.TargetID, of baobabstep.ServiceID) (uint32, bool) {
 	reg.mu.RLock()
 	i, found := reg.targetByID[id]
 	reg.mu.RUnlock()
-	if found && reg.target(i).service == of {
-		return i, true
-	}
-	if !add {
-		return 0, false
+	return i, found && reg.target(i).service == of
+}
+
+// learnTarget returns the number of the target of a record that another VM
+// vouched for. This VM's configuration may not have it yet, or not any more.
+func (reg *registry) learnTarget(in baobabstep.Record) uint32 {
+	if i, found := reg.findTarget(in.Target, in.Service); found && reg.target(i).at(in.Address) {
+		return i
 	}
 	reg.mu.Lock()
 	defer reg.mu.Unlock()
-	for _, i := range reg.byService[of] {
-		if t := reg.target(i); t != nil && t.id == id {
-			return i, true
+	for _, i := range reg.byService[in.Service] {
+		if t := reg.target(i); t != nil && t.id == in.Target && t.at(in.Address) {
+			return i
 		}
 	}
-	current, known := reg.targetByID[id]
-	i = reg.appendTarget(&target{id: id, service: of})
+	current, known := reg.targetByID[in.Target]
+	t := &target{id: in.Target, service: in.Service, address: in.Address}
+	t.taken.Store(reg.takenFrom(t))
+	i := reg.appendTarget(t)
 	if known {
-		reg.targetByID[id] = current
+		reg.targetByID[in.Target] = current
 	}
-	return i, true
+	return i
+}
+
+// at tells whether the target has the address, or another VM did not say.
+func (t *target) at(address netip.AddrPort) bool {
+	return !address.IsValid() || t.address == address
+}
+
+// takenFrom tells whether the configuration gives the target's address to
+// another service.
+func (reg *registry) takenFrom(t *target) bool {
+	now, found := reg.owner[t.address]
+	return found && now != t.service
 }
 
 // findService returns the number of the service that the caller addressed; id
--- a/core/flow/view_test.go
+++ b/core/flow/view_test.go
@@ -45,6 +45,9 @@
 					x.sendOpen(n, x.alive()[n%2].ID)
 					x.sendOpen(n, x.alive()[(n+1)%2].ID)
 				}
+				if order != "gone dead" {
+					qt.Assert(t, x.events("target_search"), qt.Equals, uint64(0))
+				}
 				x.setViews(next)
 				for n := 200; n < 260; n++ {
 					flows = append(flows, x.open(n))
@@ -182,3 +185,75 @@
 		x.assertNobodyHolds(c)
 	}
 }
+
+// The caller has not heard that its flow was accepted, and repeats the open
+// after VMs joined. The new owners are both new and know nothing; the record is
+// with the owners before. They must be visited, or a second target would hold
+// the flow.
+func TestRepeatedOpenVisitsPreviousOwners(t *testing.T) {
+	x := newExchange(t, fleet{vms: 12, dcs: 1, targets: 6})
+	all := x.vms
+	x.setViews(all[:4])
+	x.lose = func(_ baobabstep.VMID, s *baobabstep.Send) bool { return s.Dest == baobabstep.DestCaller }
+	for n := range 100 {
+		x.sendOpen(n, all[0].ID)
+	}
+	x.lose = nil
+	x.setViews(all)
+	moved := 0
+	for n := range 100 {
+		c := x.sendOpen(n, all[n%4].ID)
+		before, now := x.owners(c.key, all[:4]), x.owners(c.key, all)
+		if !now.Has(before.Holder) && !now.Has(before.Second) {
+			moved++
+		}
+		holders := 0
+		for _, tg := range x.targets {
+			if _, holds := tg.flows[c.key]; holds {
+				holders++
+			}
+		}
+		qt.Assert(t, holders, qt.Equals, 1)
+	}
+	qt.Assert(t, moved > 0, qt.IsTrue)
+}
+
+// A VM resumes after a pause and still believes that it holds its flows. An
+// open repeated through it must find the record that the others made.
+func TestPausedVMOpensNothing(t *testing.T) {
+	x := newExchange(t, fleet{vms: 6, dcs: 1, targets: 6})
+	paused := x.vms[0].ID
+	router := x.routers[paused]
+	x.kill(paused)
+	x.setViews(x.alive())
+	x.lose = func(_ baobabstep.VMID, s *baobabstep.Send) bool { return s.Dest == baobabstep.DestCaller }
+	for n := range 100 {
+		x.sendOpen(n, 0)
+	}
+	x.lose = nil
+	x.routers[paused], x.dead[paused] = router, false
+	router.SetPaused(x.now, true)
+	for n := range 100 {
+		c := x.sendOpen(n, paused)
+		x.say(c, "hello", paused)
+		x.assertOneTarget(c)
+	}
+	qt.Assert(t, router.Stats().Events["flow_opened"], qt.Equals, uint64(0))
+}
+
+// Many VMs that were cut off come back at once, so that a flow's owners before
+// and after have no VM in common. The caller's next packet must find the record
+// through the owners before; asking all targets would cost a repetition.
+func TestManyVMsReturnAtOnce(t *testing.T) {
+	x := newExchange(t, fleet{vms: 12, dcs: 1, targets: 6})
+	all := x.vms
+	x.setViews(all[:4])
+	flows := openMany(x, 100)
+	x.setViews(all)
+	for i, c := range flows {
+		x.enter(all[i%12].ID, baobabstep.Packet{Kind: baobabstep.KindData, Flow: c.key, Payload: []byte("hello")})
+		x.run()
+		qt.Assert(t, c.got, qt.HasLen, 1)
+	}
+	qt.Assert(t, x.events("target_search"), qt.Equals, uint64(0))
+}
