flow: a record that its caller may not know of asks before it takes data

Change: data of a flow that is not known to be in use goes by way of the other owner while the VM is in doubt (3 s at most); a paused VM yields to records of others and keeps their copies; answers to probes do not count as use.

--- a/core/flow/copies.go
+++ b/core/flow/copies.go
@@ -21,6 +21,9 @@
 	if rec.copies == t.fingerprint(o) {
 		rec.set(flagCopied)
 	}
+	if rec.state == StateEstablished && rec.detail != detailInUse {
+		rec.detail = 0
+	}
 	switch t.r.o.Self {
 	case o.Holder:
 		rec.set(flagHolder)
@@ -48,7 +51,11 @@
 // other VM is dead, the packet is lost and its sender repeats it.
 func (t *turn) viaOther(rec *record) bool {
 	t.evaluate(rec)
-	if !rec.live() || !rides(t.p.Kind) || !t.outsider(rec) && (rec.has(flagCopied) || !t.repairDue(rec)) {
+	if !rec.live() || !rides(t.p.Kind) {
+		return false
+	}
+	doubt := !t.p.FromTarget && t.p.Kind != baobabstep.KindOpen && t.unproven(rec)
+	if !doubt && (rec.has(flagCopied) || !t.repairDue(rec)) {
 		return false
 	}
 	other := t.otherOwner()
@@ -57,8 +64,13 @@
 		return false
 	}
 	t.count(EventReplicated)
-	rec.lastRepair = uint16(t.tick)
-	rec.set(flagTried)
+	if rec.detail != detailDoubt {
+		rec.lastRepair = uint16(t.tick)
+		rec.set(flagTried)
+	}
+	if doubt {
+		rec.detail = detailDoubt
+	}
 	if t.p.Kind == baobabstep.KindOpened {
 		rec.set(flagVia)
 	}
@@ -161,7 +173,7 @@
 // where it was going.
 func (t *turn) replicate() {
 	if t.snap.paused {
-		t.carryOn()
+		t.whilePaused()
 		return
 	}
 	from := t.p.Route.From
@@ -183,6 +195,9 @@
 		t.emit(baobabstep.DestCaller)
 	default:
 		rec.fromCaller = t.tick
+		if t.p.Kind != baobabstep.KindOpen && rec.state == StateEstablished {
+			rec.detail = detailInUse
+		}
 		if t.disagrees(rec) {
 			t.teach(from, rec)
 		} else {
@@ -202,6 +217,24 @@
 	}
 }
 
+// whilePaused handles a packet that came with a record at a VM that does not
+// trust itself. The sender's decision stands: a record of this VM's own that
+// the caller is not known to use gives way to it. If the caller uses another
+// target, the packet is dropped rather than sent to a second one.
+func (t *turn) whilePaused() {
+	rec := t.find()
+	if rec != nil && rec.live() && t.r.reg.target(rec.target).id != t.p.Route.Record.Target {
+		if rec.detail == detailInUse {
+			t.count(EventDroppedPaused)
+			t.teach(t.p.Route.From, rec)
+			return
+		}
+		t.drop(rec)
+	}
+	t.take()
+	t.carryOn()
+}
+
 // carryOn sends a packet on by the record that it carries, without storing it.
 func (t *turn) carryOn() {
 	in := t.p.Route.Record
--- a/core/flow/handle.go
+++ b/core/flow/handle.go
@@ -142,6 +142,9 @@
 			return
 		}
 		t.heardCaller(rec)
+		if !t.unproven(rec) {
+			t.inUse(rec)
+		}
 		t.toTarget(rec)
 	case baobabstep.KindProbeAck:
 		if t.ownProbe() {
@@ -212,8 +215,8 @@
 	}
 }
 
-// heardCaller notes a sign of life from the caller. After the acceptance, which
-// reached the caller by way of the other owner, it also proves that copy.
+// heardCaller notes a sign of life from the caller. It does not tell which
+// target the caller believes to use.
 func (t *turn) heardCaller(rec *record) {
 	rec.fromCaller = t.tick
 	rec.setProbes(toCaller, 0)
@@ -223,16 +226,60 @@
 	if rec.state != StateEstablished {
 		return
 	}
-	rec.detail = detailInUse
 	if !rec.has(flagConfirmed) {
 		t.s.enter(rec, StateEstablished, confirm)
 	}
+}
+
+// inUse notes that the caller's data goes to the record's target. The
+// acceptance came to the caller by way of the other owner, so that copy is
+// proven as well.
+func (t *turn) inUse(rec *record) {
+	rec.detail = detailInUse
 	if rec.has(flagVia) {
 		rec.clear(flagVia)
 		t.setCopied(rec)
 	}
 }
 
+// provenFor is the time after the target was heard in which the caller's first
+// data can only belong to the acceptance that this VM passed on.
+const provenFor = 2 * time.Second
+
+// doubtFor is how long the other owner is waited for.
+const doubtFor = 3 * time.Second
+
+// unproven tells whether an accepted flow may be one that the caller knows
+// nothing of. The acceptance may have been lost, others may have opened the
+// flow anew while this VM was paused or cut off, and the caller uses theirs.
+// Its data, sent to this record's target, would be split between two. So while
+// in doubt it goes by way of the other owner, who knows if there is another
+// record, and whose confirmation ends the doubt. An owner that stays silent
+// past doubtFor is dead, and its record with it.
+func (t *turn) unproven(rec *record) bool {
+	t.evaluate(rec)
+	switch {
+	case rec.state != StateEstablished || rec.has(flagCopied) || t.otherOwner() == 0:
+		return false
+	case rec.detail == detailInUse || rec.detail == detailNoDoubt:
+		return false
+	case rec.detail == detailDoubt:
+		return !t.endDoubt(rec)
+	}
+	owner := rec.has(flagHolder) || rec.has(flagSecond)
+	calm := !t.unsure() && t.now.Sub(t.snap.changed) >= t.r.o.Grace
+	return !owner || !calm || since(t.tick, rec.fromTarget) > ticks(provenFor)
+}
+
+// endDoubt ends the doubt if it lasted long enough, and tells so.
+func (t *turn) endDoubt(rec *record) bool {
+	if since16(t.tick, rec.lastRepair) <= ticks(doubtFor) {
+		return false
+	}
+	rec.detail = detailNoDoubt
+	return true
+}
+
 // confirm marks a flow whose caller is known to be there.
 func confirm(rec *record) { rec.set(flagConfirmed) }
 
--- a/core/flow/record.go
+++ b/core/flow/record.go
@@ -91,9 +91,15 @@
 	detail uint8
 }
 
-// detailInUse is the detail of an open flow whose caller was heard after the
-// target accepted.
-const detailInUse uint8 = 1
+// Details of an open flow.
+const (
+	// detailInUse: the caller's data goes to the target.
+	detailInUse uint8 = iota + 1
+	// detailDoubt: data goes by way of the other owner, since lastRepair.
+	detailDoubt
+	// detailNoDoubt: the other owner did not answer in time.
+	detailNoDoubt
+)
 
 // codeBase makes flow codes fit a byte.
 const codeBase = 100
--- a/core/flow/tick.go
+++ b/core/flow/tick.go
@@ -180,6 +180,9 @@
 		}
 		return
 	}
+	if rec.detail == detailDoubt && !t.endDoubt(rec) {
+		return
+	}
 	if rec.has(flagVia) && !rec.has(flagConfirmed) {
 		// The caller's next packet, or its answer to a probe, will confirm.
 		return
