member, peer: a lost connection is a hint to ask at once

Cause: the seconds between the death of a VM and the end of its membership cost requests and packets; a process that is killed loses its connections at once. Change: io/peer reports connections that ended unexpectedly (Lost); the close of an idle one carries a close frame and is not reported. Links without work are dropped when the addresses are replaced. Reporting the close of idle connections fails the test of idle connections, not taking the VM for suspect fails the test in member; both pass now. Conclusion: the node has to read Lost and call Fleet.Lost to gain from it.

--- a/core/member/fleet.go
+++ b/core/member/fleet.go
@@ -59,6 +59,9 @@
 	Malformed uint64
 	// Suspicions counts the VMs that this VM found silent itself.
 	Suspicions uint64
+	// Lost counts connections to VMs of the own data centre that ended
+	// unexpectedly.
+	Lost uint64
 	// Refutations counts the times this VM was called suspect or dead.
 	Refutations uint64
 	// Deaths counts VMs that this VM declared dead.
@@ -225,6 +228,7 @@
 	if sender.nonce != m.Nonce {
 		return // another process; its entry will follow
 	}
+	f.trust(sender)
 	if sender.vm.State == baobabstep.VMLeaving {
 		sender.since = time.Time{}
 	}
--- a/core/member/fleet_test.go
+++ b/core/member/fleet_test.go
@@ -63,6 +63,36 @@
 	}
 }
 
+// A process is killed. Its peers see their connections end at once, and may use
+// that to route around it in a fraction of a second. A connection that ends for
+// another reason must not make a VM that lives suspect.
+func TestLostConnection(t *testing.T) {
+	t.Parallel()
+	x := three(t, 9)
+	lose := func(name string) {
+		for _, id := range x.order() {
+			if id != x.id(name) {
+				x.send(id, x.fleets[id].Lost(x.now, x.id(name)))
+			}
+		}
+	}
+	lose("b1")
+	x.run(time.Second)
+	x.assertConverged(9)
+	for _, f := range x.fleets {
+		qt.Assert(t, f.Stats().Suspicions, qt.Equals, uint64(0))
+	}
+
+	x.kill("b1")
+	lose("b1")
+	x.run(300 * time.Millisecond)
+	qt.Assert(t, x.state("b0", "b1"), qt.Equals, "VMSuspect")
+	took := x.until(2*time.Second, x.sees(8))
+	t.Logf("out of all views after %v", took+300*time.Millisecond)
+	x.run(5 * time.Second)
+	x.assertConverged(8)
+}
+
 // Callers see flows moved for nothing when a VM that lives leaves the views.
 // Messages get lost, doubled and overtaken; suspicions follow, and each has to
 // be refuted in time, since a suspect hears of it from several VMs.
--- a/core/member/options.go
+++ b/core/member/options.go
@@ -35,7 +35,9 @@
 	ProbeTimeout time.Duration
 	// SuspicionTimeout is the time a suspect has to refute.
 	SuspicionTimeout time.Duration
-	// PauseLimit is the gap between ticks that counts as a pause.
+	// PauseLimit is the gap between ticks that counts as a pause. It must not
+	// be more than ProbeInterval and SuspicionTimeout together: others may
+	// declare this VM dead after that.
 	PauseLimit time.Duration
 	// RejoinTimeout bounds how long a VM that was paused, or just started,
 	// waits for a peer before it goes on alone.
--- a/core/member/pause.go
+++ b/core/member/pause.go
@@ -68,6 +68,9 @@
 		if living(r) && !r.since.IsZero() {
 			r.since = r.since.Add(gap)
 		}
+		if !r.doubted.IsZero() {
+			r.doubted = r.doubted.Add(gap)
+		}
 	}
 }
 
--- a/core/member/probe.go
+++ b/core/member/probe.go
@@ -127,6 +127,28 @@
 	}
 }
 
+// Lost tells that a connection to a VM ended unexpectedly. A process that dies
+// loses its connections at once, long before its silence is noticed; but so
+// does one whose network had a hiccup. So the VM is pinged, and this VM alone
+// takes it for suspect if it does not answer within the probe timeout. The rest
+// goes its usual way: a VM is never declared dead sooner than ProbeInterval and
+// SuspicionTimeout after its last sign of life, since one that was paused for
+// less than that would not have noticed.
+func (f *Fleet) Lost(now time.Time, id baobabstep.VMID) []Out {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.observe(now)
+	r := f.known[id]
+	if r == nil || r.dataCentre != f.own || r.vm.State != baobabstep.VMAlive || !r.doubted.IsZero() {
+		return nil
+	}
+	r.doubted = f.now
+	f.stats.Lost++
+	var out []Out
+	f.ping(&out, r, f.nextSeq())
+	return out
+}
+
 // judgeSuspects declares dead who did not refute in time, and probes the
 // others again. Only VMs of the own data centre are judged.
 func (f *Fleet) judgeSuspects(out *[]Out) {
@@ -139,6 +161,8 @@
 			continue
 		}
 		switch r.vm.State {
+		case baobabstep.VMAlive:
+			f.judgeDoubted(r)
 		case baobabstep.VMSuspect:
 			f.judgeSuspect(out, r, timeout)
 		case baobabstep.VMLeaving:
@@ -149,6 +173,30 @@
 	}
 }
 
+func (f *Fleet) judgeDoubted(r *record) {
+	if r.doubted.IsZero() {
+		return
+	}
+	silence := f.now.Sub(r.doubted)
+	if silence >= f.o.ProbeTimeout && !r.shaky {
+		r.shaky = true
+		f.stale.Store(true)
+	}
+	if silence >= f.o.ProbeInterval {
+		f.trust(r)
+		f.missed(r)
+	}
+}
+
+// trust ends the doubt that a lost connection raised.
+func (f *Fleet) trust(r *record) {
+	r.doubted = time.Time{}
+	if r.shaky {
+		r.shaky = false
+		f.stale.Store(true)
+	}
+}
+
 func (f *Fleet) judgeSuspect(out *[]Out, r *record, timeout time.Duration) {
 	probes := r.accused || f.probesSuspect(r)
 	if !probes {
--- a/core/member/record.go
+++ b/core/member/record.go
@@ -32,6 +32,10 @@
 	// news; queued tells that it is in the queue.
 	sendsLeft int
 	queued    bool
+	// doubted is when the connection to the VM was lost, zero if it has been
+	// heard since; shaky tells that it did not answer for a probe timeout.
+	doubted time.Time
+	shaky   bool
 	// accused tells that this VM itself found the other one silent.
 	accused bool
 	// nextPing is the time of the next extra ping of a suspect.
--- a/core/member/view.go
+++ b/core/member/view.go
@@ -60,10 +60,11 @@
 }
 
 // seen returns a VM as others of this program should see it: the VMs of a
-// silent data centre are suspect, whatever the last news of them was.
+// silent data centre are suspect, whatever the last news of them was, and so is
+// one that does not answer after its connection was lost.
 func (f *Fleet) seen(r *record) baobabstep.VM {
 	vm := r.vm
-	if r.dataCentre.silent && vm.State == baobabstep.VMAlive {
+	if (r.dataCentre.silent || r.shaky) && vm.State == baobabstep.VMAlive {
 		vm.State = baobabstep.VMSuspect
 	}
 	return vm
--- a/io/peer/conn.go
+++ b/io/peer/conn.go
@@ -47,6 +47,9 @@
 	for {
 		_, data, err := c.ws.Read(c.ctx)
 		if err != nil {
+			if websocket.CloseStatus(err) == websocket.StatusNormalClosure {
+				c.ordered.Store(true)
+			}
 			return
 		}
 		m, err := c.in.decode(data)
@@ -95,6 +98,9 @@
 func (p *Peers) checkConn(c *conn) bool {
 	now := p.elapsed()
 	if now-c.used.Load() > int64(p.o.IdleTimeout) {
+		// The close frame tells the other end that this is no accident.
+		c.ordered.Store(true)
+		_ = c.ws.Close(websocket.StatusNormalClosure, "idle")
 		return false
 	}
 	if now-c.heard.Load() < int64(keepAlive) {
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -51,6 +51,8 @@
 	since   time.Time
 	ctx     context.Context // ends with the connection
 	cancel  context.CancelFunc
+	// ordered is set when the connection is closed on purpose, by either end.
+	ordered atomic.Bool
 	// used and heard are the times of the last message in either direction
 	// and of the last sign of life from the other end, since Peers.started.
 	used, heard atomic.Int64
@@ -315,6 +317,12 @@
 		return
 	}
 	l.conn = nil
+	if !c.ordered.Load() && !p.closed {
+		select {
+		case p.lost <- c.remote:
+		default:
+		}
+	}
 	p.expire(l)
 	if len(l.queue) > 0 {
 		p.connect(l)
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -41,6 +41,9 @@
 	DefaultMaxBackoff       = 5 * time.Second
 )
 
+// lostLimit is the number of lost connections that wait to be read.
+const lostLimit = 64
+
 // maxTopic bounds the length of a topic in bytes.
 const maxTopic = 64
 
@@ -55,8 +58,18 @@
 var (
 	_ baobabstep.Peers = (*Peers)(nil)
 	_ AddressSender    = (*Peers)(nil)
+	_ LossNotifier     = (*Peers)(nil)
 )
 
+// LossNotifier is a [baobabstep.Peers] that tells of connections that ended
+// unexpectedly. That is a hint, no proof: the process may have died, or only
+// its network had a hiccup.
+type LossNotifier interface {
+	// Lost yields the VMs whose connection was lost. Nobody has to read it;
+	// hints that are not read in time are dropped. It is never closed.
+	Lost() <-chan baobabstep.VMID
+}
+
 // Options configure [New]. Zero values get the defaults above.
 type Options struct {
 	Self baobabstep.VM
@@ -117,6 +130,7 @@
 	server   *http.Server
 	client   *http.Client
 	messages chan baobabstep.PeerMessage
+	lost     chan baobabstep.VMID
 	counters counters
 
 	ctx    context.Context
@@ -156,6 +170,7 @@
 		o:         o,
 		listener:  listener,
 		messages:  make(chan baobabstep.PeerMessage, o.ReceiveLimit),
+		lost:      make(chan baobabstep.VMID, lostLimit),
 		ended:     make(chan struct{}),
 		done:      make(chan struct{}),
 		started:   time.Now(),
@@ -193,6 +208,9 @@
 // Messages yields what peers sent. It is closed after Close.
 func (p *Peers) Messages() <-chan baobabstep.PeerMessage { return p.messages }
 
+// Lost yields the VMs whose connection was lost, as [LossNotifier] says.
+func (p *Peers) Lost() <-chan baobabstep.VMID { return p.lost }
+
 // Done is closed when every goroutine has ended after Close.
 func (p *Peers) Done() <-chan struct{} { return p.done }
 
@@ -209,6 +227,7 @@
 		if address, ok := addresses[id]; ok {
 			l.address = address
 		}
+		p.forget(l)
 	}
 }
 
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -236,6 +236,17 @@
 		until(t, "both sides close", func() bool { return a.Stats().Connections+b.Stats().Connections == 0 })
 	}
 	qt.Assert(t, a.Stats().Dials, qt.Equals, uint64(3))
+	qt.Assert(t, len(a.Lost())+len(b.Lost()), qt.Equals, 0)
+}
+
+// A process dies. Its peers lose their connections at once and can ask why,
+// long before its silence is noticed.
+func TestLostConnectionIsReported(t *testing.T) {
+	a, b := start(t, "a", nil), start(t, "b", nil)
+	qt.Assert(t, a.SendAddress(b.Address(), text("hello")), qt.IsNil)
+	receive(t, b, "a", "hello")
+	qt.Assert(t, b.Close(), qt.IsNil)
+	qt.Assert(t, <-a.Lost(), qt.Equals, baobabstep.MakeVMID("b"))
 }
 
 // Strangers hold connections open and say nothing, or nonsense. They must not
