flow: lost ends, restarts nobody saw, and evictions under a flood

Change: audit of idle second copies when the budget is free; lives of VMs; random positions for eviction; an answer to a probe proves the copy when the view is calm, so that a quiet flow needs no message for it.

--- a/core/flow/death_test.go
+++ b/core/flow/death_test.go
@@ -63,3 +63,44 @@
 		x.advance(time.Second)
 	}
 }
+
+// The second copy's VM restarts so fast that nobody saw it die, and lost its
+// memory. Then the holder dies. Unless the holder noticed the restart and made
+// the copy again, its quiet flows are with nobody.
+func TestSecondCopyRestartsUnseen(t *testing.T) {
+	x := newExchange(t, fleet{vms: 3, dcs: 1, targets: 6})
+	flows := openMany(x, 60)
+	x.advance(20 * time.Second)
+	restarted, dies := x.vms[0].ID, x.vms[1].ID
+	x.restart(restarted)
+	x.advance(20 * time.Second)
+	x.kill(dies)
+	x.setViews(x.alive())
+	x.assertAlive(flows...)
+	qt.Assert(t, x.events("target_search"), qt.Equals, uint64(0))
+}
+
+// The flow ended, and the message to the second copy was lost. The copy must
+// not stay for good: with thousands of flows a second even rare losses would
+// fill the table.
+func TestCopyOfAnEndedFlowGoesAway(t *testing.T) {
+	x := newExchange(t, fleet{vms: 3, dcs: 1, targets: 6})
+	flows := openMany(x, 30)
+	x.assertAlive(flows...)
+	x.lose = func(_ baobabstep.VMID, s *baobabstep.Send) bool {
+		return s.Packet.Route.Purpose == baobabstep.PurposeForget
+	}
+	for _, c := range flows {
+		x.enter(0, baobabstep.Packet{Kind: baobabstep.KindClose, Flow: c.key})
+		x.run()
+	}
+	x.lose = nil
+	x.advance(time.Minute)
+	x.now = x.now.Add(100 * time.Minute)
+	x.advance(2 * time.Minute)
+	for _, r := range x.routers {
+		for state, n := range r.Stats().Flows {
+			qt.Assert(t, n, qt.Equals, 0, qt.Commentf("%s", state))
+		}
+	}
+}
--- a/core/flow/event.go
+++ b/core/flow/event.go
@@ -27,6 +27,7 @@
 	EventConflict                        // conflict
 	EventConflictOfTwo                   // conflict_of_established
 	EventRepaired                        // repair_sent
+	EventAudited                         // copy_audited
 	EventHandedOver                      // handed_over
 	EventSurplusDropped                  // surplus_dropped
 	EventRecovered                       // recovered_from_target
--- a/core/flow/flow.go
+++ b/core/flow/flow.go
@@ -98,6 +98,10 @@
 	// MaxHold bounds the time that resets of silent flows are held back
 	// while the VM itself may be cut off (2 h).
 	MaxHold time.Duration
+	// AuditAfter is the time after which the second copy of an idle flow is
+	// compared with the holder, if nothing else needs the budget (100 min,
+	// at most that).
+	AuditAfter time.Duration
 	// ProbesPerSecond bounds probes of idle flows (8,000).
 	ProbesPerSecond float64
 	// SearchesPerSecond bounds probes in search of lost flows (2,000).
@@ -121,11 +125,16 @@
 	orDuration(&o.IdleProbe, 15*time.Second)
 	orDuration(&o.ProbeInterval, 2*time.Second)
 	orDuration(&o.MaxHold, 2*time.Hour)
+	orDuration(&o.AuditAfter, maxAudit)
+	o.AuditAfter = min(o.AuditAfter, maxAudit)
 	orFloat(&o.ProbesPerSecond, 8000)
 	orFloat(&o.SearchesPerSecond, 2000)
 	orFloat(&o.RepairBytesPerSecond, 2048)
 }
 
+// maxAudit fits the 16 bits of record.lastRepair.
+const maxAudit = 100 * time.Minute
+
 func orInt(v *int, d int) {
 	if *v == 0 {
 		*v = d
@@ -341,6 +350,7 @@
 	r.change(func(s *snapshot) {
 		if s.paused && !paused {
 			s.certain = now.Add(r.o.Grace)
+			s.gen++
 		}
 		s.paused = paused
 	})
--- a/core/flow/handle.go
+++ b/core/flow/handle.go
@@ -229,6 +229,17 @@
 	if !rec.has(flagConfirmed) {
 		t.s.enter(rec, StateEstablished, confirm)
 	}
+	if rec.has(flagVia) && t.calm() {
+		// The acceptance has reached the caller, and the copy before it.
+		rec.clear(flagVia)
+		t.setCopied(rec)
+	}
+}
+
+// calm tells whether this VM's view of the fleet has been certain for a while,
+// so that no other VM can have opened its flows anew.
+func (t *turn) calm() bool {
+	return !t.unsure() && t.now.Sub(t.snap.changed) >= t.r.o.Grace
 }
 
 // inUse notes that the caller's data goes to the record's target. The
@@ -267,8 +278,7 @@
 		return !t.endDoubt(rec)
 	}
 	owner := rec.has(flagHolder) || rec.has(flagSecond)
-	calm := !t.unsure() && t.now.Sub(t.snap.changed) >= t.r.o.Grace
-	return !owner || !calm || since(t.tick, rec.fromTarget) > ticks(provenFor)
+	return !owner || !t.calm() || since(t.tick, rec.fromTarget) > ticks(provenFor)
 }
 
 // endDoubt ends the doubt if it lasted long enough, and tells so.
--- a/core/flow/help_test.go
+++ b/core/flow/help_test.go
@@ -36,11 +36,16 @@
 		}
 		return 1
 	})
-	x.choosers[vm.ID] = &fakeChooser{count: map[baobabstep.TargetID]int{}, next: i}
+	x.start(vm)
+}
+
+// start gives a VM a router without records.
+func (x *exchange) start(vm baobabstep.VM) {
+	x.choosers[vm.ID] = &fakeChooser{count: map[baobabstep.TargetID]int{}, next: len(x.choosers)}
 	r := flow.New(x.now, flow.Options{
 		Self: vm.ID, DataCentre: vm.DataCentre, Shards: 4, MaxHalfOpen: maxHalfOpen,
 		Chooser:   x.choosers[vm.ID],
-		Rand:      rand.New(rand.NewPCG(uint64(i), 3)),
+		Rand:      rand.New(rand.NewPCG(uint64(vm.ID), 3)),
 		Invariant: func(name, detail string) { x.t.Fatalf("invariant %s broken at %s: %s", name, vm.Name, detail) },
 	})
 	r.SetConfig(x.now, x.config)
@@ -223,3 +228,12 @@
 		}
 	}
 }
+
+// restart restarts a VM between two heartbeats: its memory is gone, and others
+// see no more than a higher incarnation.
+func (x *exchange) restart(id baobabstep.VMID) {
+	i := slices.IndexFunc(x.vms, func(vm baobabstep.VM) bool { return vm.ID == id })
+	x.vms[i].Incarnation++
+	x.start(x.vms[i])
+	x.setViews(x.vms)
+}
--- a/core/flow/live.go
+++ b/core/flow/live.go
@@ -117,7 +117,7 @@
 // not end because the VM that looks at it is cut off.
 func (t *turn) silent(rec *record, d direction) bool {
 	weight := 0
-	if !t.unsure() && t.now.Sub(t.snap.changed) >= t.r.o.Grace {
+	if t.calm() {
 		weight = t.evidence(rec, d)
 	}
 	t.r.scan.wanted[t.path(rec, d)] = t.tick
--- a/core/flow/open.go
+++ b/core/flow/open.go
@@ -99,7 +99,9 @@
 // halfOpenShare is the number of half-open flows that one shard may hold.
 func (r *Router) halfOpenShare() int { return max(1, r.o.MaxHalfOpen/len(r.shards)) }
 
-// evictTries bounds the positions looked at for one eviction.
+// evictTries bounds the positions looked at for one eviction. They are random:
+// flows that opened together stand together, and neighbours of a miss are
+// misses.
 const evictTries = 64
 
 // evictAge is how long a half-open flow is safe from eviction. An honest
@@ -115,9 +117,8 @@
 // that had accepted it is told.
 func (t *turn) evictHalfOpen() bool {
 	size := t.s.size()
-	start := t.s.random.Uint32N(size)
-	for i := range min(size, evictTries) {
-		rec := t.s.at((start + i) % size)
+	for range evictTries {
+		rec := t.s.at(t.s.random.Uint32N(size))
 		if !t.evictable(rec) {
 			continue
 		}
--- a/core/flow/tick.go
+++ b/core/flow/tick.go
@@ -26,6 +26,8 @@
 	// need of a copy; least is the youngest class that is served.
 	pending [ageClasses]int
 	least   int
+	// spare is set if the pass before found no record in need of a copy.
+	spare bool
 	// silent counts, by direction, the flows that this pass found with an
 	// unanswered probe; silentBefore is the count of the pass before.
 	silent, silentBefore [2]int
@@ -119,6 +121,7 @@
 		least--
 	}
 	r.scan.least = least
+	r.scan.spare = r.scan.pending == [ageClasses]int{}
 	r.scan.pending = [ageClasses]int{}
 	clear(r.scan.witnesses)
 	r.scan.silentBefore, r.scan.silent = r.scan.silent, [2]int{}
@@ -178,6 +181,9 @@
 			t.count(EventSurplusDropped)
 			t.drop(rec)
 		}
+		if rec.has(flagSecond) {
+			t.audit(rec)
+		}
 		return
 	}
 	if rec.detail == detailDoubt && !t.endDoubt(rec) {
@@ -202,6 +208,26 @@
 	t.teach(other, rec)
 }
 
+// audit compares the second copy of an idle flow with its holder once in a long
+// while. The message that the flow ended may have been lost, and only the
+// holder probes, so the copy would stay for good. A holder that lost the record
+// gets it back this way.
+func (t *turn) audit(rec *record) {
+	idle := min(since(t.tick, rec.fromCaller), since(t.tick, rec.fromTarget))
+	limit := ticks(t.r.o.AuditAfter)
+	if idle < limit || rec.has(flagTried) && since16(t.tick, rec.lastRepair) < limit || !t.r.scan.spare {
+		return
+	}
+	holder := t.owners().Holder
+	if t.suspect(holder) || !t.r.repairs.take(t.now, learnBytes) {
+		return
+	}
+	t.count(EventAudited)
+	rec.lastRepair = uint16(t.tick)
+	rec.set(flagTried)
+	t.teach(holder, rec)
+}
+
 // stopRecords and stopSends bound the work of one call of Stop.
 const (
 	stopRecords = 20_000
--- a/core/flow/view_test.go
+++ b/core/flow/view_test.go
@@ -257,3 +257,48 @@
 	}
 	qt.Assert(t, x.events("target_search"), qt.Equals, uint64(0))
 }
+
+// A holder accepted a flow, and its word to the caller was lost as it was
+// paused. The caller repeated its open, others opened the flow on another
+// target, and data went there. After the pause the first VM holds the flow
+// again, with its old record: data must not go by it, to a second target.
+func TestAcceptanceThatTheCallerNeverHeard(t *testing.T) {
+	x := newExchange(t, fleet{vms: 6, dcs: 1, targets: 6})
+	all := slices.Clone(x.vms)
+	targets := x.config.Services[0].Targets
+	for n := range 20 {
+		paused := x.owners(x.key(n), all).Holder
+		for vm, chooser := range x.choosers {
+			chooser.prefer = targets[1].ID
+			if vm == paused {
+				chooser.prefer = targets[0].ID
+			}
+		}
+		x.lose = func(from baobabstep.VMID, s *baobabstep.Send) bool {
+			return from == paused && s.Packet.Kind == baobabstep.KindOpened
+		}
+		x.enterAt = map[string]baobabstep.VMID{"dc0": paused}
+		c := x.sendOpen(n, 0)
+		qt.Assert(t, c.opened, qt.Equals, baobabstep.TargetID(0))
+		x.lose, x.enterAt = nil, nil
+		router := x.routers[paused]
+		x.kill(paused)
+		// The second copy's VM forgot what it had, as after a restart.
+		second := x.owners(c.key, all).Second
+		x.routers[second].Handle(x.now, &baobabstep.Packet{
+			Kind: baobabstep.KindProbe, Flow: c.key, Route: baobabstep.Route{Purpose: baobabstep.PurposeForget},
+		}, &baobabstep.Outbox{})
+		x.setViews(x.alive())
+		qt.Assert(t, x.say(x.open(n), "hello", 0), qt.IsTrue)
+		x.routers[paused], x.dead[paused] = router, false
+		router.SetPaused(x.now, true)
+		router.SetPaused(x.now, false)
+		x.setViews(all)
+		for i := range 3 {
+			qt.Assert(t, x.say(c, fmt.Sprint("again ", i), paused), qt.IsTrue)
+		}
+		x.advance(15 * time.Second)
+		qt.Assert(t, x.say(c, "later", paused), qt.IsTrue)
+		qt.Assert(t, c.bound, qt.Equals, targets[1].ID)
+	}
+}
