--- a/core/config/bench_test.go
+++ b/core/config/bench_test.go
@@ -129,7 +129,7 @@
 			f.wait(5 * time.Second)
 			var worst time.Duration
 			i := 0
-			bytes, messages, gets := f.total(), f.messages, s.gets
+			bytes, messages := f.total(), f.messages
 			start := f.now
 			for b.Loop() {
 				mustAccept(c, s, queueChange(fmt.Sprint(i), 3, 4, i-1, i))
@@ -143,7 +143,6 @@
 			b.ReportMetric(worst.Seconds(), "worst-s")
 			b.ReportMetric(float64(f.total()-bytes)/vms/seconds, "B/s/VM")
 			b.ReportMetric(float64(f.messages-messages)/vms/seconds, "msg/s/VM")
-			b.ReportMetric(float64(s.gets-gets)/float64(i), "gets/change")
 		})
 	}
 }
@@ -165,7 +164,8 @@
 			s := bigStore(b, n)
 			f := newFleet(3, 3, s)
 			assertInForce(c, f, time.Minute, 1)
-			f.wait(30 * time.Second)
+			// The first start of all has used up the budgets of the peers.
+			f.wait(2 * time.Minute)
 			runtime.GC()
 			var m runtime.MemStats
 			runtime.ReadMemStats(&m)
@@ -176,7 +176,7 @@
 			took := assertInForce(c, f, 2*time.Minute, 1)
 			startBytes := f.total() - before
 			s.down = false
-			f.wait(60*time.Second - f.now.Sub(start))
+			f.wait(2*time.Minute - f.now.Sub(start))
 			i := 0
 			bytes := 0
 			for b.Loop() {
--- a/core/config/main_test.go
+++ b/core/config/main_test.go
@@ -209,6 +209,8 @@
 	lossy    float64
 	// corrupt is the share of messages of which one byte is changed.
 	corrupt float64
+	// rate and burst replace the standard budget of VMs started from now on.
+	rate, burst int
 	// tap sees each message.
 	tap func(body []byte)
 	// cut says whether two VMs cannot reach each other, or, with to 0, a VM
@@ -271,7 +273,7 @@
 			continue
 		}
 		r := config.NewReplica(f.now, config.ReplicaOptions{
-			Self: vm, Rand: rand.New(rand.NewPCG(uint64(id), 7)),
+			Self: vm, Rand: rand.New(rand.NewPCG(uint64(id), 7)), BytesPerSecond: f.rate, Burst: f.burst,
 			Violated: func(invariant, detail string) { f.violated = append(f.violated, invariant+": "+detail) },
 		})
 		r.SetFleet(f.now, f.vms)
--- a/core/config/render.go
+++ b/core/config/render.go
@@ -184,6 +184,19 @@
 	}
 }
 
+// owner is a service, or one of its targets, that claims an address or name.
+type owner struct {
+	service *baobabstep.Service
+	target  *baobabstep.Target
+}
+
+func (o owner) String() string {
+	if o.target != nil {
+		return "target " + o.target.Name + " of " + o.service.Name
+	}
+	return "service " + o.service.Name
+}
+
 // checkWhole refuses what no document shows by itself: an address or a name
 // that stands twice. Two services that share an address would receive each
 // other's packets, and two targets that share an identifier each other's flows.
@@ -192,24 +205,26 @@
 	for i := range c.Services {
 		n += len(c.Services[i].Targets)
 	}
-	addresses := make(map[netip.AddrPort]string, n+len(c.Services))
-	services := make(map[baobabstep.ServiceID]string, len(c.Services))
-	targets := make(map[baobabstep.TargetID]string, n)
+	addresses := make(map[netip.AddrPort]owner, n+len(c.Services))
+	services := make(map[baobabstep.ServiceID]owner, len(c.Services))
+	targets := make(map[baobabstep.TargetID]owner, n)
 	for i := range c.Services {
 		s := &c.Services[i]
-		claim(p, services, s.ID, s.Name, "a name, or hash of a name, that no other service has", s.Name)
-		claim(p, addresses, s.Address, "service "+s.Name, "an address that nothing else has", s.Address.String())
+		claim(p, services, s.ID, owner{s, nil}, "a name, or hash of a name, that no other service has")
+		claim(p, addresses, s.Address, owner{s, nil}, "an address that nothing else has")
 		for j := range s.Targets {
 			t := &s.Targets[j]
-			claim(p, targets, t.ID, "target "+t.Name+" of "+s.Name, "a name, or hash of a name, that no other target has", t.Name)
-			claim(p, addresses, t.Address, "target "+t.Name+" of "+s.Name, "an address that nothing else has", t.Address.String())
+			claim(p, targets, t.ID, owner{s, t}, "a name, or hash of a name, that no other target has")
+			claim(p, addresses, t.Address, owner{s, t}, "an address that nothing else has")
 		}
 	}
 }
 
-func claim[K comparable](p *Problems, taken map[K]string, key K, who, rule, shown string) {
+// claim notes who has a key. Texts are made only for a clash: the check runs on
+// each VM for each version.
+func claim[K comparable](p *Problems, taken map[K]owner, key K, who owner, rule string) {
 	if other, ok := taken[key]; ok {
-		p.add(who, shown, "%s (taken by %s)", rule, other)
+		p.add(who.String(), key, "%s (taken by %v)", rule, other)
 		return
 	}
 	taken[key] = who
--- a/core/config/spread_test.go
+++ b/core/config/spread_test.go
@@ -274,3 +274,31 @@
 		c.Assert(r.Current().Services[0].Targets, qt.HasLen, targets)
 	}
 }
+
+// TestStartPastSpentBudget: a VM starts while the platform is down, and the peer
+// that it asks first has spent its budget. Callers of the new VM would wait for
+// that one's answers although other peers are idle; what a peer holds back is
+// asked of another.
+func TestStartPastSpentBudget(t *testing.T) {
+	c := qt.New(t)
+	s := newStore()
+	mustAccept(c, s, firstChange(300, 4))
+	f := newFleet(1, 8, s)
+	assertInForce(c, f, 6*time.Second, 1)
+	s.down = true
+	// All but two VMs have so little left that one answer takes minutes.
+	f.rate, f.burst = 100, 1<<10
+	for _, vm := range f.vms[:6] {
+		f.start(vm.ID)
+		f.wait(20 * time.Second)
+	}
+	f.rate, f.burst = 0, 0
+	for _, vm := range f.vms[:6] {
+		f.start(vm.ID)
+		assertInForce(c, f, 4*time.Second, 1)
+		f.rate, f.burst = 100, 1<<10
+		f.start(vm.ID)
+		f.rate, f.burst = 0, 0
+		f.wait(20 * time.Second)
+	}
+}
--- a/core/config/transfer.go
+++ b/core/config/transfer.go
@@ -14,8 +14,8 @@
 	version  uint64
 	manifest Digest
 	partial  map[Digest]*partial
-	// asked says which peer an object was asked of.
-	asked map[Digest]baobabstep.VMID
+	// asked says which peer an object was asked of, and when.
+	asked map[Digest]request
 	// refused are manifests that do not build; they are not tried again.
 	refused []Digest
 }
@@ -26,6 +26,17 @@
 	total int
 }
 
+// request is one object asked of one peer.
+type request struct {
+	from baobabstep.VMID
+	at   time.Time
+}
+
+// stealAfter is when an object may be asked of another peer that is idle. A
+// peer whose budget is used up answers late, and one such answer, if it holds
+// pages, would keep all other peers idle.
+const stealAfter = 300 * time.Millisecond
+
 // maxPartial bounds the objects that have arrived in part.
 const maxPartial = 256
 
@@ -35,7 +46,7 @@
 func (f *fetch) init() {
 	f.version, f.manifest = 0, Digest{}
 	f.partial = map[Digest]*partial{}
-	f.asked = map[Digest]baobabstep.VMID{}
+	f.asked = map[Digest]request{}
 }
 
 func (f *fetch) refuse(manifest Digest) {
@@ -47,8 +58,8 @@
 
 // release makes what was asked of a peer free to be asked of another.
 func (f *fetch) release(id baobabstep.VMID) {
-	for d, from := range f.asked {
-		if from == id {
+	for d, q := range f.asked {
+		if q.from == id {
 			delete(f.asked, d)
 		}
 	}
@@ -67,7 +78,7 @@
 		return outs
 	}
 	for _, id := range sources {
-		if wants := r.nextWants(id, missing); len(wants) > 0 {
+		if wants := r.nextWants(now, id, missing); len(wants) > 0 {
 			outs = append(outs, r.ask(now, id, wants))
 		}
 	}
@@ -98,6 +109,10 @@
 	return version, manifest, sources[:min(len(sources), maxSources)]
 }
 
+// wantsPerRequest is about what one answer holds at the usual size of an
+// account; what does not fit has to be asked for again.
+const wantsPerRequest = 64
+
 // maxSources bounds the peers asked at the same time.
 const maxSources = 16
 
@@ -126,20 +141,20 @@
 }
 
 // nextWants chooses what to ask of one peer: objects that nobody was asked
-// for, and for one that has arrived in part, the part that follows.
-func (r *Replica) nextWants(id baobabstep.VMID, missing []Missing) []piece {
+// for lately, and for one that has arrived in part, the part that follows.
+func (r *Replica) nextWants(now time.Time, id baobabstep.VMID, missing []Missing) []piece {
 	var wants []piece
 	for _, m := range missing {
-		if _, ok := r.fetch.asked[m.Digest]; ok {
+		if q, ok := r.fetch.asked[m.Digest]; ok && now.Sub(q.at) < stealAfter {
 			continue
 		}
 		want := piece{Digest: m.Digest, Base: m.Base}
 		if p := r.fetch.partial[m.Digest]; p != nil {
 			want.Offset = len(p.data)
 		}
-		r.fetch.asked[m.Digest] = id
+		r.fetch.asked[m.Digest] = request{id, now}
 		wants = append(wants, want)
-		if len(wants) == maxWants {
+		if len(wants) == wantsPerRequest {
 			break
 		}
 	}
