request, target: slots in turn; take-over without collisions; runs that repeat

Change: of targets with an equal share of slots in use the one that waited longest is taken, wherever it is; a new dispatcher holds back requests that are not idempotent for six service times (300 ms at most), and a stopping one passes requests to one and the same VM; targets are iterated in a fixed order.

--- a/core/request/admit.go
+++ b/core/request/admit.go
@@ -9,6 +9,7 @@
 // admitFirst decides about a request that has no entry here.
 func (g *group) admitFirst(now time.Time, p *baobabstep.Packet, out *baobabstep.Outbox) {
 	g.engine.stats.arrived.Add(1)
+	g.serving(now)
 	if g.engine.paused.Load() {
 		g.engine.stats.finished(baobabstep.CodeOutcomeUnknown)
 		g.tellUnknown(now, p, out)
@@ -103,7 +104,9 @@
 		return baobabstep.CodeOverloaded
 	}
 	limit := time.Duration(g.engine.opts.UrgentWait * float64(g.capacity.serviceTime))
-	if en.class == baobabstep.ClassUrgent && wait > limit {
+	// What had to wait for a take-over is worked off first.
+	tookOver := now.Sub(g.took) < 3*maxTakeOver
+	if en.class == baobabstep.ClassUrgent && wait > limit && !tookOver {
 		return baobabstep.CodeOverloaded
 	}
 	return baobabstep.CodeOK
--- a/core/request/dispatch.go
+++ b/core/request/dispatch.go
@@ -35,7 +35,7 @@
 // dispatch hands over waiting requests while there are slots.
 func (g *group) dispatch(now time.Time, out *baobabstep.Outbox) {
 	for {
-		en := g.nextReady()
+		en := g.nextReady(now)
 		if en == nil {
 			return
 		}
@@ -54,9 +54,10 @@
 
 // nextReady chooses between the classes: urgent first, but while both wait
 // ordinary requests get their floor of the slots.
-func (g *group) nextReady() *entry {
-	urgent := g.queues[0].ready()
-	ordinary := g.queues[1].ready()
+func (g *group) nextReady(now time.Time) *entry {
+	takingOver := g.takingOver(now)
+	urgent := g.queues[0].ready(takingOver)
+	ordinary := g.queues[1].ready(takingOver)
 	switch {
 	case urgent == nil:
 		return ordinary
--- a/core/request/group.go
+++ b/core/request/group.go
@@ -32,6 +32,8 @@
 	fleet   *fleet
 	set     set
 	former  []formerSet
+	// took is when this VM began to dispatch, lastServed when it last did.
+	took, lastServed time.Time
 
 	ledger map[baobabstep.FlowKey]*entry
 	tombs  tombs
@@ -85,6 +87,32 @@
 	g.capacity = capacity{at: now, slots: slots, serviceTime: serviceTime}
 }
 
+// idleGap is the time without a request after which a VM that is not the
+// dispatcher begins anew to serve what is passed on to it.
+const idleGap = time.Second
+
+// serving notes that this VM dispatches. It may do so against its own view,
+// when a VM with a newer one passed a request on to it.
+func (g *group) serving(now time.Time) {
+	if g.set.acting != g.engine.opts.Self && now.Sub(g.lastServed) > idleGap {
+		g.took = now
+	}
+	g.lastServed = now
+}
+
+// takingOver tells whether the attempts of a former dispatcher may still fill
+// slots that this VM takes for free. A target refuses what finds no slot, and
+// a request that is not idempotent is not handed over twice, so it waits for
+// the few service times that this lasts.
+func (g *group) takingOver(now time.Time) bool {
+	return now.Sub(g.took) < min(takeOverTimes*g.capacity.serviceTime, maxTakeOver)
+}
+
+const (
+	takeOverTimes = 6
+	maxTakeOver   = 300 * time.Millisecond
+)
+
 // handle routes a packet to this VM's ledger or to the VM that keeps it.
 func (g *group) handle(now time.Time, p *baobabstep.Packet, out *baobabstep.Outbox) {
 	switch p.Route.Purpose {
@@ -143,7 +171,7 @@
 	if p.Kind == baobabstep.KindRequest {
 		return 0
 	}
-	if vm := g.successor(p); vm != 0 {
+	if vm := g.untried(g.set.members, p); vm != 0 {
 		return vm
 	}
 	for i := len(g.former) - 1; i >= 0; i-- {
@@ -164,10 +192,20 @@
 	return 0
 }
 
-// successor returns another member of the set to take over from a VM that is
-// stopping, or 0.
+// successor returns the member of the set that takes over from a VM that is
+// stopping, or 0. A request that this member passed on here, in its older view,
+// goes back to it, once: with a third VM there would be two dispatchers that
+// know nothing of each other's slots.
 func (g *group) successor(p *baobabstep.Packet) baobabstep.VMID {
-	return g.untried(g.set.members, p)
+	if p.Kind != baobabstep.KindRequest || tried(p, g.engine.opts.Self) {
+		return g.untried(g.set.members, p)
+	}
+	for _, vm := range g.set.members {
+		if vm != g.engine.opts.Self && !g.fleet.suspect(vm) && p.Route.NTried < baobabstep.MaxTried-1 {
+			return vm
+		}
+	}
+	return 0
 }
 
 func tried(p *baobabstep.Packet, vm baobabstep.VMID) bool {
@@ -205,8 +243,6 @@
 		Service: g.service,
 		Group:   g.id.index,
 		Groups:  g.id.groups,
-		Near:    g.engine.opts.DataCentre,
-		Draw:    g.shard.rand.Uint64(),
 		Exclude: exclude,
 	}
 }
--- a/core/request/queue.go
+++ b/core/request/queue.go
@@ -48,12 +48,15 @@
 const lookAhead = 32
 
 // ready returns the first waiting entry that may be handed over.
-func (q *queue) ready() *entry {
+func (q *queue) ready(takingOver bool) *entry {
 	for len(q.entries) > 0 && !q.entries[0].waiting {
 		q.entries[0] = nil
 		q.entries = q.entries[1:]
 	}
 	for _, en := range q.entries[:min(lookAhead, len(q.entries))] {
+		if takingOver && !en.idempotent {
+			continue
+		}
 		if en.waiting && (!en.needsClaim || en.claim.owned) {
 			return en
 		}
--- a/core/request/set.go
+++ b/core/request/set.go
@@ -175,6 +175,9 @@
 	}
 	g.fleet = f
 	g.set = f.setOf(g.id, g.service, 0)
+	if n := len(g.former); n > 0 && g.former[n-1].set.acting != g.set.acting {
+		g.took = g.former[n-1].until
+	}
 }
 
 // change notes that a set was in force until a moment. Neighbours that are
@@ -199,6 +202,9 @@
 	if !next.equal(g.set) {
 		g.change(now, g.set)
 	}
+	if self := g.engine.opts.Self; next.acting == self && g.set.acting != self && now.Sub(g.lastServed) > idleGap {
+		g.took = now
+	}
 	g.set = next
 	g.adopt(now)
 }
--- a/core/target/news.go
+++ b/core/target/news.go
@@ -129,13 +129,11 @@
 }
 
 func (n *outgoing) fill(x *index) {
-	for _, e := range x.targets {
-		n.rotation = append(n.rotation, e)
-	}
+	n.rotation = append(n.rotation, x.list...)
 }
 
 func (r *Registry) addChanges(body *newsBody, left int) int {
-	for _, e := range r.index.Load().targets {
+	for _, e := range r.index.Load().list {
 		if left < wordBytes+leaveBytes {
 			return left
 		}
--- a/core/target/pick.go
+++ b/core/target/pick.go
@@ -190,16 +190,12 @@
 type Slot struct {
 	Service       *baobabstep.Service
 	Group, Groups int
-	// Near is the preferred data centre.
-	Near string
-	// Draw is a random number.
-	Draw uint64
 	// Exclude is a target not to choose, such as one that just refused.
 	Exclude baobabstep.TargetID
 }
 
 // PickSlot takes a slot of the target with the least share of its slots in
-// use, near ones first. The slot is taken until SlotDone. CodeNoCapacity says
+// use. The slot is taken until SlotDone. CodeNoCapacity says
 // that all slots are in use, CodeNoTarget that no target may take work.
 func (r *Registry) PickSlot(now time.Time, q Slot) (baobabstep.TargetID, baobabstep.Code) {
 	p := r.index.Load().pools[q.Service.ID]
@@ -220,28 +216,21 @@
 		r.breaks("I6", "picked a target that takes no new work")
 	}
 	best.slots++
-	best.changed()
+	p.slotTurn++
+	best.lastSlot = p.slotTurn
 	return best.target.ID, baobabstep.CodeOK
 }
 
 // pickSlot scans the group, which is small by its definition.
 func (p *pool) pickSlot(now time.Time, q *Slot) *entry {
-	d := draws(q.Draw)
-	entries := p.group(q.Group, q.Groups)
-	n := len(entries)
-	if n == 0 {
-		return nil
-	}
-	start := d.below(n)
 	var best *entry
 	bestScore := 0.0
-	for i := range n {
-		e := entries[(start+i)%n]
+	for _, e := range p.group(q.Group, q.Groups) {
 		if !e.hasSlot(now) {
 			continue
 		}
 		score := e.slotScore(now, q)
-		if best == nil || score < bestScore {
+		if best == nil || score < bestScore || (score == bestScore && e.lastSlot < best.lastSlot) {
 			best, bestScore = e, score
 		}
 	}
@@ -258,13 +247,13 @@
 	return min(e.target.Slots, max(1, int(e.limit*e.weight(now)+0.5)))
 }
 
-// slotScore orders targets: share of slots in use first, then data centre.
+// slotScore orders targets by the share of their slots in use; of equal ones
+// the one that waited longest is taken. The data centre does not count: the way
+// to another one takes a small part of the time that a request takes, and a
+// preference would load the dispatcher's own targets twice as much as the rest.
 // Excluded targets come last, since one target is better than none.
 func (e *entry) slotScore(now time.Time, q *Slot) float64 {
 	score := float64(e.slots) / float64(max(1, e.slotLimit(now)))
-	if e.target.DataCentre != q.Near {
-		score += 0.4
-	}
 	if e.target.ID == q.Exclude {
 		score += 2
 	}
--- a/core/target/pool.go
+++ b/core/target/pool.go
@@ -25,6 +25,8 @@
 	// all.
 	usable usableSet
 	near   map[string]*usableSet
+	// slotTurn counts the slots given away.
+	slotTurn uint64
 	// groups are the usable targets by group; their number follows from
 	// the configuration alone.
 	groups [][]*entry
@@ -83,6 +85,8 @@
 	// since is when the target last became usable; the ramp starts there.
 	since  time.Time
 	usable bool
+	// lastSlot is the turn in which the target last got a request.
+	lastSlot uint64
 	// limit is the adaptive bound of slots in use.
 	limit float64
 	sent  sentWord
@@ -123,6 +127,7 @@
 		e.quarantined = quarantined(c, t.Address, s.ID)
 		e.setLeaving(SourceOperator, t.Drained)
 		next.targets[t.ID] = e
+		next.list = append(next.list, e)
 		p.entries = append(p.entries, e)
 	}
 	p.dealGroups()
--- a/core/target/probe.go
+++ b/core/target/probe.go
@@ -26,8 +26,8 @@
 	}
 	members := membersByDataCentre(r.view)
 	r.duties = nil
-	for id, e := range r.index.Load().targets {
-		mine := !e.removed && r.probes(members, e, id)
+	for _, e := range r.index.Load().list {
+		mine := !e.removed && r.probes(members, e, e.target.ID)
 		e.pool.mu.Lock()
 		e.setProber(mine)
 		e.pool.mu.Unlock()
--- a/core/target/target.go
+++ b/core/target/target.go
@@ -133,6 +133,9 @@
 	config  *baobabstep.Config
 	pools   map[baobabstep.ServiceID]*pool
 	targets map[baobabstep.TargetID]*entry
+	// list has the same targets in a fixed order, so that runs with the same
+	// random numbers are alike.
+	list []*entry
 }
 
 var _ baobabstep.Chooser = (*Registry)(nil)
@@ -184,7 +187,8 @@
 // keepRemoved keeps targets that left the configuration while flows are still
 // counted on them, so that a target that comes back is not taken for empty.
 func keepRemoved(old, next *index) {
-	for id, e := range old.targets {
+	for _, e := range old.list {
+		id := e.target.ID
 		if next.targets[id] != nil {
 			continue
 		}
@@ -193,6 +197,7 @@
 		e.pool.dirty = true
 		if e.flows > 0 || e.slots > 0 {
 			next.targets[id] = e
+			next.list = append(next.list, e)
 		}
 		e.pool.mu.Unlock()
 	}
@@ -256,7 +261,7 @@
 
 // forgetPeer drops the words of a VM from all targets.
 func (r *Registry) forgetPeer(vm baobabstep.VMID) {
-	for _, e := range r.index.Load().targets {
+	for _, e := range r.index.Load().list {
 		e.pool.mu.Lock()
 		e.dropPeer(vm)
 		e.pool.mu.Unlock()
