--- a/core/flow/exchange_test.go
+++ b/core/flow/exchange_test.go
@@ -18,7 +18,9 @@
 	now     time.Time
 	random  *rand.Rand
 	vms     []baobabstep.VM
-	routers map[baobabstep.VMID]*flow.Router
+	routers map[baobabstep.VMID]flow.Policy
+	// policy is the name of the routers' policy.
+	policy string
 	// choosers are those of the routers.
 	choosers map[baobabstep.VMID]*fakeChooser
 	dead     map[baobabstep.VMID]bool
@@ -38,7 +40,8 @@
 	// enter anywhere.
 	enterAt map[string]baobabstep.VMID
 	table   *place.Table
-	sent    int
+	// sent counts packets by destination.
+	sent map[baobabstep.Dest]int
 }
 
 // reporter is what an exchange needs of a test, of either kind.
@@ -136,7 +139,7 @@
 		if x.lose != nil && x.lose(next.from, &next.send) {
 			continue
 		}
-		x.sent++
+		x.sent[next.send.Dest]++
 		switch next.send.Dest {
 		case baobabstep.DestVM:
 			x.deliver(next.send.VM, next.send.Packet)
@@ -213,15 +216,19 @@
 }
 
 // fleet is the size of an exchange.
-type fleet struct{ vms, dcs, targets int }
+type fleet struct {
+	vms, dcs, targets int
+	policy            string
+}
 
 // newExchange returns VMs and one service whose targets all data centres have.
 func newExchange(t reporter, size fleet) *exchange {
 	x := &exchange{
-		t: t, now: time.Unix(1_000_000, 0), random: rand.New(rand.NewPCG(1, 2)),
-		routers: map[baobabstep.VMID]*flow.Router{}, dead: map[baobabstep.VMID]bool{},
+		t: t, policy: size.policy, now: time.Unix(1_000_000, 0), random: rand.New(rand.NewPCG(1, 2)),
+		routers: map[baobabstep.VMID]flow.Policy{}, dead: map[baobabstep.VMID]bool{},
 		targets: map[baobabstep.TargetID]*fakeTarget{}, callers: map[baobabstep.FlowKey]*fakeCaller{},
 		usedBy:   map[baobabstep.FlowKey]baobabstep.TargetID{},
+		sent:     map[baobabstep.Dest]int{},
 		choosers: map[baobabstep.VMID]*fakeChooser{},
 	}
 	s := baobabstep.Service{
--- a/core/flow/help_test.go
+++ b/core/flow/help_test.go
@@ -42,12 +42,15 @@
 // start gives a VM a router without records.
 func (x *exchange) start(vm baobabstep.VM) {
 	x.choosers[vm.ID] = &fakeChooser{count: map[baobabstep.TargetID]int{}, next: len(x.choosers)}
-	r := flow.New(x.now, flow.Options{
+	r, err := flow.NewPolicy(x.now, x.policy, flow.Options{
 		Self: vm.ID, DataCentre: vm.DataCentre, Shards: 4, MaxHalfOpen: maxHalfOpen,
 		Chooser:   x.choosers[vm.ID],
 		Rand:      rand.New(rand.NewPCG(uint64(vm.ID), 3)),
 		Invariant: func(name, detail string) { x.t.Fatalf("invariant %s broken at %s: %s", name, vm.Name, detail) },
 	})
+	if err != nil {
+		x.t.Fatalf("got %v, want a policy", err)
+	}
 	r.SetConfig(x.now, x.config)
 	x.routers[vm.ID] = r
 }
@@ -86,7 +89,7 @@
 func (x *exchange) kill(vms ...baobabstep.VMID) {
 	for _, vm := range vms {
 		x.dead[vm] = true
-		x.routers[vm] = nil
+		delete(x.routers, vm)
 	}
 }
 
@@ -237,3 +240,29 @@
 	x.start(x.vms[i])
 	x.setViews(x.vms)
 }
+
+// setConfigLate puts a configuration in force on every second VM only.
+func (x *exchange) setConfigLate(c *baobabstep.Config) {
+	routers := x.routers
+	x.routers = nil
+	x.setConfig(c)
+	x.routers = routers
+	for i, vm := range x.vms {
+		if r := x.routers[vm.ID]; r != nil && i%2 == 0 {
+			r.SetConfig(x.now, c)
+		}
+	}
+}
+
+// freshAddress returns an address that no target had.
+func (x *exchange) freshAddress() netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 2, byte(len(x.targets))}), 80)
+}
+
+// useAll sends one packet of data on each flow, by way of any VM.
+func (x *exchange) useAll(flows []*fakeCaller) {
+	for _, c := range flows {
+		x.enter(0, baobabstep.Packet{Kind: baobabstep.KindData, Flow: c.key})
+		x.run()
+	}
+}
--- a/core/flow/router_test.go
+++ b/core/flow/router_test.go
@@ -12,7 +12,7 @@
 // alone is one router of a fleet of two, whose answers a test looks at.
 type alone struct {
 	*exchange
-	router *flow.Router
+	router flow.Policy
 	other  baobabstep.VMID
 	key    baobabstep.FlowKey
 }
--- /dev/null
+++ b/core/flow/slottable.go
@@ -0,0 +1,152 @@
+package flow
+
+import (
+	"sync/atomic"
+	"time"
+
+	"baobabstep"
+	"baobabstep/core/place"
+)
+
+// slotTable keeps state only for displaced flows. Each service has a table of
+// slots and targets per configuration. A flow of a slot that never changed
+// needs no state. In a slot that changed, data goes to the target before the
+// change, and flows opened since are exceptions, kept by the one VM that holds
+// the slot.
+//
+// It is a baseline. A slot that changed twice has lost its first target, and
+// exceptions die with their VM.
+type slotTable struct {
+	self    baobabstep.VMID
+	current atomic.Pointer[slotSnapshot]
+	flows   localTable
+}
+
+type slotSnapshot struct {
+	config *baobabstep.Config
+	table  *place.Table
+	// services holds the slots of each service.
+	services map[baobabstep.ServiceID][]slotTargets
+}
+
+// slotTargets are the targets of one slot: for opens, and for flows opened
+// before the last change. Zero stands for none.
+type slotTargets struct{ now, before baobabstep.Target }
+
+// slotsPerService is the number of slots of one service.
+const slotsPerService = 1024
+
+func newSlotTable(self baobabstep.VMID) *slotTable {
+	t := &slotTable{self: self, flows: newLocalTable()}
+	t.current.Store(&slotSnapshot{services: map[baobabstep.ServiceID][]slotTargets{}})
+	return t
+}
+
+// SetConfig computes the slots anew and remembers what they were.
+func (t *slotTable) SetConfig(_ time.Time, c *baobabstep.Config) {
+	old := t.current.Load()
+	next := &slotSnapshot{config: c, table: old.table, services: make(map[baobabstep.ServiceID][]slotTargets)}
+	for i := range c.Services {
+		s := &c.Services[i]
+		next.services[s.ID] = nextSlots(s, old.services[s.ID])
+	}
+	t.current.Store(next)
+}
+
+func nextSlots(s *baobabstep.Service, old []slotTargets) []slotTargets {
+	slots := make([]slotTargets, slotsPerService)
+	for i := range slots {
+		if tg := bestTarget(s, baobabstep.KeyHash{byte(i), byte(i >> 8)}); tg != nil {
+			slots[i].now = *tg
+		}
+		switch {
+		case old == nil:
+		case old[i].now.ID != slots[i].now.ID:
+			slots[i].before = old[i].now
+		default:
+			slots[i].before = old[i].before
+		}
+	}
+	return slots
+}
+
+// SetView sets the VMs that hold slots.
+func (t *slotTable) SetView(_ time.Time, v *baobabstep.View) {
+	next := *t.current.Load()
+	next.table = place.New(v)
+	t.current.Store(&next)
+}
+
+// SetPaused does nothing.
+func (t *slotTable) SetPaused(time.Time, bool) {}
+
+// Handle sends a packet to its target, to the holder of its slot, or to its
+// caller.
+func (t *slotTable) Handle(now time.Time, p *baobabstep.Packet, out *baobabstep.Outbox) {
+	snap := t.current.Load()
+	switch {
+	case snap.config == nil || snap.table == nil:
+		return
+	case p.FromTarget:
+		out.Caller(p)
+		return
+	}
+	s := snap.config.ServiceAt(p.Flow.Service)
+	if s == nil {
+		refuse(p, out)
+		return
+	}
+	hash := place.Hash(snap.config.FlowSecret, p.Flow)
+	slot := snap.services[s.ID][place.Slot(hash)%slotsPerService]
+	holder := snap.table.Owners(hash, s.DataCentres).Holder
+	changed := slot.before.ID != 0
+	if changed && holder != t.self && p.Route.Purpose == baobabstep.PurposeNone {
+		passed := *p
+		passed.Route = baobabstep.Route{Purpose: baobabstep.PurposeForward, From: t.self}
+		out.VM(holder, &passed)
+		return
+	}
+	tg := t.choose(now, hash, slot, p)
+	if tg.ID == 0 {
+		refuse(p, out)
+		return
+	}
+	sendTo(&tg, snap.config.Version, p, out)
+}
+
+// choose returns the target of a packet, and keeps exceptions.
+func (t *slotTable) choose(now time.Time, hash baobabstep.KeyHash, slot slotTargets, p *baobabstep.Packet) baobabstep.Target {
+	if slot.before.ID == 0 {
+		return slot.now
+	}
+	flow, found := t.flows.get(hash)
+	switch {
+	case found:
+	case p.Kind == baobabstep.KindOpen:
+		flow = localFlow{target: slot.now}
+	default:
+		return slot.before
+	}
+	flow.heard = now
+	t.flows.put(hash, flow, p.Kind)
+	return flow.target
+}
+
+// Tick forgets exceptions that were idle for long.
+func (t *slotTable) Tick(now time.Time, _ *baobabstep.Outbox) { t.flows.expire(now) }
+
+// Stop has nothing to hand over.
+func (t *slotTable) Stop(time.Time, *baobabstep.Outbox) int { return 0 }
+
+// Stats returns the number of exceptions.
+func (t *slotTable) Stats() Stats { return t.flows.stats() }
+
+// Explain tells the target of an exception.
+func (t *slotTable) Explain(key baobabstep.FlowKey) (Explanation, bool) {
+	snap := t.current.Load()
+	if snap.config == nil {
+		return Explanation{Flow: key}, false
+	}
+	flow, found := t.flows.get(place.Hash(snap.config.FlowSecret, key))
+	return Explanation{Flow: key, Role: "entry", Target: flow.target.ID, Service: flow.target.Service}, found
+}
--- a/core/flow/table.go
+++ b/core/flow/table.go
@@ -13,7 +13,7 @@
 
 // chunkSize is the number of records allocated together. Records never move,
 // so growing the table copies nothing but the index.
-const chunkSize = 128
+const chunkSize = 64
 
 // minIndex is the initial size of a shard's index.
 const minIndex = 64
