flow: quiet flows cost no copies; silence during a partition

Cause: the answer to a probe that passed the second copy's VM was taken as that VM's word that it has no record, so the copy was made again and again. While a data centre was out of reach, no flow was found silent at all. Change: only a VM without the record is noted as asked; a target's silence counts during a partition, a caller's does not. TestQuietFlowsAreNeverCut and TestSilenceDuringAPartition fail without the safeguards.

--- a/core/flow/find.go
+++ b/core/flow/find.go
@@ -137,19 +137,24 @@
 		t.count(EventDroppedLoop)
 		return
 	}
-	t.count(EventForwarded)
-	s := t.emit(baobabstep.DestVM)
-	s.VM = to
-	route := &s.Packet.Route
-	*route = t.p.Route
-	route.Purpose = baobabstep.PurposeForward
-	route.From = t.r.o.Self
+	route := &t.pass(to).Packet.Route
 	if int(route.NTried) < len(route.Tried) && !t.tried(t.r.o.Self) {
 		route.Tried[route.NTried] = t.r.o.Self
 		route.NTried++
 	}
 }
 
+// pass sends the packet to another VM without a word on this VM's records.
+func (t *turn) pass(to baobabstep.VMID) *baobabstep.Send {
+	t.count(EventForwarded)
+	s := t.emit(baobabstep.DestVM)
+	s.VM = to
+	s.Packet.Route = t.p.Route
+	s.Packet.Route.Purpose = baobabstep.PurposeForward
+	s.Packet.Route.From = t.r.o.Self
+	return s
+}
+
 // passOn hands a packet to another VM, since a paused one decides nothing: its
 // flows may have moved, and its records may be out of date.
 func (t *turn) passOn() {
--- a/core/flow/handle.go
+++ b/core/flow/handle.go
@@ -185,7 +185,7 @@
 	t.evaluate(rec)
 	switch {
 	case t.outsider(rec) && t.mayForward():
-		t.forward(t.owners().Holder)
+		t.pass(t.owners().Holder)
 		return
 	case t.p.Target != tg.id || t.p.Service != tg.service:
 		t.wrongTarget(rec)
@@ -327,7 +327,7 @@
 		t.heardTarget(rec)
 		t.toCaller(rec)
 	case !rec.has(flagHolder) && t.mayForward():
-		t.forward(t.owners().Holder)
+		t.pass(t.owners().Holder)
 	case rec.detail == detailInUse:
 		t.count(EventDroppedWrongTarget)
 		t.refuseTarget()
--- a/core/flow/live.go
+++ b/core/flow/live.go
@@ -38,7 +38,7 @@
 	if !found {
 		return false
 	}
-	t.forward(prober)
+	t.pass(prober)
 	return true
 }
 
@@ -117,7 +117,7 @@
 // not end because the VM that looks at it is cut off.
 func (t *turn) silent(rec *record, d direction) bool {
 	weight := 0
-	if t.calm() {
+	if t.maySilence(d) {
 		weight = t.evidence(rec, d)
 	}
 	t.r.scan.wanted[t.path(rec, d)] = t.tick
@@ -136,6 +136,14 @@
 	return true
 }
 
+// maySilence tells whether an unanswered probe may count at all. While VMs are
+// out of reach, so may be the way by which a caller is heard: other callers
+// that answer prove nothing for it. A target answers this VM or none.
+func (t *turn) maySilence(d direction) bool {
+	settled := !t.snap.paused && !t.now.Before(t.snap.certain) && t.now.Sub(t.snap.changed) >= t.r.o.Grace
+	return settled && (d == toTarget || !t.snap.view.Unsure)
+}
+
 // evidence weighs an unanswered probe. It says something of the flow only if
 // the way to that end and back is known to have worked after the probe was
 // sent: this VM's probes of other flows of the same end were answered. So a
--- a/core/flow/live_test.go
+++ b/core/flow/live_test.go
@@ -50,7 +50,9 @@
 	}
 }
 
-// Flows that nobody uses stay open, since both ends answer probes.
+// Flows that nobody uses stay open, since both ends answer probes. Their copies
+// are made once at most: answers to probes pass the second copy, and the holder
+// must not take that for a sign that the copy is gone.
 func TestQuietFlowsAreNeverCut(t *testing.T) {
 	x := newExchange(t, fleet{vms: 9, dcs: 3, targets: 6})
 	flows := openMany(x, 20)
@@ -58,6 +60,7 @@
 	for _, c := range flows {
 		qt.Assert(t, c.reset, qt.Equals, baobabstep.CodeOK)
 	}
+	qt.Assert(t, x.events("repair_sent") <= uint64(len(flows)), qt.IsTrue)
 	x.assertAlive(flows...)
 }
 
@@ -191,3 +194,27 @@
 		qt.Assert(t, total, qt.Equals, len(tg.flows))
 	}
 }
+
+// Another data centre is out of reach for an hour. A caller that is heard only
+// there looks silent from here and must not be reset; a flow that its target
+// here forgot is dead on either side and must end within seconds.
+func TestSilenceDuringAPartition(t *testing.T) {
+	x := newExchange(t, fleet{vms: 9, dcs: 3, targets: 6})
+	flows := openMany(x, 60)
+	x.advance(time.Minute)
+	for _, vm := range x.vms {
+		x.routers[vm.ID].SetView(x.now, &baobabstep.View{Self: vm.ID, Members: x.vms, ChangedAt: x.now, Unsure: true})
+	}
+	far, dead := flows[3], flows[7]
+	x.lose = func(_ baobabstep.VMID, s *baobabstep.Send) bool {
+		silent := s.Dest == baobabstep.DestCaller && s.Packet.Flow == far.key ||
+			s.Dest == baobabstep.DestTarget && s.Packet.Flow == dead.key
+		return silent && s.Packet.Kind != baobabstep.KindReset
+	}
+	x.advance(time.Minute)
+	x.lose = nil
+	qt.Assert(t, dead.reset, qt.Equals, baobabstep.CodeFlowSilent)
+	qt.Assert(t, far.reset, qt.Equals, baobabstep.CodeOK)
+	x.setViews(x.vms)
+	x.assertAlive(far)
+}
--- a/core/flow/open.go
+++ b/core/flow/open.go
@@ -277,7 +277,7 @@
 	}
 	t.evaluate(rec)
 	if !rec.has(flagHolder) && t.mayForward() {
-		t.forward(t.owners().Holder)
+		t.pass(t.owners().Holder)
 		return
 	}
 	t.refused(rec)
--- a/core/flow/tick.go
+++ b/core/flow/tick.go
@@ -15,8 +15,9 @@
 // the shard never wait long.
 const lockedRecords = 256
 
-// learnBytes is the size of a message that carries one record and its answer.
-const learnBytes = 256
+// learnBytes is the size of the datagram that carries one record, and of its
+// answer.
+const learnBytes = 160
 
 // scan is the periodic work over all records, a part at each tick.
 type scan struct {
