peer: a connection that another replaced is read for half a second more

Cause: when two VMs dialled each other at once, what was sent over the connection that lost was lost with it. Change: a replaced or refused connection is no longer written to, but is read until the other end closes it, for 500 ms at most. Conclusion: forming a connection loses no message in this test; the port still promises none.

--- a/io/peer/conn.go
+++ b/io/peer/conn.go
@@ -18,14 +18,15 @@
 // writeTimeout bounds one write to a peer that does not read.
 const writeTimeout = 5 * time.Second
 
-// run serves a connection until either end closes it. l is nil if the
-// connection is not wanted.
+// drainTime is how long a replaced connection is still read. The peer writes to
+// it until it has chosen too, about a round trip.
+const drainTime = 500 * time.Millisecond
+
+// run serves a connection until either end closes it or another one replaces
+// it.
 func (p *Peers) run(l *link, c *conn) {
 	defer func() { _ = c.ws.CloseNow() }()
 	defer c.cancel()
-	if l == nil {
-		return
-	}
 	defer p.detach(l, c)
 	c.ws.SetReadLimit(int64(p.o.MaxMessage + maxTopic + frameOverhead))
 	reading := make(chan struct{})
@@ -38,10 +39,24 @@
 		return
 	}
 	p.writeLoop(l, c)
+	c.drain()
 	c.cancel()
 	<-reading
 }
 
+// drain waits while a replaced connection may still bring messages.
+func (c *conn) drain() {
+	select {
+	case <-c.replaced:
+	default:
+		return
+	}
+	select {
+	case <-c.ctx.Done():
+	case <-time.After(drainTime):
+	}
+}
+
 // readLoop hands on what the other VM sends.
 func (p *Peers) readLoop(c *conn) {
 	for {
@@ -85,6 +100,8 @@
 		select {
 		case <-c.ctx.Done():
 			return
+		case <-c.replaced:
+			return
 		case <-l.wake:
 		case <-check.C:
 			if !p.checkConn(c) {
@@ -120,7 +137,7 @@
 	for c.ctx.Err() == nil {
 		m, ok := p.next(l, c)
 		if !ok {
-			return true
+			return true // also if replaced; the caller notices
 		}
 		if !p.write(c, m) {
 			return false
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -51,6 +51,8 @@
 	since   time.Time
 	ctx     context.Context // ends with the connection
 	cancel  context.CancelFunc
+	// replaced is closed when another connection has taken the link over.
+	replaced chan struct{}
 	// ordered is set when the connection is closed on purpose, by either end.
 	ordered atomic.Bool
 	// used and heard are the times of the last message in either direction
@@ -62,6 +64,12 @@
 	return &link{id: id, address: address, wake: make(chan struct{}, 1)}
 }
 
+// open prepares a connection that passed the handshake.
+func (p *Peers) open(c *conn) {
+	c.ctx, c.cancel = context.WithCancel(p.ctx)
+	c.replaced = make(chan struct{})
+}
+
 func (l *link) signal() {
 	select {
 	case l.wake <- struct{}{}:
@@ -94,8 +102,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if l.conn != c {
-		// A newer connection took the link over. The wake that brought us
-		// here was meant for it.
+		// The wake that brought us here was meant for the connection that
+		// took the link over.
 		l.signal()
 		return m, false
 	}
@@ -186,7 +194,7 @@
 		_ = ws.CloseNow()
 		return nil, err
 	}
-	c.ctx, c.cancel = context.WithCancel(p.ctx)
+	p.open(c)
 	return c, nil
 }
 
@@ -227,7 +235,7 @@
 		_ = ws.CloseNow()
 		return nil, err
 	}
-	c.ctx, c.cancel = context.WithCancel(p.ctx)
+	p.open(c)
 	return c, nil
 }
 
@@ -248,7 +256,7 @@
 }
 
 // attachDialled gives a dialled connection to its link, which for a seed is
-// known only now. It returns nil if the connection is not wanted.
+// known only now.
 func (p *Peers) attachDialled(l *link, c *conn) *link {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -258,7 +266,8 @@
 	if l.id == 0 {
 		l = p.adopt(l, c.remote)
 	}
-	return p.attach(l, c)
+	p.attach(l, c)
+	return l
 }
 
 // adopt moves the queue of a seed to the link of the VM that answered there.
@@ -284,29 +293,32 @@
 		l = newLink(c.remote, p.addresses[c.remote])
 		p.links[c.remote] = l
 	}
-	return p.attach(l, c)
+	p.attach(l, c)
+	return l
 }
 
-// attach needs Peers.mu. Two VMs that dial each other at once make two
+// attach needs Peers.mu. It chooses between a new connection of a link and the
+// one it has. The other one is drained: what the peer sent over it before it
+// made the same choice still arrives. Two VMs that dial each other at once make two
 // connections, and both ends have to keep the same one: the one that the VM
 // with the smaller ID dialled. Later a new connection always wins, since the
 // old one may belong to a process that is gone.
-func (p *Peers) attach(l *link, c *conn) *link {
+func (p *Peers) attach(l *link, c *conn) {
 	now := time.Now()
 	old := l.conn
 	if old != nil {
 		race := now.Sub(old.since) < p.o.HandshakeTimeout && old.dialler != c.dialler
 		if race && old.dialler == min(old.dialler, c.dialler) {
-			return nil
+			close(c.replaced)
+			return
 		}
-		old.cancel()
+		close(old.replaced)
 	}
 	c.since = now
 	c.used.Store(p.elapsed())
 	c.heard.Store(p.elapsed())
 	l.conn = c
 	l.signal()
-	return l
 }
 
 // detach ends the link's use of a connection.
