--- a/core/config/enum.go
+++ b/core/config/enum.go
@@ -6,7 +6,7 @@
 	"baobabstep"
 )
 
-//go:generate stringer -type=Type,ObjectKind -linecomment -output=enum_string.go
+//go:generate stringer -type=Type,ObjectKind,StepKind -linecomment -output=enum_string.go
 
 // Type is the type of a parameter.
 type Type uint8
--- a/core/config/fleet.go
+++ b/core/config/fleet.go
@@ -54,11 +54,16 @@
 	byCentre := map[string][]baobabstep.VMID{self.DataCentre: {self.ID}}
 	for i := range all {
 		vm := &all[i]
-		if vm.ID == self.ID || vm.State == baobabstep.VMDead {
+		if vm.ID == 0 || vm.ID == self.ID || vm.State == baobabstep.VMDead {
 			continue
 		}
 		f.others = append(f.others, vm.ID)
 		f.centres[vm.ID] = vm.DataCentre
+		if vm.State == baobabstep.VMLeaving {
+			// It still answers, and has no roles any more: a reader that
+			// stops would delay the changes of its last moments.
+			continue
+		}
 		byCentre[vm.DataCentre] = append(byCentre[vm.DataCentre], vm.ID)
 		if vm.DataCentre == self.DataCentre {
 			f.near = append(f.near, vm.ID)
--- /dev/null
+++ b/core/config/prepare.go
@@ -0,0 +1,292 @@
+package config
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+	"sort"
+	"time"
+
+	"baobabstep"
+)
+
+// prepare makes the objects and the head of the next version.
+func (a *Accept) prepare(now time.Time) Step {
+	refs, err := a.applyEdits()
+	if err != nil {
+		return a.fail(err)
+	}
+	after, err := a.assemble(now, refs)
+	if err != nil {
+		return a.fail(err)
+	}
+	if err := a.checkTemplates(after); err != nil {
+		return a.fail(err)
+	}
+	a.result.Dangers = dangers(a.beforeConfig(), after.Config)
+	open := unconfirmed(a.result.Dangers, a.change.Confirm)
+	switch {
+	case len(a.result.Difference) == 0:
+		return a.fail(baobabstep.Errorf(baobabstep.CodeInvalid, "config.accept", "got a change that changes nothing, want at least one difference"))
+	case a.change.DryRun:
+		a.state = stateDone
+		return Step{}
+	case len(open) > 0:
+		return a.fail(baobabstep.Errorf(baobabstep.CodeDangerous, "config.accept", "confirm by name: %s", dangerText(open)))
+	}
+	return a.writeNext()
+}
+
+func (a *Accept) beforeConfig() *baobabstep.Config {
+	if a.before == nil {
+		return nil
+	}
+	return a.before.Config
+}
+
+// applyEdits returns the references of the next version and collects the
+// difference. An edit whose base is no longer the current document conflicts.
+func (a *Accept) applyEdits() (map[refKey]Ref, error) {
+	refs := map[refKey]Ref{}
+	if a.before != nil {
+		for k, r := range a.before.refs {
+			refs[k] = r
+		}
+	}
+	a.objects = map[Digest][]byte{}
+	a.result.Difference, a.result.Theirs, a.result.Collisions = nil, nil, nil
+	conflicts := 0
+	for i := range a.change.Edits {
+		e := &a.change.Edits[i]
+		document, conflict, err := a.applyEdit(e, refs)
+		if err != nil {
+			return nil, err
+		}
+		if conflict {
+			conflicts++
+			continue
+		}
+		a.place(e, document, refs)
+	}
+	if conflicts > 0 {
+		return nil, baobabstep.Errorf(baobabstep.CodeConflict, "config.accept", "another operator changed %d of %d documents first: %s", conflicts, len(a.change.Edits), a.conflictText())
+	}
+	return refs, nil
+}
+
+func (a *Accept) conflictText() string {
+	text := ""
+	for _, c := range a.result.Theirs {
+		text += c.String() + "; "
+	}
+	return shorten(text)
+}
+
+// applyEdit returns the document that an edit leads to, nil for removal.
+func (a *Accept) applyEdit(e *Edit, refs map[refKey]Ref) (document []byte, conflict bool, err error) {
+	key := refKey{e.Kind, e.Name}
+	var current []byte
+	if r, ok := refs[key]; ok {
+		current, _ = a.lookup(r.Digest)
+	}
+	if len(e.Document) > 0 {
+		if document, err = canonical(e.Kind, e.Name, e.Document); err != nil {
+			return nil, false, err
+		}
+	}
+	var base []byte
+	if len(e.Base) > 0 {
+		if base, err = canonical(e.Kind, e.Name, e.Base); err != nil {
+			return nil, false, err
+		}
+	}
+	if !e.Overwrite && !bytes.Equal(base, current) {
+		if document, err = a.merge(base, document, current); err != nil || document == nil {
+			return nil, err == nil, err
+		}
+		if document, err = canonical(e.Kind, e.Name, document); err != nil {
+			return nil, false, err
+		}
+	}
+	changes, err := Diff(current, document)
+	if err != nil {
+		return nil, false, err
+	}
+	for _, c := range changes {
+		c.Path = fmt.Sprintf("%v.%s.%s", e.Kind, e.Name, c.Path)
+		a.result.Difference = append(a.result.Difference, c.String())
+	}
+	return document, false, nil
+}
+
+// merge notes what others changed since base, and returns the merged document
+// if the operator asked for it and no field was changed by both.
+func (a *Accept) merge(base, document, current []byte) ([]byte, error) {
+	theirs, err := Diff(base, current)
+	if err != nil {
+		return nil, err
+	}
+	a.result.Theirs = append(a.result.Theirs, theirs...)
+	if len(base) == 0 || len(document) == 0 || len(current) == 0 {
+		return nil, nil
+	}
+	merged, collisions, err := Merge(base, document, current)
+	a.result.Collisions = append(a.result.Collisions, collisions...)
+	if !a.change.Merge || err != nil {
+		return nil, err
+	}
+	return merged, nil
+}
+
+func (a *Accept) place(e *Edit, document []byte, refs map[refKey]Ref) {
+	key := refKey{e.Kind, e.Name}
+	if document == nil {
+		delete(refs, key)
+		return
+	}
+	d := MakeDigest(document)
+	if refs[key].Digest == d {
+		return
+	}
+	a.objects[d] = document
+	refs[key] = Ref{Kind: e.Kind, Name: e.Name, Digest: d, Version: a.head.Version + 1}
+}
+
+// assemble makes pages, quarantine, manifest and head, and renders the whole.
+func (a *Accept) assemble(now time.Time, refs map[refKey]Ref) (*Set, error) {
+	m := Manifest{Format: Format, Version: a.head.Version + 1, FlowSecret: a.o.FlowSecret[:]}
+	var items []QuarantineItem
+	if a.before != nil {
+		m.FlowSecret = a.before.Manifest.FlowSecret
+		m.Previous = a.before.Digest
+		items = a.before.quarantine
+	}
+	m.Pages = pageRefs(refs, a.objects)
+	m.Entry = a.entry(now)
+	// The quarantine follows from the rendered version, so render first.
+	draft, err := a.tryBuild(&m)
+	if err != nil {
+		return nil, err
+	}
+	if items = nextQuarantine(now, items, a.beforeConfig(), draft.Config); len(items) > 0 {
+		b := Encode(items)
+		m.Quarantine = MakeDigest(b)
+		a.objects[m.Quarantine] = b
+		delete(a.objects, draft.Digest)
+		if draft, err = a.tryBuild(&m); err != nil {
+			return nil, err
+		}
+	}
+	a.newHead = Head{
+		Format: Format, Version: m.Version, Manifest: draft.Digest, Collections: a.head.Collections,
+		Changes: append(slices.Clone(a.head.Changes), ChangeID{a.change.ID, m.Version}),
+	}
+	a.newHead.Changes = a.newHead.Changes[max(0, len(a.newHead.Changes)-MaxChangeIDs):]
+	a.result.Entry = m.Entry
+	a.result.Version, a.result.BaseVersion = m.Version, a.head.Version
+	a.orderWrites(draft.Digest)
+	return draft, nil
+}
+
+func (a *Accept) tryBuild(m *Manifest) (*Set, error) {
+	b := Encode(m)
+	d := MakeDigest(b)
+	a.objects[d] = b
+	s, missing, err := a.builder.Build(d, a.lookup, a.before)
+	if err != nil {
+		return nil, err
+	}
+	if len(missing) > 0 {
+		return nil, baobabstep.Errorf(baobabstep.CodeInternal, "config.accept", "got %d objects missing of a version just made", len(missing))
+	}
+	return s, nil
+}
+
+// entry makes the audit entry of the change. Its sequence number is the
+// version, since each change makes one version and one entry.
+func (a *Accept) entry(now time.Time) baobabstep.AuditEntry {
+	e := baobabstep.AuditEntry{
+		Sequence: a.head.Version + 1, At: now.UTC(), Operator: a.change.Operator, Action: a.change.Action,
+		Subject: a.subject(), Reason: a.change.Reason, ChangeID: a.change.ID,
+		BaseVersion: a.head.Version, NewVersion: a.head.Version + 1,
+		Difference: a.result.Difference,
+	}
+	if n := len(e.Difference); n > maxDifferences {
+		e.Difference = append(slices.Clone(e.Difference[:maxDifferences]), fmt.Sprintf("and %d more", n-maxDifferences))
+	}
+	for i, line := range e.Difference {
+		if len(line) > maxDifferenceLine {
+			e.Difference = slices.Clone(e.Difference)
+			e.Difference[i] = line[:maxDifferenceLine] + "..."
+		}
+	}
+	if a.before != nil {
+		e.PreviousHash = a.before.Manifest.Entry.Hash
+	}
+	e.Hash = EntryHash(e)
+	return e
+}
+
+const maxSubjects = 4
+
+func (a *Accept) subject() string {
+	text := ""
+	for i, e := range a.change.Edits {
+		if i == maxSubjects {
+			return text + fmt.Sprintf(" and %d more", len(a.change.Edits)-maxSubjects)
+		}
+		if i > 0 {
+			text += " "
+		}
+		text += fmt.Sprintf("%v/%s", e.Kind, e.Name)
+	}
+	return text
+}
+
+// orderWrites puts the manifest last, so that one that can be read has all its
+// parts.
+func (a *Accept) orderWrites(manifest Digest) {
+	a.writes = a.writes[:0]
+	for d := range a.objects {
+		if d != manifest && !a.inBefore(d) {
+			a.writes = append(a.writes, d)
+		}
+	}
+	sort.Slice(a.writes, func(i, j int) bool { return bytes.Compare(a.writes[i][:], a.writes[j][:]) < 0 })
+	a.writes = append(a.writes, manifest)
+}
+
+// inBefore says whether the current version has the object, as most pages.
+func (a *Accept) inBefore(d Digest) bool {
+	if a.before == nil {
+		return false
+	}
+	for _, p := range a.before.pages {
+		if p == d {
+			return true
+		}
+	}
+	return d == a.before.Manifest.Quarantine
+}
+
+// checkTemplates applies the rule for changes under live accounts.
+func (a *Accept) checkTemplates(after *Set) error {
+	for i := range a.change.Edits {
+		e := &a.change.Edits[i]
+		if e.Kind != ObjectTemplate || a.before == nil {
+			continue
+		}
+		old, changed := a.before.Template(e.Name), after.Template(e.Name)
+		if old == nil || changed == nil {
+			continue
+		}
+		accounts := make([]*Account, 0, len(after.accounts))
+		for _, one := range after.accounts {
+			accounts = append(accounts, one)
+		}
+		if err := CheckTemplateChange(old, changed, accounts); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/core/config/spread_test.go
+++ b/core/config/spread_test.go
@@ -316,3 +316,26 @@
 		f.wait(20 * time.Second)
 	}
 }
+
+// TestReadersLeave: both readers of a data centre announce a planned stop and
+// then fall silent, while the others still list them. A change accepted in that
+// moment must not wait for their silence to be noticed.
+func TestReadersLeave(t *testing.T) {
+	c := qt.New(t)
+	s := newStore()
+	mustAccept(c, s, firstChange(10, 4))
+	f := newFleet(1, 12, s)
+	assertInForce(c, f, 6*time.Second, 1)
+	for i := range f.vms {
+		if id := f.vms[i].ID; f.replicas[id].Reader(f.now) {
+			f.vms[i].State = baobabstep.VMLeaving
+			delete(f.replicas, id)
+		}
+	}
+	c.Assert(len(f.replicas), qt.Equals, 10)
+	for _, r := range f.replicas {
+		r.SetFleet(f.now, f.vms)
+	}
+	mustAccept(c, s, queueChange("second", 3, 4, -1, 9))
+	assertInForce(c, f, time.Second, 2)
+}
--- a/io/operator/api.go
+++ b/io/operator/api.go
@@ -43,7 +43,8 @@
 	Targets  int    `json:"targets"`
 	Flows    int    `json:"flows"`
 	Requests int    `json:"requests"`
-	// Imbalance is the load of the fullest target over the mean.
+	// Imbalance is how far the load of the fullest target is above the mean:
+	// 0.1 is 10 %.
 	Imbalance float64 `json:"imbalance"`
 }
 
