--- a/core/request/claim.go
+++ b/core/request/claim.go
@@ -16,7 +16,9 @@
 	sent   time.Time
 	// window is how far back the claim has to reach.
 	window time.Duration
-	acks   []baobabstep.VMID
+	// asked are the VMs that may have stored the claim, acks those that said
+	// so and count.
+	asked, acks []baobabstep.VMID
 }
 
 // beginClaim asks the VMs of all sets that have a say to store the claim.
@@ -56,6 +58,9 @@
 				continue
 			}
 			asked = append(asked, vm)
+			if !slices.Contains(en.claim.asked, vm) {
+				en.claim.asked = append(en.claim.asked, vm)
+			}
 			g.engine.stats.claims.Add(1)
 			out.VM(vm, g.claimPacket(now, en, baobabstep.PurposeReplicate))
 		}
@@ -194,10 +199,7 @@
 // forgetClaim tells the witnesses that the caller has its result, so that none
 // of them tells it "unknown" when this VM dies.
 func (en *entry) forgetClaim(out *baobabstep.Outbox) {
-	for _, vm := range en.claim.acks {
-		if vm == en.group.engine.opts.Self {
-			continue
-		}
+	for _, vm := range en.claim.asked {
 		p := en.group.claimPacket(en.deadline, en, baobabstep.PurposeForget)
 		p.Code = en.result.code
 		out.VM(vm, p)
--- a/core/request/failure_test.go
+++ b/core/request/failure_test.go
@@ -129,6 +129,14 @@
 			[]baobabstep.Code{unknown},
 			1,
 		},
+		{
+			"dispatcher and first witness die after the answer",
+			func(b *bench, d int, w []int) {
+				b.after(300*time.Millisecond, func() { b.kill(d, w[0]) })
+			},
+			[]baobabstep.Code{ok},
+			1,
+		},
 		{
 			"one witness dies",
 			func(b *bench, _ int, w []int) { b.kill(w[0]) },
