--- a/cmd/demo/demo.go
+++ b/cmd/demo/demo.go
@@ -276,6 +276,9 @@
 	Fabric   fabric.Stats     `json:"fabric"`
 	Platform platformStats    `json:"platform"`
 	Broken   []callers.Broken `json:"broken_flows"`
+	// UDPDrops counts datagrams that the kernel dropped because a socket's
+	// buffer was full: this machine's own loss, on top of the faults.
+	UDPDrops map[string]int `json:"udp_drops"`
 }
 
 // platformStats is the part of the platform's counts that is used.
@@ -318,6 +321,10 @@
 		r.Faults = append(r.Faults, s.String())
 	}
 	d.judgeFlows(all.Broken)
+	var err error
+	if all.UDPDrops, err = udpDrops(d.plan.net); err != nil {
+		return nil, err
+	}
 	raw, err := json.MarshalIndent(all, "", "  ")
 	if err != nil {
 		return nil, err
--- a/cmd/demo/demo_test.go
+++ b/cmd/demo/demo_test.go
@@ -156,3 +156,11 @@
 	_, err = os.Stat(filepath.Join(f.logs, "ended.log"))
 	qt.Assert(t, err, qt.IsNil)
 }
+
+func TestParseLocal(t *testing.T) {
+	address, ok := parseLocal("0201647F:1BBC", 100)
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, address, qt.Equals, "127.100.1.2:7100")
+	_, ok = parseLocal("0201647F:1BBC", 101)
+	qt.Assert(t, ok, qt.IsFalse)
+}
--- a/cmd/demo/plan.go
+++ b/cmd/demo/plan.go
@@ -47,6 +47,12 @@
 	joiningTargetsName = "joining"
 )
 
+// edgeDelayUS is the one-way latency to callers, centreDelayUS that between the
+// data centres of a site, in microseconds.
+const edgeDelayUS = 1000
+
+var centreDelayUS = map[string]int{"tas-south": 1500, "pt-norte": 1000}
+
 // plan lays out one run: addresses in a /16 of the loopback net of its own, so
 // that two runs on one machine do not meet, and everybody's settings.
 type plan struct {
@@ -177,6 +183,8 @@
 		Edge:            p.address(thirdEdge, 1, portEdge),
 		Fronts:          make(map[string]netip.AddrPort),
 		CheckIntervalMS: checkIntervalMS,
+		EdgeDelayUS:     edgeDelayUS,
+		CentreDelayUS:   centreDelayUS[p.flags.Site],
 	}
 	for i, dc := range centres {
 		p.fabric.Fronts[dc] = p.address(thirdFront, i+1, portEdge)
