--- a/node/metrics.go
+++ b/node/metrics.go
@@ -52,28 +52,29 @@
 	return func() map[string]float64 { return metric.Value(float64(c.Load())) }
 }
 
-func (n *Node) registerMetrics() {
-	n.metrics.Register(
-		metric.Source{Name: "invariant_failures_total", Help: "Broken invariants.", Read: count(&n.counts.invariants)},
-		metric.Source{Name: "packets_from_vms_total", Help: "Packets received from other VMs.", Read: count(&n.counts.fromVMs)},
-		metric.Source{Name: "packets_unexpected_total", Help: "Packets of a kind that a VM does not take.", Read: count(&n.counts.unexpected)},
-		metric.Source{Name: "send_errors_total", Help: "Failed sends of a batch.", Read: count(&n.counts.sendErrors)},
-		metric.Source{Name: "peer_send_errors_total", Help: "Control messages that could not be queued.", Read: count(&n.counts.peerErrors)},
-		metric.Source{Name: "peer_malformed_total", Help: "Control messages that could not be decoded.", Read: count(&n.counts.malformed)},
-		metric.Source{Name: "control_bytes_total", Help: "Bytes of control messages sent and received.", Read: count(&n.counts.controlBytes)},
-		metric.Source{Name: "control_cpu_seconds_total", Help: "Time spent in control work.", Read: n.controlSeconds},
-		metric.Source{Name: "config_version", Help: "Configuration version in force.", Gauge: true, Read: n.configVersion},
-		metric.Source{Name: "members", Help: "VMs of the region that may hold flows.", Gauge: true, Read: n.memberCount},
-		metric.Source{Name: "flow_events_total", Help: "Events of flows.", Label: "event", Read: n.flowEvents},
-		metric.Source{Name: "flows", Help: "Flow records by state.", Label: "state", Gauge: true, Read: n.flowStates},
-		metric.Source{Name: "flow_table_bytes", Help: "Memory of the flow table.", Gauge: true, Read: func() map[string]float64 { return metric.Value(float64(n.flows.Stats().Bytes)) }},
-		metric.Source{Name: "request_counts", Help: "Counts and gauges of the request ledger.", Label: "event", Gauge: true, Read: func() map[string]float64 { return metric.Fields(n.work.Stats()) }},
-		metric.Source{Name: "member_counts", Help: "Counts and gauges of the membership.", Label: "event", Gauge: true, Read: func() map[string]float64 { return metric.Fields(n.fleet.Stats()) }},
-		metric.Source{Name: "config_counts", Help: "Counts of the spread of the configuration.", Label: "event", Gauge: true, Read: n.configCounts},
-		metric.Source{Name: "peer_counts", Help: "Counts and gauges of connections between VMs.", Label: "event", Gauge: true, Read: n.peerCounts},
-		metric.Source{Name: "packet_counts", Help: "Datagrams received, sent and dropped.", Label: "event", Gauge: true, Read: n.packetCounts},
-		metric.Source{Name: "stream_events_total", Help: "Events of TCP connections.", Label: "event", Read: n.counts.streams.read},
-	)
+// sources are the metrics of a VM, in the order of docs/METRICS.md.
+func (n *Node) sources() []metric.Source {
+	return []metric.Source{
+		{Name: "invariant_failures_total", Help: "Broken invariants.", Read: count(&n.counts.invariants)},
+		{Name: "packets_from_vms_total", Help: "Packets received from other VMs.", Read: count(&n.counts.fromVMs)},
+		{Name: "packets_unexpected_total", Help: "Packets of a kind that a VM does not take.", Read: count(&n.counts.unexpected)},
+		{Name: "send_errors_total", Help: "Failed sends of a batch.", Read: count(&n.counts.sendErrors)},
+		{Name: "peer_send_errors_total", Help: "Control messages that could not be queued.", Read: count(&n.counts.peerErrors)},
+		{Name: "peer_malformed_total", Help: "Control messages that could not be decoded.", Read: count(&n.counts.malformed)},
+		{Name: "control_bytes_total", Help: "Bytes of control messages sent and received.", Read: count(&n.counts.controlBytes)},
+		{Name: "control_cpu_seconds_total", Help: "Time spent in control work.", Read: n.controlSeconds},
+		{Name: "config_version", Help: "Configuration version in force.", Gauge: true, Read: n.configVersion},
+		{Name: "members", Help: "VMs of the region that may hold flows.", Gauge: true, Read: n.memberCount},
+		{Name: "flow_events_total", Help: "Events of flows.", Label: "event", Read: n.flowEvents},
+		{Name: "flows", Help: "Flow records by state.", Label: "state", Gauge: true, Read: n.flowStates},
+		{Name: "flow_table_bytes", Help: "Memory of the flow table.", Gauge: true, Read: func() map[string]float64 { return metric.Value(float64(n.flows.Stats().Bytes)) }},
+		{Name: "request_counts", Help: "Counts and gauges of the request ledger.", Label: "event", Gauge: true, Read: func() map[string]float64 { return metric.Fields(n.work.Stats()) }},
+		{Name: "member_counts", Help: "Counts and gauges of the membership.", Label: "event", Gauge: true, Read: func() map[string]float64 { return metric.Fields(n.fleet.Stats()) }},
+		{Name: "config_counts", Help: "Counts of the spread of the configuration.", Label: "event", Gauge: true, Read: n.configCounts},
+		{Name: "peer_counts", Help: "Counts and gauges of connections between VMs.", Label: "event", Gauge: true, Read: n.peerCounts},
+		{Name: "packet_counts", Help: "Datagrams received, sent and dropped.", Label: "event", Gauge: true, Read: n.packetCounts},
+		{Name: "stream_events_total", Help: "Events of TCP connections.", Label: "event", Read: n.counts.streams.read},
+	}
 }
 
 func (n *Node) controlSeconds() map[string]float64 {
--- a/node/node.go
+++ b/node/node.go
@@ -134,7 +134,7 @@
 	n.newsDraw = &lockedRand{r: n.random(7)}
 	n.inForce = audit.NewLog(n.log, self.Name)
 	n.metrics = metric.New(o.Settings.MetricsAddress, n.Ready)
-	n.registerMetrics()
+	n.metrics.Register(n.sources()...)
 	return n
 }
 
