audit: the latest entries cost few calls; spread tests run side by side

Cause: a look at the audit trail read each of up to 2,048 segments by a call of its own, and its verification all of them by one, whose answer could pass the limit of 64 MB. Change: segments are read in groups of 100 by a call, from the end for the latest entries; the tests of spread run in parallel. Figures: 250 segments: four looks and verifications in under 20 calls (251 calls for one look before, by count of the code, not run). Conclusion: a verification at the full 2,048 segments takes some 22 calls.

--- a/core/config/spread_test.go
+++ b/core/config/spread_test.go
@@ -13,6 +13,7 @@
 )
 
 func TestSpread(t *testing.T) {
+	t.Parallel()
 	for _, size := range []struct{ centres, per int }{{1, 1}, {1, 2}, {3, 3}, {4, 12}} {
 		t.Run(fmt.Sprintf("%d data centres of %d", size.centres, size.per), func(t *testing.T) {
 			c := qt.New(t)
@@ -31,6 +32,7 @@
 // the change is in force on every VM in reach within seconds, and no VM returns
 // to an earlier one, since each compares versions before it takes one.
 func TestSpreadFaults(t *testing.T) {
+	t.Parallel()
 	for _, fault := range []struct {
 		name   string
 		within time.Duration
@@ -78,6 +80,7 @@
 // replaced in turn meanwhile. Callers go on being served by the version
 // accepted last: each new VM gets it from its peers, and none serves nothing.
 func TestPlatformDownForHours(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	s := newStore()
 	mustAccept(c, s, firstChange(40, 4))
@@ -105,6 +108,7 @@
 // and a change is accepted on the other side. The cut-off side goes on with the
 // version it has and says so; after healing it catches up and nothing reverts.
 func TestPartition(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	s := newStore()
 	mustAccept(c, s, firstChange(10, 4))
@@ -134,6 +138,7 @@
 // cut off from the rest and the platform. Nothing there knows a configuration;
 // the VMs say what they lack instead of serving a guess.
 func TestDataCentreRestartedAlone(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	s := newStore()
 	mustAccept(c, s, firstChange(10, 4))
@@ -164,6 +169,7 @@
 // others were replaced and have version 3. It must take 3, and no other may
 // take 1, neither from it nor from a platform that was set back.
 func TestOldVersionReturns(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	s := newStore()
 	mustAccept(c, s, firstChange(10, 4))
@@ -201,6 +207,7 @@
 // would keep the old version until the next change, since nobody offers it the
 // new one again; the comparison with a random peer must bring it within seconds.
 func TestMissedByTheTree(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	s := newStore()
 	mustAccept(c, s, firstChange(10, 4))
@@ -222,6 +229,7 @@
 // peer to answer is one that was cut off long ago. Applying its version would
 // bring back what operators replaced, so the VM hears several peers first.
 func TestStartNextToOldPeer(t *testing.T) {
+	t.Parallel()
 	for seed := range 8 {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			c := qt.New(t)
@@ -253,6 +261,7 @@
 // would send callers to a wrong address; every object is checked against its
 // name before use, so the version arrives late and whole.
 func TestLargeAccountCorrupted(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	s := newStore()
 	const targets = 2000
@@ -294,6 +303,7 @@
 // that one's answers although other peers are idle; what a peer holds back is
 // asked of another.
 func TestStartPastSpentBudget(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	s := newStore()
 	mustAccept(c, s, firstChange(200, 2))
@@ -321,6 +331,7 @@
 // then fall silent, while the others still list them. A change accepted in that
 // moment must not wait for their silence to be noticed.
 func TestReadersLeave(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	s := newStore()
 	mustAccept(c, s, firstChange(10, 4))
--- a/io/audit/audit_test.go
+++ b/io/audit/audit_test.go
@@ -97,15 +97,15 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(n, qt.Equals, 3)
 	p.SetFaults(standin.Faults{LoseAnswers: 1})
-	entries, err := trail.List(t.Context(), 0, 0)
+	entries, err := trail.Latest(t.Context(), 0, 0, nil)
 	c.Assert(err, qt.IsNil)
+	c.Assert(entries, qt.HasLen, 3)
 	c.Assert(trail.Append(t.Context(), entries[2]), qt.IsNil)
 	next := baobabstep.AuditEntry{Sequence: 4, PreviousHash: entries[2].Hash, Operator: "ana"}
 	next.Hash = config.EntryHash(next)
 	c.Assert(trail.Append(t.Context(), next), qt.IsNil)
-	entries, err = trail.List(t.Context(), 0, 0)
-	c.Assert(err, qt.IsNil)
-	c.Assert(entries, qt.HasLen, 4)
+	_, err = trail.Verify(t.Context())
+	c.Assert(err, qt.ErrorMatches, ".*the trail ends with entry 4 .*")
 	next.Sequence = 9
 	next.Hash = config.EntryHash(next)
 	c.Assert(baobabstep.CodeOf(trail.Append(t.Context(), next)), qt.Equals, baobabstep.CodeIncomplete)
@@ -127,8 +127,12 @@
 	values, err := client.List(t.Context(), audit.Prefix)
 	c.Assert(err, qt.IsNil)
 	c.Assert(values, qt.HasLen, 3)
-	kept, err := trail.List(t.Context(), 0, 0)
-	c.Assert(err, qt.IsNil)
+	var kept []baobabstep.AuditEntry
+	for _, kv := range values[1:] {
+		var s audit.Segment
+		c.Assert(json.Unmarshal(kv.Value, &s), qt.IsNil)
+		kept = append(kept, s.Entries...)
+	}
 	c.Assert(kept[0].Sequence, qt.Equals, uint64(2*audit.SegmentEntries+1))
 	kv, err := client.Get(t.Context(), audit.Prefix+"base")
 	c.Assert(err, qt.IsNil)
@@ -137,6 +141,71 @@
 	c.Assert(config.VerifyTrail(anchor, kept, config.Anchor{Sequence: entries, Hash: hash}), qt.IsNil)
 }
 
+// TestLatest: an operator looks at the trail of years of changes. The call reads
+// the end only, or all groups of segments for a subject that is rare.
+func TestLatest(t *testing.T) {
+	c := qt.New(t)
+	client, p, trail := trailOf(c, 1, 0)
+	entries, err := trail.Latest(t.Context(), 0, 0, nil)
+	c.Assert(err, qt.IsNil)
+	last := entries[0]
+	const total = 250*audit.SegmentEntries + 3
+	var segment audit.Segment
+	for n := uint64(2); n <= total; n++ {
+		last = baobabstep.AuditEntry{Sequence: n, PreviousHash: last.Hash, Subject: fmt.Sprint("account/", n%1000)}
+		last.Hash = config.EntryHash(last)
+		segment.Entries = append(segment.Entries, last)
+	}
+	for i := range 251 {
+		key := fmt.Sprintf("audit/segment/%012d", i)
+		kv, _ := client.Get(t.Context(), key)
+		s := audit.Segment{Format: 1, Entries: entries}
+		if from := i*audit.SegmentEntries - 1; i > 0 {
+			s.Entries = segment.Entries[from:min(from+audit.SegmentEntries, len(segment.Entries))]
+		} else {
+			s.Entries = append(s.Entries, segment.Entries[:audit.SegmentEntries-1]...)
+		}
+		_, err := client.Put(t.Context(), key, config.Encode(s), kv.Revision)
+		c.Assert(err, qt.IsNil)
+	}
+	setEnd(c, client, last)
+	calls := p.Stats().Calls
+	got, err := trail.Latest(t.Context(), 0, 5, nil)
+	c.Assert(err, qt.IsNil)
+	c.Assert([]uint64{got[0].Sequence, got[4].Sequence}, qt.DeepEquals, []uint64{total - 4, total})
+	got, err = trail.Latest(t.Context(), total-2, 0, nil)
+	c.Assert(err, qt.IsNil)
+	c.Assert(got, qt.HasLen, 2)
+	got, err = trail.Latest(t.Context(), 0, 0, func(e *baobabstep.AuditEntry) bool { return e.Subject == "account/7" })
+	c.Assert(err, qt.IsNil)
+	c.Assert(got, qt.HasLen, 16)
+	n, err := trail.Verify(t.Context())
+	c.Assert(err, qt.IsNil)
+	c.Assert(n, qt.Equals, total)
+	c.Assert(p.Stats().Calls-calls < 20, qt.IsTrue, qt.Commentf("%d calls", p.Stats().Calls-calls))
+}
+
+// setEnd makes the version in force one that was made by the entry.
+func setEnd(c *qt.C, client *platform.Client, e baobabstep.AuditEntry) {
+	c.Helper()
+	ctx := c.Context()
+	kv, err := client.Get(ctx, config.HeadKey)
+	c.Assert(err, qt.IsNil)
+	head, err := config.DecodeHead(kv.Value)
+	c.Assert(err, qt.IsNil)
+	object, err := client.Get(ctx, config.ObjectKey(head.Manifest))
+	c.Assert(err, qt.IsNil)
+	m, err := config.DecodeManifest(object.Value)
+	c.Assert(err, qt.IsNil)
+	m.Entry = e
+	b := config.Encode(m)
+	head.Manifest = config.MakeDigest(b)
+	_, err = client.Put(ctx, config.ObjectKey(head.Manifest), b, 0)
+	c.Assert(err, qt.IsNil)
+	_, err = client.Put(ctx, config.HeadKey, config.Encode(head), kv.Revision)
+	c.Assert(err, qt.IsNil)
+}
+
 func TestLog(t *testing.T) {
 	c := qt.New(t)
 	h := memory.New()
--- a/io/audit/trail.go
+++ b/io/audit/trail.go
@@ -16,6 +16,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"strings"
 
 	"baobabstep"
 	"baobabstep/core/config"
@@ -227,31 +228,57 @@
 	return nil
 }
 
-// List returns the entries after a sequence number, oldest first, at most n of
-// them, 0 for all.
-func (t *Trail) List(ctx context.Context, after uint64, n int) ([]baobabstep.AuditEntry, error) {
-	base, _, err := t.base(ctx)
-	if err != nil {
+// Latest returns the latest entries after a sequence number that keep selects,
+// oldest first: at most limit of them, 0 for all. It reads from the end, so that
+// a look at the latest entries costs few calls however long the trail is.
+func (t *Trail) Latest(ctx context.Context, after uint64, limit int, keep func(*baobabstep.AuditEntry) bool) ([]baobabstep.AuditEntry, error) {
+	end, err := t.end(ctx)
+	if err != nil || end.Sequence == 0 {
 		return nil, err
 	}
 	var out []baobabstep.AuditEntry
-	for number := segmentNumber(max(after, base.Sequence) + 1); ; number++ {
-		s, _, err := t.segment(ctx, number)
+	for group := int64(segmentNumber(end.Sequence) / groupSegments); group >= 0; group-- {
+		entries, err := t.group(ctx, uint64(group))
 		if err != nil {
 			return nil, err
 		}
-		for _, e := range s.Entries {
-			if e.Sequence > after {
-				out = append(out, e)
-			}
-			if n > 0 && len(out) == n {
+		if len(entries) == 0 && uint64(group) < segmentNumber(end.Sequence)/groupSegments {
+			break
+		}
+		for _, e := range slices.Backward(entries) {
+			if e.Sequence <= after || limit > 0 && len(out) == limit {
+				slices.Reverse(out)
 				return out, nil
 			}
+			if keep == nil || keep(&e) {
+				out = append(out, e)
+			}
 		}
-		if len(s.Entries) < SegmentEntries {
-			return out, nil
+	}
+	slices.Reverse(out)
+	return out, nil
+}
+
+// groupSegments is the number of segments that are read by one call: those
+// whose keys differ in the last two digits only.
+const groupSegments = 100
+
+// group reads the segments of one group.
+func (t *Trail) group(ctx context.Context, number uint64) ([]baobabstep.AuditEntry, error) {
+	prefix := strings.TrimSuffix(segmentKey(number*groupSegments), "00")
+	values, err := t.platform.List(ctx, prefix)
+	if err != nil {
+		return nil, err
+	}
+	var out []baobabstep.AuditEntry
+	for _, kv := range values {
+		var s Segment
+		if err := json.Unmarshal(kv.Value, &s); err != nil {
+			return nil, baobabstep.Errorf(baobabstep.CodeAuditBroken, "audit.read", "got %s that cannot be read: %w", kv.Key, err)
 		}
+		out = append(out, s.Entries...)
 	}
+	return out, nil
 }
 
 // Verify checks the whole trail against the version that the platform has. It
@@ -265,28 +292,25 @@
 	if err != nil {
 		return 0, err
 	}
-	entries, err := t.all(ctx, base.Sequence)
+	entries, err := t.all(ctx, base.Sequence, end.Sequence)
 	if err != nil {
 		return 0, err
 	}
 	return len(entries), config.VerifyTrail(base, entries, end)
 }
 
-// all reads every segment that is there. Unlike List it does not stop at one
-// that is missing or short, so that the check finds the gap.
-func (t *Trail) all(ctx context.Context, after uint64) ([]baobabstep.AuditEntry, error) {
-	values, err := t.platform.List(ctx, Prefix+"segment/")
-	if err != nil {
-		return nil, err
-	}
+// all reads every segment from the base to one group past the end, as they are:
+// the check has to see a gap, and entries that should not be there.
+func (t *Trail) all(ctx context.Context, base, end uint64) ([]baobabstep.AuditEntry, error) {
 	var out []baobabstep.AuditEntry
-	for _, kv := range values {
-		var s Segment
-		if err := json.Unmarshal(kv.Value, &s); err != nil {
-			return nil, baobabstep.Errorf(baobabstep.CodeAuditBroken, "audit.verify", "got %s that cannot be read: %w", kv.Key, err)
+	last := end/SegmentEntries/groupSegments + 1
+	for number := base / SegmentEntries / groupSegments; number <= last; number++ {
+		entries, err := t.group(ctx, number)
+		if err != nil {
+			return nil, err
 		}
-		for _, e := range s.Entries {
-			if e.Sequence > after {
+		for _, e := range entries {
+			if e.Sequence > base {
 				out = append(out, e)
 			}
 		}
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -176,25 +176,9 @@
 		n, err := s.o.Trail.Verify(ctx)
 		return AuditAnswer{Verified: n}, err
 	}
-	entries, err := s.o.Trail.List(ctx, q.After, 0)
-	if err != nil {
-		return AuditAnswer{}, err
-	}
-	return AuditAnswer{Entries: selectEntries(entries, q)}, nil
-}
-
-// selectEntries keeps the latest entries of a subject.
-func selectEntries(entries []baobabstep.AuditEntry, q AuditQuery) []baobabstep.AuditEntry {
-	var out []baobabstep.AuditEntry
-	for i := range entries {
-		if q.Subject == "" || hasSubject(&entries[i], q.Subject) {
-			out = append(out, entries[i])
-		}
-	}
-	if q.Limit > 0 && len(out) > q.Limit {
-		out = out[len(out)-q.Limit:]
-	}
-	return out
+	keep := func(e *baobabstep.AuditEntry) bool { return q.Subject == "" || hasSubject(e, q.Subject) }
+	entries, err := s.o.Trail.Latest(ctx, q.After, q.Limit, keep)
+	return AuditAnswer{Entries: entries}, err
 }
 
 func (s *Server) export(context.Context, string, nothing) (config.Export, error) {
