--- a/core/flow/bench_test.go
+++ b/core/flow/bench_test.go
@@ -54,6 +54,7 @@
 }
 
 func TestRecordsStayUnder100Bytes(t *testing.T) {
+	t.Parallel()
 	for _, n := range []int{28_000, 50_000} {
 		r, _, _ := filled(t, n)
 		per := float64(r.Stats().Bytes) / float64(n)
--- a/core/flow/config_test.go
+++ b/core/flow/config_test.go
@@ -53,6 +53,7 @@
 // target configured. The flows must still reach it, so the records have to tell
 // where it is.
 func TestVMJoinsDuringADrain(t *testing.T) {
+	t.Parallel()
 	x := newExchange(t, fleet{vms: 6, dcs: 2, targets: 6})
 	flows := openMany(x, 120)
 	x.setConfig(x.next(func(c *baobabstep.Config) {
--- a/core/flow/death_test.go
+++ b/core/flow/death_test.go
@@ -45,6 +45,7 @@
 // died before the packet reached the second copy, so no target has seen the
 // open. The next holder picks one, and only that one may hold the flow.
 func TestHolderDiesBetweenRecordAndReplica(t *testing.T) {
+	t.Parallel()
 	x := newExchange(t, fleet{vms: 18, dcs: 3, targets: 6})
 	for n := range 30 {
 		key := x.caller(n).key
@@ -68,6 +69,7 @@
 // memory. Then the holder dies. Unless the holder noticed the restart and made
 // the copy again, its quiet flows are with nobody.
 func TestSecondCopyRestartsUnseen(t *testing.T) {
+	t.Parallel()
 	x := newExchange(t, fleet{vms: 3, dcs: 1, targets: 6})
 	flows := openMany(x, 60)
 	x.advance(20 * time.Second)
@@ -84,6 +86,7 @@
 // not stay for good: with thousands of flows a second even rare losses would
 // fill the table.
 func TestCopyOfAnEndedFlowGoesAway(t *testing.T) {
+	t.Parallel()
 	x := newExchange(t, fleet{vms: 3, dcs: 1, targets: 6})
 	flows := openMany(x, 30)
 	x.assertAlive(flows...)
--- a/core/flow/flow_test.go
+++ b/core/flow/flow_test.go
@@ -9,6 +9,7 @@
 )
 
 func TestFlowOpensCarriesDataAndCloses(t *testing.T) {
+	t.Parallel()
 	x := newExchange(t, fleet{vms: 9, dcs: 3, targets: 6})
 	for n := range 200 {
 		c := x.open(n)
--- a/core/flow/live_test.go
+++ b/core/flow/live_test.go
@@ -20,6 +20,7 @@
 // volunteer's screen shows old news for days. The silent end answers no probe,
 // so both ends get a reset within half a minute, and the caller reconnects.
 func TestSilentFlowIsReset(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name string
 		lose func(c *fakeCaller) func(baobabstep.VMID, *baobabstep.Send) bool
@@ -54,6 +55,7 @@
 // are made once at most: answers to probes pass the second copy, and the holder
 // must not take that for a sign that the copy is gone.
 func TestQuietFlowsAreNeverCut(t *testing.T) {
+	t.Parallel()
 	x := newExchange(t, fleet{vms: 9, dcs: 3, targets: 6})
 	flows := openMany(x, 20)
 	x.advance(4 * time.Minute)
@@ -68,6 +70,7 @@
 // flows silent at once. They are healthy: other VMs still carry them. Resets
 // from the VM that is cut off would break them all.
 func TestVMThatIsCutOffResetsNothing(t *testing.T) {
+	t.Parallel()
 	for _, dest := range []baobabstep.Dest{baobabstep.DestTarget, baobabstep.DestCaller} {
 		t.Run(dest.String(), func(t *testing.T) {
 			x := newExchange(t, fleet{vms: 9, dcs: 3, targets: 6})
@@ -90,6 +93,7 @@
 // All targets of a data centre fall silent at once: a partition, not so many
 // deaths. Their flows wait and go on when it is over.
 func TestSilentDataCentreIsHeldBack(t *testing.T) {
+	t.Parallel()
 	x := newExchange(t, fleet{vms: 9, dcs: 3, targets: 6})
 	flows := openMany(x, 60)
 	x.advance(time.Minute)
@@ -107,6 +111,7 @@
 
 // One target dies while its neighbours live on. Its flows end within a minute.
 func TestFlowsOfADeadTargetEnd(t *testing.T) {
+	t.Parallel()
 	x := newExchange(t, fleet{vms: 9, dcs: 3, targets: 6})
 	flows := openMany(x, 60)
 	x.advance(time.Minute)
@@ -126,6 +131,7 @@
 // flows of others. If it is one caller, others still open at once; if they are
 // many, others open as soon as the silent ones were probed.
 func TestOpenFlood(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name string
 		key  func(x *exchange, n int) baobabstep.FlowKey
@@ -199,6 +205,7 @@
 // there looks silent from here and must not be reset; a flow that its target
 // here forgot is dead on either side and must end within seconds.
 func TestSilenceDuringAPartition(t *testing.T) {
+	t.Parallel()
 	x := newExchange(t, fleet{vms: 9, dcs: 3, targets: 6})
 	flows := openMany(x, 60)
 	x.advance(time.Minute)
--- a/core/flow/machine_test.go
+++ b/core/flow/machine_test.go
@@ -214,6 +214,7 @@
 // other time. A caller whose packets go unanswered repeats them. No invariant
 // may break, no data may reach two targets, and no flow may end by itself.
 func TestRandomFaults(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		m := &machine{
 			exchange: newExchange(t, fleet{vms: 6, dcs: 2, targets: 4}),
--- a/core/flow/policy_test.go
+++ b/core/flow/policy_test.go
@@ -71,6 +71,7 @@
 // Targets and VMs are replaced while callers use their flows. By hashing alone
 // a flow goes elsewhere as soon as a VM that never saw it gets its packet.
 func TestPoliciesSideBySide(t *testing.T) {
+	t.Parallel()
 	results := map[string]result{}
 	for _, policy := range []string{flow.PolicyReplicated, flow.PolicySlotTable, flow.PolicyHashTable} {
 		r := course(t, policy)
--- a/core/flow/view_test.go
+++ b/core/flow/view_test.go
@@ -16,6 +16,7 @@
 // two holders, and data a holder that has no record. Each flow must keep one
 // target, and no other may hold it, since its data would then be split.
 func TestViewsThatDiffer(t *testing.T) {
+	t.Parallel()
 	for differ := 1; differ <= 3; differ++ {
 		for _, order := range []string{"gone", "joined", "gone dead"} {
 			t.Run(fmt.Sprintf("%d %s", differ, order), func(t *testing.T) {
@@ -65,6 +66,7 @@
 // the other. A flow breaks if both its owners are replaced before either record
 // was copied on, so copies must be made faster than VMs go.
 func TestAllVMsReplacedOneAfterAnother(t *testing.T) {
+	t.Parallel()
 	for _, how := range []string{"killed", "stopped"} {
 		t.Run(how, func(t *testing.T) {
 			x := newExchange(t, fleet{vms: 9, dcs: 3, targets: 6})
@@ -93,6 +95,7 @@
 // the flows. The bound: none breaks while its target holds it, and each goes on
 // as soon as its targets could be asked, which the search budget bounds.
 func TestHalfTheVMsDieAtOnce(t *testing.T) {
+	t.Parallel()
 	x := newExchange(t, fleet{vms: 12, dcs: 1, targets: 6})
 	var flows []*fakeCaller
 	for n := range 500 {
@@ -140,6 +143,7 @@
 // flows, closed some and opened others. Its old records must neither carry
 // packets nor bring an ended flow back.
 func TestPausedVMResumes(t *testing.T) {
+	t.Parallel()
 	x := newExchange(t, fleet{vms: 9, dcs: 1, targets: 6})
 	paused := x.vms[0].ID
 	x.choosers[paused].prefer = x.config.Services[0].Targets[0].ID
@@ -191,6 +195,7 @@
 // with the owners before. They must be visited, or a second target would hold
 // the flow.
 func TestRepeatedOpenVisitsPreviousOwners(t *testing.T) {
+	t.Parallel()
 	x := newExchange(t, fleet{vms: 12, dcs: 1, targets: 6})
 	all := x.vms
 	x.setViews(all[:4])
@@ -221,6 +226,7 @@
 // A VM resumes after a pause and still believes that it holds its flows. An
 // open repeated through it must find the record that the others made.
 func TestPausedVMOpensNothing(t *testing.T) {
+	t.Parallel()
 	x := newExchange(t, fleet{vms: 6, dcs: 1, targets: 6})
 	paused := x.vms[0].ID
 	router := x.routers[paused]
@@ -245,6 +251,7 @@
 // and after have no VM in common. The caller's next packet must find the record
 // through the owners before; asking all targets would cost a repetition.
 func TestManyVMsReturnAtOnce(t *testing.T) {
+	t.Parallel()
 	x := newExchange(t, fleet{vms: 12, dcs: 1, targets: 6})
 	all := x.vms
 	x.setViews(all[:4])
@@ -263,6 +270,7 @@
 // target, and data went there. After the pause the first VM holds the flow
 // again, with its old record: data must not go by it, to a second target.
 func TestAcceptanceThatTheCallerNeverHeard(t *testing.T) {
+	t.Parallel()
 	x := newExchange(t, fleet{vms: 6, dcs: 1, targets: 6})
 	all := slices.Clone(x.vms)
 	targets := x.config.Services[0].Targets
