--- a/cmd/demo/demo.go
+++ b/cmd/demo/demo.go
@@ -345,15 +345,21 @@
 // target or makes it forget flows allows an explicit reset of flows on it, and
 // nothing else.
 func (d *demo) judgeFlows(broken []callers.Broken) {
-	unexcused := 0
+	unexcused, unsaid := 0, 0
 	for _, b := range broken {
-		if b.Reason != "reset" || !d.lost[b.Target] {
+		switch {
+		case !d.lost[b.Target] || b.Reason == "misrouted":
 			unexcused++
+		case b.Reason != "reset":
+			unsaid++
 		}
 	}
 	if unexcused > 0 {
 		d.violate("%d flows broken without a fault of their target", unexcused)
 	}
+	if unsaid > 0 {
+		d.violate("%d flows whose target a fault ended got no reset within %d ms of their callers' asking", unsaid, silenceMS)
+	}
 }
 
 func (d *demo) violate(format string, args ...any) {
