flow: a target that owes its caller an answer is probed within seconds

Change: if the caller spoke after the target last did, the target is probed after 2 s, and again every second. Flows in which both ends are quiet are probed as rarely as before. The test fails without the rule (no reset within 8 s) and passes with it. Conclusion: a forgotten flow in use ends explicitly about 5 s after its caller's first unanswered packet.

--- a/core/flow/flow.go
+++ b/core/flow/flow.go
@@ -95,6 +95,11 @@
 	IdleProbe time.Duration
 	// ProbeInterval is the time between probes (2 s).
 	ProbeInterval time.Duration
+	// AnswerWait is how long a target may say nothing after its caller spoke
+	// before it is probed (2 s), and AnswerProbeInterval the time between
+	// such probes (1 s): the caller of a flow that its target has forgotten
+	// waits for an answer, and learns of it about 5 s later.
+	AnswerWait, AnswerProbeInterval time.Duration
 	// MaxHold bounds the time that resets of silent flows are held back
 	// while the VM itself may be cut off (2 h).
 	MaxHold time.Duration
@@ -124,6 +129,8 @@
 	orDuration(&o.SearchWait, time.Second)
 	orDuration(&o.IdleProbe, 15*time.Second)
 	orDuration(&o.ProbeInterval, 2*time.Second)
+	orDuration(&o.AnswerWait, 2*time.Second)
+	orDuration(&o.AnswerProbeInterval, time.Second)
 	orDuration(&o.MaxHold, 2*time.Hour)
 	orDuration(&o.AuditAfter, maxAudit)
 	o.AuditAfter = min(o.AuditAfter, maxAudit)
--- a/core/flow/live.go
+++ b/core/flow/live.go
@@ -74,7 +74,7 @@
 		if started {
 			t.r.scan.silent[d]++
 		}
-		if rec.tries&0x3f != 0 && since16(t.tick, rec.lastProbe) < ticks(t.r.o.ProbeInterval) {
+		if rec.tries&0x3f != 0 && since16(t.tick, rec.lastProbe) < t.probeInterval(rec, d) {
 			continue
 		}
 		if started && t.silent(rec, d) {
@@ -107,10 +107,27 @@
 		}
 		return ticks(t.r.o.ConfirmAfter)
 	}
+	if t.unanswered(rec, d) {
+		return ticks(t.r.o.AnswerWait)
+	}
 	limit := ticks(t.r.o.IdleProbe)
 	return limit - limit*uint32(rec.hash[15])/1024
 }
 
+// unanswered tells whether the target owes its caller a sign of life: the
+// caller spoke, and the target has said nothing since. A flow in which both
+// ends are quiet owes nobody anything and is probed rarely.
+func (t *turn) unanswered(rec *record, d direction) bool {
+	return d == toTarget && since(t.tick, rec.fromCaller) < since(t.tick, rec.fromTarget)
+}
+
+func (t *turn) probeInterval(rec *record, d direction) tick {
+	if t.unanswered(rec, d) {
+		return ticks(t.r.o.AnswerProbeInterval)
+	}
+	return ticks(t.r.o.ProbeInterval)
+}
+
 // silent handles a probe that was not answered, and tells whether that ended
 // the flow. It is reset at both ends, so that the caller can open another
 // within seconds, unless the silence may be this VM's own: a healthy flow must
--- a/core/flow/live_test.go
+++ b/core/flow/live_test.go
@@ -51,6 +51,30 @@
 	}
 }
 
+// A target forgets one flow of many without a word while its caller goes on
+// sending every 2 s. The caller gets no answer and would give up by itself after
+// some 8 s. The holder sees that the target owes an answer, probes it every
+// second, and resets the flow before that; flows beside it are not touched.
+func TestForgottenFlowInUseIsResetWithinSeconds(t *testing.T) {
+	x := newExchange(t, fleet{vms: 9, dcs: 3, targets: 6})
+	flows := openMany(x, 60)
+	x.advance(time.Minute)
+	forgotten := flows[7]
+	x.lose = func(_ baobabstep.VMID, s *baobabstep.Send) bool {
+		return s.Dest == baobabstep.DestTarget && s.Packet.Flow == forgotten.key && s.Packet.Kind != baobabstep.KindReset
+	}
+	for range 4 {
+		for _, c := range flows {
+			x.say(c, "still there?", 0)
+		}
+		x.advance(2 * time.Second)
+	}
+	x.lose = nil
+	qt.Assert(t, forgotten.reset, qt.Equals, baobabstep.CodeFlowSilent)
+	x.assertAlive(flows[:7]...)
+	x.assertAlive(flows[8:]...)
+}
+
 // Flows that nobody uses stay open, since both ends answer probes. Their copies
 // are made once at most: answers to probes pass the second copy, and the holder
 // must not take that for a sign that the copy is gone.
