config: wait counts every data centre; status is fresh while somebody looks

Error texts carried their code twice. Change: the status lists each data centre of the fleet, unheard ones as behind; a reader reports at once that its data centre agrees, VMs always tell their readers, and a VM whose status is looked at asks its readers for summaries; the circuit's longest pause grows with the fleet, from 2 s to 20 s, and the reader passes on the fleet's size.

--- a/core/config/fleet.go
+++ b/core/config/fleet.go
@@ -38,6 +38,8 @@
 	far []baobabstep.VMID
 	// readers are the readers of each data centre.
 	readers map[string][]baobabstep.VMID
+	// sizes counts the VMs of each data centre.
+	sizes   map[string]int
 	centres map[baobabstep.VMID]string
 	// order ranks the VMs of self's data centre; the first are the readers,
 	// and the next stand in for those that fall silent.
@@ -48,7 +50,7 @@
 
 func newFleet(self baobabstep.VM, all []baobabstep.VM, readers int) fleet {
 	f := fleet{
-		self: self, near: []baobabstep.VMID{self.ID}, readers: map[string][]baobabstep.VMID{},
+		self: self, near: []baobabstep.VMID{self.ID}, readers: map[string][]baobabstep.VMID{}, sizes: map[string]int{},
 		centres: map[baobabstep.VMID]string{self.ID: self.DataCentre}, since: map[baobabstep.VMID]time.Time{},
 	}
 	byCentre := map[string][]baobabstep.VMID{self.DataCentre: {self.ID}}
@@ -72,6 +74,7 @@
 		}
 	}
 	for centre, vms := range byCentre {
+		f.sizes[centre] = len(vms)
 		ordered := rank(vms, readerSalt)
 		if centre == self.DataCentre {
 			f.order = ordered
--- a/core/config/replica.go
+++ b/core/config/replica.go
@@ -32,6 +32,12 @@
 	// cutOffAfter is the silence after which the platform or the peers
 	// count as out of reach.
 	cutOffAfter = 10 * time.Second
+	// watchedFor and watchedPeriod are how long, and how often, a VM whose
+	// status is looked at asks a reader for fresh summaries.
+	watchedFor    = 3 * time.Second
+	watchedPeriod = 2 * reportPeriod
+	// reportPeriod is how often a reader looks whether its data centre agrees.
+	reportPeriod = 100 * time.Millisecond
 	// maxPeers bounds the peers remembered.
 	maxPeers = 4096
 )
@@ -81,6 +87,11 @@
 	// comparedAt is when versions were last compared with a peer.
 	comparedAt time.Time
 	rounds     int
+	// watchedAt is when somebody last looked at the status; see Watch.
+	watchedAt, refreshedAt time.Time
+	// reported is the version that all VMs of the data centre were last seen
+	// to have; see report.
+	reported uint64
 	// platformAt is the latest sign, own or heard of, that the platform
 	// answers; readAt is this VM's own.
 	platformAt, readAt time.Time
@@ -163,6 +174,13 @@
 	r.fleet = f
 }
 
+// FleetSize returns the number of VMs known, with this one.
+func (r *Replica) FleetSize() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.fleet.others) + 1
+}
+
 // Reader says whether this VM reads the platform now: it is one of the few
 // chosen in its data centre, or stands in for those that fell silent, or no
 // peer is in reach who could.
--- a/core/config/spread.go
+++ b/core/config/spread.go
@@ -129,7 +129,9 @@
 func (r *Replica) offer(now time.Time) []Out {
 	var outs []Out
 	for _, id := range r.fleet.children(r.version(), r.reads(now)) {
-		if p := r.peers[id]; p != nil && p.version >= r.version() {
+		// The readers are told even if they have it: they count.
+		counts := slices.Contains(r.fleet.readers[r.o.Self.DataCentre], id)
+		if p := r.peers[id]; !counts && p != nil && p.version >= r.version() {
 			continue
 		}
 		outs = append(outs, r.have(now, id, false))
@@ -144,6 +146,8 @@
 	outs := r.serve(now)
 	r.expire(now)
 	outs = append(outs, r.compare(now)...)
+	outs = append(outs, r.report(now)...)
+	outs = append(outs, r.refresh(now)...)
 	return append(outs, r.pursue(now)...)
 }
 
@@ -200,6 +204,46 @@
 	return outs
 }
 
+// report tells one reader of each other data centre, at once, that all VMs of
+// this one have a version: an operator may be waiting for that.
+func (r *Replica) report(now time.Time) []Out {
+	if !r.reads(now) || r.reported == r.version() {
+		return nil
+	}
+	own := r.ownSummary(now)
+	if own.Oldest < r.version() || own.Heard < own.VMs {
+		return nil
+	}
+	r.reported = r.version()
+	r.summaries[own.DataCentre] = own
+	var outs []Out
+	for centre, readers := range r.fleet.readers {
+		if centre == r.o.Self.DataCentre {
+			continue
+		}
+		m := r.header(now, messageHave)
+		m.Summaries = []Summary{own}
+		outs = append(outs, r.out(readers[r.o.Rand.IntN(len(readers))], m))
+	}
+	return outs
+}
+
+// refresh asks the readers of the data centre for summaries while somebody
+// looks at the status.
+func (r *Replica) refresh(now time.Time) []Out {
+	if r.watchedAt.IsZero() || now.Sub(r.watchedAt) > watchedFor || now.Sub(r.refreshedAt) < watchedPeriod {
+		return nil
+	}
+	r.refreshedAt = now
+	var outs []Out
+	for _, id := range r.fleet.readers[r.o.Self.DataCentre] {
+		if id != r.o.Self.ID {
+			outs = append(outs, r.compareWith(now, id, true))
+		}
+	}
+	return outs
+}
+
 func (r *Replica) compareWith(now time.Time, id baobabstep.VMID, summaries bool) Out {
 	m := r.header(now, messageHave)
 	m.Answer = true
--- a/core/config/spread_test.go
+++ b/core/config/spread_test.go
@@ -350,3 +350,50 @@
 	mustAccept(c, s, queueChange("second", 3, 4, -1, 9))
 	assertInForce(c, f, time.Second, 2)
 }
+
+// TestStatusOfOthers: an operator waits for a change to be in force everywhere. A
+// data centre that was not heard, because the VM has just started or the data
+// centre is cut off, must show as behind, not be left out; and one that has the
+// version must show so within a second on any VM that is asked.
+func TestStatusOfOthers(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	s := newStore()
+	mustAccept(c, s, firstChange(10, 4))
+	f := newFleet(3, 5, s)
+	first := f.replicas[f.vms[0].ID].Status(f.now)
+	c.Assert(first.DataCentres, qt.HasLen, 3)
+	_, complete := first.InForceAt(time.Minute)
+	c.Assert(complete, qt.IsFalse)
+	assertInForce(c, f, 6*time.Second, 1)
+	f.wait(3 * time.Second)
+
+	everywhere := func(r *config.Replica, version uint64) bool {
+		r.Watch(f.now)
+		status := r.Status(f.now)
+		least, complete := status.InForceAt(time.Minute)
+		return complete && least >= version
+	}
+	for i, vm := range f.vms {
+		mustAccept(c, s, queueChange(fmt.Sprint(i), 3, 4, i-1, i))
+		took := time.Duration(0)
+		for ; !everywhere(f.replicas[vm.ID], uint64(2+i)) && took < 5*time.Second; took += tick {
+			f.step()
+		}
+		c.Assert(took <= time.Second, qt.IsTrue, qt.Commentf("%s knew after %v", vm.Name, took))
+		f.wait(3 * time.Second)
+	}
+
+	centre := map[baobabstep.VMID]string{}
+	for _, vm := range f.vms {
+		centre[vm.ID] = vm.DataCentre
+	}
+	f.cut = func(from, to baobabstep.VMID) bool { return (centre[from] == "c") != (centre[to] == "c") }
+	mustAccept(c, s, queueChange("cut", 4, 4, -1, 9))
+	f.wait(5 * time.Second)
+	c.Assert(f.replicas[f.vms[0].ID].Current().Version, qt.Equals, uint64(2+len(f.vms)))
+	c.Assert(everywhere(f.replicas[f.vms[0].ID], uint64(2+len(f.vms))), qt.IsFalse)
+	f.cut = nil
+	f.wait(5 * time.Second)
+	c.Assert(everywhere(f.replicas[f.vms[0].ID], uint64(2+len(f.vms))), qt.IsTrue)
+}
--- a/core/config/status.go
+++ b/core/config/status.go
@@ -78,10 +78,17 @@
 	}
 	s.CutOffPlatform = now.Sub(last) > platformCutOffAfter
 	s.Lacks = r.lacks(&s)
-	s.DataCentres = r.allSummaries(now)
+	s.DataCentres = r.knownCentres(now)
 	return s
 }
 
+// Watch asks for fresh summaries for a few seconds: somebody is looking.
+func (r *Replica) Watch(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.watchedAt = now
+}
+
 // platformCutOffAfter is longer than a waiting watch, which is the longest
 // time without a sign of the platform in good order.
 const platformCutOffAfter = 45 * time.Second
@@ -127,14 +134,18 @@
 	return s
 }
 
-// allSummaries returns one summary for each data centre known. A reader makes
-// the one of its own data centre, since every VM there reports to it.
+// allSummaries returns one summary for each data centre heard of. A reader
+// makes the one of its own data centre, since every VM there reports to it.
 func (r *Replica) allSummaries(now time.Time) []Summary {
 	if r.reads(now) || r.summaries[r.o.Self.DataCentre].at.IsZero() {
 		r.summaries[r.o.Self.DataCentre] = r.ownSummary(now)
 	}
 	var out []Summary
-	for _, s := range r.summaries {
+	for centre, s := range r.summaries {
+		if len(r.fleet.sizes) > 1 && r.fleet.sizes[centre] == 0 {
+			// All of its VMs are gone.
+			continue
+		}
 		s.AgeMS = uint64(max(0, now.Sub(s.at)).Milliseconds())
 		out = append(out, s)
 	}
@@ -142,6 +153,19 @@
 	return out
 }
 
+// knownCentres adds to the summaries the data centres of which none was heard,
+// so that nobody takes silence for agreement.
+func (r *Replica) knownCentres(now time.Time) []Summary {
+	out := r.allSummaries(now)
+	for centre, vms := range r.fleet.sizes {
+		if _, ok := r.summaries[centre]; !ok {
+			out = append(out, Summary{DataCentre: centre, VMs: vms, AgeMS: uint64(now.Sub(r.started).Milliseconds())})
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].DataCentre < out[j].DataCentre })
+	return out
+}
+
 func (r *Replica) mergeSummaries(now time.Time, all []Summary) {
 	for _, s := range all {
 		s.at = now.Add(-time.Duration(s.AgeMS) * time.Millisecond)
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 
@@ -92,7 +93,7 @@
 	code := baobabstep.CodeOf(err)
 	e := Envelope{Code: code, Name: code.String(), VM: s.o.VM}
 	if err != nil {
-		e.Error = err.Error()
+		e.Error = textOf(err)
 	}
 	if key.ID != "" {
 		st := s.o.Replica.Status(s.o.Clock.Now())
@@ -108,10 +109,20 @@
 	_, _ = w.Write(body)
 }
 
+// textOf leaves out the code, which the envelope carries by itself.
+func textOf(err error) string {
+	var e *baobabstep.Error
+	if errors.As(err, &e) {
+		return e.Op + ": " + e.Err.Error()
+	}
+	return err.Error()
+}
+
 type nothing struct{}
 
 func (s *Server) status(context.Context, string, nothing) (Status, error) {
 	now := s.o.Clock.Now()
+	s.o.Replica.Watch(now)
 	return Status{Node: s.o.Node.Status(now), Replica: s.o.Replica.Status(now)}, nil
 }
 
--- a/io/platform/circuit.go
+++ b/io/platform/circuit.go
@@ -9,11 +9,16 @@
 const (
 	// openAfter is the number of failures in a row that opens the circuit.
 	openAfter = 4
-	// firstPause and maxPause bound the pause before a trial call. The
-	// whole fleet finds the platform down at the same moment; the pauses are
-	// drawn from the full range so that its return does not meet all at once.
-	firstPause = 250 * time.Millisecond
-	maxPause   = 20 * time.Second
+	// firstPause is the pause before the first trial call. It doubles up to
+	// one that grows with the fleet, from minMaxPause to maxMaxPause, so that
+	// all VMs together make some hundred trials a second at most, and a small
+	// fleet is back soon. The whole fleet finds the platform down at the same
+	// moment; pauses are drawn from the full range so that its return does not
+	// meet all at once.
+	firstPause  = 250 * time.Millisecond
+	minMaxPause = 2 * time.Second
+	maxMaxPause = 20 * time.Second
+	pausePerVM  = 10 * time.Millisecond
 )
 
 // circuit stops calls to a platform that is down. While it is open a single
@@ -25,9 +30,18 @@
 	trial    bool
 	nextAt   time.Time
 	pause    time.Duration
+	maxPause time.Duration
 }
 
-func newCircuit(r *rand.Rand) *circuit { return &circuit{rand: r, pause: firstPause} }
+func newCircuit(r *rand.Rand) *circuit {
+	return &circuit{rand: r, pause: firstPause, maxPause: minMaxPause}
+}
+
+func (c *circuit) setFleetSize(vms int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.maxPause = min(max(minMaxPause, time.Duration(vms)*pausePerVM), maxMaxPause)
+}
 
 func (c *circuit) allow(now time.Time) bool {
 	c.mu.Lock()
@@ -62,5 +76,5 @@
 		return
 	}
 	c.nextAt = now.Add(firstPause/4 + time.Duration(c.rand.Int64N(int64(c.pause))))
-	c.pause = min(2*c.pause, maxPause)
+	c.pause = min(2*c.pause, c.maxPause)
 }
--- a/io/platform/client.go
+++ b/io/platform/client.go
@@ -130,6 +130,7 @@
 func (c *Client) SetFleetSize(vms int) {
 	share := c.o.FleetCalls / float64(max(vms, 1))
 	c.limiter.SetLimit(rate.Limit(min(c.o.MaxCalls, share)))
+	c.circuit.setFleetSize(vms)
 }
 
 // Counts returns what has been counted so far.
--- a/io/platform/failure_test.go
+++ b/io/platform/failure_test.go
@@ -66,6 +66,7 @@
 func TestOutageCosts(t *testing.T) {
 	c := qt.New(t)
 	p := newPair(c, platform.Options{})
+	p.client.SetFleetSize(2300)
 	p.platform.SetFaults(standin.Faults{Outage: true})
 	before := p.platform.Stats().Calls
 	for range 36000 {
--- a/io/platform/reader.go
+++ b/io/platform/reader.go
@@ -42,6 +42,11 @@
 	return &Reader{platform: p, replica: r, deliver: deliver, clock: clock, done: make(chan struct{})}
 }
 
+// fleetSized is a platform whose budget and pauses follow from the fleet's size.
+type fleetSized interface{ SetFleetSize(vms int) }
+
+var _ fleetSized = (*Client)(nil)
+
 // Done is closed once Run has returned.
 func (r *Reader) Done() <-chan struct{} { return r.done }
 
@@ -51,6 +56,9 @@
 	started := r.clock.Now()
 	var revision uint64
 	for ctx.Err() == nil {
+		if sized, ok := r.platform.(fleetSized); ok {
+			sized.SetFleetSize(r.replica.FleetSize())
+		}
 		if !r.replica.Reader(r.clock.Now()) {
 			pause(ctx, idleWait)
 			continue
