flow: drained targets are checked once more, flows in use never move

Cause: the part that picks targets may act on an older configuration than the router. Change: a picked target that is drained or gone is given back and another one asked for; the invariant that a flow in use keeps its target is asserted. Figures: TestDrainedTargetIsNotOpenedTo, 60 opens after a drain: none at the drained target; without the check it fails.

--- a/core/flow/config_test.go
+++ b/core/flow/config_test.go
@@ -144,3 +144,19 @@
 	x.run()
 	qt.Assert(t, c.reset, qt.Equals, baobabstep.CodeWrongService)
 }
+
+// An operator drains a target, and the part that picks targets has not heard of
+// it yet. The target must get no new flow; its old ones stay.
+func TestDrainedTargetIsNotOpenedTo(t *testing.T) {
+	x := newExchange(t, fleet{vms: 9, dcs: 3, targets: 3})
+	flows := openMany(x, 30)
+	drained := x.config.Services[0].Targets[0].ID
+	before := len(x.targets[drained].flows)
+	x.setConfig(x.next(func(c *baobabstep.Config) { c.Services[0].Targets[0].Drained = true }))
+	for n := 100; n < 160; n++ {
+		x.open(n)
+	}
+	qt.Assert(t, x.events("drained_target_picked") > 0, qt.IsTrue)
+	qt.Assert(t, len(x.targets[drained].flows), qt.Equals, before)
+	x.assertAlive(flows...)
+}
--- a/core/flow/event.go
+++ b/core/flow/event.go
@@ -45,6 +45,7 @@
 	EventServiceMoved                    // service_moved
 	EventTargetTaken                     // target_address_taken
 	EventQuarantined                     // target_quarantined
+	EventDrainedPicked                   // drained_target_picked
 	EventProbed                          // probe_sent
 	EventProbeLimit                      // probe_limit
 	EventSilent                          // flow_silent
--- a/core/flow/event_string.go
+++ b/core/flow/event_string.go
@@ -46,18 +46,19 @@
 	_ = x[EventServiceMoved-35]
 	_ = x[EventTargetTaken-36]
 	_ = x[EventQuarantined-37]
-	_ = x[EventProbed-38]
-	_ = x[EventProbeLimit-39]
-	_ = x[EventSilent-40]
-	_ = x[EventSilentHeld-41]
-	_ = x[EventPathSuspected-42]
-	_ = x[EventInvariant-43]
-	_ = x[numEvents-44]
+	_ = x[EventDrainedPicked-38]
+	_ = x[EventProbed-39]
+	_ = x[EventProbeLimit-40]
+	_ = x[EventSilent-41]
+	_ = x[EventSilentHeld-42]
+	_ = x[EventPathSuspected-43]
+	_ = x[EventInvariant-44]
+	_ = x[numEvents-45]
 }
 
-const _Event_name = "forwardedasked_previous_ownerreturned_exhaustedflow_openedflow_establishedflow_closedflow_resetopen_refused_by_targetopen_refusedopen_repeatedopen_expiredhalf_open_evictedhalf_open_limitreplicatedsingle_copylearnedcopy_confirmedconflictconflict_of_establishedrepair_sentcopy_auditedhanded_oversurplus_droppedrecovered_from_targettarget_searchtarget_search_limitunknown_flow_resetdropped_unsuredropped_pauseddropped_not_readydropped_latedropped_wrong_targetdropped_unknowndropped_invaliddropped_loopservice_movedtarget_address_takentarget_quarantinedprobe_sentprobe_limitflow_silentflow_silent_heldpath_suspectedinvariant_brokennumEvents"
+const _Event_name = "forwardedasked_previous_ownerreturned_exhaustedflow_openedflow_establishedflow_closedflow_resetopen_refused_by_targetopen_refusedopen_repeatedopen_expiredhalf_open_evictedhalf_open_limitreplicatedsingle_copylearnedcopy_confirmedconflictconflict_of_establishedrepair_sentcopy_auditedhanded_oversurplus_droppedrecovered_from_targettarget_searchtarget_search_limitunknown_flow_resetdropped_unsuredropped_pauseddropped_not_readydropped_latedropped_wrong_targetdropped_unknowndropped_invaliddropped_loopservice_movedtarget_address_takentarget_quarantineddrained_target_pickedprobe_sentprobe_limitflow_silentflow_silent_heldpath_suspectedinvariant_brokennumEvents"
 
-var _Event_index = [...]uint16{0, 9, 29, 47, 58, 74, 85, 95, 117, 129, 142, 154, 171, 186, 196, 207, 214, 228, 236, 259, 270, 282, 293, 308, 329, 342, 361, 379, 393, 407, 424, 436, 456, 471, 486, 498, 511, 531, 549, 559, 570, 581, 597, 611, 627, 636}
+var _Event_index = [...]uint16{0, 9, 29, 47, 58, 74, 85, 95, 117, 129, 142, 154, 171, 186, 196, 207, 214, 228, 236, 259, 270, 282, 293, 308, 329, 342, 361, 379, 393, 407, 424, 436, 456, 471, 486, 498, 511, 531, 549, 570, 580, 591, 602, 618, 632, 648, 657}
 
 func (i Event) String() string {
 	idx := int(i) - 0
--- a/core/flow/open.go
+++ b/core/flow/open.go
@@ -46,7 +46,8 @@
 	t.refuseCaller(code, retryOpen)
 }
 
-// pick asks the Chooser for a target that may take new work of the service.
+// pick asks the Chooser for a target that may take new work of the service. The
+// Chooser may have heard of a drain later than this VM's configuration.
 func (t *turn) pick(config *baobabstep.Service) (uint32, baobabstep.Code) {
 	for range maxAttempts {
 		id, code := t.r.o.Chooser.PickFlow(t.now, config, t.r.o.DataCentre, t.s.random.Uint64())
@@ -54,10 +55,15 @@
 			return 0, code
 		}
 		i, found := t.r.reg.findTarget(id, config.ID)
-		if found && t.mayOpenTo(t.r.reg.target(i)) {
+		drained := t.snap.config.Target(id) == nil || t.snap.config.Target(id).Drained
+		if found && !drained && t.mayOpenTo(t.r.reg.target(i)) {
 			return i, baobabstep.CodeOK
 		}
-		t.count(EventQuarantined)
+		if drained {
+			t.count(EventDrainedPicked)
+		} else {
+			t.count(EventQuarantined)
+		}
 		t.r.o.Chooser.FlowClosed(t.now, id)
 	}
 	return 0, baobabstep.CodeNoTarget
@@ -205,6 +211,9 @@
 
 // setTarget moves a record to another target and the Chooser's count with it.
 func (t *turn) setTarget(rec *record, tg uint32) {
+	if rec.state == StateEstablished && rec.detail == detailInUse {
+		t.broken("I1", "flow in use moves from target %x", t.r.reg.target(rec.target).id)
+	}
 	counted := rec.has(flagCounted)
 	t.uncount(rec)
 	t.aim(rec, tg, false)
