request: a set has one VM of each data centre; a side stops claiming when it suspects

Cause: a data centre that is cut off could hold two of the three VMs of a set, and then stalled its groups until the cut was known for a death, some 8 s; and a side went on claiming until then, close to when the other began without it. Change: sets are spread over data centres; suspect VMs do not count towards the side of a partition; requests of an owner that is gone are answered by the first living witness, since the next dispatcher need not be one; a repeated request that another VM owns is passed to it. Failures first: with the spread alone the table of deaths and the stop test failed (answer to the owner that had just died; two results told; a third dispatcher at a stop), which made the other changes. Counting suspect VMs, or taking sets without the spread, fails the new tests of sets. Conclusion: a claim takes a way to another data centre and back; the loss of one data centre costs no claim.

--- a/core/request/claim.go
+++ b/core/request/claim.go
@@ -180,15 +180,27 @@
 }
 
 // claimLost ends this VM's part in a request that another VM owns. If that VM
-// is gone, or is an earlier process of this one, nobody will ever answer.
+// is gone its heir answers; if it was an earlier process of this one, nobody
+// ever will.
 func (g *group) claimLost(now time.Time, en *entry, owner baobabstep.VMID, out *baobabstep.Outbox) {
-	if owner == 0 || owner == g.engine.opts.Self || !g.fleet.has(owner) || en.attempt > 0 {
+	if !g.fleet.has(owner) {
+		owner = g.heir(owner)
+	}
+	if owner == 0 || owner == g.engine.opts.Self || en.attempt > 0 {
 		g.unknown(now, en, out)
 		return
 	}
 	en.owner = owner
 	en.setState(stateMoved)
 	en.remember(now)
+	if en.claim.window < g.engine.opts.Remember {
+		return
+	}
+	// The caller repeated the request: it may wait for a result that is lost.
+	p := g.claimPacket(now, en, baobabstep.PurposeForward)
+	p.Seq, p.Attempt = 1, 0
+	p.Route.Tried[0], p.Route.NTried = g.engine.opts.Self, 1
+	out.VM(owner, p)
 }
 
 // unknown ends a request of which nothing can be proved.
@@ -220,11 +232,11 @@
 // adopt looks after stored claims whose owner left the view: their callers
 // still wait, and the owner may be dead.
 func (g *group) adopt(now time.Time) {
-	if g.set.acting != g.engine.opts.Self {
-		return
-	}
 	for _, en := range g.ledger {
-		if en.state == stateStored && !en.adopted && !g.fleet.has(en.owner) {
+		if en.state != stateStored || en.adopted || g.fleet.has(en.owner) {
+			continue
+		}
+		if g.heir(en.owner) == g.engine.opts.Self {
 			en.adopted = true
 			en.setTimer(now.Add(g.adoptGrace(now, en)))
 		}
@@ -253,17 +265,40 @@
 }
 
 // nextForeign returns the VM that should answer for a request of another VM:
-// the owner while it lives, then the dispatcher. An answer is not entrusted to
+// the owner while it lives, then its heir. An answer is not entrusted to
 // an owner that is suspect.
 func (g *group) nextForeign(en *entry, p *baobabstep.Packet) baobabstep.VMID {
-	self, acting := g.engine.opts.Self, g.set.acting
-	alive := g.fleet.has(en.owner) && !g.fleet.suspect(en.owner)
-	keep := p.Kind == baobabstep.KindAnswer && acting == self && !alive
-	if g.fleet.has(en.owner) && !tried(p, en.owner) && !keep {
+	doubtful := g.fleet.suspect(en.owner) && p.Kind == baobabstep.KindAnswer
+	if g.fleet.has(en.owner) && !tried(p, en.owner) && !doubtful {
 		return en.owner
 	}
-	if acting != self && acting != 0 && acting != en.owner && !tried(p, acting) {
-		return acting
+	heir := g.heir(en.owner)
+	if heir != g.engine.opts.Self && heir != 0 && !tried(p, heir) {
+		return heir
+	}
+	return 0
+}
+
+// heir returns the witness that answers for the requests of an owner which is
+// gone or suspect: the first other living VM of the set that the owner was in.
+// The present dispatcher need not be one of the witnesses.
+func (g *group) heir(owner baobabstep.VMID) baobabstep.VMID {
+	if slices.Contains(g.set.members, owner) {
+		return g.firstAlive(g.set.members, owner)
+	}
+	for i := len(g.former) - 1; i >= 0; i-- {
+		if members := g.former[i].set.members; slices.Contains(members, owner) {
+			return g.firstAlive(members, owner)
+		}
+	}
+	return g.set.acting
+}
+
+func (g *group) firstAlive(members []baobabstep.VMID, but baobabstep.VMID) baobabstep.VMID {
+	for _, vm := range members {
+		if vm != but && g.fleet.has(vm) && !g.fleet.suspect(vm) {
+			return vm
+		}
 	}
 	return 0
 }
--- a/core/request/group.go
+++ b/core/request/group.go
@@ -192,20 +192,22 @@
 	return 0
 }
 
-// successor returns the member of the set that takes over from a VM that is
-// stopping, or 0. A request that this member passed on here, in its older view,
-// goes back to it, once: with a third VM there would be two dispatchers that
+// successor returns the VM that takes over from one that is stopping, or 0. A
+// request that this VM passed on here, in its older view, goes back to it, once:
+// with a third VM there would be two dispatchers that
 // know nothing of each other's slots.
 func (g *group) successor(p *baobabstep.Packet) baobabstep.VMID {
+	next := g.fleet.setOf(g.id, g.service, g.engine.opts.Self).acting
 	if p.Kind != baobabstep.KindRequest || tried(p, g.engine.opts.Self) {
-		return g.untried(g.set.members, p)
-	}
-	for _, vm := range g.set.members {
-		if vm != g.engine.opts.Self && !g.fleet.suspect(vm) && p.Route.NTried < baobabstep.MaxTried-1 {
+		if vm := g.untried([]baobabstep.VMID{next}, p); vm != 0 {
 			return vm
 		}
+		return g.untried(g.set.members, p)
 	}
-	return 0
+	if p.Route.NTried >= baobabstep.MaxTried-1 {
+		return 0
+	}
+	return next
 }
 
 func tried(p *baobabstep.Packet, vm baobabstep.VMID) bool {
--- a/core/request/request.go
+++ b/core/request/request.go
@@ -6,8 +6,9 @@
 // A service has few slots, so whoever hands out work has to know exactly how
 // many are in use. The targets of a service are split into groups of at most
 // 64, and each group has one dispatcher among the VMs at any time: the first
-// VM that is not suspect of the three with the best rendezvous scores, called
-// the group's set. Every other VM passes requests and answers on to it.
+// VM that is not suspect of the group's set, which is the three VMs with the best
+// rendezvous scores, of different data centres as far as there are. Every other
+// VM passes requests and answers on to it.
 //
 //	caller -> any VM -> dispatcher -> target
 //	                        \-> the other two VMs of the set: claim
@@ -36,7 +37,8 @@
 //
 // The fabric may hand copies of a request to both sides of a partition between
 // data centres, and no message can pass. Only a side that has members in most
-// of the service's data centres may own claims; the other side serves
+// of the service's data centres, suspect ones not counted, may own claims; the
+// other side serves
 // idempotent requests and answers the rest with "outcome unknown" at once.
 package request
 
--- a/core/request/set.go
+++ b/core/request/set.go
@@ -70,25 +70,28 @@
 	until time.Time
 }
 
+// scored is a VM with its rendezvous score for a group.
+type scored struct {
+	vm         baobabstep.VMID
+	dataCentre string
+	score      uint64
+}
+
 // setOf computes the set of a group, leaving out one VM.
 func (f *fleet) setOf(id groupID, s *baobabstep.Service, without baobabstep.VMID) set {
-	type scored struct {
-		vm    baobabstep.VMID
-		score uint64
-	}
 	var all []scored
 	for i := range f.view.Members {
 		vm := &f.view.Members[i]
 		if vm.ID == without || !f.serves(s, vm.DataCentre) {
 			continue
 		}
-		all = append(all, scored{vm.ID, score(vm.ID, id)})
+		all = append(all, scored{vm.ID, vm.DataCentre, score(vm.ID, id)})
 	}
 	slices.SortFunc(all, func(a, b scored) int {
 		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.vm, b.vm))
 	})
 	var r set
-	for _, m := range all[:min(setSize, len(all))] {
+	for _, m := range spread(all) {
 		r.members = append(r.members, m.vm)
 		if r.acting == 0 && !f.suspect(m.vm) {
 			r.acting = m.vm
@@ -100,16 +103,39 @@
 	return r
 }
 
+// spread returns the best VMs, of different data centres as far as there are:
+// when one data centre is cut off, the others still have most of each set.
+func spread(all []scored) []scored {
+	var best, rest []scored
+	for _, m := range all {
+		taken := slices.ContainsFunc(best, func(b scored) bool { return b.dataCentre == m.dataCentre })
+		if taken || len(best) == setSize {
+			rest = append(rest, m)
+			continue
+		}
+		best = append(best, m)
+	}
+	missing := min(setSize-len(best), len(rest))
+	return append(best, rest[:missing]...)
+}
+
 // serves tells whether VMs of a data centre may dispatch for a service: those
 // of its own data centres, or all when none of these has a VM.
 func (f *fleet) serves(s *baobabstep.Service, dataCentre string) bool {
 	if len(s.DataCentres) == 0 || slices.Contains(s.DataCentres, dataCentre) {
 		return true
 	}
-	return f.reached(s) == 0
+	for i := range f.view.Members {
+		if slices.Contains(s.DataCentres, f.view.Members[i].DataCentre) {
+			return false
+		}
+	}
+	return true
 }
 
-// reached counts the service's data centres that have a VM in the view.
+// reached counts the service's data centres that have a VM which is not
+// suspect. A side of a partition has to stop claiming well before the other
+// side begins to count without it, and suspicion comes before death.
 func (f *fleet) reached(s *baobabstep.Service) int {
 	n := 0
 	for _, d := range s.DataCentres {
@@ -125,7 +151,8 @@
 
 func (f *fleet) reaches(dataCentre string) bool {
 	for i := range f.view.Members {
-		if f.view.Members[i].DataCentre == dataCentre {
+		vm := &f.view.Members[i]
+		if vm.DataCentre == dataCentre && vm.State != baobabstep.VMSuspect {
 			return true
 		}
 	}
