request: the slot of an attempt that is probably lost is presumed free

Cause: an attempt that is not idempotent, or has no retry budget left, held its slot until the request's deadline. With 5 % loss on each leg the slots filled up with lost attempts. Ruled out: target health (no target ejected), claims. Change: after the time at which an idempotent attempt is taken for lost, the slot is given back; the answer is still awaited until the deadline. Conclusion: lost attempts still take slots for eight service times, which at 5 % a leg costs about one request in nine.

--- a/core/request/dispatch.go
+++ b/core/request/dispatch.go
@@ -12,7 +12,7 @@
 	baseBackoff    = 4 * time.Millisecond
 	maxBackoff     = 250 * time.Millisecond
 	// minAttemptTimeout and attemptTimes bound the time after which an
-	// idempotent attempt is taken for lost: attemptTimes service times.
+	// attempt is taken for lost: attemptTimes service times.
 	minAttemptTimeout = 100 * time.Millisecond
 	attemptTimes      = 8
 )
@@ -107,12 +107,9 @@
 	en.setTimer(g.runTimer(now, en))
 }
 
-// runTimer is the deadline, or earlier the time after which an idempotent
-// attempt is taken for lost.
+// runTimer is the deadline, or earlier the time after which an attempt is taken
+// for lost.
 func (g *group) runTimer(now time.Time, en *entry) time.Time {
-	if !en.idempotent {
-		return en.deadline
-	}
 	return earlier(en.deadline, now.Add(g.attemptTimeout()))
 }
 
@@ -134,8 +131,7 @@
 		return
 	}
 	if !g.mayRetry(en) {
-		// No budget: the attempt may still be answered.
-		en.setTimer(en.deadline)
+		g.presumeFree(now, en, out)
 		return
 	}
 	g.cancelAttempt(en, out)
@@ -143,6 +139,18 @@
 	g.retry(now, en)
 }
 
+// presumeFree gives back the slot of an attempt that is probably lost and may
+// not be tried again; its answer is still awaited. If the fabric loses one
+// attempt in ten, and each holds its slot to the deadline, a hundred service
+// times away, the slots fill up with work that nobody does, and requests are
+// refused before idle targets. If the target is only slow, it refuses the next
+// attempt without running it, so an early guess costs no more than that.
+func (g *group) presumeFree(now time.Time, en *entry, out *baobabstep.Outbox) {
+	en.releaseSlot(now, baobabstep.CodeOutcomeUnknown)
+	en.setTimer(en.deadline)
+	g.dispatch(now, out)
+}
+
 // lose ends an attempt of which nothing was heard. It is evidence against the
 // target only if the target had a fair time to answer.
 func (g *group) lose(now time.Time, en *entry) {
