member: relays write once a second

Cause: at 6 to 9 VMs control is to stay under 4 KB a second a VM, sent and received; relays without news were more than a third of the membership's messages. Change: a relay without news writes each second instead of each 500 ms; changes still go at once.

--- a/core/member/bench_test.go
+++ b/core/member/bench_test.go
@@ -84,7 +84,7 @@
 	for _, f := range s.local {
 		queue = s.post(queue, f.me.vm.ID, f.Tick(s.now))
 	}
-	if s.ticks%5 == 0 {
+	if s.ticks%10 == 0 {
 		queue = s.playRelays(queue, s.ticks%20 == 0)
 	}
 	for len(queue) > 0 {
--- a/core/member/options.go
+++ b/core/member/options.go
@@ -27,8 +27,7 @@
 	// Self describes this VM. An Incarnation of 0 counts as 1; peers that
 	// knew an earlier life of the VM make it choose a higher one.
 	Self baobabstep.VM
-	// ProbeInterval is the time between two probes, and between two messages
-	// of a relay.
+	// ProbeInterval is the time between two probes.
 	ProbeInterval time.Duration
 	// ProbeTimeout is the time to wait for the answer of a probe before
 	// other VMs are asked to probe. It has to be well under ProbeInterval.
--- a/core/member/relay.go
+++ b/core/member/relay.go
@@ -8,6 +8,10 @@
 	"baobabstep"
 )
 
+// relayPeriod times the probe interval is the time between two messages of a
+// relay without news. Several relays share the work, so beats come more often.
+const relayPeriod = 2
+
 // anyEvery is how often a relay tries a VM outside the chosen ones: they may
 // all have died at once, with a rack, before anybody could say so.
 const anyEvery = 4
@@ -73,7 +77,7 @@
 	f.computeRoles()
 	due := !f.now.Before(f.nextRelay)
 	if due {
-		f.nextRelay = f.now.Add(f.o.ProbeInterval)
+		f.nextRelay = f.now.Add(relayPeriod * f.o.ProbeInterval)
 	}
 	for _, d := range f.sorted {
 		r := &d.role
