config: an accept starts from what the VM has rendered

Change: an accept takes a copy of the replica's builder; the document before the change comes from the decoded version, so that bytes dropped meanwhile do not look like another operator's change.

--- a/core/config/accept.go
+++ b/core/config/accept.go
@@ -60,6 +60,9 @@
 	// be read; Current is the version in force here, or nil.
 	Objects Objects
 	Current *Set
+	// Builder, if set, is used up by the accept. One that knows the current
+	// version saves decoding and rendering it.
+	Builder *Builder
 	// FlowSecret is used for the first version of all.
 	FlowSecret [16]byte
 }
@@ -115,7 +118,10 @@
 
 // NewAccept returns the machine for one change.
 func NewAccept(c Change, o AcceptOptions) *Accept {
-	a := &Accept{o: o, change: c, builder: NewBuilder(), fetched: map[Digest][]byte{}}
+	a := &Accept{o: o, change: c, builder: o.Builder, fetched: map[Digest][]byte{}}
+	if a.builder == nil {
+		a.builder = NewBuilder()
+	}
 	a.result.ChangeID = c.ID
 	return a
 }
--- a/core/config/bench_test.go
+++ b/core/config/bench_test.go
@@ -91,17 +91,20 @@
 	return head.Manifest
 }
 
-// BenchmarkAccept: the whole of an accept of one account, from objects at hand.
+// BenchmarkAccept: the whole of an accept of one account, on a VM that has the
+// version in force.
 func BenchmarkAccept(b *testing.B) {
 	for _, n := range sizes {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			s := bigStore(b, n)
 			objects := func(d config.Digest) ([]byte, bool) { kv, ok := s.keys[config.ObjectKey(d)]; return kv.Value, ok }
-			set := s.read(qt.New(b))
+			builder := config.NewBuilder()
+			set, _, err := builder.Build(headOf(b, s), objects, nil)
+			qt.Assert(b, err, qt.IsNil)
 			puts, gets := s.puts, s.gets
 			i := 0
 			for b.Loop() {
-				res := s.accept(testStart, queueChange(fmt.Sprint(i), 1, targetsOf(1), i%100-1, (i+1)%100-1+100*((i+1)%100/100)), config.AcceptOptions{Objects: objects, Current: set})
+				res := s.accept(testStart, queueChange(fmt.Sprint(i), 1, targetsOf(1), i%100-1, (i+1)%100-1+100*((i+1)%100/100)), config.AcceptOptions{Objects: objects, Current: set, Builder: builder.Clone()})
 				if res.Err != nil {
 					b.Fatal(res.Err)
 				}
--- a/core/config/builder.go
+++ b/core/config/builder.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"maps"
 	"slices"
 	"sort"
 
@@ -39,6 +40,12 @@
 	}
 }
 
+// Clone returns a builder that knows the same and goes its own way. What both
+// know is immutable.
+func (b *Builder) Clone() *Builder {
+	return &Builder{objects: maps.Clone(b.objects), templates: maps.Clone(b.templates), rendered: maps.Clone(b.rendered)}
+}
+
 // Set is one version, decoded.
 type Set struct {
 	Digest   Digest
--- a/core/config/prepare.go
+++ b/core/config/prepare.go
@@ -58,7 +58,7 @@
 	conflicts := 0
 	for i := range a.change.Edits {
 		e := &a.change.Edits[i]
-		document, conflict, err := a.applyEdit(e, refs)
+		document, conflict, err := a.applyEdit(e)
 		if err != nil {
 			return nil, err
 		}
@@ -83,12 +83,8 @@
 }
 
 // applyEdit returns the document that an edit leads to, nil for removal.
-func (a *Accept) applyEdit(e *Edit, refs map[refKey]Ref) (document []byte, conflict bool, err error) {
-	key := refKey{e.Kind, e.Name}
-	var current []byte
-	if r, ok := refs[key]; ok {
-		current, _ = a.lookup(r.Digest)
-	}
+func (a *Accept) applyEdit(e *Edit) (document []byte, conflict bool, err error) {
+	current := a.currentDocument(refKey{e.Kind, e.Name})
 	if len(e.Document) > 0 {
 		if document, err = canonical(e.Kind, e.Name, e.Document); err != nil {
 			return nil, false, err
@@ -119,6 +115,22 @@
 	return document, false, nil
 }
 
+// currentDocument returns the document before the change, nil for none. It is
+// encoded anew, since the builder may know a document whose bytes are not at
+// hand any more; documents have one form only.
+func (a *Accept) currentDocument(k refKey) []byte {
+	if a.before == nil {
+		return nil
+	}
+	if t := a.before.templates[k.name]; k.kind == ObjectTemplate && t != nil {
+		return Encode(t)
+	}
+	if one := a.before.accounts[k.name]; k.kind == ObjectAccount && one != nil {
+		return Encode(one)
+	}
+	return nil
+}
+
 // merge notes what others changed since base, and returns the merged document
 // if the operator asked for it and no field was changed by both.
 func (a *Accept) merge(base, document, current []byte) ([]byte, error) {
--- a/core/config/replica.go
+++ b/core/config/replica.go
@@ -152,6 +152,13 @@
 // Set returns the version in force with its documents, or nil.
 func (r *Replica) Set() *Set { return r.current.Load() }
 
+// Builder returns a builder that knows what is in force, for an accept.
+func (r *Replica) Builder() *Builder {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.builder.Clone()
+}
+
 // Object returns the bytes of an object that this VM has.
 func (r *Replica) Object(d Digest) ([]byte, bool) {
 	r.mu.Lock()
--- a/io/operator/change.go
+++ b/io/operator/change.go
@@ -139,7 +139,8 @@
 
 func (s *Server) accept(ctx context.Context, c config.Change, q ChangeQuery) (ChangeAnswer, error) {
 	res := platform.Accept(ctx, s.o.Platform, s.o.Clock, c, config.AcceptOptions{
-		Objects: s.o.Replica.Object, Current: s.o.Replica.Set(), FlowSecret: s.o.FlowSecret,
+		Objects: s.o.Replica.Object, Current: s.o.Replica.Set(), Builder: s.o.Replica.Builder(),
+		FlowSecret: s.o.FlowSecret,
 	})
 	a := ChangeAnswer{Result: res}
 	if res.Err != nil || q.DryRun {
