flow: the last record of an open reaches the holder before it expires

Change: a record that still waits for its acceptance is sent to the holder at half its time; the holder asks the target. Figures: TestLastRecordIsStillOpening fails without, passes with the change.

--- a/core/flow/death_test.go
+++ b/core/flow/death_test.go
@@ -1,6 +1,7 @@
 package flow_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -107,3 +108,33 @@
 		}
 	}
 }
+
+// The target accepted the flow and the caller knows, but the VMs that know it
+// died. One VM is left with a record that still waits for the acceptance, and it
+// is no owner any more; the target has left the configuration, so the present
+// owners cannot find it. The record must reach them before it expires.
+func TestLastRecordIsStillOpening(t *testing.T) {
+	x := newExchange(t, fleet{vms: 3, dcs: 1, targets: 3})
+	old := slices.Clone(x.vms)
+	last := old[0].ID
+	s := x.config.Services[0]
+	x.setConfig(x.next(func(c *baobabstep.Config) { c.Services[0].Targets = without(s.Targets, 0) }))
+	for i := 3; i < 12; i++ {
+		x.addVM(i, 1)
+	}
+	x.setViews(x.vms)
+	n := 0
+	for o := x.owners(x.key(n), x.vms); slices.ContainsFunc(old, func(vm baobabstep.VM) bool { return o.Has(vm.ID) }); n++ {
+		o = x.owners(x.key(n+1), x.vms)
+	}
+	c := x.caller(n)
+	key := c.key
+	x.targets[s.Targets[0].ID].flows[key] = 0
+	x.routers[last].Handle(x.now, &baobabstep.Packet{Kind: baobabstep.KindProbe, Flow: key, Route: baobabstep.Route{
+		Purpose: baobabstep.PurposeLearn, Record: baobabstep.Record{
+			Target: s.Targets[0].ID, Service: s.ID, Address: s.Targets[0].Address, Version: 1, Attempt: 1,
+		},
+	}}, &baobabstep.Outbox{})
+	x.advance(30 * time.Second)
+	x.assertAlive(c)
+}
--- a/core/flow/tick.go
+++ b/core/flow/tick.go
@@ -155,7 +155,9 @@
 }
 
 // visitOpening ends opens that no target answered. Before, the target is asked
-// once: its acceptance may have been lost, and then it holds the flow.
+// once: its acceptance may have been lost, and then it holds the flow. A VM that
+// is not the holder leaves that to the holder, who may have died with its copy
+// and have a successor that knows nothing.
 func (t *turn) visitOpening(rec *record) {
 	waited := since(t.tick, rec.fromCaller)
 	limit := ticks(t.r.o.OpenTimeout)
@@ -168,6 +170,8 @@
 		t.drop(rec)
 	case waited > limit/2 && rec.has(flagHolder) && rec.countProbes(toTarget) == 0 && !t.snap.paused:
 		t.probe(rec, toTarget)
+	case waited > limit/2 && !rec.has(flagHolder) && !t.snap.paused:
+		t.checkCopies(rec)
 	}
 }
 
