config: a change names each document once

Cause: two edits of one document in one change would both start from the document before the change, and the second would replace the first unseen. Change: refused with the document's name. Figures: the row of the table failed to be refused before (checked by reading; the row was written with the rule). Conclusion: no effect on imports, whose reader refused doubles already.

--- a/core/config/accept_test.go
+++ b/core/config/accept_test.go
@@ -255,6 +255,9 @@
 			t.Parameters[2].Type = config.TypeNumber
 			t.Service.QueueLimit = nil
 		}), baobabstep.CodeInvalid, "add a parameter of another name"},
+		{"one document twice", config.Change{ID: "x", Operator: "ana", Reason: "try", Action: "t", Edits: []config.Edit{
+			{Kind: config.ObjectAccount, Name: "a"}, {Kind: config.ObjectAccount, Name: "a"},
+		}}, baobabstep.CodeInvalid, "each document once"},
 		{"no reason", config.Change{ID: "x", Operator: "ana", Action: "t", Edits: []config.Edit{{Kind: config.ObjectAccount, Name: "a"}}}, baobabstep.CodeInvalid, "change.reason"},
 	} {
 		t.Run(one.name, func(t *testing.T) {
--- a/core/config/change.go
+++ b/core/config/change.go
@@ -73,8 +73,14 @@
 	if len(c.Edits) == 0 || len(c.Edits) > maxEdits {
 		p.add("change.edits", len(c.Edits), "1 to %d edits", maxEdits)
 	}
+	seen := make(map[refKey]bool, len(c.Edits))
 	for i := range c.Edits {
 		e := &c.Edits[i]
+		if key := (refKey{e.Kind, e.Name}); seen[key] {
+			p.add("change.edits", key, "each document once")
+		} else {
+			seen[key] = true
+		}
 		if e.Kind != ObjectTemplate && e.Kind != ObjectAccount {
 			p.add("change.edits", e.Kind, "template or account")
 		}
