config: quarantine ends once the version is in force everywhere

Change: one reader, knowing that every VM has the version, lifts the addresses by a change of its own; while some VM is not heard they stay, at most two hours. The audit list copies pending entries first. Seen to fail: lifting although a VM was cut off, lifting on all VMs, a lift without effect. Conclusion: consumers of the list need no change.

--- a/core/config/change.go
+++ b/core/config/change.go
@@ -25,6 +25,10 @@
 	Merge bool `json:"merge"`
 	// DryRun stops before anything is written.
 	DryRun bool `json:"dry_run"`
+	// Lift, instead of edits, ends the quarantine of addresses whose Until is
+	// not greater. VMs make such a change by themselves; see
+	// [Replica.Liftable].
+	Lift uint64 `json:"lift"`
 }
 
 // Edit replaces, adds or removes one document.
@@ -70,7 +74,7 @@
 			p.add("change."+f.name, fmt.Sprintf("%q", f.value), "1 to %d bytes of text", maxText)
 		}
 	}
-	if len(c.Edits) == 0 || len(c.Edits) > maxEdits {
+	if len(c.Edits) == 0 && c.Lift == 0 || len(c.Edits) > maxEdits {
 		p.add("change.edits", len(c.Edits), "1 to %d edits", maxEdits)
 	}
 	seen := make(map[refKey]bool, len(c.Edits))
--- a/core/config/danger.go
+++ b/core/config/danger.go
@@ -94,21 +94,23 @@
 
 // Bounds of the quarantine.
 const (
-	// quarantineAge is how long an address stays in quarantine. A VM that
-	// has not heard a version for so long is cut off from everything, and a
-	// target refuses a packet that names another service.
-	quarantineAge = 24 * time.Hour
+	// quarantineAge is how long an address stays in quarantine while it is
+	// not known that the version is in force everywhere. A VM that has not
+	// heard a version for so long is cut off from everything, and a target
+	// refuses a packet that names another service.
+	quarantineAge = 2 * time.Hour
 	maxQuarantine = 4096
 )
 
 // nextQuarantine lists the addresses that the version takes away from a
 // service, beside those on the list that are still young. A VM that acts on an
 // earlier version may send the old service's packets there, so the address
-// gets no work from another service before the version is in force everywhere.
-func nextQuarantine(now time.Time, items []QuarantineItem, before, after *baobabstep.Config) []QuarantineItem {
+// gets no work from another service before the version is in force everywhere,
+// which is when the address is lifted.
+func nextQuarantine(now time.Time, items []QuarantineItem, lift uint64, before, after *baobabstep.Config) []QuarantineItem {
 	var out []QuarantineItem
 	for _, q := range items {
-		if now.Sub(q.Since) < quarantineAge {
+		if q.Until > lift && now.Sub(q.Since) < quarantineAge {
 			out = append(out, q)
 		}
 	}
@@ -135,3 +137,34 @@
 	}
 	return out[max(0, len(out)-maxQuarantine):]
 }
+
+// Liftable returns the version up to which addresses may leave quarantine, or 0.
+// It is that of a version known to be in force on every VM, or of addresses that
+// have been in quarantine for long. To save calls it answers on one VM only, as
+// far as views agree; two that lift the same do no harm, since the second
+// changes nothing.
+func (r *Replica) Liftable(now time.Time) uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.current.Load()
+	own := r.o.Self.DataCentre
+	if s == nil || len(s.quarantine) == 0 || r.fleet.readers[own][0] != r.o.Self.ID {
+		return 0
+	}
+	everywhere, complete := s.Manifest.Version, true
+	for _, d := range r.knownCentres(now) {
+		fresh := time.Duration(d.AgeMS)*time.Millisecond < peerExpiry && d.Heard >= d.VMs
+		if fresh && d.DataCentre < own {
+			return 0
+		}
+		complete = complete && fresh
+		everywhere = min(everywhere, d.Oldest)
+	}
+	var lift uint64
+	for _, q := range s.quarantine {
+		if complete && q.Until <= everywhere || now.Sub(q.Since) >= quarantineAge {
+			lift = max(lift, q.Until)
+		}
+	}
+	return lift
+}
--- a/core/config/prepare.go
+++ b/core/config/prepare.go
@@ -55,6 +55,7 @@
 	}
 	a.objects = map[Digest][]byte{}
 	a.result.Difference, a.result.Theirs, a.result.Collisions = nil, nil, nil
+	a.noteLifted()
 	conflicts := 0
 	for i := range a.change.Edits {
 		e := &a.change.Edits[i]
@@ -74,6 +75,18 @@
 	return refs, nil
 }
 
+// noteLifted adds the addresses that leave quarantine to the difference.
+func (a *Accept) noteLifted() {
+	if a.before == nil {
+		return
+	}
+	for _, q := range a.before.quarantine {
+		if q.Until <= a.change.Lift {
+			a.result.Difference = append(a.result.Difference, fmt.Sprintf("- quarantine.%s: since version %d", q.Address, q.Until))
+		}
+	}
+}
+
 func (a *Accept) conflictText() string {
 	text := ""
 	for _, c := range a.result.Theirs {
@@ -180,7 +193,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if items = nextQuarantine(now, items, a.beforeConfig(), draft.Config); len(items) > 0 {
+	if items = nextQuarantine(now, items, a.change.Lift, a.beforeConfig(), draft.Config); len(items) > 0 {
 		b := Encode(items)
 		m.Quarantine = MakeDigest(b)
 		a.objects[m.Quarantine] = b
@@ -242,6 +255,9 @@
 const maxSubjects = 4
 
 func (a *Accept) subject() string {
+	if a.change.Lift > 0 {
+		return "quarantine"
+	}
 	text := ""
 	for i, e := range a.change.Edits {
 		if i == maxSubjects {
--- a/core/config/spread_test.go
+++ b/core/config/spread_test.go
@@ -397,3 +397,41 @@
 	f.wait(5 * time.Second)
 	c.Assert(everywhere(f.replicas[f.vms[0].ID], uint64(2+len(f.vms))), qt.IsTrue)
 }
+
+// TestQuarantineLifted: an address left a service and shall serve another. While
+// one VM is cut off with the old version the address must stay in quarantine,
+// since that VM may send the former service's packets there; once every VM has
+// the new version exactly one VM lifts it, and the address can be used again.
+func TestQuarantineLifted(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	s := newStore()
+	mustAccept(c, s, firstChange(3, 4))
+	f := newFleet(2, 3, s)
+	assertInForce(c, f, 6*time.Second, 1)
+	f.wait(3 * time.Second)
+	lost := f.vms[4].ID
+	f.cut = func(from, to baobabstep.VMID) bool { return from == lost || to == lost }
+	mustAccept(c, s, edited(config.ObjectAccount, accountName(1), testAccount(1, 4), testAccount(1, 3)))
+	liftable := func() (all []uint64) {
+		for _, vm := range f.vms {
+			if v := f.replicas[vm.ID].Liftable(f.now); v > 0 {
+				all = append(all, v)
+			}
+		}
+		return all
+	}
+	f.wait(20 * time.Second)
+	c.Assert(liftable(), qt.HasLen, 0)
+	f.cut = nil
+	f.wait(5 * time.Second)
+	c.Assert(liftable(), qt.DeepEquals, []uint64{2})
+	lift := config.Change{ID: "lift", Operator: "vm", Reason: "in force everywhere", Action: "quarantine lift", Lift: 2}
+	mustAccept(c, s, lift)
+	lift.ID = "again"
+	res := s.accept(testStart, lift, config.AcceptOptions{})
+	c.Assert(baobabstep.CodeOf(res.Err), qt.Equals, baobabstep.CodeInvalid)
+	assertInForce(c, f, 6*time.Second, 3)
+	c.Assert(f.replicas[lost].Current().Quarantine, qt.HasLen, 0)
+	c.Assert(liftable(), qt.HasLen, 0)
+}
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -179,11 +179,12 @@
 }
 
 func (s *Server) audit(ctx context.Context, _ string, q AuditQuery) (AuditAnswer, error) {
+	// Entries that were accepted and not copied yet are no fault, and belong
+	// in the list.
+	if err := s.o.Trail.CatchUp(ctx); err != nil {
+		return AuditAnswer{}, err
+	}
 	if q.Verify {
-		// Entries that were accepted and not copied yet are no fault.
-		if err := s.o.Trail.CatchUp(ctx); err != nil {
-			return AuditAnswer{}, err
-		}
 		n, err := s.o.Trail.Verify(ctx)
 		return AuditAnswer{Verified: n}, err
 	}
--- a/io/platform/reader.go
+++ b/io/platform/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"baobabstep"
@@ -12,6 +13,8 @@
 	// watchWait is how long a watch waits for a change: long, since each
 	// counts as a call, and short enough to notice a dead connection.
 	watchWait = 20 * time.Second
+	// quarantineWait is the same while addresses are in quarantine.
+	quarantineWait = 2 * time.Second
 	// idleWait is how often a VM that is no reader looks whether it is one.
 	idleWait = 200 * time.Millisecond
 	// retryWait is the least pause after a failed call.
@@ -73,9 +76,33 @@
 			next = 0
 		}
 		revision = next
+		r.lift(ctx)
 	}
 }
 
+// lift ends the quarantine of addresses, where this VM is the one to do so and
+// knows that they have left their former service everywhere. If it fails, the
+// next pass tries again.
+func (r *Reader) lift(ctx context.Context) {
+	version := r.replica.Liftable(r.clock.Now())
+	if version == 0 {
+		return
+	}
+	Accept(ctx, r.platform, r.clock, config.Change{
+		ID: fmt.Sprintf("quarantine-%d", version), Operator: "baobabstep", Action: "quarantine lift",
+		Reason: "the addresses have left their former services on all VMs, or long ago", Lift: version,
+	}, config.AcceptOptions{Objects: r.replica.Object, Current: r.replica.Set(), Builder: r.replica.Builder()})
+}
+
+// wait returns how long to wait for a change: shortly while addresses are in
+// quarantine, which is looked at after each wait.
+func (r *Reader) wait() time.Duration {
+	if c := r.replica.Current(); c != nil && len(c.Quarantine) > 0 {
+		return quarantineWait
+	}
+	return watchWait
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
@@ -133,7 +160,7 @@
 			return nil, err
 		}
 	}
-	values, err := r.platform.Watch(ctx, config.HeadKey, revision, watchWait)
+	values, err := r.platform.Watch(ctx, config.HeadKey, revision, r.wait())
 	if err != nil {
 		return nil, err
 	}
