node, packet, demo: control bytes by topic, records of flows counted; lost connections are hints

Cause: control bytes were one sum of what was sent and received, without the datagrams that VMs exchange about flows, so nobody could say what they were for. A lost connection to a peer was not used, and two VMs of one name went unseen. Change: control_bytes_total counts what is sent, by topic, with the records of flows measured where they are encoded; claims of requests are counted apart, since they grow with requests; the hint of a lost connection goes to the membership; a second VM of the same name is logged.

--- a/cmd/demo/report.go
+++ b/cmd/demo/report.go
@@ -35,7 +35,7 @@
 	// used share over mean used share, less 1, for the worst service.
 	ConnectionImbalance float64 `json:"connection_imbalance"`
 	SlotImbalance       float64 `json:"slot_imbalance"`
-	// ControlBytesPerVMSecond counts bytes sent and received; ControlCPUShare
+	// ControlBytesPerVMSecond counts bytes sent, each once in the fleet; ControlCPUShare
 	// is a share of one core.
 	ControlBytesPerVMSecond float64 `json:"control_bytes_per_vm_second"`
 	ControlCPUShare         float64 `json:"control_cpu_share"`
--- a/cmd/demo/watch.go
+++ b/cmd/demo/watch.go
@@ -38,7 +38,8 @@
 	lived time.Duration
 }
 
-// scrape reads a VM's metrics without labels.
+// scrape reads a VM's metrics. Under the name without labels stands the sum of
+// all samples of a metric.
 func scrape(ctx context.Context, address netip.AddrPort) (map[string]float64, error) {
 	ctx, cancel := context.WithTimeout(ctx, scrapeTimeout)
 	defer cancel()
@@ -55,7 +56,13 @@
 	lines := bufio.NewScanner(response.Body)
 	for lines.Scan() {
 		name, text, ok := strings.Cut(lines.Text(), " ")
-		if value, err := strconv.ParseFloat(text, 64); ok && err == nil {
+		value, err := strconv.ParseFloat(text, 64)
+		if !ok || err != nil {
+			continue
+		}
+		base, _, labelled := strings.Cut(name, "{")
+		metrics[base] += value
+		if labelled {
 			metrics[name] = value
 		}
 	}
--- a/io/packet/packet.go
+++ b/io/packet/packet.go
@@ -88,12 +88,17 @@
 	// Dropped on the way out: no address known, not encodable, or refused by
 	// the kernel.
 	Unaddressed, Unencodable, SendFailed uint64
+	// RecordBytes and ClaimBytes are sent in datagrams that VMs exchange
+	// about flows and about requests and that carry nothing of a caller or
+	// target. Records cost by changes of the fleet, claims by requests.
+	RecordBytes, ClaimBytes uint64
 }
 
 type counts struct {
 	received, sent                                       atomic.Uint64
 	malformed, foreignVersion, tooLarge, unauthenticated atomic.Uint64
 	unaddressed, unencodable, sendFailed                 atomic.Uint64
+	recordBytes, claimBytes                              atomic.Uint64
 }
 
 // New binds the sockets. Errors: CodeSettings.
@@ -231,6 +236,8 @@
 		Unaddressed:     c.counts.unaddressed.Load(),
 		Unencodable:     c.counts.unencodable.Load(),
 		SendFailed:      c.counts.sendFailed.Load(),
+		RecordBytes:     c.counts.recordBytes.Load(),
+		ClaimBytes:      c.counts.claimBytes.Load(),
 	}
 }
 
@@ -352,6 +359,7 @@
 		return false
 	}
 	m.Buffers[0] = b
+	c.countOwn(&s.Packet, len(b))
 	setAddress(&c.outAddrs[i], to)
 	return true
 }
@@ -410,3 +418,22 @@
 	}
 	return nil
 }
+
+// countOwn counts datagrams that exist only for the VMs' sake.
+func (c *Conn) countOwn(p *baobabstep.Packet, bytes int) {
+	switch p.Route.Purpose {
+	case baobabstep.PurposeLearn, baobabstep.PurposeForget, baobabstep.PurposeStored:
+	case baobabstep.PurposeReplicate:
+		if p.Kind != baobabstep.KindRequest {
+			return // The copy of a flow's record rides on a packet that goes on.
+		}
+	default:
+		return
+	}
+	switch p.Kind {
+	case baobabstep.KindRequest, baobabstep.KindAnswer, baobabstep.KindRefusal, baobabstep.KindCancel:
+		c.counts.claimBytes.Add(uint64(bytes))
+	default:
+		c.counts.recordBytes.Add(uint64(bytes))
+	}
+}
--- a/node/control.go
+++ b/node/control.go
@@ -21,6 +21,7 @@
 func (n *Node) control(ctx context.Context) error {
 	data := time.NewTicker(dataTick)
 	defer data.Stop()
+	lost := n.lostPeers()
 	var lastControl, lastNews time.Time
 	var out baobabstep.Outbox
 	for {
@@ -40,11 +41,22 @@
 		select {
 		case <-ctx.Done():
 			return nil
+		case id := <-lost:
+			n.sendMember(n.fleet.Lost(n.clock.Now(), id))
 		case <-data.C:
 		}
 	}
 }
 
+// lostPeers yields hints that a VM may have died: its connection ended. It is
+// nil, and yields nothing, for peers that give no hints.
+func (n *Node) lostPeers() <-chan baobabstep.VMID {
+	if notifier, ok := n.options.Peers.(peer.LossNotifier); ok {
+		return notifier.Lost()
+	}
+	return nil
+}
+
 // noteTick records that the VM runs, and notices if it did not for a while.
 func (n *Node) noteTick(now time.Time) {
 	n.notePause(now)
@@ -66,6 +78,7 @@
 // refresh hands a new view or configuration to everyone who routes by it.
 func (n *Node) refresh(ctx context.Context, now time.Time) {
 	n.setPaused(now, n.fleet.Paused(now))
+	n.warnOfDuplicate(now)
 	if v := n.fleet.View(now); v != n.view.Load() {
 		n.applyView(now, v)
 	}
@@ -84,6 +97,16 @@
 	n.log.Info("joined")
 }
 
+// warnOfDuplicate says that two processes use one name: each refutes what the
+// other says, and their peers send packets now to one, now to the other.
+func (n *Node) warnOfDuplicate(now time.Time) {
+	if !n.fleet.Duplicate(now) || now.Sub(n.duplicateAt) < duplicateInterval {
+		return
+	}
+	n.duplicateAt = now
+	n.log.Error("another VM uses this name; give each VM a name of its own")
+}
+
 func (n *Node) applyView(now time.Time, v *baobabstep.View) {
 	all := n.fleet.All(now)
 	n.options.Book.setVMs(all)
@@ -138,7 +161,7 @@
 	direct, _ := n.options.Peers.(peer.AddressSender)
 	for _, o := range outs {
 		m := baobabstep.PeerMessage{Topic: baobabstep.TopicMember, Body: o.Body}
-		n.countControl(len(o.Body))
+		n.countControl(baobabstep.TopicMember, o.Body)
 		err := n.options.Peers.Send(o.To, m)
 		if err != nil && o.Address.IsValid() && direct != nil {
 			err = direct.SendAddress(o.Address, m)
@@ -154,11 +177,13 @@
 }
 
 func (n *Node) sendPeer(to baobabstep.VMID, topic string, body []byte) {
-	n.countControl(len(body))
+	n.countControl(topic, body)
 	n.notePeerError(n.options.Peers.Send(to, baobabstep.PeerMessage{Topic: topic, Body: body}))
 }
 
-func (n *Node) countControl(bytes int) { n.counts.controlBytes.Add(uint64(bytes)) }
+func (n *Node) countControl(topic string, body []byte) {
+	n.counts.controlBytes.addN(topic, float64(len(body)))
+}
 
 // notePeerError counts a message that could not be queued. Every protocol of
 // the control path repeats what still matters, so nothing more is done.
@@ -207,7 +232,6 @@
 		return err
 	}
 	began := time.Now()
-	n.countControl(len(m.Payload))
 	handle(n.clock.Now(), from, m.Payload)
 	n.counts.controlNanos.Add(uint64(time.Since(began)))
 	return nil
--- a/node/data.go
+++ b/node/data.go
@@ -70,22 +70,11 @@
 	}
 }
 
-// send counts what goes to other VMs as control when it is not a caller's or a
-// target's packet on its way.
 func (n *Node) send(packets baobabstep.Packets, out baobabstep.Outbox) {
 	if len(out) == 0 {
 		return
 	}
-	for i := range out {
-		if out[i].Dest == baobabstep.DestVM && isControl(out[i].Packet.Route.Purpose) {
-			n.counts.dataControl.Add(1)
-		}
-	}
 	if err := packets.Send(out); err != nil {
 		n.counts.sendErrors.Add(1)
 	}
 }
-
-func isControl(p baobabstep.Purpose) bool {
-	return p == baobabstep.PurposeLearn || p == baobabstep.PurposeForget || p == baobabstep.PurposeStored
-}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -15,8 +15,7 @@
 	fromVMs      atomic.Uint64
 	unexpected   atomic.Uint64
 	sendErrors   atomic.Uint64
-	dataControl  atomic.Uint64
-	controlBytes atomic.Uint64
+	controlBytes eventCounts
 	controlNanos atomic.Uint64
 	peerErrors   atomic.Uint64
 	malformed    atomic.Uint64
@@ -29,13 +28,15 @@
 	counts map[string]float64
 }
 
-func (e *eventCounts) add(name string) {
+func (e *eventCounts) add(name string) { e.addN(name, 1) }
+
+func (e *eventCounts) addN(name string, n float64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.counts == nil {
 		e.counts = make(map[string]float64)
 	}
-	e.counts[name]++
+	e.counts[name] += n
 }
 
 func (e *eventCounts) read() map[string]float64 {
@@ -61,7 +62,8 @@
 		{Name: "send_errors_total", Help: "Failed sends of a batch.", Read: count(&n.counts.sendErrors)},
 		{Name: "peer_send_errors_total", Help: "Control messages that could not be queued.", Read: count(&n.counts.peerErrors)},
 		{Name: "peer_malformed_total", Help: "Control messages that could not be decoded.", Read: count(&n.counts.malformed)},
-		{Name: "control_bytes_total", Help: "Bytes of control messages sent and received.", Read: count(&n.counts.controlBytes)},
+		{Name: "control_bytes_total", Help: "Bytes of control sent: by topic, and of records of flows.", Label: "topic", Read: n.controlBytes},
+		{Name: "claim_bytes_total", Help: "Bytes sent to claim requests that are not idempotent; they grow with the requests.", Read: n.claimBytes},
 		{Name: "control_cpu_seconds_total", Help: "Time spent in control work.", Read: n.controlSeconds},
 		{Name: "config_version", Help: "Configuration version in force.", Gauge: true, Read: n.configVersion},
 		{Name: "members", Help: "VMs of the region that may hold flows.", Gauge: true, Read: n.memberCount},
@@ -77,6 +79,18 @@
 	}
 }
 
+// controlBytes counts what is sent, so that the sum over a fleet counts each
+// byte once.
+func (n *Node) controlBytes() map[string]float64 {
+	bytes := n.counts.controlBytes.read()
+	bytes["records"] = n.packetCounts()["record_bytes"]
+	return bytes
+}
+
+func (n *Node) claimBytes() map[string]float64 {
+	return metric.Value(n.packetCounts()["claim_bytes"])
+}
+
 func (n *Node) controlSeconds() map[string]float64 {
 	return metric.Value(float64(n.counts.controlNanos.Load()) / 1e9)
 }
--- a/node/node.go
+++ b/node/node.go
@@ -43,6 +43,8 @@
 	newsInterval = 500 * time.Millisecond
 	// listInterval is the time between two readings of the platform's list.
 	listInterval = 5 * time.Second
+	// duplicateInterval is the time between two warnings of a name used twice.
+	duplicateInterval = time.Minute
 	// pauseLimit is the gap between two ticks past which the VM takes
 	// itself to have been paused: others may hold its roles by then.
 	pauseLimit = 1500 * time.Millisecond
@@ -98,7 +100,9 @@
 	stopping atomic.Bool
 	joined   atomic.Bool
 	paused   atomic.Bool
-	done     chan struct{}
+	// duplicateAt is when a second VM of this name was last logged.
+	duplicateAt time.Time
+	done        chan struct{}
 }
 
 // New makes the parts of a VM; Run starts them.
