--- a/cmd/demo/main.go
+++ b/cmd/demo/main.go
@@ -4,7 +4,7 @@
 //
 // It starts in main.go; plan.go lays out addresses and settings files, fleet.go
 // holds the processes, fault.go the faults, watch.go reads the VMs' metrics,
-// report.go makes the report.
+// report.go makes the report, random.go draws and shrinks schedules of faults.
 package main
 
 import (
@@ -24,10 +24,11 @@
 	VMs               int      `name:"vms" help:"Number of VMs." default:"6"`
 	Seconds           int      `help:"Seconds of load, the ramp included." default:"20"`
 	Seed              uint64   `help:"Seed of all random numbers of stand-ins and VMs." default:"1"`
-	Flows             int      `help:"Long flows; -1 is half of the site's connection capacity." default:"-1"`
+	Flows             int      `help:"Long flows; -1 is half of the site's connection capacity, or 2500 with --random." default:"-1"`
 	RequestsPerSecond float64  `help:"Requests a second; -1 follows --load." default:"-1"`
-	Load              float64  `help:"Requests as a share of what the slots can serve." default:"0.5"`
+	Load              float64  `help:"Requests as a share of what the slots can serve; -1 is 0.5, or 0.3 with --random." default:"-1"`
 	Fault             []string `help:"Fault as NAME or NAME@SECOND, repeatable; all stands for every one." placeholder:"NAME[@SECOND]"`
+	Random            int      `help:"Run this many rounds, each with faults that are drawn from its seed; seeds count up from --seed. The shortest failing schedule is searched for." placeholder:"ROUNDS"`
 	Policy            string   `help:"How flows are routed: ${enum}. hash_table is the baseline." enum:"replicated,hash_table,slot_table" default:"replicated"`
 	JSON              bool     `name:"json" help:"Print one JSON object on standard output."`
 	ListFaults        bool     `help:"Print the faults and stop."`
@@ -51,6 +52,7 @@
 		_ = os.RemoveAll(f.Bin)
 		return
 	}
+	f.setDefaults()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
 	status := run(ctx, f)
 	stop()
@@ -59,6 +61,9 @@
 }
 
 func run(ctx context.Context, f flags) int {
+	if f.Random > 0 {
+		return randomRuns(ctx, f, demoRunner(f), os.Stdout, os.Stderr)
+	}
 	d, err := newDemo(f)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "demo:", err)
