demo: faults that overlap no longer end each other

Cause: the stand-ins replace all of their faults at each call, and the demo sent each fault by itself. The end of an outage healed a partition's cut to the platform, a lost answer healed an outage, and the same fault twice ended with the first. A second target_join added the first one's target again, and a second change of the configuration changed nothing and was refused. Change: faults in force are counted, and each call sends all of them; joining targets are taken in turn; each change sets a new value. Conclusion: schedules in which faults overlap do what they say.

--- a/cmd/demo/config.go
+++ b/cmd/demo/config.go
@@ -132,7 +132,7 @@
 	documents := make([]json.RawMessage, 2)
 	results := make(chan config.Result, len(documents))
 	for i := range documents {
-		document, err := d.edited(setValue(0, "queue_limit", 20+i))
+		document, err := d.edited(setValue(0, "queue_limit", d.newLimit()))
 		if err != nil {
 			return err
 		}
--- a/cmd/demo/demo.go
+++ b/cmd/demo/demo.go
@@ -43,12 +43,18 @@
 	configLock sync.Mutex
 	document   json.RawMessage
 
-	lock     sync.Mutex
-	random   *rand.Rand
-	runs     []*vmRun
-	leaving  map[string]bool
-	starts   map[string]uint64
-	cut      map[string]bool
+	// overlapLock guards overlap, also while a stand-in is told, so that the
+	// last one told is the latest.
+	overlapLock sync.Mutex
+	overlap     overlap
+
+	lock    sync.Mutex
+	random  *rand.Rand
+	runs    []*vmRun
+	leaving map[string]bool
+	starts  map[string]uint64
+	// cut counts the faults that cut a data centre off.
+	cut      map[string]int
 	versions map[string]uint64
 	reverts  int
 	// lost are targets whose flows a fault ended.
@@ -56,7 +62,8 @@
 	taken          map[string]bool
 	inForceSeconds float64
 	violations     []string
-	network        fabric.Fault
+	// joined counts targets that joined, limits the values that changes set.
+	joined, limits int
 }
 
 func newDemo(f flags) (*demo, error) {
@@ -78,7 +85,7 @@
 		random:   rand.New(rand.NewPCG(f.Seed, launcherRandom)),
 		leaving:  make(map[string]bool),
 		starts:   make(map[string]uint64),
-		cut:      make(map[string]bool),
+		cut:      make(map[string]int),
 		versions: make(map[string]uint64),
 		lost:     make(map[baobabstep.TargetID]bool),
 		taken:    make(map[string]bool),
--- a/cmd/demo/fault.go
+++ b/cmd/demo/fault.go
@@ -14,7 +14,6 @@
 	"baobabstep"
 	"baobabstep/core/config"
 	"baobabstep/standin/control"
-	"baobabstep/standin/fabric"
 	"baobabstep/standin/targets"
 )
 
@@ -271,11 +270,18 @@
 }
 
 func (d *demo) targetJoinFault(ctx context.Context, _ time.Duration) error {
-	t := d.plan.joining[0]
+	d.lock.Lock()
+	service := d.joined
+	d.joined++
+	d.lock.Unlock()
+	if service >= len(d.plan.joining) {
+		return errors.New("got no target left that could join")
+	}
+	t := d.plan.joining[service]
 	if err := d.target(ctx, targets.Fault{Action: "start", Targets: []string{t.Name}}); err != nil {
 		return err
 	}
-	return d.changeConfig(ctx, "one more target", changeTargets(0, func(list []config.TargetValue) []config.TargetValue {
+	return d.changeConfig(ctx, "one more target", changeTargets(service, func(list []config.TargetValue) []config.TargetValue {
 		return append(list, config.TargetValue{Name: t.Name, Address: t.Address.String(), DataCentre: t.DataCentre})
 	}))
 }
@@ -288,39 +294,19 @@
 	return d.target(ctx, targets.Fault{Action: "lie", Targets: []string{t.Name}})
 }
 
-// platformFaults are the faults of the platform stand-in that are used here.
-type platformFaults struct {
-	Outage        bool     `json:"outage"`
-	LoseAnswers   int      `json:"lose_answers"`
-	RefuseSources []string `json:"refuse_sources"`
-}
-
-func (d *demo) platformFault(ctx context.Context, f platformFaults) error {
-	return control.Call(ctx, "http://"+d.plan.platformAddress()+"/fault", f, nil)
-}
-
 func (d *demo) platformDownFault(ctx context.Context, hold time.Duration) error {
-	if err := d.platformFault(ctx, platformFaults{Outage: true}); err != nil {
+	if err := d.changePlatform(ctx, func(o *overlap) { o.outages++ }); err != nil {
 		return err
 	}
 	pause(ctx, hold)
-	return d.platformFault(ctx, platformFaults{})
+	return d.changePlatform(ctx, func(o *overlap) { o.outages-- })
 }
 
 func (d *demo) lostAnswerFault(ctx context.Context, _ time.Duration) error {
-	if err := d.platformFault(ctx, platformFaults{LoseAnswers: lostAnswers}); err != nil {
+	if err := d.changePlatform(ctx, func(o *overlap) { o.loseAnswers += lostAnswers }); err != nil {
 		return err
 	}
-	return d.changeConfig(ctx, "answers get lost", setValue(0, "queue_limit", 12))
-}
-
-// network changes what is wrong with the fabric, beside what other faults set.
-func (d *demo) changeNetwork(ctx context.Context, change func(*fabric.Fault)) error {
-	d.lock.Lock()
-	change(&d.network)
-	f := d.network
-	d.lock.Unlock()
-	return control.Call(ctx, d.fabricURL("/fault"), f, nil)
+	return d.changeConfig(ctx, "answers get lost", setValue(0, "queue_limit", d.newLimit()))
 }
 
 func (d *demo) partitionFault(ctx context.Context, hold time.Duration) error {
@@ -328,54 +314,42 @@
 	centres := d.plan.dataCentres()
 	cut := centres[d.random.IntN(len(centres))]
 	d.lock.Unlock()
-	if err := d.setPartition(ctx, []string{cut}); err != nil {
+	if err := d.changePartition(ctx, cut, 1); err != nil {
 		return err
 	}
 	pause(ctx, hold)
-	return d.setPartition(ctx, []string{})
+	return d.changePartition(ctx, cut, -1)
 }
 
-// setPartition cuts the data centres off on all three ways: between VMs, between
-// VMs and targets, and to the platform.
-func (d *demo) setPartition(ctx context.Context, cut []string) error {
+// changePartition cuts a data centre off, or ends that, on all three ways:
+// between VMs, between VMs and targets, and to the platform.
+func (d *demo) changePartition(ctx context.Context, dc string, by int) error {
 	d.lock.Lock()
-	clear(d.cut)
-	for _, dc := range cut {
-		d.cut[dc] = true
-	}
+	d.cut[dc] += by
 	d.lock.Unlock()
-	sources := []string{}
-	for _, vm := range d.plan.fabric.VMs {
-		if slices.Contains(cut, vm.DataCentre) {
-			sources = append(sources, vm.DataAddress.Addr().String())
-		}
-	}
 	return errors.CombineErrors(
-		d.changeNetwork(ctx, func(f *fabric.Fault) { f.Cut = cut }),
+		d.changeNetwork(ctx, func(*overlap) {}),
 		errors.CombineErrors(
-			d.target(ctx, targets.Fault{Action: "partition", Cut: cut}),
-			d.platformFault(ctx, platformFaults{RefuseSources: sources}),
+			d.changeTargetPartition(ctx),
+			d.changePlatform(ctx, func(*overlap) {}),
 		),
 	)
 }
 
 func (d *demo) lossFault(ctx context.Context, hold time.Duration) error {
-	if err := d.changeNetwork(ctx, func(f *fabric.Fault) { f.Loss = lossShare }); err != nil {
+	if err := d.changeNetwork(ctx, func(o *overlap) { o.losses++ }); err != nil {
 		return err
 	}
 	pause(ctx, hold)
-	return d.changeNetwork(ctx, func(f *fabric.Fault) { f.Loss = 0 })
+	return d.changeNetwork(ctx, func(o *overlap) { o.losses-- })
 }
 
 func (d *demo) duplicateFault(ctx context.Context, hold time.Duration) error {
-	set := func(duplicate, reorder float64) error {
-		return d.changeNetwork(ctx, func(f *fabric.Fault) { f.Duplicate, f.Reorder = duplicate, reorder })
-	}
-	if err := set(duplicateShare, reorderShare); err != nil {
+	if err := d.changeNetwork(ctx, func(o *overlap) { o.duplicates++ }); err != nil {
 		return err
 	}
 	pause(ctx, hold)
-	return set(0, 0)
+	return d.changeNetwork(ctx, func(o *overlap) { o.duplicates-- })
 }
 
 func (d *demo) silentFault(ctx context.Context, _ time.Duration) error {
@@ -388,7 +362,7 @@
 }
 
 func (d *demo) configChangeFault(ctx context.Context, _ time.Duration) error {
-	return d.changeConfig(ctx, "another queue limit", setValue(0, "queue_limit", 16))
+	return d.changeConfig(ctx, "another queue limit", setValue(0, "queue_limit", d.newLimit()))
 }
 
 func (d *demo) operatorRaceFault(ctx context.Context, _ time.Duration) error { return d.race(ctx) }
--- a/cmd/demo/watch.go
+++ b/cmd/demo/watch.go
@@ -115,7 +115,7 @@
 	defer d.lock.Unlock()
 	var runs []*vmRun
 	for _, r := range d.runs {
-		if !r.process.running() || r.paused || connected && d.cut[r.DataCentre] {
+		if !r.process.running() || r.paused || connected && d.cut[r.DataCentre] > 0 {
 			continue
 		}
 		runs = append(runs, r)
