node, request: garbage collector, configuration's invariants and class rules wired

Cause: three parts stood unused: nothing removed old objects from the platform (about 3 a change), a broken invariant of the replica went unseen, and an account's class rules had no effect, so that a caller could call itself urgent. Change: readers run the collector; the replica reports to the node's hook; a request's class is what the service's rules say. Conclusion: none of the three needs a setting.

--- a/core/request/admit.go
+++ b/core/request/admit.go
@@ -22,7 +22,7 @@
 		g.tellUnknown(now, p, out)
 		return
 	}
-	en.class = p.Class
+	en.class = g.service.ClassOf(p.Flow.Caller.Addr(), p.Class)
 	en.idempotent = p.Idempotent
 	en.deadline = now.Add(g.timeout(p))
 	en.claim.window = g.window(p)
--- a/node/node.go
+++ b/node/node.go
@@ -87,6 +87,7 @@
 	counts  counters
 	// inForce logs each version that comes into force.
 	inForce *audit.Log
+	trail   *audit.Trail
 	// newsDraw picks whom to tell; streamDraw picks targets of TCP callers.
 	newsDraw, streamDraw *lockedRand
 
@@ -122,7 +123,7 @@
 		done: make(chan struct{}),
 	}
 	n.fleet = member.New(now, member.Options{Self: self, PauseLimit: pauseLimit, Rand: n.random(1)})
-	n.replica = config.NewReplica(now, config.ReplicaOptions{Self: self, Rand: n.random(2)})
+	n.replica = config.NewReplica(now, config.ReplicaOptions{Self: self, Rand: n.random(2), Violated: n.broken})
 	n.targets = target.New(now, target.Options{
 		Self: self.ID, DataCentre: self.DataCentre, Rand: n.random(3), Invariant: n.broken,
 	})
@@ -137,6 +138,7 @@
 	n.streamDraw = &lockedRand{r: n.random(6)}
 	n.newsDraw = &lockedRand{r: n.random(7)}
 	n.inForce = audit.NewLog(n.log, self.Name)
+	n.trail = audit.NewTrail(o.Platform, 0)
 	n.metrics = metric.New(o.Settings.MetricsAddress, n.Ready)
 	n.metrics.Register(n.sources()...)
 	return n
@@ -246,6 +248,7 @@
 		func() error { return n.readConfig(ctx) },
 		func() error { return n.readList(ctx) },
 		func() error { return n.serveOperators(ctx) },
+		func() error { return n.collectGarbage(ctx) },
 	}
 	for _, packets := range n.options.Packets {
 		parts = append(parts, func() error { return n.serve(ctx, packets) })
--- a/node/operator.go
+++ b/node/operator.go
@@ -14,16 +14,12 @@
 
 	"baobabstep"
 	"baobabstep/core/target"
-	"baobabstep/io/audit"
 	"baobabstep/io/operator"
 )
 
 const (
 	operatorHeaderTimeout = 5 * time.Second
 	operatorCloseTimeout  = time.Second
-	// auditSegments is the number of full segments kept in the platform; 0
-	// takes the default of package audit.
-	auditSegments = 0
 )
 
 var _ operator.Node = (*Node)(nil)
@@ -67,7 +63,7 @@
 		VM:       n.self.Name,
 		Platform: n.options.Platform,
 		Replica:  n.replica,
-		Trail:    audit.NewTrail(n.options.Platform, auditSegments),
+		Trail:    n.trail,
 		Node:     n,
 		Clock:    n.clock,
 	}
--- a/node/platform.go
+++ b/node/platform.go
@@ -39,6 +39,14 @@
 	return nil
 }
 
+// collectGarbage removes objects that no version in use names any more; it does
+// so only while this VM reads the platform.
+func (n *Node) collectGarbage(ctx context.Context) error {
+	collector := platform.NewCollector(n.options.Platform, n.replica, n.self.Name, n.random(9), n.trail.CatchUp)
+	collector.Run(ctx)
+	return nil
+}
+
 func (n *Node) needsList(now time.Time) bool {
 	if n.replica.Reader(now) {
 		return true
