--- a/core/flow/registry.go
+++ b/core/flow/registry.go
@@ -22,6 +22,8 @@
 	// taken is set while the configuration gives the address to another
 	// service: nothing may be sent there for the old one.
 	taken atomic.Bool
+	// unused is set if the last sweep found no use; under registry.mu.
+	unused bool
 	// heard is the tick of the last packet from the target.
 	heard atomic.Uint32
 	// acked is the tick of its last answer to a probe of this VM.
@@ -61,10 +63,14 @@
 	serviceByAddr map[netip.AddrPort]uint32
 	// owner is the service that the configuration gives an address to.
 	owner map[netip.AddrPort]baobabstep.ServiceID
+	// nextSweep is the number of targets at which the next sweep is due.
+	nextSweep, sweepEvery int
 }
 
 func newRegistry() *registry {
 	reg := &registry{
+		nextSweep:     sweepEvery,
+		sweepEvery:    sweepEvery,
 		targetByID:    make(map[baobabstep.TargetID]uint32),
 		byService:     make(map[baobabstep.ServiceID][]uint32),
 		serviceByKey:  make(map[serviceKey]uint32),
@@ -163,25 +169,34 @@
 	return i
 }
 
-// sweepAt is the number of entries from which unused ones are dropped.
-const sweepAt = 1 << 16
+// sweepEvery is the number of new targets after which unused ones are dropped.
+const sweepEvery = 1 << 16
 
-// sweep drops targets that neither flows nor the configuration use once there
-// are many. Numbers are not used again, so a stale number finds nil at worst.
+// sweep drops targets that neither flows nor the configuration used at two
+// sweeps in a row. The first only marks them, since a packet under way may
+// have looked one up for a new record. Numbers are not used again.
 func (reg *registry) sweep(c *baobabstep.Config) {
 	old := *reg.targets.Load()
-	if len(old) < sweepAt || len(old)%sweepAt != 0 {
+	if len(old) < reg.nextSweep {
 		return
 	}
+	reg.nextSweep = len(old) + reg.sweepEvery
 	list := append([]*target(nil), old...)
+	clear(reg.byService)
 	for i, t := range list {
-		if t == nil || t.flows.Load() > 0 || c.Target(t.id) != nil {
+		if t == nil {
 			continue
 		}
-		list[i] = nil
-		if reg.targetByID[t.id] == uint32(i) {
-			delete(reg.targetByID, t.id)
+		used := t.flows.Load() > 0 || c.Target(t.id) != nil
+		if !used && t.unused {
+			list[i] = nil
+			if reg.targetByID[t.id] == uint32(i) {
+				delete(reg.targetByID, t.id)
+			}
+			continue
 		}
+		t.unused = !used
+		reg.byService[t.service] = append(reg.byService[t.service], uint32(i))
 	}
 	reg.targets.Store(&list)
 }
--- /dev/null
+++ b/core/flow/registry_test.go
@@ -0,0 +1,37 @@
+package flow
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"baobabstep"
+)
+
+// Targets come and go with thousands of changes a day, and a VM runs for
+// months. What it knows of targets must not grow for ever, and a target that a
+// flow still uses must not be forgotten.
+func TestUnusedTargetsAreDropped(t *testing.T) {
+	reg := newRegistry()
+	reg.nextSweep, reg.sweepEvery = 8, 8
+	const svc = baobabstep.ServiceID(1)
+	id := func(n int) baobabstep.TargetID { return baobabstep.MakeTargetID(fmt.Sprint(n)) }
+	for n := range 200 {
+		c := &baobabstep.Config{Services: []baobabstep.Service{{ID: svc, Targets: []baobabstep.Target{{ID: id(n), Service: svc}}}}}
+		c.Index()
+		reg.load(c)
+		if n == 0 {
+			reg.target(0).flows.Add(1)
+		}
+	}
+	kept := 0
+	reg.targetsOf(svc, func(*target) { kept++ })
+	qt.Assert(t, kept <= 2+2*8, qt.IsTrue, qt.Commentf("got %d targets", kept))
+	_, found := reg.findTarget(id(0), svc)
+	qt.Assert(t, found, qt.IsTrue)
+	_, found = reg.findTarget(id(199), svc)
+	qt.Assert(t, found, qt.IsTrue)
+	_, found = reg.findTarget(id(20), svc)
+	qt.Assert(t, found, qt.IsFalse)
+}
