request, target: lost attempts give up their slots; no second ejection for old failures

Cause: where packets between VMs and targets are lost, an attempt that is not idempotent kept its slot until its deadline, and the lost ones filled all slots. Urgent p99 at 120 % load was 2.2 times its value at half load in the whole path. Failures that were judged during an ejection ejected again right after it. Change: on top of the slot being presumed free when the attempt is taken for lost, the oldest attempt yields it after 5 service times when no slot is free and more than 2 % of the attempts end in silence; failures during an ejection do not count; urgent requests queue for one service time instead of two.

--- a/core/request/dispatch.go
+++ b/core/request/dispatch.go
@@ -15,6 +15,12 @@
 	// attempt is taken for lost: attemptTimes service times.
 	minAttemptTimeout = 100 * time.Millisecond
 	attemptTimes      = 8
+	// lossySlotTimes service times is how long an attempt keeps its slot
+	// when others wait for one and more than lossyShare of the attempts end
+	// in silence. Where fewer are lost, it keeps it until it is taken for
+	// lost itself: a slot given away too early is a refusal.
+	lossySlotTimes = 5
+	lossyShare     = 0.02
 )
 
 func (g *group) enqueue(now time.Time, en *entry, out *baobabstep.Outbox) {
@@ -44,6 +50,9 @@
 			continue
 		}
 		id, code := g.engine.opts.Targets.PickSlot(now, g.slotQuery(en.target))
+		if code == baobabstep.CodeNoCapacity && g.yieldSlot(now) {
+			continue
+		}
 		if code != baobabstep.CodeOK {
 			return
 		}
@@ -90,6 +99,12 @@
 	en.target = id
 	en.sentAt = now
 	en.slot = true
+	en.judged = false
+	for len(g.running) > 0 && !g.running[0].holds() {
+		g.running[0] = running{}
+		g.running = g.running[1:]
+	}
+	g.running = append(g.running, running{en, en.attempt})
 	en.setState(stateRunning)
 	g.engine.stats.handedOver.Add(1)
 	out.Target(&baobabstep.Packet{
@@ -104,13 +119,30 @@
 		Timeout:    en.deadline.Sub(now),
 		Payload:    en.payload,
 	})
-	en.setTimer(g.runTimer(now, en))
+	en.setTimer(earlier(en.deadline, now.Add(g.attemptTimeout())))
 }
 
-// runTimer is the deadline, or earlier the time after which an attempt is taken
-// for lost.
-func (g *group) runTimer(now time.Time, en *entry) time.Time {
-	return earlier(en.deadline, now.Add(g.attemptTimeout()))
+// yieldSlot gives away the slot of the oldest attempt if that was not heard of
+// for long and many are lost. The attempt may still be answered.
+func (g *group) yieldSlot(now time.Time) bool {
+	if g.lost <= lossyShare {
+		return false
+	}
+	keep := lossySlotTimes * g.capacity.serviceTime
+	for len(g.running) > 0 {
+		r := g.running[0]
+		holds := r.holds()
+		if holds && now.Sub(r.entry.sentAt) < keep {
+			return false
+		}
+		g.running[0] = running{}
+		g.running = g.running[1:]
+		if holds {
+			r.entry.yieldSlot(now)
+			return true
+		}
+	}
+	return false
 }
 
 func (g *group) attemptTimeout() time.Duration {
--- a/core/request/group.go
+++ b/core/request/group.go
@@ -40,6 +40,11 @@
 	// open counts the requests that this VM owns and has not finished.
 	open   int
 	queues [2]queue
+	// lost is the smoothed share of attempts that ended in silence.
+	lost float64
+	// running lists attempts in the order of their hand-over; those that
+	// ended stay until they reach the front.
+	running []running
 	// ordinaryCredit grows with each slot given away while both classes
 	// wait; at 1 the next slot is an ordinary request's.
 	ordinaryCredit float64
@@ -50,6 +55,15 @@
 	capacity    capacity
 }
 
+// running is one attempt that was handed over.
+type running struct {
+	entry   *entry
+	attempt uint16
+}
+
+// holds tells whether the attempt still has its slot.
+func (r running) holds() bool { return r.entry.slot && r.entry.attempt == r.attempt }
+
 // capacity is what the group's targets can do, looked up now and then.
 type capacity struct {
 	at          time.Time
--- a/core/request/ledger.go
+++ b/core/request/ledger.go
@@ -52,8 +52,9 @@
 	attempt uint16
 	target  baobabstep.TargetID
 	sentAt  time.Time
-	// slot is set while a slot of target is taken.
-	slot bool
+	// slot is set while a slot of target is taken, judged once the last
+	// attempt was counted as evidence about target.
+	slot, judged bool
 	// maybeRan is set once an attempt ended in a way that does not prove
 	// that it was not run.
 	maybeRan bool
@@ -181,13 +182,39 @@
 	}
 }
 
-// releaseSlot gives the slot of the last attempt back.
+// releaseSlot gives the slot of the last attempt back, and says once what
+// became of the attempt.
 func (en *entry) releaseSlot(now time.Time, code baobabstep.Code) {
+	if en.attempt == 0 || en.judged {
+		return
+	}
+	en.judged = true
+	en.group.noteLoss(code)
+	targets, took := en.group.engine.opts.Targets, now.Sub(en.sentAt)
+	if !en.slot {
+		targets.Outcome(now, en.target, code, took)
+		return
+	}
+	en.slot = false
+	targets.SlotDone(now, en.target, code, took)
+}
+
+// noteLoss keeps the smoothed share of attempts that ended in silence.
+func (g *group) noteLoss(code baobabstep.Code) {
+	const weight = 0.01
+	g.lost -= weight * g.lost
+	if code == baobabstep.CodeOutcomeUnknown {
+		g.lost += weight
+	}
+}
+
+// yieldSlot gives the slot back while the attempt may still be answered.
+func (en *entry) yieldSlot(now time.Time) {
 	if !en.slot {
 		return
 	}
 	en.slot = false
-	en.group.engine.opts.Targets.SlotDone(now, en.target, code, now.Sub(en.sentAt))
+	en.group.engine.opts.Targets.SlotDone(now, en.target, baobabstep.CodeCancelled, 0)
 }
 
 // handleKnown handles a packet of a request that has an entry here.
--- a/core/request/overload_test.go
+++ b/core/request/overload_test.go
@@ -152,3 +152,19 @@
 	qt.Assert(t, got[3].ok, qt.Equals, got[3].offered)
 	assertHonest(t, b, func(key baobabstep.FlowKey) bool { return key.Number%2 == 0 })
 }
+
+// One packet in twenty between the VMs and the targets is lost, in either
+// direction, at half load. A lost attempt that is not idempotent ends as
+// "unknown" at its deadline; it must not keep its slot until then, or the lost
+// ones fill all slots and callers are refused for want of them.
+func TestAttemptsLostInBothDirections(t *testing.T) {
+	b := newBench(t, 9, 15, 1)
+	b.drop = func(b *bench, from, to string, _ *baobabstep.Packet) bool {
+		return (from == "target" || to == "target") && b.rand.IntN(20) == 0
+	}
+	got := b.offer(phase{load: 0.5, length: 4 * time.Second})[0]
+	t.Logf("offered %d, ok %d, refused %d, unknown %d, unanswered %d", got.offered, got.ok, got.refused, got.unknown, got.unanswered)
+	qt.Assert(t, got.refused <= got.offered/100, qt.IsTrue, qt.Commentf("got %d of %d", got.refused, got.offered))
+	qt.Assert(t, got.unanswered, qt.Equals, 0)
+	assertHonest(t, b, func(key baobabstep.FlowKey) bool { return key.Number%2 == 0 })
+}
--- a/core/request/request.go
+++ b/core/request/request.go
@@ -59,6 +59,8 @@
 	PickSlot(now time.Time, q target.Slot) (baobabstep.TargetID, baobabstep.Code)
 	// SlotDone gives a slot back and says what became of the attempt.
 	SlotDone(now time.Time, id baobabstep.TargetID, code baobabstep.Code, serviceTime time.Duration)
+	// Outcome says what became of an attempt whose slot was given back.
+	Outcome(now time.Time, id baobabstep.TargetID, code baobabstep.Code, serviceTime time.Duration)
 	// Slots returns the usable slots of a group and the mean service time.
 	Slots(now time.Time, service baobabstep.ServiceID, group, groups int) (int, time.Duration)
 }
@@ -100,7 +102,7 @@
 	// one and two times Remember.
 	MaxEntries int
 	// UrgentWait bounds the queueing of urgent requests, as a multiple of
-	// the mean service time: 2.
+	// the mean service time: 1.
 	UrgentWait float64
 }
 
@@ -113,7 +115,7 @@
 	setDefault(&o.MaxAnswer, 1<<20)
 	setDefault(&o.MaxPending, 4<<20)
 	setDefault(&o.MaxEntries, 1<<17)
-	setDefault(&o.UrgentWait, 2)
+	setDefault(&o.UrgentWait, 1)
 }
 
 func setDefault[T comparable](v *T, d T) {
--- a/core/target/evidence.go
+++ b/core/target/evidence.go
@@ -156,13 +156,18 @@
 
 func (e *entry) failed(now time.Time) {
 	h := &e.health
-	h.failures++
 	h.answers = 0
+	if now.Before(h.ejectedUntil) {
+		// It is out already. Failures of work that reached it in panic
+		// mode must not eject it again as soon as it is back.
+		return
+	}
+	h.failures++
 	h.samples++
 	h.failing += smoothing * (1 - h.failing)
 	inRow := h.failures >= e.pool.reg.opts.EjectFailures
 	often := h.samples >= minSamples && h.failing > failingShare
-	if (inRow || often) && !now.Before(h.ejectedUntil) {
+	if inRow || often {
 		e.eject(now)
 	}
 }
--- a/core/target/pick.go
+++ b/core/target/pick.go
@@ -272,6 +272,12 @@
 		e.slots = 0
 		r.breaks("slot_count", "more slots given back than taken")
 	}
+	if code == baobabstep.CodeOutcomeUnknown || code == baobabstep.CodeCancelled {
+		// The slot may still be in use: of targets alike this one is
+		// taken last.
+		e.pool.slotTurn++
+		e.lastSlot = e.pool.slotTurn
+	}
 	e.pool.mu.Unlock()
 	r.Outcome(now, id, code, serviceTime)
 }
