--- a/core/flow/flow.go
+++ b/core/flow/flow.go
@@ -38,7 +38,8 @@
 // safe for concurrent use: records stand in shards, each under its own lock;
 // view and configuration are immutable and swapped as a whole.
 //
-// The file to read first is handle.go, then open.go, copies.go and find.go.
+// The file to read first is handle.go, then send.go, open.go, copies.go and
+// find.go.
 package flow
 
 import (
