--- /dev/null
+++ b/docs_test.go
@@ -0,0 +1,133 @@
+package baobabstep
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// repositoryFiles returns the files with one of the endings, by their paths
+// from the repository's root. Folders of tools and of version control are not
+// looked into.
+func repositoryFiles(t *testing.T, ending string) []string {
+	t.Helper()
+	var files []string
+	err := filepath.WalkDir(".", func(path string, entry fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		if entry.IsDir() && (path == "bin" || path == ".git") {
+			return filepath.SkipDir
+		}
+		if !entry.IsDir() && strings.HasSuffix(path, ending) {
+			files = append(files, path)
+		}
+		return nil
+	})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, files, qt.Not(qt.HasLen), 0)
+	return files
+}
+
+// read returns a file's text.
+func read(t *testing.T, path string) string {
+	t.Helper()
+	text, err := os.ReadFile(path)
+	qt.Assert(t, err, qt.IsNil)
+	return string(text)
+}
+
+var markdownLink = regexp.MustCompile(`\]\(([^)\s]+)\)`)
+
+// A page was moved or renamed and a link to it was forgotten: the reader lands
+// nowhere. Links to other hosts are not followed.
+func TestLinksResolve(t *testing.T) {
+	for _, page := range repositoryFiles(t, ".md") {
+		for _, link := range markdownLink.FindAllStringSubmatch(read(t, page), -1) {
+			path, _, _ := strings.Cut(link[1], "#")
+			if path == "" || strings.Contains(path, "://") {
+				continue
+			}
+			_, err := os.Stat(filepath.Join(filepath.Dir(page), path))
+			qt.Check(t, err, qt.IsNil, qt.Commentf("%s links to %s", page, link[1]))
+		}
+	}
+}
+
+// citedTest matches a package's folder and a test of it, as `core/flow.TestX`.
+var (
+	citedTest = regexp.MustCompile("`([a-z/]+)\\.((?:Test|Fuzz|Benchmark)\\w+)`")
+	bareTest  = regexp.MustCompile("`((?:Test|Fuzz|Benchmark)[A-Z]\\w+)`")
+)
+
+// testFunctions returns the names of test functions as in `core/flow.TestX`.
+func testFunctions(t *testing.T) map[string]bool {
+	t.Helper()
+	functions := make(map[string]bool)
+	for _, path := range repositoryFiles(t, "_test.go") {
+		file, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.SkipObjectResolution)
+		qt.Assert(t, err, qt.IsNil)
+		for _, declaration := range file.Decls {
+			if f, ok := declaration.(*ast.FuncDecl); ok && f.Recv == nil {
+				functions[filepath.ToSlash(filepath.Dir(path))+"."+f.Name.Name] = true
+				functions[f.Name.Name] = true
+			}
+		}
+	}
+	return functions
+}
+
+// A test was renamed or deleted and a page goes on citing it as proof. The
+// pages of the proof give the package too, since names repeat.
+func TestCitedTestsExist(t *testing.T) {
+	functions := testFunctions(t)
+	for _, page := range repositoryFiles(t, ".md") {
+		text := read(t, page)
+		for _, cited := range citedTest.FindAllStringSubmatch(text, -1) {
+			name := cited[1] + "." + cited[2]
+			qt.Check(t, functions[name], qt.IsTrue, qt.Commentf("%s cites %s", page, name))
+		}
+		bare := bareTest.FindAllStringSubmatch(text, -1)
+		for _, cited := range bare {
+			qt.Check(t, functions[cited[1]], qt.IsTrue, qt.Commentf("%s cites %s", page, cited[1]))
+		}
+		if filepath.Base(page) == "PROOF.md" {
+			qt.Check(t, bare, qt.HasLen, 0, qt.Commentf("%s has to give the package of each test", page))
+		}
+	}
+}
+
+// citedLog matches a log line's message as the operators' pages give it.
+var (
+	citedLog    = regexp.MustCompile(`"message": ?"([^"]+)"`)
+	citedMetric = regexp.MustCompile(`\bbaobabstep_\w+`)
+)
+
+// An operator searches the logs for a message, or sets an alert on a metric,
+// that the program does not have: the alert never fires.
+func TestCitedLogsAndMetricsExist(t *testing.T) {
+	var code strings.Builder
+	for _, path := range repositoryFiles(t, ".go") {
+		if !strings.HasSuffix(path, "_test.go") {
+			code.WriteString(read(t, path))
+		}
+	}
+	metrics := read(t, "docs/METRICS.md") // compared with the code by a test of node
+	for _, page := range repositoryFiles(t, ".md") {
+		text := read(t, page)
+		for _, cited := range citedLog.FindAllStringSubmatch(text, -1) {
+			qt.Check(t, strings.Contains(code.String(), `("`+cited[1]+`")`), qt.IsTrue, qt.Commentf("%s cites the log line %q", page, cited[1]))
+		}
+		for _, metric := range citedMetric.FindAllString(text, -1) {
+			qt.Check(t, metrics, qt.Contains, "| `"+metric+"` |", qt.Commentf("%s", page))
+		}
+	}
+}
