request: a claim that cannot be owned is given up at once

Cause: a repeated request in the first minute of a fleet needs more memory than any VM has; its claim waited 500 ms, and meanwhile counted as waiting for a slot. Change: once so many VMs of a set answer that they do not remember far enough that no majority is left, the caller is told "unknown". Failure first: 60 such requests had no answer after 10 ms without the change, and all of them with it; a request after them is served.

--- a/core/request/claim.go
+++ b/core/request/claim.go
@@ -19,6 +19,8 @@
 	// asked are the VMs that may have stored the claim, acks those that said
 	// so and count.
 	asked, acks []baobabstep.VMID
+	// young are those whose memory does not reach far enough.
+	young []baobabstep.VMID
 }
 
 // beginClaim asks the VMs of all sets that have a say to store the claim.
@@ -98,6 +100,24 @@
 	en.claim.owned = en.claim.owned || owned
 }
 
+// hopeless tells whether so many VMs of a set do not remember far enough that
+// the claim cannot be owned: then the caller need not wait for it.
+func (g *group) hopeless(now time.Time, en *entry) bool {
+	self := g.engine.opts.Self
+	found := false
+	g.sets(now, en.claim.window, func(members []baobabstep.VMID) {
+		lost := 0
+		for _, vm := range members {
+			without := vm == self && !slices.Contains(en.claim.acks, self)
+			if without || slices.Contains(en.claim.young, vm) {
+				lost++
+			}
+		}
+		found = found || 2*(len(members)-lost) <= len(members)
+	})
+	return found
+}
+
 // storeClaim is the witness's side: the first owner wins.
 func (g *group) storeClaim(now time.Time, p *baobabstep.Packet, out *baobabstep.Outbox) {
 	en := g.ledger[p.Flow]
@@ -161,7 +181,14 @@
 		g.claimLost(now, en, p.Route.Tried[0], out)
 		return
 	}
-	if p.Timeout < en.claim.window || slices.Contains(en.claim.acks, p.Route.From) {
+	if slices.Contains(en.claim.acks, p.Route.From) {
+		return
+	}
+	if p.Timeout < en.claim.window {
+		en.claim.young = append(en.claim.young, p.Route.From)
+		if g.hopeless(now, en) {
+			g.unknown(now, en, out)
+		}
 		return
 	}
 	en.claim.acks = append(en.claim.acks, p.Route.From)
--- a/core/request/failure_test.go
+++ b/core/request/failure_test.go
@@ -425,3 +425,25 @@
 	b.run(time.Second)
 	assertTold(t, b, key, ok)
 }
+
+// The whole fleet started ten seconds ago. Requests whose first copies were lost
+// arrive as repeated ones; no VM remembers far enough to prove that they were
+// not run. Their callers are told so at once, and other requests are not refused
+// as if these were waiting for slots.
+func TestRepeatedRequestsToAYoungFleet(t *testing.T) {
+	b := newBench(t, 9, 15, 1)
+	for _, v := range b.vms {
+		v.engine.started = b.now.Add(-10 * time.Second)
+	}
+	var keys []baobabstep.FlowKey
+	for n := range uint64(60) {
+		keys = append(keys, b.ask(int(n%9), request{number: n, seq: 1, timeout: 2 * time.Second}))
+	}
+	b.run(10 * time.Millisecond)
+	for _, key := range keys {
+		assertTold(t, b, key, unknown)
+	}
+	key := b.ask(0, request{number: 100, idempotent: true, timeout: 2 * time.Second})
+	b.run(500 * time.Millisecond)
+	assertTold(t, b, key, ok)
+}
