node: bytes of records measured for a flow over its life; capacity: a row for them

Cause: what VMs tell each other of each new flow is the largest part of control at 230,000 new flows a second, and no slope carried it.

--- a/capacity/estimate.go
+++ b/capacity/estimate.go
@@ -6,9 +6,10 @@
 	// ProbeInterval.
 	probersPerTarget = 3
 	probesPerSecond  = 1
-	// probeBytes is a health request and its report on the wire, with 28
-	// bytes of IP and UDP headers each: io/wire.
-	probeBytes = 2 * (28 + 70)
+	// probeBytes is a health request and its report on the wire: io/wire.
+	probeBytes = 2 * (headerBytes + 70)
+	// headerBytes are IP and UDP headers of one datagram.
+	headerBytes = 28
 	// newsPerSecond and newsFanout: node, newsInterval and newsFanout.
 	newsPerSecond = 2
 	newsFanout    = 3
@@ -61,7 +62,7 @@
 func (m *Measured) Estimate(s Size) []Row {
 	return []Row{
 		m.membership(s), m.slotTables(s), m.prober(s), m.targetNews(s),
-		m.configSpread(s), m.configInForce(s), m.reader(s), m.repair(s), m.holder(s),
+		m.configSpread(s), m.configInForce(s), m.reader(s), m.records(s), m.repair(s), m.holder(s),
 	}
 }
 
@@ -178,6 +179,19 @@
 	}
 }
 
+// records counts what VMs tell each other of a flow over its life, beyond the
+// packets of caller and target; the two holders share it.
+func (m *Measured) records(s Size) Row {
+	flows := s.NewFlows / s.VMs
+	return Row{
+		Role:              "records of new flows",
+		Mechanism:         "the copy rides on the open packet; one message ends it at the other owner",
+		MessagesPerSecond: flows,
+		BytesPerSecond:    flows * (m.Slope(flowBytes).At(s.VMs/s.Regions) + headerBytes),
+		From:              []string{flowBytes},
+	}
+}
+
 func (m *Measured) repair(Size) Row {
 	return Row{
 		Role:           "copies for idle flows",
--- a/capacity/question.go
+++ b/capacity/question.go
@@ -10,6 +10,7 @@
 	flowDecision   = "flow_decision"
 	flowRecord     = "flow_record"
 	flowTick       = "flow_tick"
+	flowBytes      = "flow_bytes"
 	newsCPU        = "news_cpu"
 	newsBytes      = "news_bytes"
 	probeCPU       = "probe_cpu"
@@ -32,6 +33,7 @@
 	{Name: flowDecision, Package: "baobabstep/core/flow", Benchmark: "BenchmarkHeldFlow", Metric: "ns/op", Driver: "n"},
 	{Name: flowRecord, Package: "baobabstep/core/flow", Benchmark: "BenchmarkHeldFlow", Metric: "B/record", Driver: "n"},
 	{Name: flowTick, Package: "baobabstep/core/flow", Benchmark: "BenchmarkTick", Metric: "ns/op", Driver: "n"},
+	{Name: flowBytes, Package: "baobabstep/node", Benchmark: "BenchmarkRecordBytes", Metric: "B/flow", Driver: "vms"},
 	{Name: newsCPU, Package: "baobabstep/core/target", Benchmark: "BenchmarkNews", Metric: "ns/op", Driver: "targets"},
 	{Name: newsBytes, Package: "baobabstep/core/target", Benchmark: "BenchmarkNews", Metric: "B/message", Driver: "targets"},
 	{Name: probeCPU, Package: "baobabstep/core/target", Benchmark: "BenchmarkProbes", Metric: "ns/op", Driver: "targets"},
