--- a/cmd/baobabstep/balance.go
+++ b/cmd/baobabstep/balance.go
@@ -82,7 +82,7 @@
 	return node.New(node.Options{
 		Settings: s, Logger: logger, Clock: systemClock{}, Platform: client,
 		Peers: peers, Packets: packets, Book: book, Seed: seed,
-	}), nil
+	})
 }
 
 func newLogger(level string) log.Interface {
--- a/node/node.go
+++ b/node/node.go
@@ -80,7 +80,7 @@
 	fleet   *member.Fleet
 	replica *config.Replica
 	targets *target.Registry
-	flows   *flow.Router
+	flows   flow.Policy
 	work    *request.Engine
 	streams *stream.Proxy
 	metrics *metric.Server
@@ -106,8 +106,9 @@
 	done        chan struct{}
 }
 
-// New makes the parts of a VM; Run starts them.
-func New(o Options) *Node {
+// New makes the parts of a VM; Run starts them. An unknown policy is an error
+// with CodeSettings.
+func New(o Options) (*Node, error) {
 	now := o.Clock.Now()
 	self := o.Settings.VM()
 	self.Incarnation = uint64(now.UnixMilli())
@@ -127,10 +128,14 @@
 	n.targets = target.New(now, target.Options{
 		Self: self.ID, DataCentre: self.DataCentre, Rand: n.random(3), Invariant: n.broken,
 	})
-	n.flows = flow.New(now, flow.Options{
+	var err error
+	n.flows, err = flow.NewPolicy(now, o.Settings.Policy, flow.Options{
 		Self: self.ID, DataCentre: self.DataCentre, Chooser: n.targets, Rand: n.random(4),
 		Invariant: n.broken,
 	})
+	if err != nil {
+		return nil, err
+	}
 	n.work = request.New(now, request.Options{
 		Self: self.ID, DataCentre: self.DataCentre, Targets: n.targets, Rand: n.random(5),
 		Invariant: n.broken,
@@ -141,7 +146,7 @@
 	n.trail = audit.NewTrail(o.Platform, 0)
 	n.metrics = metric.New(o.Settings.MetricsAddress, n.Ready)
 	n.metrics.Register(n.sources()...)
-	return n
+	return n, nil
 }
 
 // random returns the random numbers of one part.
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -85,7 +85,7 @@
 	t.Helper()
 	clock := &manualClock{now: time.Unix(1e9, 0)}
 	packets := &heldPackets{}
-	n := New(Options{
+	n, err := New(Options{
 		Settings: &setting.Settings{
 			Name: "hobart-a-1", Region: "tas-south", DataCentre: "hobart-a",
 			MetricsAddress: netip.MustParseAddrPort("127.0.0.1:1"), StopTimeoutMS: 1000,
@@ -93,6 +93,7 @@
 		Logger: &log.Logger{Handler: discard.New()}, Clock: clock, Platform: importExample(t),
 		Peers: quietPeers{}, Packets: []baobabstep.Packets{packets}, Book: new(Book), Seed: 1,
 	})
+	qt.Assert(t, err, qt.IsNil)
 	return &fixture{T: t, node: n, clock: clock, packets: packets}
 }
 
