--- a/standin/targets/stats.go
+++ b/standin/targets/stats.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"net/netip"
+	"slices"
 	"time"
 
 	"baobabstep/standin/control"
@@ -20,9 +22,19 @@
 	SlotImbalance          float64        `json:"slot_imbalance"`
 	ConnectionsPeakShare   float64        `json:"connections_peak_share"`
 	Flows                  int            `json:"flows"`
+	LateWork               []LateWork     `json:"late_work"`
 	FlowsByTarget          map[string]int `json:"flows_by_target"`
 }
 
+// LateWork is one piece of new work that came too long after its target began
+// to leave, and the VM that sent it.
+type LateWork struct {
+	Target  string         `json:"target"`
+	Kind    string         `json:"kind"`
+	From    netip.AddrPort `json:"from"`
+	AfterMS int64          `json:"after_ms"`
+}
+
 // balance sums up the samples of one service.
 type balance struct {
 	connections, slots imbalance
@@ -92,7 +104,8 @@
 	}
 	p.lock.Lock()
 	defer p.lock.Unlock()
-	s.NewWorkOnLeavingTarget = p.wrong.newWorkOnLeaving
+	s.LateWork = slices.Clone(p.wrong.lateWork)
+	s.NewWorkOnLeavingTarget = len(s.LateWork)
 	s.RefusedAsForeign = p.wrong.misrouted
 	s.ChangedRequests = p.wrong.changedRequests
 	for _, r := range p.ran {
--- a/standin/targets/target.go
+++ b/standin/targets/target.go
@@ -46,6 +46,8 @@
 	reported time.Time
 	meanTime time.Duration
 	buf      []byte
+	// from is where the packet in hand came from.
+	from netip.AddrPort
 }
 
 type flow struct {
@@ -164,6 +166,7 @@
 	if t.socket == nil {
 		return
 	}
+	t.from = from
 	if p.Kind == baobabstep.KindHealth {
 		t.health(p, from)
 		return
@@ -223,12 +226,13 @@
 
 // newWork tells whether the target takes new work, and counts it as a fault if
 // it came long after the target began to leave.
-func (t *target) newWork() bool {
+func (t *target) newWork(kind baobabstep.Kind) bool {
 	if t.leaving.IsZero() {
 		return true
 	}
-	if time.Since(t.leaving) > leaveGrace {
-		t.process.countWrong(func(w *wrongs) { w.newWorkOnLeaving++ })
+	if late := time.Since(t.leaving); late > leaveGrace {
+		l := LateWork{Target: t.settings.Name, Kind: kind.String(), From: t.from, AfterMS: late.Milliseconds()}
+		t.process.countWrong(func(w *wrongs) { w.lateWork = append(w.lateWork, l) })
 	}
 	return false
 }
@@ -243,7 +247,7 @@
 	switch {
 	case t.silent[p.Flow]:
 		return
-	case !t.newWork():
+	case !t.newWork(p.Kind):
 		t.reply(p, baobabstep.KindReset, baobabstep.CodeTargetLeaving)
 		return
 	case len(t.flows) >= t.settings.Connections:
@@ -319,7 +323,7 @@
 	case t.refused[a]:
 		t.reply(p, baobabstep.KindRefusal, baobabstep.CodeCancelled)
 		return
-	case !t.newWork():
+	case !t.newWork(p.Kind):
 		t.reply(p, baobabstep.KindRefusal, baobabstep.CodeTargetLeaving)
 		return
 	case len(t.running) >= t.settings.Slots:
--- a/standin/targets/targets.go
+++ b/standin/targets/targets.go
@@ -95,9 +95,9 @@
 
 // wrongs are the load balancer's faults.
 type wrongs struct {
-	newWorkOnLeaving int
-	misrouted        int
-	changedRequests  int
+	lateWork        []LateWork
+	misrouted       int
+	changedRequests int
 }
 
 // New checks the settings and makes a process that does not run yet.
