operator: drop-draft says that it dropped the draft

Cause: account drop-draft printed the line of a draft that was kept, so that an operator could not tell whether it was gone. Change: the line begins with "dropped the draft". Figures: the new line of TestCommands fails before and passes after.

--- a/io/operator/command/account.go
+++ b/io/operator/command/account.go
@@ -98,7 +98,11 @@
 		return err
 	}
 	return s.print(a, func(w *tabwriter.Writer) {
-		row(w, fmt.Sprintf("draft of %s by %s on version %d", a.Draft.Account, a.Draft.Operator, a.Draft.BaseVersion))
+		what := "draft"
+		if q.Drop {
+			what = "dropped the draft"
+		}
+		row(w, fmt.Sprintf("%s of %s by %s on version %d", what, a.Draft.Account, a.Draft.Operator, a.Draft.BaseVersion))
 		for _, change := range a.Difference {
 			row(w, change.String())
 		}
--- a/io/operator/command/command_test.go
+++ b/io/operator/command/command_test.go
@@ -153,6 +153,7 @@
 	v.refused("ana", baobabstep.CodeUsage, "no reason", "account accept tas-south")
 	v.must("ana", "in force everywhere", "account accept tas-south --reason=more_slots --wait")
 	v.refused("ana", baobabstep.CodeNotFound, "no draft", "account drop-draft tas-south")
+	v.must("ana", "dropped the draft of tas-south by ana", edit("slots", "5"), "account drop-draft tas-south")
 	v.must("ana", "more slots", "account history tas-south")
 	v.must("rui", "accepted as version 3", "target drain fixtures-03 --reason=disk_failing")
 	v.must("rui", "accepted as version 4", "target undrain fixtures-03 --reason=disk_replaced")
