flow: a forgotten flow is reset also while the fleet changes

Cause: for Grace (10 s) after any change of the table, and after a pause, no unanswered probe counted. Change: a target's silence counts from 1 s after a change. It rests on three probes of this VM that the target missed while it answered others, so it needs only that all VMs know the prober. A caller's silence still waits for Grace.

--- a/core/flow/live.go
+++ b/core/flow/live.go
@@ -1,6 +1,10 @@
 package flow
 
-import "baobabstep"
+import (
+	"time"
+
+	"baobabstep"
+)
 
 // probeSeq marks the probes of a VM. Callers and targets echo it, which tells
 // the entry VM whose probe an acknowledgement answers.
@@ -153,11 +157,30 @@
 	return true
 }
 
-// maySilence tells whether an unanswered probe may count at all. While VMs are
-// out of reach, so may be the way by which a caller is heard: other callers
-// that answer prove nothing for it. A target answers this VM or none.
+// settleTime is how long after a change of the fleet an unanswered probe of a
+// target may not count: until then some VMs do not know the prober and cannot
+// pass an answer on to it.
+const settleTime = time.Second
+
+// maySilence tells whether an unanswered probe may count at all.
+//
+// A caller may be heard by VMs out of reach: other callers that answer prove
+// nothing for it, and neither does anything for Grace after a change.
+//
+// A target answers this VM or none, and only probes that it missed while it
+// answered others count against it. It need not wait for Grace: a flow that was
+// forgotten at the time of a change would outlast its caller's patience, and
+// that caller would never learn that it may reconnect at once.
 func (t *turn) maySilence(d direction) bool {
-	settled := !t.snap.paused && !t.now.Before(t.snap.certain) && t.now.Sub(t.snap.changed) >= t.r.o.Grace
+	if t.snap.paused {
+		return false
+	}
+	certain, wait := t.snap.certain, t.r.o.Grace
+	if d == toTarget {
+		wait = min(settleTime, wait)
+		certain = certain.Add(wait - t.r.o.Grace)
+	}
+	settled := !t.now.Before(certain) && t.now.Sub(t.snap.changed) >= wait
 	return settled && (d == toTarget || !t.snap.view.Unsure)
 }
 
