--- a/capacity/estimate.go
+++ b/capacity/estimate.go
@@ -184,11 +184,10 @@
 func (m *Measured) records(s Size) Row {
 	flows := s.NewFlows / s.VMs
 	return Row{
-		Role:              "records of new flows",
-		Mechanism:         "the copy rides on the open packet; one message ends it at the other owner",
-		MessagesPerSecond: flows,
-		BytesPerSecond:    flows * (m.Slope(flowBytes).At(s.VMs/s.Regions) + headerBytes),
-		From:              []string{flowBytes},
+		Role:           "records of new flows",
+		Mechanism:      "the copy rides on the open packet, the end on the close",
+		BytesPerSecond: flows * m.Slope(flowBytes).At(s.VMs/s.Regions),
+		From:           []string{flowBytes},
 	}
 }
 
