target: a VM that joins is told which targets are leaving

Cause: words about leaving targets are sent four times and then only by the slow rotation. Change: when a member appears in the view, the words are sent again. Figures: test: without the change the next news after the join says nothing of the target; with it the joined VM does not use it.

--- a/core/target/target.go
+++ b/core/target/target.go
@@ -216,9 +216,28 @@
 		delete(r.epochs, vm)
 		r.forgetPeer(vm)
 	}
+	if old != nil && len(goneMembers(v, old)) > 0 {
+		r.repeatLeaving()
+	}
 	r.setEpoch(v)
 }
 
+// repeatLeaving tells once more which targets are leaving. A VM that has just
+// joined missed the words, and as dispatcher it would hand new work to a target
+// that has been draining for seconds, until its own probes or the slow rotation
+// of news told it.
+func (r *Registry) repeatLeaving() {
+	for _, e := range r.index.Load().targets {
+		e.pool.mu.Lock()
+		for s := range e.leaving {
+			if e.leaving[s].leaving {
+				e.leaving[s].spread = wordSpread
+			}
+		}
+		e.pool.mu.Unlock()
+	}
+}
+
 func (r *Registry) setReached(v *baobabstep.View) {
 	reached := make(map[string]bool)
 	for i := range v.Members {
