standin: callers list the requests that got no word

Change: details.json lists the silent requests: number, class, idempotent or not, cancelled or not, parts still missing, time and copies sent.

--- a/standin/callers/callers.go
+++ b/standin/callers/callers.go
@@ -76,6 +76,7 @@
 	latency   [2]*hdrhistogram.Histogram
 	refused   []uint64
 	broken    []Broken
+	silent    []Silent
 }
 
 // service is a service as its callers know it.
--- a/standin/callers/callers_test.go
+++ b/standin/callers/callers_test.go
@@ -270,7 +270,10 @@
 					p.Target = 0
 				}
 			},
-			func(p *path) bool { return p.callers.Stats().OrdinaryLost > 0 },
+			func(p *path) bool {
+				s := p.callers.Stats()
+				return s.OrdinaryLost > 0 && len(s.Silent) > 0 && s.Silent[0].Missing == s.Silent[0].Parts
+			},
 		},
 		{
 			"flows go silent",
--- a/standin/callers/request.go
+++ b/standin/callers/request.go
@@ -47,6 +47,7 @@
 	seq        uint32
 	tries      int
 	cancelAt   time.Duration
+	cancelled  bool
 }
 
 // arrive issues the requests that are due.
@@ -129,6 +130,7 @@
 // lost.
 func (w *worker) stepRequest(r *request, now time.Duration) {
 	if now > r.deadline+lastGrace {
+		w.process.noteSilent(r)
 		w.end(r, func(c *Counts) {
 			if r.class == baobabstep.ClassOrdinary {
 				c.OrdinaryLost++
@@ -140,7 +142,7 @@
 		return
 	}
 	if r.cancelAt > 0 && now >= r.cancelAt {
-		r.cancelAt = 0
+		r.cancelAt, r.cancelled = 0, true
 		w.process.count(func(c *Counts) { c.Cancelled++ })
 		w.send(&baobabstep.Packet{Kind: baobabstep.KindCancel, Flow: w.key(r.service, r.number), Seq: r.seq, Class: r.class})
 	}
--- a/standin/callers/stats.go
+++ b/standin/callers/stats.go
@@ -48,6 +48,23 @@
 	AtMS    int64               `json:"at_ms"`
 }
 
+// Silent is one request that ended without any word. Missing is the number of
+// parts of its answer that had not come; fewer than Parts means that some had.
+type Silent struct {
+	Service    string `json:"service"`
+	Number     uint64 `json:"number"`
+	Ordinary   bool   `json:"ordinary"`
+	Idempotent bool   `json:"idempotent"`
+	Cancelled  bool   `json:"cancelled"`
+	Parts      int    `json:"parts"`
+	Missing    int    `json:"missing"`
+	IssuedMS   int64  `json:"issued_ms"`
+	Copies     uint32 `json:"copies"`
+}
+
+// maxSilent bounds the silent requests that are listed.
+const maxSilent = 100
+
 // Stats adds what is under way and the latencies in milliseconds.
 type Stats struct {
 	Counts
@@ -57,6 +74,8 @@
 	UrgentP99MS   float64 `json:"urgent_p99_ms"`
 	OrdinaryP50MS float64 `json:"ordinary_p50_ms"`
 	OrdinaryP99MS float64 `json:"ordinary_p99_ms"`
+	// Silent lists the first of the requests without any word.
+	Silent []Silent `json:"silent"`
 	// Done is set once a finish is complete.
 	Done bool `json:"done"`
 }
@@ -77,6 +96,19 @@
 	p.broken = append(p.broken, b)
 }
 
+func (p *Process) noteSilent(r *request) {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	if len(p.silent) == maxSilent {
+		return
+	}
+	p.silent = append(p.silent, Silent{
+		Service: r.service.Name, Number: r.number, Ordinary: r.class == baobabstep.ClassOrdinary,
+		Idempotent: r.idempotent, Cancelled: r.cancelled, Parts: len(r.parts), Missing: r.missing,
+		IssuedMS: r.started.Milliseconds(), Copies: r.seq + 1,
+	})
+}
+
 func (p *Process) countRefused(number uint64, code baobabstep.Code) {
 	p.lock.Lock()
 	defer p.lock.Unlock()
@@ -123,6 +155,7 @@
 	p.lock.Lock()
 	defer p.lock.Unlock()
 	s.Counts = p.counts
+	s.Silent = slices.Clone(p.silent)
 	s.OpensRefused, s.Refusals = copyOf(p.counts.OpensRefused), copyOf(p.counts.Refusals)
 	s.Done = p.finishing && live == 0 && s.RequestsOpen == 0
 	quantile := func(class baobabstep.Class, q float64) float64 {
