docs: every command of the pages is parsed; each flag has a help text

Cause: commands that need a fleet were checked by hand only. Change: a test parses them as the program would; another wants a help text for each command and flag, which five flags of capacity table lacked.

--- a/cmd/baobabstep/capacity.go
+++ b/cmd/baobabstep/capacity.go
@@ -32,13 +32,13 @@
 
 type capacityTable struct {
 	File        string  `help:"File of slopes." default:"docs/capacity/slopes.json" type:"existingfile"`
-	VMs         float64 `name:"vms" default:"2300"`
-	Hosts       float64 `default:"26000"`
-	Addresses   float64 `default:"6200"`
+	VMs         float64 `name:"vms" help:"VMs of the fleet." default:"2300"`
+	Hosts       float64 `help:"Hosts that serve, one target each." default:"26000"`
+	Addresses   float64 `help:"Service addresses." default:"6200"`
 	Flows       float64 `help:"Open flows." default:"65e6"`
 	NewFlows    float64 `help:"New flows a second." default:"230e3"`
-	DataCentres float64 `default:"14"`
-	Regions     float64 `default:"5"`
+	DataCentres float64 `help:"Data centres of the fleet." default:"14"`
+	Regions     float64 `help:"Regions that the data centres form." default:"5"`
 	Changes     float64 `help:"Changes of configuration a day." default:"11000"`
 	Deaths      float64 `help:"VMs that fail in a day." default:"67"`
 	Restarts    float64 `help:"VMs restarted or replaced in a day." default:"4700"`
--- a/cmd/baobabstep/docs_test.go
+++ b/cmd/baobabstep/docs_test.go
@@ -5,10 +5,12 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
 
+	"github.com/alecthomas/kong"
 	qt "github.com/frankban/quicktest"
 )
 
@@ -19,6 +21,14 @@
 	wantedExit  = regexp.MustCompile(`# exits with (\d+)$`)
 )
 
+// otherBlock matches a block of commands that need a fleet; citedLine one line of
+// it up to what the shell makes of the rest, and word one argument.
+var (
+	otherBlock = regexp.MustCompile("(?ms)^```sh\n(.*?)^```$")
+	citedLine  = regexp.MustCompile(`(?m)^bin/baobabstep ([^|&>#\n]*?)(?: \d?[|&>#].*)?$`)
+	word       = regexp.MustCompile(`"[^"]*"|\S+`)
+)
+
 // testedPages are the pages whose blocks are run, from the repository's root.
 var testedPages = []string{"README.md", "docs/*.md", "docs/operators/*.md"}
 
@@ -35,22 +45,65 @@
 	build, err := exec.Command("go", "build", "-o", filepath.Join(folder, "bin", "baobabstep"), ".").CombinedOutput()
 	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", build))
 
-	ran := 0
+	for page, text := range readPages(t, root) {
+		for _, block := range testedBlock.FindAllStringSubmatch(text, -1) {
+			for line := range strings.Lines(block[1]) {
+				runLine(t, folder, page, strings.TrimSpace(line))
+			}
+		}
+	}
+}
+
+// readPages returns the texts of the tested pages by their names.
+func readPages(t *testing.T, root string) map[string]string {
+	t.Helper()
+	texts := make(map[string]string)
 	for _, pattern := range testedPages {
 		pages, err := filepath.Glob(filepath.Join(root, pattern))
 		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, pages, qt.Not(qt.HasLen), 0)
 		for _, page := range pages {
 			text, err := os.ReadFile(page)
 			qt.Assert(t, err, qt.IsNil)
-			for _, block := range testedBlock.FindAllStringSubmatch(string(text), -1) {
-				for line := range strings.Lines(block[1]) {
-					runLine(t, folder, filepath.Base(page), strings.TrimSpace(line))
-					ran++
+			texts[filepath.Base(page)] = string(text)
+		}
+	}
+	return texts
+}
+
+// The commands that need a fleet cannot run here, but an operator must not be
+// told of one, or of a flag, that the program does not have.
+func TestCommandsInPagesParse(t *testing.T) {
+	t.Chdir("../..")
+	parsed := 0
+	for page, text := range readPages(t, ".") {
+		for _, block := range otherBlock.FindAllStringSubmatch(text, -1) {
+			for _, line := range citedLine.FindAllStringSubmatch(block[1], -1) {
+				args := word.FindAllString(line[1], -1)
+				if slices.Contains(args, "vm2.json") || slices.Contains(args, "vm3.json") {
+					continue // made by an earlier line of the page
 				}
+				parser, err := kong.New(new(commands))
+				qt.Assert(t, err, qt.IsNil)
+				_, err = parser.Parse(args)
+				qt.Check(t, err, qt.IsNil, qt.Commentf("%s: %s", page, line[0]))
+				parsed++
 			}
 		}
 	}
-	qt.Assert(t, ran > 0, qt.IsTrue)
+	qt.Assert(t, parsed > 10, qt.IsTrue)
+}
+
+// Each command can tell what it is for.
+func TestHelpOfEachCommand(t *testing.T) {
+	parser, err := kong.New(new(commands))
+	qt.Assert(t, err, qt.IsNil)
+	for _, leaf := range parser.Model.Leaves(true) {
+		qt.Check(t, leaf.Help, qt.Not(qt.Equals), "", qt.Commentf("%s", leaf.FullPath()))
+		for _, flag := range leaf.Flags {
+			qt.Check(t, flag.Help, qt.Not(qt.Equals), "", qt.Commentf("%s --%s", leaf.FullPath(), flag.Name))
+		}
+	}
 }
 
 // runLine checks that one line of a page exits as the page says.
@@ -60,10 +113,10 @@
 		if exit := wantedExit.FindStringSubmatch(line); exit != nil {
 			want, _ = strconv.Atoi(exit[1])
 		}
-		command := exec.CommandContext(t.Context(), "sh", "-c", line)
-		command.Dir = folder
-		command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + folder}
-		output, _ := command.CombinedOutput()
-		qt.Assert(t, command.ProcessState.ExitCode(), qt.Equals, want, qt.Commentf("%s", output))
+		shell := exec.CommandContext(t.Context(), "sh", "-c", line)
+		shell.Dir = folder
+		shell.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + folder}
+		output, _ := shell.CombinedOutput()
+		qt.Assert(t, shell.ProcessState.ExitCode(), qt.Equals, want, qt.Commentf("%s", output))
 	})
 }
