--- a/core/config/document.go
+++ b/core/config/document.go
@@ -51,6 +51,7 @@
 	Address         json.RawMessage `json:"address,omitempty"`
 	DataCentres     json.RawMessage `json:"data_centres,omitempty"`
 	Targets         json.RawMessage `json:"targets,omitempty"`
+	Stream          json.RawMessage `json:"stream,omitempty"`
 	Slots           json.RawMessage `json:"slots,omitempty"`
 	Connections     json.RawMessage `json:"connections,omitempty"`
 	MaxTimeout      json.RawMessage `json:"max_timeout,omitempty"`
--- a/core/config/render.go
+++ b/core/config/render.go
@@ -105,7 +105,7 @@
 		MaxTimeout: values["max_timeout"].duration, DefaultTimeout: values["default_timeout"].duration,
 		OrdinaryFloor: values["ordinary_floor"].number, RetryShare: values["retry_share"].number,
 		QueueLimit: values["queue_limit"].integer, MaxEjectedShare: values["max_ejected_share"].number,
-		ClassRules: values["classes"].classes,
+		ClassRules: values["classes"].classes, Stream: values["stream"].boolean,
 	}
 	checkService(p, path, &out)
 	for _, tv := range values["targets"].targets {
--- a/core/config/template.go
+++ b/core/config/template.go
@@ -22,6 +22,7 @@
 		{"address", TypeAddress, s.Address, true, nil},
 		{"data_centres", TypeStringList, s.DataCentres, true, nil},
 		{"targets", TypeTargetList, s.Targets, true, nil},
+		{"stream", TypeBoolean, s.Stream, false, std("false")},
 		{"slots", TypeInteger, s.Slots, false, std("2")},
 		{"connections", TypeInteger, s.Connections, false, std("2000")},
 		{"max_timeout", TypeDuration, s.MaxTimeout, false, std(`"30s"`)},
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -82,6 +82,13 @@
 }
 
 func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	export, err := platform.LoadExport("../examples/tas-south")
+	qt.Assert(t, err, qt.IsNil)
+	return newFixtureWith(t, export)
+}
+
+func newFixtureWith(t *testing.T, export config.Export) *fixture {
 	t.Helper()
 	clock := &manualClock{now: time.Unix(1e9, 0)}
 	packets := &heldPackets{}
@@ -90,21 +97,19 @@
 			Name: "hobart-a-1", Region: "tas-south", DataCentre: "hobart-a",
 			MetricsAddress: netip.MustParseAddrPort("127.0.0.1:1"), StopTimeoutMS: 1000,
 		},
-		Logger: &log.Logger{Handler: discard.New()}, Clock: clock, Platform: importExample(t),
+		Logger: &log.Logger{Handler: discard.New()}, Clock: clock, Platform: importExport(t, export),
 		Peers: quietPeers{}, Packets: []baobabstep.Packets{packets}, Book: new(Book), Seed: 1,
 	})
 	qt.Assert(t, err, qt.IsNil)
 	return &fixture{T: t, node: n, clock: clock, packets: packets}
 }
 
-// importExample returns a platform that holds the example configuration.
-func importExample(t *testing.T) baobabstep.Platform {
+// importExport returns a platform that holds a configuration.
+func importExport(t *testing.T, export config.Export) baobabstep.Platform {
 	t.Helper()
 	server := httptest.NewServer(standin.New(standin.Options{}))
 	t.Cleanup(server.Close)
 	client := platform.NewClient(platform.Options{URL: server.URL})
-	export, err := platform.LoadExport("../examples/tas-south")
-	qt.Assert(t, err, qt.IsNil)
 	result := platform.Import(t.Context(), client, export, config.Change{ID: "first", Operator: "test", Reason: "test", Action: "config import"})
 	qt.Assert(t, result.Err, qt.IsNil)
 	return client
