node: no packet is decided before the parts know of a pause

Cause: the first goroutine that noticed a pause set the flag and then told the parts; a second one saw the flag and went on at once, with packets that had waited in its socket, by a view from before the pause. Change: the flag is set once the parts are told, and others wait for that. Conclusion: a VM that wakes up acts as paused from its first packet on.

--- a/node/data.go
+++ b/node/data.go
@@ -43,13 +43,22 @@
 	}
 }
 
+// setPaused tells the parts. Whoever finds that it was done already waits until
+// it is: several goroutines notice a pause at once, and one that went on before
+// the parts know would decide about packets by a view from before the pause.
 func (n *Node) setPaused(now time.Time, paused bool) {
-	if n.paused.Swap(paused) == paused {
+	if n.paused.Load() == paused {
+		return
+	}
+	n.pauseLock.Lock()
+	defer n.pauseLock.Unlock()
+	if n.paused.Load() == paused {
 		return
 	}
 	n.log.WithField("paused", paused).Warn("pause noticed or over")
 	n.flows.SetPaused(now, paused)
 	n.work.SetPaused(now, paused)
+	n.paused.Store(paused)
 }
 
 // handle lets the part that a packet belongs to decide.
--- a/node/node.go
+++ b/node/node.go
@@ -15,6 +15,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -100,7 +101,10 @@
 	config   atomic.Pointer[baobabstep.Config]
 	stopping atomic.Bool
 	joined   atomic.Bool
-	paused   atomic.Bool
+	// paused is what the parts were told last; pauseLock is held while they
+	// are told.
+	paused    atomic.Bool
+	pauseLock sync.Mutex
 	// duplicateAt is when a second VM of this name was last logged.
 	duplicateAt time.Time
 	done        chan struct{}
