flow: a VM that was paused drops the opens that waited in its socket

Cause: a second copy that woke up sent opens on that it had got before or during its pause. Change: while paused, an open that comes with a record is dropped; its caller has repeated it by another way. Figures: TestPausedVMSendsNoOldOpen failed before (one open sent, want none) and passes. Conclusion: closes the window of a pause for opens. Packets that a VM has already decided about when it is stopped are still sent when it goes on.

--- a/core/flow/copies.go
+++ b/core/flow/copies.go
@@ -225,8 +225,14 @@
 // whilePaused handles a packet that came with a record at a VM that does not
 // trust itself. The sender's decision stands: a record of this VM's own that
 // the caller is not known to use gives way to it. If the caller uses another
-// target, the packet is dropped rather than sent to a second one.
+// target, the packet is dropped rather than sent to a second one. So is an open,
+// which may have waited here for as long as the pause was: its target may be
+// leaving by now, and the caller repeats it by another way.
 func (t *turn) whilePaused() {
+	if t.p.Kind == baobabstep.KindOpen && !t.p.FromTarget {
+		t.count(EventDroppedPaused)
+		return
+	}
 	rec := t.find()
 	if rec != nil && rec.live() && t.r.reg.target(rec.target).id != t.p.Route.Record.Target {
 		if rec.detail == detailInUse {
