--- a/core/flow/bench_test.go
+++ b/core/flow/bench_test.go
@@ -90,6 +90,7 @@
 func BenchmarkHeldFlowParallel(b *testing.B) {
 	r, x, keys := filled(b, 500_000)
 	b.ReportAllocs()
+	b.ResetTimer()
 	b.RunParallel(func(pb *testing.PB) {
 		out := make(baobabstep.Outbox, 0, 8)
 		p := baobabstep.Packet{Kind: baobabstep.KindData}
