target: updates and assignments instead of words and duties; comments in the field's terms

Change: update, assignment, changedEnough; comments reworded; behaviour as before (the field of the message between VMs is now called updates).

--- a/core/flow/live_test.go
+++ b/core/flow/live_test.go
@@ -17,7 +17,7 @@
 }
 
 // Something between the ends lost track of a flow while new ones work: the
-// volunteer's screen shows old news for days. The silent end answers no probe,
+// caller waits for news that never comes. The silent end answers no probe,
 // so both ends get a reset within half a minute, and the caller reconnects.
 func TestSilentFlowIsReset(t *testing.T) {
 	t.Parallel()
--- a/core/flow/view_test.go
+++ b/core/flow/view_test.go
@@ -62,7 +62,7 @@
 	}
 }
 
-// Volunteers hold their flows for a week while every VM is replaced, one after
+// Callers hold their flows for days while every VM is replaced, one after
 // the other. A flow breaks if both its owners are replaced before either record
 // was copied on, so copies must be made faster than VMs go.
 func TestAllVMsReplacedOneAfterAnother(t *testing.T) {
--- a/core/target/evidence.go
+++ b/core/target/evidence.go
@@ -237,17 +237,17 @@
 	e.changed()
 }
 
-// register is one source's word on leaving. The version grows with each
-// change, so that words merge without clocks.
+// register is one source's update on leaving. The version grows with each
+// change, so that updates merge without clocks.
 type register struct {
 	version uint64
 	leaving bool
-	// spread counts how often the word still has to be sent.
+	// spread counts how often the update still has to be sent.
 	spread int
 }
 
-// wordSpread is how often a leaving word is sent after it was made or learned.
-const wordSpread = 4
+// updateSpread is how often a leaving update is sent after it was made or learned.
+const updateSpread = 4
 
 func (e *entry) isLeaving() bool {
 	for i := range e.leaving {
@@ -265,12 +265,12 @@
 	}
 	g.version++
 	g.leaving = leaving
-	g.spread = wordSpread
+	g.spread = updateSpread
 	e.pool.dirty = true
 	e.changed()
 }
 
-// Leaving takes a source's word that a target is leaving, or no longer is.
+// Leaving takes a source's update that a target is leaving, or no longer is.
 func (r *Registry) Leaving(_ time.Time, id baobabstep.TargetID, source Source, leaving bool) {
 	e := r.entryOf(id)
 	if e == nil || source >= numSources {
--- a/core/target/example_test.go
+++ b/core/target/example_test.go
@@ -27,5 +27,5 @@
 	fmt.Println(r.Table(now)[0].Reason)
 	// Output:
 	// 11 OK
-	// leaving by its own word
+	// leaving by its own report
 }
--- a/core/target/health_test.go
+++ b/core/target/health_test.go
@@ -171,8 +171,8 @@
 	return n
 }
 
-// Words on leaving arrive late, twice and out of order, and the VM that first
-// said so dies. An old word never takes back a newer one, and the death of the
+// Updates on leaving arrive late, twice and out of order, and the VM that first
+// said so dies. An old update never takes back a newer one, and the death of the
 // one who said it does not either.
 func TestLeavingWordsMergeByVersion(t *testing.T) {
 	s := testService(4, dataCentre)
--- a/core/target/join_test.go
+++ b/core/target/join_test.go
@@ -6,7 +6,7 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// A target drains, all VMs hear of it, and the words stop. Seconds later a VM
+// A target drains, all VMs hear of it, and the updates stop. Seconds later a VM
 // joins, becomes dispatcher, and would hand new work to the draining target: it
 // has not probed it yet. The next news after the join has to tell it.
 func TestJoinedVMHearsOfLeavingTargets(t *testing.T) {
@@ -16,7 +16,7 @@
 	a.SetView(epoch, testView(3, dataCentre))
 	leaving := s.Targets[0].ID
 	a.Leaving(epoch, leaving, SourceTarget, true)
-	for range wordSpread {
+	for range updateSpread {
 		a.News(epoch, 1000)
 	}
 
--- a/core/target/news.go
+++ b/core/target/news.go
@@ -11,13 +11,13 @@
 // newsBody is what one VM tells the others of targets.
 type newsBody struct {
 	// Epoch is the sender's incarnation: sequences are compared within one.
-	Epoch  uint64        `cbor:"epoch"`
-	Words  []word        `cbor:"words,omitempty"`
-	Leaves []leavingWord `cbor:"leaves,omitempty"`
+	Epoch   uint64          `cbor:"epoch"`
+	Updates []update        `cbor:"updates,omitempty"`
+	Leaves  []leavingUpdate `cbor:"leaves,omitempty"`
 }
 
-// word is the sender's own state of one target.
-type word struct {
+// update is the sender's own state of one target.
+type update struct {
 	_        struct{} `cbor:",toarray"`
 	Target   baobabstep.TargetID
 	Sequence uint64
@@ -29,8 +29,8 @@
 	Connections uint32
 }
 
-// leavingWord is one source's word. Unlike a word it is passed on.
-type leavingWord struct {
+// leavingUpdate is one source's update. Unlike a update it is passed on.
+type leavingUpdate struct {
 	_       struct{} `cbor:",toarray"`
 	Target  baobabstep.TargetID
 	Source  Source
@@ -41,13 +41,13 @@
 // Sizes of encoded news, rounded up.
 const (
 	newsHeader  = 32
-	wordBytes   = 40
+	updateBytes = 40
 	leaveBytes  = 24
 	maxNewsSize = 64 << 10
 )
 
-// peerWord is what another VM told of a target.
-type peerWord struct {
+// peerUpdate is what another VM told of a target.
+type peerUpdate struct {
 	vm       baobabstep.VMID
 	sequence uint64
 	flows    int
@@ -55,8 +55,8 @@
 	up, down bool
 }
 
-// sentWord is what was last told of a target.
-type sentWord struct {
+// sentUpdate is what was last told of a target.
+type sentUpdate struct {
 	flows    int
 	up, down bool
 	queued   bool
@@ -80,10 +80,10 @@
 	return e.health.prober && e.reported.known && e.health.goodProbes > 0
 }
 
-// worthTelling tells whether the state differs enough from what was told.
+// changedEnough tells whether the state differs enough from what was told.
 // Small changes wait for the rotation: a step of 1/32 of the count is below
 // the spread that two random choices leave anyway.
-func (e *entry) worthTelling() bool {
+func (e *entry) changedEnough() bool {
 	if !e.sent.queued {
 		return false
 	}
@@ -104,7 +104,7 @@
 }
 
 // News returns what to tell the other VMs of the region, at most maxBytes, or
-// nil when there is nothing. Leaving words go first, then changed counts, then
+// nil when there is nothing. Leaving updates go first, then changed counts, then
 // a few targets by rotation.
 func (r *Registry) News(_ time.Time, maxBytes int) []byte {
 	r.mu.Lock()
@@ -117,7 +117,7 @@
 	left := maxBytes - newsHeader
 	left = r.addChanges(&body, left)
 	r.addRotation(&body, left)
-	if len(body.Words) == 0 && len(body.Leaves) == 0 {
+	if len(body.Updates) == 0 && len(body.Leaves) == 0 {
 		return nil
 	}
 	b, err := cbor.Marshal(&body)
@@ -134,13 +134,13 @@
 
 func (r *Registry) addChanges(body *newsBody, left int) int {
 	for _, e := range r.index.Load().list {
-		if left < wordBytes+leaveBytes {
+		if left < updateBytes+leaveBytes {
 			return left
 		}
 		e.pool.mu.Lock()
 		left = e.addLeaving(body, left)
-		if e.worthTelling() {
-			left -= r.addWord(body, e)
+		if e.changedEnough() {
+			left -= r.addUpdate(body, e)
 		}
 		e.pool.mu.Unlock()
 	}
@@ -152,13 +152,13 @@
 
 func (r *Registry) addRotation(body *newsBody, left int) {
 	n := &r.news
-	for i := 0; i < rotationStep && left >= wordBytes && len(n.rotation) > 0; i++ {
+	for i := 0; i < rotationStep && left >= updateBytes && len(n.rotation) > 0; i++ {
 		last := len(n.rotation) - 1
 		e := n.rotation[last]
 		n.rotation = n.rotation[:last]
 		e.pool.mu.Lock()
 		if e.flows > 0 || e.up() || e.health.down || e.sent.flows > 0 {
-			left -= r.addWord(body, e)
+			left -= r.addUpdate(body, e)
 		}
 		for s := range e.leaving {
 			if e.leaving[s].version > 0 && e.leaving[s].spread == 0 {
@@ -178,15 +178,15 @@
 		}
 		g.spread--
 		left -= leaveBytes
-		body.Leaves = append(body.Leaves, leavingWord{Target: e.target.ID, Source: Source(s), Version: g.version, Leaving: g.leaving})
+		body.Leaves = append(body.Leaves, leavingUpdate{Target: e.target.ID, Source: Source(s), Version: g.version, Leaving: g.leaving})
 	}
 	return left
 }
 
-func (r *Registry) addWord(body *newsBody, e *entry) int {
+func (r *Registry) addUpdate(body *newsBody, e *entry) int {
 	r.news.sequence++
-	e.sent = sentWord{flows: e.flows, up: e.up(), down: e.health.down}
-	body.Words = append(body.Words, word{
+	e.sent = sentUpdate{flows: e.flows, up: e.up(), down: e.health.down}
+	body.Updates = append(body.Updates, update{
 		Target:      e.target.ID,
 		Sequence:    r.news.sequence,
 		Flows:       uint32(e.flows),
@@ -194,7 +194,7 @@
 		Down:        e.health.down,
 		Connections: uint32(e.reported.connections),
 	})
-	return wordBytes
+	return updateBytes
 }
 
 // Learn takes the news of another VM. It may be late, doubled or out of order.
@@ -209,8 +209,8 @@
 	if !r.newEnough(from, b.Epoch) {
 		return nil
 	}
-	for i := range b.Words {
-		r.learnWord(from, &b.Words[i])
+	for i := range b.Updates {
+		r.learnUpdate(from, &b.Updates[i])
 	}
 	for i := range b.Leaves {
 		r.learnLeaving(&b.Leaves[i])
@@ -218,7 +218,7 @@
 	return nil
 }
 
-// newEnough checks the sender's incarnation; words of an older one are dropped
+// newEnough checks the sender's incarnation; updates of an older one are dropped
 // when a newer one is heard, since its process and its flows are gone.
 func (r *Registry) newEnough(from baobabstep.VMID, epoch uint64) bool {
 	r.mu.Lock()
@@ -234,7 +234,7 @@
 	return true
 }
 
-func (r *Registry) learnWord(from baobabstep.VMID, w *word) {
+func (r *Registry) learnUpdate(from baobabstep.VMID, w *update) {
 	e := r.entryOf(w.Target)
 	if e == nil || from == r.opts.Self {
 		return
@@ -249,21 +249,21 @@
 		e.pool.dirty = true
 	}
 	e.othersFlows += int(w.Flows) - p.flows
-	*p = peerWord{vm: from, sequence: w.Sequence, flows: int(w.Flows), up: w.Probed, down: w.Down}
+	*p = peerUpdate{vm: from, sequence: w.Sequence, flows: int(w.Flows), up: w.Probed, down: w.Down}
 	if w.Probed && !e.health.prober {
 		e.reported = reported{known: true, connections: int(w.Connections), base: e.flows}
 	}
 	e.recount()
 }
 
-// peer returns the word of a VM, adding an empty one.
-func (e *entry) peer(vm baobabstep.VMID) *peerWord {
+// peer returns the update of a VM, adding an empty one.
+func (e *entry) peer(vm baobabstep.VMID) *peerUpdate {
 	for i := range e.others {
 		if e.others[i].vm == vm {
 			return &e.others[i]
 		}
 	}
-	e.others = append(e.others, peerWord{vm: vm})
+	e.others = append(e.others, peerUpdate{vm: vm})
 	return &e.others[len(e.others)-1]
 }
 
@@ -280,9 +280,9 @@
 	}
 }
 
-// learnLeaving merges by version; of two words of one version the one that
+// learnLeaving merges by version; of two updates of one version the one that
 // says leaving wins, so that two VMs that disagree end up on the safe side.
-func (r *Registry) learnLeaving(w *leavingWord) {
+func (r *Registry) learnLeaving(w *leavingUpdate) {
 	e := r.entryOf(w.Target)
 	if e == nil || w.Source >= numSources || w.Source == SourceOperator {
 		return
@@ -293,6 +293,6 @@
 	if w.Version < g.version || (w.Version == g.version && (g.leaving || !w.Leaving)) {
 		return
 	}
-	*g = register{version: w.Version, leaving: w.Leaving, spread: wordSpread}
+	*g = register{version: w.Version, leaving: w.Leaving, spread: updateSpread}
 	e.pool.dirty = true
 }
--- a/core/target/pool.go
+++ b/core/target/pool.go
@@ -72,7 +72,7 @@
 
 	// flows and slots are held by this VM; others holds what peers told.
 	flows, slots int
-	others       []peerWord
+	others       []peerUpdate
 	othersFlows  int
 	// load is the estimate of open flows; it is part of the sums of the
 	// sets that list the entry.
@@ -89,7 +89,7 @@
 	lastSlot uint64
 	// limit is the adaptive bound of slots in use.
 	limit float64
-	sent  sentWord
+	sent  sentUpdate
 }
 
 // reported is the last report of the target, own or from another prober.
--- a/core/target/probe.go
+++ b/core/target/probe.go
@@ -7,8 +7,8 @@
 	"baobabstep"
 )
 
-// duty is one target that this VM probes.
-type duty struct {
+// assignment is one target that this VM probes.
+type assignment struct {
 	entry *entry
 	next  time.Time
 }
@@ -20,12 +20,12 @@
 	if r.view == nil {
 		return
 	}
-	old := make(map[*entry]time.Time, len(r.duties))
-	for _, d := range r.duties {
+	old := make(map[*entry]time.Time, len(r.assignments))
+	for _, d := range r.assignments {
 		old[d.entry] = d.next
 	}
 	members := membersByDataCentre(r.view)
-	r.duties = nil
+	r.assignments = nil
 	for _, e := range r.index.Load().list {
 		mine := !e.removed && r.probes(members, e, e.target.ID)
 		e.pool.mu.Lock()
@@ -38,16 +38,16 @@
 		if !ok {
 			next = now.Add(r.jitter(r.opts.ProbeInterval))
 		}
-		r.duties = append(r.duties, duty{entry: e, next: next})
+		r.assignments = append(r.assignments, assignment{entry: e, next: next})
 	}
-	slices.SortFunc(r.duties, func(a, b duty) int { return a.next.Compare(b.next) })
+	slices.SortFunc(r.assignments, func(a, b assignment) int { return a.next.Compare(b.next) })
 }
 
-// setProber drops findings of a duty that ended.
+// setProber drops findings of a assignment that ended.
 func (e *entry) setProber(mine bool) {
 	h := &e.health
 	if h.prober != mine {
-		// Probes of an earlier duty prove nothing.
+		// Probes of an earlier assignment prove nothing.
 		h.goodProbes = 0
 		e.pool.dirty = true
 	}
@@ -102,8 +102,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var due []baobabstep.TargetID
-	for i := range r.duties {
-		d := &r.duties[i]
+	for i := range r.assignments {
+		d := &r.assignments[i]
 		if now.Before(d.next) {
 			continue
 		}
--- a/core/target/state.go
+++ b/core/target/state.go
@@ -74,7 +74,7 @@
 	case e.leaving[SourcePlatform].leaving:
 		return "leaving by the platform's list"
 	case e.leaving[SourceTarget].leaving:
-		return "leaving by its own word"
+		return "leaving by its own report"
 	case now.Before(e.health.ejectedUntil):
 		return "ejected for failing work"
 	case !e.health.good(now, e):
--- a/core/target/target.go
+++ b/core/target/target.go
@@ -10,9 +10,9 @@
 // comes last, since reports lag and may be wrong: a report can only make a
 // target look busier than the counts say, never idler.
 //
-// News that a target is leaving comes from three sources (its own word, the
+// News that a target is leaving comes from three sources (its own report, the
 // platform's list, an operator). Any one of them is enough to stop new work at
-// once, and each source has to take back its own word.
+// once, and each source has to take back its own update.
 //
 // # Counts
 //
@@ -75,7 +75,7 @@
 	// Probers is the number of VMs that probe each target: 3.
 	Probers int
 	// ReturnProbes is the number of good probes in a row after which a
-	// target that was down or leaving by its own word may return: 3.
+	// target that was down or leaving by its own report may return: 3.
 	ReturnProbes int
 	// SlowStart is the length of the ramp of a joined or returned target: 10 s.
 	SlowStart time.Duration
@@ -112,11 +112,11 @@
 
 	// mu guards what follows and is held over SetConfig and SetView. It is
 	// taken before any lock of a pool.
-	mu     sync.Mutex
-	view   *baobabstep.View
-	duties []duty
-	news   outgoing
-	// epochs holds the incarnation under which each VM's words were learned.
+	mu          sync.Mutex
+	view        *baobabstep.View
+	assignments []assignment
+	news        outgoing
+	// epochs holds the incarnation under which each VM's updates were learned.
 	epochs map[baobabstep.VMID]uint64
 
 	broken atomic.Uint64
@@ -198,7 +198,7 @@
 }
 
 // SetView tells who is in the region: it decides who probes what, and whose
-// words count. Words of VMs that left the view are dropped.
+// updates count. Updates of VMs that left the view are dropped.
 func (r *Registry) SetView(now time.Time, v *baobabstep.View) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -217,7 +217,7 @@
 }
 
 // repeatLeaving tells once more which targets are leaving. A VM that has just
-// joined missed the words, and as dispatcher it would hand new work to a target
+// joined missed the updates, and as dispatcher it would hand new work to a target
 // that has been draining for seconds, until its own probes or the slow rotation
 // of news told it.
 func (r *Registry) repeatLeaving() {
@@ -225,7 +225,7 @@
 		e.pool.mu.Lock()
 		for s := range e.leaving {
 			if e.leaving[s].leaving {
-				e.leaving[s].spread = wordSpread
+				e.leaving[s].spread = updateSpread
 			}
 		}
 		e.pool.mu.Unlock()
@@ -272,7 +272,7 @@
 	return gone
 }
 
-// forgetPeer drops the words of a VM from all targets.
+// forgetPeer drops the updates of a VM from all targets.
 func (r *Registry) forgetPeer(vm baobabstep.VMID) {
 	for _, e := range r.index.Load().list {
 		e.pool.mu.Lock()
--- a/core/target/target_test.go
+++ b/core/target/target_test.go
@@ -20,9 +20,9 @@
 // turn.
 func testService(n int, dataCentres ...string) baobabstep.Service {
 	s := baobabstep.Service{
-		ID:              baobabstep.MakeServiceID("talho", "corte"),
-		Name:            "talho/corte",
-		Account:         "talho",
+		ID:              baobabstep.MakeServiceID("account", "service"),
+		Name:            "account/service",
+		Account:         "account",
 		MaxEjectedShare: 0.4,
 		DataCentres:     dataCentres,
 	}
@@ -87,7 +87,7 @@
 		name string
 		tell func(r *Registry)
 	}{
-		{"own word", func(r *Registry) {
+		{"own report", func(r *Registry) {
 			r.Report(epoch, first, baobabstep.TargetReport{Healthy: true, Draining: true})
 		}},
 		{"refusal", func(r *Registry) { r.Outcome(epoch, first, baobabstep.CodeTargetLeaving, 0) }},
--- a/io/stream/stream_test.go
+++ b/io/stream/stream_test.go
@@ -162,12 +162,12 @@
 	defer web.Close()
 	f := newFixture(t, Limits{}, strings.TrimPrefix(web.URL, "http://"))
 	defer f.stop(t)
-	answer, err := http.Get("http://" + f.address + "/draw")
+	answer, err := http.Get("http://" + f.address + "/page")
 	qt.Assert(t, err, qt.IsNil)
 	defer answer.Body.Close()
 	body, err := io.ReadAll(answer.Body)
 	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, string(body), qt.Equals, "path /draw")
+	qt.Assert(t, string(body), qt.Equals, "path /page")
 }
 
 // The caller gets its answer although the first target chosen is dead: the
--- a/node/stream_test.go
+++ b/node/stream_test.go
@@ -39,12 +39,12 @@
 	f.node.streams = f.node.newStreams(netip.MustParseAddr("127.0.0.1"))
 	f.joined()
 	defer f.node.stopStreams(t.Context())
-	answer, err := http.Get("http://" + address + "/ladder")
+	answer, err := http.Get("http://" + address + "/page")
 	qt.Assert(t, err, qt.IsNil)
 	defer answer.Body.Close()
 	body, err := io.ReadAll(answer.Body)
 	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, string(body), qt.Equals, "you asked for /ladder")
+	qt.Assert(t, string(body), qt.Equals, "you asked for /page")
 	http.DefaultClient.CloseIdleConnections()
 }
 
