--- a/core/request/claim.go
+++ b/core/request/claim.go
@@ -122,7 +122,7 @@
 func (g *group) storeClaim(now time.Time, p *baobabstep.Packet, out *baobabstep.Outbox) {
 	en := g.ledger[p.Flow]
 	if en == nil {
-		if t, ok := g.tombs.get(now, g.engine.opts.Remember, g.engine.hash(p.Flow)); ok {
+		if t, ok := g.tombstones.get(now, g.engine.opts.Remember, g.engine.hash(p.Flow)); ok {
 			g.engine.stats.conflicts.Add(1)
 			g.ackClaim(now, p, baobabstep.CodeConflict, t.owner, out)
 			return
@@ -253,7 +253,7 @@
 		return
 	}
 	en.result.code = p.Code
-	en.bury(now)
+	en.leaveTombstone(now)
 }
 
 // adopt looks after stored claims whose owner left the view: their callers
@@ -288,7 +288,7 @@
 		return
 	}
 	en.result.code = baobabstep.CodeOutcomeUnknown
-	en.bury(now)
+	en.leaveTombstone(now)
 }
 
 // nextForeign returns the VM that should answer for a request of another VM:
--- a/core/request/group.go
+++ b/core/request/group.go
@@ -35,8 +35,8 @@
 	// took is when this VM began to dispatch, lastServed when it last did.
 	took, lastServed time.Time
 
-	ledger map[baobabstep.FlowKey]*entry
-	tombs  tombs
+	ledger     map[baobabstep.FlowKey]*entry
+	tombstones tombstones
 	// open counts the requests that this VM owns and has not finished.
 	open   int
 	queues [2]queue
@@ -145,8 +145,8 @@
 		g.handleKnown(now, en, p, out)
 		return
 	}
-	if t, ok := g.tombs.get(now, g.engine.opts.Remember, g.engine.hash(p.Flow)); ok {
-		g.handleBuried(now, t, p, out)
+	if t, ok := g.tombstones.get(now, g.engine.opts.Remember, g.engine.hash(p.Flow)); ok {
+		g.handleTombstone(now, t, p, out)
 		return
 	}
 	if next := g.next(now, p); next != 0 {
--- a/core/request/ledger.go
+++ b/core/request/ledger.go
@@ -128,7 +128,7 @@
 	delete(en.group.ledger, en.key)
 }
 
-// remember keeps the entry for retransmissions until it is buried.
+// remember keeps the entry for retransmissions until it is left as a tombstone.
 func (en *entry) remember(now time.Time) {
 	en.payload = nil
 	en.setTimer(now.Add(en.group.engine.opts.Settle))
@@ -146,9 +146,9 @@
 	}
 	en.forgetClaim(out)
 	if r.code != baobabstep.CodeOK {
-		// A tomb says the same as the entry, and a flood of refused
+		// A tombstone says the same as the entry, and a flood of refused
 		// requests must not fill the ledger.
-		en.bury(now)
+		en.leaveTombstone(now)
 		return
 	}
 	en.remember(now)
@@ -323,6 +323,6 @@
 	case stateStored:
 		g.expireStored(now, en, out)
 	case stateDone, stateMoved:
-		en.bury(now)
+		en.leaveTombstone(now)
 	}
 }
--- a/core/request/request.go
+++ b/core/request/request.go
@@ -99,7 +99,7 @@
 	// yet, and of whole ones kept for retransmissions: 4 MiB each.
 	MaxPending int
 	// MaxEntries bounds the ledger entries of a shard: 131072. An entry is
-	// kept until Settle after its end, and its tomb, some 50 bytes, between
+	// kept until Settle after its end, and its tombstone, some 50 bytes, between
 	// one and two times Remember.
 	MaxEntries int
 	// UrgentWait bounds the queueing of urgent requests, as a multiple of
--- a/core/request/set.go
+++ b/core/request/set.go
@@ -239,9 +239,9 @@
 func (e *Engine) age(now time.Time) time.Duration { return now.Sub(e.started) }
 
 // memory is how far back this VM remembers all requests of the group: to the
-// start of its process, or to where a flood made it drop tombs early.
+// start of its process, or to where a flood made it drop tombstones early.
 func (g *group) memory(now time.Time) time.Duration {
-	return min(g.engine.age(now), g.tombs.reach(now))
+	return min(g.engine.age(now), g.tombstones.reach(now))
 }
 
 // changedWithin tells whether another VM may have been the dispatcher a short
--- a/core/request/stats.go
+++ b/core/request/stats.go
@@ -54,10 +54,10 @@
 	Broken uint64 `json:"broken"`
 	// Entries is the size of the ledger; Queued counts waiting requests by
 	// class, Open all that are not finished.
-	Entries int    `json:"entries"`
-	Tombs   int    `json:"tombs"`
-	Open    int    `json:"open"`
-	Queued  [2]int `json:"queued"`
+	Entries    int    `json:"entries"`
+	Tombstones int    `json:"tombstones"`
+	Open       int    `json:"open"`
+	Queued     [2]int `json:"queued"`
 }
 
 // Stats returns the totals and the present state.
@@ -82,7 +82,7 @@
 	defer s.mu.Unlock()
 	t.Entries += s.entries
 	for _, g := range s.groups {
-		t.Tombs += g.tombs.len()
+		t.Tombstones += g.tombstones.len()
 		t.Open += g.open
 		t.Queued[0] += g.queues[0].n
 		t.Queued[1] += g.queues[1].n
--- a/core/request/tomb.go
+++ b/core/request/tombstone.go
@@ -7,30 +7,30 @@
 	"baobabstep"
 )
 
-// tomb is what is left of a request whose entry was removed: enough to never
+// tombstone is what is left of a request whose entry was removed: enough to never
 // run it, and to tell its caller the same again.
-type tomb struct {
+type tombstone struct {
 	code  baobabstep.Code
 	token uint32
 	// owner is the VM that owns the claim.
 	owner baobabstep.VMID
 }
 
-// tombs holds tombs for between one and two periods. Whole generations are
+// tombstones holds tombstones for between one and two periods. Whole generations are
 // dropped, so that nothing scans them.
-type tombs struct {
-	young, old map[baobabstep.KeyHash]tomb
+type tombstones struct {
+	young, old map[baobabstep.KeyHash]tombstone
 	turned     time.Time
-	// lost is when the newest tomb that was dropped early was made.
+	// lost is when the newest tombstone that was dropped early was made.
 	lost time.Time
 }
 
-// maxTombs bounds a generation, and with it the memory that a flood can take:
+// maxTombstones bounds a generation, and with it the memory that a flood can take:
 // some 50 MB for both.
-const maxTombs = 1 << 19
+const maxTombstones = 1 << 19
 
-func (t *tombs) turn(now time.Time, period time.Duration) {
-	early := len(t.young) >= maxTombs
+func (t *tombstones) turn(now time.Time, period time.Duration) {
+	early := len(t.young) >= maxTombstones
 	if t.young != nil && now.Sub(t.turned) < period && !early {
 		return
 	}
@@ -38,16 +38,16 @@
 		t.lost = t.turned
 	}
 	t.old = t.young
-	t.young = make(map[baobabstep.KeyHash]tomb)
+	t.young = make(map[baobabstep.KeyHash]tombstone)
 	t.turned = now
 }
 
-func (t *tombs) add(now time.Time, period time.Duration, h baobabstep.KeyHash, v tomb) {
+func (t *tombstones) add(now time.Time, period time.Duration, h baobabstep.KeyHash, v tombstone) {
 	t.turn(now, period)
 	t.young[h] = v
 }
 
-func (t *tombs) get(now time.Time, period time.Duration, h baobabstep.KeyHash) (tomb, bool) {
+func (t *tombstones) get(now time.Time, period time.Duration, h baobabstep.KeyHash) (tombstone, bool) {
 	t.turn(now, period)
 	if v, ok := t.young[h]; ok {
 		return v, true
@@ -56,25 +56,25 @@
 	return v, ok
 }
 
-// reach is how far back no tomb was lost.
-func (t *tombs) reach(now time.Time) time.Duration {
+// reach is how far back no tombstone was lost.
+func (t *tombstones) reach(now time.Time) time.Duration {
 	if t.lost.IsZero() {
 		return math.MaxInt64
 	}
 	return now.Sub(t.lost)
 }
 
-func (t *tombs) len() int { return len(t.young) + len(t.old) }
+func (t *tombstones) len() int { return len(t.young) + len(t.old) }
 
-// bury replaces the entry by a tomb, where one is needed: an idempotent
+// leaveTombstone replaces the entry by a tombstone, where one is needed: an idempotent
 // request that was answered may run again.
-func (en *entry) bury(now time.Time) {
+func (en *entry) leaveTombstone(now time.Time) {
 	g := en.group
 	en.remove()
 	if en.idempotent && en.result.code == baobabstep.CodeOK && en.owner == 0 {
 		return
 	}
-	t := tomb{code: en.result.code, token: en.token, owner: en.owner}
+	t := tombstone{code: en.result.code, token: en.token, owner: en.owner}
 	if t.owner == 0 {
 		t.owner = g.engine.opts.Self
 		t.token = g.engine.token
@@ -83,11 +83,11 @@
 		// The answer is no longer kept.
 		t.code = baobabstep.CodeOutcomeUnknown
 	}
-	g.tombs.add(now, g.engine.opts.Remember, en.hash, t)
+	g.tombstones.add(now, g.engine.opts.Remember, en.hash, t)
 }
 
-// handleBuried handles a packet of a request that left a tomb.
-func (g *group) handleBuried(now time.Time, t tomb, p *baobabstep.Packet, out *baobabstep.Outbox) {
+// handleTombstone handles a packet of a request that left a tombstone.
+func (g *group) handleTombstone(now time.Time, t tombstone, p *baobabstep.Packet, out *baobabstep.Outbox) {
 	switch p.Kind {
 	case baobabstep.KindRequest:
 		g.engine.stats.copies.Add(1)
