node: a planned stop waits until the fabric has stopped sending

Cause: a VM with little to hand over ended 0.2 s after SIGTERM, while the fabric looks at /readyz each 0.2 s and needs two misses. What it sent meanwhile was lost: callers repeated requests, and some that had run were told "unknown". Change: the VM goes on passing packets on until none came from outside for 0.5 s, 5 s at most. Packets of VMs and answers to its own probes do not count. An assertion on the time of TestPlannedStopOfAnIdleVM was tried and left out: it passed without the wait as well. Conclusion: a fabric that needs more than 0.5 s of silence to notice is served; one that takes longer than 5 s is not.

--- a/node/data.go
+++ b/node/data.go
@@ -65,6 +65,8 @@
 func (n *Node) handle(now time.Time, p *baobabstep.Packet, out *baobabstep.Outbox) {
 	if p.Route.Purpose != baobabstep.PurposeNone {
 		n.counts.fromVMs.Add(1)
+	} else if p.Kind != baobabstep.KindHealthReport && p.Kind != baobabstep.KindProbeAck {
+		n.lastOutside.Store(int64(now.Sub(n.start)))
 	}
 	switch p.Kind {
 	case baobabstep.KindOpen, baobabstep.KindOpened, baobabstep.KindData, baobabstep.KindClose,
--- a/node/node.go
+++ b/node/node.go
@@ -95,6 +95,10 @@
 	// lastTick is when the control goroutine last ran, in nanoseconds since
 	// start.
 	lastTick atomic.Int64
+	// lastOutside is when the last packet of a caller or target came that was
+	// not passed on by a VM, in nanoseconds since start. Answers to this VM's
+	// probes do not count.
+	lastOutside atomic.Int64
 	// sureAt is when the view last became sure, in nanoseconds since start.
 	sureAt   atomic.Int64
 	view     atomic.Pointer[baobabstep.View]
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -213,7 +213,8 @@
 	qt.Check(t, f.node.paused.Load(), qt.IsTrue)
 }
 
-// A planned stop with nothing to hand over ends at once and leaves nothing.
+// A planned stop with nothing to hand over ends once the fabric leaves the VM
+// alone, and leaves nothing.
 func TestPlannedStopOfAnIdleVM(t *testing.T) {
 	f := newFixture(t)
 	f.joined()
--- a/node/stop.go
+++ b/node/stop.go
@@ -12,6 +12,17 @@
 // drainInterval is the time between two steps of a planned stop.
 const drainInterval = 20 * time.Millisecond
 
+// The fabric hands packets to a VM until it has noticed that the VM is not
+// ready any more. A process that ends before then takes requests and answers
+// with it: callers have to repeat them, and are told "unknown" of what ran. So
+// a VM with nothing left goes on passing packets on until none came from
+// outside for outsideQuiet, but no longer than outsideLimit, for a fabric that
+// never stops.
+const (
+	outsideQuiet = 500 * time.Millisecond
+	outsideLimit = 5 * time.Second
+)
+
 // stopResult is what a planned stop left behind.
 type stopResult struct {
 	flows, requests, connections int
@@ -25,7 +36,8 @@
 //  2. Requests: no new ones are taken; those in flight finish or are refused as
 //     not run while that is still true.
 //  3. Flows: each record is handed to its present owners, and taken back by
-//     nobody else before they confirm.
+//     nobody else before they confirm. The VM goes on until the fabric has
+//     stopped sending to it.
 //  4. TCP connections cannot move; they may finish until the limit.
 //
 // The data goroutines go on throughout. drain returns when nothing is left, at
@@ -58,13 +70,14 @@
 func (n *Node) handOver(limit context.Context) stopResult {
 	ticker := time.NewTicker(drainInterval)
 	defer ticker.Stop()
+	began := n.clock.Now()
 	var out baobabstep.Outbox
 	for {
 		now := n.clock.Now()
 		out = out[:0]
-		left := stopResult{requests: n.work.Stop(now, &out), flows: n.flows.Stop(now, &out)}
+		left, done := n.stopStep(began, now, &out)
 		n.send(n.options.Packets[0], out)
-		if left == (stopResult{}) {
+		if done {
 			return left
 		}
 		select {
@@ -75,6 +88,20 @@
 	}
 }
 
+// stopStep takes one step of a stop that began at began, and reports what is
+// left and whether the VM may end.
+func (n *Node) stopStep(began, now time.Time, out *baobabstep.Outbox) (left stopResult, done bool) {
+	left = stopResult{requests: n.work.Stop(now, out), flows: n.flows.Stop(now, out)}
+	return left, left == (stopResult{}) && n.leftAlone(began, now)
+}
+
+// leftAlone reports whether the fabric seems to have stopped sending to this VM,
+// which began to stop at began.
+func (n *Node) leftAlone(began, now time.Time) bool {
+	last := n.start.Add(time.Duration(n.lastOutside.Load()))
+	return min(now.Sub(last), now.Sub(began)) >= outsideQuiet || now.Sub(began) >= outsideLimit
+}
+
 func (n *Node) stopStreams(limit context.Context) (cut int) {
 	if n.streams == nil {
 		return 0
