node, peer: a VM with wrong peer keys does not become ready, and says why

Cause: a VM that was started with keys of its own was refused by all others, took itself for cut off, became ready after 15 s and served beside the fleet what the fabric handed it; its own log said nothing at level info. Change: peers count and log dials in which the other VM proves none of this VM's keys; a VM that is refused and never received a message takes no role. Conclusion: the most dangerous mistake of a replacement is now visible and harmless.

--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -165,7 +165,13 @@
 
 func (p *Peers) dialFailed(l *link, address netip.AddrPort, err error) {
 	p.counters.dialFailures.Add(1)
-	p.o.Logger.WithFields(log.Fields{"address": address.String(), "error": err.Error()}).Debug("peer_dial_failed")
+	entry := p.o.Logger.WithFields(log.Fields{"address": address.String(), "error": err.Error()})
+	if baobabstep.CodeOf(err) == baobabstep.CodeUnauthenticated {
+		p.counters.refused.Add(1)
+		entry.Warn("peer_refused")
+	} else {
+		entry.Debug("peer_dial_failed")
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if l.backoff == nil {
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -140,7 +140,9 @@
 			b := start(t, "b", func(o *peer.Options) { o.Keys = test.b })
 			qt.Assert(t, a.SendAddress(b.Address(), text("hello")), qt.IsNil)
 			if !test.fits {
-				until(t, "both sides reject", func() bool { return a.Stats().Rejected > 0 && b.Stats().Rejected > 0 })
+				until(t, "both sides reject", func() bool {
+					return a.Stats().Rejected > 0 && a.Stats().Refused > 0 && b.Stats().Rejected > 0
+				})
 				qt.Assert(t, b.Stats().Received, qt.Equals, uint64(0))
 				qt.Assert(t, a.Stats().Sent, qt.Equals, uint64(0))
 				return
--- a/io/peer/stats.go
+++ b/io/peer/stats.go
@@ -15,6 +15,9 @@
 	// because a message had a wrong seal, number or form.
 	Rejected, Forged    uint64
 	Dials, DialFailures uint64
+	// Refused counts the dials in which the other VM did not prove that it
+	// has one of this VM's keys.
+	Refused uint64
 	// Connections is the number of connections open now.
 	Connections int
 }
@@ -25,6 +28,7 @@
 	droppedOut, expired atomic.Uint64
 	droppedIn           atomic.Uint64
 	rejected, forged    atomic.Uint64
+	refused             atomic.Uint64
 	dials, dialFailures atomic.Uint64
 }
 
@@ -40,6 +44,7 @@
 		Expired:      c.expired.Load(),
 		DroppedIn:    c.droppedIn.Load(),
 		Rejected:     c.rejected.Load(),
+		Refused:      c.refused.Load(),
 		Forged:       c.forged.Load(),
 		Dials:        c.dials.Load(),
 		DialFailures: c.dialFailures.Load(),
--- a/node/node.go
+++ b/node/node.go
@@ -29,6 +29,7 @@
 	"baobabstep/core/target"
 	"baobabstep/io/audit"
 	"baobabstep/io/metric"
+	"baobabstep/io/peer"
 	"baobabstep/io/setting"
 	"baobabstep/io/stream"
 )
@@ -201,6 +202,8 @@
 		return baobabstep.Errorf(baobabstep.CodeIncomplete, "node.ready", "no configuration yet")
 	case v == nil:
 		return baobabstep.Errorf(baobabstep.CodeIncomplete, "node.ready", "no view of the fleet yet")
+	case n.wrongKeys():
+		return baobabstep.Errorf(baobabstep.CodeUnauthenticated, "node.ready", "no other VM has one of this VM's peer_keys")
 	case now.Sub(n.start) > readyAnyway:
 		return nil
 	case v.Unsure || now.Sub(n.sureSince()) < readySettle:
@@ -209,6 +212,19 @@
 	return nil
 }
 
+// wrongKeys tells whether other VMs answer and none proves to have a key of this
+// one. A VM that started with keys of its own would otherwise take itself for
+// cut off, and after a while serve alone, beside the fleet, what the fabric hands
+// it: its flows would be unknown to every other VM.
+func (n *Node) wrongKeys() bool {
+	peers, ok := n.options.Peers.(interface{ Stats() peer.Stats })
+	if !ok {
+		return false
+	}
+	stats := peers.Stats()
+	return stats.Refused > 0 && stats.Received == 0
+}
+
 // sureSince returns when the view last became sure.
 func (n *Node) sureSince() time.Time { return n.start.Add(time.Duration(n.sureAt.Load())) }
 
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -17,6 +17,7 @@
 
 	"baobabstep"
 	"baobabstep/core/config"
+	"baobabstep/io/peer"
 	"baobabstep/io/platform"
 	"baobabstep/io/setting"
 	standin "baobabstep/standin/platform"
@@ -41,7 +42,12 @@
 }
 
 // quietPeers is a peers port with nobody at the other end.
-type quietPeers struct{ messages chan baobabstep.PeerMessage }
+type quietPeers struct {
+	messages chan baobabstep.PeerMessage
+	stats    peer.Stats
+}
+
+func (p quietPeers) Stats() peer.Stats { return p.stats }
 
 func (quietPeers) Send(baobabstep.VMID, baobabstep.PeerMessage) error { return nil }
 func (p quietPeers) Messages() <-chan baobabstep.PeerMessage          { return p.messages }
@@ -248,3 +254,17 @@
 	}
 	qt.Assert(t, strings.Join(documented, "\n"), qt.Equals, strings.Join(registered, "\n"))
 }
+
+// A VM is started with peer_keys of its own by mistake. The others refuse it, so
+// it hears of nobody; it must not take that for being cut off and serve beside
+// the fleet, but say what is wrong for as long as it lasts.
+func TestVMWithWrongKeysIsNeverReady(t *testing.T) {
+	f := newFixture(t)
+	f.node.options.Peers = quietPeers{stats: peer.Stats{Refused: 3}}
+	f.readConfig()
+	f.run(2 * readyAnyway)
+	qt.Assert(t, f.node.Ready(), qt.ErrorMatches, ".*no other VM has one of this VM's peer_keys.*")
+	f.node.options.Peers = quietPeers{stats: peer.Stats{Refused: 3, Received: 1}}
+	f.run(time.Second)
+	qt.Assert(t, f.node.Ready(), qt.IsNil)
+}
