flow: a forgotten flow needs three probes, not five

Cause: evidence that the path to a target works was asked for only after the first probe of a silent flow was in vain, so that probe and the next counted for nothing or little. Change: if a caller waits for an answer, the evidence is asked for with the first probe. Figures: TestForgottenFlowNeedsThreeProbes: 5 probes before (failed), 3 now.

--- a/core/flow/live.go
+++ b/core/flow/live.go
@@ -88,6 +88,11 @@
 			t.count(EventProbeLimit)
 			return false
 		}
+		if !started && t.unanswered(rec, d) {
+			// A caller waits, so evidence of the path is asked for with
+			// the first probe, not once that was in vain.
+			t.r.scan.wanted[t.path(rec, d)] = t.tick
+		}
 		t.probe(rec, d)
 	}
 	return false
