request: a paused dispatcher hands over nothing

Cause: dispatch did not look at the pause. Change: nothing is handed over while paused; what waits goes on or is given up. Conclusion: the bound for leaving targets holds over a pause.

--- a/core/request/dispatch.go
+++ b/core/request/dispatch.go
@@ -38,8 +38,14 @@
 	g.enqueue(now, en, out)
 }
 
-// dispatch hands over waiting requests while there are slots.
+// dispatch hands over waiting requests while there are slots. A paused VM hands
+// over nothing: it has not heard which targets began to leave meanwhile, nor who
+// else gives out their slots by now. What waits is given up at its deadline, or
+// handed over once the VM is sure of its place again.
 func (g *group) dispatch(now time.Time, out *baobabstep.Outbox) {
+	if g.engine.paused.Load() {
+		return
+	}
 	for {
 		en := g.nextReady(now)
 		if en == nil {
