config, metric: one step for two equal writes, one copy of counts

Cause: reading the whole change again: Accept had two states and two functions that did the same after writing an object, and the node copied two maps of counts by loops of its own. Change: objectWritten serves the first write and the renewal, whose state is gone; metric.Counts serves both maps. Conclusion: behaviour unchanged.

--- a/core/config/accept.go
+++ b/core/config/accept.go
@@ -103,7 +103,6 @@
 	stateReadObject
 	stateWriteObject
 	stateReadExisting
-	stateTouchObject
 	stateWriteHead
 	stateDone
 )
@@ -167,8 +166,6 @@
 		return a.objectWritten(answer, code)
 	case stateReadExisting:
 		return a.existingRead(answer, code)
-	case stateTouchObject:
-		return a.objectTouched(answer, code)
 	}
 	return Step{}
 }
@@ -293,6 +290,8 @@
 	return a.next(stateWriteObject, Step{Kind: StepPut, Key: ObjectKey(d), Value: a.objects[d]})
 }
 
+// objectWritten serves the first write of an object and the one that renews its
+// revision.
 func (a *Accept) objectWritten(answer Answer, code baobabstep.Code) Step {
 	switch code {
 	case baobabstep.CodeOK:
@@ -313,18 +312,7 @@
 	case baobabstep.CodeNotFound:
 		return a.writeNext()
 	case baobabstep.CodeOK:
-		return a.next(stateTouchObject, Step{Kind: StepPut, Key: ObjectKey(d), Value: a.objects[d], Expected: answer.KeyValue.Revision})
-	}
-	return a.fail(answer.Err)
-}
-
-func (a *Accept) objectTouched(answer Answer, code baobabstep.Code) Step {
-	switch code {
-	case baobabstep.CodeOK:
-		a.writes = a.writes[1:]
-		return a.writeNext()
-	case baobabstep.CodeConflict:
-		return a.next(stateReadExisting, Step{Kind: StepGet, Key: a.step.Key})
+		return a.next(stateWriteObject, Step{Kind: StepPut, Key: ObjectKey(d), Value: a.objects[d], Expected: answer.KeyValue.Revision})
 	}
 	return a.fail(answer.Err)
 }
--- a/io/metric/field.go
+++ b/io/metric/field.go
@@ -24,6 +24,15 @@
 	return fields
 }
 
+// Counts returns a part's counts by name as the values of one metric.
+func Counts[N int | uint64](counts map[string]N) map[string]float64 {
+	values := make(map[string]float64, len(counts))
+	for name, count := range counts {
+		values[name] = float64(count)
+	}
+	return values
+}
+
 // Sum adds the fields of several structs.
 func Sum(all ...map[string]float64) map[string]float64 {
 	sum := make(map[string]float64)
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -109,21 +109,9 @@
 	return metric.Value(0)
 }
 
-func (n *Node) flowEvents() map[string]float64 {
-	events := make(map[string]float64)
-	for event, count := range n.flows.Stats().Events {
-		events[event] = float64(count)
-	}
-	return events
-}
+func (n *Node) flowEvents() map[string]float64 { return metric.Counts(n.flows.Stats().Events) }
 
-func (n *Node) flowStates() map[string]float64 {
-	states := make(map[string]float64)
-	for state, count := range n.flows.Stats().Flows {
-		states[state] = float64(count)
-	}
-	return states
-}
+func (n *Node) flowStates() map[string]float64 { return metric.Counts(n.flows.Stats().Flows) }
 
 func (n *Node) configCounts() map[string]float64 {
 	return metric.Fields(n.replica.Status(n.clock.Now()).Counts)
