token: the thin path on the users' platform

Cause: the users want baobabstep on their own platform, whose callers repeat a token and whose targets answer directly. No policy of ours can use that.

Ruled out: the replicated policy under another codec (a hop and a record for each flow that the packet itself could route); one fixed token a target (32 bits for identifiers of 40: certain collisions in fleets of tens of thousands).

--- /dev/null
+++ b/core/token/router.go
@@ -0,0 +1,182 @@
+package token
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"baobabstep"
+)
+
+// Options are the settings of a [Router]. Zero values stand for the defaults
+// given with each field.
+type Options struct {
+	DataCentre string
+	// Rand draws services and breaks ties. It is guarded by the router.
+	Rand *rand.Rand
+	// FlowMax is the age past which a flow may be forgotten (60 s).
+	FlowMax time.Duration
+	// Idle is the silence after which the record of a flow is dropped, unless
+	// the routing table says less (15 s).
+	Idle time.Duration
+}
+
+func (o *Options) setDefaults() {
+	o.FlowMax = cmp.Or(o.FlowMax, 60*time.Second)
+	o.Idle = cmp.Or(o.Idle, 15*time.Second)
+}
+
+// Router decides for the packets of flows.
+type Router struct {
+	o       Options
+	current atomic.Pointer[snapshot]
+	flows   *flowTable
+	counts  counts
+
+	// change is held while the snapshot is replaced.
+	change sync.Mutex
+	// drawLock guards Options.Rand.
+	drawLock sync.Mutex
+}
+
+// New returns a router that knows no routes and no targets.
+func New(o Options) *Router {
+	o.setDefaults()
+	r := &Router{o: o, flows: newFlowTable()}
+	r.current.Store(newSnapshot())
+	return r
+}
+
+// SetTable puts a routing table in force. Versions only grow: it returns false
+// for one that is not newer.
+func (r *Router) SetTable(now time.Time, table *baobabstep.RoutingTable) bool {
+	r.change.Lock()
+	defer r.change.Unlock()
+	s := r.current.Load()
+	if s.haveTable && table.Version <= s.version {
+		return false
+	}
+	r.current.Store(s.withTable(now, table, r.o.FlowMax))
+	return true
+}
+
+// SetRegistrations tells which targets are registered.
+func (r *Router) SetRegistrations(now time.Time, list []baobabstep.Registration) {
+	r.change.Lock()
+	defer r.change.Unlock()
+	r.current.Store(r.current.Load().withRegistrations(now, list, r.o.FlowMax))
+}
+
+// Version returns the version of the routing table in force, 0 before any.
+func (r *Router) Version() uint64 { return r.current.Load().version }
+
+// Ready tells whether the router can place flows.
+func (r *Router) Ready() bool {
+	s := r.current.Load()
+	return s.haveTable && s.haveTargets
+}
+
+// Handle decides about one packet of a caller.
+func (r *Router) Handle(now time.Time, p *baobabstep.Segment, out *[]baobabstep.Forward) {
+	s := r.current.Load()
+	if !s.haveTable || !s.haveTargets {
+		r.counts.unready.Add(1)
+		return
+	}
+	h := hashFlow(p.Flow)
+	route := s.rules[p.Flow.Service]
+	switch {
+	case route == nil:
+		r.unrouted(h, p, out)
+	case p.Kind == baobabstep.KindOpen:
+		r.open(now, s, route, h, p, out)
+	default:
+		r.pass(now, s, route, h, p, out)
+	}
+}
+
+// unrouted ends a flow whose address is not routed, or is no more.
+func (r *Router) unrouted(h flowHash, p *baobabstep.Segment, out *[]baobabstep.Forward) {
+	r.counts.unrouted.Add(1)
+	shard := r.flows.shard(h)
+	shard.mu.Lock()
+	shard.remove(p.Flow)
+	shard.mu.Unlock()
+	if p.Kind != baobabstep.KindReset {
+		reset(p, out)
+	}
+}
+
+// reset ends a flow towards its caller.
+func reset(p *baobabstep.Segment, out *[]baobabstep.Forward) {
+	*out = append(*out, baobabstep.Forward{Flow: p.Flow, Seq: p.Acked})
+}
+
+// open places a first packet, or sends a copy of it where the first one went.
+func (r *Router) open(now time.Time, s *snapshot, route *rule, h flowHash, p *baobabstep.Segment, out *[]baobabstep.Forward) {
+	shard := r.flows.shard(h)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	if f := shard.flows[p.Flow]; f != nil && f.seq == p.Seq {
+		f.heard = now
+		r.counts.copies.Add(1)
+		send(f.target, h, p, out)
+		return
+	}
+	t := r.choose(s, route, h)
+	if t == nil {
+		r.counts.refused.Add(1)
+		reset(p, out)
+		return
+	}
+	shard.add(p.Flow, &flow{target: t, opening: true, heard: now, seq: p.Seq})
+	r.counts.placed.Add(1)
+	send(t, h, p, out)
+}
+
+// pass sends a later packet to the target that its token names.
+func (r *Router) pass(now time.Time, s *snapshot, route *rule, h flowHash, p *baobabstep.Segment, out *[]baobabstep.Forward) {
+	t := s.find(now, route, h, p.Token)
+	if t == nil {
+		r.counts.unknown.Add(1)
+		return
+	}
+	shard := r.flows.shard(h)
+	shard.mu.Lock()
+	r.note(now, shard, t, p)
+	shard.mu.Unlock()
+	r.counts.passed.Add(1)
+	send(t, h, p, out)
+}
+
+// note keeps the record of a flow in step with a later packet.
+func (r *Router) note(now time.Time, shard *shard, t *target, p *baobabstep.Segment) {
+	f := shard.flows[p.Flow]
+	if f == nil || f.target.id != t.id {
+		f = &flow{target: t}
+		shard.add(p.Flow, f)
+	}
+	f.heard, f.opening = now, false
+	if p.Kind == baobabstep.KindReset || p.Kind == baobabstep.KindClose {
+		f.close()
+	}
+}
+
+func send(t *target, h flowHash, p *baobabstep.Segment, out *[]baobabstep.Forward) {
+	*out = append(*out, baobabstep.Forward{
+		Target: t.id, Address: t.registration.Address, Token: tokenFor(h, t.id), Raw: p.Raw,
+	})
+}
+
+// Tick forgets idle flows.
+func (r *Router) Tick(now time.Time) {
+	idle := r.o.Idle
+	if s := r.current.Load(); s.idle > 0 {
+		idle = min(idle, s.idle)
+	}
+	for i := range r.flows.shards {
+		r.flows.shards[i].expire(now, idle)
+	}
+}
--- /dev/null
+++ b/core/token/router_test.go
@@ -0,0 +1,200 @@
+package token
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"baobabstep"
+)
+
+func TestFlowStaysOnItsTarget(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		change func(r *Router, now time.Time)
+	}{
+		{"nothing changes", func(*Router, time.Time) {}},
+		{"its target drains", func(r *Router, now time.Time) {
+			list := threeTargets()
+			for i := range list {
+				list[i].Draining = true
+			}
+			r.SetRegistrations(now, list)
+		}},
+		{"its registration lapses", func(r *Router, now time.Time) { r.SetRegistrations(now, nil) }},
+		{"its address is routed to another service", func(r *Router, now time.Time) {
+			r.SetTable(now, table(2, rule1(fixtures, "results")))
+		}},
+		{"twice to another service", func(r *Router, now time.Time) {
+			r.SetTable(now, table(2, rule1(fixtures, "results")))
+			r.SetTable(now, table(3, rule1(fixtures, "other")))
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := newRouter(t)
+			key := flowFrom(1, fixtures)
+			target, token := open(t, r, start, key)
+			test.change(r, start.Add(time.Second))
+			assertPassed(t, r, start.Add(2*time.Second), data(key, token), target)
+		})
+	}
+}
+
+// A VM is killed and starts again, or another VM gets the packet: the caller
+// sees nothing. The new VM has no record of the flow; the token is enough.
+func TestAnyVMServesAnyFlow(t *testing.T) {
+	key := flowFrom(1, fixtures)
+	target, token := open(t, newRouter(t), start, key)
+	assertPassed(t, newRouter(t), start, data(key, token), target)
+}
+
+func TestCopyOfFirstPacketGoesTheSameWay(t *testing.T) {
+	r := newRouter(t)
+	key := flowFrom(1, fixtures)
+	target, _ := open(t, r, start, key)
+	for range 5 {
+		again, _ := open(t, r, start.Add(200*time.Millisecond), key)
+		qt.Assert(t, again, qt.Equals, target)
+	}
+	qt.Assert(t, r.Stats().Placed, qt.Equals, uint64(1))
+}
+
+// A caller writes a token of its own choosing, or repeats one that it got on
+// another flow: it must reach no target of a service that its address was not
+// routed to, and no target that was not chosen for this flow.
+func TestTokenOfAnotherFlowLeadsNowhere(t *testing.T) {
+	r := newRouter(t)
+	_, token := open(t, r, start, flowFrom(1, results))
+	assertDropped(t, r, start, data(flowFrom(1, fixtures), token))
+	assertDropped(t, r, start, data(flowFrom(2, results), token))
+	assertDropped(t, r, start, data(flowFrom(2, results), 0))
+}
+
+func TestServiceThatNeverWasRoutedIsOutOfReach(t *testing.T) {
+	r := newRouter(t)
+	key := flowFrom(1, fixtures)
+	assertDropped(t, r, start, data(key, tokenFor(hashFlow(key), 3)))
+}
+
+// Two targets give the same token for a flow, one chance in 2^32: whichever
+// got the flow's packets, half of the time it would be the wrong one. The flow
+// is not placed, and the caller tries again from another port.
+func TestSharedTokenFindsNothing(t *testing.T) {
+	h := hashFlow(flowFrom(1, fixtures))
+	p := &pool{targets: []*target{{id: 5}, {id: 5}}}
+	qt.Assert(t, p.find(h, tokenFor(h, 5)), qt.IsNil)
+}
+
+func TestAddressWithoutRoute(t *testing.T) {
+	t.Run("a new flow is reset at once", func(t *testing.T) {
+		assertReset(t, newRouter(t), start, baobabstep.Segment{Kind: baobabstep.KindOpen, Flow: flowFrom(1, unrouted), Seq: 9})
+	})
+	t.Run("an established flow is reset once its route is dropped", func(t *testing.T) {
+		r := newRouter(t)
+		key := flowFrom(1, fixtures)
+		_, token := open(t, r, start, key)
+		r.SetTable(start, table(2, rule1(results, "results")))
+		assertReset(t, r, start, data(key, token))
+	})
+	t.Run("a reset is never answered", func(t *testing.T) {
+		assertDropped(t, newRouter(t), start, baobabstep.Segment{Kind: baobabstep.KindReset, Flow: flowFrom(1, unrouted)})
+	})
+	t.Run("nothing is said before the routes are known", func(t *testing.T) {
+		r := New(Options{Rand: rand.New(rand.NewPCG(1, 1))})
+		assertDropped(t, r, start, baobabstep.Segment{Kind: baobabstep.KindOpen, Flow: flowFrom(1, fixtures)})
+	})
+}
+
+// A reading that was on its way while a newer table arrived must not bring the
+// older one back: callers would be refused a route that they have used.
+func TestVersionNeverGoesBack(t *testing.T) {
+	r := newRouter(t)
+	qt.Assert(t, r.SetTable(start, table(7, rule1(fixtures, "fixtures"))), qt.IsTrue)
+	for _, old := range []uint64{1, 6, 7} {
+		qt.Assert(t, r.SetTable(start, table(old)), qt.IsFalse)
+		qt.Assert(t, r.Version(), qt.Equals, uint64(7))
+	}
+	open(t, r, start, flowFrom(1, fixtures))
+}
+
+func TestNewFlowsAvoid(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		change func(list []baobabstep.Registration) []baobabstep.Registration
+	}{
+		{"a target that drains", func(l []baobabstep.Registration) []baobabstep.Registration { l[0].Draining = true; return l }},
+		{"a target that has gone", func(l []baobabstep.Registration) []baobabstep.Registration { return l[1:] }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := newRouter(t)
+			r.SetRegistrations(start, test.change(threeTargets()))
+			for port := range uint16(50) {
+				target, _ := open(t, r, start, flowFrom(port, fixtures))
+				qt.Assert(t, target, qt.Equals, baobabstep.TargetID(2))
+			}
+		})
+	}
+	t.Run("all targets: reset at once", func(t *testing.T) {
+		r := newRouter(t)
+		r.SetRegistrations(start, nil)
+		assertReset(t, r, start, baobabstep.Segment{Kind: baobabstep.KindOpen, Flow: flowFrom(1, fixtures)})
+	})
+}
+
+func TestWeightsOfShares(t *testing.T) {
+	r := newRouter(t)
+	r.SetTable(start, table(2, baobabstep.Rule{Address: fixtures, Shares: []baobabstep.Share{
+		{Service: "fixtures", Weight: 90}, {Service: "results", Weight: 10},
+	}}))
+	toResults := 0
+	for port := range uint16(2000) {
+		if target, _ := open(t, r, start, flowFrom(port, fixtures)); target == 3 {
+			toResults++
+		}
+	}
+	qt.Assert(t, toResults > 150 && toResults < 250, qt.IsTrue, qt.Commentf("%d of 2000", toResults))
+}
+
+// The load of a target follows the flows that callers open and close; a closed
+// flow whose last acknowledgements still arrive must not count again.
+func TestLoadFollowsFlows(t *testing.T) {
+	r := newRouter(t)
+	key := flowFrom(1, results)
+	_, token := open(t, r, start, key)
+	load := func() int32 { return r.current.Load().targets[3].load.flows.Load() }
+	qt.Assert(t, load(), qt.Equals, int32(1))
+	closing := data(key, token)
+	closing.Kind = baobabstep.KindClose
+	handle(r, start, closing)
+	qt.Assert(t, load(), qt.Equals, int32(0))
+	handle(r, start, data(key, token))
+	qt.Assert(t, load(), qt.Equals, int32(0))
+	r.Tick(start.Add(closedFor))
+	qt.Assert(t, r.Stats().Flows, qt.Equals, 0)
+
+	open(t, r, start, flowFrom(2, results))
+	r.Tick(start.Add(r.o.Idle))
+	qt.Assert(t, load(), qt.Equals, int32(0))
+}
+
+// BenchmarkFind measures the search for a flow's target among 18 and 150.
+func BenchmarkFind(b *testing.B) {
+	for _, count := range []int{18, 150} {
+		b.Run(map[int]string{18: "18", 150: "150"}[count], func(b *testing.B) {
+			p := new(pool)
+			for id := range count {
+				p.targets = append(p.targets, &target{id: baobabstep.TargetID(id + 1)})
+			}
+			h := hashFlow(flowFrom(1, fixtures))
+			token := tokenFor(h, 9)
+			b.ReportAllocs()
+			for b.Loop() {
+				if p.find(h, token) == nil {
+					b.Fatal("not found")
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/core/token/snapshot.go
@@ -0,0 +1,178 @@
+package token
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"baobabstep"
+)
+
+// snapshot is the routes and targets that one decision uses. It is immutable.
+type snapshot struct {
+	version uint64
+	idle    time.Duration
+	rules   map[netip.AddrPort]*rule
+	pools   map[string]*pool
+	targets map[baobabstep.TargetID]*target
+	// ready is set once both a routing table and targets are known.
+	haveTable, haveTargets bool
+}
+
+// rule is one service address.
+type rule struct {
+	name   string
+	shares []baobabstep.Share
+	total  uint32
+	// services are those that flows of the address may be at: the present
+	// ones, and former ones until the time given.
+	services map[string]time.Time
+}
+
+// always is the time until which a present service of a rule may have flows.
+var always = time.Time{}
+
+func newSnapshot() *snapshot {
+	return &snapshot{
+		rules:   map[netip.AddrPort]*rule{},
+		pools:   map[string]*pool{},
+		targets: map[baobabstep.TargetID]*target{},
+	}
+}
+
+// withTable returns a copy of s with another routing table. Flows that were
+// opened under a former rule of an address may go on for flowMax.
+func (s *snapshot) withTable(now time.Time, table *baobabstep.RoutingTable, flowMax time.Duration) *snapshot {
+	next := *s
+	next.version, next.idle, next.haveTable = table.Version, table.IdleTimeout, true
+	next.rules = make(map[netip.AddrPort]*rule, len(table.Rules))
+	for i := range table.Rules {
+		r := newRule(&table.Rules[i])
+		r.inherit(now, s.rules[table.Rules[i].Address], flowMax)
+		next.rules[table.Rules[i].Address] = r
+	}
+	return &next
+}
+
+func newRule(from *baobabstep.Rule) *rule {
+	r := &rule{name: from.Name, shares: from.Shares, services: make(map[string]time.Time, len(from.Shares))}
+	for _, share := range from.Shares {
+		r.total += share.Weight
+		r.services[share.Service] = always
+	}
+	return r
+}
+
+// inherit keeps the services of the rule's predecessor for as long as flows
+// that were opened under it may last.
+func (r *rule) inherit(now time.Time, old *rule, flowMax time.Duration) {
+	if old == nil {
+		return
+	}
+	for service, until := range old.services {
+		if until.Equal(always) {
+			until = now.Add(flowMax)
+		}
+		if _, present := r.services[service]; !present && now.Before(until) {
+			r.services[service] = until
+		}
+	}
+}
+
+// service picks the service of a new flow by the shares' weights; draw is a
+// random number.
+func (r *rule) service(draw uint64) string {
+	if r.total == 0 {
+		return r.shares[draw%uint64(len(r.shares))].Service
+	}
+	at := uint32(draw % uint64(r.total))
+	for _, share := range r.shares {
+		if at < share.Weight {
+			return share.Service
+		}
+		at -= share.Weight
+	}
+	return r.shares[len(r.shares)-1].Service
+}
+
+// withRegistrations returns a copy of s in which the given registrations are
+// the ones that are there. Those that are there no more stay known for keep,
+// for the flows that they may still have.
+func (s *snapshot) withRegistrations(now time.Time, list []baobabstep.Registration, keep time.Duration) *snapshot {
+	next := *s
+	next.haveTargets = true
+	next.targets = make(map[baobabstep.TargetID]*target, len(list))
+	for i := range list {
+		next.targets[list[i].ID] = s.registered(&list[i])
+	}
+	for id, old := range s.targets {
+		if next.targets[id] != nil {
+			continue
+		}
+		gone := *old
+		if gone.missingSince.IsZero() {
+			gone.missingSince = now
+		}
+		if now.Sub(gone.missingSince) < keep {
+			next.targets[id] = &gone
+		}
+	}
+	next.pools = makePools(next.targets)
+	return &next
+}
+
+// registered returns the target of a registration, with the load that an
+// earlier one of the same run had.
+func (s *snapshot) registered(r *baobabstep.Registration) *target {
+	t := &target{id: r.ID, registration: *r, load: new(load)}
+	if old := s.targets[r.ID]; old != nil {
+		t.load = old.load
+	}
+	return t
+}
+
+func makePools(targets map[baobabstep.TargetID]*target) map[string]*pool {
+	pools := make(map[string]*pool)
+	for _, t := range targets {
+		p := pools[t.registration.Service]
+		if p == nil {
+			p = new(pool)
+			pools[t.registration.Service] = p
+		}
+		p.targets = append(p.targets, t)
+	}
+	for _, p := range pools {
+		slices.SortFunc(p.targets, func(a, b *target) int { return compareIDs(a.id, b.id) })
+	}
+	return pools
+}
+
+func compareIDs(a, b baobabstep.TargetID) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// find returns the target that the token names for a flow of rule r, or nil.
+func (s *snapshot) find(now time.Time, r *rule, h flowHash, token uint32) *target {
+	if token == 0 {
+		return nil
+	}
+	for service, until := range r.services {
+		if !until.Equal(always) && !now.Before(until) {
+			continue
+		}
+		p := s.pools[service]
+		if p == nil {
+			continue
+		}
+		if t := p.find(h, token); t != nil {
+			return t
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/directory.go
@@ -0,0 +1,82 @@
+package baobabstep
+
+import (
+	"context"
+	"net/netip"
+	"time"
+)
+
+// RoutingTable says where new flows go. The platform's operators keep it; a VM
+// with token routing reads it whole. It is immutable once published.
+type RoutingTable struct {
+	// Version grows with each change, in uneven steps.
+	Version uint64
+	Rules   []Rule
+	// IdleTimeout is the silence after which a flow may be forgotten; 0 if
+	// the table does not say.
+	IdleTimeout time.Duration
+}
+
+// Rule sends the new flows of one service address to services.
+type Rule struct {
+	Name    string
+	Address netip.AddrPort
+	// Shares is never empty.
+	Shares []Share
+}
+
+// Share is one service of a rule and its part of the rule's new flows.
+type Share struct {
+	Service string
+	Weight  uint32
+}
+
+// Registration is what one target says of itself in the platform's store. Each
+// start of a target makes a registration of its own.
+type Registration struct {
+	// ID names this one run of the target; a target that starts again at the
+	// same address has another.
+	ID      TargetID
+	Service string
+	// Address receives packets of flows.
+	Address    netip.AddrPort
+	DataCentre string
+	// Release is the version of the target's program.
+	Release string
+	// Slots is the number of requests the target runs at once.
+	Slots int
+	// Draining is set once the target plans to leave.
+	Draining bool
+	// ColdFor is how much longer the target stays slow after its start.
+	ColdFor time.Duration
+}
+
+// RegistrationChange is one change under the registrations. Gone is set when
+// the registration was removed; then only its ID is known.
+type RegistrationChange struct {
+	Registration Registration
+	Gone         bool
+}
+
+// Revision numbers the changes of the platform's store.
+type Revision uint64
+
+// Directory is where a VM with token routing reads routes and targets. Every
+// method may fail with CodePlatformUnavailable; watches fail with
+// CodeCompacted once the store no longer has the changes asked for.
+//
+// A watch alone is no proof of freshness: a store that is dropping its history
+// may pass over a change and yet return a later revision.
+type Directory interface {
+	// RoutingTable reads the newest routing table.
+	RoutingTable(ctx context.Context) (*RoutingTable, Revision, error)
+	// WatchRoutingTable waits until the table changes after a revision; the
+	// table is nil if it did not within wait.
+	WatchRoutingTable(ctx context.Context, after Revision, wait time.Duration) (*RoutingTable, Revision, error)
+	// Registrations reads all registrations. Of several pages the oldest
+	// revision is returned, so that a watch from there misses no change.
+	Registrations(ctx context.Context) ([]Registration, Revision, error)
+	// WatchRegistrations waits for changes after a revision; none come if
+	// nothing changed within wait.
+	WatchRegistrations(ctx context.Context, after Revision, wait time.Duration) ([]RegistrationChange, Revision, error)
+}
--- /dev/null
+++ b/entry/node.go
@@ -0,0 +1,211 @@
+// Package entry is one VM under token routing: it wires the decisions of
+// package token to packets, to the platform's directory of routes and targets,
+// and to the fabric's readiness check.
+//
+// Such a VM keeps nothing that must last. It forwards as soon as it knows routes
+// and targets, and every other VM could serve each of its packets; so it joins
+// and leaves without handing anything over.
+//
+// Goroutines: one for each socket of packets, two that follow the directory,
+// one that ticks, one for each HTTP listener. Each reports its end to Run.
+package entry
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"reflect"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"baobabstep"
+	"baobabstep/core/token"
+	"baobabstep/io/setting"
+)
+
+const (
+	// batchSize is the number of packets read at once.
+	batchSize = 64
+	// tickInterval drives timeouts.
+	tickInterval = 100 * time.Millisecond
+	// headerTimeout bounds the reading of a readiness check.
+	headerTimeout = 2 * time.Second
+)
+
+// Options are what a Node needs besides its settings.
+type Options struct {
+	Settings  *setting.Settings
+	Logger    log.Interface
+	Clock     baobabstep.Clock
+	Directory baobabstep.Directory
+	// Segments has one value for each data goroutine.
+	Segments []baobabstep.Segments
+	// ReadyHandler makes the handler of the readiness check.
+	ReadyHandler func(ready func() error) http.Handler
+	// Rand seeds the random numbers of the parts.
+	Rand *rand.Rand
+}
+
+// Node is one VM.
+type Node struct {
+	o        Options
+	log      log.Interface
+	clock    baobabstep.Clock
+	router   *token.Router
+	follower *follower
+	started  time.Time
+	stopping atomic.Bool
+	// lastPacket is when the fabric last sent something, in nanoseconds since
+	// the start.
+	lastPacket atomic.Int64
+	done       chan struct{}
+}
+
+// New makes the parts of a VM; Run starts them.
+func New(o Options) *Node {
+	n := &Node{
+		o:     o,
+		log:   o.Logger.WithFields(log.Fields{"vm": o.Settings.Name, "data_centre": o.Settings.DataCentre}),
+		clock: o.Clock,
+		router: token.New(token.Options{
+			DataCentre: o.Settings.DataCentre,
+			Rand:       rand.New(rand.NewPCG(o.Rand.Uint64(), o.Rand.Uint64())),
+			FlowMax:    o.Settings.Token.FlowMax(),
+		}),
+		started: o.Clock.Now(),
+		done:    make(chan struct{}),
+	}
+	n.follower = newFollower(n)
+	return n
+}
+
+// Done is closed when Run has returned and every part has ended.
+func (n *Node) Done() <-chan struct{} { return n.done }
+
+// Ready says why the fabric should not hand packets to the VM; nil if it should.
+func (n *Node) Ready() error {
+	switch {
+	case n.stopping.Load():
+		return baobabstep.Errorf(baobabstep.CodeStopping, "entry.ready", "stopping")
+	case !n.router.Ready():
+		return baobabstep.Errorf(baobabstep.CodeIncomplete, "entry.ready", "routes or targets not known yet")
+	}
+	return nil
+}
+
+// Reload takes over what may change while the VM runs, which is nothing yet:
+// addresses are bound at the start. s is nil if the settings could not be read.
+func (n *Node) Reload(s *setting.Settings, err error) {
+	if err != nil {
+		n.log.WithError(err).Warn("settings not reloaded")
+		return
+	}
+	n.log.WithField("changed", !reflect.DeepEqual(s, n.o.Settings)).Info("settings reloaded")
+}
+
+// Run serves until ctx ends or a part fails, then stops as planned within the
+// settings' grace or until hurry ends.
+func (n *Node) Run(ctx, hurry context.Context) error {
+	defer close(n.done)
+	listener, err := net.Listen("tcp", n.o.Settings.Token.ReadyAddress.String())
+	if err != nil {
+		return baobabstep.Errorf(baobabstep.CodeSettings, "entry.run", "ready_address: %w", err)
+	}
+	n.log.Info("started")
+	running, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	ends := make(chan error)
+	parts := n.parts(running, listener)
+	for _, part := range parts {
+		go func() { ends <- part() }()
+	}
+	left := len(parts)
+	var failed error
+	select {
+	case <-ctx.Done():
+		n.drain(hurry)
+	case failed = <-ends:
+		left--
+	}
+	cancel()
+	n.closeSockets()
+	for range left {
+		if err := <-ends; failed == nil {
+			failed = err
+		}
+	}
+	n.log.Info("stopped")
+	return failed
+}
+
+func (n *Node) parts(ctx context.Context, listener net.Listener) []func() error {
+	parts := []func() error{
+		func() error { return n.serveReady(ctx, listener) },
+		func() error { return n.follower.followRoutes(ctx) },
+		func() error { return n.follower.followTargets(ctx) },
+		func() error { return n.tick(ctx) },
+	}
+	for _, segments := range n.o.Segments {
+		parts = append(parts, func() error { return n.serve(ctx, segments) })
+	}
+	return parts
+}
+
+func (n *Node) serveReady(ctx context.Context, listener net.Listener) error {
+	server := &http.Server{Handler: n.o.ReadyHandler(n.Ready), ReadHeaderTimeout: headerTimeout}
+	stop := context.AfterFunc(ctx, func() { server.Close() })
+	defer stop()
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// serve is one data goroutine.
+func (n *Node) serve(ctx context.Context, segments baobabstep.Segments) error {
+	batch := make([]baobabstep.Segment, batchSize)
+	out := make([]baobabstep.Forward, 0, batchSize)
+	for {
+		count, err := segments.Receive(ctx, batch)
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return err
+		}
+		now := n.clock.Now()
+		n.lastPacket.Store(int64(now.Sub(n.started)))
+		out = out[:0]
+		for i := range batch[:count] {
+			n.router.Handle(now, &batch[i], &out)
+		}
+		if err := segments.Send(out); err != nil && ctx.Err() == nil {
+			return err
+		}
+	}
+}
+
+func (n *Node) tick(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			n.router.Tick(n.clock.Now())
+		}
+	}
+}
+
+func (n *Node) closeSockets() {
+	for _, segments := range n.o.Segments {
+		if err := segments.Close(); err != nil {
+			n.log.WithError(err).Warn("close segments")
+		}
+	}
+}
--- /dev/null
+++ b/io/packet/segment.go
@@ -0,0 +1,92 @@
+package packet
+
+import (
+	"context"
+	"net/netip"
+	"sync/atomic"
+
+	"baobabstep"
+)
+
+// SegmentCodec is a wire of segments.
+type SegmentCodec interface {
+	// MaxDatagram is the size in bytes of the largest datagram, either way.
+	MaxDatagram() int
+	// Decode fills s from a datagram; s.Raw may point into it. Errors:
+	// CodeMalformed, CodeTooLarge.
+	Decode(datagram []byte, s *baobabstep.Segment) error
+	// Append appends the datagram of f to b and returns where it goes.
+	Append(b []byte, f *baobabstep.Forward) ([]byte, netip.AddrPort)
+}
+
+// SegmentConn is one shard of the sockets that carry segments. Receive is for
+// one goroutine, Send for any.
+type SegmentConn struct {
+	*socket
+	codec               SegmentCodec
+	received, malformed atomic.Uint64
+}
+
+var _ baobabstep.Segments = (*SegmentConn)(nil)
+
+// NewSegments binds the sockets for a wire of segments. Errors: CodeSettings.
+func NewSegments(o SocketOptions, codec SegmentCodec) ([]*SegmentConn, error) {
+	// One byte more than the limit shows datagrams that are too large.
+	sockets, err := newSockets(o, codec.MaxDatagram()+1)
+	if err != nil {
+		return nil, err
+	}
+	conns := make([]*SegmentConn, 0, len(sockets))
+	for _, s := range sockets {
+		conns = append(conns, &SegmentConn{socket: s, codec: codec})
+	}
+	return conns, nil
+}
+
+// Address returns the bound address.
+func (c *SegmentConn) Address() netip.AddrPort { return c.address }
+
+// Receive implements [baobabstep.Segments]. It returns net.ErrClosed after
+// Close and the context's error after its end.
+func (c *SegmentConn) Receive(ctx context.Context, batch []baobabstep.Segment) (int, error) {
+	for {
+		n, err := c.read(ctx, len(batch))
+		if err != nil {
+			return 0, err
+		}
+		if count := c.decode(batch, n); count > 0 {
+			return count, nil
+		}
+	}
+}
+
+// decode fills batch from the first n datagrams and returns how many were good.
+func (c *SegmentConn) decode(batch []baobabstep.Segment, n int) int {
+	good := 0
+	for i := range n {
+		if err := c.codec.Decode(c.datagram(i), &batch[good]); err != nil {
+			c.malformed.Add(1)
+			continue
+		}
+		good++
+	}
+	c.received.Add(uint64(good))
+	return good
+}
+
+// Send implements [baobabstep.Segments]. It returns net.ErrClosed after Close;
+// what cannot be sent for other reasons is counted in Stats.
+func (c *SegmentConn) Send(batch []baobabstep.Forward) error {
+	return c.send(len(batch), func(i int, b []byte) ([]byte, netip.AddrPort, bool) {
+		b, to := c.codec.Append(b, &batch[i])
+		return b, to, true
+	})
+}
+
+// Stats returns the present counts; those of other wires stay 0.
+func (c *SegmentConn) Stats() Stats {
+	return Stats{
+		Received: c.received.Load(), Malformed: c.malformed.Load(),
+		Sent: c.sent.Load(), SendFailed: c.sendFailed.Load(),
+	}
+}
--- a/io/setting/setting.go
+++ b/io/setting/setting.go
@@ -38,7 +38,12 @@
 )
 
 // Policies that Settings.Policy may name. The first is the default.
-var Policies = []string{"replicated", "hash_table", "slot_table"}
+var Policies = []string{"replicated", "hash_table", "slot_table", PolicyToken}
+
+// PolicyToken is the policy that finds targets by the token that callers repeat.
+// It needs a wire with room for one and a platform that lists targets; see
+// TokenSettings.
+const PolicyToken = "token"
 
 // LogLevels that Settings.LogLevel may name.
 var LogLevels = []string{"debug", "info", "warn", "error"}
@@ -84,6 +89,8 @@
 	LogLevel string `json:"log_level,omitempty"`
 	// StopTimeoutMS bounds a planned stop, in milliseconds.
 	StopTimeoutMS int `json:"stop_timeout_ms,omitempty"`
+	// Token holds what only PolicyToken uses.
+	Token TokenSettings `json:"token,omitzero"`
 	// FatalInvariants ends the process at a broken invariant. For tests.
 	FatalInvariants bool `json:"fatal_invariants,omitempty"`
 }
@@ -167,6 +174,9 @@
 	if s.LogLevel == "" {
 		s.LogLevel = "info"
 	}
+	if s.Policy == PolicyToken {
+		s.Token.fill()
+	}
 	if s.StopTimeoutMS == 0 {
 		s.StopTimeoutMS = int(DefaultStopTimeout / time.Millisecond)
 	}
@@ -174,7 +184,9 @@
 
 // check returns the first rule that the settings break.
 func (s *Settings) check() error {
-	checks := []func() error{s.checkNames, s.checkAddresses, s.checkPlatform, s.checkKeys, s.checkChoices}
+	checks := []func() error{
+		s.checkNames, s.checkAddresses, s.checkPlatform, s.checkKeys, s.checkChoices, s.checkToken,
+	}
 	for _, check := range checks {
 		if err := check(); err != nil {
 			return err
@@ -252,7 +264,7 @@
 }
 
 func (s *Settings) checkKeys() error {
-	if len(s.PeerKeys) == 0 {
+	if len(s.PeerKeys) == 0 && s.Policy != PolicyToken {
 		return fail("peer_keys: got none, want 1 to %d keys", MaxKeys)
 	}
 	if s.OperatorAddress.IsValid() && len(s.OperatorKeys) == 0 {
--- /dev/null
+++ b/io/setting/token.go
@@ -0,0 +1,93 @@
+package setting
+
+import (
+	"net/netip"
+	"time"
+)
+
+// TokenSettings are what a VM needs for PolicyToken. The bounds are promises of
+// the platform and to its users.
+type TokenSettings struct {
+	// ReadyAddress answers the fabric's readiness check over HTTP.
+	ReadyAddress netip.AddrPort `json:"ready_address,omitzero"`
+	// DataCentres lists the data centres of the fleet by name.
+	DataCentres []string `json:"data_centres,omitempty"`
+	// ConfigApplyMS is how soon a routing table has to be in force after the
+	// store accepted it.
+	ConfigApplyMS int `json:"config_apply_ms,omitempty"`
+	// DrainMS is how soon a target that drains may get no new flow, and how
+	// long it serves at least.
+	DrainMS int `json:"drain_ms,omitempty"`
+	// FlowMaxS is the age past which a flow may be forgotten.
+	FlowMaxS float64 `json:"flow_max_s,omitempty"`
+	// StopGraceS is the time between the signal to stop and the kill.
+	StopGraceS float64 `json:"stop_grace_s,omitempty"`
+}
+
+// Defaults of TokenSettings.
+const (
+	defaultConfigApply = 3 * time.Second
+	defaultDrain       = 3 * time.Second
+	defaultFlowMax     = 60 * time.Second
+	defaultStopGrace   = 6 * time.Second
+	// maxBound is the largest time that any of TokenSettings may say.
+	maxBound = time.Hour
+)
+
+// ConfigApply returns ConfigApplyMS as a duration.
+func (t *TokenSettings) ConfigApply() time.Duration {
+	return time.Duration(t.ConfigApplyMS) * time.Millisecond
+}
+
+// Drain returns DrainMS as a duration.
+func (t *TokenSettings) Drain() time.Duration { return time.Duration(t.DrainMS) * time.Millisecond }
+
+// FlowMax returns FlowMaxS as a duration.
+func (t *TokenSettings) FlowMax() time.Duration { return seconds(t.FlowMaxS) }
+
+// StopGrace returns StopGraceS as a duration.
+func (t *TokenSettings) StopGrace() time.Duration { return seconds(t.StopGraceS) }
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// fill replaces what is missing by the defaults.
+func (t *TokenSettings) fill() {
+	if t.ConfigApplyMS == 0 {
+		t.ConfigApplyMS = int(defaultConfigApply / time.Millisecond)
+	}
+	if t.DrainMS == 0 {
+		t.DrainMS = int(defaultDrain / time.Millisecond)
+	}
+	if t.FlowMaxS == 0 {
+		t.FlowMaxS = defaultFlowMax.Seconds()
+	}
+	if t.StopGraceS == 0 {
+		t.StopGraceS = defaultStopGrace.Seconds()
+	}
+}
+
+// checkToken checks TokenSettings, which stay empty for other policies.
+func (s *Settings) checkToken() error {
+	if s.Policy != PolicyToken {
+		return nil
+	}
+	t := &s.Token
+	if !t.ReadyAddress.IsValid() || t.ReadyAddress.Port() == 0 {
+		return fail("token.ready_address: got %q, want IP:port with a port above 0", t.ReadyAddress)
+	}
+	bounds := []struct {
+		path  string
+		value time.Duration
+	}{
+		{"token.config_apply_ms", t.ConfigApply()},
+		{"token.drain_ms", t.Drain()},
+		{"token.flow_max_s", t.FlowMax()},
+		{"token.stop_grace_s", t.StopGrace()},
+	}
+	for _, b := range bounds {
+		if b.value <= 0 || b.value > maxBound {
+			return fail("%s: got %v, want above 0 and at most %v", b.path, b.value, maxBound)
+		}
+	}
+	return nil
+}
