--- a/core/token/choose.go
+++ b/core/token/choose.go
@@ -1,29 +1,32 @@
 package token
 
-// nearMargin is the number of open flows by which a target of another data
-// centre has to be less loaded to be chosen.
-const nearMargin = 4
+import "time"
+
+const (
+	// farMargin is what a target of another data centre has to be less loaded
+	// by to be chosen, in recent requests a slot. Its answers take longer,
+	// its bytes are paid for, and a partition takes its flows.
+	farMargin = 8.0
+	// coldFactor is how much slower a target takes its requests right after
+	// its start.
+	coldFactor = 1.6
+)
 
 // choose returns the target of a new flow, or nil if there is none.
-func (r *Router) choose(s *snapshot, route *rule, h flowHash) *target {
-	draw := r.draw()
-	p := s.pools[route.service(draw)]
+func (r *Router) choose(now time.Time, s *snapshot, route *rule, h flowHash) *target {
+	p := s.pools[route.service(r.draw())]
 	if p == nil || len(p.targets) == 0 {
 		return nil
 	}
 	var best *target
-	least := int32(0)
+	least := 0.0
 	start := int(r.draw() % uint64(len(p.targets)))
 	for i := range p.targets {
 		t := p.targets[(start+i)%len(p.targets)]
 		if !t.choosable() {
 			continue
 		}
-		score := t.load.flows.Load()
-		if t.registration.DataCentre != r.o.DataCentre {
-			score += nearMargin
-		}
-		if best == nil || score < least {
+		if score := r.score(now, t); best == nil || score < least {
 			best, least = t, score
 		}
 	}
@@ -33,6 +36,19 @@
 	return best
 }
 
+// score orders targets for new flows, the least loaded first.
+func (r *Router) score(now time.Time, t *target) float64 {
+	_, all := t.load.requests(now)
+	score := all / float64(t.registration.Slots)
+	if now.Before(t.coldUntil) {
+		score *= coldFactor
+	}
+	if t.registration.DataCentre != r.o.DataCentre {
+		score += farMargin
+	}
+	return score
+}
+
 func (r *Router) draw() uint64 {
 	r.drawLock.Lock()
 	defer r.drawLock.Unlock()
--- a/core/token/flow.go
+++ b/core/token/flow.go
@@ -20,6 +20,16 @@
 	// seq is the number of the first packet: a caller that uses its port again
 	// starts with another.
 	seq uint32
+	// acked is how far the caller had received its target's answers when it
+	// sent its last request.
+	acked uint32
+}
+
+// startsRequest tells whether a segment starts a request on an established
+// flow: the caller sends bytes after it has received more of the answers. The
+// further segments of a long request acknowledge nothing new.
+func (f *flow) startsRequest(p *baobabstep.Segment) bool {
+	return p.Size > 0 && p.Acked != f.acked
 }
 
 // shard is a part of the flows under its own lock.
--- a/core/token/router.go
+++ b/core/token/router.go
@@ -125,13 +125,14 @@
 		send(f.target, h, p, out)
 		return
 	}
-	t := r.choose(s, route, h)
+	t := r.choose(now, s, route, h)
 	if t == nil {
 		r.counts.refused.Add(1)
 		reset(p, out)
 		return
 	}
 	shard.add(p.Flow, &flow{target: t, opening: true, heard: now, seq: p.Seq})
+	t.load.started(now)
 	r.counts.placed.Add(1)
 	send(t, h, p, out)
 }
@@ -154,9 +155,16 @@
 // note keeps the record of a flow in step with a later packet.
 func (r *Router) note(now time.Time, shard *shard, t *target, p *baobabstep.Segment) {
 	f := shard.flows[p.Flow]
-	if f == nil || f.target.id != t.id {
-		f = &flow{target: t}
+	switch {
+	case f == nil || f.target.id != t.id:
+		f = &flow{target: t, acked: p.Acked}
 		shard.add(p.Flow, f)
+	case f.opening:
+		// The first segment counted as the start of the first request.
+		f.acked = p.Acked
+	case f.startsRequest(p):
+		f.acked = p.Acked
+		t.load.started(now)
 	}
 	f.heard, f.opening = now, false
 	if p.Kind == baobabstep.KindReset || p.Kind == baobabstep.KindClose {
--- a/core/token/snapshot.go
+++ b/core/token/snapshot.go
@@ -103,7 +103,7 @@
 	next.haveTargets = true
 	next.targets = make(map[baobabstep.TargetID]*target, len(list))
 	for i := range list {
-		next.targets[list[i].ID] = s.registered(&list[i])
+		next.targets[list[i].ID] = s.registered(now, &list[i])
 	}
 	for id, old := range s.targets {
 		if next.targets[id] != nil {
@@ -118,15 +118,40 @@
 		}
 	}
 	next.pools = makePools(next.targets)
+	next.beginLoads(now, s)
 	return &next
 }
 
+// beginLoads gives targets that s did not know the mean load of those that it
+// knew.
+func (s *snapshot) beginLoads(now time.Time, before *snapshot) {
+	for service, p := range s.pools {
+		var known, sum float64
+		for _, t := range p.targets {
+			if before.targets[t.id] != nil && t.choosable() {
+				own, _ := t.load.requests(now)
+				known++
+				sum += own
+			}
+		}
+		if known == 0 {
+			continue
+		}
+		for _, t := range s.pools[service].targets {
+			if before.targets[t.id] == nil {
+				t.load.begin(now, sum/known)
+			}
+		}
+	}
+}
+
 // registered returns the target of a registration, with the load that an
 // earlier one of the same run had.
-func (s *snapshot) registered(r *baobabstep.Registration) *target {
-	t := &target{id: r.ID, registration: *r, load: new(load)}
+func (s *snapshot) registered(now time.Time, r *baobabstep.Registration) *target {
+	t := &target{id: r.ID, registration: *r, load: new(load), coldUntil: now.Add(r.ColdFor)}
 	if old := s.targets[r.ID]; old != nil {
 		t.load = old.load
+		t.coldUntil = old.coldUntil
 	}
 	return t
 }
--- a/core/token/target.go
+++ b/core/token/target.go
@@ -1,7 +1,6 @@
 package token
 
 import (
-	"sync/atomic"
 	"time"
 
 	"baobabstep"
@@ -16,12 +15,8 @@
 	// missingSince is when the registration was found gone; zero while it is
 	// there. A target that is gone still gets the packets of its flows.
 	missingSince time.Time
-}
-
-// load counts what this VM has sent to one target.
-type load struct {
-	// flows are the open flows that this VM has records of.
-	flows atomic.Int32
+	// coldUntil is when the target stops being slow after its start.
+	coldUntil time.Time
 }
 
 // choosable tells whether the target may get new flows.
