token: targets that leave first segments unanswered get no new flows

Ruled out: the load measure (the targets that failed callers were all gone at that moment); probes of our own (a health check takes a slot and is priced; a segment of our own making would reach a target as one that nobody sent).

Change: a copy at least 150 ms behind its first segment counts against the target; two flows in a row, with nothing heard between, make it suspect. Its copies move to another target, new flows avoid it; it gets one flow again after 1, 2, 4 s. If all are suspect, none is. Tests first; one test of mine repeated a sequence number for a new request, which no caller does: it now sends the next one, and a repetition besides.

--- a/core/token/choose.go
+++ b/core/token/choose.go
@@ -18,21 +18,31 @@
 	if p == nil || len(p.targets) == 0 {
 		return nil
 	}
+	best := r.least(now, p, func(t *target) bool { return !t.load.suspect(now) })
+	if best == nil {
+		// All look dark: then it is this VM that hears nothing.
+		best = r.least(now, p, func(*target) bool { return true })
+	}
+	if best != nil && p.find(h, tokenFor(h, best.id)) == nil {
+		return nil // another target has the same token; the caller's next try has another port
+	}
+	return best
+}
+
+// least returns the least loaded target that may get new flows and is wanted.
+func (r *Router) least(now time.Time, p *pool, wanted func(*target) bool) *target {
 	var best *target
 	least := 0.0
 	start := int(r.draw() % uint64(len(p.targets)))
 	for i := range p.targets {
 		t := p.targets[(start+i)%len(p.targets)]
-		if !t.choosable() {
+		if !t.choosable() || !wanted(t) {
 			continue
 		}
 		if score := r.score(now, t); best == nil || score < least {
 			best, least = t, score
 		}
 	}
-	if best != nil && p.find(h, tokenFor(h, best.id)) == nil {
-		return nil // another target has the same token; the caller's next try has another port
-	}
 	return best
 }
 
--- a/core/token/choose_test.go
+++ b/core/token/choose_test.go
@@ -77,9 +77,11 @@
 	r := newRouter(t)
 	key := flowFrom(1, results)
 	_, token := open(t, r, start, key)
+	next := firstSeq + 1
 	segment := func(acked uint32, size uint16) {
 		s := data(key, token)
-		s.Acked, s.Size = acked, size
+		s.Seq, s.Acked, s.Size = next, acked, size
+		next += uint32(size)
 		handle(r, start, s)
 	}
 	for range 3 {
@@ -89,6 +91,8 @@
 	for range 2 {
 		segment(900, 1200) // the second request
 	}
+	next -= 1200
+	segment(900, 1200) // repeats its last segment
 	own, _ := r.current.Load().targets[3].load.requests(start)
 	qt.Assert(t, own, qt.Equals, 2.0)
 }
--- a/core/token/flow.go
+++ b/core/token/flow.go
@@ -17,19 +17,21 @@
 	closed bool
 	// heard is when the last packet came.
 	heard time.Time
+	// sent is when the last segment that may be repeated went to the target.
+	sent time.Time
+	// unanswered is set once the flow was counted against its target; it
+	// counts once until the target is heard of on it.
+	unanswered bool
 	// seq is the number of the first packet: a caller that uses its port again
 	// starts with another.
 	seq uint32
-	// acked is how far the caller had received its target's answers when it
-	// sent its last request.
-	acked uint32
-}
-
-// startsRequest tells whether a segment starts a request on an established
-// flow: the caller sends bytes after it has received more of the answers. The
-// further segments of a long request acknowledge nothing new.
-func (f *flow) startsRequest(p *baobabstep.Segment) bool {
-	return p.Size > 0 && p.Acked != f.acked
+	// acked is how far the caller has received its target's answers, and
+	// requestAcked how far it had when it sent its last request: a caller that
+	// sends bytes after it has received more starts a request, while the
+	// further segments of a long one acknowledge nothing new.
+	acked, requestAcked uint32
+	// sentEnd is the end of what the caller has sent.
+	sentEnd uint32
 }
 
 // shard is a part of the flows under its own lock.
--- a/core/token/load.go
+++ b/core/token/load.go
@@ -22,6 +22,28 @@
 	recent meter
 	// others are the requests that other VMs sent, by their last word.
 	others float64
+	health health
+}
+
+// answered notes that the target was heard of.
+func (l *load) answered() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.health.answered()
+}
+
+// left notes a flow that the target left unanswered.
+func (l *load) left(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.health.left(now)
+}
+
+// suspect tells whether new flows should avoid the target.
+func (l *load) suspect(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.health.suspect(now)
 }
 
 // meter counts events, each with a weight that fades over loadWindow.
@@ -43,7 +65,15 @@
 	m.at = now
 }
 
-// started counts a request.
+// placed counts the first request of a new flow.
+func (l *load) placed(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.recent.add(now, 1)
+	l.health.tried(now)
+}
+
+// started counts a request on an established flow.
 func (l *load) started(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/core/token/router.go
+++ b/core/token/router.go
@@ -119,11 +119,15 @@
 	shard := r.flows.shard(h)
 	shard.mu.Lock()
 	defer shard.mu.Unlock()
-	if f := shard.flows[p.Flow]; f != nil && f.seq == p.Seq {
-		f.heard = now
+	f := shard.flows[p.Flow]
+	if f != nil && f.seq == p.Seq && f.opening {
 		r.counts.copies.Add(1)
-		send(f.target, h, p, out)
-		return
+		if !r.moves(now, s, f) {
+			f.heard = now
+			send(f.target, h, p, out)
+			return
+		}
+		r.counts.moved.Add(1)
 	}
 	t := r.choose(now, s, route, h)
 	if t == nil {
@@ -131,12 +135,31 @@
 		reset(p, out)
 		return
 	}
-	shard.add(p.Flow, &flow{target: t, opening: true, heard: now, seq: p.Seq})
-	t.load.started(now)
+	shard.add(p.Flow, &flow{target: t, opening: true, heard: now, sent: now, seq: p.Seq})
+	t.load.placed(now)
 	r.counts.placed.Add(1)
 	send(t, h, p, out)
 }
 
+// moves tells whether the copy of a first segment should go to another target
+// than the first one did, and counts the flow against its target.
+//
+// A target that answers after all would leave the caller with a flow at one
+// target and the token of the other. So a flow moves only away from a target
+// that other flows find silent as well: an answer comes within milliseconds,
+// and the copy 200 ms later.
+func (r *Router) moves(now time.Time, s *snapshot, f *flow) bool {
+	if now.Sub(f.sent) < copyAfter {
+		return false
+	}
+	if !f.unanswered {
+		f.unanswered = true
+		f.target.load.left(now)
+	}
+	present := s.targets[f.target.id]
+	return present == nil || !present.choosable() || f.target.load.suspect(now)
+}
+
 // pass sends a later packet to the target that its token names.
 func (r *Router) pass(now time.Time, s *snapshot, route *rule, h flowHash, p *baobabstep.Segment, out *[]baobabstep.Forward) {
 	t := s.find(now, route, h, p.Token)
@@ -156,22 +179,44 @@
 func (r *Router) note(now time.Time, shard *shard, t *target, p *baobabstep.Segment) {
 	f := shard.flows[p.Flow]
 	switch {
-	case f == nil || f.target.id != t.id:
-		f = &flow{target: t, acked: p.Acked}
-		shard.add(p.Flow, f)
-	case f.opening:
-		// The first segment counted as the start of the first request.
-		f.acked = p.Acked
-	case f.startsRequest(p):
-		f.acked = p.Acked
-		t.load.started(now)
+	case f == nil:
+		shard.add(p.Flow, &flow{target: t, heard: now, acked: p.Acked, requestAcked: p.Acked, sentEnd: p.Seq + uint32(p.Size)})
+	case f.target.id != t.id:
+		// The flow was opened at another target than this VM sent it to last.
+		t.load.answered()
+		shard.add(p.Flow, &flow{target: t, heard: now, acked: p.Acked, requestAcked: p.Acked, sentEnd: p.Seq + uint32(p.Size)})
+	default:
+		r.follow(now, f, p)
 	}
-	f.heard, f.opening = now, false
 	if p.Kind == baobabstep.KindReset || p.Kind == baobabstep.KindClose {
-		f.close()
+		shard.flows[p.Flow].close()
+	}
+}
+
+// follow notes what a later segment says of a flow that this VM knows.
+func (r *Router) follow(now time.Time, f *flow, p *baobabstep.Segment) {
+	if f.opening || after(p.Acked, f.acked) {
+		f.unanswered = false
+		f.target.load.answered()
 	}
+	if f.opening {
+		// The first segment counted as the start of the first request.
+		f.opening, f.requestAcked = false, p.Acked
+		f.sentEnd = p.Seq
+	}
+	if end := p.Seq + uint32(p.Size); after(end, f.sentEnd) {
+		f.sentEnd = end
+		if p.Acked != f.requestAcked {
+			f.requestAcked = p.Acked
+			f.target.load.started(now)
+		}
+	}
+	f.heard, f.acked = now, p.Acked
 }
 
+// after tells whether number a follows b, both modulo 2^32.
+func after(a, b uint32) bool { return int32(a-b) > 0 }
+
 func send(t *target, h flowHash, p *baobabstep.Segment, out *[]baobabstep.Forward) {
 	*out = append(*out, baobabstep.Forward{
 		Target: t.id, Address: t.registration.Address, Token: tokenFor(h, t.id), Raw: p.Raw,
