heartbeat, entry: VMs tell each other what they hold and send

Change: core/heartbeat keeps a board of the VMs heard: versions with ages, load by target, who is first in a data centre. The first reads the store; others read only if what they hear grows too old, so there is no election to lose. Routes and targets travel in pieces with a checksum; messages carry a code made with a secret that lies in the store. Flows are placed by the share of slots that is busy, with request times as callers' segments show them; another data centre is taken if it is 0.3 less busy.

--- a/cmd/baobabstep/balance.go
+++ b/cmd/baobabstep/balance.go
@@ -154,12 +154,16 @@
 	if err != nil {
 		return nil, err
 	}
+	messages, err := peer.ListenDatagrams(s.PeerAddress)
+	if err != nil {
+		return nil, err
+	}
 	seed := b.Seed
 	if seed == 0 {
 		seed = rand.Uint64()
 	}
 	return entry.New(entry.Options{
-		Settings: s, Logger: logger, Clock: systemClock{}, Directory: store, Segments: segments,
+		Settings: s, Logger: logger, Clock: systemClock{}, Directory: store, Segments: segments, Messages: messages,
 		ReadyHandler: usersplatform.ReadyHandler, Rand: rand.New(rand.NewPCG(seed, entrySeed)),
 	}), nil
 }
--- /dev/null
+++ b/core/heartbeat/board_test.go
@@ -0,0 +1,178 @@
+package heartbeat
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"baobabstep"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func address(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 7000)
+}
+
+// newBoard returns the board of VM n; odd ones stand in data centre a, even
+// ones in b.
+func newBoard(n int, seeds ...int) *Board {
+	o := Options{Self: baobabstep.VMID(n), DataCentre: dataCentre(n), Address: address(n), Life: 1, Rand: rand.New(rand.NewPCG(1, uint64(n)))}
+	for _, s := range seeds {
+		o.Seeds = append(o.Seeds, address(s))
+	}
+	return New(start, o)
+}
+
+func dataCentre(n int) string { return []string{"b", "a"}[n%2] }
+
+func beat(n int, life, number uint64) *Heartbeat {
+	return &Heartbeat{From: baobabstep.VMID(n), DataCentre: dataCentre(n), Life: life, Number: number}
+}
+
+// A heartbeat that is late, or was recorded and sent again, must not bring back
+// what its sender said before, nor make a dead VM live.
+func TestOldHeartbeatsChangeNothing(t *testing.T) {
+	b := newBoard(1)
+	qt.Assert(t, b.Handle(start, address(3), beat(3, 5, 10)), qt.IsTrue)
+	for _, old := range []*Heartbeat{beat(3, 5, 10), beat(3, 5, 9), beat(3, 4, 99)} {
+		qt.Assert(t, b.Handle(start.Add(time.Minute), address(3), old), qt.IsFalse)
+	}
+	qt.Assert(t, b.Live(start.Add(time.Minute)), qt.HasLen, 0)
+	qt.Assert(t, b.Handle(start, address(3), beat(3, 6, 1)), qt.IsTrue)
+}
+
+func TestRank(t *testing.T) {
+	b := newBoard(5)
+	b.Handle(start, address(1), beat(1, 1, 1))
+	b.Handle(start, address(2), beat(2, 1, 1)) // another data centre
+	b.Handle(start, address(3), beat(3, 1, 1))
+	b.Handle(start, address(7), beat(7, 1, 1))
+	qt.Assert(t, b.Rank(start), qt.Equals, 2)
+	t.Run("a silent VM does not count", func(t *testing.T) {
+		later := start.Add(b.o.Silent)
+		b.Handle(later, address(3), beat(3, 1, 2))
+		qt.Assert(t, b.Rank(later), qt.Equals, 1)
+	})
+	t.Run("nor one that leaves", func(t *testing.T) {
+		later := start.Add(b.o.Silent)
+		leaving := beat(3, 1, 3)
+		leaving.Leaving = true
+		b.Handle(later, address(3), leaving)
+		qt.Assert(t, b.Rank(later), qt.Equals, 0)
+	})
+}
+
+func TestFreshness(t *testing.T) {
+	b := newBoard(1)
+	say := func(n int, number, version, sum uint64, age time.Duration) {
+		h := beat(n, 1, number)
+		h.Held[Targets] = MakeHeld(version, sum, age)
+		b.Handle(start, address(n), h)
+	}
+	say(3, 1, 10, 77, 300*time.Millisecond)
+	say(5, 1, 12, 77, 900*time.Millisecond)
+	say(2, 1, 14, 88, 0) // another data centre
+	later := start.Add(100 * time.Millisecond)
+
+	age, ok := b.Confirmed(later, Targets, 77)
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, age, qt.Equals, 400*time.Millisecond)
+	_, ok = b.Confirmed(later, Targets, 99)
+	qt.Assert(t, ok, qt.IsFalse)
+
+	from, ok := b.Newer(later, Targets, 9, 66)
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, from, qt.Equals, address(5))
+	t.Run("the same content at a later revision is nothing newer", func(t *testing.T) {
+		from, ok := b.Newer(later, Targets, 10, 77)
+		qt.Assert(t, ok, qt.IsTrue)
+		qt.Assert(t, from, qt.Equals, address(2)) // the other content
+	})
+	t.Run("an older version is never taken", func(t *testing.T) {
+		_, ok := b.Newer(later, Targets, 14, 66)
+		qt.Assert(t, ok, qt.IsFalse)
+	})
+	t.Run("silent VMs vouch for nothing", func(t *testing.T) {
+		_, ok := b.Confirmed(start.Add(time.Second), Targets, 77)
+		qt.Assert(t, ok, qt.IsFalse)
+	})
+}
+
+func TestLoads(t *testing.T) {
+	b := newBoard(1)
+	for n, tenths := range map[int]uint32{2: 15, 3: 30} {
+		h := beat(n, 1, 1)
+		h.Loads = []Load{{Target: 9, Tenths: tenths, Unanswered: 1}}
+		b.Handle(start, address(n), h)
+	}
+	qt.Assert(t, b.Loads(start)[9], qt.Equals, baobabstep.TargetLoad{Requests: 4.5, Unanswered: 2})
+	qt.Assert(t, b.Loads(start.Add(time.Second)), qt.HasLen, 0)
+}
+
+// VMs that know only seeds have to find each other, also when the seeds are
+// addresses of VMs that are gone for those who come later.
+func TestVMsFindEachOther(t *testing.T) {
+	boards := map[netip.AddrPort]*Board{}
+	for n := 1; n <= 9; n++ {
+		boards[address(n)] = newBoard(n, 1, 2, 99)
+	}
+	now := start
+	for range 30 {
+		now = now.Add(100 * time.Millisecond)
+		for from, b := range boards {
+			for _, out := range b.Tick(now, Own{}) {
+				if to := boards[out.To]; to != nil {
+					to.Handle(now, from, out.Message.Heartbeat)
+				}
+			}
+		}
+	}
+	for n := 1; n <= 9; n++ {
+		live := boards[address(n)].Live(now)
+		qt.Assert(t, live["a"]+live["b"], qt.Equals, 8, qt.Commentf("VM %d: %v", n, live))
+	}
+}
+
+// A fleet of hundreds of VMs must not make each send to all: the fan-out is
+// bounded, and everyone gets a turn.
+func TestFanoutIsBounded(t *testing.T) {
+	b := newBoard(1)
+	for n := 2; n < 120; n++ {
+		b.Handle(start, address(n), beat(n, 1, 1))
+	}
+	heard := map[netip.AddrPort]bool{}
+	now := start
+	for range 30 {
+		now = now.Add(b.o.Far)
+		outs := b.Tick(now, Own{})
+		qt.Assert(t, len(outs) <= b.o.NearFanout+b.o.FarFanout, qt.IsTrue)
+		for _, o := range outs {
+			heard[o.To] = true
+		}
+	}
+	qt.Assert(t, len(heard), qt.Equals, 118)
+}
+
+func TestLargestHeartbeatFits(t *testing.T) {
+	h := &Heartbeat{From: 1<<64 - 1, DataCentre: "a-data-centre-with-a-long-name", Life: 1 << 50, Number: 1 << 40}
+	for range maxPeers {
+		h.Peers = append(h.Peers, netip.MustParseAddrPort("255.255.255.255:65535"))
+	}
+	for kind := range h.Held {
+		h.Held[kind] = Held{Version: 1<<64 - 1, Sum: 1<<64 - 1, AgeMS: maxAge}
+	}
+	var own []baobabstep.TargetLoad
+	for id := range 200 {
+		own = append(own, baobabstep.TargetLoad{Target: baobabstep.TargetID(id) + 1<<39, Requests: 6000, Unanswered: 1})
+	}
+	h.Loads = MakeLoads(own)
+	qt.Assert(t, h.Loads, qt.HasLen, maxLoads)
+	raw, err := Encode(&Message{Heartbeat: h})
+	qt.Assert(t, err, qt.IsNil)
+	_, err = Decode(raw)
+	qt.Assert(t, err, qt.IsNil)
+}
--- /dev/null
+++ b/core/heartbeat/transfer.go
@@ -0,0 +1,185 @@
+package heartbeat
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+
+	"baobabstep"
+)
+
+const (
+	// pieceBytes is the data of one piece; with what surrounds it a piece
+	// stays below MaxMessage.
+	pieceBytes = 1100
+	// maxPieces bounds what is put together: 1 MB, the size of the largest
+	// value in the store.
+	maxPieces = 1000
+	// pieceTimeout is how long an unfinished whole waits for its pieces.
+	pieceTimeout = time.Second
+)
+
+// routesBody and targetsBody are the contents that travel in pieces.
+type routesBody struct {
+	_           struct{} `cbor:",toarray"`
+	Version     uint64
+	IdleTimeout time.Duration
+	Rules       []ruleBody
+}
+
+type ruleBody struct {
+	_       struct{} `cbor:",toarray"`
+	Name    string
+	Address netip.AddrPort
+	Shares  []shareBody
+}
+
+type shareBody struct {
+	_       struct{} `cbor:",toarray"`
+	Service string
+	Weight  uint32
+}
+
+type targetBody struct {
+	_          struct{} `cbor:",toarray"`
+	ID         baobabstep.TargetID
+	Service    string
+	Address    netip.AddrPort
+	DataCentre string
+	Release    string
+	Slots      int
+	Draining   bool
+	ColdFor    time.Duration
+}
+
+// EncodeRoutes returns the content of a routing table.
+func EncodeRoutes(t *baobabstep.RoutingTable) ([]byte, error) {
+	body := routesBody{Version: t.Version, IdleTimeout: t.IdleTimeout, Rules: make([]ruleBody, len(t.Rules))}
+	for i, r := range t.Rules {
+		shares := make([]shareBody, len(r.Shares))
+		for j, s := range r.Shares {
+			shares[j] = shareBody{Service: s.Service, Weight: s.Weight}
+		}
+		body.Rules[i] = ruleBody{Name: r.Name, Address: r.Address, Shares: shares}
+	}
+	return encMode.Marshal(&body)
+}
+
+// DecodeRoutes returns the routing table in b. Errors: CodeMalformed.
+func DecodeRoutes(b []byte) (*baobabstep.RoutingTable, error) {
+	var body routesBody
+	if err := bodyMode.Unmarshal(b, &body); err != nil {
+		return nil, baobabstep.Errorf(baobabstep.CodeMalformed, "heartbeat.routes", "%w", err)
+	}
+	t := &baobabstep.RoutingTable{Version: body.Version, IdleTimeout: body.IdleTimeout, Rules: make([]baobabstep.Rule, len(body.Rules))}
+	for i, r := range body.Rules {
+		if len(r.Shares) == 0 || !r.Address.IsValid() {
+			return nil, baobabstep.Errorf(baobabstep.CodeMalformed, "heartbeat.routes", "rule %q: got address %v and %d shares", r.Name, r.Address, len(r.Shares))
+		}
+		shares := make([]baobabstep.Share, len(r.Shares))
+		for j, s := range r.Shares {
+			shares[j] = baobabstep.Share{Service: s.Service, Weight: s.Weight}
+		}
+		t.Rules[i] = baobabstep.Rule{Name: r.Name, Address: r.Address, Shares: shares}
+	}
+	return t, nil
+}
+
+// EncodeTargets returns the content of registrations. They have to be sorted
+// by identifier, so that equal ones have equal checksums.
+func EncodeTargets(list []baobabstep.Registration) ([]byte, error) {
+	body := make([]targetBody, len(list))
+	for i, r := range list {
+		body[i] = targetBody{
+			ID: r.ID, Service: r.Service, Address: r.Address, DataCentre: r.DataCentre,
+			Release: r.Release, Slots: r.Slots, Draining: r.Draining, ColdFor: r.ColdFor,
+		}
+	}
+	return encMode.Marshal(body)
+}
+
+// DecodeTargets returns the registrations in b. Errors: CodeMalformed.
+func DecodeTargets(b []byte) ([]baobabstep.Registration, error) {
+	var body []targetBody
+	if err := bodyMode.Unmarshal(b, &body); err != nil {
+		return nil, baobabstep.Errorf(baobabstep.CodeMalformed, "heartbeat.targets", "%w", err)
+	}
+	list := make([]baobabstep.Registration, len(body))
+	for i, r := range body {
+		if r.ID == 0 || !r.Address.IsValid() || r.Slots < 1 {
+			return nil, baobabstep.Errorf(baobabstep.CodeMalformed, "heartbeat.targets", "got target %x at %v with %d slots", uint64(r.ID), r.Address, r.Slots)
+		}
+		list[i] = baobabstep.Registration{
+			ID: r.ID, Service: r.Service, Address: r.Address, DataCentre: r.DataCentre,
+			Release: r.Release, Slots: r.Slots, Draining: r.Draining, ColdFor: r.ColdFor,
+		}
+	}
+	return list, nil
+}
+
+// bodyMode allows the larger arrays of whole contents.
+var bodyMode = must(cbor.DecOptions{
+	IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden,
+	MaxNestedLevels: 8, MaxArrayElements: 131072,
+}.DecMode())
+
+// Sum returns the checksum of a content.
+func Sum(content []byte) uint64 { return xxhash.Sum64(content) }
+
+// Split returns the pieces of a content. held.Sum has to be its checksum.
+// Errors: CodeTooLarge.
+func Split(kind Kind, held Held, content []byte) ([]*Message, error) {
+	count := max(1, (len(content)+pieceBytes-1)/pieceBytes)
+	if count > maxPieces {
+		return nil, baobabstep.Errorf(baobabstep.CodeTooLarge, "heartbeat.split", "got %d bytes, want at most %d", len(content), maxPieces*pieceBytes)
+	}
+	messages := make([]*Message, 0, count)
+	for i := range count {
+		part := content[min(i*pieceBytes, len(content)):min((i+1)*pieceBytes, len(content))]
+		messages = append(messages, &Message{Piece: &Piece{
+			Kind: kind, Held: held, Index: uint16(i), Count: uint16(count), Data: part,
+		}})
+	}
+	return messages, nil
+}
+
+// Assembly puts the pieces of one kind together. The zero value is ready.
+type Assembly struct {
+	held   Held
+	since  time.Time
+	pieces [][]byte
+	left   int
+}
+
+// Add takes in a piece and returns the content once it is whole. Pieces of
+// another version replace an unfinished whole only if they are newer, or if it
+// has waited too long.
+func (a *Assembly) Add(now time.Time, p *Piece) (content []byte, held Held, whole bool) {
+	if !a.sameAs(p) {
+		if a.left > 0 && p.Held.Version <= a.held.Version && now.Sub(a.since) < pieceTimeout {
+			return nil, Held{}, false
+		}
+		*a = Assembly{held: p.Held, since: now, pieces: make([][]byte, p.Count), left: int(p.Count)}
+	}
+	if a.pieces[p.Index] != nil {
+		return nil, Held{}, false
+	}
+	a.pieces[p.Index] = append([]byte{}, p.Data...)
+	a.left--
+	if a.left > 0 {
+		return nil, Held{}, false
+	}
+	for _, piece := range a.pieces {
+		content = append(content, piece...)
+	}
+	held = a.held
+	*a = Assembly{}
+	return content, held, Sum(content) == held.Sum
+}
+
+// sameAs tells whether a piece belongs to the unfinished whole.
+func (a *Assembly) sameAs(p *Piece) bool {
+	return a.left > 0 && a.held.Version == p.Held.Version && a.held.Sum == p.Held.Sum && len(a.pieces) == int(p.Count)
+}
--- a/core/token/choose.go
+++ b/core/token/choose.go
@@ -3,13 +3,15 @@
 import "time"
 
 const (
-	// farMargin is what a target of another data centre has to be less loaded
-	// by to be chosen, in recent requests a slot. Its answers take longer,
-	// its bytes are paid for, and a partition takes its flows.
-	farMargin = 16.0
+	// farMargin is what a target of another data centre has to be less busy by
+	// to be chosen, as a share of its slots. Its answers take longer, its bytes
+	// are paid for, and a partition takes its flows.
+	farMargin = 0.3
 	// coldFactor is how much slower a target takes its requests right after
 	// its start.
 	coldFactor = 1.6
+	// assumedTime is what a request takes, in seconds, before any was seen.
+	assumedTime = 0.03
 )
 
 // choose returns the target of a new flow, or nil if there is none.
@@ -18,7 +20,15 @@
 	if p == nil || len(p.targets) == 0 {
 		return nil
 	}
-	best := r.least(now, p, func(t *target) bool { return !t.load.suspect(now) })
+	heard := *r.heard.Load()
+	inReach := func(t *target) bool {
+		dc := t.registration.DataCentre
+		return dc == r.o.DataCentre || heard[dc] > 0
+	}
+	best := r.least(now, p, func(t *target) bool { return inReach(t) && !t.load.suspect(now) })
+	if best == nil {
+		best = r.least(now, p, func(t *target) bool { return !t.load.suspect(now) })
+	}
 	if best == nil {
 		// All look dark: then it is this VM that hears nothing.
 		best = r.least(now, p, func(*target) bool { return true })
@@ -33,23 +43,26 @@
 func (r *Router) least(now time.Time, p *pool, wanted func(*target) bool) *target {
 	var best *target
 	least := 0.0
+	mean := p.serviceTime(now)
 	start := int(r.draw() % uint64(len(p.targets)))
 	for i := range p.targets {
 		t := p.targets[(start+i)%len(p.targets)]
 		if !t.choosable() || !wanted(t) {
 			continue
 		}
-		if score := r.score(now, t); best == nil || score < least {
+		if score := r.score(now, t, mean); best == nil || score < least {
 			best, least = t, score
 		}
 	}
 	return best
 }
 
-// score orders targets for new flows, the least loaded first.
-func (r *Router) score(now time.Time, t *target) float64 {
+// score orders targets for new flows, the best first: by the share of their
+// slots that is busy, as far as requests and their times tell.
+func (r *Router) score(now time.Time, t *target, mean float64) float64 {
 	_, all := t.load.requests(now)
-	score := all / float64(t.registration.Slots)
+	perSlot := all / loadWindow.Seconds() / float64(t.registration.Slots)
+	score := perSlot * t.load.serviceTime(now, mean)
 	if now.Before(t.coldUntil) {
 		score *= coldFactor
 	}
@@ -59,6 +72,21 @@
 	return score
 }
 
+// serviceTime returns the mean time of a request over the pool, in seconds.
+func (p *pool) serviceTime(now time.Time) float64 {
+	sum, n := 0.0, 0
+	for _, t := range p.targets {
+		if took, ok := t.load.measured(now); ok {
+			sum += took
+			n++
+		}
+	}
+	if n == 0 {
+		return assumedTime
+	}
+	return sum / float64(n)
+}
+
 func (r *Router) draw() uint64 {
 	r.drawLock.Lock()
 	defer r.drawLock.Unlock()
--- a/core/token/choose_test.go
+++ b/core/token/choose_test.go
@@ -71,6 +71,65 @@
 	})
 }
 
+// A partition cuts another data centre off. Nobody says what its targets are
+// sent, so they seem idle; before, flows spilled there and every one died.
+func TestDataCentreThatIsNotHeardGetsNoFlows(t *testing.T) {
+	r := newRouter(t)
+	r.SetOthers(nil, nil)
+	qt.Assert(t, openMany(t, r, start, 1, 200)[2], qt.Equals, 0)
+
+	t.Run("unless the own one has no target", func(t *testing.T) {
+		r.SetRegistrations(start, threeTargets()[1:])
+		target, _ := open(t, r, start, flowFrom(900, fixtures))
+		qt.Assert(t, target, qt.Equals, baobabstep.TargetID(2))
+	})
+}
+
+// Targets of the own data centre are busier than those of another, by what other
+// VMs send them.
+func TestLoadOfOtherVMsCounts(t *testing.T) {
+	r := newRouter(t)
+	r.SetOthers(map[baobabstep.TargetID]baobabstep.TargetLoad{1: {Requests: 100}}, map[string]int{"b": 1})
+	qt.Assert(t, openMany(t, r, start, 1, 10)[2], qt.Equals, 10)
+}
+
+// A target has become slow. Its requests take five times as long as those of the
+// others, so it has to get fewer; once it is not measured any more it is tried
+// like the others.
+func TestSlowTargetGetsLess(t *testing.T) {
+	r := newRouter(t)
+	r.SetRegistrations(start, manyTargets(4))
+	targets := r.current.Load().targets
+	for id, took := range map[baobabstep.TargetID]time.Duration{1: 150 * time.Millisecond, 2: 30 * time.Millisecond, 3: 30 * time.Millisecond, 4: 30 * time.Millisecond} {
+		targets[id].load.finished(start, took)
+	}
+	got := openMany(t, r, start, 1, 200)
+	qt.Assert(t, got[1]*2 < got[2], qt.IsTrue, qt.Commentf("%v", got))
+
+	got = openMany(t, r, start.Add(time.Minute), 1000, 200)
+	qt.Assert(t, got[1] > 30, qt.IsTrue, qt.Commentf("%v", got))
+}
+
+// The time of a request ends with a segment that acknowledges its answer and
+// carries nothing: the next request may come long after the answer.
+func TestTimeOfRequests(t *testing.T) {
+	r := newRouter(t)
+	key := flowFrom(1, results)
+	_, token := open(t, r, start, key)
+	at := func(ms int, seq, acked uint32, size uint16) {
+		s := data(key, token)
+		s.Seq, s.Acked, s.Size = seq, acked, size
+		handle(r, start.Add(time.Duration(ms)*time.Millisecond), s)
+	}
+	took := func() float64 { return r.current.Load().targets[3].load.took }
+	at(4, 1001, 50, 100)
+	at(34, 1101, 650, 0)
+	qt.Assert(t, took(), qt.Equals, 0.03)
+	at(5000, 1101, 650, 100)
+	at(9000, 1201, 1250, 100)
+	qt.Assert(t, took(), qt.Equals, 0.03)
+}
+
 // A caller on an established flow sends one request in several segments, and
 // acknowledges what it gets between requests. Each request counts once.
 func TestRequestsOnAnEstablishedFlowCount(t *testing.T) {
--- a/core/token/flow.go
+++ b/core/token/flow.go
@@ -17,8 +17,13 @@
 	closed bool
 	// heard is when the last packet came.
 	heard time.Time
-	// sent is when the last segment that may be repeated went to the target.
+	// sent is when the first segment, or the last request since, went to the
+	// target.
 	sent time.Time
+	// timed is set while the time of the last request is still to be taken: at
+	// the next segment that acknowledges more and carries nothing. One that
+	// carries the next request may come long after the answer.
+	timed bool
 	// unanswered is set once the flow was counted against its target; it
 	// counts once until the target is heard of on it.
 	unanswered bool
--- a/core/token/load.go
+++ b/core/token/load.go
@@ -23,6 +23,48 @@
 	// others are the requests that other VMs sent, by their last word.
 	others float64
 	health health
+	// took is how long requests at the target take, in seconds, by this VM's
+	// own callers; 0 before any was seen. tookAt is when the last one ended.
+	took   float64
+	tookAt time.Time
+}
+
+const (
+	// tookGain is the weight of one request in load.took: some five requests
+	// show that a target has become slow.
+	tookGain = 0.2
+	// tookFade is the time after which a target that got no more requests is
+	// taken for as fast as the others again. Slow targets get few.
+	tookFade = 5 * time.Second
+)
+
+// finished notes how long a request took.
+func (l *load) finished(now time.Time, took time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.tookAt.IsZero() {
+		l.took = took.Seconds()
+	}
+	l.took += tookGain * (took.Seconds() - l.took)
+	l.tookAt = now
+}
+
+// serviceTime returns how long a request takes, in seconds, where mean is what
+// it takes at the targets of the service on average.
+func (l *load) serviceTime(now time.Time, mean float64) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.tookAt.IsZero() {
+		return mean
+	}
+	return mean + (l.took-mean)*math.Exp(-float64(now.Sub(l.tookAt))/float64(tookFade))
+}
+
+// measured returns load.took, and whether any request was seen lately.
+func (l *load) measured(now time.Time) (took float64, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.took, !l.tookAt.IsZero() && now.Sub(l.tookAt) < tookFade
 }
 
 // answered notes that the target was heard of.
@@ -88,6 +130,20 @@
 	return own, own + l.others
 }
 
+// setOthers sets the recent requests of the other VMs.
+func (l *load) setOthers(requests float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.others = requests
+}
+
+// unanswered returns the number of flows in a row that were left unanswered.
+func (l *load) unanswered() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.health.unanswered
+}
+
 // begin gives a target that has just appeared the load that others have. With
 // none it would get every new flow of every VM until it had caught up, many
 // times what it can run.
--- a/core/token/router.go
+++ b/core/token/router.go
@@ -34,6 +34,8 @@
 	current atomic.Pointer[snapshot]
 	flows   *flowTable
 	counts  counts
+	// heard are the VMs heard of in each data centre.
+	heard atomic.Pointer[map[string]int]
 
 	// change is held while the snapshot is replaced.
 	change sync.Mutex
@@ -46,6 +48,7 @@
 	o.setDefaults()
 	r := &Router{o: o, flows: newFlowTable()}
 	r.current.Store(newSnapshot())
+	r.heard.Store(&map[string]int{})
 	return r
 }
 
@@ -69,6 +72,30 @@
 	r.current.Store(r.current.Load().withRegistrations(now, list, r.o.FlowMax))
 }
 
+// SetOthers tells what other VMs send to targets, and how many VMs of each data
+// centre are heard.
+//
+// A data centre without any is taken for out of reach: behind a partition its
+// targets seem idle, since nobody says what they are sent, and each new flow
+// that goes there dies.
+func (r *Router) SetOthers(others map[baobabstep.TargetID]baobabstep.TargetLoad, heard map[string]int) {
+	r.heard.Store(&heard)
+	for id, t := range r.current.Load().targets {
+		t.load.setOthers(others[id].Requests)
+	}
+}
+
+// Loads returns what this VM sends to targets.
+func (r *Router) Loads(now time.Time) []baobabstep.TargetLoad {
+	targets := r.current.Load().targets
+	list := make([]baobabstep.TargetLoad, 0, len(targets))
+	for id, t := range targets {
+		own, _ := t.load.requests(now)
+		list = append(list, baobabstep.TargetLoad{Target: id, Requests: own, Unanswered: t.load.unanswered()})
+	}
+	return list
+}
+
 // Version returns the version of the routing table in force, 0 before any.
 func (r *Router) Version() uint64 { return r.current.Load().version }
 
@@ -195,19 +222,25 @@
 
 // follow notes what a later segment says of a flow that this VM knows.
 func (r *Router) follow(now time.Time, f *flow, p *baobabstep.Segment) {
-	if f.opening || after(p.Acked, f.acked) {
+	progress := after(p.Acked, f.acked)
+	if f.opening || progress {
 		f.unanswered = false
 		f.target.load.answered()
 	}
+	if progress && !f.opening && f.timed && p.Size == 0 {
+		f.target.load.finished(now, now.Sub(f.sent))
+		f.timed = false
+	}
 	if f.opening {
 		// The first segment counted as the start of the first request.
 		f.opening, f.requestAcked = false, p.Acked
-		f.sentEnd = p.Seq
+		f.sentEnd, f.sent, f.timed = p.Seq, now, true
 	}
 	if end := p.Seq + uint32(p.Size); after(end, f.sentEnd) {
 		f.sentEnd = end
 		if p.Acked != f.requestAcked {
 			f.requestAcked = p.Acked
+			f.sent, f.timed = now, true
 			f.target.load.started(now)
 		}
 	}
--- a/directory.go
+++ b/directory.go
@@ -56,6 +56,8 @@
 type RegistrationChange struct {
 	Registration Registration
 	Gone         bool
+	// Revision is the store's when the change was made.
+	Revision Revision
 }
 
 // Revision numbers the changes of the platform's store.
@@ -79,4 +81,17 @@
 	// WatchRegistrations waits for changes after a revision; none come if
 	// nothing changed within wait.
 	WatchRegistrations(ctx context.Context, after Revision, wait time.Duration) ([]RegistrationChange, Revision, error)
+	// Secret returns the secret that the VMs of the fleet share. If there is
+	// none yet, offer becomes it, unless another VM's came first.
+	Secret(ctx context.Context, offer []byte) ([]byte, error)
+}
+
+// TargetLoad is what one VM sends to one target.
+type TargetLoad struct {
+	Target TargetID
+	// Requests are the recent ones, each weighted by its age.
+	Requests float64
+	// Unanswered is the number of flows in a row that the target left without
+	// an answer.
+	Unanswered int
 }
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -2,152 +2,172 @@
 
 import (
 	"context"
-	"math/rand/v2"
-	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/apex/log"
 	"github.com/cenkalti/backoff/v5"
 
 	"baobabstep"
+	"baobabstep/core/heartbeat"
 )
 
 const (
 	// watchWait is how long a watch waits for a change; each counts as a call.
 	watchWait = 20 * time.Second
-	// routesAge is the age at which the routing table is read again whatever
-	// the watch says: half of the time in which a table has to be in force
-	// leaves the other half for a failed call.
-	routesAge = 1500 * time.Millisecond
-	// targetsAge is the same for registrations.
-	targetsAge = 2 * time.Second
-	// firstRetry and lastRetry bound the pauses after failed calls.
-	firstRetry = 50 * time.Millisecond
-	lastRetry  = time.Second
 	// earlyEmpty is the share of its wait before which a watch that returns
 	// nothing was cut.
 	earlyEmpty = 0.9
+	// firstRetry and lastRetry bound the pauses after failed calls.
+	firstRetry = 50 * time.Millisecond
+	lastRetry  = time.Second
+	// lookInterval is how often a VM looks whether it has to read or watch: a
+	// heartbeat may have told it otherwise meanwhile.
+	lookInterval = 250 * time.Millisecond
+
+	// readerAge is the age of its beliefs, as a share of the time in which
+	// news has to be in force, at which the first VM of a data centre reads
+	// the store again whatever its watches say.
+	readerAge = 0.4
+	// otherAge is the same for the second, and rankStep is added for each VM
+	// more: they read only if the ones before them do not. The last of nine
+	// reads at 0.8, which leaves 0.6 s of 3 for a failed call.
+	otherAge = 0.55
+	rankStep = 0.03
+	lastAge  = 0.8
 )
 
-// follower keeps the router in step with the directory.
+// Sources of beliefs, as the log names them.
+const (
+	sourceStore = "store"
+	sourceWatch = "watch"
+	sourcePeer  = "peer"
+)
+
+// follower keeps the beliefs in step with the directory.
 //
 // A watch brings news within milliseconds, but is no proof that there was none:
-// while a store drops its history, a watch can pass over a change. So what was
-// read is read again at a bounded age.
+// while a store drops its history, a watch can pass over a change. So what is
+// held is read again at a bounded age, by one VM of a data centre; the others
+// hear from it, and read for themselves only if they do not.
 type follower struct {
 	node      *Node
 	directory baobabstep.Directory
-
-	randLock sync.Mutex
-	rand     *rand.Rand
-
-	// mu guards registered and listed.
-	mu         sync.Mutex
-	registered map[baobabstep.TargetID]baobabstep.Registration
 }
 
-func newFollower(n *Node) *follower {
-	return &follower{
-		node:       n,
-		directory:  n.o.Directory,
-		rand:       rand.New(rand.NewPCG(n.o.Rand.Uint64(), n.o.Rand.Uint64())),
-		registered: map[baobabstep.TargetID]baobabstep.Registration{},
-	}
-}
-
-// reading is one thing that is read, then watched, and read again.
+// reading is how one kind is read and watched.
 type reading struct {
+	kind heartbeat.Kind
 	name string
-	age  time.Duration
-	read func(ctx context.Context) (baobabstep.Revision, error)
+	// within is the time in which news has to be in force.
+	within time.Duration
+	read   func(ctx context.Context) (baobabstep.Revision, error)
 	// watch returns whether anything changed.
-	watch func(ctx context.Context, after baobabstep.Revision, wait time.Duration) (baobabstep.Revision, bool, error)
+	watch func(ctx context.Context, after baobabstep.Revision) (baobabstep.Revision, bool, error)
+	// again asks for a reading at once.
+	again chan struct{}
+	// revision is the newest of the store that this VM read itself; a watch
+	// goes on from there.
+	revision atomic.Uint64
+}
+
+func (f *follower) routes() *reading {
+	return &reading{
+		kind: heartbeat.Routes, name: "routes", within: f.node.o.Settings.Token.ConfigApply(),
+		read: f.readRoutes, watch: f.watchRoutes, again: make(chan struct{}, 1),
+	}
 }
 
-func (f *follower) followRoutes(ctx context.Context) error {
-	return f.follow(ctx, reading{name: "routes", age: routesAge, read: f.readRoutes, watch: f.watchRoutes})
+func (f *follower) targets() *reading {
+	return &reading{
+		kind: heartbeat.Targets, name: "targets", within: f.node.o.Settings.Token.Drain(),
+		read: f.readTargets, watch: f.watchTargets, again: make(chan struct{}, 1),
+	}
 }
 
-func (f *follower) followTargets(ctx context.Context) error {
-	return f.follow(ctx, reading{name: "targets", age: targetsAge, read: f.readTargets, watch: f.watchTargets})
+// due returns when a kind has to be read again.
+func (f *follower) due(now time.Time, r *reading) time.Time {
+	age := readerAge
+	if rank := f.node.board.Rank(now); rank > 0 {
+		age = min(otherAge+rankStep*float64(rank), lastAge)
+	}
+	return f.node.beliefs.get(r.kind).confirmed.Add(time.Duration(age * float64(r.within)))
 }
 
-// follow runs until ctx ends. A watch runs beside the readings; the earliest
-// news counts.
-func (f *follower) follow(ctx context.Context, r reading) error {
-	revisions := make(chan baobabstep.Revision, 1)
-	again := make(chan struct{}, 1)
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		f.watchAll(ctx, r, revisions, again)
-	}()
+// follow reads a kind whenever it is due, until ctx ends.
+func (f *follower) follow(ctx context.Context, r *reading) error {
 	pauses := newPauses()
 	lost := false
 	for ctx.Err() == nil {
+		now := f.node.clock.Now()
+		if wait := f.due(now, r).Sub(now); wait > 0 && !f.pause(ctx, min(wait, lookInterval), r.again) {
+			continue
+		}
 		revision, err := r.read(ctx)
 		if ctx.Err() != nil {
 			break
 		}
-		f.noteDependency(r.name, err, &lost)
-		wait := r.age
+		f.noteStore(r.name, err, &lost)
 		if err != nil {
-			wait = pauses.NextBackOff()
-		} else {
-			pauses.Reset()
-			offer(revisions, revision)
-		}
-		select {
-		case <-ctx.Done():
-		case <-again:
-		case <-time.After(wait):
+			f.pause(ctx, pauses.NextBackOff(), r.again)
+			continue
 		}
+		pauses.Reset()
+		r.advance(revision)
 	}
-	<-ended
 	return nil
 }
 
-// offer replaces what waits in a channel of one value.
-func offer(c chan baobabstep.Revision, r baobabstep.Revision) {
+// pause waits, and returns whether a reading was asked for meanwhile.
+func (f *follower) pause(ctx context.Context, d time.Duration, again <-chan struct{}) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
 	select {
-	case <-c:
-	default:
+	case <-ctx.Done():
+	case <-again:
+		return true
+	case <-timer.C:
 	}
-	c <- r
+	return false
 }
 
-// watchAll watches from the newest revision that was read, and asks for a new
-// reading whenever a watch ended in another way than it should.
-func (f *follower) watchAll(ctx context.Context, r reading, revisions <-chan baobabstep.Revision, again chan<- struct{}) {
-	var after baobabstep.Revision
+// watch watches a kind while this VM is the first of its data centre, until ctx
+// ends. It asks for a reading whenever a watch ended in another way than it
+// should. A watch goes on for a while after another VM became the first.
+func (f *follower) watch(ctx context.Context, r *reading) error {
+	pauses := newPauses()
 	for ctx.Err() == nil {
-		if after == 0 {
-			select {
-			case <-ctx.Done():
-				return
-			case after = <-revisions:
-			}
+		now := f.node.clock.Now()
+		after := baobabstep.Revision(r.revision.Load())
+		if after == 0 || f.node.board.Rank(now) > 0 {
+			f.pause(ctx, lookInterval, nil)
+			continue
+		}
+		next, changed, err := r.watch(ctx, after)
+		if ctx.Err() != nil {
+			break
 		}
-		began := f.node.clock.Now()
-		next, changed, err := r.watch(ctx, after, watchWait)
-		waited := f.node.clock.Now().Sub(began)
-		cut := err != nil || !changed && waited < time.Duration(earlyEmpty*float64(watchWait))
+		cut := err != nil || !changed && f.node.clock.Now().Sub(now) < time.Duration(earlyEmpty*float64(watchWait))
 		if !cut {
-			after = next
+			r.advance(next)
+			pauses.Reset()
 			continue
 		}
-		after = 0
-		drainRevisions(revisions)
-		select {
-		case again <- struct{}{}:
-		default:
-		}
+		f.askAgain(r)
+		f.pause(ctx, pauses.NextBackOff(), nil)
+	}
+	return nil
+}
+
+// advance notes a revision up to which all changes are known.
+func (r *reading) advance(to baobabstep.Revision) {
+	if uint64(to) > r.revision.Load() {
+		r.revision.Store(uint64(to))
 	}
 }
 
-func drainRevisions(c <-chan baobabstep.Revision) {
+func (f *follower) askAgain(r *reading) {
 	select {
-	case <-c:
+	case r.again <- struct{}{}:
 	default:
 	}
 }
@@ -158,8 +178,8 @@
 	return b
 }
 
-// noteDependency logs the loss and the return of the store.
-func (f *follower) noteDependency(name string, err error, lost *bool) {
+// noteStore logs the loss and the return of the store.
+func (f *follower) noteStore(name string, err error, lost *bool) {
 	switch {
 	case err != nil && !*lost:
 		f.node.log.WithError(err).WithField("reading", name).Warn("store lost")
@@ -168,76 +188,3 @@
 	}
 	*lost = err != nil
 }
-
-func (f *follower) readRoutes(ctx context.Context) (baobabstep.Revision, error) {
-	table, revision, err := f.directory.RoutingTable(ctx)
-	if err != nil {
-		return 0, err
-	}
-	f.adopt(table, revision)
-	return revision, nil
-}
-
-func (f *follower) watchRoutes(ctx context.Context, after baobabstep.Revision, wait time.Duration) (baobabstep.Revision, bool, error) {
-	table, revision, err := f.directory.WatchRoutingTable(ctx, after, wait)
-	if err != nil {
-		return 0, false, err
-	}
-	if table != nil {
-		f.adopt(table, revision)
-	}
-	return revision, table != nil, nil
-}
-
-func (f *follower) adopt(table *baobabstep.RoutingTable, revision baobabstep.Revision) {
-	if f.node.router.SetTable(f.node.clock.Now(), table) {
-		f.node.log.WithFields(log.Fields{
-			"version": table.Version, "rules": len(table.Rules), "revision": uint64(revision),
-		}).Info("routing table in force")
-	}
-}
-
-func (f *follower) readTargets(ctx context.Context) (baobabstep.Revision, error) {
-	list, revision, err := f.directory.Registrations(ctx)
-	if err != nil {
-		return 0, err
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	clear(f.registered)
-	for i := range list {
-		f.registered[list[i].ID] = list[i]
-	}
-	f.publish()
-	return revision, nil
-}
-
-func (f *follower) watchTargets(ctx context.Context, after baobabstep.Revision, wait time.Duration) (baobabstep.Revision, bool, error) {
-	changes, revision, err := f.directory.WatchRegistrations(ctx, after, wait)
-	if err != nil {
-		return 0, false, err
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for i := range changes {
-		r := changes[i].Registration
-		if changes[i].Gone {
-			delete(f.registered, r.ID)
-			continue
-		}
-		f.registered[r.ID] = r
-	}
-	if len(changes) > 0 {
-		f.publish()
-	}
-	return revision, len(changes) > 0, nil
-}
-
-// publish hands the registrations to the router.
-func (f *follower) publish() {
-	list := make([]baobabstep.Registration, 0, len(f.registered))
-	for _, r := range f.registered {
-		list = append(list, r)
-	}
-	f.node.router.SetRegistrations(f.node.clock.Now(), list)
-}
--- a/entry/node.go
+++ b/entry/node.go
@@ -6,8 +6,9 @@
 // and targets, and every other VM could serve each of its packets; so it joins
 // and leaves without handing anything over.
 //
-// Goroutines: one for each socket of packets, two that follow the directory,
-// one that ticks, one for each HTTP listener. Each reports its end to Run.
+// Goroutines: one for each socket of packets, two for each kind that is read
+// from the directory, one for what peers say, one that ticks, one for each HTTP
+// listener. Each reports its end to Run.
 package entry
 
 import (
@@ -23,6 +24,7 @@
 	"github.com/apex/log"
 
 	"baobabstep"
+	"baobabstep/core/heartbeat"
 	"baobabstep/core/token"
 	"baobabstep/io/setting"
 )
@@ -44,6 +46,8 @@
 	Directory baobabstep.Directory
 	// Segments has one value for each data goroutine.
 	Segments []baobabstep.Segments
+	// Messages carries what VMs tell each other.
+	Messages Messages
 	// ReadyHandler makes the handler of the readiness check.
 	ReadyHandler func(ready func() error) http.Handler
 	// Rand seeds the random numbers of the parts.
@@ -56,7 +60,11 @@
 	log      log.Interface
 	clock    baobabstep.Clock
 	router   *token.Router
+	beliefs  *beliefs
+	board    *heartbeat.Board
+	sharing  sharing
 	follower *follower
+	counts   counters
 	started  time.Time
 	stopping atomic.Bool
 	// lastPacket is when the fabric last sent something, in nanoseconds since
@@ -79,10 +87,21 @@
 		started: o.Clock.Now(),
 		done:    make(chan struct{}),
 	}
-	n.follower = newFollower(n)
+	n.beliefs = newBeliefs(n.router, n.log)
+	n.board = heartbeat.New(n.started, heartbeat.Options{
+		Self: o.Settings.VM().ID, DataCentre: o.Settings.DataCentre, Address: o.Settings.PeerAddress,
+		Life: uint64(n.started.UnixMilli()), Seeds: o.Settings.Seeds,
+		Rand: rand.New(rand.NewPCG(o.Rand.Uint64(), o.Rand.Uint64())),
+	})
+	n.follower = &follower{node: n, directory: o.Directory}
 	return n
 }
 
+// counters count what has no part of its own to count it.
+type counters struct {
+	malformed atomic.Uint64
+}
+
 // Done is closed when Run has returned and every part has ended.
 func (n *Node) Done() <-chan struct{} { return n.done }
 
@@ -145,10 +164,15 @@
 func (n *Node) parts(ctx context.Context, listener net.Listener) []func() error {
 	parts := []func() error{
 		func() error { return n.serveReady(ctx, listener) },
-		func() error { return n.follower.followRoutes(ctx) },
-		func() error { return n.follower.followTargets(ctx) },
+		func() error { return n.findSecret(ctx) },
+		func() error { return n.listen(ctx) },
 		func() error { return n.tick(ctx) },
 	}
+	for _, r := range []*reading{n.follower.routes(), n.follower.targets()} {
+		parts = append(parts,
+			func() error { return n.follower.follow(ctx, r) },
+			func() error { return n.follower.watch(ctx, r) })
+	}
 	for _, segments := range n.o.Segments {
 		parts = append(parts, func() error { return n.serve(ctx, segments) })
 	}
@@ -197,7 +221,9 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			n.router.Tick(n.clock.Now())
+			now := n.clock.Now()
+			n.router.Tick(now)
+			n.beat(now)
 		}
 	}
 }
@@ -208,4 +234,7 @@
 			n.log.WithError(err).Warn("close segments")
 		}
 	}
+	if err := n.o.Messages.Close(); err != nil {
+		n.log.WithError(err).Warn("close messages")
+	}
 }
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -46,14 +46,33 @@
 // NewKey makes a key from a secret of at least MinKeySize bytes, or fails with
 // CodeSettings. The secret is hashed with a label, since other protocols
 // between VMs use the same one.
-func NewKey(secret []byte) (Key, error) {
+func NewKey(secret []byte) (Key, error) { return NewLabelledKey("baobabstep datagram 1\x00", secret) }
+
+// NewLabelledKey is NewKey for another protocol over datagrams between VMs: a
+// code made for one label fits no other.
+func NewLabelledKey(label string, secret []byte) (Key, error) {
 	if len(secret) < MinKeySize {
 		return Key{}, baobabstep.Errorf(baobabstep.CodeSettings, "wire.key", "got %d bytes, want at least %d", len(secret), MinKeySize)
 	}
-	sum := sha256.Sum256(append([]byte("baobabstep datagram 1\x00"), secret...))
+	sum := sha256.Sum256(append([]byte(label), secret...))
 	return Key{binary.LittleEndian.Uint64(sum[:]), binary.LittleEndian.Uint64(sum[8:])}, nil
 }
 
+// Seal appends the code of b to it.
+func (k Key) Seal(b []byte) []byte {
+	mac := k.sum(b)
+	return append(b, mac[:]...)
+}
+
+// Open returns what stands before the code of b, or CodeUnauthenticated if the
+// code was not made with this key.
+func (k Key) Open(b []byte) ([]byte, error) {
+	if !authentic(b, []Key{k}) {
+		return nil, errUnauthenticated
+	}
+	return b[:len(b)-macSize], nil
+}
+
 func (k Key) sum(b []byte) [macSize]byte {
 	var mac [macSize]byte
 	lo, hi := siphash.Hash128(k.k0, k.k1, b)
