baobabstepd: a program of its own for VMs with token routing

Plots, fonts, WebSocket, the operators' commands and their parser are linked in and initialised by a VM that uses none of them.

Ruled out: lazy initialisation in the one program (the packages initialise themselves when they are linked).

Change: command baobabstepd links what such a VM needs; heartbeats' sockets have a package of their own, io/datagram, since io/peer links the WebSocket.

--- a/cmd/baobabstep/balance.go
+++ b/cmd/baobabstep/balance.go
@@ -12,26 +12,16 @@
 	jsonlog "github.com/apex/log/handlers/json"
 
 	"baobabstep"
-	"baobabstep/entry"
 	"baobabstep/io/packet"
 	"baobabstep/io/peer"
 	"baobabstep/io/platform"
 	"baobabstep/io/setting"
 	"baobabstep/node"
-	usersplatform "baobabstep/platform"
 )
 
 // platformSeed keeps the platform client's random numbers apart from the VM's.
 const platformSeed = 8
 
-const (
-	// entrySeed keeps the random numbers of a VM with token routing apart.
-	entrySeed = 9
-	// entryBuffer is the socket buffer asked for, in bytes: a second of the
-	// traffic of a VM that has just started and does not know its routes.
-	entryBuffer = 1 << 20
-)
-
 type balance struct {
 	Settings string `required:"" help:"Settings file (JSON); docs/SETTINGS.md lists the fields." type:"existingfile"`
 	Seed     uint64 `help:"Seed of the VM's random numbers; 0 draws one." default:"0"`
@@ -55,7 +45,7 @@
 	logger := newLogger(s.LogLevel)
 	stop, hurry := stopSignals(logger)
 	if s.Policy == setting.PolicyToken {
-		return b.runEntry(s, stop, hurry)
+		return baobabstep.Errorf(baobabstep.CodeUsage, "balance", "policy %q is served by baobabstepd", s.Policy)
 	}
 	n, err := b.build(s, logger)
 	if err != nil {
@@ -98,76 +88,6 @@
 	})
 }
 
-// runEntry runs a VM with token routing. Its log goes to standard output.
-func (b balance) runEntry(s *setting.Settings, stop, hurry context.Context) error {
-	logger := &log.Logger{Handler: jsonlog.New(os.Stdout), Level: log.MustParseLevel(s.LogLevel)}
-	n, err := b.buildEntry(s, logger)
-	if err != nil {
-		return err
-	}
-	ended := make(chan struct{})
-	reloading, cancel := context.WithCancel(context.Background())
-	go func() {
-		defer close(ended)
-		b.reload(reloading, n)
-	}()
-	err = n.Run(stop, hurry)
-	cancel()
-	<-ended
-	return err
-}
-
-// reload reads the settings again at each SIGHUP, until ctx ends. Without a
-// handler the signal would end the process.
-func (b balance) reload(ctx context.Context, n *entry.Node) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-signals:
-			s, err := setting.Read(b.Settings)
-			n.Reload(s, err)
-		}
-	}
-}
-
-// buildEntry opens the sockets and makes a VM with token routing on the users'
-// platform.
-func (b balance) buildEntry(s *setting.Settings, logger log.Interface) (*entry.Node, error) {
-	sockets, err := packet.NewSegments(
-		packet.SocketOptions{Listen: s.DataAddress, Shards: s.Shards, BufferBytes: entryBuffer},
-		usersplatform.Datagrams{CallerPort: s.DataAddress.Port()},
-	)
-	if err != nil {
-		return nil, err
-	}
-	segments := make([]baobabstep.Segments, len(sockets))
-	for i, socket := range sockets {
-		segments[i] = socket
-	}
-	store, err := usersplatform.NewStore(usersplatform.StoreOptions{
-		URL: s.PlatformURL, LocalAddress: s.DataAddress.Addr(),
-	})
-	if err != nil {
-		return nil, err
-	}
-	messages, err := peer.ListenDatagrams(s.PeerAddress)
-	if err != nil {
-		return nil, err
-	}
-	seed := b.Seed
-	if seed == 0 {
-		seed = rand.Uint64()
-	}
-	return entry.New(entry.Options{
-		Settings: s, Logger: logger, Clock: systemClock{}, Directory: store, Segments: segments, Messages: messages,
-		ReadyHandler: usersplatform.ReadyHandler, Rand: rand.New(rand.NewPCG(seed, entrySeed)),
-	}), nil
-}
-
 func newLogger(level string) log.Interface {
 	logger := &log.Logger{Handler: jsonlog.New(os.Stderr), Level: log.MustParseLevel(level)}
 	return logger
--- /dev/null
+++ b/cmd/baobabstepd/main.go
@@ -0,0 +1,144 @@
+// Command baobabstepd runs one VM with token routing on the users' platform.
+//
+// It links only what such a VM needs: a VM starts on a tenth of a core, where
+// each millisecond of initialisation is one of ten in which callers wait. The
+// operators' commands and the VMs of the other policies are those of command
+// baobabstep.
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/apex/log"
+	jsonlog "github.com/apex/log/handlers/json"
+
+	"baobabstep"
+	"baobabstep/entry"
+	"baobabstep/io/datagram"
+	"baobabstep/io/packet"
+	"baobabstep/io/setting"
+	"baobabstep/platform"
+)
+
+const (
+	// socketBuffer is the receive buffer asked for, in bytes: a second of the
+	// traffic of a VM that has just started and does not know its routes.
+	socketBuffer = 1 << 20
+	// failed is the exit status of a VM that could not start or go on.
+	failed = 1
+	// misused is that of a wrong command line.
+	misused = 2
+)
+
+// systemClock is the machine's clock. Its readings are monotonic within the
+// process, which is all that decisions use.
+type systemClock struct{}
+
+var _ baobabstep.Clock = systemClock{}
+
+// Now implements [baobabstep.Clock].
+func (systemClock) Now() time.Time { return time.Now() }
+
+func main() {
+	if len(os.Args) != 2 || os.Args[1] == "--help" {
+		fmt.Fprintln(os.Stderr, "usage: baobabstepd SETTINGS\n\nRuns one VM with token routing until SIGTERM (planned stop) or a second SIGTERM (at once).\nSIGHUP reads the settings again.")
+		os.Exit(misused)
+	}
+	if err := run(os.Args[1]); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(failed)
+	}
+}
+
+// run runs a VM with the settings at path.
+func run(path string) error {
+	s, err := setting.Read(path)
+	if err != nil {
+		return err
+	}
+	if s.Policy != setting.PolicyToken {
+		return baobabstep.Errorf(baobabstep.CodeSettings, "settings", "policy: got %q, want %q", s.Policy, setting.PolicyToken)
+	}
+	logger := &log.Logger{Handler: jsonlog.New(os.Stdout), Level: log.MustParseLevel(s.LogLevel)}
+	stop, hurry := stopSignals(logger)
+	n, err := build(s, logger)
+	if err != nil {
+		return err
+	}
+	ended := make(chan struct{})
+	reloading, cancel := context.WithCancel(context.Background())
+	go func() {
+		defer close(ended)
+		reload(reloading, path, n)
+	}()
+	err = n.Run(stop, hurry)
+	cancel()
+	<-ended
+	return err
+}
+
+// build opens the sockets and makes the VM.
+func build(s *setting.Settings, logger log.Interface) (*entry.Node, error) {
+	sockets, err := packet.NewSegments(
+		packet.SocketOptions{Listen: s.DataAddress, Shards: s.Shards, BufferBytes: socketBuffer},
+		platform.Datagrams{CallerPort: s.DataAddress.Port()},
+	)
+	if err != nil {
+		return nil, err
+	}
+	segments := make([]baobabstep.Segments, len(sockets))
+	for i, socket := range sockets {
+		segments[i] = socket
+	}
+	store, err := platform.NewStore(platform.StoreOptions{URL: s.PlatformURL, LocalAddress: s.DataAddress.Addr()})
+	if err != nil {
+		return nil, err
+	}
+	messages, err := datagram.Listen(s.PeerAddress)
+	if err != nil {
+		return nil, err
+	}
+	return entry.New(entry.Options{
+		Settings: s, Logger: logger, Clock: systemClock{}, Directory: store, Segments: segments, Messages: messages,
+		ReadyHandler: platform.ReadyHandler, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}), nil
+}
+
+// reload reads the settings again at each SIGHUP, until ctx ends. Without a
+// handler the signal would end the process.
+func reload(ctx context.Context, path string, n *entry.Node) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+			s, err := setting.Read(path)
+			n.Reload(s, err)
+		}
+	}
+}
+
+// stopSignals returns a context that ends at the first SIGTERM or interrupt,
+// and one that ends at the second.
+func stopSignals(logger log.Interface) (stop, hurry context.Context) {
+	stop, cancelStop := context.WithCancel(context.Background())
+	hurry, cancelHurry := context.WithCancel(context.Background())
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		logger.WithField("signal", (<-signals).String()).Info("stop asked for")
+		cancelStop()
+		logger.WithField("signal", (<-signals).String()).Warn("stop at once asked for")
+		cancelHurry()
+	}()
+	return stop, hurry
+}
