token: flows of dark targets are ended, and VMs tell each other at once

After a caller's reset the target counted as heard of again: what that segment acknowledges means nothing.

Change: a repeated request counts against the target as well; one that left a first segment unanswered besides, to this VM or to another of the data centre, is dark: its flows are reset while other targets are heard of. A target with repeated requests only gets the next flow, which tells in 200 ms. Heartbeats go out at once when a target leaves a flow unanswered.

--- a/core/heartbeat/board.go
+++ b/core/heartbeat/board.go
@@ -286,8 +286,9 @@
 	return from, ok
 }
 
-// Loads returns what the live VMs say of targets: the requests of all, and in
-// Unanswered the number of VMs to which the target is silent.
+// Loads returns what the live VMs say of targets: the requests of all, and the
+// most flows that any VM of the own data centre found unanswered. What VMs
+// elsewhere find may be their path to the target.
 func (b *Board) Loads(now time.Time) map[baobabstep.TargetID]baobabstep.TargetLoad {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -299,8 +300,9 @@
 		for _, l := range p.last.Loads {
 			sum := loads[l.Target]
 			sum.Requests += float64(l.Tenths) / tenths
-			if l.Unanswered > 0 {
-				sum.Unanswered++
+			if p.last.DataCentre == b.o.DataCentre {
+				sum.Unanswered = max(sum.Unanswered, int(l.Unanswered))
+				sum.Opens = max(sum.Opens, int(l.Opens))
 			}
 			loads[l.Target] = sum
 		}
@@ -308,6 +310,9 @@
 	return loads
 }
 
+// maxCount is the greatest count of flows that a Load says.
+const maxCount = 255
+
 // tenths is the number of units of Load.Tenths in a request.
 const tenths = 10
 
@@ -316,7 +321,10 @@
 func MakeLoads(own []baobabstep.TargetLoad) []Load {
 	loads := make([]Load, 0, len(own))
 	for _, l := range own {
-		load := Load{Target: l.Target, Tenths: uint32(l.Requests * tenths), Unanswered: uint8(min(l.Unanswered, 255))}
+		load := Load{
+			Target: l.Target, Tenths: uint32(l.Requests * tenths),
+			Unanswered: uint8(min(l.Unanswered, maxCount)), Opens: uint8(min(l.Opens, maxCount)),
+		}
 		if load.Tenths > 0 || load.Unanswered > 0 {
 			loads = append(loads, load)
 		}
--- a/core/heartbeat/board_test.go
+++ b/core/heartbeat/board_test.go
@@ -104,12 +104,14 @@
 
 func TestLoads(t *testing.T) {
 	b := newBoard(1)
-	for n, tenths := range map[int]uint32{2: 15, 3: 30} {
+	for n, said := range map[int]Load{2: {Tenths: 15, Unanswered: 9}, 3: {Tenths: 30, Unanswered: 1}, 5: {Unanswered: 2, Opens: 1}} {
 		h := beat(n, 1, 1)
-		h.Loads = []Load{{Target: 9, Tenths: tenths, Unanswered: 1}}
+		said.Target = 9
+		h.Loads = []Load{said}
 		b.Handle(start, address(n), h)
 	}
-	qt.Assert(t, b.Loads(start)[9], qt.Equals, baobabstep.TargetLoad{Requests: 4.5, Unanswered: 2})
+	// VM 2 stands in another data centre.
+	qt.Assert(t, b.Loads(start)[9], qt.Equals, baobabstep.TargetLoad{Requests: 4.5, Unanswered: 2, Opens: 1})
 	qt.Assert(t, b.Loads(start.Add(time.Second)), qt.HasLen, 0)
 }
 
@@ -167,7 +169,7 @@
 	}
 	var own []baobabstep.TargetLoad
 	for id := range 200 {
-		own = append(own, baobabstep.TargetLoad{Target: baobabstep.TargetID(id) + 1<<39, Requests: 6000, Unanswered: 1})
+		own = append(own, baobabstep.TargetLoad{Target: baobabstep.TargetID(id) + 1<<39, Requests: 6000, Unanswered: 255, Opens: 255})
 	}
 	h.Loads = MakeLoads(own)
 	qt.Assert(t, h.Loads, qt.HasLen, maxLoads)
--- a/core/heartbeat/message.go
+++ b/core/heartbeat/message.go
@@ -15,7 +15,7 @@
 
 // Limits of what a heartbeat carries, so that it stays below MaxMessage.
 const (
-	maxLoads = 80
+	maxLoads = 65
 	maxPeers = 4
 )
 
@@ -84,8 +84,8 @@
 	// Tenths are the recent requests, times ten.
 	Tenths uint32
 	// Unanswered is the number of flows in a row that the target left
-	// without an answer.
-	Unanswered uint8
+	// without an answer, Opens that of those whose first segment was.
+	Unanswered, Opens uint8
 }
 
 // Want asks for what the receiver holds of one kind.
--- a/core/token/choose.go
+++ b/core/token/choose.go
@@ -60,6 +60,9 @@
 // score orders targets for new flows, the best first: by the share of their
 // slots that is busy, as far as requests and their times tell.
 func (r *Router) score(now time.Time, t *target, mean float64) float64 {
+	if t.load.doubtful(now) {
+		return 0
+	}
 	_, all := t.load.requests(now)
 	perSlot := all / loadWindow.Seconds() / float64(t.registration.Slots)
 	score := perSlot * t.load.serviceTime(now, mean)
--- a/core/token/health.go
+++ b/core/token/health.go
@@ -11,6 +11,11 @@
 	// suspectAt is the number of flows in a row that a target left unanswered
 	// from which it gets no new flow. One may be a datagram that was lost.
 	suspectAt = 2
+	// darkAt is the count from which a target is taken for gone or out of
+	// reach, and its flows are ended. A repeated request counts 1, and a first
+	// segment 2; without any of those a target is never dark. It accepts a
+	// flow at once however much it has to do, while an answer may take long.
+	darkAt = 4
 	// firstTrial and lastTrial bound the time after which a suspect target
 	// gets one flow again. Each trial of a target that is still dark costs a
 	// caller 200 ms.
@@ -22,10 +27,14 @@
 // A caller that goes on after its first segment, or acknowledges more than
 // before, has heard from its target; one that repeats itself has not.
 type health struct {
-	// unanswered counts flows in a row.
-	unanswered int
-	// since is when the first of them was found unanswered.
-	since time.Time
+	// unanswered counts flows in a row, opens those among them that the
+	// target left unanswered from the first segment on.
+	unanswered, opens int
+	// others and othersOpens are the greatest such numbers that another VM of
+	// the data centre says.
+	others, othersOpens int
+	// heardAt is when the target was last heard of.
+	heardAt time.Time
 	// trialAt is when a suspect target may get one flow, pause the time until
 	// the trial after that.
 	trialAt time.Time
@@ -33,24 +42,60 @@
 }
 
 // answered notes that a target was heard of.
-func (h *health) answered() { *h = health{} }
+func (h *health) answered(now time.Time) {
+	*h = health{heardAt: now, others: h.others, othersOpens: h.othersOpens}
+}
 
 // left notes a flow that the target left unanswered.
-func (h *health) left(now time.Time) {
+func (h *health) left(now time.Time, open bool) {
 	h.unanswered++
-	if h.unanswered == 1 {
-		h.since = now
+	if open {
+		h.opens++
+	}
+	switch {
+	case h.unanswered < suspectAt || now.Before(h.trialAt):
+	case h.opens == 0:
+		h.trialAt = now // the next flow tells whether it is slow or gone
+	default:
+		h.pause = min(max(2*h.pause, firstTrial), lastTrial)
+		h.trialAt = now.Add(h.pause)
 	}
-	if h.unanswered < suspectAt || now.Before(h.trialAt) {
-		return
+}
+
+// doubtful tells whether the next new flow should go to the target: requests
+// are unanswered, and whether it accepts flows is not known yet. A dark target
+// is so found out in 200 ms, and its flows can be ended.
+func (h *health) doubtful(now time.Time) bool {
+	return h.unanswered >= suspectAt && h.opens == 0 && !now.Before(h.trialAt) && h.othersOpens == 0
+}
+
+// freshAnswer is how long ago a target may have been heard of for the word of
+// other VMs against it to be ignored: their callers' copies are 200 ms old.
+const freshAnswer = 200 * time.Millisecond
+
+// believed returns what other VMs of the data centre say of the target, as far
+// as this one has not heard of it since.
+func (h *health) believed(now time.Time) (unanswered, opens int) {
+	if now.Sub(h.heardAt) < freshAnswer {
+		return 0, 0
 	}
-	h.pause = min(max(2*h.pause, firstTrial), lastTrial)
-	h.trialAt = now.Add(h.pause)
+	return h.others, h.othersOpens
 }
 
 // suspect tells whether new flows should avoid the target.
 func (h *health) suspect(now time.Time) bool {
-	return h.unanswered >= suspectAt && now.Before(h.trialAt)
+	others, _ := h.believed(now)
+	return h.unanswered+others >= suspectAt && (h.unanswered < suspectAt || now.Before(h.trialAt))
+}
+
+// dark tells whether the target is gone or out of reach. The word of others
+// counts as much as one first segment at most, and only beside an own flow.
+func (h *health) dark(now time.Time) bool {
+	others, othersOpens := h.believed(now)
+	if h.unanswered == 0 || h.opens+othersOpens == 0 {
+		return false
+	}
+	return h.unanswered+h.opens+min(others+othersOpens, darkAt/2) >= darkAt
 }
 
 // tried notes that a target gets a flow: a suspect one gets no other until it
--- a/core/token/health_test.go
+++ b/core/token/health_test.go
@@ -94,3 +94,118 @@
 	}
 	open(t, r, start.Add(300*time.Millisecond), flowFrom(99, fixtures))
 }
+
+// A target dies with long flows on it. Their callers would wait for an answer
+// until their time limits, and find out only then. Once two first segments were
+// left unanswered while other targets answer, the flows are reset at once.
+func TestFlowsOfDarkTargetAreEnded(t *testing.T) {
+	r := newRouter(t)
+	r.SetRegistrations(start, manyTargets(2))
+	established := map[baobabstep.TargetID]baobabstep.Segment{}
+	for port := uint16(1); len(established) < 2; port++ {
+		key := flowFrom(port, fixtures)
+		target, token := open(t, r, start, key)
+		established[target] = data(key, token)
+		handle(r, start, data(key, token))
+	}
+	now := start.Add(200 * time.Millisecond)
+	for port := uint16(100); !r.current.Load().targets[1].load.dark(now); port++ {
+		key := flowFrom(port, fixtures)
+		if target, _ := open(t, r, now, key); target == 1 {
+			now = now.Add(200 * time.Millisecond)
+			handle(r, now, baobabstep.Segment{Kind: baobabstep.KindOpen, Flow: key, Seq: firstSeq, Acked: 1})
+		}
+	}
+	next := established[1]
+	next.Seq += 100
+	t.Run("not while this VM hears nothing at all", func(t *testing.T) {
+		assertPassed(t, r, now.Add(hearingFor), next, 1)
+	})
+	heard := established[2]
+	heard.Acked += 100
+	assertPassed(t, r, now, heard, 2)
+	assertReset(t, r, now, next)
+	t.Run("and not once the target is heard of again", func(t *testing.T) {
+		r.current.Load().targets[1].load.answered(now)
+		assertPassed(t, r, now, next, 1)
+	})
+}
+
+// A target is overloaded: it accepts flows at once, but its answers take longer
+// than the 200 ms after which callers repeat their requests. Its flows are alive
+// and must not be reset, however many requests are repeated between its answers.
+func TestSlowAnswersEndNoFlow(t *testing.T) {
+	r := newRouter(t)
+	r.SetRegistrations(start, manyTargets(2))
+	var segments []baobabstep.Segment
+	for port := range uint16(40) {
+		key := flowFrom(port+1, fixtures)
+		_, token := open(t, r, start, key)
+		s := data(key, token)
+		handle(r, start, s)
+		segments = append(segments, s)
+	}
+	now := start
+	for round := range 20 {
+		now = now.Add(250 * time.Millisecond)
+		for i := range segments {
+			s := &segments[i]
+			if (i+round)%3 == 0 { // every third is answered by now and goes on
+				s.Acked += 600
+				s.Seq += uint32(s.Size)
+			}
+			out := handle(r, now, *s)
+			qt.Assert(t, out[0].Target, qt.Not(qt.Equals), baobabstep.TargetID(0), qt.Commentf("round %d, flow %d", round, i))
+		}
+	}
+}
+
+// A caller gives up and resets its flow. What that segment acknowledges means
+// nothing; taken for an answer, it made dark targets seem alive again.
+func TestCallersResetIsNoAnswer(t *testing.T) {
+	r := newRouter(t)
+	key := flowFrom(1, results)
+	_, token := open(t, r, start, key)
+	handle(r, start, data(key, token))
+	load := r.current.Load().targets[3].load
+	load.left(start, true)
+	gone := data(key, token)
+	gone.Kind, gone.Acked = baobabstep.KindReset, gone.Acked+5
+	handle(r, start, gone)
+	flows, _ := load.unanswered()
+	qt.Assert(t, flows, qt.Equals, 1)
+}
+
+// Each VM of a data centre sees a few flows of a silent target. One own flow and
+// the word of another VM have to be enough, and the word of others alone keeps
+// new flows away; but what this VM hears itself goes first.
+func TestWordOfOtherVMs(t *testing.T) {
+	now := start.Add(time.Second)
+	for _, test := range []struct {
+		name          string
+		own, others   int
+		heard         bool
+		suspect, dark bool
+	}{
+		{"one own", 1, 0, false, false, false},
+		{"one own, one of another VM", 1, 1, false, true, true},
+		{"one own, two of another VM", 1, 2, false, true, true},
+		{"two own", 2, 0, false, true, true},
+		{"two of another VM", 0, 2, false, true, false},
+		{"two of another VM, but heard here", 0, 2, true, false, false},
+		{"one of another VM", 0, 1, false, false, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var h health
+			h.others, h.othersOpens = test.others, test.others
+			for range test.own {
+				h.left(now, true)
+			}
+			if test.heard {
+				h.answered(now)
+			}
+			qt.Check(t, h.suspect(now), qt.Equals, test.suspect)
+			qt.Check(t, h.dark(now), qt.Equals, test.dark)
+		})
+	}
+}
--- a/core/token/load.go
+++ b/core/token/load.go
@@ -5,6 +5,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"baobabstep"
 )
 
 // loadWindow is the time over which requests count as load. It is long against
@@ -68,17 +70,18 @@
 }
 
 // answered notes that the target was heard of.
-func (l *load) answered() {
+func (l *load) answered(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.health.answered()
+	l.health.answered(now)
 }
 
-// left notes a flow that the target left unanswered.
-func (l *load) left(now time.Time) {
+// left notes a flow that the target left unanswered, from its first segment on
+// if open is set.
+func (l *load) left(now time.Time, open bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.health.left(now)
+	l.health.left(now, open)
 }
 
 // suspect tells whether new flows should avoid the target.
@@ -88,6 +91,20 @@
 	return l.health.suspect(now)
 }
 
+// dark tells whether the target is gone or out of reach.
+func (l *load) dark(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.health.dark(now)
+}
+
+// heardAt returns when the target was last heard of.
+func (l *load) heardAt() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.health.heardAt
+}
+
 // meter counts events, each with a weight that fades over loadWindow.
 type meter struct {
 	value float64
@@ -130,18 +147,27 @@
 	return own, own + l.others
 }
 
-// setOthers sets the recent requests of the other VMs.
-func (l *load) setOthers(requests float64) {
+// setOthers sets what other VMs say of the target.
+func (l *load) setOthers(said baobabstep.TargetLoad) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.others = said.Requests
+	l.health.others, l.health.othersOpens = said.Unanswered, said.Opens
+}
+
+// unanswered returns the numbers of flows in a row that were left unanswered,
+// and of those that were from their first segment on.
+func (l *load) unanswered() (flows, opens int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.others = requests
+	return l.health.unanswered, l.health.opens
 }
 
-// unanswered returns the number of flows in a row that were left unanswered.
-func (l *load) unanswered() int {
+// doubtful tells whether the next new flow should go to the target.
+func (l *load) doubtful(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.health.unanswered
+	return l.health.doubtful(now)
 }
 
 // begin gives a target that has just appeared the load that others have. With
--- a/core/token/router.go
+++ b/core/token/router.go
@@ -37,6 +37,8 @@
 	// heard are the VMs heard of in each data centre.
 	heard atomic.Pointer[map[string]int]
 
+	troubled chan struct{}
+
 	// change is held while the snapshot is replaced.
 	change sync.Mutex
 	// drawLock guards Options.Rand.
@@ -46,7 +48,7 @@
 // New returns a router that knows no routes and no targets.
 func New(o Options) *Router {
 	o.setDefaults()
-	r := &Router{o: o, flows: newFlowTable()}
+	r := &Router{o: o, flows: newFlowTable(), troubled: make(chan struct{}, 1)}
 	r.current.Store(newSnapshot())
 	r.heard.Store(&map[string]int{})
 	return r
@@ -81,7 +83,7 @@
 func (r *Router) SetOthers(others map[baobabstep.TargetID]baobabstep.TargetLoad, heard map[string]int) {
 	r.heard.Store(&heard)
 	for id, t := range r.current.Load().targets {
-		t.load.setOthers(others[id].Requests)
+		t.load.setOthers(others[id])
 	}
 }
 
@@ -91,7 +93,8 @@
 	list := make([]baobabstep.TargetLoad, 0, len(targets))
 	for id, t := range targets {
 		own, _ := t.load.requests(now)
-		list = append(list, baobabstep.TargetLoad{Target: id, Requests: own, Unanswered: t.load.unanswered()})
+		flows, opens := t.load.unanswered()
+		list = append(list, baobabstep.TargetLoad{Target: id, Requests: own, Unanswered: flows, Opens: opens})
 	}
 	return list
 }
@@ -181,12 +184,25 @@
 	}
 	if !f.unanswered {
 		f.unanswered = true
-		f.target.load.left(now)
+		r.left(now, f.target, true)
 	}
 	present := s.targets[f.target.id]
 	return present == nil || !present.choosable() || f.target.load.suspect(now)
 }
 
+// left counts a flow against its target.
+func (r *Router) left(now time.Time, t *target, open bool) {
+	t.load.left(now, open)
+	select {
+	case r.troubled <- struct{}{}:
+	default:
+	}
+}
+
+// Troubled yields a value when a target left a flow unanswered: the other VMs of
+// the data centre should hear of it at once.
+func (r *Router) Troubled() <-chan struct{} { return r.troubled }
+
 // pass sends a later packet to the target that its token names.
 func (r *Router) pass(now time.Time, s *snapshot, route *rule, h flowHash, p *baobabstep.Segment, out *[]baobabstep.Forward) {
 	t := s.find(now, route, h, p.Token)
@@ -198,10 +214,37 @@
 	shard.mu.Lock()
 	r.note(now, shard, t, p)
 	shard.mu.Unlock()
+	if p.Kind != baobabstep.KindReset && r.outOfReach(now, s, t) {
+		r.counts.ended.Add(1)
+		reset(p, out)
+		return
+	}
 	r.counts.passed.Add(1)
 	send(t, h, p, out)
 }
 
+// hearingFor is how long ago another target of the service may have been heard
+// of for this VM to trust that it hears at all.
+const hearingFor = 500 * time.Millisecond
+
+// outOfReach tells whether the flows of a target should be ended, so that their
+// callers try again elsewhere while they have time. Without that they wait for
+// an answer until their time limits.
+//
+// It is the target that is silent, not this VM that hears nothing, if another
+// target of the service was heard of just now.
+func (r *Router) outOfReach(now time.Time, s *snapshot, t *target) bool {
+	if !t.load.dark(now) {
+		return false
+	}
+	for _, other := range s.pools[t.registration.Service].targets {
+		if other != t && !other.load.dark(now) && now.Sub(other.load.heardAt()) < hearingFor {
+			return true
+		}
+	}
+	return false
+}
+
 // note keeps the record of a flow in step with a later packet.
 func (r *Router) note(now time.Time, shard *shard, t *target, p *baobabstep.Segment) {
 	f := shard.flows[p.Flow]
@@ -210,7 +253,7 @@
 		shard.add(p.Flow, &flow{target: t, heard: now, acked: p.Acked, requestAcked: p.Acked, sentEnd: p.Seq + uint32(p.Size)})
 	case f.target.id != t.id:
 		// The flow was opened at another target than this VM sent it to last.
-		t.load.answered()
+		t.load.answered(now)
 		shard.add(p.Flow, &flow{target: t, heard: now, acked: p.Acked, requestAcked: p.Acked, sentEnd: p.Seq + uint32(p.Size)})
 	default:
 		r.follow(now, f, p)
@@ -222,10 +265,11 @@
 
 // follow notes what a later segment says of a flow that this VM knows.
 func (r *Router) follow(now time.Time, f *flow, p *baobabstep.Segment) {
-	progress := after(p.Acked, f.acked)
+	// What a caller's reset acknowledges is not said anywhere.
+	progress := p.Kind != baobabstep.KindReset && after(p.Acked, f.acked)
 	if f.opening || progress {
 		f.unanswered = false
-		f.target.load.answered()
+		f.target.load.answered(now)
 	}
 	if progress && !f.opening && f.timed && p.Size == 0 {
 		f.target.load.finished(now, now.Sub(f.sent))
@@ -233,7 +277,7 @@
 	}
 	if f.opening {
 		// The first segment counted as the start of the first request.
-		f.opening, f.requestAcked = false, p.Acked
+		f.opening, f.acked, f.requestAcked = false, p.Acked, p.Acked
 		f.sentEnd, f.sent, f.timed = p.Seq, now, true
 	}
 	if end := p.Seq + uint32(p.Size); after(end, f.sentEnd) {
@@ -243,8 +287,14 @@
 			f.sent, f.timed = now, true
 			f.target.load.started(now)
 		}
+	} else if p.Size > 0 && !progress && !f.unanswered && now.Sub(f.sent) >= copyAfter {
+		f.unanswered = true
+		r.left(now, f.target, false)
+	}
+	f.heard = now
+	if progress {
+		f.acked = p.Acked
 	}
-	f.heard, f.acked = now, p.Acked
 }
 
 // after tells whether number a follows b, both modulo 2^32.
--- a/directory.go
+++ b/directory.go
@@ -92,6 +92,6 @@
 	// Requests are the recent ones, each weighted by its age.
 	Requests float64
 	// Unanswered is the number of flows in a row that the target left without
-	// an answer.
-	Unanswered int
+	// an answer, Opens that of those whose first segment was.
+	Unanswered, Opens int
 }
--- a/entry/node.go
+++ b/entry/node.go
@@ -34,6 +34,9 @@
 	batchSize = 64
 	// tickInterval drives timeouts.
 	tickInterval = 100 * time.Millisecond
+	// troubleInterval is the least time between two heartbeats about targets
+	// that leave flows unanswered. Dozens of flows find that in one moment.
+	troubleInterval = 20 * time.Millisecond
 	// headerTimeout bounds the reading of a readiness check.
 	headerTimeout = 2 * time.Second
 )
@@ -220,6 +223,9 @@
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-n.router.Troubled():
+			n.announce()
+			n.follower.pause(ctx, troubleInterval, nil)
 		case <-ticker.C:
 			now := n.clock.Now()
 			n.router.Tick(now)
--- a/entry/share.go
+++ b/entry/share.go
@@ -90,6 +90,9 @@
 	if !n.board.Handle(now, from, h) {
 		return
 	}
+	if h.DataCentre == n.o.Settings.DataCentre {
+		n.router.SetOthers(n.board.Loads(now), n.board.Live(now))
+	}
 	for _, kind := range []heartbeat.Kind{heartbeat.Routes, heartbeat.Targets} {
 		held := n.beliefs.get(kind)
 		if age, ok := n.board.Confirmed(now, kind, held.sum); ok && held.version > 0 {
