entry: fewer calls: gathered watches, confirmed tables, patient starts

Cause: traced by call: in a configuration storm every VM read the table again after each change (a table that a watch brought had no age); at the start each registration woke the watch; VMs asked for a table that the store did not have.

Ruled out: readings at their ages (a third of the calls, needed).

Change: a table from a watch counts as confirmed when it came; 100 ms between two watches; 0.5 s after "no table yet", 1 s for all but the first VM.

--- a/entry/follow.go
+++ b/entry/follow.go
@@ -17,6 +17,12 @@
 	// earlyEmpty is the share of its wait before which a watch that returns
 	// nothing was cut.
 	earlyEmpty = 0.9
+	// gatherTime is the pause between two watches. Changes come in bursts, as
+	// when a service is released; together they cost one call.
+	gatherTime = 100 * time.Millisecond
+	// absentRetry is the pause after the store said that there is no routing
+	// table yet.
+	absentRetry = 500 * time.Millisecond
 	// firstRetry and lastRetry bound the pauses after failed calls.
 	firstRetry = 50 * time.Millisecond
 	lastRetry  = time.Second
@@ -130,7 +136,7 @@
 		}
 		f.noteStore(r, err, &lost)
 		if err != nil {
-			f.pause(ctx, pauses.NextBackOff(), r.again)
+			f.pause(ctx, f.retryPause(now, err, pauses.NextBackOff()), r.again)
 			continue
 		}
 		pauses.Reset()
@@ -139,6 +145,19 @@
 	return nil
 }
 
+// retryPause returns how long to wait after a failed reading. A store that has
+// nothing yet is asked by the first VM; the others hear from it, and ask seldom.
+func (f *follower) retryPause(now time.Time, err error, otherwise time.Duration) time.Duration {
+	switch {
+	case baobabstep.CodeOf(err) != baobabstep.CodeNotFound:
+		return otherwise
+	case f.node.board.Rank(now).First():
+		return absentRetry
+	default:
+		return 2 * absentRetry
+	}
+}
+
 // pause waits, and returns whether a reading was asked for meanwhile.
 func (f *follower) pause(ctx context.Context, d time.Duration, again <-chan struct{}) bool {
 	timer := time.NewTimer(d)
@@ -171,6 +190,7 @@
 		if !cut {
 			r.advance(next)
 			pauses.Reset()
+			f.pause(ctx, gatherTime, nil)
 			continue
 		}
 		f.askAgain(r)
@@ -202,6 +222,9 @@
 // noteStore logs the loss and the return of the store, and lets the others know:
 // another VM has to read in this one's place.
 func (f *follower) noteStore(r *reading, err error, lost *bool) {
+	if baobabstep.CodeOf(err) == baobabstep.CodeNotFound {
+		err = nil // it answered
+	}
 	changed := *lost != (err != nil)
 	*lost = err != nil
 	f.node.blind[r.kind].Store(*lost)
--- a/entry/read.go
+++ b/entry/read.go
@@ -20,7 +20,9 @@
 	if err != nil || table == nil {
 		return revision, false, err
 	}
-	return revision, true, f.node.learnRoutes(table, origin{source: sourceWatch})
+	// The table was the newest when the watch returned, like one that is read;
+	// what the watch may have passed over comes with the next reading.
+	return revision, true, f.node.learnRoutes(table, origin{source: sourceWatch, confirmed: f.node.clock.Now()})
 }
 
 func (f *follower) readTargets(ctx context.Context) (baobabstep.Revision, error) {
