--- /dev/null
+++ b/soak/fault.go
@@ -0,0 +1,217 @@
+package soak
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"syscall"
+	"time"
+
+	"baobabstep/platform/standin"
+)
+
+// Fault is one kind of trouble.
+type Fault struct {
+	Name string
+	// uneasy faults may make news late.
+	uneasy bool
+	run    func(ctx context.Context, f *fleet, random *rand.Rand)
+}
+
+// Faults are all kinds, by name.
+var Faults = []Fault{
+	{"vm_kill", true, func(_ context.Context, f *fleet, r *rand.Rand) { f.anyVM(r).current().signal(syscall.SIGKILL, true) }},
+	{"vm_stop", false, func(_ context.Context, f *fleet, r *rand.Rand) { f.anyVM(r).current().signal(syscall.SIGTERM, true) }},
+	{"vm_pause", true, pauseVM},
+	{"vm_hup", false, func(_ context.Context, f *fleet, r *rand.Rand) { f.anyVM(r).current().signal(syscall.SIGHUP, false) }},
+	{"all_kill", true, func(_ context.Context, f *fleet, _ *rand.Rand) {
+		for _, v := range f.vms {
+			v.current().signal(syscall.SIGKILL, true)
+		}
+	}},
+	{"target_dark", false, darkTarget},
+	{"target_drain", false, drainTarget},
+	{"target_join", false, joinTarget},
+	{"target_replace", false, replaceTarget},
+	{"store_refuse", true, storeFault(standin.FaultRefuse)},
+	{"store_busy", true, storeFault(standin.FaultBusy)},
+	{"store_silent", true, storeFault(standin.FaultSilent)},
+	{"store_lost_answers", true, storeFault(standin.FaultLostAnswers)},
+	{"store_compact", true, compactStore},
+	{"link_reset", true, linkTrouble(linkReset)},
+	{"link_silent", true, linkTrouble(linkSilent)},
+	{"link_one_way", true, linkTrouble(linkOneWay)},
+	{"link_slow", true, linkTrouble(linkSlow)},
+	{"config_change", false, changeRoutes},
+}
+
+// faultNamed returns a fault, nil if there is none of that name.
+func faultNamed(name string) *Fault {
+	i := slices.IndexFunc(Faults, func(f Fault) bool { return f.Name == name })
+	if i < 0 {
+		return nil
+	}
+	return &Faults[i]
+}
+
+func (f *fleet) anyVM(r *rand.Rand) *vm { return f.vms[r.IntN(len(f.vms))] }
+
+// faultTime is how long a fault that ends lasts.
+func faultTime(r *rand.Rand) time.Duration {
+	return time.Duration(500+r.IntN(3000)) * time.Millisecond
+}
+
+func pauseVM(ctx context.Context, f *fleet, r *rand.Rand) {
+	p := f.anyVM(r).current()
+	p.signal(syscall.SIGSTOP, false)
+	sleep(ctx, faultTime(r))
+	p.signal(syscall.SIGCONT, false)
+}
+
+// anyTarget returns a target whose service keeps another one, nil if none.
+func (f *fleet) anyTarget(r *rand.Rand) *target {
+	live := f.live()
+	r.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	for _, t := range live {
+		same := 0
+		for _, other := range live {
+			if other.registration.Service == t.registration.Service {
+				same++
+			}
+		}
+		if same > 2 {
+			return t
+		}
+	}
+	return nil
+}
+
+func (f *fleet) mark(t *target, change func(now time.Time)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.judge.mu.Lock()
+	defer f.judge.mu.Unlock()
+	change(time.Now())
+	t.disturbed = time.Now()
+}
+
+func darkTarget(ctx context.Context, f *fleet, r *rand.Rand) {
+	t := f.anyTarget(r)
+	if t == nil {
+		return
+	}
+	f.mark(t, func(time.Time) {})
+	t.SetDark(true)
+	sleep(ctx, faultTime(r))
+	t.SetDark(false)
+	f.mark(t, func(time.Time) {})
+}
+
+func drainTarget(ctx context.Context, f *fleet, r *rand.Rand) {
+	t := f.anyTarget(r)
+	if t == nil {
+		return
+	}
+	t.registration.Draining = true
+	f.store.Register(t.registration)
+	f.mark(t, func(now time.Time) { t.leaving = now })
+	sleep(ctx, newsBound+time.Second)
+	f.leave(t)
+}
+
+// leave ends a target.
+func (f *fleet) leave(t *target) {
+	f.store.Deregister(t.registration.ID)
+	f.mark(t, func(time.Time) { t.gone = true })
+	t.Close()
+}
+
+func joinTarget(_ context.Context, f *fleet, r *rand.Rand) {
+	f.mu.Lock()
+	n := len(f.targets) + 1
+	f.mu.Unlock()
+	if n < 250 {
+		if err := f.addTarget(n, services[r.IntN(len(services))], dataCentres[r.IntN(len(dataCentres))]); err != nil {
+			f.judge.note("a target could not start: %v", err)
+		}
+	}
+}
+
+// replaceTarget ends a target without notice and gives its address to a target
+// of the other service.
+func replaceTarget(ctx context.Context, f *fleet, r *rand.Rand) {
+	t := f.anyTarget(r)
+	if t == nil {
+		return
+	}
+	f.mark(t, func(now time.Time) { t.leaving = now })
+	f.leave(t)
+	sleep(ctx, 2*time.Second)
+	other := services[0]
+	if t.registration.Service == other {
+		other = services[1]
+	}
+	n := int(t.registration.Address.Addr().As4()[3])
+	if err := f.addTarget(n, other, t.registration.DataCentre); err != nil {
+		f.judge.note("a target could not take over an address: %v", err)
+	}
+}
+
+func storeFault(fault standin.Fault) func(context.Context, *fleet, *rand.Rand) {
+	return func(ctx context.Context, f *fleet, r *rand.Rand) {
+		f.store.SetFault(fault)
+		sleep(ctx, faultTime(r))
+		f.store.SetFault(standin.FaultNone)
+		f.judge.uneasy(time.Now())
+	}
+}
+
+func compactStore(ctx context.Context, f *fleet, _ *rand.Rand) {
+	f.store.Hush()
+	sleep(ctx, time.Second)
+	f.store.Compact()
+	f.judge.uneasy(time.Now())
+}
+
+func linkTrouble(fault linkFault) func(context.Context, *fleet, *rand.Rand) {
+	return func(ctx context.Context, f *fleet, r *rand.Rand) {
+		v := f.anyVM(r)
+		v.link.set(fault)
+		sleep(ctx, faultTime(r))
+		v.link.set(linkFine)
+		f.judge.uneasy(time.Now())
+	}
+}
+
+// changeRoutes adds an address, checks that it is served in time, drops it, and
+// checks that it is not served any more.
+func changeRoutes(ctx context.Context, f *fleet, r *rand.Rand) {
+	f.mu.Lock()
+	address := serviceAddress(10 + int(f.version)%200)
+	service := services[r.IntN(len(services))]
+	f.judge.route(address, service)
+	f.routes = append(f.routes, standin.Route{Address: address, Service: service})
+	f.putRoutes()
+	f.mu.Unlock()
+	sleep(ctx, newsBound)
+	f.checkRoute(ctx, address, standin.Answered, "an added route")
+	f.mu.Lock()
+	f.routes = slices.DeleteFunc(f.routes, func(x standin.Route) bool { return x.Address == address })
+	f.putRoutes()
+	f.mu.Unlock()
+	sleep(ctx, newsBound)
+	f.checkRoute(ctx, address, standin.Refused, "a dropped route")
+}
+
+// checkRoute opens a flow from each caller and compares how it ends.
+func (f *fleet) checkRoute(ctx context.Context, address netip.AddrPort, want standin.Outcome, what string) {
+	for _, c := range f.callers {
+		easy := f.judge.easy(time.Now())
+		flow, got := c.Open(ctx, address)
+		flow.Close()
+		if got != want && easy && ctx.Err() == nil && got != standin.TimedOut {
+			f.judge.note("%s: a flow to %v ended with outcome %d, want %d", what, address, got, want)
+		}
+	}
+}
