logs, entry: a line for each decision, metrics, and the operators' page

Cause: when a request fails the on-call engineers have logs and metrics alone; the VM logged what it believed and nothing of what it decided.

Ruled out: a line for each segment (the token alone decides those); the request's own id (it stands in bytes that a VM does not read; the page says how the flow ties the two).

Change: the router records placements, repetitions, moves, refusals, ends, unknown tokens and what it thinks of targets, with versions, ages and evidence; io/logs bounds each class to 100 lines a second, never waits and counts what it drops; metrics with two histograms are set up once the VM forwards; docs/OPERATIONS.md goes from a flow to its cause for three failures, each brought about by a test that looks for the lines of the page. Whole-path tests of entry: planned stop, silent watch, start while the store refuses a VM. The check of cited log lines also knows the names of decisions, which stand as line comments of their enum.

--- a/cmd/baobabstepd/main.go
+++ b/cmd/baobabstepd/main.go
@@ -22,6 +22,7 @@
 	"baobabstep"
 	"baobabstep/entry"
 	"baobabstep/io/datagram"
+	"baobabstep/io/logs"
 	"baobabstep/io/packet"
 	"baobabstep/io/setting"
 	"baobabstep/platform"
@@ -71,9 +72,11 @@
 	if s.Policy != setting.PolicyToken {
 		return baobabstep.Errorf(baobabstep.CodeSettings, "settings", "policy: got %q, want %q", s.Policy, setting.PolicyToken)
 	}
-	logger := &log.Logger{Handler: jsonlog.New(os.Stdout), Level: log.MustParseLevel(s.LogLevel)}
+	lines := logs.New(os.Stdout)
+	defer lines.Close()
+	logger := &log.Logger{Handler: jsonlog.New(lines), Level: log.MustParseLevel(s.LogLevel)}
 	stop, hurry := stopSignals(logger)
-	n, err := build(s, logger)
+	n, err := build(s, logger, lines)
 	if err != nil {
 		return err
 	}
@@ -90,7 +93,7 @@
 }
 
 // build opens the sockets and makes the VM.
-func build(s *setting.Settings, logger log.Interface) (*entry.Node, error) {
+func build(s *setting.Settings, logger log.Interface, lines *logs.Writer) (*entry.Node, error) {
 	sockets, err := packet.NewSegments(
 		packet.SocketOptions{Listen: s.DataAddress, Shards: s.Shards, BufferBytes: socketBuffer},
 		platform.Datagrams{CallerPort: s.DataAddress.Port()},
@@ -111,7 +114,7 @@
 		return nil, err
 	}
 	return entry.New(entry.Options{
-		Settings: s, Logger: logger, Clock: systemClock{}, Directory: store, Segments: segments, Messages: messages,
+		Settings: s, Logger: logger, Clock: systemClock{}, Directory: store, Segments: segments, Messages: messages, LogLimits: lines,
 		ReadyHandler: platform.ReadyHandler, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}), nil
 }
--- /dev/null
+++ b/core/token/event.go
@@ -0,0 +1,117 @@
+package token
+
+import (
+	"fmt"
+	"time"
+
+	"baobabstep"
+)
+
+// EventKind says what was decided.
+type EventKind uint8
+
+// Kinds of events. The comment of each is its name in logs and metrics.
+const (
+	// EventPlaced: a new flow was sent to a target chosen for it.
+	EventPlaced EventKind = iota // flow_placed
+	// EventRepeated: the copy of a first segment followed the first one.
+	EventRepeated // flow_repeated
+	// EventMoved: the copy of a first segment went to another target.
+	EventMoved // flow_moved
+	// EventRefused: no target could take a new flow; the caller was reset.
+	EventRefused // flow_refused
+	// EventUnrouted: the address has no route; the caller was reset.
+	EventUnrouted // flow_unrouted
+	// EventEnded: the flow's target is out of reach; the caller was reset.
+	EventEnded // flow_ended
+	// EventUnknown: no target gives the flow's token; the segment was dropped.
+	EventUnknown // token_unknown
+	// EventUnready: routes or targets are not known yet; dropped.
+	EventUnready // segment_unready
+	// EventSilent: a target left a flow unanswered.
+	EventSilent // target_silent
+	// EventHeard: a target that was silent is heard of again.
+	EventHeard // target_heard
+	numEvents
+)
+
+// Event is one decision, with what decided it.
+type Event struct {
+	Kind EventKind
+	// Flow and Seq name the flow: its two ends, and the number of the segment.
+	Flow baobabstep.FlowKey
+	Seq  uint32
+	// Rule and Service are those of the flow, Version that of the routing
+	// table in force.
+	Rule, Service string
+	Version       uint64
+	// Known, Draining and Gone count the targets of the service, where none
+	// could take a new flow.
+	Known, Draining, Gone int
+	// Target is 0 if there is none, DataCentre is the target's.
+	Target     baobabstep.TargetID
+	DataCentre string
+	// Requests are the recent requests at the target, of all VMs.
+	Requests float64
+	// Unanswered and Opens are what stood against the target here, Others what
+	// other VMs of the data centre said.
+	Unanswered, Opens, Others int
+	// Heard is how long ago the target was heard of; negative if never.
+	Heard time.Duration
+}
+
+// FlowName returns the name of a flow in logs: its caller and the service address.
+func (e *Event) FlowName() string {
+	return fmt.Sprintf("%v/%v", e.Flow.Caller, e.Flow.Service)
+}
+
+// Recorder takes in events. It is called with a lock held and must not block.
+type Recorder func(now time.Time, e *Event)
+
+// about returns an event about a flow and a target, with what is known of both.
+func (r *Router) about(now time.Time, kind EventKind, s *snapshot, route *rule, t *target, p *baobabstep.Segment) *Event {
+	e := &Event{Kind: kind, Version: s.version}
+	if p != nil {
+		e.Flow, e.Seq = p.Flow, p.Seq
+	}
+	if route != nil {
+		e.Rule = route.name
+	}
+	if kind == EventRefused {
+		e.countTargets(s, route)
+	}
+	if t != nil {
+		e.Target, e.Service, e.DataCentre = t.id, t.registration.Service, t.registration.DataCentre
+		_, e.Requests = t.load.requests(now)
+		e.Unanswered, e.Opens, e.Others, e.Heard = t.load.evidence(now)
+	}
+	return e
+}
+
+// countTargets says why a rule had no target for a new flow.
+func (e *Event) countTargets(s *snapshot, route *rule) {
+	for _, share := range route.shares {
+		e.Service = share.Service
+		p := s.pools[share.Service]
+		if p == nil {
+			continue
+		}
+		for _, t := range p.targets {
+			switch {
+			case !t.missingSince.IsZero():
+				e.Gone++
+			case t.registration.Draining:
+				e.Draining++
+			}
+			e.Known++
+		}
+	}
+}
+
+// record counts an event and hands it to the recorder.
+func (r *Router) record(now time.Time, kind EventKind, s *snapshot, route *rule, t *target, p *baobabstep.Segment) {
+	r.counts.events[kind].Add(1)
+	if r.o.Record != nil && r.o.Wanted(now, kind) {
+		r.o.Record(now, r.about(now, kind, s, route, t, p))
+	}
+}
--- /dev/null
+++ b/core/token/generate.go
@@ -0,0 +1,3 @@
+package token
+
+//go:generate stringer -type=EventKind -linecomment -output=event_string.go
--- a/core/token/load.go
+++ b/core/token/load.go
@@ -69,11 +69,14 @@
 	return l.took, !l.tookAt.IsZero() && now.Sub(l.tookAt) < tookFade
 }
 
-// answered notes that the target was heard of.
-func (l *load) answered(now time.Time) {
+// answered notes that the target was heard of, and tells whether it had been
+// suspect.
+func (l *load) answered(now time.Time) (again bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	again = l.health.unanswered >= suspectAt
 	l.health.answered(now)
+	return again
 }
 
 // left notes a flow that the target left unanswered, from its first segment on
@@ -163,6 +166,18 @@
 	return l.health.unanswered, l.health.opens
 }
 
+// evidence returns what stands against the target here and by the word of other
+// VMs, and how long ago it was heard of; negative if never.
+func (l *load) evidence(now time.Time) (unanswered, opens, others int, heard time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	heard = -1
+	if !l.health.heardAt.IsZero() {
+		heard = now.Sub(l.health.heardAt)
+	}
+	return l.health.unanswered, l.health.opens, l.health.others, heard
+}
+
 // doubtful tells whether the next new flow should go to the target.
 func (l *load) doubtful(now time.Time) bool {
 	l.mu.Lock()
--- a/core/token/router.go
+++ b/core/token/router.go
@@ -21,6 +21,14 @@
 	// Idle is the silence after which the record of a flow is dropped, unless
 	// the routing table says less (15 s).
 	Idle time.Duration
+	// Finished, if set, gets the time of each request whose answer this VM saw
+	// acknowledged.
+	Finished func(took time.Duration)
+	// Record gets the events that Wanted asks for; both nil for none.
+	Record Recorder
+	// Wanted is asked before an event is made: most of the cost of an event
+	// that nobody reads is its making.
+	Wanted func(now time.Time, kind EventKind) bool
 }
 
 func (o *Options) setDefaults() {
@@ -112,14 +120,14 @@
 func (r *Router) Handle(now time.Time, p *baobabstep.Segment, out *[]baobabstep.Forward) {
 	s := r.current.Load()
 	if !s.haveTable || !s.haveTargets {
-		r.counts.unready.Add(1)
+		r.record(now, EventUnready, s, nil, nil, p)
 		return
 	}
 	h := hashFlow(p.Flow)
 	route := s.rules[p.Flow.Service]
 	switch {
 	case route == nil:
-		r.unrouted(h, p, out)
+		r.unrouted(now, s, h, p, out)
 	case p.Kind == baobabstep.KindOpen:
 		r.open(now, s, route, h, p, out)
 	default:
@@ -128,8 +136,8 @@
 }
 
 // unrouted ends a flow whose address is not routed, or is no more.
-func (r *Router) unrouted(h flowHash, p *baobabstep.Segment, out *[]baobabstep.Forward) {
-	r.counts.unrouted.Add(1)
+func (r *Router) unrouted(now time.Time, s *snapshot, h flowHash, p *baobabstep.Segment, out *[]baobabstep.Forward) {
+	r.record(now, EventUnrouted, s, nil, nil, p)
 	shard := r.flows.shard(h)
 	shard.mu.Lock()
 	shard.remove(p.Flow)
@@ -151,23 +159,23 @@
 	defer shard.mu.Unlock()
 	f := shard.flows[p.Flow]
 	if f != nil && f.seq == p.Seq && f.opening {
-		r.counts.copies.Add(1)
 		if !r.moves(now, s, f) {
 			f.heard = now
+			r.record(now, EventRepeated, s, route, f.target, p)
 			send(f.target, h, p, out)
 			return
 		}
-		r.counts.moved.Add(1)
+		r.record(now, EventMoved, s, route, f.target, p)
 	}
 	t := r.choose(now, s, route, h)
 	if t == nil {
-		r.counts.refused.Add(1)
+		r.record(now, EventRefused, s, route, nil, p)
 		reset(p, out)
 		return
 	}
 	shard.add(p.Flow, &flow{target: t, opening: true, heard: now, sent: now, seq: p.Seq})
 	t.load.placed(now)
-	r.counts.placed.Add(1)
+	r.record(now, EventPlaced, s, route, t, p)
 	send(t, h, p, out)
 }
 
@@ -190,9 +198,17 @@
 	return present == nil || !present.choosable() || f.target.load.suspect(now)
 }
 
+// answered notes that a target was heard of.
+func (r *Router) answered(now time.Time, t *target) {
+	if t.load.answered(now) {
+		r.record(now, EventHeard, r.current.Load(), nil, t, nil)
+	}
+}
+
 // left counts a flow against its target.
 func (r *Router) left(now time.Time, t *target, open bool) {
 	t.load.left(now, open)
+	r.record(now, EventSilent, r.current.Load(), nil, t, nil)
 	select {
 	case r.troubled <- struct{}{}:
 	default:
@@ -207,7 +223,7 @@
 func (r *Router) pass(now time.Time, s *snapshot, route *rule, h flowHash, p *baobabstep.Segment, out *[]baobabstep.Forward) {
 	t := s.find(now, route, h, p.Token)
 	if t == nil {
-		r.counts.unknown.Add(1)
+		r.record(now, EventUnknown, s, route, nil, p)
 		return
 	}
 	shard := r.flows.shard(h)
@@ -215,7 +231,7 @@
 	r.note(now, shard, t, p)
 	shard.mu.Unlock()
 	if p.Kind != baobabstep.KindReset && r.outOfReach(now, s, t) {
-		r.counts.ended.Add(1)
+		r.record(now, EventEnded, s, route, t, p)
 		reset(p, out)
 		return
 	}
@@ -253,7 +269,7 @@
 		shard.add(p.Flow, &flow{target: t, heard: now, acked: p.Acked, requestAcked: p.Acked, sentEnd: p.Seq + uint32(p.Size)})
 	case f.target.id != t.id:
 		// The flow was opened at another target than this VM sent it to last.
-		t.load.answered(now)
+		r.answered(now, t)
 		shard.add(p.Flow, &flow{target: t, heard: now, acked: p.Acked, requestAcked: p.Acked, sentEnd: p.Seq + uint32(p.Size)})
 	default:
 		r.follow(now, f, p)
@@ -269,11 +285,14 @@
 	progress := p.Kind != baobabstep.KindReset && after(p.Acked, f.acked)
 	if f.opening || progress {
 		f.unanswered = false
-		f.target.load.answered(now)
+		r.answered(now, f.target)
 	}
 	if progress && !f.opening && f.timed && p.Size == 0 {
 		f.target.load.finished(now, now.Sub(f.sent))
 		f.timed = false
+		if r.o.Finished != nil {
+			r.o.Finished(now.Sub(f.sent))
+		}
 	}
 	if f.opening {
 		// The first segment counted as the start of the first request.
--- a/core/token/router_test.go
+++ b/core/token/router_test.go
@@ -58,7 +58,7 @@
 		again, _ := open(t, r, start.Add(200*time.Millisecond), key)
 		qt.Assert(t, again, qt.Equals, target)
 	}
-	qt.Assert(t, r.Stats().Placed, qt.Equals, uint64(1))
+	qt.Assert(t, r.Stats().Events[EventPlaced.String()], qt.Equals, uint64(1))
 }
 
 // A caller writes a token of its own choosing, or repeats one that it got on
--- a/core/token/stats.go
+++ b/core/token/stats.go
@@ -3,35 +3,38 @@
 import "sync/atomic"
 
 type counts struct {
-	placed, copies, moved, passed, refused, ended, unrouted, unknown, unready atomic.Uint64
+	passed atomic.Uint64
+	events [numEvents]atomic.Uint64
 }
 
-// Stats counts packets since the start, and what is held now.
+// Stats counts decisions since the start, and what is held now.
 type Stats struct {
-	// Placed are first packets sent to a target chosen for them, Copies their
-	// repetitions, Passed later packets.
-	Placed, Copies, Passed uint64
-	// Moved are copies of first packets sent to another target.
-	Moved uint64
-	// Refused found no target, Unrouted no route, Unknown no target for their
-	// token; Unready came before routes and targets were known.
-	Refused, Unrouted, Unknown, Unready uint64
-	// Ended are flows reset because their target is out of reach.
-	Ended uint64
+	// Events counts each kind of event, by its name.
+	Events map[string]uint64
+	// Passed are later segments sent to the targets that their tokens name.
+	Passed uint64
 	// Flows are the records held.
 	Flows int
-	// Version is the routing table's; Targets are those known.
-	Version uint64
-	Targets int
+	// Version is the routing table's; Targets are those known, Silent those of
+	// them that get no new flows.
+	Version         uint64
+	Targets, Silent int
 }
 
 // Stats returns the present counts.
 func (r *Router) Stats() Stats {
 	s := r.current.Load()
-	return Stats{
-		Placed: r.counts.placed.Load(), Copies: r.counts.copies.Load(), Moved: r.counts.moved.Load(), Passed: r.counts.passed.Load(),
-		Refused: r.counts.refused.Load(), Ended: r.counts.ended.Load(), Unrouted: r.counts.unrouted.Load(),
-		Unknown: r.counts.unknown.Load(), Unready: r.counts.unready.Load(),
+	stats := Stats{
+		Events: make(map[string]uint64, numEvents), Passed: r.counts.passed.Load(),
 		Flows: r.flows.count(), Version: s.version, Targets: len(s.targets),
 	}
+	for kind := range numEvents {
+		stats.Events[kind.String()] = r.counts.events[kind].Load()
+	}
+	for _, t := range s.targets {
+		if flows, _ := t.load.unanswered(); flows >= suspectAt {
+			stats.Silent++
+		}
+	}
+	return stats
 }
--- a/docs_test.go
+++ b/docs_test.go
@@ -120,11 +120,15 @@
 			code.WriteString(read(t, path))
 		}
 	}
-	metrics := read(t, "docs/METRICS.md") // compared with the code by a test of node
+	// Compared with the code by tests of node and entry.
+	metrics := read(t, "docs/METRICS.md") + read(t, "docs/METRICS-TOKEN.md")
 	for _, page := range repositoryFiles(t, ".md") {
 		text := read(t, page)
 		for _, cited := range citedLog.FindAllStringSubmatch(text, -1) {
-			qt.Check(t, strings.Contains(code.String(), `("`+cited[1]+`")`), qt.IsTrue, qt.Commentf("%s cites the log line %q", page, cited[1]))
+			// Decisions are logged under the names of their kinds, which the
+			// enum gives as line comments.
+			written := strings.Contains(code.String(), `("`+cited[1]+`")`) || strings.Contains(code.String(), " // "+cited[1]+"\n")
+			qt.Check(t, written, qt.IsTrue, qt.Commentf("%s cites the log line %q", page, cited[1]))
 		}
 		for _, metric := range citedMetric.FindAllString(text, -1) {
 			qt.Check(t, metrics, qt.Contains, "| `"+metric+"` |", qt.Commentf("%s", page))
--- a/entry/belief.go
+++ b/entry/belief.go
@@ -149,6 +149,11 @@
 	return b.held[kind]
 }
 
+// age returns how long ago the store was known to hold nothing newer.
+func (b *beliefs) age(now time.Time, kind heartbeat.Kind) time.Duration {
+	return now.Sub(b.get(kind).confirmed)
+}
+
 // told returns what heartbeats say of what is held.
 func (b *beliefs) told(now time.Time) (held [2]heartbeat.Held) {
 	b.mu.Lock()
--- /dev/null
+++ b/entry/help_test.go
@@ -0,0 +1,211 @@
+package entry_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	jsonlog "github.com/apex/log/handlers/json"
+	qt "github.com/frankban/quicktest"
+
+	"baobabstep"
+	"baobabstep/entry"
+	"baobabstep/io/datagram"
+	"baobabstep/io/logs"
+	"baobabstep/io/packet"
+	"baobabstep/io/setting"
+	"baobabstep/platform"
+	"baobabstep/platform/standin"
+)
+
+// patience bounds the wait for something that happens within milliseconds on an
+// idle machine.
+const patience = 20 * time.Second
+
+var service = netip.MustParseAddrPort("198.18.0.1:443")
+
+type wallClock struct{}
+
+func (wallClock) Now() time.Time { return time.Now() }
+
+// buffer is a log that is written and read at the same time.
+type buffer struct {
+	mu  sync.Mutex
+	raw bytes.Buffer
+}
+
+func (b *buffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.raw.Write(p)
+}
+
+// line is one line of the log.
+type line struct {
+	Message string         `json:"message"`
+	Fields  map[string]any `json:"fields"`
+}
+
+func (b *buffer) lines() (list []line) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for text := range strings.Lines(b.raw.String()) {
+		var l line
+		if json.Unmarshal([]byte(text), &l) == nil {
+			list = append(list, l)
+		}
+	}
+	return list
+}
+
+// fixture is a small fleet in this process, before the stand-in of the platform.
+type fixture struct {
+	t      testing.TB
+	net    byte
+	store  *standin.Store
+	server *httptest.Server
+	fabric *standin.Fabric
+	caller *standin.Caller
+	vms    []*runningVM
+}
+
+type runningVM struct {
+	node   *entry.Node
+	log    *buffer
+	cancel context.CancelFunc
+	ended  chan error
+}
+
+const (
+	dataPort    = 8172
+	readyPort   = 8167
+	peerPort    = 8166
+	metricsPort = 8168
+	targetPort  = 8700
+)
+
+// at returns an address of the fixture's own network.
+func (f *fixture) at(kind, n byte, port uint16) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, f.net, kind, n}), port)
+}
+
+// newFixture starts vms VMs; the network keeps fixtures apart that run at once.
+func newFixture(t testing.TB, network byte, vms int) *fixture {
+	t.Helper()
+	f := &fixture{t: t, net: network, store: standin.NewStore()}
+	f.server = httptest.NewServer(f.store)
+	t.Cleanup(f.server.Close)
+	f.store.PutRoutes(1, []standin.Route{{Address: service, Service: "fixtures"}})
+	var known []standin.VM
+	for n := range vms {
+		known = append(known, standin.VM{Data: f.at(1, byte(n+1), dataPort), Ready: f.at(1, byte(n+1), readyPort)})
+	}
+	f.fabric = standin.NewFabric(known)
+	for n := range vms {
+		f.vms = append(f.vms, f.startVM(byte(n+1)))
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	go f.fabric.Run(ctx)
+	caller, err := standin.NewCaller(f.at(3, 1, dataPort), f.fabric)
+	qt.Assert(t, err, qt.IsNil)
+	f.caller = caller
+	t.Cleanup(func() {
+		cancel()
+		<-f.fabric.Done()
+		caller.Close()
+		for _, vm := range f.vms {
+			vm.cancel()
+			qt.Check(t, <-vm.ended, qt.IsNil)
+		}
+	})
+	f.until("all VMs are ready", func() bool { return f.fabric.Ready() == vms })
+	return f
+}
+
+func (f *fixture) startVM(n byte) *runningVM {
+	f.t.Helper()
+	s := &setting.Settings{
+		Name: fmt.Sprintf("vm-%d", n), Region: "r", DataCentre: "a",
+		DataAddress: f.at(1, n, dataPort), PeerAddress: f.at(1, n, peerPort), MetricsAddress: f.at(1, n, metricsPort),
+		PlatformURL: f.server.URL, Seeds: []netip.AddrPort{f.at(1, 1, peerPort)}, Policy: setting.PolicyToken,
+		Token: setting.TokenSettings{
+			ReadyAddress: f.at(1, n, readyPort), ConfigApplyMS: 3000, DrainMS: 3000, FlowMaxS: 60, StopGraceS: 6,
+		},
+	}
+	sockets, err := packet.NewSegments(packet.SocketOptions{Listen: s.DataAddress}, platform.Datagrams{CallerPort: dataPort})
+	qt.Assert(f.t, err, qt.IsNil)
+	store, err := platform.NewStore(platform.StoreOptions{URL: s.PlatformURL})
+	qt.Assert(f.t, err, qt.IsNil)
+	messages, err := datagram.Listen(s.PeerAddress)
+	qt.Assert(f.t, err, qt.IsNil)
+	vm := &runningVM{log: new(buffer), ended: make(chan error, 1)}
+	lines := logs.New(vm.log)
+	vm.node = entry.New(entry.Options{
+		Settings: s, Logger: &log.Logger{Handler: jsonlog.New(lines), Level: log.InfoLevel}, LogLimits: lines,
+		Clock: wallClock{}, Directory: store, Segments: []baobabstep.Segments{sockets[0]}, Messages: messages,
+		ReadyHandler: platform.ReadyHandler, Rand: rand.New(rand.NewPCG(uint64(n), 1)),
+	})
+	var ctx context.Context
+	ctx, vm.cancel = context.WithCancel(context.Background())
+	go func() {
+		vm.ended <- vm.node.Run(ctx, ctx)
+		lines.Close()
+	}()
+	return vm
+}
+
+// target starts a target and registers it; it ends with the test.
+func (f *fixture) target(n byte) (*standin.Target, standin.Registration) {
+	f.t.Helper()
+	r := standin.Registration{ID: 0x1000 + uint64(n), Service: "fixtures", Address: f.at(2, n, targetPort), DataCentre: "a"}
+	t, err := standin.NewTarget(standin.TargetOptions{
+		ID: r.ID, Service: r.Service, Address: r.Address, CallerPort: dataPort, Work: time.Millisecond, Slots: 2,
+		Ran: func(uint64, uint64, netip.AddrPort) {},
+	})
+	qt.Assert(f.t, err, qt.IsNil)
+	f.t.Cleanup(t.Close)
+	f.store.Register(r)
+	return t, r
+}
+
+// until waits for something to become true.
+func (f *fixture) until(what string, done func() bool) {
+	f.t.Helper()
+	for deadline := time.Now().Add(patience); !done(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			f.t.Fatalf("after %v: not yet: %s", patience, what)
+		}
+	}
+}
+
+// find returns the first line of any VM with a message for which match holds.
+func (f *fixture) find(message string, match func(fields map[string]any) bool) (line, bool) {
+	for _, vm := range f.vms {
+		for _, l := range vm.log.lines() {
+			if l.Message == message && (match == nil || match(l.Fields)) {
+				return l, true
+			}
+		}
+	}
+	return line{}, false
+}
+
+// request opens a flow, sends one request and returns how it ended.
+func (f *fixture) request(number uint64) standin.Outcome {
+	f.t.Helper()
+	flow, outcome := f.caller.Open(f.t.Context(), service)
+	defer flow.Close()
+	if outcome != standin.Answered {
+		return outcome
+	}
+	return flow.Request(f.t.Context(), number, patience)
+}
--- /dev/null
+++ b/entry/metrics.go
@@ -0,0 +1,95 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"baobabstep/core/heartbeat"
+	"baobabstep/io/metric"
+)
+
+// metricsDelay is how long the metrics wait for the VM to forward: what they
+// cost to set up, some 10 ms on a tenth of a core, would delay its first packet.
+const metricsDelay = time.Second
+
+// requestBounds are the upper bounds of request_seconds, from a tenth of what a
+// request takes to callers' time limits.
+var requestBounds = []float64{0.002, 0.005, 0.01, 0.02, 0.03, 0.05, 0.075, 0.1, 0.15, 0.2, 0.3, 0.5, 1, 2, 5}
+
+// batchBounds are those of batch_seconds.
+var batchBounds = []float64{0.00002, 0.00005, 0.0001, 0.0002, 0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05}
+
+// serveMetrics serves the metrics address until ctx ends.
+func (n *Node) serveMetrics(ctx context.Context) error {
+	for began := n.clock.Now(); ctx.Err() == nil && n.Ready() != nil && n.clock.Now().Sub(began) < metricsDelay; {
+		n.follower.pause(ctx, lookInterval, nil)
+	}
+	server := metric.New(n.o.Settings.MetricsAddress, n.Ready)
+	server.Register(n.sources()...)
+	n.observers.Store(&observers{
+		request: server.Histogram("token_request_seconds", "Time from a request's first segment to the acknowledgement of its answer.", requestBounds),
+		batch:   server.Histogram("token_batch_seconds", "Time to decide about and send one batch of segments.", batchBounds),
+	})
+	if err := server.Start(ctx); err != nil {
+		return err
+	}
+	<-server.Done()
+	return nil
+}
+
+// observers take in times for histograms.
+type observers struct {
+	request, batch func(seconds float64)
+}
+
+func (n *Node) observeRequest(took time.Duration) {
+	if o := n.observers.Load(); o != nil {
+		o.request(took.Seconds())
+	}
+}
+
+func (n *Node) observeBatch(took time.Duration) {
+	if o := n.observers.Load(); o != nil {
+		o.batch(took.Seconds())
+	}
+}
+
+// sources are the metrics of a VM with token routing, in the order of
+// docs/METRICS.md.
+func (n *Node) sources() []metric.Source {
+	value := func(read func() float64) func() map[string]float64 {
+		return func() map[string]float64 { return metric.Value(read()) }
+	}
+	age := func(kind heartbeat.Kind) func() map[string]float64 {
+		return value(func() float64 { return n.beliefs.age(n.clock.Now(), kind).Seconds() })
+	}
+	return []metric.Source{
+		{Name: "token_events_total", Help: "Decisions about flows and targets.", Label: "event", Read: n.readEvents},
+		{Name: "token_passed_total", Help: "Later segments sent to the targets that their tokens name.", Read: value(func() float64 { return float64(n.router.Stats().Passed) })},
+		{Name: "token_flows", Help: "Flows that this VM has seen lately.", Gauge: true, Read: value(func() float64 { return float64(n.router.Stats().Flows) })},
+		{Name: "token_targets", Help: "Targets known, those that have gone lately included.", Gauge: true, Read: value(func() float64 { return float64(n.router.Stats().Targets) })},
+		{Name: "token_targets_silent", Help: "Targets that left flows unanswered and get no new ones.", Gauge: true, Read: value(func() float64 { return float64(n.router.Stats().Silent) })},
+		{Name: "token_routes_version", Help: "Version of the routing table in force.", Gauge: true, Read: value(func() float64 { return float64(n.router.Version()) })},
+		{Name: "token_routes_age_seconds", Help: "Time since the store was known to hold no newer routing table.", Gauge: true, Read: age(heartbeat.Routes)},
+		{Name: "token_targets_age_seconds", Help: "Time since the store was known to hold no newer registrations.", Gauge: true, Read: age(heartbeat.Targets)},
+		{Name: "token_peers", Help: "VMs heard, by data centre.", Label: "data_centre", Gauge: true, Read: n.readPeers},
+		{Name: "token_messages_malformed_total", Help: "Messages of VMs that could not be decoded.", Read: value(func() float64 { return float64(n.counts.malformed.Load()) })},
+		{Name: "token_log_lines_dropped_total", Help: "Log lines left out, by bounds or because nobody read them.", Read: value(func() float64 { return float64(n.counts.linesDropped.Load()) })},
+	}
+}
+
+func (n *Node) readEvents() map[string]float64 {
+	events := make(map[string]float64)
+	for name, count := range n.router.Stats().Events {
+		events[name] = float64(count)
+	}
+	return events
+}
+
+func (n *Node) readPeers() map[string]float64 {
+	peers := make(map[string]float64)
+	for name, vms := range n.board.Live(n.clock.Now()) {
+		peers[name] = float64(vms)
+	}
+	return peers
+}
--- a/entry/node.go
+++ b/entry/node.go
@@ -51,6 +51,8 @@
 	Segments []baobabstep.Segments
 	// Messages carries what VMs tell each other.
 	Messages Messages
+	// LogLimits bound the lines of Logger.
+	LogLimits LogLimits
 	// ReadyHandler makes the handler of the readiness check.
 	ReadyHandler func(ready func() error) http.Handler
 	// Rand seeds the random numbers of the parts.
@@ -71,27 +73,36 @@
 	started  time.Time
 	stopping atomic.Bool
 	// blind is set for a kind while the store cannot be read.
-	blind [2]atomic.Bool
+	blind     [2]atomic.Bool
+	observers atomic.Pointer[observers]
 	// lastPacket is when the fabric last sent something, in nanoseconds since
 	// the start.
 	lastPacket atomic.Int64
 	done       chan struct{}
+
+	// What follows belongs to the ticking goroutine.
+	droppedAt        time.Time
+	heardDataCentres map[string]int
+	first            bool
 }
 
 // New makes the parts of a VM; Run starts them.
 func New(o Options) *Node {
 	n := &Node{
-		o:     o,
-		log:   o.Logger.WithFields(log.Fields{"vm": o.Settings.Name, "data_centre": o.Settings.DataCentre}),
-		clock: o.Clock,
-		router: token.New(token.Options{
-			DataCentre: o.Settings.DataCentre,
-			Rand:       rand.New(rand.NewPCG(o.Rand.Uint64(), o.Rand.Uint64())),
-			FlowMax:    o.Settings.Token.FlowMax(),
-		}),
+		o:       o,
+		log:     o.Logger.WithFields(log.Fields{"vm": o.Settings.Name, "data_centre": o.Settings.DataCentre}),
+		clock:   o.Clock,
 		started: o.Clock.Now(),
 		done:    make(chan struct{}),
 	}
+	n.router = token.New(token.Options{
+		DataCentre: o.Settings.DataCentre,
+		Rand:       rand.New(rand.NewPCG(o.Rand.Uint64(), o.Rand.Uint64())),
+		FlowMax:    o.Settings.Token.FlowMax(),
+		Finished:   n.observeRequest,
+		Record:     n.logEvent,
+		Wanted:     n.eventWanted,
+	})
 	n.beliefs = newBeliefs(n.router, n.log)
 	n.board = heartbeat.New(n.started, heartbeat.Options{
 		Self: o.Settings.VM().ID, DataCentre: o.Settings.DataCentre, Address: o.Settings.PeerAddress,
@@ -104,7 +115,7 @@
 
 // counters count what has no part of its own to count it.
 type counters struct {
-	malformed atomic.Uint64
+	malformed, linesDropped atomic.Uint64
 }
 
 // Done is closed when Run has returned and every part has ended.
@@ -139,7 +150,10 @@
 	if err != nil {
 		return baobabstep.Errorf(baobabstep.CodeSettings, "entry.run", "ready_address: %w", err)
 	}
-	n.log.Info("started")
+	n.log.WithFields(log.Fields{
+		"life": uint64(n.started.UnixMilli()), "seeds": len(n.o.Settings.Seeds),
+		"data_address": n.o.Settings.DataAddress.String(), "peer_address": n.o.Settings.PeerAddress.String(),
+	}).Info("started")
 	running, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	ends := make(chan error)
@@ -166,22 +180,26 @@
 	return failed
 }
 
+// parts returns the long-running functions of the VM. What a first packet waits
+// for comes first: on a tenth of a core the parts start milliseconds apart.
 func (n *Node) parts(ctx context.Context, listener net.Listener) []func() error {
+	routes, targets := n.follower.routes(), n.follower.targets()
 	parts := []func() error{
-		func() error { return n.serveReady(ctx, listener) },
-		func() error { return n.findSecret(ctx) },
-		func() error { return n.listen(ctx) },
-		func() error { return n.tick(ctx) },
-	}
-	for _, r := range []*reading{n.follower.routes(), n.follower.targets()} {
-		parts = append(parts,
-			func() error { return n.follower.follow(ctx, r) },
-			func() error { return n.follower.watch(ctx, r) })
+		func() error { return n.follower.follow(ctx, routes) },
+		func() error { return n.follower.follow(ctx, targets) },
 	}
 	for _, segments := range n.o.Segments {
 		parts = append(parts, func() error { return n.serve(ctx, segments) })
 	}
-	return parts
+	return append(parts,
+		func() error { return n.findSecret(ctx) },
+		func() error { return n.listen(ctx) },
+		func() error { return n.serveReady(ctx, listener) },
+		func() error { return n.tick(ctx) },
+		func() error { return n.follower.watch(ctx, routes) },
+		func() error { return n.follower.watch(ctx, targets) },
+		func() error { return n.serveMetrics(ctx) },
+	)
 }
 
 func (n *Node) serveReady(ctx context.Context, listener net.Listener) error {
@@ -215,6 +233,7 @@
 		if err := segments.Send(out); err != nil && ctx.Err() == nil {
 			return err
 		}
+		n.observeBatch(n.clock.Now().Sub(now))
 	}
 }
 
@@ -232,6 +251,7 @@
 			now := n.clock.Now()
 			n.router.Tick(now)
 			n.beat(now)
+			n.reportDropped(now)
 		}
 	}
 }
--- a/entry/share.go
+++ b/entry/share.go
@@ -194,7 +194,10 @@
 // beat sends the heartbeats that are due and takes in what peers said of load.
 func (n *Node) beat(now time.Time) {
 	n.sendAll(n.board.Tick(now, n.own(now)))
-	n.router.SetOthers(n.board.Loads(now), n.board.Live(now))
+	live := n.board.Live(now)
+	n.router.SetOthers(n.board.Loads(now), live)
+	n.noteDataCentres(live)
+	n.noteRank(n.board.Rank(now))
 }
 
 func (n *Node) own(now time.Time) heartbeat.Own {
--- a/io/metric/metric.go
+++ b/io/metric/metric.go
@@ -116,6 +116,14 @@
 	}
 }
 
+// Histogram adds a metric of seconds with the given upper bounds, and returns
+// how a value is taken in. It panics if the name is taken.
+func (s *Server) Histogram(name, help string, bounds []float64) func(seconds float64) {
+	h := prometheus.NewHistogram(prometheus.HistogramOpts{Name: Prefix + name, Help: help, Buckets: bounds})
+	s.registry.MustRegister(h)
+	return h.Observe
+}
+
 func (s *Server) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if err := s.ready(); err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
