--- a/core/token/choose.go
+++ b/core/token/choose.go
@@ -14,8 +14,9 @@
 	assumedTime = 0.03
 )
 
-// choose returns the target of a new flow, or nil if there is none.
-func (r *Router) choose(now time.Time, s *snapshot, route *rule, h flowHash) *target {
+// choose returns the target of a new flow, or nil if there is none. It takes
+// avoid only where there is no other.
+func (r *Router) choose(now time.Time, s *snapshot, route *rule, h flowHash, avoid *target) *target {
 	p := s.pools[route.service(r.draw())]
 	if p == nil || len(p.targets) == 0 {
 		return nil
@@ -25,9 +26,14 @@
 		dc := t.registration.DataCentre
 		return dc == r.o.DataCentre || heard[dc] > 0
 	}
-	best := r.least(now, p, func(t *target) bool { return inReach(t) && !t.load.suspect(now) })
+	fit := func(t *target) bool { return !t.load.suspect(now) }
+	again := func(t *target) bool { return avoid != nil && t.id == avoid.id }
+	best := r.least(now, p, func(t *target) bool { return inReach(t) && fit(t) && !again(t) })
 	if best == nil {
-		best = r.least(now, p, func(t *target) bool { return !t.load.suspect(now) })
+		best = r.least(now, p, func(t *target) bool { return inReach(t) && fit(t) })
+	}
+	if best == nil {
+		best = r.least(now, p, fit)
 	}
 	if best == nil {
 		// All look dark: then it is this VM that hears nothing.
--- a/core/token/flow.go
+++ b/core/token/flow.go
@@ -12,6 +12,8 @@
 	target *target
 	// opening is set until a packet after the first one came.
 	opening bool
+	// repeated is set once a copy of the first segment came.
+	repeated bool
 	// closed is set once the caller closed or reset the flow. The record stays
 	// for a while, so that late packets do not count as a flow.
 	closed bool
@@ -87,16 +89,35 @@
 // last acknowledgements of both ends take with one retransmission.
 const closedFor = time.Second
 
-// expire forgets flows that were silent for idle.
-func (s *shard) expire(now time.Time, idle time.Duration) {
+// vanishedAfter is how long after its first segment a flow of which nothing
+// more came was refused by its target: callers send a copy after 200 ms unless
+// they heard something, and go on at once if it was an acceptance.
+const vanishedAfter = 300 * time.Millisecond
+
+// vanished tells, once, whether the flow's target seems to have refused it.
+func (f *flow) vanished(now time.Time) bool {
+	if !f.opening || f.unanswered || f.repeated || now.Sub(f.sent) < vanishedAfter {
+		return false
+	}
+	f.unanswered = true
+	return true
+}
+
+// expire forgets flows that were silent for idle, and returns the targets of
+// those that vanished.
+func (s *shard) expire(now time.Time, idle time.Duration) (refusing []*target) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for key, f := range s.flows {
 		silent := now.Sub(f.heard)
+		if f.vanished(now) {
+			refusing = append(refusing, f.target)
+		}
 		if silent >= idle || f.closed && silent >= closedFor {
 			s.remove(key)
 		}
 	}
+	return refusing
 }
 
 // count returns the number of flows in the table.
--- a/core/token/health_test.go
+++ b/core/token/health_test.go
@@ -209,3 +209,68 @@
 		})
 	}
 }
+
+// A target's process has died and its host refuses flows at once. The caller
+// hears that directly and tries again within milliseconds, from another port; the
+// dead target looks idle, and got try after try. The next try has to go elsewhere.
+func TestNextTryGoesElsewhere(t *testing.T) {
+	r := newRouter(t)
+	r.SetRegistrations(start, manyTargets(3))
+	first, _ := open(t, r, start, flowFrom(1, fixtures))
+	second, _ := open(t, r, start.Add(5*time.Millisecond), flowFrom(2, fixtures))
+	qt.Assert(t, second, qt.Not(qt.Equals), first)
+
+	t.Run("also if it is the least loaded", func(t *testing.T) {
+		r := newRouter(t)
+		r.SetRegistrations(start, manyTargets(2))
+		r.SetOthers(map[baobabstep.TargetID]baobabstep.TargetLoad{2: {Requests: 1000}}, nil)
+		first, _ := open(t, r, start, flowFrom(1, fixtures))
+		qt.Assert(t, first, qt.Equals, baobabstep.TargetID(1))
+		second, _ := open(t, r, start.Add(5*time.Millisecond), flowFrom(2, fixtures))
+		qt.Assert(t, second, qt.Equals, baobabstep.TargetID(2))
+	})
+	t.Run("unless there is no other", func(t *testing.T) {
+		r := newRouter(t)
+		r.SetRegistrations(start, manyTargets(1))
+		open(t, r, start, flowFrom(1, fixtures))
+		again, _ := open(t, r, start.Add(5*time.Millisecond), flowFrom(2, fixtures))
+		qt.Assert(t, again, qt.Equals, baobabstep.TargetID(1))
+	})
+	t.Run("a flow that opened says nothing", func(t *testing.T) {
+		r := newRouter(t)
+		key := flowFrom(1, fixtures)
+		_, token := open(t, r, start, key)
+		handle(r, start.Add(time.Millisecond), data(key, token))
+		qt.Assert(t, r.openings.tried(start.Add(2*time.Millisecond), key.Caller.Addr()), qt.IsNil)
+	})
+}
+
+// Of a flow that was refused nothing more comes, not even a copy. Two such in a
+// row keep new flows away, like two that stayed without an answer; a flow whose
+// caller sends a copy, or goes on, was not refused.
+func TestRefusingTargetGetsNoNewFlows(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		then    func(r *Router, key baobabstep.FlowKey, token uint32)
+		suspect bool
+	}{
+		{"nothing more comes", func(*Router, baobabstep.FlowKey, uint32) {}, true},
+		{"a copy comes", func(r *Router, key baobabstep.FlowKey, _ uint32) {
+			handle(r, start.Add(copyAfter-1), baobabstep.Segment{Kind: baobabstep.KindOpen, Flow: key, Seq: firstSeq, Acked: 1})
+		}, false},
+		{"the caller goes on", func(r *Router, key baobabstep.FlowKey, token uint32) { handle(r, start, data(key, token)) }, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := newRouter(t)
+			for port := range uint16(2) {
+				key := flowFrom(port+1, results)
+				_, token := open(t, r, start, key)
+				test.then(r, key, token)
+			}
+			now := start.Add(vanishedAfter)
+			r.Tick(now)
+			r.Tick(now)
+			qt.Assert(t, r.current.Load().targets[3].load.suspect(now), qt.Equals, test.suspect)
+		})
+	}
+}
--- a/core/token/router.go
+++ b/core/token/router.go
@@ -38,10 +38,11 @@
 
 // Router decides for the packets of flows.
 type Router struct {
-	o       Options
-	current atomic.Pointer[snapshot]
-	flows   *flowTable
-	counts  counts
+	o        Options
+	current  atomic.Pointer[snapshot]
+	flows    *flowTable
+	openings *openings
+	counts   counts
 	// heard are the VMs heard of in each data centre.
 	heard atomic.Pointer[map[string]int]
 
@@ -56,7 +57,7 @@
 // New returns a router that knows no routes and no targets.
 func New(o Options) *Router {
 	o.setDefaults()
-	r := &Router{o: o, flows: newFlowTable(), troubled: make(chan struct{}, 1)}
+	r := &Router{o: o, flows: newFlowTable(), openings: newOpenings(), troubled: make(chan struct{}, 1)}
 	r.current.Store(newSnapshot())
 	r.heard.Store(&map[string]int{})
 	return r
@@ -158,7 +159,10 @@
 	shard.mu.Lock()
 	defer shard.mu.Unlock()
 	f := shard.flows[p.Flow]
+	avoid := r.openings.tried(now, p.Flow.Caller.Addr())
 	if f != nil && f.seq == p.Seq && f.opening {
+		f.repeated = true
+		avoid = nil
 		if !r.moves(now, s, f) {
 			f.heard = now
 			r.record(now, EventRepeated, s, route, f.target, p)
@@ -167,13 +171,15 @@
 		}
 		r.record(now, EventMoved, s, route, f.target, p)
 	}
-	t := r.choose(now, s, route, h)
+	t := r.choose(now, s, route, h, avoid)
 	if t == nil {
 		r.record(now, EventRefused, s, route, nil, p)
 		reset(p, out)
 		return
 	}
-	shard.add(p.Flow, &flow{target: t, opening: true, heard: now, sent: now, seq: p.Seq})
+	f = &flow{target: t, opening: true, heard: now, sent: now, seq: p.Seq}
+	shard.add(p.Flow, f)
+	r.openings.begin(now, p.Flow.Caller.Addr(), f)
 	t.load.placed(now)
 	r.record(now, EventPlaced, s, route, t, p)
 	send(t, h, p, out)
@@ -295,6 +301,7 @@
 		}
 	}
 	if f.opening {
+		r.openings.done(p.Flow.Caller.Addr(), f)
 		// The first segment counted as the start of the first request.
 		f.opening, f.acked, f.requestAcked = false, p.Acked, p.Acked
 		f.sentEnd, f.sent, f.timed = p.Seq, now, true
@@ -332,6 +339,9 @@
 		idle = min(idle, s.idle)
 	}
 	for i := range r.flows.shards {
-		r.flows.shards[i].expire(now, idle)
+		for _, t := range r.flows.shards[i].expire(now, idle) {
+			r.left(now, t, true)
+		}
 	}
+	r.openings.expire(now)
 }
