entry, token: the control path and the router under random troubles

Change: entry's model plays real nodes in virtual time before a store whose watches never say anything: cuts one way, lost messages, restarts of all, data centres apart; after each of more than 10,000 steps no VM has gone back, none holds what never was, and each that reaches the store is fresh within its bound. core/token's machine plays callers and targets under planned work and failures: one flow, one target; no segment crosses services; no reset without a reason.

--- /dev/null
+++ b/core/token/machine_test.go
@@ -0,0 +1,274 @@
+package token
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"baobabstep"
+)
+
+// machine is a fleet of routers with callers and targets around it, in virtual
+// time. Callers keep to the protocol: a copy after 200 ms of silence, a request
+// repeated after 200 ms, a new port for each try.
+type machine struct {
+	t       *rapid.T
+	now     time.Time
+	routers []*Router
+	random  *rand.Rand
+	version uint64
+	// routed are the services that each address was ever routed to, routes the
+	// present ones.
+	routed map[string][]string
+	routes map[string]string
+	// targets are all that there ever were.
+	targets map[baobabstep.TargetID]*machineTarget
+	nextID  baobabstep.TargetID
+	flows   []*machineFlow
+	port    uint16
+}
+
+type machineTarget struct {
+	registration baobabstep.Registration
+	registered   bool
+	// dark is set while it says nothing; disturbed is when that last changed.
+	dark      bool
+	disturbed time.Time
+}
+
+type machineFlow struct {
+	key     baobabstep.FlowKey
+	target  *machineTarget
+	token   uint32
+	seq     uint32
+	acked   uint32
+	address string
+}
+
+// machineAddresses are the service addresses, by name.
+var machineAddresses = map[string]baobabstep.FlowKey{
+	"a": flowFrom(0, fixtures), "b": flowFrom(0, results),
+}
+
+func newMachine(t *rapid.T) *machine {
+	m := &machine{
+		t: t, now: start, random: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)),
+		routed: map[string][]string{}, routes: map[string]string{"a": "fixtures", "b": "results"},
+		targets: map[baobabstep.TargetID]*machineTarget{},
+	}
+	for range 6 {
+		m.join()
+	}
+	for range 3 {
+		m.routers = append(m.routers, m.newRouter())
+	}
+	m.putRoutes()
+	m.register()
+	return m
+}
+
+func (m *machine) newRouter() *Router {
+	return New(Options{DataCentre: "a", Rand: rand.New(rand.NewPCG(m.random.Uint64(), 2))})
+}
+
+func (m *machine) join() {
+	m.nextID++
+	service := []string{"fixtures", "results"}[int(m.nextID)%2]
+	m.targets[m.nextID] = &machineTarget{registration: registration(m.nextID, service, "a"), registered: true, disturbed: m.now}
+}
+
+func (m *machine) table() *baobabstep.RoutingTable {
+	table := &baobabstep.RoutingTable{Version: m.version}
+	for _, name := range []string{"a", "b"} {
+		if service, ok := m.routes[name]; ok {
+			table.Rules = append(table.Rules, rule1(machineAddresses[name].Service, service))
+		}
+	}
+	return table
+}
+
+func (m *machine) putRoutes() {
+	m.version++
+	for name, service := range m.routes {
+		if !slices.Contains(m.routed[name], service) {
+			m.routed[name] = append(m.routed[name], service)
+		}
+	}
+	for _, r := range m.routers {
+		r.SetTable(m.now, m.table())
+	}
+}
+
+func (m *machine) register() {
+	var list []baobabstep.Registration
+	for _, t := range m.targets {
+		if t.registered {
+			list = append(list, t.registration)
+		}
+	}
+	for _, r := range m.routers {
+		r.SetRegistrations(m.now, list)
+	}
+}
+
+// send hands a segment to any VM and returns what it sends.
+func (m *machine) send(f *machineFlow, s baobabstep.Segment) *baobabstep.Forward {
+	s.Flow = f.key
+	var out []baobabstep.Forward
+	m.routers[m.random.IntN(len(m.routers))].Handle(m.now, &s, &out)
+	if len(out) > 1 {
+		m.t.Fatalf("one segment became %d", len(out))
+	}
+	if len(out) == 0 {
+		return nil
+	}
+	if id := out[0].Target; id != 0 {
+		service := m.targets[id].registration.Service
+		if !slices.Contains(m.routed[f.address], service) {
+			m.t.Fatalf("a segment to %s went to %s, which it was never routed to", f.address, service)
+		}
+	}
+	return &out[0]
+}
+
+// open opens a flow as a caller does.
+func (m *machine) open() {
+	m.port++
+	name := []string{"a", "b"}[m.random.IntN(2)]
+	f := &machineFlow{key: flowFrom(m.port, machineAddresses[name].Service), seq: m.random.Uint32(), address: name}
+	for copies := range uint32(3) {
+		out := m.send(f, baobabstep.Segment{Kind: baobabstep.KindOpen, Seq: f.seq, Acked: copies})
+		if out == nil || out.Target == 0 {
+			return
+		}
+		t := m.targets[out.Target]
+		if copies == 0 && t.registration.Draining && t.registered {
+			m.t.Fatalf("a new flow went to target %d, which drains", out.Target)
+		}
+		if !t.dark {
+			f.target, f.token, f.acked = t, out.Token, 1
+			f.seq++
+			m.flows = append(m.flows, f)
+			m.request(f)
+			return
+		}
+		m.now = m.now.Add(200 * time.Millisecond)
+	}
+}
+
+// request sends a request on an established flow, and once more if there is no
+// answer.
+func (m *machine) request(f *machineFlow) {
+	for range 2 {
+		out := m.send(f, baobabstep.Segment{Kind: baobabstep.KindData, Token: f.token, Seq: f.seq, Acked: f.acked, Size: 100})
+		switch {
+		case out == nil:
+		case out.Target == 0:
+			m.checkReset(f)
+			m.forget(f)
+			return
+		case m.targets[out.Target] != f.target:
+			m.t.Fatalf("a segment of a flow at target %d went to %d", f.target.registration.ID, out.Target)
+		case !f.target.dark:
+			f.seq += 100
+			f.acked += 600
+			m.send(f, baobabstep.Segment{Kind: baobabstep.KindData, Token: f.token, Seq: f.seq, Acked: f.acked})
+			return
+		}
+		m.now = m.now.Add(200 * time.Millisecond)
+	}
+}
+
+func (m *machine) forget(f *machineFlow) {
+	m.flows = slices.DeleteFunc(m.flows, func(x *machineFlow) bool { return x == f })
+}
+
+// checkReset checks that an established flow was reset for one of the reasons
+// there may be.
+func (m *machine) checkReset(f *machineFlow) {
+	_, routed := m.routes[f.address]
+	if !routed || f.target.dark || m.now.Sub(f.target.disturbed) < 4*time.Second {
+		return
+	}
+	m.t.Fatalf("a flow at target %d was reset, to which nothing happened for %v", f.target.registration.ID, m.now.Sub(f.target.disturbed))
+}
+
+func (m *machine) anyTarget() *machineTarget {
+	return m.targets[baobabstep.TargetID(1+m.random.IntN(int(m.nextID)))]
+}
+
+// pass lets time pass in which every flow sends something.
+func (m *machine) pass() {
+	for range 5 {
+		m.now = m.now.Add(100 * time.Millisecond)
+		for range 4 {
+			m.open()
+		}
+		for _, f := range slices.Clone(m.flows[max(0, len(m.flows)-20):]) {
+			m.request(f)
+		}
+		for _, r := range m.routers {
+			r.Tick(m.now)
+			r.SetOthers(nil, nil)
+		}
+	}
+}
+
+// TestRandomTroubles plays planned work and failures in any order and checks that
+// a flow has one target for all VMs, that no segment crosses services, that no
+// flow is reset without a reason, and that versions only grow.
+func TestRandomTroubles(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"pass time":      func(*rapid.T) { m.pass() },
+			"a target joins": func(*rapid.T) { m.join(); m.register() },
+			"a target drains": func(*rapid.T) {
+				m.anyTarget().registration.Draining = true
+				m.register()
+			},
+			"a registration lapses, or is back": func(*rapid.T) {
+				x := m.anyTarget()
+				x.registered = !x.registered
+				m.register()
+			},
+			"a target goes dark, or is back": func(*rapid.T) {
+				x := m.anyTarget()
+				x.dark, x.disturbed = !x.dark, m.now
+			},
+			"an address moves to the other service": func(*rapid.T) {
+				m.routes["a"], m.routes["b"] = "results", m.routes["a"]
+				m.putRoutes()
+			},
+			"a route is dropped, or is back": func(*rapid.T) {
+				if _, ok := m.routes["b"]; ok {
+					delete(m.routes, "b")
+				} else {
+					m.routes["b"] = "results"
+				}
+				m.putRoutes()
+			},
+			"an old table arrives late": func(*rapid.T) {
+				for _, r := range m.routers {
+					before := r.Version()
+					old := m.table()
+					old.Version = before - min(before, 1)
+					if r.SetTable(m.now, old) || r.Version() != before {
+						t.Fatalf("version %d became %d", before, r.Version())
+					}
+				}
+			},
+			"a VM restarts": func(*rapid.T) {
+				m.routers[m.random.IntN(len(m.routers))] = m.newRouter()
+				for _, r := range m.routers {
+					r.SetTable(m.now, m.table())
+				}
+				m.register()
+			},
+			"": func(*rapid.T) { m.open() },
+		})
+	})
+}
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -124,27 +124,36 @@
 // follow reads a kind whenever it is due, until ctx ends.
 func (f *follower) follow(ctx context.Context, r *reading) error {
 	pauses := newPauses()
-	lost := false
 	for ctx.Err() == nil {
 		now := f.node.clock.Now()
 		if wait := f.due(now, r).Sub(now); wait > 0 && !f.pause(ctx, min(wait, lookInterval), r.again) {
 			continue
 		}
-		revision, err := r.read(ctx)
-		if ctx.Err() != nil {
-			break
-		}
-		f.noteStore(r, err, &lost)
-		if err != nil {
+		err := f.readOnce(ctx, r)
+		switch {
+		case ctx.Err() != nil:
+		case err != nil:
 			f.pause(ctx, f.retryPause(now, err, pauses.NextBackOff()), r.again)
-			continue
+		default:
+			pauses.Reset()
 		}
-		pauses.Reset()
-		r.advance(revision)
 	}
 	return nil
 }
 
+// readOnce reads a kind, and notes what became of it.
+func (f *follower) readOnce(ctx context.Context, r *reading) error {
+	revision, err := r.read(ctx)
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	f.noteStore(r, err)
+	if err == nil {
+		r.advance(revision)
+	}
+	return err
+}
+
 // retryPause returns how long to wait after a failed reading. A store that has
 // nothing yet is asked by the first VM; the others hear from it, and ask seldom.
 func (f *follower) retryPause(now time.Time, err error, otherwise time.Duration) time.Duration {
@@ -221,17 +230,15 @@
 
 // noteStore logs the loss and the return of the store, and lets the others know:
 // another VM has to read in this one's place.
-func (f *follower) noteStore(r *reading, err error, lost *bool) {
+func (f *follower) noteStore(r *reading, err error) {
 	if baobabstep.CodeOf(err) == baobabstep.CodeNotFound {
 		err = nil // it answered
 	}
-	changed := *lost != (err != nil)
-	*lost = err != nil
-	f.node.blind[r.kind].Store(*lost)
+	lost := err != nil
 	switch {
-	case !changed:
+	case f.node.blind[r.kind].Swap(lost) == lost:
 		return
-	case *lost:
+	case lost:
 		f.node.log.WithError(err).WithField("reading", r.name).Warn("store lost")
 	default:
 		f.node.log.WithField("reading", r.name).Info("store regained")
--- /dev/null
+++ b/entry/model_test.go
@@ -0,0 +1,357 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"pgregory.net/rapid"
+
+	"baobabstep"
+	"baobabstep/core/heartbeat"
+	"baobabstep/io/setting"
+)
+
+// The model is a fleet of real nodes in virtual time, before a store whose
+// history it knows. Everything that a node does on the control path runs here:
+// heartbeats, changes, pieces, ranks and ages. Only goroutines and sockets are
+// replaced, by steps of stepTime and a network that loses messages.
+const (
+	modelVMs  = 6
+	stepTime  = 100 * time.Millisecond
+	modelData = 3 // data centres
+
+	// stepsEach is the number of steps after each trouble: with 100 runs of 30
+	// troubles more than 10,000 in all.
+	stepsEach = 4
+
+	// freshBound is how soon a VM that reaches the store, or hears a VM that
+	// does, holds what the store accepted: the bound of the settings, and a
+	// step for the message that brings it.
+	freshBound = 3*time.Second + 2*stepTime
+)
+
+// modelStore is the store: all routing tables and registrations that it ever
+// held, by version.
+type modelStore struct {
+	revision baobabstep.Revision
+	table    *baobabstep.RoutingTable
+	targets  []baobabstep.Registration
+	// tableAt and targetsAt are when the newest was accepted.
+	tableAt, targetsAt time.Time
+	down               bool
+	calls              int
+}
+
+// modelDirectory is the store as one VM reaches it.
+type modelDirectory struct {
+	store *modelStore
+	vm    *modelVM
+}
+
+var _ baobabstep.Directory = modelDirectory{}
+
+func (d modelDirectory) reach() error {
+	d.store.calls++
+	if d.store.down || d.vm.cut {
+		return baobabstep.Errorf(baobabstep.CodePlatformUnavailable, "model", "out of reach")
+	}
+	return nil
+}
+
+func (d modelDirectory) RoutingTable(context.Context) (*baobabstep.RoutingTable, baobabstep.Revision, error) {
+	if err := d.reach(); err != nil {
+		return nil, 0, err
+	}
+	copied := *d.store.table
+	copied.Rules = slices.Clone(copied.Rules)
+	return &copied, d.store.revision, nil
+}
+
+func (d modelDirectory) Registrations(context.Context) ([]baobabstep.Registration, baobabstep.Revision, error) {
+	return slices.Clone(d.store.targets), d.store.revision, d.reach()
+}
+
+// Watches never bring anything: the worst that a store does to them.
+func (d modelDirectory) WatchRoutingTable(context.Context, baobabstep.Revision, time.Duration) (*baobabstep.RoutingTable, baobabstep.Revision, error) {
+	return nil, 0, nil
+}
+
+func (d modelDirectory) WatchRegistrations(context.Context, baobabstep.Revision, time.Duration) ([]baobabstep.RegistrationChange, baobabstep.Revision, error) {
+	return nil, 0, nil
+}
+
+func (d modelDirectory) Secret(context.Context, []byte) ([]byte, error) { return nil, nil }
+
+// modelVM is one VM over its lives.
+type modelVM struct {
+	n    int
+	node *Node
+	// routes and targets are what its follower reads.
+	routes, targets *reading
+	// cut is set while the store is out of its reach.
+	cut bool
+	// version is the newest table of this life.
+	version uint64
+	// touchSince is when it last came to reach the store, or started.
+	touchSince time.Time
+	failedAt   time.Time
+}
+
+type modelMessage struct {
+	from, to netip.AddrPort
+	raw      []byte
+}
+
+// model is the whole; it is the clock and the network of all nodes.
+type model struct {
+	t       *rapid.T
+	now     time.Time
+	store   *modelStore
+	vms     []*modelVM
+	queue   []modelMessage
+	loss    float64
+	random  *rand.Rand
+	apart   map[[2]int]bool
+	tables  map[uint64]uint64
+	lives   uint64
+	settled time.Time
+}
+
+// Now implements [baobabstep.Clock].
+func (m *model) Now() time.Time { return m.now }
+
+// modelMessages are the messages of one VM.
+type modelMessages struct {
+	m    *model
+	from netip.AddrPort
+}
+
+func (x modelMessages) SetSecret([]byte) error { return nil }
+func (x modelMessages) Close() error           { return nil }
+func (x modelMessages) Send(to netip.AddrPort, raw []byte) {
+	x.m.queue = append(x.m.queue, modelMessage{x.from, to, slices.Clone(raw)})
+}
+
+func (x modelMessages) Receive(context.Context, func(netip.AddrPort, []byte)) error { return nil }
+
+type noLimits struct{}
+
+func (noLimits) Wanted(time.Time, string) bool { return false }
+func (noLimits) Dropped() map[string]uint64    { return nil }
+
+func modelAddress(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n + 1)}), 7000)
+}
+
+func newModel(t *rapid.T) *model {
+	m := &model{
+		t: t, now: time.Unix(1_800_000_000, 0), store: &modelStore{}, apart: map[[2]int]bool{},
+		random: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)), tables: map[uint64]uint64{},
+	}
+	m.changeRoutes()
+	m.changeTargets()
+	for n := range modelVMs {
+		m.vms = append(m.vms, &modelVM{n: n})
+		m.restart(m.vms[n])
+	}
+	return m
+}
+
+// restart gives a VM a new life.
+func (m *model) restart(vm *modelVM) {
+	m.lives++
+	vm.node = New(Options{
+		Settings: &setting.Settings{
+			Name: fmt.Sprintf("vm-%d", vm.n), DataCentre: fmt.Sprintf("dc-%d", vm.n%modelData),
+			PeerAddress: modelAddress(vm.n), Seeds: []netip.AddrPort{modelAddress(0), modelAddress(1)},
+			Token: setting.TokenSettings{ConfigApplyMS: 3000, DrainMS: 3000, FlowMaxS: 60, StopGraceS: 6},
+		},
+		Logger: &log.Logger{Handler: discard.New()}, LogLimits: noLimits{}, Clock: m,
+		Directory: modelDirectory{m.store, vm}, Messages: modelMessages{m, modelAddress(vm.n)},
+		Rand: rand.New(rand.NewPCG(m.lives, 7)),
+	})
+	vm.routes, vm.targets = vm.node.follower.routes(), vm.node.follower.targets()
+	vm.version, vm.touchSince = 0, m.now
+}
+
+func (m *model) changeRoutes() {
+	m.store.revision++
+	version := uint64(1)
+	if m.store.table != nil {
+		version = m.store.table.Version + 1 + m.random.Uint64N(3)
+	}
+	table := &baobabstep.RoutingTable{Version: version}
+	for n := range 5 {
+		if n == 0 || m.random.IntN(2) == 0 {
+			table.Rules = append(table.Rules, baobabstep.Rule{
+				Name: fmt.Sprintf("r-%d", n), Address: modelAddress(n),
+				Shares: []baobabstep.Share{{Service: "s", Weight: uint32(1 + m.random.IntN(9))}},
+			})
+		}
+	}
+	content, err := heartbeat.EncodeRoutes(table)
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	m.store.table, m.store.tableAt, m.tables[version] = table, m.now, heartbeat.Sum(content)
+}
+
+func (m *model) changeTargets() {
+	m.store.revision++
+	m.store.targets = nil
+	for n := range 4 {
+		m.store.targets = append(m.store.targets, baobabstep.Registration{
+			ID: baobabstep.TargetID(n + 1), Service: "s", Address: modelAddress(100 + n), Slots: 2, Draining: m.random.IntN(3) == 0,
+		})
+	}
+	m.store.targetsAt = m.now
+}
+
+// step lets stepTime pass: readings that are due, heartbeats, and the messages
+// of all, whatever they set off.
+func (m *model) step() {
+	m.now = m.now.Add(stepTime)
+	for _, vm := range m.vms {
+		for _, r := range []*reading{vm.routes, vm.targets} {
+			// A failed reading is tried again after the shortest pause but one.
+			if m.now.Before(vm.node.follower.due(m.now, r)) || m.now.Sub(vm.failedAt) < stepTime {
+				continue
+			}
+			if vm.node.follower.readOnce(context.Background(), r) != nil {
+				vm.failedAt = m.now
+			}
+		}
+		vm.node.beat(m.now)
+	}
+	for rounds := 0; len(m.queue) > 0 && rounds < 20; rounds++ {
+		batch := m.queue
+		m.queue = nil
+		for _, x := range batch {
+			m.deliver(x)
+		}
+	}
+	m.check()
+}
+
+func (m *model) deliver(x modelMessage) {
+	from, to := int(x.from.Addr().As4()[3])-1, int(x.to.Addr().As4()[3])-1
+	if to >= len(m.vms) || m.apart[[2]int{from, to}] || m.random.Float64() < m.loss {
+		return
+	}
+	m.vms[to].node.receive(m.now, x.from, x.raw)
+}
+
+// check asserts the invariants.
+func (m *model) check() {
+	for _, vm := range m.vms {
+		held := vm.node.beliefs.get(heartbeat.Routes)
+		switch {
+		case held.version < vm.version:
+			m.t.Fatalf("VM %d went from version %d to %d", vm.n, vm.version, held.version)
+		case held.version > 0 && m.tables[held.version] != held.sum:
+			m.t.Fatalf("VM %d holds a version %d that the store never had", vm.n, held.version)
+		}
+		vm.version = held.version
+		if age := m.now.Sub(held.confirmed); held.version > 0 && age < 0 {
+			m.t.Fatalf("VM %d is %v ahead of the store", vm.n, -age)
+		}
+		m.checkFresh(vm, held)
+	}
+}
+
+// checkFresh checks a VM that reached the store, and could rely on nothing
+// else, for all of the bound.
+func (m *model) checkFresh(vm *modelVM, held belief) {
+	if vm.cut || m.store.down || m.now.Sub(vm.touchSince) < freshBound || m.now.Sub(m.settled) < freshBound {
+		return
+	}
+	if held.version < m.store.table.Version && m.now.Sub(m.store.tableAt) > freshBound {
+		m.t.Fatalf("VM %d holds version %d, %v after %d was accepted", vm.n, held.version, m.now.Sub(m.store.tableAt), m.store.table.Version)
+	}
+	targets := vm.node.beliefs.get(heartbeat.Targets)
+	content, err := heartbeat.EncodeTargets(m.store.targets)
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	if targets.sum != heartbeat.Sum(content) && m.now.Sub(m.store.targetsAt) > freshBound {
+		m.t.Fatalf("VM %d holds old registrations %v after they changed", vm.n, m.now.Sub(m.store.targetsAt))
+	}
+}
+
+func (m *model) anyVM() *modelVM { return m.vms[rapid.IntRange(0, modelVMs-1).Draw(m.t, "vm")] }
+
+// TestFleetKeepsItsBeliefs plays random troubles of the store, of VMs and of the
+// network between them, and checks after each step that no VM goes back to an
+// older table, none holds one that never was, and that each that can reach the
+// store is as fresh as promised although no watch ever says anything.
+func TestFleetKeepsItsBeliefs(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"pass time": func(*rapid.T) {
+				for range 20 {
+					m.step()
+				}
+			},
+			"change routes":  func(*rapid.T) { m.changeRoutes() },
+			"change targets": func(*rapid.T) { m.changeTargets() },
+			"cut or join a VM and the store": func(*rapid.T) {
+				vm := m.anyVM()
+				vm.cut, vm.touchSince = !vm.cut, m.now
+			},
+			"stop or start the store": func(*rapid.T) { m.store.down, m.settled = !m.store.down, m.now },
+			"restart a VM":            func(*rapid.T) { m.restart(m.anyVM()) },
+			"restart all": func(*rapid.T) {
+				for _, vm := range m.vms {
+					m.restart(vm)
+				}
+			},
+			"cut or join two VMs": func(*rapid.T) {
+				a, b := m.anyVM().n, m.anyVM().n
+				m.apart[[2]int{a, b}] = !m.apart[[2]int{a, b}] // one way
+			},
+			"cut a data centre off, or not": func(*rapid.T) {
+				cut := m.anyVM().n % modelData
+				for a := range modelVMs {
+					for b := range modelVMs {
+						if (a%modelData == cut) != (b%modelData == cut) {
+							m.apart[[2]int{a, b}] = !m.apart[[2]int{a, b}]
+						}
+					}
+				}
+			},
+			"lose messages, or not": func(*rapid.T) { m.loss = 0.4 - m.loss },
+			"": func(*rapid.T) {
+				for range stepsEach {
+					m.step()
+				}
+			},
+		})
+	})
+}
+
+// A calm fleet asks the store seldom, however many VMs it has: one of them reads.
+func TestCalmFleetAsksSeldom(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t)
+		for range 30 {
+			m.step()
+		}
+		before := m.store.calls
+		const steps = 100
+		for range steps {
+			m.step()
+		}
+		perSecond := float64(m.store.calls-before) / (steps * stepTime).Seconds()
+		if perSecond > 2 {
+			t.Fatalf("%d VMs made %.1f calls a second", modelVMs, perSecond)
+		}
+	})
+}
--- a/entry/share.go
+++ b/entry/share.go
@@ -66,24 +66,26 @@
 
 // listen takes in what peers send.
 func (n *Node) listen(ctx context.Context) error {
-	return n.o.Messages.Receive(ctx, func(from netip.AddrPort, raw []byte) {
-		m, err := heartbeat.Decode(raw)
-		if err != nil {
-			n.counts.malformed.Add(1)
-			return
-		}
-		now := n.clock.Now()
-		switch {
-		case m.Heartbeat != nil:
-			n.handleHeartbeat(now, from, m.Heartbeat)
-		case m.Want != nil:
-			n.handleWant(now, from, m.Want)
-		case m.Piece != nil:
-			n.handlePiece(now, m.Piece)
-		case m.Change != nil:
-			n.handleChange(now, from, m.Change)
-		}
-	})
+	return n.o.Messages.Receive(ctx, func(from netip.AddrPort, raw []byte) { n.receive(n.clock.Now(), from, raw) })
+}
+
+// receive takes in one message.
+func (n *Node) receive(now time.Time, from netip.AddrPort, raw []byte) {
+	m, err := heartbeat.Decode(raw)
+	if err != nil {
+		n.counts.malformed.Add(1)
+		return
+	}
+	switch {
+	case m.Heartbeat != nil:
+		n.handleHeartbeat(now, from, m.Heartbeat)
+	case m.Want != nil:
+		n.handleWant(now, from, m.Want)
+	case m.Piece != nil:
+		n.handlePiece(now, m.Piece)
+	case m.Change != nil:
+		n.handleChange(now, from, m.Change)
+	}
 }
 
 // handleHeartbeat takes over the sender's certainty, and asks for what it holds
