--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -69,8 +69,8 @@
 	f.store.SetGate(func(key string) bool { return key == "baobabstep/secret" })
 	f.vms = append(f.vms, f.startVM(2))
 	f.until("the second VM is ready", func() bool { return f.vms[1].node.Ready() == nil })
-	_, ok := f.find("routing table in force", func(fields map[string]any) bool { return fields["source"] == "peer" })
-	qt.Assert(t, ok, qt.IsTrue)
+	fromPeer := func(fields map[string]any) bool { return fields["source"] == "peer" }
+	qt.Assert(t, f.logged("routing table in force", fromPeer), qt.IsTrue)
 }
 
 var documentedMetric = regexp.MustCompile("(?m)^\\| `(baobabstep_\\w+)` \\|")
--- a/entry/help_test.go
+++ b/entry/help_test.go
@@ -187,16 +187,16 @@
 	}
 }
 
-// find returns the first line of any VM with a message for which match holds.
-func (f *fixture) find(message string, match func(fields map[string]any) bool) (line, bool) {
+// logged tells whether any VM wrote a line with a message for which match holds.
+func (f *fixture) logged(message string, match func(fields map[string]any) bool) bool {
 	for _, vm := range f.vms {
 		for _, l := range vm.log.lines() {
-			if l.Message == message && (match == nil || match(l.Fields)) {
-				return l, true
+			if l.Message == message && match(l.Fields) {
+				return true
 			}
 		}
 	}
-	return line{}, false
+	return false
 }
 
 // request opens a flow, sends one request and returns how it ended.
--- a/entry/operations_test.go
+++ b/entry/operations_test.go
@@ -45,15 +45,9 @@
 	}
 	slices.Sort(keys)
 	f.until(fmt.Sprintf("%s with %v is logged", want.Message, keys), func() bool {
-		_, ok := f.find(want.Message, func(fields map[string]any) bool {
-			for _, key := range keys {
-				if _, has := fields[key]; !has {
-					return false
-				}
-			}
-			return true
+		return f.logged(want.Message, func(fields map[string]any) bool {
+			return !slices.ContainsFunc(keys, func(key string) bool { _, has := fields[key]; return !has })
 		})
-		return ok
 	})
 }
 
--- a/io/logs/logs.go
+++ b/io/logs/logs.go
@@ -19,9 +19,10 @@
 	// bufferLines bounds the lines that wait to be written: a second of the
 	// most that Rate lets through, in a few classes.
 	bufferLines = 1024
-	// Rate is the number of lines a second of each class, Burst what may come
-	// at once. A line costs some 8 us; 100 a second are under 0.1 % of a core.
-	Rate  = 100
+	// Rate is the number of lines a second of each class. A line costs some
+	// 8 us; 100 a second are under 0.1 % of a core.
+	Rate = 100
+	// Burst is the number of lines of a class that may come at once.
 	Burst = 300
 	// flushTimeout bounds the wait for a reader that stands still at the end.
 	flushTimeout = 200 * time.Millisecond
