token: fresh evidence only; registrations that lapsed with the store are spared

The random machine found a flow that was reset 4.4 s after its target had come back: a VM with no flows for it still held what it had found before.

Ruled out: evidence that expires by count (a VM without traffic never counts down); grace for every registration that goes missing (a target that ended in calm would get flows for 2.5 s).

Change: evidence ends flows, and is told to others, for 1 s after it was last renewed; a flow of which nothing more came never ends others (a fabric that sprays looks the same); after the return of the store registrations that go missing within 2.5 s still get new flows.

--- a/core/token/choose.go
+++ b/core/token/choose.go
@@ -53,7 +53,7 @@
 	start := int(r.draw() % uint64(len(p.targets)))
 	for i := range p.targets {
 		t := p.targets[(start+i)%len(p.targets)]
-		if !t.choosable() || !wanted(t) {
+		if !t.choosable(now) || !wanted(t) {
 			continue
 		}
 		if score := r.score(now, t, mean); best == nil || score < least {
--- a/core/token/health.go
+++ b/core/token/health.go
@@ -16,6 +16,12 @@
 	// segment 2; without any of those a target is never dark. It accepts a
 	// flow at once however much it has to do, while an answer may take long.
 	darkAt = 4
+	// freshFor is how long what was found of a target counts against its open
+	// flows, and is told to other VMs. A VM may have nothing for a target for
+	// minutes; what it found before must not end a flow that was opened over
+	// another VM since the target is back. While the target stays silent, each
+	// request that is repeated makes it fresh again.
+	freshFor = time.Second
 	// firstTrial and lastTrial bound the time after which a suspect target
 	// gets one flow again. Each trial of a target that is still dark costs a
 	// caller 200 ms.
@@ -23,18 +29,32 @@
 	lastTrial  = 4 * time.Second
 )
 
+// silence is how a target left a flow unanswered.
+type silence uint8
+
+const (
+	// requestRepeated: a request was sent again. The target may be slow.
+	requestRepeated silence = iota
+	// openRepeated: a copy of the first segment came.
+	openRepeated
+	// openVanished: nothing came after the first segment. The target refused
+	// the flow, or the rest of it goes over other VMs.
+	openVanished
+)
+
 // health is what a VM concludes of a target from the segments of its callers.
 // A caller that goes on after its first segment, or acknowledges more than
 // before, has heard from its target; one that repeats itself has not.
 type health struct {
-	// unanswered counts flows in a row, opens those among them that the
-	// target left unanswered from the first segment on.
-	unanswered, opens int
+	// unanswered counts flows in a row, opens and vanished those among them
+	// of openRepeated and openVanished.
+	unanswered, opens, vanished int
 	// others and othersOpens are the greatest such numbers that another VM of
 	// the data centre says.
 	others, othersOpens int
-	// heardAt is when the target was last heard of.
-	heardAt time.Time
+	// heardAt is when the target was last heard of, leftAt when it last left a
+	// flow unanswered.
+	heardAt, leftAt time.Time
 	// trialAt is when a suspect target may get one flow, pause the time until
 	// the trial after that.
 	trialAt time.Time
@@ -47,14 +67,18 @@
 }
 
 // left notes a flow that the target left unanswered.
-func (h *health) left(now time.Time, open bool) {
+func (h *health) left(now time.Time, how silence) {
 	h.unanswered++
-	if open {
+	h.leftAt = now
+	switch how {
+	case openRepeated:
 		h.opens++
+	case openVanished:
+		h.vanished++
 	}
 	switch {
 	case h.unanswered < suspectAt || now.Before(h.trialAt):
-	case h.opens == 0:
+	case h.opens+h.vanished == 0:
 		h.trialAt = now // the next flow tells whether it is slow or gone
 	default:
 		h.pause = min(max(2*h.pause, firstTrial), lastTrial)
@@ -66,7 +90,7 @@
 // are unanswered, and whether it accepts flows is not known yet. A dark target
 // is so found out in 200 ms, and its flows can be ended.
 func (h *health) doubtful(now time.Time) bool {
-	return h.unanswered >= suspectAt && h.opens == 0 && !now.Before(h.trialAt) && h.othersOpens == 0
+	return h.unanswered >= suspectAt && h.opens+h.vanished == 0 && !now.Before(h.trialAt) && h.othersOpens == 0
 }
 
 // freshAnswer is how long ago a target may have been heard of for the word of
@@ -97,6 +121,8 @@
 	switch {
 	case h.unanswered == 0 || h.opens+othersOpens == 0:
 		return false
+	case now.Sub(h.leftAt) >= freshFor:
+		return false
 	case others == 0 && !alone:
 		return false
 	}
--- a/core/token/health_test.go
+++ b/core/token/health_test.go
@@ -131,6 +131,26 @@
 	})
 }
 
+// A target was dark and is back. A VM that had nothing for it meanwhile still
+// holds what it found; a flow that was opened over another VM is handed to it, and
+// was reset, seconds after the target had come back.
+func TestOldEvidenceEndsNoFlow(t *testing.T) {
+	r := newRouter(t)
+	open(t, r, start, flowFrom(2, fixtures)) // another target of the service is heard of
+	key := flowFrom(1, fixtures)
+	token := tokenFor(hashFlow(key), 1)
+	silent := r.current.Load().targets[1].load
+	for range 5 {
+		silent.left(start, openRepeated)
+	}
+	later := start.Add(freshFor)
+	r.current.Load().targets[2].load.answered(later)
+	assertReset(t, r, later.Add(-1), data(key, token))
+	assertPassed(t, r, later, data(key, token), 1)
+	flows, _ := silent.told(later)
+	qt.Assert(t, flows, qt.Equals, 0)
+}
+
 // A target is overloaded: it accepts flows at once, but its answers take longer
 // than the 200 ms after which callers repeat their requests. Its flows are alive
 // and must not be reset, however many requests are repeated between its answers.
@@ -189,7 +209,7 @@
 	_, token := open(t, r, start, key)
 	handle(r, start, data(key, token))
 	load := r.current.Load().targets[3].load
-	load.left(start, true)
+	load.left(start, openRepeated)
 	gone := data(key, token)
 	gone.Kind, gone.Acked = baobabstep.KindReset, gone.Acked+5
 	handle(r, start, gone)
@@ -221,7 +241,7 @@
 			var h health
 			h.others, h.othersOpens = test.others, test.others
 			for range test.own {
-				h.left(now, true)
+				h.left(now, openRepeated)
 			}
 			if test.heard {
 				h.answered(now)
@@ -267,6 +287,26 @@
 	})
 }
 
+// A fabric that sprays, or changes the VMs of all flows, hands the first segment
+// of a flow to this VM and the rest to others. Here the flow vanishes, though its
+// target took it; open flows there must go on.
+func TestFlowsThatGoOnElsewhereEndNone(t *testing.T) {
+	r := newRouter(t)
+	key := flowFrom(1, results)
+	_, token := open(t, r, start, key)
+	handle(r, start, data(key, token))
+	now := start.Add(time.Second)
+	for port := range uint16(20) {
+		open(t, r, now, flowFrom(port+2, results))
+	}
+	later := now.Add(vanishedAfter)
+	r.Tick(later)
+	flows, opens := r.current.Load().targets[3].load.unanswered()
+	qt.Assert(t, flows, qt.Equals, 20)
+	qt.Assert(t, opens, qt.Equals, 0)
+	assertPassed(t, r, later, data(key, token), 3)
+}
+
 // Of a flow that was refused nothing more comes, not even a copy. Two such in a
 // row keep new flows away, like two that stayed without an answer; a flow whose
 // caller sends a copy, or goes on, was not refused.
--- a/core/token/load.go
+++ b/core/token/load.go
@@ -79,12 +79,11 @@
 	return again
 }
 
-// left notes a flow that the target left unanswered, from its first segment on
-// if open is set.
-func (l *load) left(now time.Time, open bool) {
+// left notes a flow that the target left unanswered.
+func (l *load) left(now time.Time, how silence) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.health.left(now, open)
+	l.health.left(now, how)
 }
 
 // suspect tells whether new flows should avoid the target.
@@ -167,6 +166,16 @@
 	return l.health.unanswered, l.health.opens
 }
 
+// told returns what other VMs are told of the target: unanswered, while fresh.
+func (l *load) told(now time.Time) (flows, opens int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now.Sub(l.health.leftAt) >= freshFor {
+		return 0, 0
+	}
+	return l.health.unanswered, l.health.opens
+}
+
 // evidence returns what stands against the target here and by the word of other
 // VMs, and how long ago it was heard of; negative if never.
 func (l *load) evidence(now time.Time) (unanswered, opens, others int, heard time.Duration) {
--- a/core/token/router.go
+++ b/core/token/router.go
@@ -83,6 +83,23 @@
 	r.current.Store(r.current.Load().withRegistrations(now, list, r.o.FlowMax))
 }
 
+// lapseGrace is how long after the return of the store registrations that
+// lapsed meanwhile may take to be back: about 2 s for a target that lives, and
+// what the news takes.
+const lapseGrace = 2500 * time.Millisecond
+
+// StoreBack tells that the store was out of reach until now. Targets renew
+// their registrations in it; those that could not for long enough are missing
+// from it at first, though they live. Without the grace most targets of every
+// service seem to be gone at once, and callers are refused.
+func (r *Router) StoreBack(now time.Time) {
+	r.change.Lock()
+	defer r.change.Unlock()
+	next := *r.current.Load()
+	next.spareUntil = now.Add(lapseGrace)
+	r.current.Store(&next)
+}
+
 // SetOthers tells what other VMs send to targets, and how many VMs of each data
 // centre are heard.
 //
@@ -102,7 +119,7 @@
 	list := make([]baobabstep.TargetLoad, 0, len(targets))
 	for id, t := range targets {
 		own, _ := t.load.requests(now)
-		flows, opens := t.load.unanswered()
+		flows, opens := t.load.told(now)
 		list = append(list, baobabstep.TargetLoad{Target: id, Requests: own, Unanswered: flows, Opens: opens})
 	}
 	return list
@@ -198,10 +215,10 @@
 	}
 	if !f.unanswered {
 		f.unanswered = true
-		r.left(now, f, true)
+		r.left(now, f, openRepeated)
 	}
 	present := s.targets[f.target.id]
-	return present == nil || !present.choosable() || f.target.load.suspect(now)
+	return present == nil || !present.choosable(now) || f.target.load.suspect(now)
 }
 
 // answered notes that a target was heard of.
@@ -211,15 +228,14 @@
 	}
 }
 
-// left counts a flow against its target, from its first segment on if open is
-// set. A target that was heard of since the flow's segment went out lives: then it
+// left counts a flow against its target. A target that was heard of since the flow's segment went out lives: then it
 // was the segment that was lost, or its answer.
-func (r *Router) left(now time.Time, f *flow, open bool) {
+func (r *Router) left(now time.Time, f *flow, how silence) {
 	t := f.target
 	if t.load.heardAt().After(f.sent) {
 		return
 	}
-	t.load.left(now, open)
+	t.load.left(now, how)
 	r.record(now, EventSilent, r.current.Load(), nil, t, nil)
 	select {
 	case r.troubled <- struct{}{}:
@@ -279,11 +295,11 @@
 	f := shard.flows[p.Flow]
 	switch {
 	case f == nil:
-		shard.add(p.Flow, &flow{target: t, heard: now, acked: p.Acked, requestAcked: p.Acked, sentEnd: p.Seq + uint32(p.Size)})
+		shard.add(p.Flow, adopted(now, t, p))
 	case f.target.id != t.id:
 		// The flow was opened at another target than this VM sent it to last.
 		r.answered(now, t)
-		shard.add(p.Flow, &flow{target: t, heard: now, acked: p.Acked, requestAcked: p.Acked, sentEnd: p.Seq + uint32(p.Size)})
+		shard.add(p.Flow, adopted(now, t, p))
 	default:
 		r.follow(now, f, p)
 	}
@@ -292,6 +308,13 @@
 	}
 }
 
+// adopted returns the record of a flow that this VM did not place.
+func adopted(now time.Time, t *target, p *baobabstep.Segment) *flow {
+	return &flow{
+		target: t, heard: now, sent: now, acked: p.Acked, requestAcked: p.Acked, sentEnd: p.Seq + uint32(p.Size),
+	}
+}
+
 // follow notes what a later segment says of a flow that this VM knows.
 func (r *Router) follow(now time.Time, f *flow, p *baobabstep.Segment) {
 	// What a caller's reset acknowledges is not said anywhere.
@@ -322,7 +345,7 @@
 		}
 	} else if p.Size > 0 && !progress && !f.unanswered && now.Sub(f.sent) >= copyAfter {
 		f.unanswered = true
-		r.left(now, f, false)
+		r.left(now, f, requestRepeated)
 	}
 	f.heard = now
 	if progress {
@@ -347,7 +370,7 @@
 	}
 	for i := range r.flows.shards {
 		for _, f := range r.flows.shards[i].expire(now, idle) {
-			r.left(now, f, true)
+			r.left(now, f, openVanished)
 		}
 	}
 	r.openings.expire(now)
--- a/core/token/router_test.go
+++ b/core/token/router_test.go
@@ -143,6 +143,41 @@
 	})
 }
 
+// The store was away for longer than registrations last. When it is back most
+// targets are missing from it, until they have written again; they were alive all
+// the time, and callers were refused for a second and more.
+func TestRegistrationsThatLapsedWithTheStore(t *testing.T) {
+	back := start.Add(10 * time.Second)
+	lapsed := func(t *testing.T) *Router {
+		r := newRouter(t)
+		r.StoreBack(back)
+		r.SetRegistrations(back, nil)
+		return r
+	}
+	t.Run("still get new flows", func(t *testing.T) {
+		open(t, lapsed(t), back.Add(lapseGrace-1), flowFrom(1, fixtures))
+	})
+	t.Run("but not past the grace", func(t *testing.T) {
+		assertReset(t, lapsed(t), back.Add(lapseGrace), baobabstep.Segment{Kind: baobabstep.KindOpen, Flow: flowFrom(1, fixtures)})
+	})
+	t.Run("and none that goes later", func(t *testing.T) {
+		r := newRouter(t)
+		r.StoreBack(back)
+		later := back.Add(lapseGrace)
+		r.SetRegistrations(later, nil)
+		assertReset(t, r, later, baobabstep.Segment{Kind: baobabstep.KindOpen, Flow: flowFrom(1, fixtures)})
+	})
+	t.Run("and none that drains", func(t *testing.T) {
+		r := newRouter(t)
+		list := threeTargets()
+		list[0].Draining, list[1].Draining = true, true
+		r.SetRegistrations(start, list)
+		r.StoreBack(back)
+		r.SetRegistrations(back, nil)
+		assertReset(t, r, back, baobabstep.Segment{Kind: baobabstep.KindOpen, Flow: flowFrom(1, fixtures)})
+	})
+}
+
 func TestWeightsOfShares(t *testing.T) {
 	r := newRouter(t)
 	r.SetTable(start, table(2, baobabstep.Rule{Address: fixtures, Shares: []baobabstep.Share{
--- a/core/token/snapshot.go
+++ b/core/token/snapshot.go
@@ -17,6 +17,8 @@
 	targets map[baobabstep.TargetID]*target
 	// ready is set once both a routing table and targets are known.
 	haveTable, haveTargets bool
+	// spareUntil is until when registrations that go missing may be back.
+	spareUntil time.Time
 }
 
 // rule is one service address.
@@ -111,7 +113,7 @@
 		}
 		gone := *old
 		if gone.missingSince.IsZero() {
-			gone.missingSince = now
+			gone.missingSince, gone.sparedUntil = now, s.spareUntil
 		}
 		if now.Sub(gone.missingSince) < keep {
 			next.targets[id] = &gone
@@ -128,7 +130,7 @@
 	for service, p := range s.pools {
 		var known, sum float64
 		for _, t := range p.targets {
-			if before.targets[t.id] != nil && t.choosable() {
+			if before.targets[t.id] != nil && t.choosable(now) {
 				own, _ := t.load.requests(now)
 				known++
 				sum += own
--- a/core/token/target.go
+++ b/core/token/target.go
@@ -15,13 +15,17 @@
 	// missingSince is when the registration was found gone; zero while it is
 	// there. A target that is gone still gets the packets of its flows.
 	missingSince time.Time
+	// sparedUntil is until when a target whose registration is missing may
+	// still get new flows: it may have lapsed while the store was away.
+	sparedUntil time.Time
 	// coldUntil is when the target stops being slow after its start.
 	coldUntil time.Time
 }
 
 // choosable tells whether the target may get new flows.
-func (t *target) choosable() bool {
-	return t.missingSince.IsZero() && !t.registration.Draining
+func (t *target) choosable(now time.Time) bool {
+	there := t.missingSince.IsZero() || now.Before(t.sparedUntil)
+	return there && !t.registration.Draining
 }
 
 // pool is the targets of one service, those that are gone included.
--- a/entry/share.go
+++ b/entry/share.go
@@ -177,6 +177,7 @@
 	if c.Kind == heartbeat.Routes {
 		changed, _, err = n.beliefs.holdRoutes(now, table, news)
 	} else {
+		n.noteReturn(now)
 		changed, _, err = n.beliefs.holdTargets(now, list, baobabstep.Revision(c.To.Version), news)
 	}
 	if err != nil {
@@ -198,6 +199,7 @@
 }
 
 func (n *Node) learnTargets(list []baobabstep.Registration, revision baobabstep.Revision, from origin) error {
+	n.noteReturn(n.clock.Now())
 	changed, change, err := n.beliefs.holdTargets(n.clock.Now(), list, revision, from)
 	if changed {
 		n.handOn(change, from.source != sourcePeer)
@@ -205,6 +207,14 @@
 	return err
 }
 
+// noteReturn tells the router that the store was away, if this VM could not
+// read it; whatever registrations come now are the first since.
+func (n *Node) noteReturn(now time.Time) {
+	if n.blind[heartbeat.Targets].Load() {
+		n.router.StoreBack(now)
+	}
+}
+
 // handOn tells others what is new here: the change itself if it came from the
 // store, so that they need not ask; otherwise only that there is something.
 func (n *Node) handOn(change *heartbeat.Change, fromStore bool) {
