heartbeat, entry: VMs that cannot read the store take turns to try

Ruled out: longer pauses for all (a VM that the store alone refuses would be late where no other VM is near).

Change: a blind VM ranks itself among the blind, behind all that can read; from the third of a data centre on pauses are five times as long.

--- a/core/heartbeat/board.go
+++ b/core/heartbeat/board.go
@@ -290,15 +290,19 @@
 // First tells whether no VM comes before.
 func (r Rank) First() bool { return r == Rank{} }
 
-// Rank returns the place of this VM. VMs that leave, or cannot read the store,
-// come before nobody.
-func (b *Board) Rank(now time.Time) Rank {
+// Rank returns the place of this VM. VMs that leave come before nobody, and VMs
+// that cannot read the store before none that can; blind is set if this one
+// cannot. Of those that cannot, too, only a few should go on trying.
+func (b *Board) Rank(now time.Time, blind bool) Rank {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var rank Rank
 	before := make(map[string]bool)
 	for _, p := range b.peers {
-		if !b.live(now, p) || p.last.Leaving || p.last.Blind || p.last.From >= b.o.Self {
+		if !b.live(now, p) || p.last.Leaving || p.last.Blind && !blind {
+			continue
+		}
+		if p.last.From >= b.o.Self && p.last.Blind == blind {
 			continue
 		}
 		if p.last.DataCentre == b.o.DataCentre {
--- a/core/heartbeat/board_test.go
+++ b/core/heartbeat/board_test.go
@@ -52,7 +52,7 @@
 	for _, n := range []int{1, 3, 7, 2, 4, 6} { // even ones stand in another data centre
 		b.Handle(start, address(n), beat(n, 1, 1))
 	}
-	qt.Assert(t, b.Rank(start), qt.Equals, Rank{Near: 2, Far: 1})
+	qt.Assert(t, b.Rank(start, false), qt.Equals, Rank{Near: 2, Far: 1})
 	later := start.Add(b.o.Silent)
 	for _, test := range []struct {
 		name string
@@ -68,11 +68,25 @@
 			b.number++
 			test.say(h)
 			b.Handle(later, address(3), h)
-			qt.Assert(t, b.Rank(later), qt.Equals, test.want)
+			qt.Assert(t, b.Rank(later, false), qt.Equals, test.want)
 		})
 	}
 }
 
+// The store is down: all VMs are blind, and each would be the first of those that
+// are not. Sixty of them asked it every second. Ranks go on among the blind, and
+// any VM that can read comes before them.
+func TestRankOfTheBlind(t *testing.T) {
+	b := newBoard(5)
+	for _, n := range []int{1, 3, 7} {
+		h := beat(n, 1, 1)
+		h.Blind = n != 7
+		b.Handle(start, address(n), h)
+	}
+	qt.Assert(t, b.Rank(start, false), qt.Equals, Rank{})
+	qt.Assert(t, b.Rank(start, true), qt.Equals, Rank{Near: 3})
+}
+
 // Something new has to reach each data centre at once, over one VM of each.
 func TestAnnounce(t *testing.T) {
 	b := newBoard(1)
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -26,6 +26,9 @@
 	// firstRetry and lastRetry bound the pauses after failed calls.
 	firstRetry = 50 * time.Millisecond
 	lastRetry  = time.Second
+	// seldom is by how much longer a VM waits to which two others of its data
+	// centre are nearer to try: with 27 VMs there, a fifth of the calls.
+	seldom = 5
 	// lookInterval is how often a VM looks whether it has to read or watch: a
 	// heartbeat may have told it otherwise meanwhile.
 	lookInterval = 250 * time.Millisecond
@@ -99,7 +102,7 @@
 
 // due returns when a kind has to be read again.
 func (f *follower) due(now time.Time, r *reading) time.Time {
-	age := dueAge(f.node.board.Rank(now))
+	age := dueAge(f.node.rank(now))
 	return f.node.beliefs.get(r.kind).confirmed.Add(time.Duration(age * float64(r.within)))
 }
 
@@ -118,7 +121,7 @@
 
 // watches tells whether this VM holds the fleet's watches.
 func (f *follower) watches(now time.Time) bool {
-	return f.node.board.Rank(now).First() && now.Sub(f.node.started) >= settleTime
+	return f.node.rank(now).First() && now.Sub(f.node.started) >= settleTime
 }
 
 // follow reads a kind whenever it is due, until ctx ends.
@@ -154,16 +157,21 @@
 	return err
 }
 
-// retryPause returns how long to wait after a failed reading. A store that has
-// nothing yet is asked by the first VM; the others hear from it, and ask seldom.
+// retryPause returns how long to wait after a failed reading. A store that is
+// away, or has nothing yet, is asked by the first VMs; the others hear from them
+// once it answers, and ask seldom.
 func (f *follower) retryPause(now time.Time, err error, otherwise time.Duration) time.Duration {
+	rank := f.node.rank(now)
+	absent := baobabstep.CodeOf(err) == baobabstep.CodeNotFound
 	switch {
-	case baobabstep.CodeOf(err) != baobabstep.CodeNotFound:
-		return otherwise
-	case f.node.board.Rank(now).First():
+	case absent && rank.First():
 		return absentRetry
-	default:
+	case absent:
 		return 2 * absentRetry
+	case rank.Near > 1:
+		return otherwise * seldom
+	default:
+		return otherwise
 	}
 }
 
--- a/entry/share.go
+++ b/entry/share.go
@@ -215,6 +215,16 @@
 	}
 }
 
+// rank returns this VM's place among those that may read the store.
+func (n *Node) rank(now time.Time) heartbeat.Rank {
+	return n.board.Rank(now, n.isBlind())
+}
+
+// isBlind tells whether the store cannot be read.
+func (n *Node) isBlind() bool {
+	return n.blind[heartbeat.Routes].Load() || n.blind[heartbeat.Targets].Load()
+}
+
 // handOn tells others what is new here: the change itself if it came from the
 // store, so that they need not ask; otherwise only that there is something.
 func (n *Node) handOn(change *heartbeat.Change, fromStore bool) {
@@ -249,12 +259,12 @@
 	live := n.board.Live(now)
 	n.router.SetOthers(n.board.Loads(now), live)
 	n.noteDataCentres(live)
-	n.noteRank(n.board.Rank(now))
+	n.noteRank(n.rank(now))
 }
 
 func (n *Node) own(now time.Time) heartbeat.Own {
 	return heartbeat.Own{
-		Leaving: n.stopping.Load(), Blind: n.blind[heartbeat.Routes].Load() || n.blind[heartbeat.Targets].Load(),
+		Leaving: n.stopping.Load(), Blind: n.isBlind(),
 		Held: n.beliefs.told(now), Loads: heartbeat.MakeLoads(n.router.Loads(now)),
 	}
 }
