heartbeat, token: wholes are paced; VMs contradict each other about silent targets

At 27.3 s the table grows by 350 routes; the VMs that had it first sent it whole (18 KB) to all who asked, their links of 10 Mbit/s were full, and four VMs found the same target silent, for which two are enough.

Ruled out: the target (others heard of it all the time); the rule of two VMs alone (VMs with full links agree with each other).

Change: a VM sends wholes at 200 KB/s at most, others ask elsewhere; a VM that hears of a target that another one calls silent says when, and evidence from before that does not count. Where VMs take turns in heartbeats they are taken for silent later, by as much as the turns are; a data centre is out of reach if none of its VMs was heard for 1 s.

--- a/core/heartbeat/board.go
+++ b/core/heartbeat/board.go
@@ -35,8 +35,13 @@
 	// out of turn (4).
 	AnnounceFanout int
 	// Silent is the silence after which a VM counts for nothing (700 ms, three
-	// heartbeats and a half).
+	// heartbeats and a half). Where VMs take turns, it is longer by as much as
+	// the turns are.
 	Silent time.Duration
+	// FarSilent is the silence of all its VMs after which another data centre
+	// is out of reach (1 s). Many send to this VM now and then; with six a
+	// second, one gap in 400 is longer.
+	FarSilent time.Duration
 	// Forget is the silence after which a VM gets no more heartbeats (30 s):
 	// longer than a partition that heals, so that both sides find each other.
 	Forget time.Duration
@@ -49,6 +54,7 @@
 	o.FarFanout = cmp.Or(o.FarFanout, 6)
 	o.AnnounceFanout = cmp.Or(o.AnnounceFanout, 4)
 	o.Silent = cmp.Or(o.Silent, 700*time.Millisecond)
+	o.FarSilent = cmp.Or(o.FarSilent, time.Second)
 	o.Forget = cmp.Or(o.Forget, 30*time.Second)
 }
 
@@ -77,6 +83,9 @@
 	number           uint64
 	nearAt, farAt    time.Time
 	nearTurn, farRun int
+	// nearTurns and farTurns are the rounds of heartbeats in which each VM of
+	// the own data centre and of others gets one.
+	nearTurns, farTurns int
 }
 
 // New returns a board that knows the seeds.
@@ -108,6 +117,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.forget(now)
+	b.countTurns()
 	near, far := now.Sub(b.nearAt) >= b.o.Near, now.Sub(b.farAt) >= b.o.Far
 	var outs []Out
 	if near {
@@ -238,7 +248,31 @@
 }
 
 func (b *Board) live(now time.Time, p *peer) bool {
-	return p.last != nil && now.Sub(p.heard) < b.o.Silent
+	if p.last == nil {
+		return false
+	}
+	turns := b.nearTurns
+	if p.last.DataCentre != b.o.DataCentre {
+		turns = b.farTurns
+	}
+	return now.Sub(p.heard) < b.o.Silent*time.Duration(max(1, turns))
+}
+
+// countTurns notes in how many rounds each VM gets its turn, here and, since all
+// do the same, with the others.
+func (b *Board) countTurns() {
+	near, far := 0, 0
+	for _, p := range b.peers {
+		switch {
+		case p.last == nil:
+		case p.last.DataCentre == b.o.DataCentre:
+			near++
+		default:
+			far++
+		}
+	}
+	b.nearTurns = (near + b.o.NearFanout - 1) / b.o.NearFanout
+	b.farTurns = (far + b.o.FarFanout - 1) / b.o.FarFanout
 }
 
 // forget drops VMs that were silent for long, but never a seed: a VM that was
@@ -316,13 +350,21 @@
 }
 
 // Live returns the number of live VMs of each data centre, this one not counted.
+// Another data centre of which no VM was heard for FarSilent has none.
 func (b *Board) Live(now time.Time) map[string]int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	live := make(map[string]int)
+	heard := make(map[string]bool)
 	for _, p := range b.peers {
 		if b.live(now, p) {
 			live[p.last.DataCentre]++
+			heard[p.last.DataCentre] = heard[p.last.DataCentre] || now.Sub(p.heard) < b.o.FarSilent
+		}
+	}
+	for dc := range live {
+		if dc != b.o.DataCentre && !heard[dc] {
+			delete(live, dc)
 		}
 	}
 	return live
@@ -393,6 +435,9 @@
 			if p.last.DataCentre == b.o.DataCentre {
 				sum.Unanswered = max(sum.Unanswered, int(l.Unanswered))
 				sum.Opens = max(sum.Opens, int(l.Opens))
+				if at := p.heard.Add(-time.Duration(l.HeardMS) * time.Millisecond); l.HeardMS > 0 && at.After(sum.HeardAt) {
+					sum.HeardAt = at
+				}
 			}
 			loads[l.Target] = sum
 		}
@@ -400,6 +445,9 @@
 	return loads
 }
 
+// maxHeard is the greatest HeardMS.
+const maxHeard = 1<<16 - 1
+
 // maxCount is the greatest count of flows that a Load says.
 const maxCount = 255
 
@@ -407,20 +455,24 @@
 const tenths = 10
 
 // MakeLoads returns what a heartbeat says of targets: of the most loaded ones,
-// where there are too many, and always of those that leave flows unanswered.
-func MakeLoads(own []baobabstep.TargetLoad) []Load {
+// where there are too many, and always of those that leave flows unanswered, or
+// do so by the word of others.
+func MakeLoads(now time.Time, own []baobabstep.TargetLoad) []Load {
 	loads := make([]Load, 0, len(own))
 	for _, l := range own {
 		load := Load{
 			Target: l.Target, Tenths: uint32(l.Requests * tenths),
 			Unanswered: uint8(min(l.Unanswered, maxCount)), Opens: uint8(min(l.Opens, maxCount)),
 		}
-		if load.Tenths > 0 || load.Unanswered > 0 {
+		if l.Disputed && !l.HeardAt.IsZero() {
+			load.HeardMS = uint16(min(max(1, now.Sub(l.HeardAt).Milliseconds()), maxHeard))
+		}
+		if load.Tenths > 0 || load.Unanswered > 0 || load.HeardMS > 0 {
 			loads = append(loads, load)
 		}
 	}
 	slices.SortFunc(loads, func(a, b Load) int {
-		return cmp.Or(cmp.Compare(b.Unanswered, a.Unanswered), cmp.Compare(b.Tenths, a.Tenths), cmp.Compare(a.Target, b.Target))
+		return cmp.Or(cmp.Compare(b.Unanswered, a.Unanswered), cmp.Compare(b.HeardMS, a.HeardMS), cmp.Compare(b.Tenths, a.Tenths), cmp.Compare(a.Target, b.Target))
 	})
 	return loads[:min(len(loads), maxLoads)]
 }
--- a/core/heartbeat/board_test.go
+++ b/core/heartbeat/board_test.go
@@ -181,6 +181,37 @@
 	qt.Assert(t, b.Loads(start.Add(time.Second)), qt.HasLen, 0)
 }
 
+// A VM whose link is full takes a target for silent that others hear of. They say
+// so, and when; VMs of other data centres are not asked.
+func TestOthersContradict(t *testing.T) {
+	b := newBoard(1)
+	own := []baobabstep.TargetLoad{
+		{Target: 9, HeardAt: start.Add(-50 * time.Millisecond), Disputed: true},
+		{Target: 10, HeardAt: start.Add(-50 * time.Millisecond)},
+	}
+	for _, n := range []int{2, 3} {
+		h := beat(n, 1, 1)
+		h.Loads = MakeLoads(start, own)
+		qt.Assert(t, h.Loads, qt.HasLen, 1)
+		if n == 2 {
+			h.Loads[0].HeardMS = 1
+		}
+		b.Handle(start, address(n), h)
+	}
+	qt.Assert(t, b.Loads(start)[9].HeardAt.Equal(start.Add(-50*time.Millisecond)), qt.IsTrue)
+}
+
+// In a large fleet VMs take turns, and one is heard seldom. It still lives.
+func TestTurnsMakeSilenceLonger(t *testing.T) {
+	b := newBoard(1)
+	for n := 3; n < 60; n += 2 {
+		b.Handle(start, address(n), beat(n, 1, 1))
+	}
+	b.Tick(start, Own{})
+	qt.Assert(t, b.Live(start.Add(3 * b.o.Silent))["a"], qt.Equals, 29)
+	qt.Assert(t, b.Live(start.Add(4 * b.o.Silent))["a"], qt.Equals, 0)
+}
+
 // VMs that know only seeds have to find each other, also when the seeds are
 // addresses of VMs that are gone for those who come later.
 func TestVMsFindEachOther(t *testing.T) {
@@ -235,9 +266,9 @@
 	}
 	var own []baobabstep.TargetLoad
 	for id := range 200 {
-		own = append(own, baobabstep.TargetLoad{Target: baobabstep.TargetID(id) + 1<<39, Requests: 6000, Unanswered: 255, Opens: 255})
+		own = append(own, baobabstep.TargetLoad{Target: baobabstep.TargetID(id) + 1<<39, Requests: 6000, Unanswered: 255, Opens: 255, HeardAt: start.Add(-time.Minute), Disputed: true})
 	}
-	h.Loads = MakeLoads(own)
+	h.Loads = MakeLoads(start, own)
 	qt.Assert(t, h.Loads, qt.HasLen, maxLoads)
 	raw, err := Encode(&Message{Heartbeat: h})
 	qt.Assert(t, err, qt.IsNil)
--- a/core/heartbeat/message.go
+++ b/core/heartbeat/message.go
@@ -15,7 +15,7 @@
 
 // Limits of what a heartbeat carries, so that it stays below MaxMessage.
 const (
-	maxLoads = 65
+	maxLoads = 55
 	maxPeers = 4
 )
 
@@ -89,6 +89,10 @@
 	// Unanswered is the number of flows in a row that the target left
 	// without an answer, Opens that of those whose first segment was.
 	Unanswered, Opens uint8
+	// HeardMS is how long ago the target was heard of, in milliseconds; said
+	// only of targets of which another VM says that they are silent, otherwise
+	// 0.
+	HeardMS uint16
 }
 
 // Want asks for what the receiver holds of one kind.
--- a/core/token/health.go
+++ b/core/token/health.go
@@ -52,6 +52,8 @@
 	// others and othersOpens are the greatest such numbers that another VM of
 	// the data centre says.
 	others, othersOpens int
+	// othersHeardAt is when such a VM last heard of the target, by its word.
+	othersHeardAt time.Time
 	// heardAt is when the target was last heard of, leftAt when it last left a
 	// flow unanswered.
 	heardAt, leftAt time.Time
@@ -63,7 +65,7 @@
 
 // answered notes that a target was heard of.
 func (h *health) answered(now time.Time) {
-	*h = health{heardAt: now, others: h.others, othersOpens: h.othersOpens}
+	*h = health{heardAt: now, others: h.others, othersOpens: h.othersOpens, othersHeardAt: h.othersHeardAt}
 }
 
 // left notes a flow that the target left unanswered.
@@ -123,6 +125,8 @@
 		return false
 	case now.Sub(h.leftAt) >= freshFor:
 		return false
+	case h.othersHeardAt.After(h.leftAt.Add(-copyAfter)):
+		return false // it answered another VM while it seemed silent here
 	case others == 0 && !alone:
 		return false
 	}
--- a/core/token/load.go
+++ b/core/token/load.go
@@ -101,11 +101,19 @@
 	return l.health.dark(now, alone)
 }
 
-// heardAt returns when the target was last heard of.
-func (l *load) heardAt() time.Time {
+// heardAt returns when the target was last heard of here, and by other VMs of
+// the data centre as far as they say.
+func (l *load) heardAt() (here, elsewhere time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.health.heardAt
+	return l.health.heardAt, l.health.othersHeardAt
+}
+
+// disputed tells whether other VMs say that the target is silent.
+func (l *load) disputed() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.health.others > 0
 }
 
 // meter counts events, each with a weight that fades over loadWindow.
@@ -155,7 +163,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.others = said.Requests
-	l.health.others, l.health.othersOpens = said.Unanswered, said.Opens
+	l.health.others, l.health.othersOpens, l.health.othersHeardAt = said.Unanswered, said.Opens, said.HeardAt
 }
 
 // unanswered returns the numbers of flows in a row that were left unanswered,
--- a/core/token/router.go
+++ b/core/token/router.go
@@ -120,7 +120,9 @@
 	for id, t := range targets {
 		own, _ := t.load.requests(now)
 		flows, opens := t.load.told(now)
-		list = append(list, baobabstep.TargetLoad{Target: id, Requests: own, Unanswered: flows, Opens: opens})
+		list = append(list, baobabstep.TargetLoad{
+			Target: id, Requests: own, Unanswered: flows, Opens: opens, HeardAt: heardHere(t), Disputed: t.load.disputed(),
+		})
 	}
 	return list
 }
@@ -232,7 +234,7 @@
 // was the segment that was lost, or its answer.
 func (r *Router) left(now time.Time, f *flow, how silence) {
 	t := f.target
-	if t.load.heardAt().After(f.sent) {
+	if here, elsewhere := t.load.heardAt(); here.After(f.sent) || elsewhere.After(f.sent) {
 		return
 	}
 	t.load.left(now, how)
@@ -283,13 +285,19 @@
 		return false
 	}
 	for _, other := range s.pools[t.registration.Service].targets {
-		if other != t && !other.load.dark(now, alone) && now.Sub(other.load.heardAt()) < hearingFor {
+		if other != t && !other.load.dark(now, alone) && now.Sub(heardHere(other)) < hearingFor {
 			return true
 		}
 	}
 	return false
 }
 
+// heardHere returns when this VM last heard of a target.
+func heardHere(t *target) time.Time {
+	here, _ := t.load.heardAt()
+	return here
+}
+
 // note keeps the record of a flow in step with a later packet.
 func (r *Router) note(now time.Time, shard *shard, t *target, p *baobabstep.Segment) {
 	f := shard.flows[p.Flow]
--- a/directory.go
+++ b/directory.go
@@ -94,4 +94,8 @@
 	// Unanswered is the number of flows in a row that the target left without
 	// an answer, Opens that of those whose first segment was.
 	Unanswered, Opens int
+	// HeardAt is when the target was last heard of; zero if never.
+	HeardAt time.Time
+	// Disputed is set if other VMs say that the target is silent.
+	Disputed bool
 }
--- a/entry/share.go
+++ b/entry/share.go
@@ -16,6 +16,11 @@
 	secretBytes = 32
 	// wantInterval is the least time between two requests for one kind.
 	wantInterval = 100 * time.Millisecond
+	// serveRate bounds what is sent in pieces, in bytes a second: a sixth of a
+	// link of 10 Mbit/s. Who gets the whole sends it on, so 30 VMs have 18 KB
+	// after five rounds of 0.1 s; sent to all who ask at once it filled the
+	// link, and callers' segments were lost.
+	serveRate = 200e3
 )
 
 // Messages carries what VMs tell each other.
@@ -35,6 +40,8 @@
 	mu       sync.Mutex
 	assembly [2]heartbeat.Assembly
 	wantedAt [2]time.Time
+	// serveAt is when this VM may next send the whole of something.
+	serveAt time.Time
 }
 
 // findSecret reads the fleet's secret, or makes it, until it is known.
@@ -124,6 +131,9 @@
 	if held.version <= w.Newer {
 		return
 	}
+	if !n.mayServe(now, len(held.content)) {
+		return // it asks another VM, or this one again, at the next heartbeat
+	}
 	pieces, err := heartbeat.Split(w.Kind, held.told(now), held.content)
 	if err != nil {
 		n.log.WithError(err).Error("cannot hand on what is held")
@@ -134,6 +144,17 @@
 	}
 }
 
+// mayServe tells whether the whole may be sent now, and if so counts its bytes.
+func (n *Node) mayServe(now time.Time, size int) bool {
+	n.sharing.mu.Lock()
+	defer n.sharing.mu.Unlock()
+	if now.Before(n.sharing.serveAt) {
+		return false
+	}
+	n.sharing.serveAt = now.Add(time.Duration(float64(size) / serveRate * float64(time.Second)))
+	return true
+}
+
 // handlePiece takes over what a peer holds once it is whole.
 func (n *Node) handlePiece(now time.Time, p *heartbeat.Piece) {
 	n.sharing.mu.Lock()
@@ -265,7 +286,7 @@
 func (n *Node) own(now time.Time) heartbeat.Own {
 	return heartbeat.Own{
 		Leaving: n.stopping.Load(), Blind: n.isBlind(),
-		Held: n.beliefs.told(now), Loads: heartbeat.MakeLoads(n.router.Loads(now)),
+		Held: n.beliefs.told(now), Loads: heartbeat.MakeLoads(now, n.router.Loads(now)),
 	}
 }
 
