heartbeat, token, entry: files by concept; one clock and one handler of signals

Ruled out: nothing else changes; functions were moved with their comments. Change: beat.go (what is sent), ask.go (what is concluded), follow.go (evidence), hand.go (handing on); io/process; one assertion for documented settings.

--- a/cmd/baobabstep/balance.go
+++ b/cmd/baobabstep/balance.go
@@ -1,12 +1,8 @@
 package main
 
 import (
-	"context"
 	"math/rand/v2"
 	"os"
-	"os/signal"
-	"syscall"
-	"time"
 
 	"github.com/apex/log"
 	jsonlog "github.com/apex/log/handlers/json"
@@ -15,6 +11,7 @@
 	"baobabstep/io/packet"
 	"baobabstep/io/peer"
 	"baobabstep/io/platform"
+	"baobabstep/io/process"
 	"baobabstep/io/setting"
 	"baobabstep/node"
 )
@@ -27,15 +24,6 @@
 	Seed     uint64 `help:"Seed of the VM's random numbers; 0 draws one." default:"0"`
 }
 
-// systemClock is the machine's clock. Its readings are monotonic within the
-// process, which is all that decisions use.
-type systemClock struct{}
-
-var _ baobabstep.Clock = systemClock{}
-
-// Now implements [baobabstep.Clock].
-func (systemClock) Now() time.Time { return time.Now() }
-
 // Run implements the command.
 func (b balance) Run() error {
 	s, err := setting.Read(b.Settings)
@@ -43,7 +31,7 @@
 		return err
 	}
 	logger := newLogger(s.LogLevel)
-	stop, hurry := stopSignals(logger)
+	stop, hurry := process.StopSignals(logger)
 	if s.Policy == setting.PolicyToken {
 		return baobabstep.Errorf(baobabstep.CodeUsage, "balance", "policy %q is served by baobabstepd", s.Policy)
 	}
@@ -79,11 +67,11 @@
 		seed = rand.Uint64()
 	}
 	client := platform.NewClient(platform.Options{
-		URL: s.PlatformURL, LocalAddress: s.PeerAddress.Addr().AsSlice(), Clock: systemClock{},
+		URL: s.PlatformURL, LocalAddress: s.PeerAddress.Addr().AsSlice(), Clock: process.Clock{},
 		Rand: rand.New(rand.NewPCG(seed, platformSeed)),
 	})
 	return node.New(node.Options{
-		Settings: s, Logger: logger, Clock: systemClock{}, Platform: client,
+		Settings: s, Logger: logger, Clock: process.Clock{}, Platform: client,
 		Peers: peers, Packets: packets, Book: book, Seed: seed,
 	})
 }
@@ -92,19 +80,3 @@
 	logger := &log.Logger{Handler: jsonlog.New(os.Stderr), Level: log.MustParseLevel(level)}
 	return logger
 }
-
-// stopSignals returns a context that ends at the first SIGTERM or interrupt,
-// and one that ends at the second.
-func stopSignals(logger log.Interface) (stop, hurry context.Context) {
-	stop, cancelStop := context.WithCancel(context.Background())
-	hurry, cancelHurry := context.WithCancel(context.Background())
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
-	go func() {
-		logger.WithField("signal", (<-signals).String()).Info("stop asked for")
-		cancelStop()
-		logger.WithField("signal", (<-signals).String()).Warn("stop at once asked for")
-		cancelHurry()
-	}()
-	return stop, hurry
-}
--- a/cmd/baobabstepd/main.go
+++ b/cmd/baobabstepd/main.go
@@ -14,7 +14,6 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
-	"time"
 
 	"github.com/apex/log"
 	jsonlog "github.com/apex/log/handlers/json"
@@ -24,6 +23,7 @@
 	"baobabstep/io/datagram"
 	"baobabstep/io/logs"
 	"baobabstep/io/packet"
+	"baobabstep/io/process"
 	"baobabstep/io/setting"
 	"baobabstep/platform"
 )
@@ -42,15 +42,6 @@
 	misused = 2
 )
 
-// systemClock is the machine's clock. Its readings are monotonic within the
-// process, which is all that decisions use.
-type systemClock struct{}
-
-var _ baobabstep.Clock = systemClock{}
-
-// Now implements [baobabstep.Clock].
-func (systemClock) Now() time.Time { return time.Now() }
-
 func main() {
 	if len(os.Args) != 2 || os.Args[1] == "--help" {
 		fmt.Fprintln(os.Stderr, "usage: baobabstepd SETTINGS\n\nRuns one VM with token routing until SIGTERM (planned stop) or a second SIGTERM (at once).\nSIGHUP reads the settings again.")
@@ -75,7 +66,7 @@
 	lines := logs.New(os.Stdout)
 	defer lines.Close()
 	logger := &log.Logger{Handler: jsonlog.New(lines), Level: log.MustParseLevel(s.LogLevel)}
-	stop, hurry := stopSignals(logger)
+	stop, hurry := process.StopSignals(logger)
 	n, err := build(s, logger, lines)
 	if err != nil {
 		return err
@@ -114,7 +105,7 @@
 		return nil, err
 	}
 	return entry.New(entry.Options{
-		Settings: s, Logger: logger, Clock: systemClock{}, Directory: store, Segments: segments, Messages: messages, LogLimits: lines,
+		Settings: s, Logger: logger, Clock: process.Clock{}, Directory: store, Segments: segments, Messages: messages, LogLimits: lines,
 		ReadyHandler: platform.ReadyHandler, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}), nil
 }
@@ -135,19 +126,3 @@
 		}
 	}
 }
-
-// stopSignals returns a context that ends at the first SIGTERM or interrupt,
-// and one that ends at the second.
-func stopSignals(logger log.Interface) (stop, hurry context.Context) {
-	stop, cancelStop := context.WithCancel(context.Background())
-	hurry, cancelHurry := context.WithCancel(context.Background())
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
-	go func() {
-		logger.WithField("signal", (<-signals).String()).Info("stop asked for")
-		cancelStop()
-		logger.WithField("signal", (<-signals).String()).Warn("stop at once asked for")
-		cancelHurry()
-	}()
-	return stop, hurry
-}
--- /dev/null
+++ b/core/token/follow.go
@@ -0,0 +1,147 @@
+package token
+
+import (
+	"time"
+
+	"baobabstep"
+)
+
+// moves tells whether the copy of a first segment should go to another target
+// than the first one did, and counts the flow against its target.
+//
+// A target that answers after all would leave the caller with a flow at one
+// target and the token of the other. So a flow moves only away from a target
+// that other flows find silent as well: an answer comes within milliseconds,
+// and the copy 200 ms later.
+func (r *Router) moves(now time.Time, s *snapshot, f *flow) bool {
+	if now.Sub(f.sent) < copyAfter {
+		return false
+	}
+	if !f.unanswered {
+		f.unanswered = true
+		r.left(now, f, openRepeated)
+	}
+	present := s.targets[f.target.id]
+	return present == nil || !present.choosable(now) || f.target.load.suspect(now)
+}
+
+// answered notes that a target was heard of.
+func (r *Router) answered(now time.Time, t *target) {
+	if t.load.answered(now) {
+		r.record(now, EventHeard, r.current.Load(), nil, t, nil)
+	}
+}
+
+// left counts a flow against its target. A target that was heard of since the flow's segment went out lives: then it
+// was the segment that was lost, or its answer.
+func (r *Router) left(now time.Time, f *flow, how silence) {
+	t := f.target
+	if here, elsewhere := t.load.heardAt(); here.After(f.sent) || elsewhere.After(f.sent) {
+		return
+	}
+	t.load.left(now, how)
+	r.record(now, EventSilent, r.current.Load(), nil, t, nil)
+	select {
+	case r.troubled <- struct{}{}:
+	default:
+	}
+}
+
+// Troubled yields a value when a target left a flow unanswered: the other VMs of
+// the data centre should hear of it at once.
+func (r *Router) Troubled() <-chan struct{} { return r.troubled }
+
+// hearingFor is how long ago another target of the service may have been heard
+// of for this VM to trust that it hears at all.
+const hearingFor = 500 * time.Millisecond
+
+// outOfReach tells whether the flows of a target should be ended, so that their
+// callers try again elsewhere while they have time. Without that they wait for
+// an answer until their time limits.
+//
+// It is the target that is silent, not this VM that hears nothing, if another
+// target of the service was heard of just now.
+func (r *Router) outOfReach(now time.Time, s *snapshot, t *target) bool {
+	alone := (*r.heard.Load())[r.o.DataCentre] == 0
+	if !t.load.dark(now, alone) {
+		return false
+	}
+	for _, other := range s.pools[t.registration.Service].targets {
+		if other != t && !other.load.dark(now, alone) && now.Sub(heardHere(other)) < hearingFor {
+			return true
+		}
+	}
+	return false
+}
+
+// heardHere returns when this VM last heard of a target.
+func heardHere(t *target) time.Time {
+	here, _ := t.load.heardAt()
+	return here
+}
+
+// note keeps the record of a flow in step with a later packet.
+func (r *Router) note(now time.Time, shard *shard, t *target, p *baobabstep.Segment) {
+	f := shard.flows[p.Flow]
+	switch {
+	case f == nil:
+		shard.add(p.Flow, adopted(now, t, p))
+	case f.target.id != t.id:
+		// The flow was opened at another target than this VM sent it to last.
+		r.answered(now, t)
+		shard.add(p.Flow, adopted(now, t, p))
+	default:
+		r.follow(now, f, p)
+	}
+	if p.Kind == baobabstep.KindReset || p.Kind == baobabstep.KindClose {
+		shard.flows[p.Flow].close()
+	}
+}
+
+// adopted returns the record of a flow that this VM did not place.
+func adopted(now time.Time, t *target, p *baobabstep.Segment) *flow {
+	return &flow{
+		target: t, heard: now, sent: now, acked: p.Acked, requestAcked: p.Acked, sentEnd: p.Seq + uint32(p.Size),
+	}
+}
+
+// follow notes what a later segment says of a flow that this VM knows.
+func (r *Router) follow(now time.Time, f *flow, p *baobabstep.Segment) {
+	// What a caller's reset acknowledges is not said anywhere.
+	progress := p.Kind != baobabstep.KindReset && after(p.Acked, f.acked)
+	if f.opening || progress {
+		f.unanswered = false
+		r.answered(now, f.target)
+	}
+	if progress && !f.opening && f.timed && p.Size == 0 {
+		f.target.load.finished(now, now.Sub(f.sent))
+		f.timed = false
+		if r.o.Finished != nil {
+			r.o.Finished(now.Sub(f.sent))
+		}
+	}
+	if f.opening {
+		r.openings.done(p.Flow.Caller.Addr(), f)
+		// The first segment counted as the start of the first request.
+		f.opening, f.acked, f.requestAcked = false, p.Acked, p.Acked
+		f.sentEnd, f.sent, f.timed = p.Seq, now, true
+	}
+	if end := p.Seq + uint32(p.Size); after(end, f.sentEnd) {
+		f.sentEnd = end
+		if p.Acked != f.requestAcked {
+			f.requestAcked = p.Acked
+			f.sent, f.timed = now, true
+			f.target.load.started(now)
+		}
+	} else if p.Size > 0 && !progress && !f.unanswered && now.Sub(f.sent) >= copyAfter {
+		f.unanswered = true
+		r.left(now, f, requestRepeated)
+	}
+	f.heard = now
+	if progress {
+		f.acked = p.Acked
+	}
+}
+
+// after tells whether number a follows b, both modulo 2^32.
+func after(a, b uint32) bool { return int32(a-b) > 0 }
--- a/entry/share.go
+++ b/entry/share.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"baobabstep"
 	"baobabstep/core/heartbeat"
 )
 
@@ -125,117 +124,6 @@
 	return true
 }
 
-// handleWant sends what this VM holds, if it is newer.
-func (n *Node) handleWant(now time.Time, from netip.AddrPort, w *heartbeat.Want) {
-	held := n.beliefs.get(w.Kind)
-	if held.version <= w.Newer {
-		return
-	}
-	if !n.mayServe(now, len(held.content)) {
-		return // it asks another VM, or this one again, at the next heartbeat
-	}
-	pieces, err := heartbeat.Split(w.Kind, held.told(now), held.content)
-	if err != nil {
-		n.log.WithError(err).Error("cannot hand on what is held")
-		return
-	}
-	for _, piece := range pieces {
-		n.sendMessage(from, piece)
-	}
-}
-
-// mayServe tells whether the whole may be sent now, and if so counts its bytes.
-func (n *Node) mayServe(now time.Time, size int) bool {
-	n.sharing.mu.Lock()
-	defer n.sharing.mu.Unlock()
-	if now.Before(n.sharing.serveAt) {
-		return false
-	}
-	n.sharing.serveAt = now.Add(time.Duration(float64(size) / serveRate * float64(time.Second)))
-	return true
-}
-
-// handlePiece takes over what a peer holds once it is whole.
-func (n *Node) handlePiece(now time.Time, p *heartbeat.Piece) {
-	n.sharing.mu.Lock()
-	content, held, whole := n.sharing.assembly[p.Kind].Add(now, p)
-	n.sharing.mu.Unlock()
-	if !whole {
-		return
-	}
-	from := origin{source: sourcePeer, confirmed: now.Add(-held.Age())}
-	var err error
-	switch p.Kind {
-	case heartbeat.Routes:
-		var table *baobabstep.RoutingTable
-		if table, err = heartbeat.DecodeRoutes(content); err == nil {
-			err = n.learnRoutes(table, from)
-		}
-	case heartbeat.Targets:
-		var list []baobabstep.Registration
-		if list, err = heartbeat.DecodeTargets(content); err == nil {
-			err = n.learnTargets(list, baobabstep.Revision(held.Version), from)
-		}
-	}
-	if err != nil {
-		n.counts.malformed.Add(1)
-	}
-}
-
-// handleChange takes over a change of what this VM holds. One of something else
-// is left: the sender's next heartbeat makes this VM ask for the whole.
-func (n *Node) handleChange(now time.Time, from netip.AddrPort, c *heartbeat.Change) {
-	if c.To.Version <= n.beliefs.get(c.Kind).version {
-		return
-	}
-	table, list, err := n.beliefs.apply(c)
-	if err != nil {
-		n.counts.changesLeft.Add(1)
-		return
-	}
-	news := origin{source: sourcePeer, confirmed: now.Add(-c.To.Age())}
-	var changed bool
-	if c.Kind == heartbeat.Routes {
-		changed, _, err = n.beliefs.holdRoutes(now, table, news)
-	} else {
-		n.noteReturn(now)
-		changed, _, err = n.beliefs.holdTargets(now, list, baobabstep.Revision(c.To.Version), news)
-	}
-	if err != nil {
-		n.counts.malformed.Add(1)
-		return
-	}
-	// From another data centre it came to this VM alone.
-	if changed && !n.board.IsNear(from) {
-		n.spread(c, false)
-	}
-}
-
-func (n *Node) learnRoutes(table *baobabstep.RoutingTable, from origin) error {
-	changed, change, err := n.beliefs.holdRoutes(n.clock.Now(), table, from)
-	if changed {
-		n.handOn(change, from.source != sourcePeer)
-	}
-	return err
-}
-
-func (n *Node) learnTargets(list []baobabstep.Registration, revision baobabstep.Revision, from origin) error {
-	n.noteReturn(n.clock.Now())
-	changed, change, err := n.beliefs.holdTargets(n.clock.Now(), list, revision, from)
-	if changed {
-		n.handOn(change, from.source != sourcePeer)
-	}
-	return err
-}
-
-// noteReturn tells the router that the store was away, if this VM could not
-// read it; whatever registrations come now are the first since.
-func (n *Node) noteReturn(now time.Time) {
-	if n.blind[heartbeat.Targets].Load() {
-		n.router.StoreBack(now)
-	}
-}
-
 // rank returns this VM's place among those that may read the store.
 func (n *Node) rank(now time.Time) heartbeat.Rank {
 	return n.board.Rank(now, n.isBlind())
@@ -246,34 +134,6 @@
 	return n.blind[heartbeat.Routes].Load() || n.blind[heartbeat.Targets].Load()
 }
 
-// handOn tells others what is new here: the change itself if it came from the
-// store, so that they need not ask; otherwise only that there is something.
-func (n *Node) handOn(change *heartbeat.Change, fromStore bool) {
-	if fromStore && change != nil && n.spread(change, true) {
-		return
-	}
-	n.announce(fromStore)
-}
-
-// spread sends a change, unless it is too large for one message.
-func (n *Node) spread(c *heartbeat.Change, far bool) bool {
-	m := &heartbeat.Message{Change: c}
-	raw, err := heartbeat.Encode(m)
-	if err != nil {
-		return false
-	}
-	for _, o := range n.board.Spread(n.clock.Now(), c, far) {
-		n.o.Messages.Send(o.To, raw)
-	}
-	return true
-}
-
-// announce sends heartbeats at once, to other data centres as well if far is set.
-func (n *Node) announce(far bool) {
-	now := n.clock.Now()
-	n.sendAll(n.board.Announce(now, n.own(now), far))
-}
-
 // beat sends the heartbeats that are due and takes in what peers said of load.
 func (n *Node) beat(now time.Time) {
 	n.sendAll(n.board.Tick(now, n.own(now)))
--- a/io/setting/setting_test.go
+++ b/io/setting/setting_test.go
@@ -78,15 +78,17 @@
 
 var documentedSetting = regexp.MustCompile("(?m)^\\| `(\\w+)` \\|")
 
-func TestSettingsAreDocumented(t *testing.T) {
+// assertDocumented checks that the rows of the page that match pattern name
+// exactly the fields of a type.
+func assertDocumented(t *testing.T, pattern *regexp.Regexp, settings reflect.Type) {
+	t.Helper()
 	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "SETTINGS.md"))
 	qt.Assert(t, err, qt.IsNil)
 	documented := map[string]bool{}
-	for _, row := range documentedSetting.FindAllStringSubmatch(string(page), -1) {
+	for _, row := range pattern.FindAllStringSubmatch(string(page), -1) {
 		documented[row[1]] = true
 	}
 	fields := map[string]bool{}
-	settings := reflect.TypeFor[Settings]()
 	for i := range settings.NumField() {
 		name, _, _ := strings.Cut(settings.Field(i).Tag.Get("json"), ",")
 		fields[name] = true
@@ -94,6 +96,10 @@
 	qt.Assert(t, documented, qt.DeepEquals, fields)
 }
 
+func TestSettingsAreDocumented(t *testing.T) {
+	assertDocumented(t, documentedSetting, reflect.TypeFor[Settings]())
+}
+
 func TestExamplesAreValid(t *testing.T) {
 	examples, err := filepath.Glob(filepath.Join("..", "..", "settings", "*.json"))
 	qt.Assert(t, err, qt.IsNil)
--- a/io/setting/token_test.go
+++ b/io/setting/token_test.go
@@ -1,8 +1,6 @@
 package setting
 
 import (
-	"os"
-	"path/filepath"
 	"reflect"
 	"regexp"
 	"strings"
@@ -42,17 +40,5 @@
 var documentedTokenSetting = regexp.MustCompile("(?m)^\\| `token\\.(\\w+)` \\|")
 
 func TestTokenSettingsAreDocumented(t *testing.T) {
-	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "SETTINGS.md"))
-	qt.Assert(t, err, qt.IsNil)
-	documented := map[string]bool{}
-	for _, row := range documentedTokenSetting.FindAllStringSubmatch(string(page), -1) {
-		documented[row[1]] = true
-	}
-	fields := map[string]bool{}
-	settings := reflect.TypeFor[TokenSettings]()
-	for i := range settings.NumField() {
-		name, _, _ := strings.Cut(settings.Field(i).Tag.Get("json"), ",")
-		fields[name] = true
-	}
-	qt.Assert(t, documented, qt.DeepEquals, fields)
+	assertDocumented(t, documentedTokenSetting, reflect.TypeFor[TokenSettings]())
 }
