trace: from the logs of all VMs, what became of a flow

Cause: docs/OPERATIONS.md led from a flow to its cause by several greps over the logs of all VMs, in no common order.

Change: `baobabstep trace FLOW FILES` prints the flow's lines of all VMs in order and, 5 s around them, those about its targets and about what its VMs believed.

--- a/cmd/baobabstep/main.go
+++ b/cmd/baobabstep/main.go
@@ -27,6 +27,7 @@
 	Target        command.Target   `cmd:"" help:"Drain and undrain targets."`
 	Status        command.Status   `cmd:"" help:"The fleet as one VM sees it."`
 	Explain       command.Explain  `cmd:"" help:"Where a flow or request went, and why."`
+	Trace         trace            `cmd:"" help:"From logs of VMs with token routing: what became of a flow, and why."`
 	Audit         command.Audit    `cmd:"" help:"Who changed what, when and why."`
 	Config        command.Config   `cmd:"" help:"The whole configuration as one file."`
 
