--- a/core/token/follow.go
+++ b/core/token/follow.go
@@ -32,8 +32,8 @@
 	}
 }
 
-// left counts a flow against its target. A target that was heard of since the flow's segment went out lives: then it
-// was the segment that was lost, or its answer.
+// left counts a flow against its target. A target that was heard of since the
+// flow's segment went out lives: then the segment was lost, or its answer.
 func (r *Router) left(now time.Time, f *flow, how silence) {
 	t := f.target
 	if here, elsewhere := t.load.heardAt(); here.After(f.sent) || elsewhere.After(f.sent) {
--- a/core/token/router.go
+++ b/core/token/router.go
@@ -46,6 +46,7 @@
 	// heard are the VMs heard of in each data centre.
 	heard atomic.Pointer[map[string]int]
 
+	// troubled holds a value while a target's silence is to be told.
 	troubled chan struct{}
 
 	// change is held while the snapshot is replaced.
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -74,6 +74,9 @@
 		{Name: "token_targets_age_seconds", Help: "Time since the store was known to hold no newer registrations.", Gauge: true, Read: age(heartbeat.Targets)},
 		{Name: "token_peers", Help: "VMs heard, by data centre.", Label: "data_centre", Gauge: true, Read: n.readPeers},
 		{Name: "token_messages_malformed_total", Help: "Messages of VMs that could not be decoded.", Read: value(func() float64 { return float64(n.counts.malformed.Load()) })},
+		{Name: "token_segments_malformed_total", Help: "Datagrams of callers that could not be decoded.", Read: value(n.readMalformed)},
+		{Name: "token_changes_left_total", Help: "Changes of other VMs that did not apply here; the whole is asked for instead.", Read: value(func() float64 { return float64(n.counts.changesLeft.Load()) })},
+		{Name: "token_directory_counts", Help: "Calls to the platform's store, those that failed, and what could not be read.", Label: "event", Gauge: true, Read: n.readDirectory},
 		{Name: "token_log_lines_dropped_total", Help: "Log lines left out, by bounds or because nobody read them.", Read: value(func() float64 { return float64(n.counts.linesDropped.Load()) })},
 	}
 }
@@ -86,6 +89,27 @@
 	return events
 }
 
+// readMalformed adds up what the sockets could not decode.
+func (n *Node) readMalformed() float64 {
+	sum := uint64(0)
+	for _, segments := range n.o.Segments {
+		if counting, ok := segments.(interface{ Malformed() uint64 }); ok {
+			sum += counting.Malformed()
+		}
+	}
+	return float64(sum)
+}
+
+func (n *Node) readDirectory() map[string]float64 {
+	counts := make(map[string]float64)
+	if counting, ok := n.o.Directory.(interface{ Counts() map[string]uint64 }); ok {
+		for name, count := range counting.Counts() {
+			counts[name] = float64(count)
+		}
+	}
+	return counts
+}
+
 func (n *Node) readPeers() map[string]float64 {
 	peers := make(map[string]float64)
 	for name, vms := range n.board.Live(n.clock.Now()) {
--- a/io/packet/segment.go
+++ b/io/packet/segment.go
@@ -83,6 +83,9 @@
 	})
 }
 
+// Malformed returns the number of datagrams that could not be decoded.
+func (c *SegmentConn) Malformed() uint64 { return c.malformed.Load() }
+
 // Stats returns the present counts; those of other wires stay 0.
 func (c *SegmentConn) Stats() Stats {
 	return Stats{
