--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"regexp"
@@ -49,6 +50,25 @@
 	}
 }
 
+// Somebody sends what is no segment. It reaches no target, is counted and logged,
+// and callers go on being served.
+func TestMalformedSegmentsAreLogged(t *testing.T) {
+	f := newFixture(t, 89, 1)
+	f.target(1)
+	f.until("a request is answered", func() bool { return f.request(1) == standin.Answered })
+	sender, err := net.Dial("udp", f.at(1, 1, dataPort).String())
+	qt.Assert(t, err, qt.IsNil)
+	defer sender.Close()
+	for range 5 {
+		_, err := sender.Write([]byte("no segment"))
+		qt.Assert(t, err, qt.IsNil)
+	}
+	f.until("it is logged", func() bool {
+		return f.logged("malformed segments", func(fields map[string]any) bool { return fields["datagrams"] != nil })
+	})
+	qt.Assert(t, f.request(2), qt.Equals, standin.Answered)
+}
+
 // While the store drops its history, watches pass over a change and say that
 // there was none. The VM has to come to the new table by itself.
 func TestSilentWatch(t *testing.T) {
--- a/entry/journal.go
+++ b/entry/journal.go
@@ -11,7 +11,8 @@
 	"baobabstep/core/token"
 )
 
-// dropInterval is the time between two lines about lines that were dropped.
+// dropInterval is the time between two lines about lines that were dropped, and
+// between two about segments that were malformed.
 const dropInterval = time.Second
 
 // LogLimits bound the lines of each class.
@@ -72,6 +73,20 @@
 	n.log.WithFields(fields).Warn("log lines dropped")
 }
 
+// reportMalformed says that callers sent what cannot be decoded, once in each
+// interval in which they did.
+func (n *Node) reportMalformed(now time.Time) {
+	if now.Sub(n.malformedAt) < dropInterval {
+		return
+	}
+	n.malformedAt = now
+	total := n.readMalformed()
+	if total > n.malformedSeen {
+		n.log.WithField("datagrams", total-n.malformedSeen).Warn("malformed segments")
+	}
+	n.malformedSeen = total
+}
+
 // noteDataCentres logs data centres that are heard of again, or no more.
 func (n *Node) noteDataCentres(live map[string]int) {
 	for name, vms := range live {
--- a/entry/node.go
+++ b/entry/node.go
@@ -81,9 +81,10 @@
 	done       chan struct{}
 
 	// What follows belongs to the ticking goroutine.
-	droppedAt        time.Time
-	heardDataCentres map[string]int
-	first            bool
+	droppedAt, malformedAt time.Time
+	malformedSeen          float64
+	heardDataCentres       map[string]int
+	first                  bool
 }
 
 // New makes the parts of a VM; Run starts them.
@@ -252,6 +253,7 @@
 			n.router.Tick(now)
 			n.beat(now)
 			n.reportDropped(now)
+			n.reportMalformed(now)
 		}
 	}
 }
