soak: runs side by side take networks of their own

Ruled out: load; the message names the address, and a test with two stores in one process fails the same way with nothing else running. Change: the IPs' second part is the first of eight whose store's address is free; who holds it has the network to itself. Conclusion: a limit of the demo alone; the product is not touched.

--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -9,13 +9,16 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"baobabstep/io/setting"
 	"baobabstep/platform/standin"
 )
 
-// Ports of the fleet. Every process has an IP of its own in 127.77.0.0/16.
+// Ports of the fleet. Every process has an IP of its own in the fleet's network.
 const (
 	dataPort    = 8172
 	readyPort   = 8167
@@ -34,8 +37,8 @@
 	callerNet
 )
 
-func at(network, n, port int) netip.AddrPort {
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 77, byte(network), byte(n)}), uint16(port))
+func (f *fleet) at(network, n, port int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, f.network, byte(network), byte(n)}), uint16(port))
 }
 
 // grace is the time between SIGTERM and SIGKILL.
@@ -68,12 +71,14 @@
 // fleet is everything that runs.
 type fleet struct {
 	program, dir string
-	store        *standin.Store
-	server       *http.Server
-	vms          []*vm
-	fabric       *standin.Fabric
-	callers      []*standin.Caller
-	judge        *judge
+	// network is the second part of the IPs; serveStore picks it.
+	network byte
+	store   *standin.Store
+	server  *http.Server
+	vms     []*vm
+	fabric  *standin.Fabric
+	callers []*standin.Caller
+	judge   *judge
 
 	mu      sync.Mutex
 	targets []*target
@@ -105,7 +110,7 @@
 	}
 	var known []standin.VM
 	for n := range o.VMs {
-		known = append(known, standin.VM{Data: at(vmNet, n+1, dataPort), Ready: at(vmNet, n+1, readyPort)})
+		known = append(known, standin.VM{Data: f.at(vmNet, n+1, dataPort), Ready: f.at(vmNet, n+1, readyPort)})
 	}
 	f.fabric = standin.NewFabric(known)
 	for n := range o.VMs {
@@ -114,7 +119,7 @@
 		}
 	}
 	for n := range o.Callers {
-		c, err := standin.NewCaller(at(callerNet, n+1, dataPort), f.fabric)
+		c, err := standin.NewCaller(f.at(callerNet, n+1, dataPort), f.fabric)
 		if err != nil {
 			return nil, err
 		}
@@ -123,8 +128,17 @@
 	return f, nil
 }
 
+// firstNetwork and networks are the second parts of the IPs a fleet may have,
+// so as many fleets run side by side; eight are more than a machine has room for.
+const (
+	firstNetwork = 77
+	networks     = 8
+)
+
+// serveStore takes the first network whose store's address is free: who holds
+// that address has the network to itself.
 func (f *fleet) serveStore() error {
-	listener, err := net.Listen("tcp", at(storeNet, 1, storePort).String())
+	listener, err := f.listen()
 	if err != nil {
 		return err
 	}
@@ -133,6 +147,17 @@
 	return nil
 }
 
+func (f *fleet) listen() (listener net.Listener, err error) {
+	for n := range networks {
+		f.network = byte(firstNetwork + n)
+		listener, err = net.Listen("tcp", f.at(storeNet, 1, storePort).String())
+		if !errors.Is(err, syscall.EADDRINUSE) {
+			return listener, err
+		}
+	}
+	return nil, errors.Wrapf(err, "store: all %d networks are taken", networks)
+}
+
 // putRoutes writes the next version of the routing table; versions grow in
 // uneven steps.
 func (f *fleet) putRoutes() {
@@ -144,7 +169,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.nextID += 7919
-	r := standin.Registration{ID: f.nextID, Service: service, Address: at(targetNet, n, targetPort), DataCentre: dataCentre}
+	r := standin.Registration{ID: f.nextID, Service: service, Address: f.at(targetNet, n, targetPort), DataCentre: dataCentre}
 	t, err := standin.NewTarget(standin.TargetOptions{
 		ID: r.ID, Service: service, Address: r.Address, CallerPort: dataPort, Work: 10 * time.Millisecond, Slots: 8, Ran: f.judge.ran,
 	})
@@ -185,7 +210,7 @@
 func (f *fleet) addVM(n int) error {
 	v := &vm{number: n, name: fmt.Sprintf("vm-%d", n), settings: filepath.Join(f.dir, fmt.Sprintf("vm-%d.json", n))}
 	var err error
-	if v.link, err = newLink(at(linkNet, n, storePort).String(), at(storeNet, 1, storePort).String()); err != nil {
+	if v.link, err = newLink(f.at(linkNet, n, storePort).String(), f.at(storeNet, 1, storePort).String()); err != nil {
 		return err
 	}
 	if v.log, err = os.Create(filepath.Join(f.dir, v.name+".log")); err != nil {
@@ -193,10 +218,10 @@
 	}
 	settings := setting.Settings{
 		Name: v.name, Region: "r", DataCentre: dataCentres[(n-1)%len(dataCentres)],
-		DataAddress: at(vmNet, n, dataPort), PeerAddress: at(vmNet, n, peerPort), MetricsAddress: at(vmNet, n, metricsPort),
-		PlatformURL: "http://" + at(linkNet, n, storePort).String(), Seeds: []netip.AddrPort{at(vmNet, 1, peerPort), at(vmNet, 2, peerPort)},
+		DataAddress: f.at(vmNet, n, dataPort), PeerAddress: f.at(vmNet, n, peerPort), MetricsAddress: f.at(vmNet, n, metricsPort),
+		PlatformURL: "http://" + f.at(linkNet, n, storePort).String(), Seeds: []netip.AddrPort{f.at(vmNet, 1, peerPort), f.at(vmNet, 2, peerPort)},
 		Shards: 1, Policy: setting.PolicyToken,
-		Token: setting.TokenSettings{ReadyAddress: at(vmNet, n, readyPort), DataCentres: dataCentres},
+		Token: setting.TokenSettings{ReadyAddress: f.at(vmNet, n, readyPort), DataCentres: dataCentres},
 	}
 	raw, err := json.Marshal(settings)
 	if err != nil {
