process, entry, node: one piece of code runs a VM's parts

Cause: entry.Run had written again what node.Run already did: start the parts, wait for a stop or a failure, drain, end, gather the ends. Ruled out: leaving both; a mend of the order of an end would have to be made twice. Change: process.Parts holds that loop; both VMs call it. Conclusion: behaviour as before.

--- a/entry/node.go
+++ b/entry/node.go
@@ -26,6 +26,7 @@
 	"baobabstep"
 	"baobabstep/core/heartbeat"
 	"baobabstep/core/token"
+	"baobabstep/io/process"
 	"baobabstep/io/setting"
 )
 
@@ -157,26 +158,12 @@
 	}).Info("started")
 	running, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	ends := make(chan error)
-	parts := n.parts(running, listener)
-	for _, part := range parts {
-		go func() { ends <- part() }()
-	}
-	left := len(parts)
-	var failed error
-	select {
-	case <-ctx.Done():
-		n.drain(hurry)
-	case failed = <-ends:
-		left--
-	}
-	cancel()
-	n.closeSockets()
-	for range left {
-		if err := <-ends; failed == nil {
-			failed = err
-		}
+	parts := process.Parts{
+		Functions: n.parts(running, listener),
+		Drain:     func() { n.drain(hurry) },
+		End:       func() { cancel(); n.closeSockets() },
 	}
+	failed := parts.Run(ctx)
 	n.log.Info("stopped")
 	return failed
 }
--- a/io/process/process.go
+++ b/io/process/process.go
@@ -1,5 +1,5 @@
-// Package process is what the programs that run a VM share: the machine's clock
-// and the signals that end a process.
+// Package process is what the programs that run a VM share: the machine's clock,
+// the signals that end a process, and the running of its parts.
 package process
 
 import (
--- a/node/node.go
+++ b/node/node.go
@@ -30,6 +30,7 @@
 	"baobabstep/io/audit"
 	"baobabstep/io/metric"
 	"baobabstep/io/peer"
+	"baobabstep/io/process"
 	"baobabstep/io/setting"
 	"baobabstep/io/stream"
 )
@@ -240,26 +241,12 @@
 	if host := n.options.Settings.StreamHost; host.IsValid() {
 		n.streams = n.newStreams(host)
 	}
-	ends := make(chan error)
-	parts := n.parts(running)
-	for _, part := range parts {
-		go func() { ends <- part() }()
-	}
-	left := len(parts)
-	var failed error
-	select {
-	case <-ctx.Done():
-		n.drain(hurry)
-	case failed = <-ends:
-		left--
-	}
-	cancel()
-	n.closeSockets()
-	for range left {
-		if err := <-ends; failed == nil {
-			failed = err
-		}
+	parts := process.Parts{
+		Functions: n.parts(running),
+		Drain:     func() { n.drain(hurry) },
+		End:       func() { cancel(); n.closeSockets() },
 	}
+	failed := parts.Run(ctx)
 	<-n.metrics.Done()
 	close(n.done)
 	return failed
