local: demo and soak share processes and nets

Cause: soak started and signalled its programs as cmd/demo did already, and the mend for runs side by side had written chooseNet a second time. Ruled out: exporting them from cmd/demo, which is a program; package io, which is the product's. Change: standin/local has Process and FreeNet, both use them. A net is passed over only if its address is in use; another error shows at once. A field of soak that nobody read goes, and a comment that was wrong.

--- a/cmd/demo/demo.go
+++ b/cmd/demo/demo.go
@@ -210,7 +210,7 @@
 	vms := []platform.VM{}
 	d.lock.Lock()
 	for _, r := range d.runs {
-		if !r.process.running() {
+		if !r.process.Running() {
 			continue
 		}
 		vms = append(vms, platform.VM{
@@ -322,7 +322,7 @@
 	r.ConnectionImbalance = all.Targets.ConnectionImbalance
 	r.SlotImbalance = all.Targets.SlotImbalance
 	r.setVMs(d.runs)
-	r.PlatformCallsPerSecond = d.vmCalls(all.Platform) / time.Since(d.runs[0].process.started).Seconds()
+	r.PlatformCallsPerSecond = d.vmCalls(all.Platform) / time.Since(d.runs[0].process.Started()).Seconds()
 	r.ConfigInForceSeconds, r.ConfigReverts = d.inForceSeconds, d.reverts
 	for _, s := range d.schedule {
 		r.Faults = append(r.Faults, s.String())
--- a/cmd/demo/demo_test.go
+++ b/cmd/demo/demo_test.go
@@ -149,9 +149,9 @@
 	qt.Assert(t, err, qt.IsNil)
 	ended, err := f.start("ended", "sleep", "60")
 	qt.Assert(t, err, qt.IsNil)
-	<-crashing.done
+	<-crashing.Done()
 	f.stopAll()
-	qt.Assert(t, ended.running(), qt.IsFalse)
+	qt.Assert(t, ended.Running(), qt.IsFalse)
 	qt.Assert(t, f.crashed(), qt.DeepEquals, []string{"crashing"})
 	_, err = os.Stat(filepath.Join(f.logs, "ended.log"))
 	qt.Assert(t, err, qt.IsNil)
--- a/cmd/demo/fault.go
+++ b/cmd/demo/fault.go
@@ -130,7 +130,7 @@
 	defer d.lock.Unlock()
 	var free []*vmRun
 	for _, r := range d.runs {
-		if r.process.running() && !r.paused && !d.taken[r.Name] {
+		if r.process.Running() && !r.paused && !d.taken[r.Name] {
 			free = append(free, r)
 		}
 	}
@@ -207,9 +207,9 @@
 	}
 	defer d.free(r.Name)
 	d.setPaused(r, true)
-	r.process.signal(syscall.SIGSTOP)
+	r.process.Signal(syscall.SIGSTOP)
 	pause(ctx, hold)
-	r.process.signal(syscall.SIGCONT)
+	r.process.Signal(syscall.SIGCONT)
 	d.setPaused(r, false)
 	return nil
 }
--- a/cmd/demo/fleet.go
+++ b/cmd/demo/fleet.go
@@ -2,15 +2,15 @@
 
 import (
 	"os"
-	"os/exec"
 	"path/filepath"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"baobabstep/standin/local"
 )
 
 // stopTimeout is how long a process may take to end after SIGTERM before it is
@@ -20,17 +20,10 @@
 // lastTimeout is the time between the signals of stopAll.
 const lastTimeout = 2 * time.Second
 
-// process is one program that was started here. Signals go to it by its id, and
-// only while it has not been waited for, so never to a stranger.
+// process is one process of a run.
 type process struct {
-	name    string
-	command *exec.Cmd
-	started time.Time
-	// done is closed once the process has ended; err then says how.
-	done chan struct{}
-	err  error
-	// wanted is set before a signal that ends the process.
-	wanted atomic.Bool
+	*local.Process
+	name string
 }
 
 // fleet is all processes of a run.
@@ -49,56 +42,27 @@
 		return nil, err
 	}
 	defer output.Close()
-	command := exec.Command(filepath.Join(f.bin, program), args...)
-	command.Stdout, command.Stderr = output, output
-	// A group of its own keeps the terminal's interrupt from it: the order of
-	// the end is decided here. Should this process be killed, so are they.
-	command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
-	if err := command.Start(); err != nil {
-		return nil, errors.Wrapf(err, "start %s", name)
+	started, err := local.Start(output, filepath.Join(f.bin, program), args...)
+	if err != nil {
+		return nil, errors.Wrap(err, name)
 	}
-	p := &process{name: name, command: command, started: time.Now(), done: make(chan struct{})}
-	go func() {
-		p.err = command.Wait()
-		close(p.done)
-	}()
+	p := &process{Process: started, name: name}
 	f.lock.Lock()
 	defer f.lock.Unlock()
 	f.processes = append(f.processes, p)
 	return p, nil
 }
 
-func (p *process) running() bool {
-	select {
-	case <-p.done:
-		return false
-	default:
-		return true
-	}
-}
-
-func (p *process) signal(s syscall.Signal) {
-	if p.running() {
-		_ = p.command.Process.Signal(s)
-	}
-}
-
 // end sends s and waits for the end, which it forces after stopTimeout. It
 // returns an error if it had to, or if a planned stop ended badly.
 func (p *process) end(s syscall.Signal) error {
-	p.wanted.Store(true)
-	p.signal(s)
-	select {
-	case <-p.done:
-		if s == syscall.SIGTERM && p.err != nil {
-			return errors.Wrapf(p.err, "%s: planned stop", p.name)
-		}
-		return nil
-	case <-time.After(stopTimeout):
-		p.signal(syscall.SIGKILL)
-		<-p.done
+	switch {
+	case !p.End(s, stopTimeout):
 		return errors.Newf("%s: got no end within %v", p.name, stopTimeout)
+	case s == syscall.SIGTERM && p.Err() != nil:
+		return errors.Wrapf(p.Err(), "%s: planned stop", p.name)
 	}
+	return nil
 }
 
 // stopAll ends what still runs. A second SIGTERM tells a VM to give up its
@@ -109,16 +73,15 @@
 	f.lock.Unlock()
 	var ends sync.WaitGroup
 	for _, p := range processes {
-		if !p.running() {
+		if !p.Running() {
 			continue
 		}
-		p.wanted.Store(true)
 		ends.Go(func() {
-			p.signal(syscall.SIGCONT)
+			p.Signal(syscall.SIGCONT)
 			for _, s := range []syscall.Signal{syscall.SIGTERM, syscall.SIGTERM, syscall.SIGKILL} {
-				p.signal(s)
+				p.Kill(s)
 				select {
-				case <-p.done:
+				case <-p.Done():
 					return
 				case <-time.After(lastTimeout):
 				}
@@ -134,7 +97,7 @@
 	defer f.lock.Unlock()
 	var names []string
 	for _, p := range f.processes {
-		if !p.running() && !p.wanted.Load() {
+		if p.Crashed() {
 			names = append(names, p.name)
 		}
 	}
--- a/cmd/demo/plan.go
+++ b/cmd/demo/plan.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -16,6 +15,7 @@
 	"baobabstep/io/platform"
 	"baobabstep/standin/callers"
 	"baobabstep/standin/fabric"
+	"baobabstep/standin/local"
 	"baobabstep/standin/targets"
 )
 
@@ -118,14 +118,12 @@
 // chooseNet takes the first net, from one that depends on the process id, that
 // no other run has.
 func (p *plan) chooseNet() error {
-	for i := range lastNet - firstNet {
-		p.net = firstNet + (os.Getpid()+i)%(lastNet-firstNet)
-		listener, err := net.Listen("tcp", p.address(thirdPlatform, 1, portControl).String())
-		if err == nil {
-			return listener.Close()
-		}
+	taken, listener, err := local.FreeNet(firstNet, lastNet-firstNet, os.Getpid(), p.address(thirdPlatform, 1, portControl))
+	if err != nil {
+		return err
 	}
-	return errors.New("got no free net 127.100.0.0/16 to 127.219.0.0/16, want one")
+	p.net = taken
+	return listener.Close()
 }
 
 func (p *plan) makeLogs() error {
--- a/cmd/demo/watch.go
+++ b/cmd/demo/watch.go
@@ -90,7 +90,7 @@
 			continue
 		}
 		d.lock.Lock()
-		r.last, r.lived = metrics, time.Since(r.process.started)
+		r.last, r.lived = metrics, time.Since(r.process.Started())
 		d.noteVersion(r.Name, uint64(metrics[metricConfigVersion]))
 		d.lock.Unlock()
 	}
@@ -115,7 +115,7 @@
 	defer d.lock.Unlock()
 	var runs []*vmRun
 	for _, r := range d.runs {
-		if !r.process.running() || r.paused || connected && d.cut[r.DataCentre] > 0 {
+		if !r.process.Running() || r.paused || connected && d.cut[r.DataCentre] > 0 {
 			continue
 		}
 		runs = append(runs, r)
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -21,13 +21,13 @@
 
 // Faults are all kinds, by name.
 var Faults = []Fault{
-	{"vm_kill", true, func(_ context.Context, f *fleet, r *rand.Rand) { f.anyVM(r).current().signal(syscall.SIGKILL, true) }},
-	{"vm_stop", false, func(_ context.Context, f *fleet, r *rand.Rand) { f.anyVM(r).current().signal(syscall.SIGTERM, true) }},
+	{"vm_kill", true, func(_ context.Context, f *fleet, r *rand.Rand) { f.anyVM(r).current().Kill(syscall.SIGKILL) }},
+	{"vm_stop", false, func(_ context.Context, f *fleet, r *rand.Rand) { f.anyVM(r).current().Kill(syscall.SIGTERM) }},
 	{"vm_pause", true, pauseVM},
-	{"vm_hup", false, func(_ context.Context, f *fleet, r *rand.Rand) { f.anyVM(r).current().signal(syscall.SIGHUP, false) }},
+	{"vm_hup", false, func(_ context.Context, f *fleet, r *rand.Rand) { f.anyVM(r).current().Signal(syscall.SIGHUP) }},
 	{"all_kill", true, func(_ context.Context, f *fleet, _ *rand.Rand) {
 		for _, v := range f.vms {
-			v.current().signal(syscall.SIGKILL, true)
+			v.current().Kill(syscall.SIGKILL)
 		}
 	}},
 	{"target_dark", false, darkTarget},
@@ -64,9 +64,9 @@
 
 func pauseVM(ctx context.Context, f *fleet, r *rand.Rand) {
 	p := f.anyVM(r).current()
-	p.signal(syscall.SIGSTOP, false)
+	p.Signal(syscall.SIGSTOP)
 	sleep(ctx, faultTime(r))
-	p.signal(syscall.SIGCONT, false)
+	p.Signal(syscall.SIGCONT)
 }
 
 // anyTarget returns a target whose service keeps another one, nil if none.
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -12,10 +11,9 @@
 	"syscall"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"baobabstep/io/setting"
 	"baobabstep/platform/standin"
+	"baobabstep/standin/local"
 )
 
 // Ports of the fleet. Every process has an IP of its own in the fleet's network.
@@ -48,13 +46,12 @@
 
 // vm is one VM of the fleet over the lives of its processes.
 type vm struct {
-	number     int
 	name       string
 	settings   string
 	log        *os.File
 	link       *link
 	mu         sync.Mutex
-	process    *process
+	process    *local.Process
 	unexpected int
 }
 
@@ -135,29 +132,18 @@
 	networks     = 8
 )
 
-// serveStore takes the first network whose store's address is free: who holds
-// that address has the network to itself.
+// serveStore takes a network that no other fleet has, by its store's address.
 func (f *fleet) serveStore() error {
-	listener, err := f.listen()
+	network, listener, err := local.FreeNet(firstNetwork, networks, 0, f.at(storeNet, 1, storePort))
 	if err != nil {
 		return err
 	}
+	f.network = byte(network)
 	f.server = &http.Server{Handler: f.store, ReadHeaderTimeout: time.Second}
 	go func() { _ = f.server.Serve(listener) }() // ends with close
 	return nil
 }
 
-func (f *fleet) listen() (listener net.Listener, err error) {
-	for n := range networks {
-		f.network = byte(firstNetwork + n)
-		listener, err = net.Listen("tcp", f.at(storeNet, 1, storePort).String())
-		if !errors.Is(err, syscall.EADDRINUSE) {
-			return listener, err
-		}
-	}
-	return nil, errors.Wrapf(err, "store: all %d networks are taken", networks)
-}
-
 // putRoutes writes the next version of the routing table; versions grow in
 // uneven steps.
 func (f *fleet) putRoutes() {
@@ -208,7 +194,7 @@
 }
 
 func (f *fleet) addVM(n int) error {
-	v := &vm{number: n, name: fmt.Sprintf("vm-%d", n), settings: filepath.Join(f.dir, fmt.Sprintf("vm-%d.json", n))}
+	v := &vm{name: fmt.Sprintf("vm-%d", n), settings: filepath.Join(f.dir, fmt.Sprintf("vm-%d.json", n))}
 	var err error
 	if v.link, err = newLink(f.at(linkNet, n, storePort).String(), f.at(storeNet, 1, storePort).String()); err != nil {
 		return err
@@ -237,7 +223,7 @@
 func (v *vm) start(program string) error {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	p, err := startProcess(v.log, program, v.settings)
+	p, err := local.Start(v.log, program, v.settings)
 	if err != nil {
 		return err
 	}
@@ -250,16 +236,16 @@
 	v.mu.Lock()
 	p := v.process
 	v.mu.Unlock()
-	if p.running() {
+	if p.Running() {
 		return nil
 	}
-	if !p.wanted.Load() {
+	if p.Crashed() {
 		v.unexpected++
 	}
 	return v.start(program)
 }
 
-func (v *vm) current() *process {
+func (v *vm) current() *local.Process {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	return v.process
@@ -269,7 +255,7 @@
 	var ends sync.WaitGroup
 	for _, v := range f.vms {
 		ends.Go(func() {
-			v.current().end(grace)
+			v.current().End(syscall.SIGTERM, grace)
 			v.link.close()
 			v.log.Close()
 		})
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -38,7 +38,7 @@
 	return &judge{runs: map[uint64]int{}, serviceOf: map[uint64]string{}, routed: map[netip.AddrPort][]string{}}
 }
 
-// violated notes a broken promise; the first of each kind say enough.
+// violated notes a broken promise. The lock is held.
 func (j *judge) violated(format string, args ...any) {
 	j.violations = append(j.violations, fmt.Sprintf(format, args...))
 }
