token, entry, heartbeat: less written by hand

Cause: cmp.Compare, slices.Collect and slices.Sorted stood there as loops; readiness was asked in two ways; a pause was a method that used nothing of its receiver; three comments told of what is not there. Ruled out: evidence and load of targets stay as they are, they are read in one place each. Conclusion: no decision changes.

--- a/core/heartbeat/change.go
+++ b/core/heartbeat/change.go
@@ -1,6 +1,7 @@
 package heartbeat
 
 import (
+	"maps"
 	"reflect"
 	"slices"
 
@@ -22,16 +23,13 @@
 		}
 		delete(old, r.Name)
 	}
-	for name := range old {
-		c.RemovedRules = append(c.RemovedRules, name)
-	}
-	slices.Sort(c.RemovedRules)
+	c.RemovedRules = slices.Sorted(maps.Keys(old))
 	return c
 }
 
-// ApplyRoutes returns the table that a change makes of another one, with its
-// content. Errors: CodeConflict if the change does not apply to it, or does not
-// give what it should; CodeMalformed.
+// ApplyRoutes returns the table that a change makes of another one. Errors:
+// CodeConflict if the change does not apply to it, or does not give what it
+// should; CodeMalformed.
 func (c *Change) ApplyRoutes(from *baobabstep.RoutingTable, fromSum uint64) (*baobabstep.RoutingTable, error) {
 	if from == nil || c.From != fromSum {
 		return nil, conflict("got a change of another table")
@@ -50,10 +48,7 @@
 		}
 		rules[r.Name] = r
 	}
-	to := &baobabstep.RoutingTable{Version: c.To.Version, IdleTimeout: c.Idle, Rules: make([]baobabstep.Rule, 0, len(rules))}
-	for _, r := range rules {
-		to.Rules = append(to.Rules, r)
-	}
+	to := &baobabstep.RoutingTable{Version: c.To.Version, IdleTimeout: c.Idle, Rules: slices.Collect(maps.Values(rules))}
 	SortRules(to.Rules)
 	content, err := EncodeRoutes(to)
 	if err != nil || Sum(content) != c.To.Sum {
@@ -75,10 +70,7 @@
 		}
 		delete(old, to[i].ID)
 	}
-	for id := range old {
-		c.RemovedTargets = append(c.RemovedTargets, id)
-	}
-	slices.Sort(c.RemovedTargets)
+	c.RemovedTargets = slices.Sorted(maps.Keys(old))
 	return c
 }
 
@@ -102,10 +94,7 @@
 		}
 		registered[r.ID] = r
 	}
-	to := make([]baobabstep.Registration, 0, len(registered))
-	for _, r := range registered {
-		to = append(to, r)
-	}
+	to := slices.Collect(maps.Values(registered))
 	SortTargets(to)
 	content, err := EncodeTargets(to)
 	if err != nil || Sum(content) != c.To.Sum {
--- a/core/token/router.go
+++ b/core/token/router.go
@@ -133,14 +133,13 @@
 
 // Ready tells whether the router can place flows.
 func (r *Router) Ready() bool {
-	s := r.current.Load()
-	return s.haveTable && s.haveTargets
+	return r.current.Load().ready()
 }
 
 // Handle decides about one packet of a caller.
 func (r *Router) Handle(now time.Time, p *baobabstep.Segment, out *[]baobabstep.Forward) {
 	s := r.current.Load()
-	if !s.haveTable || !s.haveTargets {
+	if !s.ready() {
 		r.record(now, EventUnready, s, nil, nil, p)
 		return
 	}
--- a/core/token/snapshot.go
+++ b/core/token/snapshot.go
@@ -1,6 +1,7 @@
 package token
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -10,17 +11,19 @@
 
 // snapshot is the routes and targets that one decision uses. It is immutable.
 type snapshot struct {
-	version uint64
-	idle    time.Duration
-	rules   map[netip.AddrPort]*rule
-	pools   map[string]*pool
-	targets map[baobabstep.TargetID]*target
-	// ready is set once both a routing table and targets are known.
+	version                uint64
+	idle                   time.Duration
+	rules                  map[netip.AddrPort]*rule
+	pools                  map[string]*pool
+	targets                map[baobabstep.TargetID]*target
 	haveTable, haveTargets bool
 	// spareUntil is until when registrations that go missing may be back.
 	spareUntil time.Time
 }
 
+// ready tells whether both a routing table and targets are known.
+func (s *snapshot) ready() bool { return s.haveTable && s.haveTargets }
+
 // rule is one service address.
 type rule struct {
 	name   string
@@ -127,7 +130,7 @@
 // beginLoads gives targets that s did not know the mean load of those that it
 // knew.
 func (s *snapshot) beginLoads(now time.Time, before *snapshot) {
-	for service, p := range s.pools {
+	for _, p := range s.pools {
 		var known, sum float64
 		for _, t := range p.targets {
 			if before.targets[t.id] != nil && t.choosable(now) {
@@ -139,7 +142,7 @@
 		if known == 0 {
 			continue
 		}
-		for _, t := range s.pools[service].targets {
+		for _, t := range p.targets {
 			if before.targets[t.id] == nil {
 				t.load.begin(now, sum/known)
 			}
@@ -169,21 +172,11 @@
 		p.targets = append(p.targets, t)
 	}
 	for _, p := range pools {
-		slices.SortFunc(p.targets, func(a, b *target) int { return compareIDs(a.id, b.id) })
+		slices.SortFunc(p.targets, func(a, b *target) int { return cmp.Compare(a.id, b.id) })
 	}
 	return pools
 }
 
-func compareIDs(a, b baobabstep.TargetID) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 // find returns the target that the token names for a flow of rule r, or nil.
 func (s *snapshot) find(now time.Time, r *rule, h flowHash, token uint32) *target {
 	if token == 0 {
--- a/entry/belief.go
+++ b/entry/belief.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -107,11 +109,7 @@
 			registered[r.ID] = r
 		}
 	}
-	list := make([]baobabstep.Registration, 0, len(registered))
-	for _, r := range registered {
-		list = append(list, r)
-	}
-	return b.publish(now, list, revision, origin{source: sourceWatch})
+	return b.publish(now, slices.Collect(maps.Values(registered)), revision, origin{source: sourceWatch})
 }
 
 // publish hands the registrations to the router if they have changed.
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -129,14 +129,14 @@
 	pauses := newPauses()
 	for ctx.Err() == nil {
 		now := f.node.clock.Now()
-		if wait := f.due(now, r).Sub(now); wait > 0 && !f.pause(ctx, min(wait, lookInterval), r.again) {
+		if wait := f.due(now, r).Sub(now); wait > 0 && !pause(ctx, min(wait, lookInterval), r.again) {
 			continue
 		}
 		err := f.readOnce(ctx, r)
 		switch {
 		case ctx.Err() != nil:
 		case err != nil:
-			f.pause(ctx, f.retryPause(now, err, pauses.NextBackOff()), r.again)
+			pause(ctx, f.retryPause(now, err, pauses.NextBackOff()), r.again)
 		default:
 			pauses.Reset()
 		}
@@ -176,7 +176,7 @@
 }
 
 // pause waits, and returns whether a reading was asked for meanwhile.
-func (f *follower) pause(ctx context.Context, d time.Duration, again <-chan struct{}) bool {
+func pause(ctx context.Context, d time.Duration, again <-chan struct{}) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
@@ -188,15 +188,16 @@
 	return false
 }
 
-// watch watches a kind while this VM is the first of the fleet, until ctx ends. It asks for a reading whenever a watch ended in another way than it
-// should. A watch goes on for a while after another VM became the first.
+// watch watches a kind while this VM is the first of the fleet, until ctx ends.
+// It asks for a reading whenever a watch ended in another way than it should. A
+// watch goes on for a while after another VM became the first.
 func (f *follower) watch(ctx context.Context, r *reading) error {
 	pauses := newPauses()
 	for ctx.Err() == nil {
 		now := f.node.clock.Now()
 		after := baobabstep.Revision(r.revision.Load())
 		if after == 0 || !f.watches(now) {
-			f.pause(ctx, lookInterval, nil)
+			pause(ctx, lookInterval, nil)
 			continue
 		}
 		next, changed, err := r.watch(ctx, after)
@@ -207,11 +208,11 @@
 		if !cut {
 			r.advance(next)
 			pauses.Reset()
-			f.pause(ctx, gatherTime, nil)
+			pause(ctx, gatherTime, nil)
 			continue
 		}
 		f.askAgain(r)
-		f.pause(ctx, pauses.NextBackOff(), nil)
+		pause(ctx, pauses.NextBackOff(), nil)
 	}
 	return nil
 }
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -22,7 +22,7 @@
 // serveMetrics serves the metrics address until ctx ends.
 func (n *Node) serveMetrics(ctx context.Context) error {
 	for began := n.clock.Now(); ctx.Err() == nil && n.Ready() != nil && n.clock.Now().Sub(began) < metricsDelay; {
-		n.follower.pause(ctx, lookInterval, nil)
+		pause(ctx, lookInterval, nil)
 	}
 	server := metric.New(n.o.Settings.MetricsAddress, n.Ready)
 	server.Register(n.sources()...)
@@ -55,7 +55,7 @@
 }
 
 // sources are the metrics of a VM with token routing, in the order of
-// docs/METRICS.md.
+// docs/METRICS-TOKEN.md.
 func (n *Node) sources() []metric.Source {
 	value := func(read func() float64) func() map[string]float64 {
 		return func() map[string]float64 { return metric.Value(read()) }
--- a/entry/node.go
+++ b/entry/node.go
@@ -234,7 +234,7 @@
 			return nil
 		case <-n.router.Troubled():
 			n.announce(false)
-			n.follower.pause(ctx, troubleInterval, nil)
+			pause(ctx, troubleInterval, nil)
 		case <-ticker.C:
 			now := n.clock.Now()
 			n.router.Tick(now)
--- a/entry/share.go
+++ b/entry/share.go
@@ -57,19 +57,14 @@
 		}
 		if err == nil {
 			n.log.Info("peers can be heard")
-			return n.untilDone(ctx)
+			<-ctx.Done() // a part that returns ends the VM
+			return nil
 		}
-		n.follower.pause(ctx, pauses.NextBackOff(), nil)
+		pause(ctx, pauses.NextBackOff(), nil)
 	}
 	return nil
 }
 
-// untilDone waits for the end of ctx: a part that returns ends the VM.
-func (n *Node) untilDone(ctx context.Context) error {
-	<-ctx.Done()
-	return nil
-}
-
 // listen takes in what peers send.
 func (n *Node) listen(ctx context.Context) error {
 	return n.o.Messages.Receive(ctx, func(from netip.AddrPort, raw []byte) { n.receive(n.clock.Now(), from, raw) })
