target, node: a VM asks what is leaving before it joins

Cause: braga-b-3 joined at 24.939 s and handed corte-12, draining since 17.06 s, a request at 25.12 s (late work from its address, 8,062 ms after the drain). Members repeat leaving targets on a join only with their next round of news, up to 500 ms later; the joining VM itself hears no news, for it is no member. Ruled out: a lost update (repeatLeaving runs), the VM that restarted (the address in late_work is not its), probes (three of seven VMs probe a target). Change: not yet joined, a VM asks three members every 500 ms for the leaving state of all targets, and joins only with an answer at most 1 s old; without members, or after 15 s, as before. Questions are answered whatever incarnation is known of the asker.

--- a/core/target/even_test.go
+++ b/core/target/even_test.go
@@ -123,7 +123,7 @@
 			}
 			told++
 			s.newsBytes += len(body)
-			qt.Assert(s.t, s.vms[j].Learn(s.now, vmID(i), body), qt.IsNil)
+			learn(s.t, s.vms[j], s.now, vmID(i), body)
 		}
 	}
 }
--- a/core/target/health_test.go
+++ b/core/target/health_test.go
@@ -121,7 +121,7 @@
 		other.SetConfig(epoch, testConfig(*s))
 		other.SetView(epoch, testView(9, dataCentre))
 		other.Report(epoch, first, baobabstep.TargetReport{Healthy: false})
-		qt.Assert(t, r.Learn(epoch, vmID(i+1), other.News(epoch, 1000)), qt.IsNil)
+		learn(t, r, epoch, vmID(i+1), other.News(epoch, 1000))
 		qt.Assert(t, pickable(r, epoch, s)[first] > 0, qt.Equals, want)
 	}
 }
@@ -193,10 +193,10 @@
 		news []byte
 		want bool
 	}{{leaves, true}, {returns, false}, {leaves, false}, {again, true}, {returns, true}} {
-		qt.Assert(t, b.Learn(epoch, vmID(0), step.news), qt.IsNil)
+		learn(t, b, epoch, vmID(0), step.news)
 		qt.Assert(t, out(b), qt.Equals, step.want)
 	}
-	qt.Assert(t, c.Learn(epoch, vmID(1), b.News(epoch, 1000)), qt.IsNil)
+	learn(t, c, epoch, vmID(1), b.News(epoch, 1000))
 	c.SetView(epoch, &baobabstep.View{Members: testView(3, dataCentre).Members[1:]})
 	qt.Assert(t, out(c), qt.IsTrue)
 }
@@ -241,8 +241,8 @@
 // Bytes from a peer are not what they should be. They change nothing.
 func TestLearnRefusesWhatItCannotRead(t *testing.T) {
 	r, _ := setUp(t, 3)
-	qt.Assert(t, baobabstep.CodeOf(r.Learn(epoch, vmID(1), []byte("no CBOR"))), qt.Equals, baobabstep.CodeMalformed)
-	qt.Assert(t, baobabstep.CodeOf(r.Learn(epoch, vmID(1), make([]byte, maxNewsSize+1))), qt.Equals, baobabstep.CodeTooLarge)
+	qt.Assert(t, learnCode(r, epoch, vmID(1), []byte("no CBOR")), qt.Equals, baobabstep.CodeMalformed)
+	qt.Assert(t, learnCode(r, epoch, vmID(1), make([]byte, maxNewsSize+1)), qt.Equals, baobabstep.CodeTooLarge)
 }
 
 func FuzzLearn(f *testing.F) {
@@ -257,7 +257,7 @@
 	f.Fuzz(func(t *testing.T, body []byte) {
 		r := newRegistry(t, 1)
 		r.SetConfig(epoch, testConfig(s))
-		_ = r.Learn(epoch, vmID(0), body)
+		_, _ = r.Learn(epoch, vmID(0), body)
 		pickable(r, epoch, &s)
 	})
 }
--- a/core/target/news.go
+++ b/core/target/news.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"baobabstep"
 )
 
@@ -14,6 +12,9 @@
 	Epoch   uint64          `cbor:"epoch"`
 	Updates []update        `cbor:"updates,omitempty"`
 	Leaves  []leavingUpdate `cbor:"leaves,omitempty"`
+	// Ask wants an answer with all that is leaving; Answer is one.
+	Ask    bool `cbor:"ask,omitempty"`
+	Answer bool `cbor:"answer,omitempty"`
 }
 
 // update is the sender's own state of one target.
@@ -120,12 +121,7 @@
 	if len(body.Updates) == 0 && len(body.Leaves) == 0 {
 		return nil
 	}
-	b, err := cbor.Marshal(&body)
-	if err != nil {
-		r.breaks("news", err.Error())
-		return nil
-	}
-	return b
+	return r.encode(&body)
 }
 
 func (n *outgoing) fill(x *index) {
@@ -172,13 +168,13 @@
 func (e *entry) addLeaving(body *newsBody, left int) int {
 	for s := range e.leaving {
 		g := &e.leaving[s]
-		// What the configuration says reaches all VMs with it.
-		if g.spread == 0 || Source(s) == SourceOperator || left < leaveBytes {
+		if g.spread == 0 {
 			continue
 		}
-		g.spread--
-		left -= leaveBytes
-		body.Leaves = append(body.Leaves, leavingUpdate{Target: e.target.ID, Source: Source(s), Version: g.version, Leaving: g.leaving})
+		if after := e.addLeave(body, Source(s), left); after < left {
+			g.spread--
+			left = after
+		}
 	}
 	return left
 }
@@ -197,27 +193,6 @@
 	return updateBytes
 }
 
-// Learn takes the news of another VM. It may be late, doubled or out of order.
-func (r *Registry) Learn(_ time.Time, from baobabstep.VMID, body []byte) error {
-	if len(body) > maxNewsSize {
-		return baobabstep.Errorf(baobabstep.CodeTooLarge, "target.learn", "got %d bytes, want at most %d", len(body), maxNewsSize)
-	}
-	var b newsBody
-	if err := cbor.Unmarshal(body, &b); err != nil {
-		return baobabstep.Errorf(baobabstep.CodeMalformed, "target.learn", "%w", err)
-	}
-	if !r.newEnough(from, b.Epoch) {
-		return nil
-	}
-	for i := range b.Updates {
-		r.learnUpdate(from, &b.Updates[i])
-	}
-	for i := range b.Leaves {
-		r.learnLeaving(&b.Leaves[i])
-	}
-	return nil
-}
-
 // newEnough checks the sender's incarnation; updates of an older one are dropped
 // when a newer one is heard, since its process and its flows are gone.
 func (r *Registry) newEnough(from baobabstep.VMID, epoch uint64) bool {
--- a/core/target/size_bench_test.go
+++ b/core/target/size_bench_test.go
@@ -98,7 +98,7 @@
 					continue
 				}
 				bytes += len(body)
-				if err := to.Learn(now, baobabstep.MakeVMID("vm-0"), body); err != nil {
+				if _, err := to.Learn(now, baobabstep.MakeVMID("vm-0"), body); err != nil {
 					b.Fatal(err)
 				}
 			}
--- a/core/target/target.go
+++ b/core/target/target.go
@@ -118,6 +118,8 @@
 	news        outgoing
 	// epochs holds the incarnation under which each VM's updates were learned.
 	epochs map[baobabstep.VMID]uint64
+	// answeredAt is when the last answer to Ask came.
+	answeredAt time.Time
 
 	broken atomic.Uint64
 }
--- a/core/target/target_test.go
+++ b/core/target/target_test.go
@@ -137,7 +137,7 @@
 	}
 	news := a.News(epoch, 1000)
 	for range 2 { // Doubled messages count once.
-		qt.Assert(t, b.Learn(epoch, vmID(0), news), qt.IsNil)
+		learn(t, b, epoch, vmID(0), news)
 	}
 	total := 0
 	for _, state := range b.Table(epoch) {
@@ -150,3 +150,15 @@
 		qt.Assert(t, state.Load, qt.Equals, 0)
 	}
 }
+
+func learn(t testing.TB, r *Registry, now time.Time, from baobabstep.VMID, news []byte) {
+	t.Helper()
+	reply, err := r.Learn(now, from, news)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, reply, qt.IsNil)
+}
+
+func learnCode(r *Registry, now time.Time, from baobabstep.VMID, news []byte) baobabstep.Code {
+	_, err := r.Learn(now, from, news)
+	return baobabstep.CodeOf(err)
+}
--- a/node/control.go
+++ b/node/control.go
@@ -70,6 +70,7 @@
 	n.sendMember(n.fleet.Tick(now))
 	n.sendConfig(n.replica.Tick(now))
 	n.refresh(ctx, now)
+	n.askLeaving(now)
 	n.joinOnceSettled(now)
 	n.probe(ctx, now, out)
 	n.counts.controlNanos.Add(uint64(time.Since(began)))
@@ -87,6 +88,18 @@
 	}
 }
 
+// askLeaving asks members for the targets that are leaving, until the VM joins.
+func (n *Node) askLeaving(now time.Time) {
+	v := n.view.Load()
+	if v == nil || n.joined.Load() || now.Sub(n.askedAt) < newsInterval {
+		return
+	}
+	n.askedAt = now
+	for _, to := range n.newsPartners(v) {
+		n.sendPeer(to, baobabstep.TopicTarget, n.targets.Ask())
+	}
+}
+
 // joinOnceSettled takes up roles.
 func (n *Node) joinOnceSettled(now time.Time) {
 	if n.joined.Load() || n.settled(now) != nil {
@@ -208,9 +221,7 @@
 			n.sendConfig(n.replica.Handle(now, from, body))
 		},
 		baobabstep.TopicTarget: func(now time.Time, from baobabstep.VMID, body []byte) {
-			if err := n.targets.Learn(now, from, body); err != nil {
-				n.counts.malformed.Add(1)
-			}
+			n.learnTargets(now, from, body)
 		},
 	}
 	for topic, handle := range handlers {
@@ -225,6 +236,17 @@
 	return err
 }
 
+// learnTargets takes news of targets, and answers a VM that asks.
+func (n *Node) learnTargets(now time.Time, from baobabstep.VMID, body []byte) {
+	reply, err := n.targets.Learn(now, from, body)
+	if err != nil {
+		n.counts.malformed.Add(1)
+	}
+	if reply != nil {
+		n.sendPeer(from, baobabstep.TopicTarget, reply)
+	}
+}
+
 // receive passes one control message to its handler.
 func (n *Node) receive(m *message.Message, handle func(time.Time, baobabstep.VMID, []byte)) error {
 	from, err := peer.ParseVMID(m.Metadata.Get(peer.MetadataFrom))
--- a/node/node.go
+++ b/node/node.go
@@ -51,6 +51,10 @@
 	// pauseLimit is the gap between two ticks past which the VM takes
 	// itself to have been paused: others may hold its roles by then.
 	pauseLimit = 1500 * time.Millisecond
+	// answerAge is how old a member's answer on leaving targets may be when the
+	// VM joins: two rounds of asking, well under the 3 s in which new work may
+	// still reach a target that has begun to leave.
+	answerAge = 2 * newsInterval
 	// readySettle is how long the view has to be sure before a VM that has
 	// started asks for packets; readyAnyway bounds the wait.
 	readySettle = 3500 * time.Millisecond
@@ -107,6 +111,8 @@
 	config   atomic.Pointer[baobabstep.Config]
 	stopping atomic.Bool
 	joined   atomic.Bool
+	// askedAt is when members were last asked what is leaving.
+	askedAt time.Time
 	// paused is what the parts were told last; pauseLock is held while they
 	// are told.
 	paused    atomic.Bool
@@ -209,6 +215,8 @@
 		return nil
 	case v.Unsure || now.Sub(n.sureSince()) < readySettle:
 		return baobabstep.Errorf(baobabstep.CodeIncomplete, "node.ready", "view of the fleet not settled yet")
+	case len(v.Members) > 0 && now.Sub(n.targets.AnsweredAt()) > answerAge:
+		return baobabstep.Errorf(baobabstep.CodeIncomplete, "node.ready", "no member has said lately which targets are leaving")
 	}
 	return nil
 }
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -14,6 +14,7 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 	qt "github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
 
 	"baobabstep"
 	"baobabstep/core/config"
@@ -195,6 +196,29 @@
 	qt.Assert(t, baobabstep.CodeOf(f.node.Ready()), qt.Equals, baobabstep.CodeStopping)
 }
 
+// A VM that joins hands its first requests to a target that has been draining
+// for seconds: the news of it went to the members before, and the next round is
+// up to 500 ms away. It does not join before a member has told it what is
+// leaving, and asks again when the answer is old; without members it serves.
+func TestJoiningVMWaitsForAnAnswerOnLeavingTargets(t *testing.T) {
+	f := newFixture(t)
+	f.readConfig()
+	f.run(controlTick)
+	members := []baobabstep.VM{{ID: baobabstep.MakeVMID("hobart-b-1"), Name: "hobart-b-1"}}
+	f.node.view.Store(&baobabstep.View{Self: baobabstep.MakeVMID("hobart-a-1"), Members: members})
+	now := f.clock.Now().Add(readySettle)
+	qt.Check(t, f.node.settled(now), qt.ErrorMatches, ".*no member has said lately which targets are leaving.*")
+
+	member, err := cbor.Marshal(map[string]any{"answer": true})
+	qt.Assert(t, err, qt.IsNil)
+	f.node.learnTargets(now, members[0].ID, member)
+	qt.Check(t, f.node.settled(now.Add(answerAge)), qt.IsNil)
+	qt.Check(t, f.node.settled(now.Add(answerAge+time.Millisecond)), qt.IsNotNil)
+
+	f.node.view.Store(&baobabstep.View{Self: baobabstep.MakeVMID("hobart-a-1")})
+	qt.Check(t, f.node.settled(now), qt.IsNil)
+}
+
 func TestOpenGoesToATargetOfTheService(t *testing.T) {
 	f := newFixture(t)
 	f.joined()
