report, entry: plots of a fleet's logs; the cost of lines measured

BenchmarkLines forwards over real sockets with and without lines in turns. Found with the first plot: a VM that holds nothing yet wrote an age of 292 years (routes_age_ms); the age is now left out, of metrics as well.

--- a/cmd/baobabstep/main.go
+++ b/cmd/baobabstep/main.go
@@ -28,6 +28,7 @@
 	Status        command.Status   `cmd:"" help:"The fleet as one VM sees it."`
 	Explain       command.Explain  `cmd:"" help:"Where a flow or request went, and why."`
 	Trace         trace            `cmd:"" help:"From logs of VMs with token routing: what became of a flow, and why."`
+	Summary       summary          `cmd:"" help:"From logs of VMs with token routing: totals, and plots of load, decisions and the age of beliefs."`
 	Audit         command.Audit    `cmd:"" help:"Who changed what, when and why."`
 	Config        command.Config   `cmd:"" help:"The whole configuration as one file."`
 
@@ -60,12 +61,13 @@
 	}
 	parsed, err := parser.Parse(args)
 	if err != nil {
-		return report(baobabstep.Errorf(baobabstep.CodeUsage, "baobabstep", "%v", err))
+		return exitStatus(baobabstep.Errorf(baobabstep.CodeUsage, "baobabstep", "%v", err))
 	}
-	return report(parsed.Run(&c.Globals))
+	return exitStatus(parsed.Run(&c.Globals))
 }
 
-func report(err error) int {
+// exitStatus says what went wrong on standard error.
+func exitStatus(err error) int {
 	if err == nil {
 		return 0
 	}
--- a/cmd/baobabstep/trace.go
+++ b/cmd/baobabstep/trace.go
@@ -16,7 +16,7 @@
 
 // Run implements the command.
 func (t trace) Run() error {
-	lines, err := t.read()
+	lines, err := readLogs("trace", t.Files)
 	if err != nil {
 		return err
 	}
@@ -27,14 +27,16 @@
 	return logs.Print(os.Stdout, found)
 }
 
-func (t trace) read() (lines []logs.Line, err error) {
-	if len(t.Files) == 0 {
+// readLogs reads logs for a command, standard input if there are no files.
+// Errors: CodeUsage.
+func readLogs(command string, files []string) (lines []logs.Line, err error) {
+	if len(files) == 0 {
 		return readLog("standard input", os.Stdin)
 	}
-	for _, name := range t.Files {
+	for _, name := range files {
 		file, err := os.Open(name)
 		if err != nil {
-			return nil, baobabstep.Errorf(baobabstep.CodeUsage, "trace", "%w", err)
+			return nil, baobabstep.Errorf(baobabstep.CodeUsage, command, "%w", err)
 		}
 		some, err := readLog(name, file)
 		file.Close()
--- a/entry/belief.go
+++ b/entry/belief.go
@@ -168,9 +168,11 @@
 	return b.held[kind]
 }
 
-// age returns how long ago the store was known to hold nothing newer.
-func (b *beliefs) age(now time.Time, kind heartbeat.Kind) time.Duration {
-	return now.Sub(b.get(kind).confirmed)
+// age returns how long ago the store was known to hold nothing newer; false if
+// it never was.
+func (b *beliefs) age(now time.Time, kind heartbeat.Kind) (time.Duration, bool) {
+	confirmed := b.get(kind).confirmed
+	return now.Sub(confirmed), !confirmed.IsZero()
 }
 
 // told returns what heartbeats say of what is held.
--- a/entry/journal.go
+++ b/entry/journal.go
@@ -30,7 +30,8 @@
 
 // logEvent writes the line of one decision, with the inputs that decided it.
 func (n *Node) logEvent(now time.Time, e *token.Event) {
-	fields := log.Fields{"version": e.Version, "routes_age_ms": n.beliefs.age(now, heartbeat.Routes).Milliseconds()}
+	fields := log.Fields{"version": e.Version}
+	n.addAge(now, fields, "routes_age_ms", heartbeat.Routes)
 	if e.Flow.Caller.IsValid() {
 		fields["flow"], fields["seq"] = e.FlowName(), e.Seq
 	}
@@ -39,12 +40,12 @@
 	}
 	if e.Kind == token.EventRefused {
 		fields["service"], fields["known"], fields["draining"], fields["gone"] = e.Service, e.Known, e.Draining, e.Gone
-		fields["targets_age_ms"] = n.beliefs.age(now, heartbeat.Targets).Milliseconds()
+		n.addAge(now, fields, "targets_age_ms", heartbeat.Targets)
 	}
 	if e.Target != 0 {
 		fields["target"], fields["service"] = targetName(e.Target), e.Service
 		fields["target_data_centre"], fields["requests"] = e.DataCentre, int(e.Requests)
-		fields["targets_age_ms"] = n.beliefs.age(now, heartbeat.Targets).Milliseconds()
+		n.addAge(now, fields, "targets_age_ms", heartbeat.Targets)
 		if e.Heard >= 0 {
 			fields["heard_ms"] = e.Heard.Milliseconds()
 		}
@@ -55,6 +56,13 @@
 	n.log.WithFields(fields).Info(e.Kind.String())
 }
 
+// addAge adds the age of a belief to a line; what is not held has none.
+func (n *Node) addAge(now time.Time, fields log.Fields, name string, kind heartbeat.Kind) {
+	if age, ok := n.beliefs.age(now, kind); ok {
+		fields[name] = age.Milliseconds()
+	}
+}
+
 // reportDropped says which lines were left out.
 func (n *Node) reportDropped(now time.Time) {
 	if now.Sub(n.droppedAt) < dropInterval {
--- /dev/null
+++ b/entry/lines_bench_test.go
@@ -0,0 +1,199 @@
+package entry
+
+import (
+	"context"
+	"encoding/binary"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"os"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	jsonlog "github.com/apex/log/handlers/json"
+	qt "github.com/frankban/quicktest"
+
+	"baobabstep"
+	"baobabstep/io/logs"
+	"baobabstep/io/packet"
+	"baobabstep/io/setting"
+	"baobabstep/platform"
+)
+
+// Flows of the benchmark: one opens each millisecond, and brings five requests
+// and their acknowledgements.
+const (
+	flowInterval = time.Millisecond
+	dataSegments = 10
+	benchTargets = 20
+)
+
+var (
+	benchService = netip.MustParseAddrPort("198.18.0.1:443")
+	benchEpoch   = time.Unix(1_800_000_000, 0)
+)
+
+// BenchmarkLines forwards 1,000 new flows a second of simulated time over real
+// sockets, once with lines and once without, in turns. log_share_% is the part
+// of the process's time that lines cost, their writing to a pipe included.
+func BenchmarkLines(b *testing.B) {
+	spent := new(atomic.Int64)
+	lines := logs.New(pipe(b, spent))
+	with := newForwarder(b, lines, &log.Logger{Handler: jsonlog.New(lines), Level: log.InfoLevel})
+	without := newForwarder(b, noLines{}, &log.Logger{Handler: jsonlog.New(lines), Level: log.ErrorLevel})
+	var took, bare time.Duration
+	for n := range b.N {
+		now := benchEpoch.Add(time.Duration(n) * flowInterval)
+		// In turns who is first, since the second finds warm caches.
+		if n%2 == 0 {
+			took += with.flow(b, now, n)
+		}
+		bare += without.flow(b, now, n)
+		if n%2 == 1 {
+			took += with.flow(b, now, n)
+		}
+	}
+	b.StopTimer()
+	lines.Close()
+	took += time.Duration(spent.Load())
+	b.ReportMetric(float64(took)/float64(b.N), "ns/flow")
+	b.ReportMetric(100*float64(took-bare)/float64(took), "log_share_%")
+	b.ReportMetric(0, "ns/op")
+}
+
+// noLines are limits that let nothing through.
+type noLines struct{}
+
+func (noLines) Wanted(time.Time, string) bool { return false }
+func (noLines) Dropped() map[string]uint64    { return nil }
+
+// timedWriter adds up the time that writes take.
+type timedWriter struct {
+	to    *os.File
+	spent *atomic.Int64
+}
+
+func (w timedWriter) Write(p []byte) (int, error) {
+	began := time.Now()
+	n, err := w.to.Write(p)
+	w.spent.Add(int64(time.Since(began)))
+	return n, err
+}
+
+// pipe returns a writer whose reader keeps up.
+func pipe(b *testing.B, spent *atomic.Int64) timedWriter {
+	b.Helper()
+	r, w, err := os.Pipe()
+	qt.Assert(b, err, qt.IsNil)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for buf := make([]byte, 1<<16); ; {
+			if _, err := r.Read(buf); err != nil {
+				return
+			}
+		}
+	}()
+	b.Cleanup(func() {
+		_ = w.Close()
+		<-done
+		_ = r.Close()
+	})
+	return timedWriter{to: w, spent: spent}
+}
+
+// forwarder is a VM's data path, driven one segment at a time.
+type forwarder struct {
+	node   *Node
+	conn   *packet.SegmentConn
+	client *net.UDPConn
+	out    []baobabstep.Forward
+	batch  []baobabstep.Segment
+}
+
+func newForwarder(b *testing.B, limits LogLimits, logger *log.Logger) *forwarder {
+	b.Helper()
+	n := New(Options{
+		Settings: &setting.Settings{Name: "vm-1", Region: "r", DataCentre: "a"}, Logger: logger, LogLimits: limits,
+		Rand: rand.New(rand.NewPCG(1, 2)), Clock: fixedClock{},
+	})
+	n.router.SetTable(benchEpoch, &baobabstep.RoutingTable{Version: 1, Rules: []baobabstep.Rule{
+		{Name: "rule", Address: benchService, Shares: []baobabstep.Share{{Service: "fixtures", Weight: 1}}},
+	}})
+	sink, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	qt.Assert(b, err, qt.IsNil)
+	b.Cleanup(func() { _ = sink.Close() })
+	var list []baobabstep.Registration
+	for i := range benchTargets {
+		list = append(list, baobabstep.Registration{
+			ID: baobabstep.TargetID(i + 1), Service: "fixtures", Address: sink.LocalAddr().(*net.UDPAddr).AddrPort(), DataCentre: "a",
+		})
+	}
+	n.router.SetRegistrations(benchEpoch, list)
+	conns, err := packet.NewSegments(packet.SocketOptions{Listen: netip.MustParseAddrPort("127.0.0.1:0")}, platform.Datagrams{CallerPort: 1})
+	qt.Assert(b, err, qt.IsNil)
+	b.Cleanup(func() { _ = conns[0].Close() })
+	client, err := net.DialUDP("udp4", nil, net.UDPAddrFromAddrPort(conns[0].Address()))
+	qt.Assert(b, err, qt.IsNil)
+	b.Cleanup(func() { _ = client.Close() })
+	return &forwarder{node: n, conn: conns[0], client: client, batch: make([]baobabstep.Segment, batchSize)}
+}
+
+type fixedClock struct{}
+
+func (fixedClock) Now() time.Time { return benchEpoch }
+
+// flow forwards one flow and returns the time that its forwarding took.
+func (f *forwarder) flow(b *testing.B, now time.Time, n int) (took time.Duration) {
+	const syn, ack, fin = 2 << 4, 1, 2
+	token := uint32(0)
+	for i := range dataSegments + 2 {
+		flags := byte(ack)
+		switch i {
+		case 0:
+			flags = syn
+		case dataSegments + 1:
+			flags = ack | fin
+		}
+		_, err := f.client.Write(segment(flags, token, n, uint32(i), uint32(i/2)))
+		qt.Assert(b, err, qt.IsNil)
+		began := time.Now()
+		err = f.forward(b.Context(), now)
+		took += time.Since(began)
+		qt.Assert(b, err, qt.IsNil)
+		token = f.out[0].Token
+	}
+	if n%100 == 0 {
+		f.node.router.Tick(now)
+	}
+	return took
+}
+
+// forward is one round of a data goroutine.
+func (f *forwarder) forward(ctx context.Context, now time.Time) error {
+	count, err := f.conn.Receive(ctx, f.batch)
+	if err != nil {
+		return err
+	}
+	f.out = f.out[:0]
+	for i := range f.batch[:count] {
+		f.node.router.Handle(now, &f.batch[i], &f.out)
+	}
+	return f.conn.Send(f.out)
+}
+
+// segment returns a caller's datagram of the n-th flow.
+func segment(flags byte, token uint32, n int, seq, acked uint32) []byte {
+	d := make([]byte, 31)
+	d[2] = flags
+	binary.BigEndian.PutUint32(d[3:], token)
+	binary.BigEndian.PutUint32(d[7:], 10<<24|uint32(n>>14))
+	copy(d[11:], benchService.Addr().AsSlice())
+	binary.BigEndian.PutUint16(d[15:], benchService.Port())
+	binary.BigEndian.PutUint16(d[17:], uint16(n&0x3fff)+1024)
+	binary.BigEndian.PutUint32(d[19:], seq)
+	binary.BigEndian.PutUint32(d[23:], acked)
+	return d
+}
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -61,7 +61,13 @@
 		return func() map[string]float64 { return metric.Value(read()) }
 	}
 	age := func(kind heartbeat.Kind) func() map[string]float64 {
-		return value(func() float64 { return n.beliefs.age(n.clock.Now(), kind).Seconds() })
+		return func() map[string]float64 {
+			age, ok := n.beliefs.age(n.clock.Now(), kind)
+			if !ok {
+				return nil
+			}
+			return metric.Value(age.Seconds())
+		}
 	}
 	return []metric.Source{
 		{Name: "token_events_total", Help: "Decisions about flows and targets.", Label: "event", Read: n.readEvents},
