heartbeat, entry: loads of others are kept, not summed up anew

Cause: each heartbeat from the own data centre, and each tick, summed up what all VMs say of all targets (Board.Loads), and each heartbeat of any VM searched all VMs, sorted, for who vouches and who holds something newer. Per VM and second that is (40 + 10) x VMs x 55 additions into a new map. Change: the board keeps the sums in whole tenths, taking off what a VM said before; a heartbeat vouches by itself, and others are searched only when it tells of a newer content; loads go to the router with the tick, at once only if the heartbeat tells of silent targets. Tests: a rapid run compares the kept sums with those made anew over VMs that come, restart, fall silent and are forgotten; Confirmed's test is replaced by Vouches' with the same cases.

--- a/core/heartbeat/ask.go
+++ b/core/heartbeat/ask.go
@@ -1,12 +1,8 @@
 package heartbeat
 
 import (
-	"cmp"
 	"net/netip"
-	"slices"
 	"time"
-
-	"baobabstep"
 )
 
 // IsNear tells whether the VM at an address stands in the own data centre.
@@ -74,24 +70,6 @@
 	return live
 }
 
-// Confirmed returns how long ago the store was known to hold nothing newer than
-// the content with the given checksum, by the word of a live VM that holds it
-// too. ok is false if none does.
-func (b *Board) Confirmed(now time.Time, kind Kind, sum uint64) (age time.Duration, ok bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for _, p := range b.peers {
-		if !b.live(now, p) || p.last.Held[kind].Version == 0 || p.last.Held[kind].Sum != sum {
-			continue
-		}
-		a := p.last.Held[kind].Age() + now.Sub(p.heard)
-		if !ok || a < age {
-			age, ok = a, true
-		}
-	}
-	return age, ok
-}
-
 // Newer returns a live VM that holds a newer version with another content, one
 // of the own data centre if there is one; of several with the newest, any.
 func (b *Board) Newer(now time.Time, kind Kind, version, sum uint64) (from netip.AddrPort, ok bool) {
@@ -121,62 +99,3 @@
 	}
 	return from, ok
 }
-
-// Loads returns what the live VMs say of targets: the requests of all, and the
-// most flows that any VM of the own data centre found unanswered. What VMs
-// elsewhere find may be their path to the target.
-func (b *Board) Loads(now time.Time) map[baobabstep.TargetID]baobabstep.TargetLoad {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	loads := make(map[baobabstep.TargetID]baobabstep.TargetLoad)
-	for _, p := range b.peers {
-		if !b.live(now, p) {
-			continue
-		}
-		for _, l := range p.last.Loads {
-			sum := loads[l.Target]
-			sum.Requests += float64(l.Tenths) / tenths
-			if p.last.DataCentre == b.o.DataCentre {
-				sum.Unanswered = max(sum.Unanswered, int(l.Unanswered))
-				sum.Opens = max(sum.Opens, int(l.Opens))
-				if at := p.heard.Add(-time.Duration(l.HeardMS) * time.Millisecond); l.HeardMS > 0 && at.After(sum.HeardAt) {
-					sum.HeardAt = at
-				}
-			}
-			loads[l.Target] = sum
-		}
-	}
-	return loads
-}
-
-// maxHeard is the greatest HeardMS.
-const maxHeard = 1<<16 - 1
-
-// maxCount is the greatest count of flows that a Load says.
-const maxCount = 255
-
-// tenths is the number of units of Load.Tenths in a request.
-const tenths = 10
-
-// MakeLoads returns what a heartbeat says of targets: of the most loaded ones,
-// where there are too many, and always of those that leave flows unanswered, or
-// do so by the word of others.
-func MakeLoads(now time.Time, own []baobabstep.TargetLoad) []Load {
-	loads := make([]Load, 0, len(own))
-	for _, l := range own {
-		load := Load{
-			Target: l.Target, Tenths: uint32(l.Requests * tenths),
-			Unanswered: uint8(min(l.Unanswered, maxCount)), Opens: uint8(min(l.Opens, maxCount)),
-		}
-		if l.Disputed && !l.HeardAt.IsZero() {
-			load.HeardMS = uint16(min(max(1, now.Sub(l.HeardAt).Milliseconds()), maxHeard))
-		}
-		if load.Tenths > 0 || load.Unanswered > 0 || load.HeardMS > 0 {
-			loads = append(loads, load)
-		}
-	}
-	slices.SortFunc(loads, func(a, b Load) int {
-		return cmp.Or(cmp.Compare(b.Unanswered, a.Unanswered), cmp.Compare(b.HeardMS, a.HeardMS), cmp.Compare(b.Tenths, a.Tenths), cmp.Compare(a.Target, b.Target))
-	})
-	return loads[:min(len(loads), maxLoads)]
-}
--- a/core/heartbeat/board.go
+++ b/core/heartbeat/board.go
@@ -70,6 +70,9 @@
 	last *Heartbeat
 	// heard is when last came; for a VM that was only heard of, when it was.
 	heard time.Time
+	// counted says that the tally holds the loads of last, evidence that they
+	// tell of silent targets.
+	counted, evidence bool
 }
 
 // Board keeps what this VM knows of the others. It is safe for concurrent use.
@@ -85,12 +88,13 @@
 	// nearTurns and farTurns are the rounds of heartbeats in which each VM of
 	// the own data centre and of others gets one.
 	nearTurns, farTurns int
+	tally               tally
 }
 
 // New returns a board that knows the seeds.
 func New(now time.Time, o Options) *Board {
 	o.setDefaults()
-	b := &Board{o: o, peers: make(map[netip.AddrPort]*peer)}
+	b := &Board{o: o, peers: make(map[netip.AddrPort]*peer), tally: make(tally)}
 	b.meet(now, o.Seeds)
 	return b
 }
@@ -150,6 +154,7 @@
 func (b *Board) forget(now time.Time) {
 	for address, p := range b.peers {
 		if now.Sub(p.heard) >= b.o.Forget && !slices.Contains(b.o.Seeds, address) {
+			b.count(p, false)
 			delete(b.peers, address)
 		}
 	}
@@ -171,7 +176,9 @@
 	if p.last != nil && !newer(h, p.last) {
 		return false
 	}
-	p.last, p.heard = h, now
+	b.count(p, false)
+	p.last, p.heard, p.evidence = h, now, h.HasEvidence()
+	b.count(p, true)
 	b.meet(now, h.Peers)
 	return true
 }
--- a/core/heartbeat/message.go
+++ b/core/heartbeat/message.go
@@ -80,6 +80,14 @@
 // Age returns AgeMS as a duration.
 func (h Held) Age() time.Duration { return time.Duration(h.AgeMS) * time.Millisecond }
 
+// Vouches returns how long ago the store was known to hold nothing newer than
+// the content with the given checksum, by the sender's word; false if the sender
+// holds another or none.
+func (h *Heartbeat) Vouches(kind Kind, sum uint64) (age time.Duration, ok bool) {
+	held := &h.Held[kind]
+	return held.Age(), held.Version > 0 && held.Sum == sum
+}
+
 // Load is what the sender sends to one target.
 type Load struct {
 	_      struct{} `cbor:",toarray"`
--- a/entry/share.go
+++ b/entry/share.go
@@ -95,17 +95,30 @@
 	if !n.board.Handle(now, from, h) {
 		return
 	}
-	if h.DataCentre == n.o.Settings.DataCentre {
+	// Trouble is taken in at once, the rest with the next tick.
+	if h.DataCentre == n.o.Settings.DataCentre && h.HasEvidence() {
 		n.router.SetOthers(n.board.Loads(now), n.board.Live(now))
 	}
 	for _, kind := range []heartbeat.Kind{heartbeat.Routes, heartbeat.Targets} {
-		held := n.beliefs.get(kind)
-		if age, ok := n.board.Confirmed(now, kind, held.sum); ok && held.version > 0 {
+		n.compare(now, kind, h)
+	}
+}
+
+// compare looks at what the sender holds of one kind: it vouches for the same
+// content, and a newer one is asked for.
+func (n *Node) compare(now time.Time, kind heartbeat.Kind, h *heartbeat.Heartbeat) {
+	held := n.beliefs.get(kind)
+	if age, same := h.Vouches(kind, held.sum); same {
+		if held.version > 0 {
 			n.beliefs.confirm(kind, now.Add(-age))
 		}
-		if source, ok := n.board.Newer(now, kind, held.version, held.sum); ok && n.mayWant(now, kind) {
-			n.sendMessage(source, &heartbeat.Message{Want: &heartbeat.Want{Kind: kind, Newer: held.version}})
-		}
+		return
+	}
+	if h.Held[kind].Version <= held.version {
+		return
+	}
+	if source, ok := n.board.Newer(now, kind, held.version, held.sum); ok && n.mayWant(now, kind) {
+		n.sendMessage(source, &heartbeat.Message{Want: &heartbeat.Want{Kind: kind, Newer: held.version}})
 	}
 }
 
