token, heartbeat: one unanswered request is enough where two VMs are sure

Change: the board counts the VMs of the data centre that found two flows silent, a first segment among them; with two such witnesses the word of others counts 3. The contradiction of a VM that hears the target goes before, as it did. Test failed first: TestOneRequestIsEnoughWhereTwoVMsAgree.

--- a/core/heartbeat/board_test.go
+++ b/core/heartbeat/board_test.go
@@ -244,14 +244,16 @@
 
 func TestLoads(t *testing.T) {
 	b := newBoard(1)
-	for n, said := range map[int]Load{2: {Tenths: 15, Unanswered: 9}, 3: {Tenths: 30, Unanswered: 1}, 5: {Unanswered: 2, Opens: 1}} {
+	for n, said := range map[int]Load{
+		2: {Tenths: 15, Unanswered: 9, Opens: 9}, 3: {Tenths: 30, Unanswered: 1, Opens: 1}, 5: {Unanswered: 2, Opens: 1}, 7: {Unanswered: 2},
+	} {
 		h := beat(n, 1, 1)
 		said.Target = 9
 		h.Loads = Loads{said}
 		b.Handle(start, address(n), h)
 	}
 	// VM 2 stands in another data centre.
-	qt.Assert(t, b.Loads(start)[9], qt.Equals, baobabstep.TargetLoad{Requests: 4.5, Unanswered: 2, Opens: 1})
+	qt.Assert(t, b.Loads(start)[9], qt.Equals, baobabstep.TargetLoad{Requests: 4.5, Unanswered: 2, Opens: 1, Witnesses: 1})
 	qt.Assert(t, b.Loads(start.Add(time.Second)), qt.HasLen, 0)
 }
 
--- a/core/heartbeat/load.go
+++ b/core/heartbeat/load.go
@@ -54,8 +54,13 @@
 
 func (l Load) hasEvidence() bool { return l.Unanswered > 0 || l.Opens > 0 || l.HeardMS > 0 }
 
-// Loads returns what the live VMs say of targets: the requests of all, and the
-// most flows that any VM of the own data centre found unanswered. What VMs
+// witnessAt is the number of flows that a VM has to have found unanswered to be
+// a witness: with one, a lost datagram would make it one.
+const witnessAt = 2
+
+// Loads returns what the live VMs say of targets: the requests of all, the most
+// flows that any VM of the own data centre found unanswered, and how many such
+// VMs are sure. What VMs
 // elsewhere find may be their path to the target.
 func (b *Board) Loads(now time.Time) map[baobabstep.TargetID]baobabstep.TargetLoad {
 	b.mu.Lock()
@@ -82,6 +87,9 @@
 		sum := loads[l.Target]
 		sum.Unanswered = max(sum.Unanswered, int(l.Unanswered))
 		sum.Opens = max(sum.Opens, int(l.Opens))
+		if l.Unanswered >= witnessAt && l.Opens > 0 {
+			sum.Witnesses++
+		}
 		if at := p.heard.Add(-time.Duration(l.HeardMS) * time.Millisecond); l.HeardMS > 0 && at.After(sum.HeardAt) {
 			sum.HeardAt = at
 		}
--- a/core/token/health.go
+++ b/core/token/health.go
@@ -16,6 +16,9 @@
 	// segment 2; without any of those a target is never dark. It accepts a
 	// flow at once however much it has to do, while an answer may take long.
 	darkAt = 4
+	// enoughWitnesses is the number of other VMs that have to be sure that a
+	// target is silent for one own request to be enough.
+	enoughWitnesses = 2
 	// freshFor is how long what was found of a target counts against its open
 	// flows, and is told to other VMs. A VM may have nothing for a target for
 	// minutes; what it found before must not end a flow that was opened over
@@ -52,6 +55,9 @@
 	// others and othersOpens are the greatest such numbers that another VM of
 	// the data centre says.
 	others, othersOpens int
+	// witnesses is the number of VMs of the data centre that are sure of it on
+	// their own.
+	witnesses int
 	// othersHeardAt is when such a VM last heard of the target, by its word.
 	othersHeardAt time.Time
 	// heardAt is when the target was last heard of, leftAt when it last left a
@@ -65,7 +71,10 @@
 
 // answered notes that a target was heard of.
 func (h *health) answered(now time.Time) {
-	*h = health{heardAt: now, others: h.others, othersOpens: h.othersOpens, othersHeardAt: h.othersHeardAt}
+	*h = health{
+		heardAt: now, others: h.others, othersOpens: h.othersOpens,
+		witnesses: h.witnesses, othersHeardAt: h.othersHeardAt,
+	}
 }
 
 // left notes a flow that the target left unanswered.
@@ -114,8 +123,18 @@
 	return h.unanswered+others >= suspectAt && (h.unanswered < suspectAt || now.Before(h.trialAt))
 }
 
+// wordOfOthers is the most that the word of other VMs counts: as much as one
+// first segment, or one own flow less than darkAt if two VMs are sure. One may
+// have a full link of its own, behind which every target seems silent.
+func (h *health) wordOfOthers() int {
+	if h.witnesses >= enoughWitnesses {
+		return darkAt - 1
+	}
+	return darkAt / 2
+}
+
 // dark tells whether the target is gone or out of reach. The word of others
-// counts as much as one first segment at most, and only beside an own flow. A VM
+// counts as much as wordOfOthers, and only beside an own flow. A VM
 // that is not alone in its data centre needs another one to agree: if its own link
 // is full or broken, every target seems silent, and none is.
 func (h *health) dark(now time.Time, alone bool) bool {
@@ -130,7 +149,7 @@
 	case others == 0 && !alone:
 		return false
 	}
-	return h.unanswered+h.opens+min(others+othersOpens, darkAt/2) >= darkAt
+	return h.unanswered+h.opens+min(others+othersOpens, h.wordOfOthers()) >= darkAt
 }
 
 // tried notes that a target gets a flow: a suspect one gets no other until it
--- a/core/token/health_test.go
+++ b/core/token/health_test.go
@@ -252,6 +252,37 @@
 	}
 }
 
+// In a large fleet each VM carries a few long flows to a target. It dies, two VMs
+// find it silent, and seconds later the caller of an idle flow over a third one
+// sends its next request. That VM sees one request repeated, once: one flow is
+// never enough there, and the caller ran into its time limit. Two VMs that each
+// found two flows silent, a first segment among them, are as good as own ones.
+func TestOneRequestIsEnoughWhereTwoVMsAgree(t *testing.T) {
+	now := start.Add(time.Second)
+	for _, test := range []struct {
+		name      string
+		how       silence
+		witnesses int
+		heardAgo  time.Duration
+		dark      bool
+	}{
+		{"two others", requestRepeated, 2, time.Hour, true},
+		{"one other, its own link may be full", requestRepeated, 1, time.Hour, false},
+		{"two others, but a fourth VM hears it", requestRepeated, 2, 0, false},
+		{"two others, nothing here yet", openVanished + 1, 2, time.Hour, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var h health
+			h.others, h.othersOpens, h.witnesses = 9, 9, test.witnesses
+			h.othersHeardAt = now.Add(-test.heardAgo)
+			if test.how <= openVanished {
+				h.left(now, test.how)
+			}
+			qt.Check(t, h.dark(now, false), qt.Equals, test.dark)
+		})
+	}
+}
+
 // A target's process has died and its host refuses flows at once. The caller
 // hears that directly and tries again within milliseconds, from another port; the
 // dead target looks idle, and got try after try. The next try has to go elsewhere.
--- a/core/token/load.go
+++ b/core/token/load.go
@@ -175,7 +175,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.others = said.Requests
-	l.health.others, l.health.othersOpens, l.health.othersHeardAt = said.Unanswered, said.Opens, said.HeardAt
+	l.health.others, l.health.othersOpens = said.Unanswered, said.Opens
+	l.health.witnesses, l.health.othersHeardAt = said.Witnesses, said.HeardAt
 }
 
 // unanswered returns the numbers of flows in a row that were left unanswered,
--- a/directory.go
+++ b/directory.go
@@ -94,6 +94,10 @@
 	// Unanswered is the number of flows in a row that the target left without
 	// an answer, Opens that of those whose first segment was.
 	Unanswered, Opens int
+	// Witnesses is, in what other VMs say together, the number of VMs of the
+	// own data centre that found several flows unanswered, a first segment
+	// among them.
+	Witnesses int
 	// HeardAt is when the target was last heard of; zero if never.
 	HeardAt time.Time
 	// Disputed is set if other VMs say that the target is silent.
