heartbeat: data centres of a large fleet do not seem lost any more

Cause: a VM sends to six VMs elsewhere every 500 ms, in turn; all VMs of a data centre began their turns at the same place, so after a start of all of them each VM heard from all at once and then from none for seconds. VMs that were heard seldom were also forgotten after 30 s, between two turns. Ruled out: lost datagrams (none are in the model), Silent (it grows with turns). Change: a round is numbered by the clock, the same for all, and each VM's turn is offset by its place among those of its data centre; another data centre may be silent for four mean gaps where these are longer than 1 s together; forgetting waits for three turns.

--- a/core/heartbeat/ask.go
+++ b/core/heartbeat/ask.go
@@ -55,21 +55,41 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	live := make(map[string]int)
-	heard := make(map[string]bool)
+	last := make(map[string]time.Time)
+	total := 0
 	for _, p := range b.peers {
-		if b.live(now, p) {
-			live[p.last.DataCentre]++
-			heard[p.last.DataCentre] = heard[p.last.DataCentre] || now.Sub(p.heard) < b.o.FarSilent
+		if !b.live(now, p) {
+			continue
+		}
+		dc := p.last.DataCentre
+		live[dc]++
+		total++
+		if p.heard.After(last[dc]) {
+			last[dc] = p.heard
 		}
 	}
-	for dc := range live {
-		if dc != b.o.DataCentre && !heard[dc] {
+	for dc, vms := range live {
+		if dc != b.o.DataCentre && now.Sub(last[dc]) >= b.farSilent(vms, total) {
 			delete(live, dc)
 		}
 	}
 	return live
 }
 
+// farGaps is how many times the mean time between two heartbeats from another
+// data centre it may be silent.
+const farGaps = 4
+
+// farSilent returns the silence after which another data centre is out of reach,
+// of which the given number of VMs are known, among total in all. Each of them
+// sends to FarFanout of those elsewhere in a time of Far; a small one in a large
+// fleet is heard seldom.
+func (b *Board) farSilent(vms, total int) time.Duration {
+	elsewhere := max(1, total+1-vms)
+	gap := b.o.Far * time.Duration(elsewhere) / time.Duration(vms*min(b.o.FarFanout, elsewhere))
+	return max(b.o.FarSilent, farGaps*gap)
+}
+
 // Newer returns a live VM that holds a newer version with another content, one
 // of the own data centre if there is one; of several with the newest, any.
 func (b *Board) Newer(now time.Time, kind Kind, version, sum uint64) (from netip.AddrPort, ok bool) {
--- a/core/heartbeat/beat.go
+++ b/core/heartbeat/beat.go
@@ -21,28 +21,50 @@
 func (b *Board) Due(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return now.Sub(b.nearAt) >= b.o.Near || now.Sub(b.farAt) >= b.o.Far
+	return round(now, b.o.Near) != b.nearRound || round(now, b.o.Far) != b.farRound
 }
 
+// round numbers the intervals of time, the same for all VMs as far as their
+// clocks agree.
+func round(now time.Time, interval time.Duration) int64 { return now.UnixNano() / int64(interval) }
+
 // Tick returns the heartbeats that are due.
 func (b *Board) Tick(now time.Time, own Own) []Out {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.forget(now)
 	b.countTurns()
-	near, far := now.Sub(b.nearAt) >= b.o.Near, now.Sub(b.farAt) >= b.o.Far
 	var outs []Out
-	if near {
-		b.nearAt = now
-		outs = b.beat(outs, now, own, maxLoads, b.turn(&b.nearTurn, b.o.NearFanout, true))
+	if at := round(now, b.o.Near); at != b.nearRound {
+		b.nearRound = at
+		outs = b.beat(outs, now, own, maxLoads, turn(b.sorted(true), at, b.o.NearFanout, 0))
 	}
-	if far {
-		b.farAt = now
-		outs = b.beat(outs, now, own, farLoads, b.turn(&b.farRun, b.o.FarFanout, false))
+	if at := round(now, b.o.Far); at != b.farRound {
+		b.farRound = at
+		list := b.sorted(false)
+		outs = b.beat(outs, now, own, farLoads, turn(list, at, b.o.FarFanout, b.offset(now, len(list))))
 	}
 	return outs
 }
 
+// offset spreads the turns of the VMs of a data centre over those of length VMs
+// elsewhere, so that each of these hears from one after the other. With turns at
+// the same place, as after a start of all, VMs of 60 heard nothing of a data
+// centre for seconds, in more than half of all seconds.
+func (b *Board) offset(now time.Time, length int) int {
+	rank, vms := 0, 1
+	for _, p := range b.peers {
+		if !b.live(now, p) || p.last.DataCentre != b.o.DataCentre {
+			continue
+		}
+		vms++
+		if p.address.Compare(b.o.Address) < 0 {
+			rank++
+		}
+	}
+	return rank * length / vms
+}
+
 // Announce returns heartbeats to some VMs of the own data centre at once: the VM
 // holds something new, or leaves. With far set one VM of each other data centre
 // gets one as well. Who learns something so announces it in turn: thus nobody
@@ -95,16 +117,15 @@
 	return list
 }
 
-// turn returns the next fanout VMs, of the own data centre or of others.
-func (b *Board) turn(at *int, fanout int, near bool) []*peer {
-	all := b.sorted(near)
+// turn returns the fanout VMs of a list whose turn it is in a round.
+func turn(all []*peer, round int64, fanout, offset int) []*peer {
 	if len(all) <= fanout {
 		return all
 	}
+	first := int((round*int64(fanout) + int64(offset)) % int64(len(all)))
 	chosen := make([]*peer, 0, fanout)
-	for range fanout {
-		*at = (*at + 1) % len(all)
-		chosen = append(chosen, all[*at])
+	for i := range fanout {
+		chosen = append(chosen, all[(first+i)%len(all)])
 	}
 	return chosen
 }
--- a/core/heartbeat/board.go
+++ b/core/heartbeat/board.go
@@ -81,10 +81,10 @@
 	mu sync.Mutex
 	// peers are the VMs heard of, by address: a VM that was replaced at the
 	// same address is the same peer with another life.
-	peers            map[netip.AddrPort]*peer
-	number           uint64
-	nearAt, farAt    time.Time
-	nearTurn, farRun int
+	peers  map[netip.AddrPort]*peer
+	number uint64
+	// nearRound and farRound are the rounds of the last heartbeats.
+	nearRound, farRound int64
 	// nearTurns and farTurns are the rounds of heartbeats in which each VM of
 	// the own data centre and of others gets one.
 	nearTurns, farTurns int
@@ -149,11 +149,16 @@
 	b.farTurns = (far + b.o.FarFanout - 1) / b.o.FarFanout
 }
 
+// forgetTurns is how many turns a VM may miss before it is forgotten: in a fleet
+// of hundreds a turn is 20 s and more.
+const forgetTurns = 3
+
 // forget drops VMs that were silent for long, but never a seed: a VM that was
 // cut off for long has to find the others again.
 func (b *Board) forget(now time.Time) {
+	after := max(b.o.Forget, forgetTurns*time.Duration(b.farTurns)*b.o.Far)
 	for address, p := range b.peers {
-		if now.Sub(p.heard) >= b.o.Forget && !slices.Contains(b.o.Seeds, address) {
+		if now.Sub(p.heard) >= after && !slices.Contains(b.o.Seeds, address) {
 			b.count(p, false)
 			delete(b.peers, address)
 		}
