packet, heartbeat, target, entry: what stood twice stands once

Cause: reading the whole change again: the two wires of package packet had one loop of receiving and decoding each; Registrations summed in SumAfter and Apply, and called Apply for each entry of a new list; Registry.Learn stood beside the question of a joining VM, away from the news that it takes; tests of entry made a VM in five places and a table in three; two comments named what is not there. Ruled out, and left: TestMain of three packages (12 lines each), the enums' and options' shapes, the sockets' loops of the stand-in's caller and target, which share nothing but their shape; the bound of loads in Message.valid, which the decoding of loads now keeps as well. Change: socket.receive serves both wires; sumAll serves SumAfter and Apply; Learn and its encoding are back in news.go; newTestNode, testTable, newPair in the tests. No decision, bound or assertion changed.

--- a/core/heartbeat/load.go
+++ b/core/heartbeat/load.go
@@ -60,8 +60,7 @@
 
 // Loads returns what the live VMs say of targets: the requests of all, the most
 // flows that any VM of the own data centre found unanswered, and how many such
-// VMs are sure. What VMs
-// elsewhere find may be their path to the target.
+// VMs are sure. What VMs elsewhere find may be their path to the target.
 func (b *Board) Loads(now time.Time) map[baobabstep.TargetID]baobabstep.TargetLoad {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/core/heartbeat/registrations.go
+++ b/core/heartbeat/registrations.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 
 	"baobabstep"
@@ -36,12 +35,7 @@
 // one identifier the later. Errors: CodeInternal.
 func NewRegistrations(list []baobabstep.Registration) (*Registrations, error) {
 	r := NoRegistrations()
-	for i := range list {
-		if err := r.Apply(Difference{Put: list[i : i+1]}); err != nil {
-			return nil, err
-		}
-	}
-	return r, nil
+	return r, r.Apply(Difference{Put: list})
 }
 
 // Sum returns the checksum.
@@ -83,7 +77,7 @@
 			d.Put = append(d.Put, s.Registration)
 		}
 	}
-	for id := range maps.Keys(r.list) {
+	for id := range r.list {
 		if _, there := others.list[id]; !there {
 			d.Gone = append(d.Gone, id)
 		}
@@ -95,13 +89,13 @@
 
 // SumAfter returns the checksum that Apply would give. Errors: CodeInternal.
 func (r *Registrations) SumAfter(d Difference) (uint64, error) {
+	put, err := sumAll(d.Put)
+	if err != nil {
+		return 0, err
+	}
 	sum := r.sum
-	for i := range d.Put {
-		added, err := sumRegistration(&d.Put[i])
-		if err != nil {
-			return 0, err
-		}
-		sum += added - r.list[d.Put[i].ID].sum
+	for _, s := range put {
+		sum += s.sum - r.list[s.ID].sum
 	}
 	for _, id := range d.Gone {
 		sum -= r.list[id].sum
@@ -111,16 +105,13 @@
 
 // Apply makes what a difference says. Errors, which change nothing: CodeInternal.
 func (r *Registrations) Apply(d Difference) error {
-	sums := make([]uint64, len(d.Put))
-	for i := range d.Put {
-		var err error
-		if sums[i], err = sumRegistration(&d.Put[i]); err != nil {
-			return err
-		}
+	put, err := sumAll(d.Put)
+	if err != nil {
+		return err
 	}
-	for i, put := range d.Put {
-		r.sum += sums[i] - r.list[put.ID].sum
-		r.list[put.ID] = summed{put, sums[i]}
+	for _, s := range put {
+		r.sum += s.sum - r.list[s.ID].sum
+		r.list[s.ID] = s
 	}
 	for _, id := range d.Gone {
 		r.sum -= r.list[id].sum
@@ -129,12 +120,16 @@
 	return nil
 }
 
-func sumRegistration(r *baobabstep.Registration) (uint64, error) {
-	b, err := encMode.Marshal(makeTarget(r))
-	if err != nil {
-		return 0, baobabstep.Errorf(baobabstep.CodeInternal, "heartbeat.sum", "%w", err)
+func sumAll(list []baobabstep.Registration) ([]summed, error) {
+	all := make([]summed, len(list))
+	for i := range list {
+		b, err := encMode.Marshal(makeTarget(&list[i]))
+		if err != nil {
+			return nil, baobabstep.Errorf(baobabstep.CodeInternal, "heartbeat.sum", "%w", err)
+		}
+		all[i] = summed{list[i], Sum(b)}
 	}
-	return Sum(b), nil
+	return all, nil
 }
 
 // SortTargets puts registrations into the order in which they travel.
--- a/core/heartbeat/transfer.go
+++ b/core/heartbeat/transfer.go
@@ -23,7 +23,8 @@
 	pieceTimeout = time.Second
 )
 
-// routesBody and targetsBody are the contents that travel in pieces.
+// routesBody is a routing table as it travels; registrations travel as a list of
+// targetBody.
 type routesBody struct {
 	_           struct{} `cbor:",toarray"`
 	Version     uint64
--- a/core/target/join.go
+++ b/core/target/join.go
@@ -1,12 +1,6 @@
 package target
 
-import (
-	"time"
-
-	"github.com/fxamacker/cbor/v2"
-
-	"baobabstep"
-)
+import "time"
 
 // Ask returns the question for all that is leaving. A VM that has not joined
 // yet sends it to members: news go to members only, in rounds, so its first
@@ -51,52 +45,3 @@
 	defer r.mu.Unlock()
 	r.answeredAt = now
 }
-
-// encode returns nil, and breaks an invariant, for a body that has no encoding.
-func (r *Registry) encode(body *newsBody) []byte {
-	b, err := cbor.Marshal(body)
-	if err != nil {
-		r.breaks("news", err.Error())
-		return nil
-	}
-	return b
-}
-
-// addLeave adds one source's update, as far as left bytes allow, and returns
-// what is left. What the configuration says reaches all VMs with it.
-func (e *entry) addLeave(body *newsBody, s Source, left int) int {
-	if s == SourceOperator || left < leaveBytes {
-		return left
-	}
-	g := &e.leaving[s]
-	body.Leaves = append(body.Leaves, leavingUpdate{Target: e.target.ID, Source: s, Version: g.version, Leaving: g.leaving})
-	return left - leaveBytes
-}
-
-// Learn takes the news of another VM, which may be late, doubled or out of
-// order, and returns the reply to a question, or nil.
-func (r *Registry) Learn(now time.Time, from baobabstep.VMID, encoded []byte) ([]byte, error) {
-	if len(encoded) > maxNewsSize {
-		return nil, baobabstep.Errorf(baobabstep.CodeTooLarge, "target.learn", "got %d bytes, want at most %d", len(encoded), maxNewsSize)
-	}
-	var body newsBody
-	if err := cbor.Unmarshal(encoded, &body); err != nil {
-		return nil, baobabstep.Errorf(baobabstep.CodeMalformed, "target.learn", "%w", err)
-	}
-	if body.Ask {
-		return r.answer(), nil
-	}
-	if !r.newEnough(from, body.Epoch) {
-		return nil, nil
-	}
-	for i := range body.Updates {
-		r.learnUpdate(from, &body.Updates[i])
-	}
-	for i := range body.Leaves {
-		r.learnLeaving(&body.Leaves[i])
-	}
-	if body.Answer {
-		r.noteAnswer(now)
-	}
-	return nil, nil
-}
--- a/core/target/join_test.go
+++ b/core/target/join_test.go
@@ -6,6 +6,8 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/fxamacker/cbor/v2"
+
+	"baobabstep"
 )
 
 // A target drains, all VMs hear of it, and the updates stop. Seconds later a VM
@@ -35,15 +37,23 @@
 	qt.Assert(t, pickable(joined, epoch, &s)[leaving], qt.Equals, 0)
 }
 
+// newPair returns the first VM, a member, and another one that joins, with one
+// configuration.
+func newPair(t *testing.T, s *baobabstep.Service, joiner int) (member, joining *Registry) {
+	t.Helper()
+	member, joining = newRegistry(t, 0), newRegistry(t, joiner)
+	member.SetConfig(epoch, testConfig(*s))
+	joining.SetConfig(epoch, testConfig(*s))
+	return member, joining
+}
+
 // A target drains and its updates have run out. Seconds later a VM joins and has
 // a request of its own 180 ms afterwards, before the next round of news (500 ms)
 // reaches it: it gives it to the draining target. So a VM asks a member for all
 // that is leaving before it takes roles, and knows it from its first request on.
 func TestJoiningVMAsksWhatIsLeaving(t *testing.T) {
 	s := testService(300, dataCentre)
-	member, joining := newRegistry(t, 0), newRegistry(t, 3)
-	member.SetConfig(epoch, testConfig(s))
-	joining.SetConfig(epoch, testConfig(s))
+	member, joining := newPair(t, &s, 3)
 	member.SetView(epoch, testView(3, dataCentre))
 	joining.SetView(epoch, testView(3, dataCentre))
 	leaving, returned := s.Targets[0].ID, s.Targets[1].ID
@@ -74,9 +84,7 @@
 // nothing is leaving.
 func TestQuestionOfARestartedVMIsAnswered(t *testing.T) {
 	s := testService(10, dataCentre)
-	member, joining := newRegistry(t, 0), newRegistry(t, 1)
-	member.SetConfig(epoch, testConfig(s))
-	joining.SetConfig(epoch, testConfig(s))
+	member, joining := newPair(t, &s, 1)
 	predecessor := newsBody{Epoch: 9}
 	b, err := cbor.Marshal(&predecessor)
 	qt.Assert(t, err, qt.IsNil)
@@ -93,9 +101,7 @@
 // that Learn takes.
 func TestAnswerStaysWithinTheSizeOfNews(t *testing.T) {
 	s := testService(4000, dataCentre)
-	member, joining := newRegistry(t, 0), newRegistry(t, 1)
-	member.SetConfig(epoch, testConfig(s))
-	joining.SetConfig(epoch, testConfig(s))
+	member, joining := newPair(t, &s, 1)
 	for i := range s.Targets {
 		member.Leaving(epoch, s.Targets[i].ID, SourceTarget, true)
 	}
--- a/core/target/news.go
+++ b/core/target/news.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"baobabstep"
 )
 
@@ -179,6 +181,17 @@
 	return left
 }
 
+// addLeave adds one source's update, as far as left bytes allow, and returns
+// what is left. What the configuration says reaches all VMs with it.
+func (e *entry) addLeave(body *newsBody, s Source, left int) int {
+	if s == SourceOperator || left < leaveBytes {
+		return left
+	}
+	g := &e.leaving[s]
+	body.Leaves = append(body.Leaves, leavingUpdate{Target: e.target.ID, Source: s, Version: g.version, Leaving: g.leaving})
+	return left - leaveBytes
+}
+
 func (r *Registry) addUpdate(body *newsBody, e *entry) int {
 	r.news.sequence++
 	e.sent = sentUpdate{flows: e.flows, up: e.up(), down: e.health.down}
@@ -193,6 +206,44 @@
 	return updateBytes
 }
 
+// encode returns nil, and breaks an invariant, for a body that has no encoding.
+func (r *Registry) encode(body *newsBody) []byte {
+	b, err := cbor.Marshal(body)
+	if err != nil {
+		r.breaks("news", err.Error())
+		return nil
+	}
+	return b
+}
+
+// Learn takes the news of another VM, which may be late, doubled or out of
+// order, and returns the reply to a question, or nil.
+func (r *Registry) Learn(now time.Time, from baobabstep.VMID, encoded []byte) ([]byte, error) {
+	if len(encoded) > maxNewsSize {
+		return nil, baobabstep.Errorf(baobabstep.CodeTooLarge, "target.learn", "got %d bytes, want at most %d", len(encoded), maxNewsSize)
+	}
+	var body newsBody
+	if err := cbor.Unmarshal(encoded, &body); err != nil {
+		return nil, baobabstep.Errorf(baobabstep.CodeMalformed, "target.learn", "%w", err)
+	}
+	if body.Ask {
+		return r.answer(), nil
+	}
+	if !r.newEnough(from, body.Epoch) {
+		return nil, nil
+	}
+	for i := range body.Updates {
+		r.learnUpdate(from, &body.Updates[i])
+	}
+	for i := range body.Leaves {
+		r.learnLeaving(&body.Leaves[i])
+	}
+	if body.Answer {
+		r.noteAnswer(now)
+	}
+	return nil, nil
+}
+
 // newEnough checks the sender's incarnation; updates of an older one are dropped
 // when a newer one is heard, since its process and its flows are gone.
 func (r *Registry) newEnough(from baobabstep.VMID, epoch uint64) bool {
--- a/core/token/health.go
+++ b/core/token/health.go
@@ -134,9 +134,9 @@
 }
 
 // dark tells whether the target is gone or out of reach. The word of others
-// counts as much as wordOfOthers, and only beside an own flow. A VM
-// that is not alone in its data centre needs another one to agree: if its own link
-// is full or broken, every target seems silent, and none is.
+// counts only beside an own flow. A VM that is not alone in its data centre needs
+// another one to agree: if its own link is full or broken, every target seems
+// silent, and none is.
 func (h *health) dark(now time.Time, alone bool) bool {
 	others, othersOpens := h.believed(now)
 	switch {
--- a/entry/change_bench_test.go
+++ b/entry/change_bench_test.go
@@ -2,17 +2,13 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"testing"
 	"time"
 
-	"github.com/apex/log"
-	"github.com/apex/log/handlers/discard"
 	qt "github.com/frankban/quicktest"
 
 	"baobabstep"
 	"baobabstep/core/heartbeat"
-	"baobabstep/io/setting"
 )
 
 // BenchmarkChanges takes in changes of one registration each, as a peer sends
@@ -24,7 +20,7 @@
 }
 
 func takeChanges(b *testing.B, targets int) {
-	source, taker := newBenchNode(new(countedMessages)), newBenchNode(new(countedMessages))
+	source, taker := newQuietNode(new(countedMessages)), newQuietNode(new(countedMessages))
 	list := benchRegistrations(targets)
 	from := origin{source: sourcePeer, confirmed: benchEpoch}
 	for _, n := range []*Node{source, taker} {
@@ -58,12 +54,3 @@
 	qt.Assert(b, err, qt.IsNil)
 	return raw
 }
-
-// newBenchNode returns a VM of dc-0 that writes no lines.
-func newBenchNode(messages Messages) *Node {
-	return New(Options{
-		Settings:  &setting.Settings{Name: "vm-0", Region: "r", DataCentre: "dc-0", PeerAddress: peerAddress(0)},
-		LogLimits: noLines{}, Logger: &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}, Messages: messages,
-		Rand: rand.New(rand.NewPCG(1, 2)), Clock: fixedClock{},
-	})
-}
--- a/entry/heartbeat_bench_test.go
+++ b/entry/heartbeat_bench_test.go
@@ -47,7 +47,7 @@
 
 func playHeartbeats(b *testing.B, vms, targets int) {
 	sent := new(countedMessages)
-	n := newBenchNode(sent)
+	n := newQuietNode(sent)
 	list := benchRegistrations(targets)
 	_, _, err := n.beliefs.holdTargets(benchEpoch, list, 1, origin{source: sourcePeer, confirmed: benchEpoch})
 	qt.Assert(b, err, qt.IsNil)
@@ -71,9 +71,7 @@
 		n.receive(now, peerAddress(from), raw)
 		b.StopTimer()
 	}
-	n.router.SetTable(benchEpoch, &baobabstep.RoutingTable{Version: 1, Rules: []baobabstep.Rule{
-		{Name: "rule", Address: benchService, Shares: []baobabstep.Share{{Service: "fixtures", Weight: 1}}},
-	}})
+	n.router.SetTable(benchEpoch, testTable())
 	for range 2 * vms { // all are known before the first second that counts
 		hear(true)
 		hear(false)
--- a/entry/hold_test.go
+++ b/entry/hold_test.go
@@ -2,17 +2,13 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/apex/log"
-	"github.com/apex/log/handlers/discard"
 	qt "github.com/frankban/quicktest"
 
 	"baobabstep"
-	"baobabstep/io/setting"
 )
 
 // waitingSegments has one first segment in its socket, and keeps what is sent.
@@ -57,10 +53,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				n := New(Options{
-					Settings: &setting.Settings{Name: "vm-1", Region: "r", DataCentre: "dc-0"}, Clock: fixedClock{},
-					Logger: &log.Logger{Handler: discard.New()}, LogLimits: noLines{}, Rand: rand.New(rand.NewPCG(1, 2)),
-				})
+				n := newQuietNode(new(countedMessages))
 				socket := new(waitingSegments)
 				ctx, cancel := context.WithCancel(t.Context())
 				ended := make(chan error)
@@ -69,9 +62,7 @@
 				time.Sleep(min(c.after, time.Second))
 				if c.after < time.Second {
 					n.router.SetRegistrations(benchEpoch, benchRegistrations(3))
-					n.router.SetTable(benchEpoch, &baobabstep.RoutingTable{Version: 1, Rules: []baobabstep.Rule{
-						{Name: "rule", Address: benchService, Shares: []baobabstep.Share{{Service: "fixtures", Weight: 1}}},
-					}})
+					n.router.SetTable(benchEpoch, testTable())
 				}
 				synctest.Wait()
 				qt.Check(t, socket.readAt.Sub(started), qt.Equals, c.readAfter)
@@ -86,10 +77,7 @@
 // A VM that is stopped before it ever had a table ends at once.
 func TestHoldingEndsWithTheVM(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		n := New(Options{
-			Settings: &setting.Settings{Name: "vm-1", Region: "r", DataCentre: "dc-0"}, Clock: fixedClock{},
-			Logger: &log.Logger{Handler: discard.New()}, LogLimits: noLines{}, Rand: rand.New(rand.NewPCG(1, 2)),
-		})
+		n := newQuietNode(new(countedMessages))
 		ctx, cancel := context.WithCancel(t.Context())
 		cancel()
 		started := time.Now()
--- a/entry/journal_test.go
+++ b/entry/journal_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -12,7 +11,6 @@
 
 	"baobabstep"
 	"baobabstep/core/heartbeat"
-	"baobabstep/io/setting"
 )
 
 // A VM that has just started gets a segment before it knows any routes. The age
@@ -20,10 +18,7 @@
 // plot of ages shows nothing else.
 func TestAgeOfWhatIsNotKnownIsLeftOut(t *testing.T) {
 	lines := memory.New()
-	n := New(Options{
-		Settings: &setting.Settings{Name: "vm-1", Region: "r", DataCentre: "a"}, Clock: fixedClock{},
-		Logger: &log.Logger{Handler: lines, Level: log.InfoLevel}, LogLimits: allLines{}, Rand: rand.New(rand.NewPCG(1, 2)),
-	})
+	n := newTestNode(new(countedMessages), &log.Logger{Handler: lines, Level: log.InfoLevel}, allLines{})
 	p := baobabstep.Segment{Kind: baobabstep.KindOpen, Flow: baobabstep.FlowKey{Caller: benchService, Service: benchService}}
 	n.router.Handle(benchEpoch, &p, new([]baobabstep.Forward))
 	qt.Assert(t, lines.Entries, qt.HasLen, 1)
@@ -37,8 +32,3 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, string(encoded), qt.Contains, `"routes_age_ms":250`)
 }
-
-type allLines struct{}
-
-func (allLines) Wanted(time.Time, string) bool { return true }
-func (allLines) Dropped() map[string]uint64    { return nil }
--- a/entry/lines_bench_test.go
+++ b/entry/lines_bench_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/binary"
-	"math/rand/v2"
 	"net"
 	"net/netip"
 	"os"
@@ -18,7 +17,6 @@
 	"baobabstep"
 	"baobabstep/io/logs"
 	"baobabstep/io/packet"
-	"baobabstep/io/setting"
 	"baobabstep/platform"
 )
 
@@ -63,12 +61,6 @@
 	b.ReportMetric(0, "ns/op")
 }
 
-// noLines are limits that let nothing through.
-type noLines struct{}
-
-func (noLines) Wanted(time.Time, string) bool { return false }
-func (noLines) Dropped() map[string]uint64    { return nil }
-
 // timedWriter adds up the time that writes take.
 type timedWriter struct {
 	to    *os.File
@@ -115,20 +107,15 @@
 
 func newForwarder(b *testing.B, limits LogLimits, logger *log.Logger) *forwarder {
 	b.Helper()
-	n := New(Options{
-		Settings: &setting.Settings{Name: "vm-1", Region: "r", DataCentre: "a"}, Logger: logger, LogLimits: limits,
-		Rand: rand.New(rand.NewPCG(1, 2)), Clock: fixedClock{},
-	})
-	n.router.SetTable(benchEpoch, &baobabstep.RoutingTable{Version: 1, Rules: []baobabstep.Rule{
-		{Name: "rule", Address: benchService, Shares: []baobabstep.Share{{Service: "fixtures", Weight: 1}}},
-	}})
+	n := newTestNode(new(countedMessages), logger, limits)
+	n.router.SetTable(benchEpoch, testTable())
 	sink, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	qt.Assert(b, err, qt.IsNil)
 	b.Cleanup(func() { _ = sink.Close() })
 	var list []baobabstep.Registration
 	for i := range benchTargets {
 		list = append(list, baobabstep.Registration{
-			ID: baobabstep.TargetID(i + 1), Service: "fixtures", Address: sink.LocalAddr().(*net.UDPAddr).AddrPort(), DataCentre: "a",
+			ID: baobabstep.TargetID(i + 1), Service: "fixtures", Address: sink.LocalAddr().(*net.UDPAddr).AddrPort(), DataCentre: "dc-0",
 		})
 	}
 	n.router.SetRegistrations(benchEpoch, list)
@@ -141,10 +128,6 @@
 	return &forwarder{node: n, conn: conns[0], client: client, batch: make([]baobabstep.Segment, batchSize)}
 }
 
-type fixedClock struct{}
-
-func (fixedClock) Now() time.Time { return benchEpoch }
-
 // flow forwards one flow and returns the time that its forwarding took.
 func (f *forwarder) flow(b *testing.B, now time.Time, n int) (took time.Duration) {
 	const syn, ack, fin = 2 << 4, 1, 2
--- a/io/packet/packet.go
+++ b/io/packet/packet.go
@@ -107,29 +107,15 @@
 // Receive implements [baobabstep.Packets]. It returns net.ErrClosed after
 // Close and the context's error after its end.
 func (c *Conn) Receive(ctx context.Context, batch []baobabstep.Packet) (int, error) {
-	for {
-		n, err := c.read(ctx, len(batch))
+	n, err := c.receive(ctx, len(batch), func(datagram []byte, at int) bool {
+		err := wire.Decode(datagram, &batch[at], c.keys)
 		if err != nil {
-			return 0, err
-		}
-		if count := c.decode(batch, n); count > 0 {
-			return count, nil
-		}
-	}
-}
-
-// decode fills batch from the first n messages and returns how many were good.
-func (c *Conn) decode(batch []baobabstep.Packet, n int) int {
-	good := 0
-	for i := range n {
-		if err := wire.Decode(c.datagram(i), &batch[good], c.keys); err != nil {
 			c.countRefused(err)
-			continue
 		}
-		good++
-	}
-	c.counts.received.Add(uint64(good))
-	return good
+		return err == nil
+	})
+	c.counts.received.Add(uint64(n))
+	return n, err
 }
 
 func (c *Conn) countRefused(err error) {
--- a/io/packet/segment.go
+++ b/io/packet/segment.go
@@ -49,29 +49,15 @@
 // Receive implements [baobabstep.Segments]. It returns net.ErrClosed after
 // Close and the context's error after its end.
 func (c *SegmentConn) Receive(ctx context.Context, batch []baobabstep.Segment) (int, error) {
-	for {
-		n, err := c.read(ctx, len(batch))
+	n, err := c.receive(ctx, len(batch), func(datagram []byte, at int) bool {
+		err := c.codec.Decode(datagram, &batch[at])
 		if err != nil {
-			return 0, err
-		}
-		if count := c.decode(batch, n); count > 0 {
-			return count, nil
-		}
-	}
-}
-
-// decode fills batch from the first n datagrams and returns how many were good.
-func (c *SegmentConn) decode(batch []baobabstep.Segment, n int) int {
-	good := 0
-	for i := range n {
-		if err := c.codec.Decode(c.datagram(i), &batch[good]); err != nil {
 			c.malformed.Add(1)
-			continue
 		}
-		good++
-	}
-	c.received.Add(uint64(good))
-	return good
+		return err == nil
+	})
+	c.received.Add(uint64(n))
+	return n, err
 }
 
 // Send implements [baobabstep.Segments]. It returns net.ErrClosed after Close;
--- a/io/packet/socket.go
+++ b/io/packet/socket.go
@@ -188,8 +188,26 @@
 	return n, err
 }
 
-// datagram returns datagram i of the last read. It is valid until the next.
-func (s *socket) datagram(i int) []byte { return s.in[i].Buffers[0][:s.in[i].N] }
+// receive waits until a datagram came that decode takes, and returns how many it
+// took, at most limit. decode gets a datagram, valid until the next receive, and
+// the number of those taken before. Errors as read.
+func (s *socket) receive(ctx context.Context, limit int, decode func(datagram []byte, at int) bool) (int, error) {
+	for {
+		n, err := s.read(ctx, limit)
+		if err != nil {
+			return 0, err
+		}
+		taken := 0
+		for i := range n {
+			if decode(s.in[i].Buffers[0][:s.in[i].N], taken) {
+				taken++
+			}
+		}
+		if taken > 0 {
+			return taken, nil
+		}
+	}
+}
 
 // watch makes the end of ctx wake a blocked read. Callers pass the same context
 // each time, so the cost is paid once and not for each batch.
