heartbeat: messages say their version, and a receiver skips what it does not know

Cause: messages were CBOR arrays; a field more or less made a peer's message malformed. A fleet is replaced VM by VM: each half would have counted the other as dead, read the store in its place and taken its data centres for lost. Ruled out: two decoders side by side, one a version; they grow with each field. Change: fields travel under numbers, unknown ones are skipped, missing ones are zero; the evidence in a load has a length, and values behind those known are passed over. A message of a later version with an unknown part is no malformed one. Loads have room for answers, failures and times of a target (sent as soon as a VM collects them). The largest heartbeat still fits 1,300 bytes (TestLargestHeartbeatFits, now with the most evidence). Conclusion: versions from here on hear each other. Programs from before are not heard, and do not hear; both then read the store for themselves.

--- a/core/heartbeat/board_test.go
+++ b/core/heartbeat/board_test.go
@@ -420,7 +420,7 @@
 	}
 	var own []baobabstep.TargetLoad
 	for id := range 200 {
-		own = append(own, baobabstep.TargetLoad{Target: baobabstep.TargetID(id) + 1<<39, Requests: 6000, Unanswered: 255, Opens: 255, HeardAt: start.Add(-time.Minute), Disputed: true})
+		own = append(own, baobabstep.TargetLoad{Target: baobabstep.TargetID(id) + 1<<39, Requests: 6000, Unanswered: 255, Opens: 255, HeardAt: start.Add(-time.Minute), Disputed: true, Answers: 6000, Failed: 6000, Took: time.Minute})
 	}
 	h.Loads = MakeLoads(start, own, maxLoads)
 	qt.Assert(t, h.Loads, qt.HasLen, maxLoads)
--- a/core/heartbeat/load.go
+++ b/core/heartbeat/load.go
@@ -48,11 +48,13 @@
 	p.counted = counted
 }
 
-// HasEvidence tells whether the sender found targets silent, or contradicts
-// others who did.
+// HasEvidence tells whether the sender found targets silent, failing or slow, or
+// contradicts others who did.
 func (h *Heartbeat) HasEvidence() bool { return slices.ContainsFunc(h.Loads, Load.hasEvidence) }
 
-func (l Load) hasEvidence() bool { return l.Unanswered > 0 || l.Opens > 0 || l.HeardMS > 0 }
+func (l Load) hasEvidence() bool {
+	return l.Unanswered > 0 || l.Opens > 0 || l.HeardMS > 0 || l.AnswerTenths > 0
+}
 
 // witnessAt is the number of flows that a VM has to have found unanswered to be
 // a witness: with one, a lost datagram would make it one.
@@ -92,10 +94,24 @@
 		if at := p.heard.Add(-time.Duration(l.HeardMS) * time.Millisecond); l.HeardMS > 0 && at.After(sum.HeardAt) {
 			sum.HeardAt = at
 		}
+		addAnswers(&sum, l)
 		loads[l.Target] = sum
 	}
 }
 
+// addAnswers adds what one VM saw of a target's answers.
+func addAnswers(sum *baobabstep.TargetLoad, l Load) {
+	answers, failed := float64(l.AnswerTenths)/tenths, float64(l.FailedTenths)/tenths
+	good := answers - failed
+	goodBefore := sum.Answers - sum.Failed
+	if all := good + goodBefore; all > 0 {
+		ms := sum.Took.Seconds()*1e3*goodBefore + float64(l.TookMS)*good
+		sum.Took = time.Duration(ms / all * float64(time.Millisecond))
+	}
+	sum.Answers += answers
+	sum.Failed += failed
+}
+
 // maxHeard is the greatest HeardMS.
 const maxHeard = 1<<16 - 1
 
@@ -118,18 +134,28 @@
 		if l.Disputed && !l.HeardAt.IsZero() {
 			load.HeardMS = uint16(min(max(1, now.Sub(l.HeardAt).Milliseconds()), maxHeard))
 		}
-		if load.Tenths > 0 || load.Unanswered > 0 || load.HeardMS > 0 {
+		if l.Answers > 0 {
+			load.AnswerTenths, load.FailedTenths = tenthsOf(l.Answers), tenthsOf(min(l.Failed, l.Answers))
+			load.TookMS = uint16(min(l.Took.Milliseconds(), math.MaxUint16))
+		}
+		if load.Tenths > 0 || load.hasEvidence() {
 			loads = append(loads, load)
 		}
 	}
 	slices.SortFunc(loads, func(a, b Load) int {
-		return cmp.Or(cmp.Compare(b.Unanswered, a.Unanswered), cmp.Compare(b.HeardMS, a.HeardMS), cmp.Compare(b.Tenths, a.Tenths), cmp.Compare(a.Target, b.Target))
+		return cmp.Or(
+			cmp.Compare(b.Unanswered, a.Unanswered), cmp.Compare(b.HeardMS, a.HeardMS), cmp.Compare(b.FailedTenths, a.FailedTenths),
+			cmp.Compare(b.AnswerTenths, a.AnswerTenths), cmp.Compare(b.Tenths, a.Tenths), cmp.Compare(a.Target, b.Target),
+		)
 	})
 	loads = loads[:min(len(loads), most)]
 	sortLoads(loads)
 	return loads
 }
 
+// tenthsOf returns a count as it travels.
+func tenthsOf(count float64) uint16 { return uint16(min(count*tenths, math.MaxUint16)) }
+
 func sortLoads(l Loads) {
 	slices.SortFunc(l, func(a, b Load) int { return cmp.Compare(a.Target, b.Target) })
 }
@@ -141,9 +167,11 @@
 
 // MarshalBinary implements [encoding.BinaryMarshaler]: for each load the
 // distance to the target before, the tenths doubled and 1 more if evidence
-// follows, all as varints, and the evidence as four bytes. A target with a
-// random identifier of 40 bits takes 6 to 7 bytes so, in place of 16 as CBOR.
-// The loads must be sorted by target. Errors: CodeInternal.
+// follows, all as varints, and the evidence: its length in one byte, and its
+// values as varints, of which a receiver takes those that it knows. A target
+// with a random identifier of 40 bits takes 6 to 7 bytes so, in place of 16 as
+// CBOR, and 7 to 10 more with evidence. The loads must be sorted by target.
+// Errors: CodeInternal.
 func (l Loads) MarshalBinary() ([]byte, error) {
 	b := make([]byte, 0, len(l)*loadBytes)
 	last := baobabstep.TargetID(0)
@@ -153,18 +181,45 @@
 		}
 		b = binary.AppendUvarint(b, uint64(load.Target-last))
 		last = load.Target
-		tenths := uint64(load.Tenths) << 1
+		doubled := uint64(load.Tenths) << 1
 		if !load.hasEvidence() {
-			b = binary.AppendUvarint(b, tenths)
+			b = binary.AppendUvarint(b, doubled)
 			continue
 		}
-		b = binary.AppendUvarint(b, tenths|1)
-		b = append(b, load.Unanswered, load.Opens)
-		b = binary.BigEndian.AppendUint16(b, load.HeardMS)
+		b = binary.AppendUvarint(b, doubled|1)
+		b = load.appendEvidence(b)
 	}
 	return b, nil
 }
 
+// appendEvidence appends the evidence with its length. Values at the end that
+// are 0 are left out.
+func (l Load) appendEvidence(b []byte) []byte {
+	values := l.evidence()
+	count := len(values)
+	for count > 0 && values[count-1] == 0 {
+		count--
+	}
+	length := len(b)
+	b = append(b, 0)
+	for _, v := range values[:count] {
+		b = binary.AppendUvarint(b, uint64(v))
+	}
+	b[length] = byte(len(b) - length - 1)
+	return b
+}
+
+// evidence returns the values of the evidence in the order in which they travel.
+func (l Load) evidence() [6]uint16 {
+	return [6]uint16{uint16(l.Unanswered), uint16(l.Opens), l.HeardMS, l.AnswerTenths, l.FailedTenths, l.TookMS}
+}
+
+// setEvidence takes in values in that order.
+func (l *Load) setEvidence(v [6]uint16) {
+	l.Unanswered, l.Opens = uint8(min(v[0], maxCount)), uint8(min(v[1], maxCount))
+	l.HeardMS, l.AnswerTenths, l.FailedTenths, l.TookMS = v[2], v[3], v[4], v[5]
+}
+
 // UnmarshalBinary implements [encoding.BinaryUnmarshaler]. Errors: CodeMalformed.
 func (l *Loads) UnmarshalBinary(b []byte) error {
 	list := make(Loads, 0, min(len(b)/2, maxLoads))
@@ -196,29 +251,43 @@
 		return load, nil, malformedLoads("%d bytes without a target", len(b))
 	}
 	b = b[n:]
-	tenths, n := binary.Uvarint(b)
-	if n <= 0 || tenths>>1 > math.MaxUint32 {
+	doubled, n := binary.Uvarint(b)
+	if n <= 0 || doubled>>1 > math.MaxUint32 {
 		return load, nil, malformedLoads("%d bytes without requests", len(b))
 	}
 	b = b[n:]
-	load.Target, load.Tenths = baobabstep.TargetID(distance), uint32(tenths>>1)
-	if tenths&1 == 0 {
+	load.Target, load.Tenths = baobabstep.TargetID(distance), uint32(doubled>>1)
+	if doubled&1 == 0 {
 		return load, b, nil
 	}
-	if len(b) < evidenceBytes {
-		return load, nil, malformedLoads("%d bytes of evidence, want %d", len(b), evidenceBytes)
+	if len(b) == 0 || len(b) <= int(b[0]) {
+		return load, nil, malformedLoads("%d bytes of evidence, want their length and as many", len(b))
 	}
-	load.Unanswered, load.Opens, load.HeardMS = b[0], b[1], binary.BigEndian.Uint16(b[2:])
-	return load, b[evidenceBytes:], nil
+	evidence, rest := b[1:1+int(b[0])], b[1+int(b[0]):]
+	return load, rest, load.takeEvidence(evidence)
 }
 
-const (
-	// evidenceBytes is the size of what follows the tenths of a load with
-	// evidence: two counts of one byte and HeardMS.
-	evidenceBytes = 4
-	// loadBytes is what most loads take.
-	loadBytes = 8
-)
+// takeEvidence takes in the evidence in b. Values that later versions added
+// stand at the end and are passed over.
+func (l *Load) takeEvidence(b []byte) error {
+	var values [6]uint16
+	for i := range values {
+		if len(b) == 0 {
+			break
+		}
+		v, n := binary.Uvarint(b)
+		if n <= 0 || v > math.MaxUint16 {
+			return malformedLoads("%d bytes without a value of evidence", len(b))
+		}
+		values[i] = uint16(v)
+		b = b[n:]
+	}
+	l.setEvidence(values)
+	return nil
+}
+
+// loadBytes is what most loads take.
+const loadBytes = 8
 
 func malformedLoads(format string, args ...any) error {
 	return baobabstep.Errorf(baobabstep.CodeMalformed, "heartbeat.loads", "got "+format, args...)
--- a/core/heartbeat/load_test.go
+++ b/core/heartbeat/load_test.go
@@ -17,8 +17,11 @@
 			want = append(want, Load{
 				Target: baobabstep.TargetID(id), Tenths: rapid.Uint32().Draw(t, "tenths"),
 				Unanswered: rapid.Uint8().Draw(t, "unanswered"), Opens: rapid.Uint8().Draw(t, "opens"),
-				HeardMS: rapid.Uint16().Draw(t, "heard"),
+				HeardMS: rapid.Uint16().Draw(t, "heard"), AnswerTenths: rapid.Uint16().Draw(t, "answers"),
 			})
+			if l := &want[len(want)-1]; l.AnswerTenths > 0 {
+				l.FailedTenths, l.TookMS = rapid.Uint16().Draw(t, "failed"), rapid.Uint16().Draw(t, "took")
+			}
 		}
 		sortLoads(want)
 		raw, err := want.MarshalBinary()
--- a/core/heartbeat/message.go
+++ b/core/heartbeat/message.go
@@ -24,31 +24,42 @@
 	maxPeers = 4
 )
 
+// formatVersion is the version of messages that this program sends.
+//
+// A fleet is replaced VM by VM, so programs one version apart talk to each
+// other. Fields travel under numbers: a receiver skips those that it does not
+// know, and takes those that are missing for zero. A new field so needs a new
+// number and a zero that means "not said"; a number is never used again. The
+// version itself decides nothing. It tells a later message with a part that
+// this program does not know from a malformed one.
+const formatVersion = 1
+
 // Message is one message between VMs. Exactly one of its parts is set.
 type Message struct {
-	_         struct{} `cbor:",toarray"`
-	Heartbeat *Heartbeat
-	Want      *Want
-	Piece     *Piece
-	Change    *Change
+	// Version is the sender's formatVersion, set by Encode.
+	Version   uint8      `cbor:"1,keyasint"`
+	Heartbeat *Heartbeat `cbor:"2,keyasint,omitempty"`
+	Want      *Want      `cbor:"3,keyasint,omitempty"`
+	Piece     *Piece     `cbor:"4,keyasint,omitempty"`
+	Change    *Change    `cbor:"5,keyasint,omitempty"`
 }
 
 // Heartbeat is what a VM says of itself.
 type Heartbeat struct {
-	_          struct{} `cbor:",toarray"`
-	From       baobabstep.VMID
-	DataCentre string
+	From       baobabstep.VMID `cbor:"1,keyasint"`
+	DataCentre string          `cbor:"2,keyasint"`
 	// Life is when the VM started, by its own clock in milliseconds; a later
 	// life has a greater one. Number counts the heartbeats of this life.
-	Life, Number uint64
+	Life   uint64 `cbor:"3,keyasint"`
+	Number uint64 `cbor:"4,keyasint"`
 	// Leaving is set once the VM has begun a planned stop.
-	Leaving bool
+	Leaving bool `cbor:"5,keyasint,omitempty"`
 	// Blind is set while the sender cannot read the store.
-	Blind bool
-	Held  [kinds]Held
-	Loads Loads
+	Blind bool        `cbor:"6,keyasint,omitempty"`
+	Held  [kinds]Held `cbor:"7,keyasint"`
+	Loads Loads       `cbor:"8,keyasint"`
 	// Peers are some VMs that the sender hears.
-	Peers []netip.AddrPort
+	Peers []netip.AddrPort `cbor:"9,keyasint,omitempty"`
 }
 
 // Kind is something that VMs hold in common.
@@ -67,14 +78,13 @@
 
 // Held says which version of one kind a VM holds and how fresh it is.
 type Held struct {
-	_ struct{} `cbor:",toarray"`
 	// Version is 0 if the VM holds none.
-	Version uint64
+	Version uint64 `cbor:"1,keyasint,omitempty"`
 	// Sum is the checksum of the content.
-	Sum uint64
+	Sum uint64 `cbor:"2,keyasint,omitempty"`
 	// AgeMS is how long ago the store, or a VM that had asked it, was known
 	// to hold nothing newer.
-	AgeMS uint32
+	AgeMS uint32 `cbor:"3,keyasint,omitempty"`
 }
 
 // MakeHeld returns what a VM says of what it holds.
@@ -105,6 +115,11 @@
 	// only of targets of which another VM says that they are silent, otherwise
 	// 0.
 	HeardMS uint16
+	// AnswerTenths are the recent requests whose outcome was seen, FailedTenths
+	// those that failed, both times ten, and TookMS is the mean time of the
+	// others in milliseconds; said only of targets that stand out.
+	AnswerTenths, FailedTenths uint16
+	TookMS                     uint16
 }
 
 // Loads are loads by target, in the order of their identifiers.
@@ -112,22 +127,20 @@
 
 // Want asks for what the receiver holds of one kind.
 type Want struct {
-	_    struct{} `cbor:",toarray"`
-	Kind Kind
+	Kind Kind `cbor:"1,keyasint,omitempty"`
 	// Newer is the version that the sender holds already.
-	Newer uint64
+	Newer uint64 `cbor:"2,keyasint,omitempty"`
 }
 
 // Piece is one part of what a VM holds.
 type Piece struct {
-	_    struct{} `cbor:",toarray"`
-	Kind Kind
-	Held Held
+	Kind Kind `cbor:"1,keyasint,omitempty"`
+	Held Held `cbor:"2,keyasint"`
 	// Check is the checksum of the bytes of all pieces.
-	Check uint64
-	Index uint16
-	Count uint16
-	Data  []byte
+	Check uint64 `cbor:"3,keyasint"`
+	Index uint16 `cbor:"4,keyasint,omitempty"`
+	Count uint16 `cbor:"5,keyasint"`
+	Data  []byte `cbor:"6,keyasint"`
 }
 
 // Change is what turns one content into the next. It costs some hundred bytes
@@ -135,20 +148,19 @@
 // took 0.2 s, several times a second while a service was released, and callers'
 // segments were lost behind it.
 type Change struct {
-	_    struct{} `cbor:",toarray"`
-	Kind Kind
+	Kind Kind `cbor:"1,keyasint,omitempty"`
 	// From is the checksum of the content that it applies to, To what the
 	// result has to be.
-	From uint64
-	To   Held
+	From uint64 `cbor:"2,keyasint"`
+	To   Held   `cbor:"3,keyasint"`
 	// Idle is the idle timeout of a routing table.
-	Idle time.Duration
+	Idle time.Duration `cbor:"4,keyasint,omitempty"`
 	// RemovedRules and Rules, or RemovedTargets and Targets, are what goes
 	// and what comes or is replaced.
-	RemovedRules   []string
-	Rules          []ruleBody
-	RemovedTargets []baobabstep.TargetID
-	Targets        []targetBody
+	RemovedRules   []string              `cbor:"5,keyasint,omitempty"`
+	Rules          []ruleBody            `cbor:"6,keyasint,omitempty"`
+	RemovedTargets []baobabstep.TargetID `cbor:"7,keyasint,omitempty"`
+	Targets        []targetBody          `cbor:"8,keyasint,omitempty"`
 }
 
 var (
@@ -168,7 +180,9 @@
 
 // Encode returns the bytes of a message. Errors: CodeTooLarge.
 func Encode(m *Message) ([]byte, error) {
-	b, err := encMode.Marshal(m)
+	sent := *m
+	sent.Version = formatVersion
+	b, err := encMode.Marshal(&sent)
 	if err != nil {
 		return nil, baobabstep.Errorf(baobabstep.CodeInternal, "heartbeat.encode", "%w", err)
 	}
@@ -178,12 +192,16 @@
 	return b, nil
 }
 
-// Decode returns the message in b. Errors: CodeMalformed.
+// Decode returns the message in b. Errors: CodeMalformed; CodeForeignVersion for
+// a message of a later version whose part this program does not know.
 func Decode(b []byte) (*Message, error) {
 	var m Message
 	if err := decMode.Unmarshal(b, &m); err != nil {
 		return nil, baobabstep.Errorf(baobabstep.CodeMalformed, "heartbeat.decode", "%w", err)
 	}
+	if m.Version > formatVersion && m == (Message{Version: m.Version}) {
+		return nil, baobabstep.Errorf(baobabstep.CodeForeignVersion, "heartbeat.decode", "got a part of version %d, want one known in version %d", m.Version, formatVersion)
+	}
 	if !m.valid() {
 		return nil, baobabstep.Errorf(baobabstep.CodeMalformed, "heartbeat.decode", "got values out of range")
 	}
@@ -216,7 +234,7 @@
 			return false
 		}
 	}
-	return parts == 1
+	return parts == 1 && m.Version > 0
 }
 
 // maxAge is the greatest AgeMS.
--- a/core/heartbeat/transfer.go
+++ b/core/heartbeat/transfer.go
@@ -26,35 +26,32 @@
 // routesBody is a routing table as it travels; registrations travel as a list of
 // targetBody.
 type routesBody struct {
-	_           struct{} `cbor:",toarray"`
-	Version     uint64
-	IdleTimeout time.Duration
-	Rules       []ruleBody
+	Version     uint64        `cbor:"1,keyasint"`
+	IdleTimeout time.Duration `cbor:"2,keyasint,omitempty"`
+	Rules       []ruleBody    `cbor:"3,keyasint,omitempty"`
 }
 
 type ruleBody struct {
-	_       struct{} `cbor:",toarray"`
-	Name    string
-	Address netip.AddrPort
-	Shares  []shareBody
+	Name    string         `cbor:"1,keyasint"`
+	Address netip.AddrPort `cbor:"2,keyasint"`
+	Shares  []shareBody    `cbor:"3,keyasint"`
 }
 
 type shareBody struct {
-	_       struct{} `cbor:",toarray"`
-	Service string
-	Weight  uint32
+	Service string `cbor:"1,keyasint"`
+	Weight  uint32 `cbor:"2,keyasint,omitempty"`
 }
 
 type targetBody struct {
-	_          struct{} `cbor:",toarray"`
-	ID         baobabstep.TargetID
-	Service    string
-	Address    netip.AddrPort
-	DataCentre string
-	Release    string
-	Slots      int
-	Draining   bool
-	ColdFor    time.Duration
+	ID         baobabstep.TargetID `cbor:"1,keyasint"`
+	Service    string              `cbor:"2,keyasint"`
+	Address    netip.AddrPort      `cbor:"3,keyasint"`
+	DataCentre string              `cbor:"4,keyasint"`
+	Release    string              `cbor:"5,keyasint,omitempty"`
+	Slots      int                 `cbor:"6,keyasint"`
+	Draining   bool                `cbor:"7,keyasint,omitempty"`
+	ColdFor    time.Duration       `cbor:"8,keyasint,omitempty"`
+	Life       uint64              `cbor:"9,keyasint,omitempty"`
 }
 
 func makeRule(r *baobabstep.Rule) ruleBody {
@@ -112,7 +109,7 @@
 func makeTarget(r *baobabstep.Registration) targetBody {
 	return targetBody{
 		ID: r.ID, Service: r.Service, Address: r.Address, DataCentre: r.DataCentre,
-		Release: r.Release, Slots: r.Slots, Draining: r.Draining, ColdFor: r.ColdFor,
+		Release: r.Release, Slots: r.Slots, Draining: r.Draining, ColdFor: r.ColdFor, Life: r.Life,
 	}
 }
 
@@ -122,7 +119,7 @@
 	}
 	return baobabstep.Registration{
 		ID: b.ID, Service: b.Service, Address: b.Address, DataCentre: b.DataCentre,
-		Release: b.Release, Slots: b.Slots, Draining: b.Draining, ColdFor: b.ColdFor,
+		Release: b.Release, Slots: b.Slots, Draining: b.Draining, ColdFor: b.ColdFor, Life: b.Life,
 	}, nil
 }
 
--- /dev/null
+++ b/core/heartbeat/version_test.go
@@ -0,0 +1,95 @@
+package heartbeat
+
+import (
+	"encoding/hex"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/google/go-cmp/cmp"
+
+	"baobabstep"
+)
+
+// Messages as a program of version 1 sent them. The bytes stay as they are.
+const (
+	recordedHeartbeat = "a2010102a80107026161031903e8040205f50782a3010902080307a0084b050f06030109281e1404040981460a000001e61f"
+	recordedWant      = "a2010103a201010205"
+	recordedPiece     = "a2010104a6010102a1010903040401050206427879"
+	recordedChange    = "a2010105a60101020303a201090208041a3b9aca000781060881a6010502617303460a00000250000461610602090c"
+)
+
+// later is a heartbeat as a program of a later version may send it: with fields
+// that this one does not know, in the message, in its parts and in the evidence.
+func later(t testing.TB) []byte {
+	t.Helper()
+	loads := []byte{5, 7<<1 | 1, 8, 3, 1, 9, 40, 30, 20, 77, 78, 4, 2 << 1}
+	raw, err := cbor.Marshal(map[int]any{
+		1: formatVersion + 1, 9: "a part of its own",
+		2: map[int]any{
+			1: 7, 2: "a", 3: 1000, 4: 2, 30: []string{"more"},
+			7: []any{map[int]any{1: 9, 2: 8, 3: 7, 11: true}, map[int]any{}, map[int]any{1: 5}},
+			8: loads,
+		},
+	})
+	qt.Assert(t, err, qt.IsNil)
+	return raw
+}
+
+// While a fleet is replaced, programs of two versions hear each other. One that
+// took the other's heartbeats for nonsense would count its VMs as dead: it would
+// read the store in their place, and take their data centres for lost.
+func TestLaterVersionIsHeard(t *testing.T) {
+	m, err := Decode(later(t))
+	qt.Assert(t, err, qt.IsNil)
+	h := m.Heartbeat
+	qt.Assert(t, h.From, qt.Equals, baobabstep.VMID(7))
+	qt.Assert(t, h.Held[Routes], qt.Equals, Held{Version: 9, Sum: 8, AgeMS: 7})
+	qt.Assert(t, h.Loads, qt.DeepEquals, Loads{{Target: 5, Tenths: 7, Unanswered: 3, Opens: 1, HeardMS: 9, AnswerTenths: 40, FailedTenths: 30, TookMS: 20}, {Target: 9, Tenths: 2}})
+}
+
+func TestPartOfALaterVersionIsNotMalformed(t *testing.T) {
+	raw, err := cbor.Marshal(map[int]any{1: formatVersion + 1, 9: "a part of its own"})
+	qt.Assert(t, err, qt.IsNil)
+	_, err = Decode(raw)
+	qt.Assert(t, baobabstep.CodeOf(err), qt.Equals, baobabstep.CodeForeignVersion)
+
+	raw, err = cbor.Marshal(map[int]any{1: formatVersion, 9: "a part of its own"})
+	qt.Assert(t, err, qt.IsNil)
+	_, err = Decode(raw)
+	qt.Assert(t, baobabstep.CodeOf(err), qt.Equals, baobabstep.CodeMalformed)
+}
+
+// What version 1 sends is understood for as long as programs of it may run.
+func TestRecordedMessages(t *testing.T) {
+	for _, test := range []struct {
+		name, bytes string
+		want        Message
+	}{
+		{"heartbeat", recordedHeartbeat, Message{Version: 1, Heartbeat: &Heartbeat{
+			From: 7, DataCentre: "a", Life: 1000, Number: 2, Leaving: true,
+			Held:  [kinds]Held{{Version: 9, Sum: 8, AgeMS: 7}, {}},
+			Loads: Loads{{Target: 5, Tenths: 7, Unanswered: 3, Opens: 1, HeardMS: 9, AnswerTenths: 40, FailedTenths: 30, TookMS: 20}, {Target: 9, Tenths: 2}},
+			Peers: []netip.AddrPort{netip.MustParseAddrPort("10.0.0.1:8166")},
+		}}},
+		{"want", recordedWant, Message{Version: 1, Want: &Want{Kind: Targets, Newer: 5}}},
+		{"piece", recordedPiece, Message{Version: 1, Piece: &Piece{Kind: Targets, Held: Held{Version: 9}, Check: 4, Index: 1, Count: 2, Data: []byte("xy")}}},
+		{"change", recordedChange, Message{Version: 1, Change: &Change{
+			Kind: Targets, From: 3, To: Held{Version: 9, Sum: 8}, Idle: time.Second, RemovedTargets: []baobabstep.TargetID{6},
+			Targets: []targetBody{{ID: 5, Service: "s", Address: netip.MustParseAddrPort("10.0.0.2:80"), DataCentre: "a", Slots: 2, Life: 12}},
+		}}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			raw, err := hex.DecodeString(test.bytes)
+			qt.Assert(t, err, qt.IsNil)
+			m, err := Decode(raw)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, *m, qt.CmpEquals(cmp.Comparer(func(x, y netip.AddrPort) bool { return x == y })), test.want)
+			again, err := Encode(&test.want)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, hex.EncodeToString(again), qt.Equals, test.bytes)
+		})
+	}
+}
--- a/directory.go
+++ b/directory.go
@@ -31,12 +31,14 @@
 	Weight  uint32
 }
 
-// Registration is what one target says of itself in the platform's store. Each
-// start of a target makes a registration of its own.
+// Registration is what one target says of itself in the platform's store.
 type Registration struct {
-	// ID names this one run of the target; a target that starts again at the
-	// same address has another.
-	ID      TargetID
+	// ID names the target. One that starts again has another, or the same with
+	// another Life.
+	ID TargetID
+	// Life is when this run of the target started, in Unix milliseconds by its
+	// own clock; 0 if it does not say. A run holds no flow of the one before.
+	Life    uint64
 	Service string
 	// Address receives packets of flows.
 	Address    netip.AddrPort
@@ -102,4 +104,10 @@
 	HeardAt time.Time
 	// Disputed is set if other VMs say that the target is silent.
 	Disputed bool
+	// Answers are the recent requests whose outcome was seen, Failed those of
+	// them that failed as far as a VM can tell, both weighted by age, and Took
+	// is the mean time of the others. In what other VMs say together they are
+	// those of the own data centre. All are 0 unless the target stands out.
+	Answers, Failed float64
+	Took            time.Duration
 }
--- a/entry/share.go
+++ b/entry/share.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"baobabstep"
 	"baobabstep/core/heartbeat"
 )
 
@@ -74,7 +75,9 @@
 func (n *Node) receive(now time.Time, from netip.AddrPort, raw []byte) {
 	m, err := heartbeat.Decode(raw)
 	if err != nil {
-		n.counts.malformed.Add(1)
+		if baobabstep.CodeOf(err) != baobabstep.CodeForeignVersion {
+			n.counts.malformed.Add(1)
+		}
 		return
 	}
 	switch {
