--- a/cmd/baobabstep/main.go
+++ b/cmd/baobabstep/main.go
@@ -19,18 +19,19 @@
 type commands struct {
 	command.Globals
 
-	Balance       balance          `cmd:"" help:"Run one VM with the given settings file, until SIGTERM (planned stop) or a second SIGTERM (at once)."`
-	CheckSettings checkSettings    `cmd:"" help:"Check a settings file and print it with its defaults filled in."`
-	Capacity      capacityCommands `cmd:"" help:"Measure and print what a VM costs in fleets of any size."`
-	Template      command.Template `cmd:"" help:"Templates that services are made from."`
-	Account       command.Account  `cmd:"" help:"Client accounts: edit a draft, see the difference, accept."`
-	Target        command.Target   `cmd:"" help:"Drain and undrain targets."`
-	Status        command.Status   `cmd:"" help:"The fleet as one VM sees it."`
-	Explain       command.Explain  `cmd:"" help:"Where a flow or request went, and why."`
-	Trace         trace            `cmd:"" help:"From logs of VMs with token routing: what became of a flow, and why."`
-	Summary       summary          `cmd:"" help:"From logs of VMs with token routing: totals, and plots of load, decisions and the age of beliefs."`
-	Audit         command.Audit    `cmd:"" help:"Who changed what, when and why."`
-	Config        command.Config   `cmd:"" help:"The whole configuration as one file."`
+	Balance       balance            `cmd:"" help:"Run one VM with the given settings file, until SIGTERM (planned stop) or a second SIGTERM (at once)."`
+	CheckSettings checkSettings      `cmd:"" help:"Check a settings file and print it with its defaults filled in."`
+	Capacity      capacityCommands   `cmd:"" help:"Measure and print what a VM costs in fleets of any size."`
+	Template      command.Template   `cmd:"" help:"Templates that services are made from."`
+	Account       command.Account    `cmd:"" help:"Client accounts: edit a draft, see the difference, accept."`
+	Target        command.Target     `cmd:"" help:"Drain and undrain targets."`
+	Status        command.Status     `cmd:"" help:"The fleet as one VM sees it."`
+	Explain       command.Explain    `cmd:"" help:"Where a flow or request went, and why."`
+	Trace         trace              `cmd:"" help:"From logs of VMs with token routing: what became of a flow, and why."`
+	Summary       summary            `cmd:"" help:"From logs of VMs with token routing: totals, and plots of load, decisions and the age of beliefs."`
+	Experiment    experimentCommands `cmd:"" help:"Compare ways of deciding on hundreds of emulated days."`
+	Audit         command.Audit      `cmd:"" help:"Who changed what, when and why."`
+	Config        command.Config     `cmd:"" help:"The whole configuration as one file."`
 
 	Version showVersion `cmd:"" help:"Print the version."`
 }
--- a/core/token/choose.go
+++ b/core/token/choose.go
@@ -127,15 +127,17 @@
 			continue
 		}
 		dc := t.registration.DataCentre
+		assess := t.load.assess(now)
+		assess.suspect = assess.suspect && r.on(MechanismSilence)
 		list = append(list, candidate{
-			target: t, assess: t.load.assess(now),
+			target: t, assess: assess,
 			inReach: dc == r.o.DataCentre || heard[dc] > 0,
 			again:   avoid != nil && t.id == avoid.id,
 		})
 		if dc == r.o.DataCentre && list[len(list)-1].fulfils(wishAll) {
 			near++
 		}
-		if near == enoughNear {
+		if near == enoughNear && r.on(MechanismFew) {
 			break
 		}
 	}
@@ -162,15 +164,19 @@
 // score orders candidates for new flows, the best first: by the share of their
 // slots that is busy, as far as requests and their times tell.
 func (r *Router) score(now time.Time, c *candidate, mean float64) float64 {
-	if c.assess.doubtful {
+	if c.assess.doubtful && r.on(MechanismSilence) {
 		return 0
 	}
 	perSlot := c.assess.requests / loadWindow.Seconds() / float64(c.target.registration.Slots)
-	score := perSlot * c.assess.serviceTime(mean)
-	if now.Before(c.target.coldUntil) {
+	took := mean
+	if r.on(MechanismTimes) {
+		took = c.assess.serviceTime(mean)
+	}
+	score := perSlot * took
+	if now.Before(c.target.coldUntil) && r.on(MechanismCold) {
 		score *= coldFactor
 	}
-	if c.target.registration.DataCentre != r.o.DataCentre {
+	if c.target.registration.DataCentre != r.o.DataCentre && r.on(MechanismNear) {
 		score += farMargin
 	}
 	return score
--- a/core/token/router.go
+++ b/core/token/router.go
@@ -21,6 +21,8 @@
 	// Idle is the silence after which the record of a flow is dropped, unless
 	// the routing table says less (15 s).
 	Idle time.Duration
+	// Without are the mechanisms that are switched off (none).
+	Without Mechanisms
 	// Finished, if set, gets the time of each request whose answer this VM saw
 	// acknowledged.
 	Finished func(took time.Duration)
@@ -62,7 +64,7 @@
 func New(o Options) *Router {
 	o.setDefaults()
 	r := &Router{o: o, flows: newFlowTable(), openings: newOpenings(), troubled: make(chan struct{}, 1), known: make(chan struct{})}
-	r.current.Store(newSnapshot())
+	r.current.Store(newSnapshot(&r.o))
 	r.heard.Store(&map[string]int{})
 	return r
 }
@@ -76,7 +78,7 @@
 	if s.haveTable && table.Version <= s.version {
 		return false
 	}
-	r.replace(s.withTable(now, table, r.o.FlowMax))
+	r.replace(s.withTable(now, table))
 	return true
 }
 
@@ -84,7 +86,7 @@
 func (r *Router) SetRegistrations(now time.Time, list []baobabstep.Registration) {
 	r.change.Lock()
 	defer r.change.Unlock()
-	r.replace(r.current.Load().withRegistrations(now, list, r.o.FlowMax))
+	r.replace(r.current.Load().withRegistrations(now, list))
 }
 
 // ChangeRegistrations tells which registrations are new or differ, and which are
@@ -92,7 +94,7 @@
 func (r *Router) ChangeRegistrations(now time.Time, put []baobabstep.Registration, gone []baobabstep.TargetID) {
 	r.change.Lock()
 	defer r.change.Unlock()
-	r.replace(r.current.Load().withChanges(now, put, gone, r.o.FlowMax))
+	r.replace(r.current.Load().withChanges(now, put, gone))
 }
 
 // replace puts a snapshot in force. The caller holds r.change.
@@ -130,10 +132,21 @@
 func (r *Router) SetOthers(others map[baobabstep.TargetID]baobabstep.TargetLoad, heard map[string]int) {
 	r.heard.Store(&heard)
 	for id, t := range r.current.Load().targets {
-		t.load.setOthers(others[id])
+		t.load.setOthers(r.heeded(others[id]))
 	}
 }
 
+// heeded returns what this VM takes in of what others say of a target.
+func (r *Router) heeded(said baobabstep.TargetLoad) baobabstep.TargetLoad {
+	if !r.on(MechanismOtherLoads) {
+		said.Requests = 0
+	}
+	if !r.on(MechanismWitnesses) {
+		said.Unanswered, said.Opens, said.Witnesses, said.HeardAt = 0, 0, 0, time.Time{}
+	}
+	return said
+}
+
 // Loads returns what this VM sends to targets.
 func (r *Router) Loads(now time.Time) []baobabstep.TargetLoad {
 	targets := r.current.Load().targets
@@ -201,7 +214,10 @@
 	shard.mu.Lock()
 	defer shard.mu.Unlock()
 	f := shard.flows[p.Flow]
-	avoid := r.openings.tried(now, p.Flow.Caller.Addr())
+	var avoid *target
+	if r.on(MechanismNextTry) {
+		avoid = r.openings.tried(now, p.Flow.Caller.Addr())
+	}
 	if f != nil && f.seq == p.Seq && f.opening {
 		f.repeated = true
 		avoid = nil
@@ -238,7 +254,7 @@
 	shard.mu.Lock()
 	r.note(now, shard, t, p)
 	shard.mu.Unlock()
-	if p.Kind != baobabstep.KindReset && r.outOfReach(now, s, t) {
+	if p.Kind != baobabstep.KindReset && r.on(MechanismEndFlows) && r.outOfReach(now, s, t) {
 		r.record(now, EventEnded, s, route, t, p)
 		reset(p, out)
 		return
--- a/core/token/snapshot.go
+++ b/core/token/snapshot.go
@@ -18,6 +18,10 @@
 	pools                  map[string]*pool
 	targets                map[baobabstep.TargetID]*target
 	haveTable, haveTargets bool
+	// keep is how long flows may last, and beginLoads whether new targets begin
+	// with the load of those that are there; they never change.
+	keep       time.Duration
+	beginLoads bool
 	// spareUntil is until when registrations that go missing may be back.
 	spareUntil time.Time
 }
@@ -38,8 +42,9 @@
 // always is the time until which a present service of a rule may have flows.
 var always = time.Time{}
 
-func newSnapshot() *snapshot {
+func newSnapshot(o *Options) *snapshot {
 	return &snapshot{
+		keep: o.FlowMax, beginLoads: !o.Without.Has(MechanismBeginLoad),
 		rules:   map[netip.AddrPort]*rule{},
 		pools:   map[string]*pool{},
 		targets: map[baobabstep.TargetID]*target{},
@@ -47,14 +52,14 @@
 }
 
 // withTable returns a copy of s with another routing table. Flows that were
-// opened under a former rule of an address may go on for flowMax.
-func (s *snapshot) withTable(now time.Time, table *baobabstep.RoutingTable, flowMax time.Duration) *snapshot {
+// opened under a former rule of an address may go on for s.keep.
+func (s *snapshot) withTable(now time.Time, table *baobabstep.RoutingTable) *snapshot {
 	next := *s
 	next.version, next.idle, next.haveTable = table.Version, table.IdleTimeout, true
 	next.rules = make(map[netip.AddrPort]*rule, len(table.Rules))
 	for i := range table.Rules {
 		r := newRule(&table.Rules[i])
-		r.inherit(now, s.rules[table.Rules[i].Address], flowMax)
+		r.inherit(now, s.rules[table.Rules[i].Address], s.keep)
 		next.rules[table.Rules[i].Address] = r
 	}
 	return &next
@@ -102,9 +107,9 @@
 }
 
 // withRegistrations returns a copy of s in which the given registrations are
-// the ones that are there. Those that are there no more stay known for keep,
+// the ones that are there. Those that are there no more stay known for s.keep,
 // for the flows that they may still have.
-func (s *snapshot) withRegistrations(now time.Time, list []baobabstep.Registration, keep time.Duration) *snapshot {
+func (s *snapshot) withRegistrations(now time.Time, list []baobabstep.Registration) *snapshot {
 	next := *s
 	next.haveTargets = true
 	next.targets = make(map[baobabstep.TargetID]*target, len(list))
@@ -115,27 +120,29 @@
 		if next.targets[id] != nil {
 			continue
 		}
-		if gone := s.gone(now, old); now.Sub(gone.missingSince) < keep {
+		if gone := s.gone(now, old); now.Sub(gone.missingSince) < s.keep {
 			next.targets[id] = gone
 		}
 	}
 	next.pools = makePools(next.targets)
-	for _, p := range next.pools {
-		p.beginLoads(now, s)
+	if s.beginLoads {
+		for _, p := range next.pools {
+			p.beginLoads(now, s)
+		}
 	}
 	return &next
 }
 
 // withChanges returns what withRegistrations would, for registrations of which
 // only some have changed. The pools of other services are shared with s.
-func (s *snapshot) withChanges(now time.Time, put []baobabstep.Registration, gone []baobabstep.TargetID, keep time.Duration) *snapshot {
+func (s *snapshot) withChanges(now time.Time, put []baobabstep.Registration, gone []baobabstep.TargetID) *snapshot {
 	next := *s
 	next.haveTargets = true
 	next.targets = maps.Clone(s.targets)
 	next.pools = maps.Clone(s.pools)
 	e := editor{next: &next, pools: make(map[string]*pool)}
 	for _, t := range s.targets {
-		if !t.missingSince.IsZero() && now.Sub(t.missingSince) >= keep {
+		if !t.missingSince.IsZero() && now.Sub(t.missingSince) >= s.keep {
 			e.remove(t)
 		}
 	}
@@ -155,7 +162,9 @@
 		if len(p.targets) == 0 {
 			delete(next.pools, service)
 		}
-		p.beginLoads(now, s)
+		if s.beginLoads {
+			p.beginLoads(now, s)
+		}
 	}
 	return &next
 }
--- a/entry/node.go
+++ b/entry/node.go
@@ -108,6 +108,7 @@
 		DataCentre: o.Settings.DataCentre,
 		Rand:       rand.New(rand.NewPCG(o.Rand.Uint64(), o.Rand.Uint64())),
 		FlowMax:    o.Settings.Token.FlowMax(),
+		Without:    o.Settings.Token.Mechanisms(),
 		Finished:   n.observeRequest,
 		Record:     n.logEvent,
 		Wanted:     n.eventWanted,
--- a/io/setting/token.go
+++ b/io/setting/token.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"baobabstep/core/token"
 )
 
 // TokenSettings are what a VM needs for PolicyToken. The bounds are promises of
@@ -22,6 +24,8 @@
 	FlowMaxS float64 `json:"flow_max_s,omitempty"`
 	// StopGraceS is the time between the signal to stop and the kill.
 	StopGraceS float64 `json:"stop_grace_s,omitempty"`
+	// Without names the mechanisms of package token that are switched off.
+	Without []string `json:"without,omitempty"`
 }
 
 // Defaults of TokenSettings.
@@ -89,5 +93,15 @@
 			return fail("%s: got %v, want above 0 and at most %v", b.path, b.value, maxBound)
 		}
 	}
+	if _, err := token.ParseMechanisms(t.Without); err != nil {
+		return fail("token.without: %v", err)
+	}
 	return nil
 }
+
+// Mechanisms returns Without as a set. The settings were checked, so its names
+// are known.
+func (t *TokenSettings) Mechanisms() token.Mechanisms {
+	set, _ := token.ParseMechanisms(t.Without)
+	return set
+}
--- a/io/setting/token_test.go
+++ b/io/setting/token_test.go
@@ -28,6 +28,7 @@
 		{"no readiness address", `{}`, `token.ready_address: got "invalid AddrPort", .*`},
 		{"port 0", `{"ready_address":"127.0.0.1:0"}`, `token.ready_address: got "127.0.0.1:0", .*`},
 		{"negative time", `{"ready_address":"127.0.0.1:1","drain_ms":-1}`, `token.drain_ms: got -1ms, .*`},
+		{"unknown mechanism", `{"ready_address":"127.0.0.1:1","without":["tides"]}`, `token.without: .*got "tides", want a mechanism such as times.*`},
 		{"absurd time", `{"ready_address":"127.0.0.1:1","flow_max_s":1e6}`, `token.flow_max_s: got .*`},
 		{"unknown field", `{"ready_address":"127.0.0.1:1","pace":1}`, `token: got .*unknown field.*`},
 	} {
