heartbeat: answers of targets are summed up as heartbeats come

Ruled out: telling fewer targets; the sums, not the bytes, cost. Change: the tally holds answers, failures, times and callers beside requests, in whole numbers that are taken off again exactly; only silence is still looked up, of VMs that tell any. TestKeptLoadsAreThoseOfTheLiveVMs draws answers too and compares them with sums made anew.

--- a/core/heartbeat/board.go
+++ b/core/heartbeat/board.go
@@ -70,9 +70,9 @@
 	last *Heartbeat
 	// heard is when last came; for a VM that was only heard of, when it was.
 	heard time.Time
-	// counted says that the tally holds the loads of last, evidence that they
-	// tell of silent targets.
-	counted, evidence bool
+	// counted says that the tally holds the loads of last, urgent that they tell
+	// of silent targets.
+	counted, urgent bool
 }
 
 // Board keeps what this VM knows of the others. It is safe for concurrent use.
@@ -182,7 +182,7 @@
 		return false
 	}
 	b.count(p, false)
-	p.last, p.heard, p.evidence = h, now, h.HasEvidence()
+	p.last, p.heard, p.urgent = h, now, h.IsUrgent()
 	b.count(p, true)
 	b.meet(now, h.Peers)
 	return true
--- a/core/heartbeat/board_test.go
+++ b/core/heartbeat/board_test.go
@@ -201,7 +201,11 @@
 				if rapid.Bool().Draw(t, "sends") {
 					h.Loads = append(h.Loads, Load{
 						Target: id + 1, Tenths: uint32(rapid.IntRange(0, 50).Draw(t, "tenths")),
-						Unanswered: uint8(rapid.IntRange(0, 2).Draw(t, "unanswered")),
+						Unanswered:   uint8(rapid.IntRange(0, 2).Draw(t, "unanswered")),
+						AnswerTenths: uint16(rapid.IntRange(0, 40).Draw(t, "answers")),
+						FailedTenths: uint16(rapid.IntRange(0, 50).Draw(t, "failed")),
+						TookMS:       uint16(rapid.IntRange(0, 90).Draw(t, "took")),
+						Callers:      rapid.Uint16().Draw(t, "callers"),
 					})
 				}
 			}
@@ -220,6 +224,7 @@
 // summedLoads adds up what the live VMs said last.
 func summedLoads(b *Board, now time.Time) map[baobabstep.TargetID]baobabstep.TargetLoad {
 	sums := make(map[baobabstep.TargetID]uint64)
+	answers, failures, times := map[baobabstep.TargetID]int{}, map[baobabstep.TargetID]int{}, map[baobabstep.TargetID]int{}
 	loads := make(map[baobabstep.TargetID]baobabstep.TargetLoad)
 	for _, p := range b.peers {
 		if !b.live(now, p) {
@@ -227,12 +232,23 @@
 		}
 		for _, l := range p.last.Loads {
 			near := p.last.DataCentre == b.o.DataCentre
-			if l.Tenths == 0 && (!near || !p.last.HasEvidence()) {
+			if l.Tenths == 0 && l.AnswerTenths == 0 && (!near || l.Unanswered == 0) {
 				continue
 			}
 			sums[l.Target] += uint64(l.Tenths)
 			sum := loads[l.Target]
 			sum.Requests = float64(sums[l.Target]) / tenths
+			if l.AnswerTenths > 0 {
+				failed := min(l.FailedTenths, l.AnswerTenths)
+				answers[l.Target] += int(l.AnswerTenths)
+				failures[l.Target] += int(failed)
+				times[l.Target] += int(l.TookMS) * int(l.AnswerTenths-failed)
+				sum.Answers, sum.Failed = float64(answers[l.Target])/tenths, float64(failures[l.Target])/tenths
+				if good := answers[l.Target] - failures[l.Target]; good > 0 {
+					sum.Took = time.Duration(times[l.Target]) * time.Millisecond / time.Duration(good)
+				}
+				sum.Callers |= l.Callers
+			}
 			if near {
 				sum.Unanswered = max(sum.Unanswered, int(l.Unanswered))
 			}
--- a/core/heartbeat/load.go
+++ b/core/heartbeat/load.go
@@ -5,37 +5,105 @@
 	"encoding"
 	"encoding/binary"
 	"math"
+	"math/bits"
 	"slices"
 	"time"
 
 	"baobabstep"
-	"baobabstep/core/answer"
 )
 
-// tally is the sum of what live VMs say that they send to targets. It is kept as
-// heartbeats come: summing up 2,300 VMs anew ten times a second took a sixth of
-// a core. Whole numbers, so that what was added can be taken off again exactly.
-type tally map[baobabstep.TargetID]uint64
+// tally is the sum of what live VMs say of targets. It is kept as heartbeats come:
+// summing up 2,300 VMs anew ten times a second took a sixth of a core. Whole
+// numbers, so that what was added can be taken off again exactly.
+type tally map[baobabstep.TargetID]*tallied
+
+// tallied is the sum for one target.
+type tallied struct {
+	tenths uint64
+	// answers and failed are in tenths, took is the times of answers that did
+	// not fail, in tenths times milliseconds.
+	answers, failed, took uint64
+	// callers counts, for each bit of Load.Callers, the VMs that say it.
+	callers [16]uint16
+}
 
 func (t tally) add(loads Loads) {
 	for _, l := range loads {
-		if l.Tenths > 0 {
-			t[l.Target] += uint64(l.Tenths)
+		sum := t[l.Target]
+		if sum == nil {
+			if l.Tenths == 0 && l.AnswerTenths == 0 {
+				continue
+			}
+			sum = new(tallied)
+			t[l.Target] = sum
+		}
+		sum.tenths += uint64(l.Tenths)
+		if l.AnswerTenths > 0 {
+			sum.addAnswers(&l)
 		}
 	}
 }
 
 func (t tally) remove(loads Loads) {
 	for _, l := range loads {
-		if l.Tenths == 0 {
+		sum := t[l.Target]
+		if sum == nil {
 			continue
 		}
-		if t[l.Target] -= uint64(l.Tenths); t[l.Target] == 0 {
+		sum.tenths -= uint64(l.Tenths)
+		if l.AnswerTenths > 0 {
+			sum.removeAnswers(&l)
+		}
+		if sum.tenths == 0 && sum.answers == 0 {
 			delete(t, l.Target)
 		}
 	}
 }
 
+func (s *tallied) addAnswers(l *Load) {
+	s.answers += uint64(l.AnswerTenths)
+	s.failed += l.failedTenths()
+	s.took += l.tookTenths()
+	for set := l.Callers; set != 0; set &= set - 1 {
+		s.callers[bits.TrailingZeros16(set)]++
+	}
+}
+
+func (s *tallied) removeAnswers(l *Load) {
+	s.answers -= uint64(l.AnswerTenths)
+	s.failed -= l.failedTenths()
+	s.took -= l.tookTenths()
+	for set := l.Callers; set != 0; set &= set - 1 {
+		s.callers[bits.TrailingZeros16(set)]--
+	}
+}
+
+// failedTenths returns FailedTenths, which a broken sender may say too high.
+func (l *Load) failedTenths() uint64 { return uint64(min(l.FailedTenths, l.AnswerTenths)) }
+
+// tookTenths returns the sum of the times of answers that did not fail.
+func (l *Load) tookTenths() uint64 {
+	return uint64(l.TookMS) * (uint64(l.AnswerTenths) - l.failedTenths())
+}
+
+// load returns the sum as the router takes it.
+func (s *tallied) load() baobabstep.TargetLoad {
+	load := baobabstep.TargetLoad{Requests: float64(s.tenths) / tenths}
+	if s.answers == 0 {
+		return load
+	}
+	load.Answers, load.Failed = float64(s.answers)/tenths, float64(s.failed)/tenths
+	if good := s.answers - s.failed; good > 0 {
+		load.Took = time.Duration(s.took) * time.Millisecond / time.Duration(good)
+	}
+	for bit, vms := range s.callers {
+		if vms > 0 {
+			load.Callers |= 1 << bit
+		}
+	}
+	return load
+}
+
 // count makes the tally hold a peer's loads, or no longer.
 func (b *Board) count(p *peer, counted bool) {
 	switch {
@@ -49,10 +117,6 @@
 	p.counted = counted
 }
 
-// HasEvidence tells whether the sender found targets silent, failing or slow, or
-// contradicts others who did.
-func (h *Heartbeat) HasEvidence() bool { return slices.ContainsFunc(h.Loads, Load.hasEvidence) }
-
 // IsUrgent tells whether the sender found targets silent, or contradicts others
 // who did: what callers lose to those grows with each moment.
 func (h *Heartbeat) IsUrgent() bool { return slices.ContainsFunc(h.Loads, Load.tellsSilence) }
@@ -65,9 +129,9 @@
 // a witness: with one, a lost datagram would make it one.
 const witnessAt = 2
 
-// Loads returns what the live VMs say of targets: the requests of all, the most
-// flows that any VM of the own data centre found unanswered, and how many such
-// VMs are sure. What VMs elsewhere find may be their path to the target.
+// Loads returns what the live VMs say of targets: the requests and answers of all,
+// the most flows that any VM of the own data centre found unanswered, and how many
+// such VMs are sure. What VMs elsewhere find silent may be their path to the target.
 func (b *Board) Loads(now time.Time) map[baobabstep.TargetID]baobabstep.TargetLoad {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -78,55 +142,34 @@
 	}
 	loads := make(map[baobabstep.TargetID]baobabstep.TargetLoad, len(b.tally))
 	for id, sum := range b.tally {
-		loads[id] = baobabstep.TargetLoad{Requests: float64(sum) / tenths}
+		loads[id] = sum.load()
 	}
 	for _, p := range b.peers {
-		if p.counted && p.evidence {
-			p.addEvidence(loads, p.last.DataCentre == b.o.DataCentre)
+		if p.counted && p.urgent && p.last.DataCentre == b.o.DataCentre {
+			p.addSilence(loads)
 		}
 	}
 	return loads
 }
 
-// addEvidence adds what a VM found of targets; near is set for one of the own data
-// centre.
-func (p *peer) addEvidence(loads map[baobabstep.TargetID]baobabstep.TargetLoad, near bool) {
+func (p *peer) addSilence(loads map[baobabstep.TargetID]baobabstep.TargetLoad) {
 	for _, l := range p.last.Loads {
-		if !near && l.AnswerTenths == 0 {
+		if !l.tellsSilence() {
 			continue
 		}
 		sum := loads[l.Target]
-		addAnswers(&sum, l)
-		if near {
-			addSilence(&sum, l, p.heard)
+		sum.Unanswered = max(sum.Unanswered, int(l.Unanswered))
+		sum.Opens = max(sum.Opens, int(l.Opens))
+		if l.Unanswered >= witnessAt && l.Opens > 0 {
+			sum.Witnesses++
+		}
+		if at := p.heard.Add(-time.Duration(l.HeardMS) * time.Millisecond); l.HeardMS > 0 && at.After(sum.HeardAt) {
+			sum.HeardAt = at
 		}
 		loads[l.Target] = sum
 	}
 }
 
-// addSilence adds what a VM that was heard at a time says of a target's silence.
-func addSilence(sum *baobabstep.TargetLoad, l Load, heard time.Time) {
-	sum.Unanswered = max(sum.Unanswered, int(l.Unanswered))
-	sum.Opens = max(sum.Opens, int(l.Opens))
-	if l.Unanswered >= witnessAt && l.Opens > 0 {
-		sum.Witnesses++
-	}
-	if at := heard.Add(-time.Duration(l.HeardMS) * time.Millisecond); l.HeardMS > 0 && at.After(sum.HeardAt) {
-		sum.HeardAt = at
-	}
-}
-
-// addAnswers adds what one VM saw of a target's answers.
-func addAnswers(sum *baobabstep.TargetLoad, l Load) {
-	one := answer.Sample{
-		Answers: float64(l.AnswerTenths) / tenths, Failed: float64(l.FailedTenths) / tenths,
-		Took: time.Duration(l.TookMS) * time.Millisecond,
-	}
-	all := answer.Sample{Answers: sum.Answers, Failed: sum.Failed, Took: sum.Took}.Plus(one)
-	sum.Answers, sum.Failed, sum.Took = all.Answers, all.Failed, all.Took
-	sum.Callers |= l.Callers
-}
-
 // maxHeard is the greatest HeardMS.
 const maxHeard = 1<<16 - 1
 
--- a/entry/heartbeat_bench_test.go
+++ b/entry/heartbeat_bench_test.go
@@ -128,11 +128,18 @@
 	return list
 }
 
-// busyLoads are loads of every target.
+// oddTargets is the number of targets of which one stands out, so that its answers
+// are told.
+const oddTargets = 8
+
+// busyLoads are loads of every target, and the answers of those that stand out.
 func busyLoads(draw *rand.Rand, list []baobabstep.Registration) []baobabstep.TargetLoad {
 	loads := make([]baobabstep.TargetLoad, len(list))
 	for i, r := range list {
 		loads[i] = baobabstep.TargetLoad{Target: r.ID, Requests: 20 * draw.Float64()}
+		if i%oddTargets == 0 {
+			loads[i].Answers, loads[i].Failed, loads[i].Took, loads[i].Callers = 6, 3, 60*time.Millisecond, 0b10011
+		}
 	}
 	return loads
 }
