token: the package says where new flows go, and what a new run inherits

Cause: reading the change as a newcomer: the package comment told nothing of answers and admission, and sameRun said that a new run is free of its predecessor's faults, while its verdict goes on. Change: comments; load.record is load.judged. Conclusion: no decision changed.

--- a/core/token/answers.go
+++ b/core/token/answers.go
@@ -187,8 +187,8 @@
 	return l.tally.Add(now, outcome, caller, took)
 }
 
-// record returns what a new run of the target inherits: how often it relapsed.
-func (l *load) record() answer.Verdict {
+// judged returns what is thought of the target.
+func (l *load) judged() answer.Verdict {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.verdict
--- a/core/token/doc.go
+++ b/core/token/doc.go
@@ -18,6 +18,14 @@
 // evidence of targets that do not answer. A VM that starts serves every flow
 // as soon as it knows routes and targets.
 //
+// # Where new flows go
+//
+// To the target whose slots are least busy, by its recent requests and their times
+// (choose.go). Targets that leave flows unanswered are avoided (health.go). Those
+// that answer, but fail more than their peers, count as busier (answers.go; package
+// answer judges). Where answers come too late from all, ordinary flows are refused
+// (admission.go). Each of these is a [Mechanism] that can be switched off.
+//
 // # What must hold
 //
 //   - An established flow goes to the target that its token names, or nowhere.
--- a/core/token/snapshot.go
+++ b/core/token/snapshot.go
@@ -268,7 +268,7 @@
 	old := s.targets[r.ID]
 	if !t.sameRun(old) {
 		if old != nil {
-			t.load.verdict = old.load.record()
+			t.load.verdict = old.load.judged()
 		}
 		return t
 	}
--- a/core/token/stats.go
+++ b/core/token/stats.go
@@ -43,7 +43,7 @@
 		stats.Outcomes[outcome.String()] = r.counts.outcomes[outcome].Load()
 	}
 	for _, t := range s.targets {
-		if t.load.record().State != answer.Trusted {
+		if t.load.judged().State != answer.Trusted {
 			stats.Failing++
 		}
 		if flows, _ := t.load.unanswered(); flows >= suspectAt {
--- a/core/token/target.go
+++ b/core/token/target.go
@@ -33,7 +33,9 @@
 
 // sameRun tells whether other is the same run of the same target, so that what
 // was learned of one holds for the other. A target that starts again under its
-// identifier holds no flow, is idle, cold and free of its predecessor's faults.
+// identifier holds no flow, is idle and cold, and what its predecessor left
+// unanswered says nothing of it. Only the verdict on its answers goes on: one that
+// fails, starts again and fails is found sooner.
 func (t *target) sameRun(other *target) bool {
 	return other != nil && t.id == other.id && t.registration.Life == other.registration.Life
 }
