--- a/emulator/policy_test.go
+++ b/emulator/policy_test.go
@@ -29,6 +29,7 @@
 // targets judged by their answers is nearly all; the figures without are those of
 // the same days.
 func TestCallersOfFailingTargets(t *testing.T) {
+	t.Parallel()
 	for _, test := range []struct {
 		name    string
 		trouble Trouble
@@ -41,6 +42,7 @@
 		{"down and up", Trouble{Kind: KindTargetFlap, AtMS: 8000, ForMS: 12000, Share: 0.25, GapMS: 1200}, 0.99, 0.002},
 	} {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			with, off := worth(t, token.MechanismAnswers, test.trouble)
 			qt.Check(t, with >= test.least, qt.IsTrue, qt.Commentf("%.4f", with))
 			qt.Check(t, with-off >= test.gain, qt.IsTrue, qt.Commentf("%.4f, without %.4f", with, off))
@@ -52,6 +54,7 @@
 // that go by what all others sent half a second ago run after the same idle
 // targets; those that go by their own requests spread theirs evenly.
 func TestCallersOfSlowTargetsInABurst(t *testing.T) {
+	t.Parallel()
 	with, off := worth(t, token.MechanismOwnLoads,
 		Trouble{Kind: KindTargetSlow, AtMS: 8000, ForMS: 8000, Share: 0.3, X: 6}, Trouble{Kind: KindBurst, AtMS: 8000, ForMS: 8000, X: 2.2})
 	qt.Check(t, with >= 0.95, qt.IsTrue, qt.Commentf("%.4f", with))
@@ -61,6 +64,7 @@
 // What befalls all targets alike puts nobody out: on such days callers get what
 // they get without the mechanism, within 0.003.
 func TestCommonTroubleCostsNothing(t *testing.T) {
+	t.Parallel()
 	for name, troubles := range map[string][]Trouble{
 		"nothing":                  nil,
 		"a burst":                  {{Kind: KindBurst, AtMS: 8000, ForMS: 4000, X: 3}},
@@ -70,6 +74,7 @@
 		"a release":                {{Kind: KindTargetReplace, AtMS: 8000, Share: 0.5, GapMS: 700}},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			with, off := worth(t, token.MechanismAnswers, troubles...)
 			qt.Check(t, with >= off-0.003, qt.IsTrue, qt.Commentf("%.4f, without %.4f", with, off))
 		})
@@ -81,6 +86,7 @@
 // flows are refused as soon as answers take too long, more is answered in time,
 // and the urgent are answered before the ordinary.
 func TestCallersInAnOverload(t *testing.T) {
+	t.Parallel()
 	with, off := worth(t, token.MechanismAdmission, Trouble{Kind: KindBurst, AtMS: 8000, ForMS: 4000, X: 3.5})
 	qt.Check(t, with-off >= 0.008, qt.IsTrue, qt.Commentf("%.4f, without %.4f", with, off))
 
@@ -94,8 +100,10 @@
 
 // On a calm day, and in a burst that the slots can take, nobody is refused.
 func TestNobodyIsRefusedWhileThereIsRoom(t *testing.T) {
+	t.Parallel()
 	for name, troubles := range map[string][]Trouble{"calm": nil, "a burst": {{Kind: KindBurst, AtMS: 8000, ForMS: 4000, X: 1.6}}} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			r := play(t, load(t, "small"), Options{Seed: 1, Troubles: troubles})
 			qt.Assert(t, r.Tries.Resets < r.Asked()/1000, qt.IsTrue, qt.Commentf("%d of %d", r.Tries.Resets, r.Asked()))
 		})
--- a/emulator/world_test.go
+++ b/emulator/world_test.go
@@ -37,6 +37,7 @@
 }
 
 func TestSameSeedSameBytes(t *testing.T) {
+	t.Parallel()
 	d := load(t, "small")
 	d.Seconds = 10
 	var bytes [2]string
@@ -54,6 +55,7 @@
 // Two policies are compared on the same day: what callers ask may not depend on
 // what VMs decide.
 func TestArrivalsDoNotDependOnDecisions(t *testing.T) {
+	t.Parallel()
 	d := load(t, "small")
 	d.Seconds = 10
 	var asked [2][]int
@@ -69,6 +71,7 @@
 // Each request is counted once, whatever happens, and nothing is earned that was
 // not asked for.
 func TestRequestsAreCountedOnce(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(5) {
 		d := load(t, "small")
 		d.Seconds = 10
@@ -87,6 +90,7 @@
 
 // On a calm day all are served in time, and each service's work is spread evenly.
 func TestCalmDay(t *testing.T) {
+	t.Parallel()
 	r := play(t, load(t, "small"), Options{Seed: 1})
 	qt.Assert(t, r.Worth > 0.999, qt.IsTrue, qt.Commentf("%v", r.Worth))
 	qt.Assert(t, r.Tries, qt.Equals, Tries{})
@@ -96,6 +100,7 @@
 // Where all VMs are off, what callers lose is nobody's decision; where more is
 // asked than the slots can do, the surplus is not.
 func TestBound(t *testing.T) {
+	t.Parallel()
 	t.Run("all VMs are off", func(t *testing.T) {
 		r := play(t, load(t, "small"), Options{Seed: 1, Troubles: []Trouble{{Kind: KindVMOff, AtMS: 8000, ForMS: 1500, Share: 1}}})
 		qt.Assert(t, r.Windows[4].Worth < 0.7, qt.IsTrue, qt.Commentf("%v", r.Windows[4].Worth))
@@ -112,6 +117,7 @@
 }
 
 func TestDeploymentRefuses(t *testing.T) {
+	t.Parallel()
 	for name, spoil := range map[string]func(*Deployment){
 		"no data centre":         func(d *Deployment) { d.DataCentres = nil },
 		"no seconds":             func(d *Deployment) { d.Seconds = 0 },
--- a/experiment/experiment_test.go
+++ b/experiment/experiment_test.go
@@ -33,6 +33,7 @@
 }
 
 func TestResultDoesNotDependOnWorkers(t *testing.T) {
+	t.Parallel()
 	var raw [2]bytes.Buffer
 	for i, workers := range []int{1, 4} {
 		qt.Assert(t, run(t, example(t, 4), Options{Workers: workers}).WriteJSON(&raw[i]), qt.IsNil)
@@ -43,6 +44,7 @@
 // All arms play the same days, so an arm differs from itself by nothing at all,
 // and what callers ask is the same under each.
 func TestArmsPlayTheSameDays(t *testing.T) {
+	t.Parallel()
 	f := example(t, 4)
 	f.Arms[1] = Arm{Name: "the same again"}
 	r := run(t, f, Options{})
@@ -54,6 +56,7 @@
 }
 
 func TestDaysDiffer(t *testing.T) {
+	t.Parallel()
 	f := example(t, 1)
 	seen := make(map[string]bool)
 	for seed := range uint64(20) {
@@ -67,6 +70,7 @@
 }
 
 func TestRunEndsWithItsContext(t *testing.T) {
+	t.Parallel()
 	ctx, cancel := context.WithCancel(context.Background())
 	f := example(t, 1000)
 	_, err := f.Run(ctx, Options{Workers: 2, Progress: func(done, _ int) {
@@ -78,6 +82,7 @@
 }
 
 func TestReportIsWritten(t *testing.T) {
+	t.Parallel()
 	f := example(t, 3)
 	r := run(t, f, Options{})
 	var table bytes.Buffer
@@ -95,6 +100,7 @@
 }
 
 func TestExplain(t *testing.T) {
+	t.Parallel()
 	f := example(t, 1)
 	arm, err := f.Arm("no times")
 	qt.Assert(t, err, qt.IsNil)
@@ -110,6 +116,7 @@
 }
 
 func TestReadRefuses(t *testing.T) {
+	t.Parallel()
 	raw, err := os.ReadFile("../examples/experiment/mechanisms.json")
 	qt.Assert(t, err, qt.IsNil)
 	small, err := os.ReadFile("../examples/experiment/small.json")
