token: the end of a flow is no request

The caller's acknowledgement of the target's end stands one past what was sent and overtakes the caller's own end; the router took it for a new request. Ruled out: slow answers (none was), loss (the flows had ended), short answers (62 of 8,000). Change: only a segment with data begins a request, and a flow that has ended has none that hangs.

--- a/core/token/answers.go
+++ b/core/token/answers.go
@@ -146,7 +146,7 @@
 
 // lookAt settles a request whose answer is whole, and one that hangs.
 func (r *Router) lookAt(now time.Time, f *flow) {
-	if !f.asked || f.opening {
+	if !f.asked || f.opening || f.closed {
 		return
 	}
 	if after(f.acked, f.requestAcked) {
--- a/core/token/follow.go
+++ b/core/token/follow.go
@@ -134,7 +134,9 @@
 	}
 	if end := p.Seq + uint32(p.Size); after(end, f.sentEnd) {
 		f.sentEnd = end
-		if p.Acked != f.requestAcked {
+		// The end of a flow takes a number too: the acknowledgement after it is
+		// past what was sent, but begins no request.
+		if p.Size > 0 && p.Acked != f.requestAcked {
 			r.settle(now, f, p.Acked)
 			f.requestAcked = p.Acked
 			f.ask(now)
