token, answer, emulator: what the reading of the whole change found

Beside it: Sizes.Usual and two fields of the emulator that nobody read, a state compared both by Verdict.Judge and by its caller, a doc link that led nowhere. Change: the least urgent priority of each service is worked out once a table; the rest is gone or mended. TestOrdinaryRules asserts as before. Figures: none measured; the count is reckoned. Tests of core, entry, emulator, experiment and linter pass. Conclusion: no decision changed.

--- a/core/answer/doc.go
+++ b/core/answer/doc.go
@@ -14,7 +14,7 @@
 //	a refusal of the flow        nothing after the first segment
 //
 // [Sizes] learns what is usual on a route over all its targets. [Tally] counts
-// the outcomes at one target. [Judge] compares a target with the others of its
+// the outcomes at one target. [Verdict.Judge] compares a target with the others of its
 // service: only one that fails more than they do is failing. Where all change
 // alike, the service has changed, or the VM's own link is broken, or more is
 // asked than it can do; nobody is put out then.
--- a/core/answer/sizes.go
+++ b/core/answer/sizes.go
@@ -62,17 +62,6 @@
 	return s.added >= enoughSizes && float64(bytes) < shortRatio*s.usual
 }
 
-// Usual returns the size that three of four answers have at least, 0 while too
-// few were seen.
-func (s *Sizes) Usual() float64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.added < enoughSizes {
-		return 0
-	}
-	return s.usual
-}
-
 func (s *Sizes) halve() {
 	s.total = 0
 	for i := range s.counts {
--- a/core/token/admission.go
+++ b/core/token/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"baobabstep"
@@ -41,29 +42,22 @@
 	return float64(draw)/math.MaxUint64 < limit/took.Seconds()
 }
 
-// isOrdinary tells whether the flows of a rule may be refused for want of room:
-// their requests may be repeated, and no rule of the same service is less urgent.
-func isOrdinary(table *baobabstep.RoutingTable, rule *baobabstep.Rule) bool {
-	if !rule.Repeatable {
-		return false
-	}
+// leastUrgent returns, for each service, the priority of its least urgent rule.
+func leastUrgent(table *baobabstep.RoutingTable) map[string]int {
+	least := make(map[string]int)
 	for i := range table.Rules {
-		other := &table.Rules[i]
-		if other.Priority > rule.Priority && shareService(other, rule) {
-			return false
+		for _, share := range table.Rules[i].Shares {
+			if priority, known := least[share.Service]; !known || table.Rules[i].Priority > priority {
+				least[share.Service] = table.Rules[i].Priority
+			}
 		}
 	}
-	return true
+	return least
 }
 
-// shareService tells whether two rules lead to a common service.
-func shareService(a, b *baobabstep.Rule) bool {
-	for _, x := range a.Shares {
-		for _, y := range b.Shares {
-			if x.Service == y.Service {
-				return true
-			}
-		}
-	}
-	return false
+// isOrdinary tells whether the flows of a rule may be refused for want of room:
+// their requests may be repeated, and no rule of the same service is less urgent.
+func isOrdinary(rule *baobabstep.Rule, leastUrgent map[string]int) bool {
+	lessUrgent := func(s baobabstep.Share) bool { return leastUrgent[s.Service] > rule.Priority }
+	return rule.Repeatable && !slices.ContainsFunc(rule.Shares, lessUrgent)
 }
--- a/core/token/admission_test.go
+++ b/core/token/admission_test.go
@@ -53,6 +53,6 @@
 		rule("a", 2, true), rule("a", 1, true), rule("a", 2, false), rule("b", 0, true), rule("c", 3, false),
 	}}
 	for i, want := range []bool{true, false, false, true, false} {
-		qt.Check(t, isOrdinary(table, &table.Rules[i]), qt.Equals, want, qt.Commentf("rule %d", i))
+		qt.Check(t, isOrdinary(&table.Rules[i], leastUrgent(table)), qt.Equals, want, qt.Commentf("rule %d", i))
 	}
 }
--- a/core/token/answers.go
+++ b/core/token/answers.go
@@ -214,8 +214,8 @@
 		if _, known := peers[name]; !known {
 			peers[name] = r.peerShare(now, s.pools[name])
 		}
-		before, verdict, e := t.load.judge(now, peers[name], r.on(MechanismTrials))
-		if verdict.State != before {
+		changed, verdict, e := t.load.judge(now, peers[name], r.on(MechanismTrials))
+		if changed {
 			r.recordVerdict(now, s, t, verdict.State, e)
 		}
 		if verdict.State != answer.Trusted || e.Target.Failed >= leastTold {
@@ -270,16 +270,15 @@
 }
 
 // judge brings the verdict up to date; peers is the usual share of failures.
-func (l *load) judge(now time.Time, peers float64, trials bool) (before answer.State, verdict answer.Verdict, e answer.Evidence) {
+func (l *load) judge(now time.Time, peers float64, trials bool) (changed bool, verdict answer.Verdict, e answer.Evidence) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	before = l.verdict.State
 	e = answer.Evidence{
 		Target: l.tally.Sample(now).Plus(l.othersAnswers), Peers: peers, Callers: l.tally.Callers(now) | l.othersCallers,
 	}
-	l.verdict.Judge(now, e)
+	changed = l.verdict.Judge(now, e)
 	if !trials && l.verdict.State == answer.OnTrial {
 		l.verdict.State, l.verdict.Penalty = answer.Trusted, 0
 	}
-	return before, l.verdict, e
+	return changed, l.verdict, e
 }
--- a/core/token/snapshot.go
+++ b/core/token/snapshot.go
@@ -66,10 +66,11 @@
 	next := *s
 	next.version, next.idle, next.haveTable = table.Version, table.IdleTimeout, true
 	next.rules = make(map[netip.AddrPort]*rule, len(table.Rules))
+	least := leastUrgent(table)
 	for i := range table.Rules {
 		r := newRule(&table.Rules[i])
 		r.inherit(now, s.rules[table.Rules[i].Address], s.keep)
-		r.ordinary = isOrdinary(table, &table.Rules[i])
+		r.ordinary = isOrdinary(&table.Rules[i], least)
 		next.rules[table.Rules[i].Address] = r
 	}
 	return &next
--- a/emulator/caller.go
+++ b/emulator/caller.go
@@ -73,7 +73,6 @@
 	token          uint32
 	seq, acked     uint32
 	opened, closed bool
-	target         *target
 	// attempt is the one whose request it carries, nil for none.
 	attempt *attempt
 	used    time.Duration
@@ -181,7 +180,7 @@
 	if f.opened || f.closed {
 		return
 	}
-	f.opened, f.target, f.token = true, t, token
+	f.opened, f.token = true, token
 	f.acked = uint32(mix(uint64(t.id)+uint64(f.seq))) + 1
 	if f.attempt != nil {
 		f.ask(f.attempt)
--- a/emulator/target.go
+++ b/emulator/target.go
@@ -58,9 +58,8 @@
 	// hung are the requests that hold a slot and will not be answered.
 	hung map[*flow]*job
 
-	// ran is the time that slots were busy, served the requests that ended.
-	ran    time.Duration
-	served int
+	// ran is the time that slots were busy.
+	ran time.Duration
 }
 
 // job is a request at a target.
@@ -182,7 +181,6 @@
 		}
 		t.busy--
 		t.ran += work
-		t.served++
 		t.reply(j.flow, 0, func() { j.flow.answered(j.attempt, CauseNone, headBytes+j.attempt.request.answer) })
 		t.next()
 	})
