token: flows are looked at in the order in which their requests were sent

Cause: a tick looked at flows in the order of a map; sizes and times are learned in that order, so the same packets led to different decisions. Ruled out: the emulator's own order of events, links and news (no map there is iterated), and rounding alone (p99 differed by 1 ms). Change: what is to be looked at is sorted by its sending time.

--- a/core/token/flow.go
+++ b/core/token/flow.go
@@ -1,6 +1,8 @@
 package token
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -113,23 +115,38 @@
 }
 
 // expire forgets flows that were silent for idle, returns those that vanished,
-// and shows each to look.
+// and shows those whose request is under way to look. Both come in the order in
+// which their requests were sent: what is learned of sizes and times depends on it,
+// and the same packets have to lead to the same decisions.
 func (s *shard) expire(now time.Time, idle time.Duration, look func(*flow)) (vanished []*flow) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	var asked []*flow
 	for key, f := range s.flows {
 		silent := now.Sub(f.heard)
 		if f.vanished(now) {
 			vanished = append(vanished, f)
 		}
-		look(f)
+		if f.asked {
+			asked = append(asked, f)
+		}
 		if silent >= idle || f.closed && silent >= closedFor {
 			s.remove(key)
 		}
 	}
+	slices.SortFunc(vanished, bySent)
+	slices.SortFunc(asked, bySent)
+	for _, f := range asked {
+		look(f)
+	}
 	return vanished
 }
 
+// bySent compares flows by when their requests were sent, then by their ends.
+func bySent(a, b *flow) int {
+	return cmp.Or(a.sent.Compare(b.sent), a.key.Caller.Compare(b.key.Caller), a.key.Service.Compare(b.key.Service))
+}
+
 // count returns the number of flows in the table.
 func (t *flowTable) count() int {
 	n := 0
