emulator: processors, starts, a store that is away or slow, doubles, added targets

Change: VMs have a share of a core and a queue for it; a start takes its measured processor time, holds what comes before its table and reads page after page; news goes from the store over the first VM; links carry twice; targets are added empty, VMs restarted in turn, a data centre loses power, the store is away or slow. The bound of a loss of power counts what no copy in time could have saved.

--- a/emulator/caller.go
+++ b/emulator/caller.go
@@ -49,9 +49,12 @@
 	done        bool
 	// first is why the first try that failed did.
 	first Cause
-	// metOff is set if a segment of it reached a VM that was off.
-	metOff bool
-	now    *attempt
+	// metOff is set if a segment of it reached a VM that was off. openMet and
+	// dataMet are when a first segment and a request of it first reached one
+	// that could have served it, 0 if none has.
+	metOff           bool
+	openMet, dataMet time.Duration
+	now              *attempt
 }
 
 // attempt is one try of a request.
@@ -144,16 +147,46 @@
 	w := f.caller.world
 	w.after(w.deployment.Links.CallerMS.D(), func() {
 		v := w.fabric.pick(f.key, f.caller.entry)
-		if v == nil || !v.works(w.now) {
-			if f.attempt != nil {
-				f.attempt.request.metOff = true
-			}
-			return
+		if f.attempt != nil {
+			f.attempt.request.meet(w.now, v, a != nil)
+		}
+		if v != nil && v.works(w.now) {
+			v.receive(p)
 		}
-		v.receive(p)
 	})
 }
 
+// meet notes that a segment reached a VM, nil for none; data tells whether it
+// carries the request.
+func (r *request) meet(now time.Duration, v *vm, data bool) {
+	met := &r.openMet
+	if data {
+		met = &r.dataMet
+	}
+	r.metOff = r.metOff || v == nil || !v.works(now)
+	if v != nil && *met == 0 && v.able(now) {
+		*met = now
+	}
+}
+
+// best returns the worth that a request could have earned, given when its
+// segments met VMs that had power for long enough to serve.
+func (r *request) best() float64 {
+	if !r.metOff {
+		return r.class.Worth
+	}
+	links := &r.caller.world.deployment.Links
+	met, left := r.dataMet, links.CallerMS.D()
+	if met == 0 {
+		met, left = r.openMet, 3*links.CallerMS.D() // the request follows the answer to the first segment
+	}
+	if met == 0 {
+		return 0
+	}
+	took := met + left + time.Duration(r.work*float64(time.Millisecond)) - r.since
+	return r.class.earns(took)
+}
+
 func (f *flow) open() {
 	w := f.caller.world
 	first := baobabstep.Segment{Kind: baobabstep.KindOpen, Seq: f.seq}
--- a/emulator/deployment.go
+++ b/emulator/deployment.go
@@ -30,12 +30,32 @@
 type DataCentre struct {
 	Name string `json:"name"`
 	VMs  int    `json:"vms"`
+	// Processors say what VMs have of a core, the first ones first; the rest
+	// have a whole one.
+	Processors []Processors `json:"processors,omitempty"`
 	// Callers are the addresses that callers have, PerSecond the requests of
 	// all of them in a second.
 	Callers   int     `json:"callers"`
 	PerSecond float64 `json:"per_second"`
 }
 
+// Processors are some VMs with the same share of a core.
+type Processors struct {
+	VMs   int     `json:"vms"`
+	Share float64 `json:"share"`
+}
+
+// share returns what the VM with a number, from 0 on, has of a core.
+func (d *DataCentre) share(number int) float64 {
+	for _, p := range d.Processors {
+		if number < p.VMs {
+			return p.Share
+		}
+		number -= p.VMs
+	}
+	return 1
+}
+
 // Service is the targets of one service.
 type Service struct {
 	Name string `json:"name"`
@@ -81,6 +101,18 @@
 	Priority int `json:"priority"`
 }
 
+// earns returns the worth of an answer that took a time.
+func (c *Class) earns(took time.Duration) float64 {
+	switch {
+	case took <= c.AimMS.D():
+		return c.Worth
+	case took <= c.LimitMS.D():
+		return c.LateWorth
+	default:
+		return 0
+	}
+}
+
 // Links are the times of one way.
 type Links struct {
 	NearMS   Duration `json:"near_ms"`
@@ -105,6 +137,11 @@
 		if dc.Name == "" || dc.VMs < 0 || dc.VMs > maxVMs || dc.Callers < 1 || dc.PerSecond < 0 {
 			return fail("data centre %q: got %d VMs, %d callers, %v requests a second", dc.Name, dc.VMs, dc.Callers, dc.PerSecond)
 		}
+		for _, p := range dc.Processors {
+			if p.VMs < 1 || p.Share <= 0 || p.Share > 1 {
+				return fail("data centre %q: got %d VMs with %v of a core, want one or more with up to 1", dc.Name, p.VMs, p.Share)
+			}
+		}
 	}
 	for _, s := range d.Services {
 		if s.Name == "" || s.Slots < 1 || s.Queue < 0 || len(s.Targets) != len(d.DataCentres) || slices.Min(s.Targets) < 0 {
--- a/emulator/doc.go
+++ b/emulator/doc.go
@@ -18,11 +18,13 @@
 //
 // # What it leaves out
 //
-// VMs have no processor and no memory: a decision takes decisionTime. The
-// platform's store has no faults; VMs hear of routes and registrations after
-// newsDelay. A request or an answer is one segment, however long, but is
-// acknowledged like the packets that it stands for. Links have delay and loss,
-// no bandwidth. docs/design/emulator.md compares it with what was measured.
+// VMs have no memory limit; their processor takes what processor.go says, whatever
+// the code costs. The platform's store has no rates; a VM that starts without it
+// learns nothing, and one that runs hears of changes as store.go says, not by the
+// messages of package entry. Routes never change. A request or an answer is one
+// segment, however long, but costs and is acknowledged like the packets that it
+// stands for. Links have delay, loss and doubles, no bandwidth.
+// docs/design/emulator.md compares it with what was measured.
 //
 // # What must hold
 //
--- a/emulator/kind_string.go
+++ b/emulator/kind_string.go
@@ -24,12 +24,18 @@
 	_ = x[KindVMSlow-13]
 	_ = x[KindCut-14]
 	_ = x[KindLoss-15]
-	_ = x[numKinds-16]
+	_ = x[KindDouble-16]
+	_ = x[KindTargetAdd-17]
+	_ = x[KindVMRoll-18]
+	_ = x[KindDataCentreOff-19]
+	_ = x[KindStoreAway-20]
+	_ = x[KindStoreSlow-21]
+	_ = x[numKinds-22]
 }
 
-const _Kind_name = "nonetarget_errortarget_hangtarget_resettarget_shedtarget_slowtarget_flaptarget_crashtarget_replaceburstshiftvm_offvm_freezevm_slowcutlossnumKinds"
+const _Kind_name = "nonetarget_errortarget_hangtarget_resettarget_shedtarget_slowtarget_flaptarget_crashtarget_replaceburstshiftvm_offvm_freezevm_slowcutlossdoubletarget_addvm_rolldata_centre_offstore_awaystore_slownumKinds"
 
-var _Kind_index = [...]uint8{0, 4, 16, 27, 39, 50, 61, 72, 84, 98, 103, 108, 114, 123, 130, 133, 137, 145}
+var _Kind_index = [...]uint8{0, 4, 16, 27, 39, 50, 61, 72, 84, 98, 103, 108, 114, 123, 130, 133, 137, 143, 153, 160, 175, 185, 195, 203}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/emulator/link.go
+++ b/emulator/link.go
@@ -2,14 +2,15 @@
 
 import "time"
 
-// links carry packets between places, with delay, loss and cuts.
+// links carry packets between places, with delay, loss, doubles and cuts.
 type links struct {
 	world *World
 	o     Links
-	// cut are the data centres whose links to others carry nothing, loss the
-	// share of packets that a data centre's links to others lose.
-	cut  map[int]bool
-	loss map[int]float64
+	// cut are the data centres whose links to others carry nothing; loss and
+	// double are the shares of packets that a data centre's links to others
+	// lose and carry twice.
+	cut          map[int]bool
+	loss, double map[int]float64
 }
 
 // between returns how long a packet between two data centres takes; false if it
@@ -21,12 +22,32 @@
 	if l.cut[from] || l.cut[to] {
 		return 0, false
 	}
-	if lost := max(l.loss[from], l.loss[to]); lost > 0 && l.world.luck.Float64() < lost {
+	if l.draw(l.loss, from, to) {
 		return 0, false
 	}
 	return l.o.FarMS.D(), true
 }
 
+// draw tells whether chance strikes a packet between two data centres.
+func (l *links) draw(shares map[int]float64, from, to int) bool {
+	share := max(shares[from], shares[to])
+	return share > 0 && l.world.luck.Float64() < share
+}
+
+// carry does what the arrival of a packet does: once, twice, or not at all. It
+// returns false if the packet is lost. before is the time until it is sent.
+func (l *links) carry(from, to int, before time.Duration, do func()) bool {
+	delay, ok := l.between(from, to)
+	if !ok {
+		return false
+	}
+	l.world.after(before+delay, do)
+	if from != to && l.draw(l.double, from, to) {
+		l.world.after(before+2*delay, do)
+	}
+	return true
+}
+
 // toCaller returns how long a packet from a data centre to a caller at another
 // takes; false if it is lost.
 func (l *links) toCaller(from, caller int) (time.Duration, bool) {
--- a/emulator/result.go
+++ b/emulator/result.go
@@ -31,6 +31,8 @@
 	Unevenness float64 `json:"unevenness"`
 	// ControlBytes is what each VM sent to others in a second, in bytes.
 	ControlBytes float64 `json:"control_bytes"`
+	// Processor is the mean use of VMs, in cores.
+	Processor float64 `json:"processor"`
 
 	world        *World
 	controlBytes int
@@ -69,6 +71,9 @@
 	Lost [numCauses]float64 `json:"-"`
 
 	earned, wanted float64
+	// power is the worth lost that requests could not have earned because of
+	// VMs without power.
+	power float64
 	// work is the time in slots asked of each service, able what its slots
 	// could do, both in seconds.
 	work, able map[*Service]float64
@@ -131,6 +136,7 @@
 		earned = req.class.LateWorth
 		c.Late++
 		w.Lost[req.whyLate()] += req.class.Worth - earned
+		w.losePower(req, earned)
 	} else {
 		c.InAim++
 	}
@@ -143,6 +149,12 @@
 	w := r.window(req)
 	r.classOf[req.class].Failed++
 	w.Lost[why] += req.class.Worth
+	w.losePower(req, 0)
+}
+
+// losePower counts what of a request's loss no decision could have saved.
+func (w *WindowResult) losePower(req *request, earned float64) {
+	w.power += req.class.Worth - max(earned, req.best())
 }
 
 // whyLate says why a request that was answered was late.
@@ -191,6 +203,9 @@
 	r.Unevenness = r.world.unevenness()
 	seconds := (r.world.length() + lead).Seconds()
 	r.ControlBytes = float64(r.controlBytes) / seconds / float64(max(1, len(r.world.vms)))
+	for _, v := range r.world.vms {
+		r.Processor += v.processor.used.Seconds() / seconds / float64(len(r.world.vms))
+	}
 }
 
 // unavoidable returns the worth lost in a window that no decision could have
@@ -198,7 +213,7 @@
 // slots, as far as that much was lost to full targets at all.
 func (w *WindowResult) unavoidable() float64 {
 	full := w.Lost[CauseShed] + w.Lost[CauseWait] + w.Lost[CauseRefused] + w.Lost[CauseSlow] + w.Lost[CauseSilent]
-	return w.Lost[CauseVMOff] + min(full, w.tooMuch())
+	return w.power + min(full, w.tooMuch())
 }
 
 // noteCapacity notes what the slots of each service can do in the window that
--- a/emulator/trouble.go
+++ b/emulator/trouble.go
@@ -51,6 +51,20 @@
 	KindCut // cut
 	// KindLoss: links of a data centre to the others lose the part X.
 	KindLoss // loss
+	// KindDouble: they carry the part X twice.
+	KindDouble // double
+	// KindTargetAdd: a service gets a share more targets, cold and empty, over
+	// GapMS.
+	KindTargetAdd // target_add
+	// KindVMRoll: a share of the VMs is stopped as planned and started again,
+	// X at a time, each GapMS.
+	KindVMRoll // vm_roll
+	// KindDataCentreOff: all VMs of a data centre lose power for ForMS.
+	KindDataCentreOff // data_centre_off
+	// KindStoreAway: the store does not answer.
+	KindStoreAway // store_away
+	// KindStoreSlow: its answers take X times as long.
+	KindStoreSlow // store_slow
 	numKinds
 )
 
@@ -132,9 +146,74 @@
 	case KindLoss:
 		w.links.loss[site] = t.X
 		end(func() { delete(w.links.loss, site) })
+	case KindDouble:
+		w.links.double[site] = t.X
+		end(func() { delete(w.links.double, site) })
+	case KindTargetAdd:
+		w.addTargets(t, draw)
+	case KindVMRoll:
+		w.roll(t, draw)
+	case KindDataCentreOff:
+		for _, v := range w.sites[site].vms {
+			w.powerOff(v, t.ForMS.D())
+		}
+	case KindStoreAway:
+		w.store.awayUntil = w.now + t.ForMS.D()
+	case KindStoreSlow:
+		w.store.slow = max(1, t.X)
+		end(func() { w.store.slow = 1 })
+	}
+}
+
+// addTargets starts new targets of a service, in each data centre in turn.
+func (w *World) addTargets(t Trouble, draw *rand.Rand) {
+	service := &w.deployment.Services[place(t.Service, len(w.deployment.Services), draw)]
+	present := 0
+	for _, x := range w.order {
+		if x.service == service && x.up {
+			present++
+		}
+	}
+	count := part(t.Share, present)
+	for i := range count {
+		w.after(t.GapMS.D()*time.Duration(i)/time.Duration(count), func() {
+			x := w.addTarget(service, i%len(w.sites))
+			x.start(true)
+			w.store.tell([]baobabstep.Registration{x.registration()}, nil)
+		})
 	}
 }
 
+const (
+	// leaveTime is how long a VM that stops as planned goes on forwarding: two
+	// readiness checks and what comes after them.
+	leaveTime = 1200 * time.Millisecond
+	// restartTime is how long after its end a process is started again.
+	restartTime = 100 * time.Millisecond
+)
+
+// roll restarts a share of the VMs, some at a time.
+func (w *World) roll(t Trouble, draw *rand.Rand) {
+	at := max(1, int(t.X))
+	for i, v := range w.someVMs(t.Share, draw) {
+		w.after(time.Duration(i/at)*t.GapMS.D(), func() {
+			v.leaving = true
+			w.after(leaveTime, func() { w.powerOff(v, restartTime) })
+		})
+	}
+}
+
+// powerOff stops a VM at once and starts it again.
+func (w *World) powerOff(v *vm, down time.Duration) {
+	v.stop()
+	run := v.run
+	w.after(down, func() {
+		if v.run == run {
+			v.start()
+		}
+	})
+}
+
 func place(at, length int, draw *rand.Rand) int {
 	drawn := draw.IntN(length)
 	if at < 0 || at >= length {
@@ -182,12 +261,12 @@
 	run := x.life
 	w.after(registrationLapse, func() {
 		if x.life == run && !x.up {
-			w.tell(nil, []baobabstep.TargetID{x.id})
+			w.store.tell(nil, []baobabstep.TargetID{x.id})
 		}
 	})
 	w.after(down, func() {
 		x.start(true)
-		w.tell([]baobabstep.Registration{x.registration()}, nil)
+		w.store.tell([]baobabstep.Registration{x.registration()}, nil)
 	})
 }
 
@@ -201,10 +280,10 @@
 	x := w.addTarget(old.service, old.site)
 	x.start(true)
 	old.draining = true
-	w.tell([]baobabstep.Registration{x.registration(), old.registration()}, nil)
+	w.store.tell([]baobabstep.Registration{x.registration(), old.registration()}, nil)
 	w.after(drainTime, func() {
 		old.crash(false)
-		w.tell(nil, []baobabstep.TargetID{old.id})
+		w.store.tell(nil, []baobabstep.TargetID{old.id})
 	})
 }
 
@@ -221,8 +300,7 @@
 func (w *World) troubleVM(v *vm, t Trouble) {
 	switch t.Kind {
 	case KindVMOff:
-		v.stop()
-		w.after(t.ForMS.D(), v.start)
+		w.powerOff(v, t.ForMS.D())
 	case KindVMFreeze:
 		v.frozenUntil = w.now + t.ForMS.D()
 	default:
--- a/emulator/vm.go
+++ b/emulator/vm.go
@@ -12,16 +12,13 @@
 )
 
 const (
-	// decisionTime is what a VM takes for one segment.
-	decisionTime = 20 * time.Microsecond
 	// tickInterval is that of a VM, and troubleInterval the least time between
 	// two heartbeats about targets in trouble, as in package entry.
 	tickInterval    = 100 * time.Millisecond
 	troubleInterval = 20 * time.Millisecond
-	// newsDelay is what a change of registrations takes to reach a VM.
-	newsDelay = 30 * time.Millisecond
-	// startDelay is what a VM takes from its start to its first decision.
-	startDelay = 150 * time.Millisecond
+	// holdTime is how long a VM that has started keeps segments for its first
+	// routing table, as in package entry.
+	holdTime = 150 * time.Millisecond
 )
 
 // vm is one VM. Each start makes a new router and a new board.
@@ -38,10 +35,20 @@
 	// run counts starts; what was to come in an earlier run does not.
 	run int
 
-	up          bool
+	// up is set while the VM has power, listening once its process has opened
+	// its sockets, leaving once it is to stop.
+	up, listening, leaving bool
+	// poweredAt is when it got power.
+	poweredAt   time.Duration
 	frozenUntil time.Duration
-	slow        float64
-	toldAt      time.Duration
+	processor   processor
+	// slow is by how much longer its work takes.
+	slow   float64
+	toldAt time.Duration
+	// held are the segments that wait for the first routing table, until
+	// holdUntil.
+	held      []*packet
+	holdUntil time.Duration
 
 	// rotated and misses are the fabric's view.
 	rotated bool
@@ -52,7 +59,8 @@
 	name := fmt.Sprintf("vm-%s-%d", w.deployment.DataCentres[site].Name, number)
 	return &vm{
 		world: w, site: site, number: number, name: name, salt: mix(uint64(baobabstep.MakeVMID(name))), slow: 1,
-		at: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(site + 1), byte(200 + number>>8), byte(number)}), 7000),
+		at:        netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(site + 1), byte(200 + number>>8), byte(number)}), 7000),
+		processor: processor{share: w.deployment.DataCentres[site].share(number - 1)},
 	}
 }
 
@@ -60,7 +68,9 @@
 func (v *vm) start() {
 	v.run++
 	w, run := v.world, v.run
-	v.up, v.frozenUntil = true, w.now
+	v.up, v.listening, v.leaving, v.held = true, false, false, nil
+	v.poweredAt, v.frozenUntil = w.now, w.now
+	v.processor.restart(w.now)
 	seed := mix(w.seed ^ v.salt ^ uint64(run))
 	v.router = token.New(w.options(token.Options{
 		DataCentre: w.deployment.DataCentres[v.site].Name, Rand: rand.New(rand.NewPCG(seed, 1)),
@@ -69,42 +79,92 @@
 		Self: baobabstep.MakeVMID(v.name), DataCentre: w.deployment.DataCentres[v.site].Name, Address: v.at,
 		Life: uint64(w.time().UnixMilli()), Seeds: w.seeds(), Rand: rand.New(rand.NewPCG(seed, 2)),
 	})
-	w.after(startDelay, func() {
-		if v.run == run {
-			v.router.SetTable(w.time(), w.table())
-			v.router.SetRegistrations(w.time(), w.registrations())
-		}
-	})
+	v.later(v.work(startWork), v.listen)
 	w.after(time.Duration(w.luck.Int64N(int64(tickInterval))), func() { v.tick(run) })
 }
 
+// listen opens the sockets and asks the store.
+func (v *vm) listen() {
+	v.listening = true
+	v.holdUntil = v.world.now + holdTime
+	v.later(holdTime, v.release)
+	v.work(openWork)
+	v.world.store.read(v)
+}
+
+// know takes in routes and registrations.
+func (v *vm) know() {
+	w := v.world
+	v.router.SetTable(w.time(), w.table())
+	v.router.SetRegistrations(w.time(), w.registrations())
+	v.release()
+}
+
+// release decides about the segments that were held.
+func (v *vm) release() {
+	held := v.held
+	v.held, v.holdUntil = nil, 0
+	for _, p := range held {
+		v.receive(p)
+	}
+}
+
 // stop ends a run at once.
 func (v *vm) stop() {
 	v.up = false
 	v.run++
 }
 
+// later does something in this run of the VM.
+func (v *vm) later(d time.Duration, do func()) {
+	run := v.run
+	v.world.after(d, func() {
+		if v.run == run {
+			do()
+		}
+	})
+}
+
+// work returns how long from now on work that comes now takes.
+func (v *vm) work(work time.Duration) time.Duration {
+	return v.processor.do(v.world.now, time.Duration(float64(work)*v.slow))
+}
+
 // works tells whether the VM takes in packets.
-func (v *vm) works(now time.Duration) bool { return v.up && now >= v.frozenUntil }
+func (v *vm) works(now time.Duration) bool {
+	return v.up && v.listening && now >= v.frozenUntil
+}
 
-func (v *vm) answersChecks(now time.Duration) bool { return v.works(now) && v.router.Ready() }
+// able tells whether a VM with power could serve by now, however little it needs
+// for that.
+func (v *vm) able(now time.Duration) bool {
+	return v.up && now >= v.frozenUntil && now >= v.poweredAt+v.processor.stretch(emptyWork)
+}
+
+func (v *vm) answersChecks(now time.Duration) bool {
+	return v.works(now) && v.router.Ready() && !v.leaving
+}
 
 func (v *vm) tick(run int) {
 	if v.run != run {
 		return
 	}
 	if v.works(v.world.now) {
-		now := v.world.time()
-		v.router.Tick(now)
-		if v.board.Due(now) {
-			v.sendAll(v.board.Tick(now, v.own(now)))
-		}
-		v.takeOthers(now)
-		v.tellTrouble(now)
+		v.later(v.work(tickWork), v.tickNow)
 	}
 	v.world.after(tickInterval, func() { v.tick(run) })
 }
 
+func (v *vm) tickNow() {
+	now := v.world.time()
+	v.router.Tick(now)
+	if v.board.Due(now) {
+		v.sendAll(v.board.Tick(now, v.own(now)))
+	}
+	v.takeOthers(now)
+	v.tellTrouble(now)
+}
+
 func (v *vm) own(now time.Time) heartbeat.Own {
 	return heartbeat.Own{Loads: v.router.Loads(now)}
 }
@@ -126,11 +186,16 @@
 	}
 }
 
-// receive decides about a segment.
+// receive decides about a segment, which takes as long as the packets that it
+// stands for.
 func (v *vm) receive(p *packet) {
-	run := v.run
-	v.world.after(time.Duration(float64(decisionTime)*v.slow), func() {
-		if v.run != run || !v.works(v.world.now) {
+	if v.world.now < v.holdUntil && !v.router.Ready() {
+		v.held = append(v.held, p)
+		return
+	}
+	packets := 1 + max(0, int(p.segment.Size)-1)/packetBytes
+	v.later(v.work(time.Duration(packets)*segmentWork), func() {
+		if !v.works(v.world.now) {
 			return
 		}
 		now := v.world.time()
@@ -159,13 +224,9 @@
 	if t == nil {
 		return
 	}
-	delay, ok := w.links.between(v.site, t.site)
-	if !ok {
-		return
-	}
 	on := &packet{segment: p.segment, flow: p.flow, attempt: p.attempt}
 	on.segment.Token = f.Token
-	w.after(delay, func() { t.receive(on) })
+	w.links.carry(v.site, t.site, 0, func() { t.receive(on) })
 }
 
 // sendAll sends messages to other VMs.
@@ -186,9 +247,8 @@
 			continue
 		}
 		w.result.controlBytes += size
-		if delay, ok := w.links.between(v.site, to.site); ok {
-			w.after(delay, func() { to.hear(v.at, o.Message.Heartbeat) })
-		}
+		v.work(sendWork)
+		w.links.carry(v.site, to.site, 0, func() { to.hear(v.at, o.Message.Heartbeat) })
 	}
 }
 
@@ -197,8 +257,20 @@
 	if !v.works(v.world.now) || h == nil {
 		return
 	}
-	now := v.world.time()
-	if v.board.Handle(now, from, h) && h.IsUrgent() && h.DataCentre == v.world.deployment.DataCentres[v.site].Name {
-		v.takeOthers(now)
+	v.later(v.work(hearWork), func() {
+		now := v.world.time()
+		if v.board.Handle(now, from, h) && h.IsUrgent() && h.DataCentre == v.world.deployment.DataCentres[v.site].Name {
+			v.takeOthers(now)
+		}
+	})
+}
+
+// learn takes in changes of registrations.
+func (v *vm) learn(put []baobabstep.Registration, gone []baobabstep.TargetID) {
+	if !v.up || !v.router.Ready() {
+		return // it reads them at its start
 	}
+	v.later(v.work(hearWork+time.Duration(len(put)+len(gone))*registrationWork), func() {
+		v.router.ChangeRegistrations(v.world.time(), put, gone)
+	})
 }
--- a/emulator/world.go
+++ b/emulator/world.go
@@ -42,6 +42,7 @@
 	now        time.Duration
 	queue      queue
 	links      links
+	store      store
 	fabric     fabric
 	sites      []site
 	vms        []*vm
@@ -82,7 +83,8 @@
 		luck: rand.New(rand.NewPCG(o.Seed, streamLuck)),
 	}
 	w.result = newResult(w)
-	w.links = links{world: w, o: d.Links, cut: make(map[int]bool), loss: make(map[int]float64)}
+	w.links = links{world: w, o: d.Links, cut: make(map[int]bool), loss: make(map[int]float64), double: make(map[int]float64)}
+	w.store = store{world: w, slow: 1, awayUntil: -lead, watchAt: -lead}
 	w.fabric.world = w
 	for i := range d.Classes {
 		w.addresses[&d.Classes[i]] = netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, 0, byte(i + 1)}), servicePort)
@@ -130,7 +132,7 @@
 	w.now = -lead
 	for _, v := range w.vms {
 		w.after(time.Duration(w.luck.Int64N(int64(startSpread))), v.start)
-		w.after(startSpread+startDelay, func() { w.fabric.check(v) })
+		w.after(startSpread, func() { w.fabric.check(v) })
 	}
 	draw := rand.New(rand.NewPCG(w.seed, streamTroubles))
 	for _, t := range w.o.Troubles {
@@ -258,14 +260,3 @@
 	}
 	return list
 }
-
-// tell spreads changes of registrations.
-func (w *World) tell(put []baobabstep.Registration, gone []baobabstep.TargetID) {
-	w.after(newsDelay, func() {
-		for _, v := range w.vms {
-			if v.up && v.router.Ready() {
-				v.router.ChangeRegistrations(w.time(), put, gone)
-			}
-		}
-	})
-}
--- a/emulator/world_test.go
+++ b/emulator/world_test.go
@@ -140,6 +140,8 @@
 
 func BenchmarkLargeDay(b *testing.B) { benchmarkDay(b, "large") }
 
+func BenchmarkHundredsDay(b *testing.B) { benchmarkDay(b, "hundreds") }
+
 func benchmarkDay(b *testing.B, name string) {
 	d := load(b, name)
 	for seed := uint64(1); b.Loop(); seed++ {
--- a/experiment/report.go
+++ b/experiment/report.go
@@ -34,6 +34,7 @@
 	Bound        float64 `json:"bound"`
 	Unevenness   float64 `json:"unevenness"`
 	ControlBytes float64 `json:"control_bytes"`
+	Processor    float64 `json:"processor"`
 	// Shed and Errors are tries of such ends for each request.
 	Shed   float64 `json:"shed"`
 	Errors float64 `json:"errors"`
@@ -86,6 +87,7 @@
 	a.Bound = mean(func(d *emulator.Result) float64 { return d.Bound })
 	a.Unevenness = mean(func(d *emulator.Result) float64 { return d.Unevenness })
 	a.ControlBytes = mean(func(d *emulator.Result) float64 { return d.ControlBytes })
+	a.Processor = mean(func(d *emulator.Result) float64 { return d.Processor })
 	a.Shed = mean(func(d *emulator.Result) float64 { return float64(d.Tries.Shed) / float64(max(1, d.Asked())) })
 	a.Errors = mean(func(d *emulator.Result) float64 { return float64(d.Tries.Errors) / float64(max(1, d.Asked())) })
 	a.Lost = make(map[string]float64)
@@ -126,15 +128,15 @@
 func (r *Report) WriteTable(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintf(t, "%s, %d days\n", r.Name, r.Seeds)
-	fmt.Fprintln(t, "arm\tworth\tdifference\tbound\tworst 2 s\tworst class\tshed/request\terrors/request\tunevenness\tcontrol B/s")
+	fmt.Fprintln(t, "arm\tworth\tdifference\tbound\tworst 2 s\tworst class\tshed/request\terrors/request\tunevenness\tcontrol B/s\tcore of a VM")
 	for i := range r.Arms {
 		a := &r.Arms[i]
 		difference := ""
 		if i > 0 {
 			difference = fmt.Sprintf("%+.4f ± %.4f", a.Difference, a.Interval)
 		}
-		fmt.Fprintf(t, "%s\t%.4f\t%s\t%.4f\t%.3f\t%.3f\t%.4f\t%.4f\t%.3f\t%.0f\n",
-			a.Name, a.Worth, difference, a.Bound, a.WorstWindow, a.WorstClass, a.Shed, a.Errors, a.Unevenness, a.ControlBytes)
+		fmt.Fprintf(t, "%s\t%.4f\t%s\t%.4f\t%.3f\t%.3f\t%.4f\t%.4f\t%.3f\t%.0f\t%.4f\n",
+			a.Name, a.Worth, difference, a.Bound, a.WorstWindow, a.WorstClass, a.Shed, a.Errors, a.Unevenness, a.ControlBytes, a.Processor)
 	}
 	fmt.Fprintln(t, "\narm\tclass\tworth\tp50 ms\tp99 ms")
 	for i := range r.Arms {
