--- a/entry/help_test.go
+++ b/entry/help_test.go
@@ -76,6 +76,29 @@
 	fabric *standin.Fabric
 	caller *standin.Caller
 	vms    []*runningVM
+	// runs counts how often each request ran, by its number.
+	runs runs
+}
+
+// runs counts runs of requests.
+type runs struct {
+	mu    sync.Mutex
+	count map[uint64]int
+}
+
+func (r *runs) add(request uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.count == nil {
+		r.count = make(map[uint64]int)
+	}
+	r.count[request]++
+}
+
+func (r *runs) of(request uint64) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.count[request]
 }
 
 type runningVM struct {
@@ -169,7 +192,7 @@
 	r := standin.Registration{ID: 0x1000 + uint64(n), Service: "fixtures", Address: f.at(2, n, targetPort), DataCentre: "a"}
 	t, err := standin.NewTarget(standin.TargetOptions{
 		ID: r.ID, Service: r.Service, Address: r.Address, CallerPort: dataPort, Work: time.Millisecond, Slots: 2,
-		Ran: func(uint64, uint64, netip.AddrPort) {},
+		Ran: func(_, request uint64, _ netip.AddrPort) { f.runs.add(request) },
 	})
 	qt.Assert(f.t, err, qt.IsNil)
 	f.t.Cleanup(t.Close)
--- a/entry/model_test.go
+++ b/entry/model_test.go
@@ -111,17 +111,20 @@
 
 // model is the whole; it is the clock and the network of all nodes.
 type model struct {
-	t       *rapid.T
-	now     time.Time
-	store   *modelStore
-	vms     []*modelVM
-	queue   []modelMessage
-	loss    float64
-	random  *rand.Rand
-	apart   map[[2]int]bool
-	tables  map[uint64]uint64
-	lives   uint64
-	settled time.Time
+	t     *rapid.T
+	now   time.Time
+	store *modelStore
+	vms   []*modelVM
+	queue []modelMessage
+	// loss, double and late are the parts of the messages that are lost, that
+	// come twice, and that come with the next step.
+	loss, double, late float64
+	delayed            []modelMessage
+	random             *rand.Rand
+	apart              map[[2]int]bool
+	tables             map[uint64]uint64
+	lives              uint64
+	settled            time.Time
 }
 
 // Now implements [baobabstep.Clock].
@@ -230,16 +233,32 @@
 		}
 		vm.node.beat(m.now)
 	}
+	for _, x := range m.delayed {
+		m.deliver(x)
+	}
+	m.delayed = nil
 	for rounds := 0; len(m.queue) > 0 && rounds < 20; rounds++ {
 		batch := m.queue
 		m.queue = nil
 		for _, x := range batch {
-			m.deliver(x)
+			m.send(x)
 		}
 	}
 	m.check()
 }
 
+// send lets a message arrive once, twice, or with the next step.
+func (m *model) send(x modelMessage) {
+	if m.random.Float64() < m.late {
+		m.delayed = append(m.delayed, x)
+		return
+	}
+	m.deliver(x)
+	if m.random.Float64() < m.double {
+		m.deliver(x)
+	}
+}
+
 func (m *model) deliver(x modelMessage) {
 	from, to := int(x.from.Addr().As4()[3])-1, int(x.to.Addr().As4()[3])-1
 	if to >= len(m.vms) || m.apart[[2]int{from, to}] || m.random.Float64() < m.loss {
@@ -327,7 +346,9 @@
 					}
 				}
 			},
-			"lose messages, or not": func(*rapid.T) { m.loss = 0.4 - m.loss },
+			"lose messages, or not":   func(*rapid.T) { m.loss = 0.4 - m.loss },
+			"double messages, or not": func(*rapid.T) { m.double = 0.4 - m.double },
+			"delay messages, or not":  func(*rapid.T) { m.late = 0.3 - m.late },
 			"": func(*rapid.T) {
 				for range stepsEach {
 					m.step()
