token, heartbeat: what one VM finds of a silent target, its data centre knows at once

Hypothesis: with 39 VMs a data centre each meets a target every seven seconds, and none finds out alone that it is dark: the word of others was the greatest of one VM's, came with the turn of heartbeats (up to 1 s) and counted little. Ruled out: sending whole heartbeats to four VMs at once, as before (600 bytes each, a tenth of the VMs); conviction without a first segment (an overload looks alike).

--- a/core/heartbeat/board.go
+++ b/core/heartbeat/board.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"baobabstep"
 )
 
@@ -70,9 +72,12 @@
 	last *Heartbeat
 	// heard is when last came; for a VM that was only heard of, when it was.
 	heard time.Time
-	// counted says that the tally holds the loads of last, urgent that they tell
-	// of silent targets.
-	counted, urgent bool
+	// counted says that the tally holds the loads of last.
+	counted bool
+	// reports are what it says of silent targets, the newest of last and of its
+	// alarms, and alarmed the number of the last of those.
+	reports map[baobabstep.TargetID]report
+	alarmed uint64
 }
 
 // Board keeps what this VM knows of the others. It is safe for concurrent use.
@@ -89,12 +94,16 @@
 	// the own data centre and of others gets one.
 	nearTurns, farTurns int
 	tally               tally
+	// alarms bounds the bytes of alarms.
+	alarms *rate.Limiter
 }
 
 // New returns a board that knows the seeds.
 func New(now time.Time, o Options) *Board {
 	o.setDefaults()
-	b := &Board{o: o, peers: make(map[netip.AddrPort]*peer), tally: make(tally)}
+	b := &Board{
+		o: o, peers: make(map[netip.AddrPort]*peer), tally: make(tally), alarms: rate.NewLimiter(alarmRate, alarmBurst),
+	}
 	b.meet(now, o.Seeds)
 	return b
 }
@@ -182,7 +191,13 @@
 		return false
 	}
 	b.count(p, false)
-	p.last, p.heard, p.urgent = h, now, h.IsUrgent()
+	if p.last == nil || h.Life != p.last.Life || h.Number > p.alarmed {
+		p.reports = makeReports(now, h.Loads)
+	}
+	if p.last != nil && h.Life != p.last.Life {
+		p.alarmed = 0
+	}
+	p.last, p.heard = h, now
 	b.count(p, true)
 	b.meet(now, h.Peers)
 	return true
--- a/core/heartbeat/load.go
+++ b/core/heartbeat/load.go
@@ -117,21 +117,13 @@
 	p.counted = counted
 }
 
-// IsUrgent tells whether the sender found targets silent, or contradicts others
-// who did: what callers lose to those grows with each moment.
-func (h *Heartbeat) IsUrgent() bool { return slices.ContainsFunc(h.Loads, Load.tellsSilence) }
-
 func (l Load) hasEvidence() bool { return l.tellsSilence() || l.AnswerTenths > 0 }
 
 func (l Load) tellsSilence() bool { return l.Unanswered > 0 || l.Opens > 0 || l.HeardMS > 0 }
 
-// witnessAt is the number of flows that a VM has to have found unanswered to be
-// a witness: with one, a lost datagram would make it one.
-const witnessAt = 2
-
 // Loads returns what the live VMs say of targets: the requests and answers of all,
-// the most flows that any VM of the own data centre found unanswered, and how many
-// such VMs are sure. What VMs elsewhere find silent may be their path to the target.
+// and what those of the own data centre say of silent ones. What VMs elsewhere find
+// silent may be their path to the target.
 func (b *Board) Loads(now time.Time) map[baobabstep.TargetID]baobabstep.TargetLoad {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -145,34 +137,25 @@
 		loads[id] = sum.load()
 	}
 	for _, p := range b.peers {
-		if p.counted && p.urgent && p.last.DataCentre == b.o.DataCentre {
-			p.addSilence(loads)
-		}
-	}
-	return loads
-}
-
-func (p *peer) addSilence(loads map[baobabstep.TargetID]baobabstep.TargetLoad) {
-	for _, l := range p.last.Loads {
-		if !l.tellsSilence() {
+		if !p.counted || p.last.DataCentre != b.o.DataCentre {
 			continue
 		}
-		sum := loads[l.Target]
-		sum.Unanswered = max(sum.Unanswered, int(l.Unanswered))
-		sum.Opens = max(sum.Opens, int(l.Opens))
-		if l.Unanswered >= witnessAt && l.Opens > 0 {
-			sum.Witnesses++
+		for id, r := range p.reports {
+			sum := loads[id]
+			r.addTo(&sum)
+			loads[id] = sum
 		}
-		if at := p.heard.Add(-time.Duration(l.HeardMS) * time.Millisecond); l.HeardMS > 0 && at.After(sum.HeardAt) {
-			sum.HeardAt = at
-		}
-		loads[l.Target] = sum
 	}
+	return loads
 }
 
 // maxHeard is the greatest HeardMS.
 const maxHeard = 1<<16 - 1
 
+// maxLeft is the greatest LeftMS that is told: what is older counts for nothing,
+// and would take a third byte.
+const maxLeft = 1<<14 - 1
+
 // maxCount is the greatest count of flows that a Load says.
 const maxCount = 255
 
@@ -187,11 +170,14 @@
 	for _, l := range own {
 		load := Load{
 			Target: l.Target, Tenths: uint32(l.Requests * tenths),
-			Unanswered: uint8(min(l.Unanswered, maxCount)), Opens: uint8(min(l.Opens, maxCount)),
+			Unanswered: toldCount(l.Unanswered), Opens: toldCount(l.Opens), Vanished: toldCount(l.Vanished),
 		}
 		if l.Disputed && !l.HeardAt.IsZero() {
 			load.HeardMS = uint16(min(max(1, now.Sub(l.HeardAt).Milliseconds()), maxHeard))
 		}
+		if load.Unanswered > 0 {
+			load.LeftMS = uint16(min(max(0, now.Sub(l.LeftAt).Milliseconds()), maxLeft))
+		}
 		if l.Answers > 0 {
 			load.AnswerTenths, load.FailedTenths = tenthsOf(l.Answers), tenthsOf(min(l.Failed, l.Answers))
 			load.TookMS = uint16(min(l.Took.Milliseconds(), math.MaxUint16))
@@ -212,6 +198,12 @@
 	return loads
 }
 
+// mostTold is the greatest count of flows that is told: more says no more, and
+// takes a second byte.
+const mostTold = 100
+
+func toldCount(flows int) uint8 { return uint8(min(flows, mostTold)) }
+
 // tenthsOf returns a count as it travels.
 func tenthsOf(count float64) uint16 { return uint16(min(count*tenths, math.MaxUint16)) }
 
@@ -268,15 +260,18 @@
 	return b
 }
 
+// evidenceValues is the number of values of the evidence.
+const evidenceValues = 9
+
 // evidence returns the values of the evidence in the order in which they travel.
-func (l Load) evidence() [7]uint16 {
-	return [7]uint16{uint16(l.Unanswered), uint16(l.Opens), l.HeardMS, l.AnswerTenths, l.FailedTenths, l.TookMS, l.Callers}
+func (l Load) evidence() [evidenceValues]uint16 {
+	return [...]uint16{uint16(l.Unanswered), uint16(l.Opens), l.HeardMS, l.AnswerTenths, l.FailedTenths, l.TookMS, l.Callers, l.LeftMS, uint16(l.Vanished)}
 }
 
 // setEvidence takes in values in that order.
-func (l *Load) setEvidence(v [7]uint16) {
-	l.Unanswered, l.Opens = uint8(min(v[0], maxCount)), uint8(min(v[1], maxCount))
-	l.HeardMS, l.AnswerTenths, l.FailedTenths, l.TookMS, l.Callers = v[2], v[3], v[4], v[5], v[6]
+func (l *Load) setEvidence(v [evidenceValues]uint16) {
+	l.Unanswered, l.Opens, l.Vanished = uint8(min(v[0], maxCount)), uint8(min(v[1], maxCount)), uint8(min(v[8], maxCount))
+	l.HeardMS, l.AnswerTenths, l.FailedTenths, l.TookMS, l.Callers, l.LeftMS = v[2], v[3], v[4], v[5], v[6], v[7]
 }
 
 // UnmarshalBinary implements [encoding.BinaryUnmarshaler]. Errors: CodeMalformed.
@@ -329,7 +324,7 @@
 // takeEvidence takes in the evidence in b. Values that later versions added
 // stand at the end and are passed over.
 func (l *Load) takeEvidence(b []byte) error {
-	var values [7]uint16
+	var values [evidenceValues]uint16
 	for i := range values {
 		if len(b) == 0 {
 			break
--- a/core/heartbeat/load_test.go
+++ b/core/heartbeat/load_test.go
@@ -19,6 +19,9 @@
 				Unanswered: rapid.Uint8().Draw(t, "unanswered"), Opens: rapid.Uint8().Draw(t, "opens"),
 				HeardMS: rapid.Uint16().Draw(t, "heard"), AnswerTenths: rapid.Uint16().Draw(t, "answers"),
 			})
+			if l := &want[len(want)-1]; l.Unanswered > 0 {
+				l.LeftMS, l.Vanished = rapid.Uint16().Draw(t, "left"), rapid.Uint8().Draw(t, "vanished")
+			}
 			if l := &want[len(want)-1]; l.AnswerTenths > 0 {
 				l.FailedTenths, l.TookMS = rapid.Uint16().Draw(t, "failed"), rapid.Uint16().Draw(t, "took")
 			}
--- a/core/heartbeat/message.go
+++ b/core/heartbeat/message.go
@@ -32,7 +32,7 @@
 // number and a zero that means "not said"; a number is never used again. The
 // version itself decides nothing. It tells a later message with a part that
 // this program does not know from a malformed one.
-const formatVersion = 1
+const formatVersion = 2
 
 // Message is one message between VMs. Exactly one of its parts is set.
 type Message struct {
@@ -42,6 +42,7 @@
 	Want      *Want      `cbor:"3,keyasint,omitempty"`
 	Piece     *Piece     `cbor:"4,keyasint,omitempty"`
 	Change    *Change    `cbor:"5,keyasint,omitempty"`
+	Alarm     *Alarm     `cbor:"6,keyasint,omitempty"`
 }
 
 // Heartbeat is what a VM says of itself.
@@ -122,6 +123,11 @@
 	TookMS                     uint16
 	// Callers is the set of callers that failed, as a set of package answer.
 	Callers uint16
+	// LeftMS is how long ago the last of the unanswered flows was found so.
+	LeftMS uint16
+	// Vanished is the number of flows in a row that the target seems to have
+	// refused.
+	Vanished uint8
 }
 
 // Loads are loads by target, in the order of their identifiers.
@@ -236,6 +242,12 @@
 			return false
 		}
 	}
+	if a := m.Alarm; a != nil {
+		parts++
+		if a.From == 0 || len(a.Loads) > maxAlarmed {
+			return false
+		}
+	}
 	return parts == 1 && m.Version > 0
 }
 
--- a/core/token/follow.go
+++ b/core/token/follow.go
@@ -12,8 +12,8 @@
 //
 // A target that answers after all would leave the caller with a flow at one
 // target and the token of the other. So a flow moves only away from a target
-// that other flows find silent as well: an answer comes within milliseconds,
-// and the copy 200 ms later.
+// that other flows find silent as well, or did before and nobody has heard of it
+// since: an answer comes within milliseconds, and the copy 200 ms later.
 func (r *Router) moves(now time.Time, s *snapshot, f *flow) bool {
 	if now.Sub(f.sent) < copyAfter {
 		return false
@@ -23,14 +23,18 @@
 		r.left(now, f, openRepeated)
 	}
 	present := s.targets[f.target.id]
-	return !f.target.sameRun(present) || !present.choosable(now) || f.target.load.suspect(now)
+	return !f.target.sameRun(present) || !present.choosable(now) || f.target.load.suspect(now) || f.target.load.distrusted()
 }
 
 // answered notes that a target was heard of.
 func (r *Router) answered(now time.Time, t *target) {
-	if t.load.answered(now) {
+	again, disputed := t.load.answered(now)
+	if again {
 		r.record(now, EventHeard, r.current.Load(), nil, t, nil)
 	}
+	if disputed {
+		r.troubles.add(t.id)
+	}
 }
 
 // left counts a flow against its target. A target that was heard of since the
@@ -45,16 +49,10 @@
 	}
 	t.load.left(now, how)
 	r.record(now, EventSilent, r.current.Load(), nil, t, nil)
-	select {
-	case r.troubled <- struct{}{}:
-	default:
-	}
+	r.avoid(now, t)
+	r.troubles.add(t.id)
 }
 
-// Troubled yields a value when a target left a flow unanswered: the other VMs of
-// the data centre should hear of it at once.
-func (r *Router) Troubled() <-chan struct{} { return r.troubled }
-
 // hearingFor is how long ago another target of the service may have been heard
 // of for this VM to trust that it hears at all.
 const hearingFor = 500 * time.Millisecond
--- a/core/token/health.go
+++ b/core/token/health.go
@@ -1,6 +1,10 @@
 package token
 
-import "time"
+import (
+	"time"
+
+	"baobabstep"
+)
 
 const (
 	// copyAfter is the least time between a first segment and a copy of it, or
@@ -16,9 +20,17 @@
 	// segment 2; without any of those a target is never dark. It accepts a
 	// flow at once however much it has to do, while an answer may take long.
 	darkAt = 4
-	// enoughWitnesses is the number of other VMs that have to be sure that a
-	// target is silent for one own request to be enough.
-	enoughWitnesses = 2
+	// mostOfOneVM is the most that the flows of one other VM count, and as many
+	// its first segments: its own link may be full or broken, behind which every
+	// target seems silent.
+	mostOfOneVM = 2
+	// enoughVMs is the number of other VMs that have to find a target silent for
+	// one own request to be enough, and sureVMs that for none. Three VMs, each with
+	// its own callers and its own link, of which one had a first segment left
+	// unanswered and none has heard of the target since, are not one broken link.
+	// While links between data centres lose one packet in twenty, three such in a
+	// row at a target that lives come once in some hundred seconds.
+	enoughVMs, sureVMs = 2, 3
 	// freshFor is how long what was found of a target counts against its open
 	// flows, and is told to other VMs. A VM may have nothing for a target for
 	// minutes; what it found before must not end a flow that was opened over
@@ -52,12 +64,8 @@
 	// unanswered counts flows in a row, opens and vanished those among them
 	// of openRepeated and openVanished.
 	unanswered, opens, vanished int
-	// others and othersOpens are the greatest such numbers that another VM of
-	// the data centre says.
-	others, othersOpens int
-	// witnesses is the number of VMs of the data centre that are sure of it on
-	// their own.
-	witnesses int
+	// reports are what other VMs of the data centre say that found it silent.
+	reports []baobabstep.Silence
 	// othersHeardAt is when such a VM last heard of the target, by its word.
 	othersHeardAt time.Time
 	// heardAt is when the target was last heard of, leftAt when it last left a
@@ -69,14 +77,20 @@
 	// the trial after that.
 	trialAt time.Time
 	pause   time.Duration
+	avoidance
+}
+
+// setSilence sets what other VMs say.
+func (h *health) setSilence(said baobabstep.TargetLoad) {
+	h.reports, h.othersHeardAt = said.Silence, said.HeardAt
+	if h.othersHeardAt.After(h.since) {
+		h.avoidUntil = time.Time{}
+	}
 }
 
 // answered notes that a target was heard of.
 func (h *health) answered(now time.Time) {
-	*h = health{
-		heardAt: now, others: h.others, othersOpens: h.othersOpens,
-		witnesses: h.witnesses, othersHeardAt: h.othersHeardAt, knownSince: h.knownSince,
-	}
+	*h = health{heardAt: now, reports: h.reports, othersHeardAt: h.othersHeardAt, knownSince: h.knownSince, avoidance: h.heard()}
 }
 
 // left notes a flow that the target left unanswered.
@@ -100,14 +114,20 @@
 }
 
 // doubtful tells whether the next new flow should go to the target: requests
-// are unanswered, and whether it accepts flows is not known yet. A dark target
-// is so found out in 200 ms, and its flows can be ended.
+// are unanswered, and whether it accepts flows is not known yet. A dark target is
+// so found out in 200 ms, and its flows can be ended. Each VM sends one; the word of
+// the first of them that is left without an answer stops the others.
 func (h *health) doubtful(now time.Time) bool {
-	return h.unanswered >= suspectAt && h.opens+h.vanished == 0 && !now.Before(h.trialAt) && h.othersOpens == 0
+	if h.opens+h.vanished > 0 || now.Before(h.trialAt) {
+		return false
+	}
+	others := h.others(now)
+	return h.unanswered+others.unanswered >= suspectAt && others.opens+others.vanished == 0
 }
 
-// freshAnswer is how long ago a target may have been heard of for the word of
-// other VMs against it to be ignored: their callers' copies are 200 ms old.
+// freshAnswer is how old a segment is at least when its sender is taken to have had
+// no answer: callers send copies after 200 ms. A target that anybody heard of since
+// has answered others meanwhile.
 const freshAnswer = 200 * time.Millisecond
 
 // newRun is how long the word of other VMs against a target that has just
@@ -116,54 +136,86 @@
 // heartbeat and the way of the news, 0.8 s where 29 VMs take turns.
 const newRun = time.Second
 
-// believed returns what other VMs of the data centre say of the target, as far
-// as this one has not heard of it since.
-func (h *health) believed(now time.Time) (unanswered, opens int) {
-	if now.Sub(h.heardAt) < freshAnswer || now.Sub(h.knownSince) < newRun {
-		return 0, 0
+// word is what other VMs of the data centre say of a target together.
+type word struct {
+	// vms is the number of those that found it silent, unanswered and opens are
+	// the flows of all of them, and first segments among these; vanished are those
+	// that it seems to have refused.
+	vms, unanswered, opens, vanished int
+}
+
+// others returns what other VMs say of the target, as far as nobody has heard of
+// it since.
+func (h *health) others(now time.Time) (w word) {
+	if now.Sub(h.knownSince) < newRun {
+		return word{}
+	}
+	for _, r := range h.reports {
+		asked := r.LeftAt.Add(-freshAnswer)
+		if now.Sub(r.LeftAt) >= freshFor || h.heardAt.After(asked) || h.othersHeardAt.After(asked) {
+			continue
+		}
+		w.vms++
+		w.unanswered += min(r.Unanswered, mostOfOneVM)
+		w.opens += min(r.Opens, mostOfOneVM)
+		w.vanished += min(r.Vanished, mostOfOneVM)
 	}
-	return h.others, h.othersOpens
+	return w
 }
 
 // suspect tells whether new flows should avoid the target.
 func (h *health) suspect(now time.Time) bool {
-	others, _ := h.believed(now)
-	return h.unanswered+others >= suspectAt && (h.unanswered < suspectAt || now.Before(h.trialAt))
+	switch {
+	case h.doubtful(now):
+		return false
+	case now.Before(h.avoidUntil):
+		return true
+	}
+	return h.unanswered+h.others(now).unanswered >= suspectAt && (h.unanswered < suspectAt || now.Before(h.trialAt))
 }
 
-// wordOfOthers is the most that the word of other VMs counts: as much as one
-// first segment, or one own flow less than darkAt if two VMs are sure. One may
-// have a full link of its own, behind which every target seems silent.
-func (h *health) wordOfOthers() int {
-	if h.witnesses >= enoughWitnesses {
-		return darkAt - 1
+// weight is how much the word of others counts beside own flows: as much as one
+// first segment, or one own flow less than darkAt if several VMs agree.
+func (w word) weight() int {
+	most := darkAt / 2
+	if w.vms >= enoughVMs {
+		most = darkAt - 1
 	}
-	return darkAt / 2
+	return min(w.unanswered+w.opens, most)
+}
+
+// isSure tells whether the word of others is enough by itself.
+func (w word) isSure() bool {
+	return w.vms >= sureVMs && w.opens > 0 && w.unanswered+w.opens >= darkAt
 }
 
-// dark tells whether the target is gone or out of reach. The word of others
-// counts only beside an own flow. A VM that is not alone in its data centre needs
-// another one to agree: if its own link is full or broken, every target seems
-// silent, and none is.
+// dark tells whether the target is gone or out of reach. A VM that is not alone in
+// its data centre needs others to agree: if its own link is full or broken, every
+// target seems silent, and none is.
 func (h *health) dark(now time.Time, alone bool) bool {
-	others, othersOpens := h.believed(now)
+	others := h.others(now)
 	switch {
-	case h.unanswered == 0 || h.opens+othersOpens == 0:
+	case others.isSure():
+		return true
+	case h.unanswered == 0 || h.opens+others.opens == 0:
 		return false
 	case now.Sub(h.leftAt) >= freshFor:
 		return false
 	case h.othersHeardAt.After(h.leftAt.Add(-copyAfter)):
 		return false // it answered another VM while it seemed silent here
-	case others == 0 && !alone:
+	case others.vms == 0 && !alone:
 		return false
 	}
-	return h.unanswered+h.opens+min(others+othersOpens, h.wordOfOthers()) >= darkAt
+	return h.unanswered+h.opens+others.weight() >= darkAt
 }
 
 // tried notes that a target gets a flow: a suspect one gets no other until it
 // is heard of or the next trial is due.
 func (h *health) tried(now time.Time) {
-	if h.unanswered >= suspectAt {
+	if h.unanswered+h.others(now).unanswered >= suspectAt {
 		h.trialAt = now.Add(max(h.pause, firstTrial))
 	}
+	if h.distrusted() {
+		h.avoidUntil = now.Add(h.span)
+	}
 }
--- a/core/token/load.go
+++ b/core/token/load.go
@@ -107,13 +107,14 @@
 const leastTold = 0.2
 
 // answered notes that the target was heard of, and tells whether it had been
-// suspect.
-func (l *load) answered(now time.Time) (again bool) {
+// suspect, and whether other VMs say that it is silent and are to hear of it.
+func (l *load) answered(now time.Time) (again, disputed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	again = l.health.unanswered >= suspectAt
+	disputed = l.health.others(now).vms > 0 || now.Before(l.health.avoidUntil)
 	l.health.answered(now)
-	return again
+	return again, disputed
 }
 
 // left notes a flow that the target left unanswered.
@@ -130,6 +131,13 @@
 	return l.health.suspect(now)
 }
 
+// distrusted tells whether the target took no flows when last tried.
+func (l *load) distrusted() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.health.distrusted()
+}
+
 // dark tells whether the target is gone or out of reach; alone is set if no other
 // VM of the data centre is heard.
 func (l *load) dark(now time.Time, alone bool) bool {
@@ -146,11 +154,31 @@
 	return l.health.heardAt, l.health.othersHeardAt
 }
 
-// disputed tells whether other VMs say that the target is silent.
-func (l *load) disputed() bool {
+// setSilence sets what other VMs say of the silence of the target.
+func (l *load) setSilence(said baobabstep.TargetLoad) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.health.setSilence(said)
+}
+
+// avoid keeps new flows away from the target if it takes none.
+func (l *load) avoid(now time.Time, vms int, draw float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.health.others > 0
+	l.health.avoid(now, vms, draw)
+}
+
+// toldSilence returns what other VMs are told of the silence of the target, while
+// it is fresh, and when it was heard of if they say that it is silent.
+func (l *load) toldSilence(now time.Time) baobabstep.TargetLoad {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	h := &l.health
+	told := baobabstep.TargetLoad{HeardAt: h.heardAt, Disputed: len(h.reports) > 0 || h.lately(now)}
+	if now.Sub(h.leftAt) < freshFor {
+		told.Unanswered, told.Opens, told.Vanished, told.LeftAt = h.unanswered, h.opens, h.vanished, h.leftAt
+	}
+	return told
 }
 
 // meter counts events, each with a weight that fades over loadWindow.
@@ -202,8 +230,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.others = said.Requests
-	l.health.others, l.health.othersOpens = said.Unanswered, said.Opens
-	l.health.witnesses, l.health.othersHeardAt = said.Witnesses, said.HeardAt
+	l.health.setSilence(said)
 	l.othersAnswers = answer.Sample{Answers: said.Answers, Failed: said.Failed, Took: said.Took}
 	l.othersCallers = answer.Callers(said.Callers)
 }
@@ -216,16 +243,6 @@
 	return l.health.unanswered, l.health.opens
 }
 
-// told returns what other VMs are told of the target: unanswered, while fresh.
-func (l *load) told(now time.Time) (flows, opens int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if now.Sub(l.health.leftAt) >= freshFor {
-		return 0, 0
-	}
-	return l.health.unanswered, l.health.opens
-}
-
 // evidence returns what stands against the target here and by the word of other
 // VMs, and how long ago it was heard of; negative if never.
 func (l *load) evidence(now time.Time) (unanswered, opens, others int, heard time.Duration) {
@@ -235,7 +252,7 @@
 	if !l.health.heardAt.IsZero() {
 		heard = now.Sub(l.health.heardAt)
 	}
-	return l.health.unanswered, l.health.opens, l.health.others, heard
+	return l.health.unanswered, l.health.opens, l.health.others(now).unanswered, heard
 }
 
 // begin gives a target that has just appeared the load that others have. With
--- a/core/token/mechanism.go
+++ b/core/token/mechanism.go
@@ -38,6 +38,10 @@
 	MechanismTrials // trials
 	// MechanismAdmission: ordinary flows are refused where answers come too late.
 	MechanismAdmission // admission
+	// MechanismAlarms: what a VM finds silent is told at once.
+	MechanismAlarms // alarms
+	// MechanismAvoidance: a target that takes no flows is tried by one VM at a time.
+	MechanismAvoidance // avoidance
 	numMechanisms
 )
 
--- a/core/token/mechanism_string.go
+++ b/core/token/mechanism_string.go
@@ -23,12 +23,14 @@
 	_ = x[MechanismSharedAnswers-12]
 	_ = x[MechanismTrials-13]
 	_ = x[MechanismAdmission-14]
-	_ = x[numMechanisms-15]
+	_ = x[MechanismAlarms-15]
+	_ = x[MechanismAvoidance-16]
+	_ = x[numMechanisms-17]
 }
 
-const _Mechanism_name = "other_loadsown_loadstimescoldnearfewnext_trybegin_loadsilenceend_flowswitnessesanswersshared_answerstrialsadmissionnumMechanisms"
+const _Mechanism_name = "other_loadsown_loadstimescoldnearfewnext_trybegin_loadsilenceend_flowswitnessesanswersshared_answerstrialsadmissionalarmsavoidancenumMechanisms"
 
-var _Mechanism_index = [...]uint8{0, 11, 20, 25, 29, 33, 36, 44, 54, 61, 70, 79, 86, 100, 106, 115, 128}
+var _Mechanism_index = [...]uint8{0, 11, 20, 25, 29, 33, 36, 44, 54, 61, 70, 79, 86, 100, 106, 115, 121, 130, 143}
 
 func (i Mechanism) String() string {
 	idx := int(i) - 0
--- a/core/token/router.go
+++ b/core/token/router.go
@@ -50,8 +50,8 @@
 	// heard are the VMs heard of in each data centre.
 	heard atomic.Pointer[map[string]int]
 
-	// troubled holds a value while a target's silence is to be told.
-	troubled chan struct{}
+	// troubles are the targets whose silence, or end of it, is to be told.
+	troubles *troubles
 
 	// known is closed once flows can be placed; that never ends.
 	known chan struct{}
@@ -65,7 +65,7 @@
 // New returns a router that knows no routes and no targets.
 func New(o Options) *Router {
 	o.setDefaults()
-	r := &Router{o: o, flows: newFlowTable(), openings: newOpenings(), troubled: make(chan struct{}, 1), known: make(chan struct{})}
+	r := &Router{o: o, flows: newFlowTable(), openings: newOpenings(), troubles: newTroubles(), known: make(chan struct{})}
 	r.current.Store(newSnapshot(&r.o))
 	r.heard.Store(&map[string]int{})
 	return r
@@ -148,7 +148,7 @@
 		said.Requests = 0
 	}
 	if !r.on(MechanismWitnesses) {
-		said.Unanswered, said.Opens, said.Witnesses, said.HeardAt = 0, 0, 0, time.Time{}
+		said.Silence, said.HeardAt = nil, time.Time{}
 	}
 	if !r.on(MechanismSharedAnswers) {
 		said.Answers, said.Failed, said.Took, said.Callers = 0, 0, 0, 0
@@ -161,11 +161,9 @@
 	targets := r.current.Load().targets
 	list := make([]baobabstep.TargetLoad, 0, len(targets))
 	for id, t := range targets {
-		own, _ := t.load.requests(now)
-		flows, opens := t.load.told(now)
-		said := baobabstep.TargetLoad{
-			Target: id, Requests: own, Unanswered: flows, Opens: opens, HeardAt: heardHere(t), Disputed: t.load.disputed(),
-		}
+		said := t.load.toldSilence(now)
+		said.Target = id
+		said.Requests, _ = t.load.requests(now)
 		if sample, callers, notable := t.load.toldAnswers(now, t.service.time()); notable {
 			said.Answers, said.Failed, said.Took, said.Callers = sample.Answers, sample.Failed, sample.Took, uint16(callers)
 		}
--- /dev/null
+++ b/core/token/trouble.go
@@ -0,0 +1,81 @@
+package token
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"baobabstep"
+)
+
+// troubles are the targets of which the other VMs of the data centre are to hear
+// at once: each VM sees few of their flows, and callers lose with each moment.
+type troubles struct {
+	mu  sync.Mutex
+	set map[baobabstep.TargetID]struct{}
+	// pending holds a value while the set is not empty.
+	pending chan struct{}
+}
+
+func newTroubles() *troubles {
+	return &troubles{set: make(map[baobabstep.TargetID]struct{}), pending: make(chan struct{}, 1)}
+}
+
+func (t *troubles) add(id baobabstep.TargetID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.set[id] = struct{}{}
+	select {
+	case t.pending <- struct{}{}:
+	default:
+	}
+}
+
+// take empties the set and returns what was in it, in order.
+func (t *troubles) take() []baobabstep.TargetID {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	ids := slices.Sorted(maps.Keys(t.set))
+	clear(t.set)
+	return ids
+}
+
+// Troubled yields a value when Troubles has something to tell.
+func (r *Router) Troubled() <-chan struct{} { return r.troubles.pending }
+
+// Troubles returns what to tell of targets that left a flow unanswered, or were
+// heard of though others found them silent, since it was last asked.
+func (r *Router) Troubles(now time.Time) (list []baobabstep.TargetLoad) {
+	targets := r.current.Load().targets
+	for _, id := range r.troubles.take() {
+		if t := targets[id]; t != nil && r.on(MechanismAlarms) {
+			told := t.load.toldSilence(now)
+			told.Target = id
+			list = append(list, told)
+		}
+	}
+	return list
+}
+
+// SetSilence tells what other VMs say of the silence of some targets; all else that
+// they said stays.
+func (r *Router) SetSilence(now time.Time, said map[baobabstep.TargetID]baobabstep.TargetLoad) {
+	targets := r.current.Load().targets
+	for id, s := range said {
+		if t := targets[id]; t != nil {
+			t.load.setSilence(r.heeded(s))
+			r.avoid(now, t)
+		}
+	}
+}
+
+// avoid keeps new flows away from a target if it takes none, for a time that the
+// VMs of the data centre draw so that their trials are spread.
+func (r *Router) avoid(now time.Time, t *target) {
+	if r.on(MechanismAvoidance) {
+		vms := 1 + (*r.heard.Load())[r.o.DataCentre]
+		t.load.avoid(now, vms, float64(r.draw())/math.MaxUint64)
+	}
+}
--- a/directory.go
+++ b/directory.go
@@ -103,10 +103,14 @@
 	// Unanswered is the number of flows in a row that the target left without
 	// an answer, Opens that of those whose first segment was.
 	Unanswered, Opens int
-	// Witnesses is, in what other VMs say together, the number of VMs of the
-	// own data centre that found several flows unanswered, a first segment
-	// among them.
-	Witnesses int
+	// Vanished is the number of those of which nothing came after the first
+	// segment, not even a copy: as far as can be told the target refused them.
+	Vanished int
+	// LeftAt is when it last left one so.
+	LeftAt time.Time
+	// Silence is, in what other VMs say together, what each of the own data
+	// centre says that found flows unanswered.
+	Silence []Silence
 	// HeardAt is when the target was last heard of; zero if never.
 	HeardAt time.Time
 	// Disputed is set if other VMs say that the target is silent.
@@ -120,3 +124,10 @@
 	// Callers is the set of callers whose requests failed; see package answer.
 	Callers uint16
 }
+
+// Silence is what one VM says of a target that left its flows unanswered; its fields
+// are as those of TargetLoad.
+type Silence struct {
+	Unanswered, Opens, Vanished int
+	LeftAt                      time.Time
+}
--- a/emulator/policy_test.go
+++ b/emulator/policy_test.go
@@ -98,6 +98,35 @@
 	qt.Check(t, lost(answer) <= lost(feed), qt.IsTrue, qt.Commentf("%.4f of the urgent, %.4f of the ordinary", lost(answer), lost(feed)))
 }
 
+// In a fleet of 87 VMs each has a flow to a given target once in some seconds.
+// Callers whose open flows lead to silent targets wait for their limits unless the
+// VMs find out together: what one finds is told at once. Targets that go down and up
+// get flow after flow of VMs that try them, unless one VM does at a time. The figures
+// without are those of the same days.
+func TestCallersOfDarkTargetsInALargeFleet(t *testing.T) {
+	t.Parallel()
+	for _, test := range []struct {
+		mechanism token.Mechanism
+		trouble   Trouble
+		gain      float64
+	}{
+		{token.MechanismAlarms, Trouble{Kind: KindTargetCrash, AtMS: 2000, ForMS: 5000, Share: 0.2}, 0.001},
+		{token.MechanismAvoidance, Trouble{Kind: KindTargetFlap, AtMS: 2000, ForMS: 5000, Share: 0.25, GapMS: 1300}, 0.0003},
+	} {
+		t.Run(test.mechanism.String(), func(t *testing.T) {
+			t.Parallel()
+			d := load(t, "large")
+			d.Seconds = 7
+			troubles := []Trouble{test.trouble}
+			with := play(t, d, Options{Seed: 1, Troubles: troubles}).Worth
+			policy := func(o *token.Options) { o.Without = token.Mechanisms(0).With(test.mechanism) }
+			off := play(t, d, Options{Seed: 1, Troubles: troubles, Policy: policy}).Worth
+			qt.Check(t, with >= 0.98, qt.IsTrue, qt.Commentf("%.4f", with))
+			qt.Check(t, with-off >= test.gain, qt.IsTrue, qt.Commentf("%.4f, without %.4f", with, off))
+		})
+	}
+}
+
 // On a calm day, and in a burst that the slots can take, nobody is refused.
 func TestNobodyIsRefusedWhileThereIsRoom(t *testing.T) {
 	t.Parallel()
--- a/emulator/store.go
+++ b/emulator/store.go
@@ -26,8 +26,9 @@
 	// awayUntil is when it is back, slow by how much longer its answers take.
 	awayUntil time.Duration
 	slow      float64
-	// watchAt is when the fleet's watch waits again.
-	watchAt time.Duration
+	// watchAt is when the fleet's watch waits again, yieldAt when it yields what
+	// changes now.
+	watchAt, yieldAt time.Duration
 }
 
 // answer returns how long a call takes; false if there is no answer.
@@ -53,9 +54,13 @@
 func (s *store) tell(put []baobabstep.Registration, gone []baobabstep.TargetID) {
 	w := s.world
 	answer, _ := s.answer()
-	at := max(w.now, s.watchAt, s.awayUntil) + answer
-	s.watchAt = at + gatherTime
-	w.queue.push(at, func() {
+	if w.now >= s.watchAt {
+		s.watchAt = w.now + gatherTime
+		s.yieldAt = w.now
+	} else {
+		s.yieldAt = s.watchAt // with all others that come until then
+	}
+	w.queue.push(max(s.yieldAt, s.awayUntil)+answer, func() {
 		first := w.firstUp()
 		if first == nil {
 			return // whoever starts reads them
--- a/emulator/vm.go
+++ b/emulator/vm.go
@@ -181,7 +181,7 @@
 	select {
 	case <-v.router.Troubled():
 		v.toldAt = v.world.now
-		v.sendAll(v.board.Announce(now, v.own(now), false))
+		v.sendAll(v.board.Alarm(now, v.router.Troubles(now)))
 	default:
 	}
 }
@@ -248,19 +248,22 @@
 		}
 		w.result.controlBytes += size
 		v.work(sendWork)
-		w.links.carry(v.site, to.site, 0, func() { to.hear(v.at, o.Message.Heartbeat) })
+		w.links.carry(v.site, to.site, 0, func() { to.hear(v.at, o.Message) })
 	}
 }
 
-// hear takes in a heartbeat.
-func (v *vm) hear(from netip.AddrPort, h *heartbeat.Heartbeat) {
-	if !v.works(v.world.now) || h == nil {
+// hear takes in a heartbeat or an alarm.
+func (v *vm) hear(from netip.AddrPort, m *heartbeat.Message) {
+	if !v.works(v.world.now) {
 		return
 	}
 	v.later(v.work(hearWork), func() {
 		now := v.world.time()
-		if v.board.Handle(now, from, h) && h.IsUrgent() && h.DataCentre == v.world.deployment.DataCentres[v.site].Name {
-			v.takeOthers(now)
+		switch {
+		case m.Heartbeat != nil:
+			v.board.Handle(now, from, m.Heartbeat)
+		case m.Alarm != nil:
+			v.router.SetSilence(now, v.board.HandleAlarm(now, from, m.Alarm))
 		}
 	})
 }
--- a/entry/node.go
+++ b/entry/node.go
@@ -35,8 +35,8 @@
 	batchSize = 64
 	// tickInterval drives timeouts.
 	tickInterval = 100 * time.Millisecond
-	// troubleInterval is the least time between two heartbeats about targets
-	// that leave flows unanswered. Dozens of flows find that in one moment.
+	// troubleInterval is the least time between two alarms about targets that
+	// leave flows unanswered. Dozens of flows find that in one moment.
 	troubleInterval = 20 * time.Millisecond
 	// holdTime bounds how long segments wait in the socket of a VM that has just
 	// started for its first routing table, which takes 15 ms, or 0.12 s on 0.06
@@ -253,7 +253,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-n.router.Troubled():
-			n.announce(false)
+			n.raiseAlarm(n.clock.Now())
 			pause(ctx, troubleInterval, nil)
 		case <-ticker.C:
 			now := n.clock.Now()
--- a/entry/share.go
+++ b/entry/share.go
@@ -89,6 +89,8 @@
 		n.handlePiece(now, m.Piece)
 	case m.Change != nil:
 		n.handleChange(now, from, m.Change)
+	case m.Alarm != nil:
+		n.router.SetSilence(now, n.board.HandleAlarm(now, from, m.Alarm))
 	}
 }
 
@@ -98,11 +100,6 @@
 	if !n.board.Handle(now, from, h) {
 		return
 	}
-	// Silent targets are taken in at once, the rest with the next tick. To take in
-	// times of answers at once as well doubled the processor time of 87 VMs.
-	if h.DataCentre == n.o.Settings.DataCentre && h.IsUrgent() {
-		n.router.SetOthers(n.board.Loads(now), n.board.Live(now))
-	}
 	for _, kind := range []heartbeat.Kind{heartbeat.Routes, heartbeat.Targets} {
 		n.compare(now, kind, h)
 	}
@@ -157,6 +154,11 @@
 	n.noteRank(n.rank(now))
 }
 
+// raiseAlarm tells the data centre of targets in trouble.
+func (n *Node) raiseAlarm(now time.Time) {
+	n.sendAll(n.board.Alarm(now, n.router.Troubles(now)))
+}
+
 func (n *Node) own(now time.Time) heartbeat.Own {
 	return heartbeat.Own{
 		Leaving: n.stopping.Load(), Blind: n.isBlind(),
