token: a request at a target that has gone dark since is given up at once

Ruled out: ending flows that wait for nothing (they cost nothing until used). Change: at each tick a VM resets flows whose request waits at a target that is sure to be dark, with the number that the caller acknowledged last.

--- a/core/token/answers_test.go
+++ b/core/token/answers_test.go
@@ -38,7 +38,7 @@
 	send(30, baobabstep.KindData, 2547, 829, 0)
 	send(30, baobabstep.KindClose, 2546, 828, 0)
 	for ms := 100; ms <= 900; ms += 100 {
-		r.Tick(start.Add(time.Duration(ms) * time.Millisecond))
+		r.Tick(start.Add(time.Duration(ms)*time.Millisecond), new([]baobabstep.Forward))
 	}
 	qt.Assert(t, outcomes(r), qt.DeepEquals, map[string]uint64{"answered": 1})
 	own, _ := r.current.Load().targets[3].load.requests(start.Add(30 * time.Millisecond))
@@ -65,7 +65,7 @@
 			s.Kind, s.Seq, s.Size = test.last, 1101, 0
 			handle(r, start.Add(100*time.Millisecond), s)
 			for ms := 200; ms <= 1200; ms += 100 {
-				r.Tick(start.Add(time.Duration(ms) * time.Millisecond))
+				r.Tick(start.Add(time.Duration(ms)*time.Millisecond), new([]baobabstep.Forward))
 			}
 			qt.Assert(t, outcomes(r), qt.DeepEquals, test.want)
 		})
--- a/core/token/avoid_test.go
+++ b/core/token/avoid_test.go
@@ -117,3 +117,42 @@
 		qt.Assert(t, told[0].Disputed, qt.IsTrue)
 	})
 }
+
+// A target takes a request, acknowledges it and dies. Its caller has nothing to
+// repeat and waits for its limit; other callers find the target silent. Once that is
+// sure the VM ends the flow by itself, so that the caller tries again at once. A flow
+// that waits for nothing is left alone.
+func TestRequestsAtADarkTargetAreGivenUp(t *testing.T) {
+	r := newRouter(t)
+	r.SetRegistrations(start, manyTargets(2))
+	var waiting, idle baobabstep.Segment
+	for port := uint16(1); waiting.Seq == 0 || idle.Seq == 0; port++ {
+		key := flowFrom(port, fixtures)
+		target, token := open(t, r, start, key)
+		s := data(key, token)
+		handle(r, start, s)
+		switch {
+		case target != 1:
+		case waiting.Seq == 0:
+			waiting = s
+		default:
+			idle = s
+			idle.Acked, idle.Seq, idle.Size = s.Acked+600, s.Seq+uint32(s.Size), 0
+			handle(r, start, idle)
+		}
+	}
+	now := start.Add(time.Second)
+	dark := r.current.Load().targets[1]
+	r.current.Load().targets[2].load.answered(now)
+	tick := func() (ended []baobabstep.Forward) {
+		r.Tick(now, &ended)
+		return ended
+	}
+	qt.Assert(t, tick(), qt.HasLen, 0)
+	dark.load.setSilence(baobabstep.TargetLoad{Silence: silentTo(3, 1, now)})
+	ended := tick()
+	qt.Assert(t, ended, qt.HasLen, 1)
+	qt.Assert(t, ended[0].Flow, qt.Equals, waiting.Flow)
+	qt.Assert(t, ended[0].Seq, qt.Equals, waiting.Acked)
+	qt.Assert(t, tick(), qt.HasLen, 0)
+}
--- a/core/token/flow.go
+++ b/core/token/flow.go
@@ -40,7 +40,10 @@
 	// asked is set while the outcome of a request is to be seen. took is how
 	// long its answer took to begin, 0 while it has not, and progressAt when
 	// the last part of it was acknowledged.
-	asked      bool
+	asked bool
+	// waits is set while nothing of the answer to the last request has come, even
+	// if its outcome was counted.
+	waits      bool
 	took       time.Duration
 	progressAt time.Time
 	// acked is how far the caller has received its target's answers, and
@@ -127,7 +130,7 @@
 		if f.vanished(now) {
 			vanished = append(vanished, f)
 		}
-		if f.asked {
+		if f.asked || f.waits {
 			asked = append(asked, f)
 		}
 		if silent >= idle || f.closed && silent >= closedFor {
--- a/core/token/flow_bench_test.go
+++ b/core/token/flow_bench_test.go
@@ -32,7 +32,7 @@
 		}
 		segments += perFlow
 		if port%100 == 0 {
-			r.Tick(now)
+			r.Tick(now, new([]baobabstep.Forward))
 		}
 	}
 	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(segments), "ns/segment")
--- a/core/token/follow.go
+++ b/core/token/follow.go
@@ -76,6 +76,24 @@
 	return false
 }
 
+// giveUp ends a flow whose request is at a target that has gone dark since. Its
+// caller may have had the request acknowledged: then it sends no copy that the VM
+// could answer, and waits for its time limit, 2 s for an answer that takes 30 ms.
+func (r *Router) giveUp(now time.Time, s *snapshot, f *flow, out *[]baobabstep.Forward) bool {
+	if !f.waits || f.opening || f.closed || !r.on(MechanismEndFlows) {
+		return false
+	}
+	if !r.outOfReach(now, s, f.target) {
+		return false
+	}
+	f.asked, f.waits = false, false
+	f.close()
+	segment := baobabstep.Segment{Flow: f.key, Seq: f.sentEnd, Acked: f.acked}
+	r.record(now, EventEnded, s, f.rule, f.target, &segment)
+	reset(&segment, out)
+	return true
+}
+
 // heardHere returns when this VM last heard of a target.
 func heardHere(t *target) time.Time {
 	here, _ := t.load.heardAt()
@@ -147,6 +165,7 @@
 	f.heard = now
 	if progress {
 		f.acked, f.progressAt = p.Acked, now
+		f.waits = p.Acked == f.requestAcked // it began a request
 	}
 	switch p.Kind {
 	case baobabstep.KindClose:
@@ -158,7 +177,7 @@
 
 // ask notes that a request begins.
 func (f *flow) ask(now time.Time) {
-	f.sent, f.timed, f.asked, f.took = now, true, true, 0
+	f.sent, f.timed, f.asked, f.waits, f.took = now, true, true, true, 0
 }
 
 // after tells whether number a follows b, both modulo 2^32.
--- a/core/token/health_test.go
+++ b/core/token/health_test.go
@@ -341,7 +341,7 @@
 		open(t, r, now, flowFrom(port+2, results))
 	}
 	later := now.Add(vanishedAfter)
-	r.Tick(later)
+	r.Tick(later, new([]baobabstep.Forward))
 	flows, opens := r.current.Load().targets[3].load.unanswered()
 	qt.Assert(t, flows, qt.Equals, 20)
 	qt.Assert(t, opens, qt.Equals, 0)
@@ -371,8 +371,8 @@
 				test.then(r, key, token)
 			}
 			now := start.Add(vanishedAfter)
-			r.Tick(now)
-			r.Tick(now)
+			r.Tick(now, new([]baobabstep.Forward))
+			r.Tick(now, new([]baobabstep.Forward))
 			qt.Assert(t, r.current.Load().targets[3].load.suspect(now), qt.Equals, test.suspect)
 		})
 	}
--- a/core/token/machine_test.go
+++ b/core/token/machine_test.go
@@ -196,6 +196,18 @@
 	m.t.Fatalf("a flow at target %d was reset, to which nothing happened for %v", f.target.registration.ID, m.now.Sub(f.target.disturbed))
 }
 
+// checkEnded checks flows that a VM reset by itself.
+func (m *machine) checkEnded(ended []baobabstep.Forward) {
+	for _, reset := range ended {
+		for _, f := range slices.Clone(m.flows) {
+			if f.key == reset.Flow {
+				m.checkReset(f)
+				m.forget(f)
+			}
+		}
+	}
+}
+
 func (m *machine) anyTarget() *machineTarget {
 	return m.targets[baobabstep.TargetID(1+m.random.IntN(int(m.nextID)))]
 }
@@ -211,7 +223,9 @@
 			m.request(f)
 		}
 		for _, r := range m.routers {
-			r.Tick(m.now)
+			var ended []baobabstep.Forward
+			r.Tick(m.now, &ended)
+			m.checkEnded(ended)
 			r.SetOthers(nil, nil)
 		}
 	}
--- a/core/token/router.go
+++ b/core/token/router.go
@@ -284,14 +284,19 @@
 	})
 }
 
-// Tick forgets idle flows and judges targets.
-func (r *Router) Tick(now time.Time) {
+// Tick forgets idle flows, judges targets, and ends flows whose requests no target
+// will answer.
+func (r *Router) Tick(now time.Time, out *[]baobabstep.Forward) {
 	s := r.current.Load()
 	idle := r.o.Idle
 	if s.idle > 0 {
 		idle = min(idle, s.idle)
 	}
-	look := func(f *flow) { r.lookAt(now, f) }
+	look := func(f *flow) {
+		if !r.giveUp(now, s, f, out) {
+			r.lookAt(now, f)
+		}
+	}
 	for i := range r.flows.shards {
 		for _, f := range r.flows.shards[i].expire(now, idle, look) {
 			r.left(now, f, openVanished)
--- a/core/token/router_test.go
+++ b/core/token/router_test.go
@@ -206,11 +206,11 @@
 	qt.Assert(t, load(), qt.Equals, int32(0))
 	handle(r, start, data(key, token))
 	qt.Assert(t, load(), qt.Equals, int32(0))
-	r.Tick(start.Add(closedFor))
+	r.Tick(start.Add(closedFor), new([]baobabstep.Forward))
 	qt.Assert(t, r.Stats().Flows, qt.Equals, 0)
 
 	open(t, r, start, flowFrom(2, results))
-	r.Tick(start.Add(r.o.Idle))
+	r.Tick(start.Add(r.o.Idle), new([]baobabstep.Forward))
 	qt.Assert(t, load(), qt.Equals, int32(0))
 }
 
--- a/core/token/trouble.go
+++ b/core/token/trouble.go
@@ -63,9 +63,9 @@
 // they said stays.
 func (r *Router) SetSilence(now time.Time, said map[baobabstep.TargetID]baobabstep.TargetLoad) {
 	targets := r.current.Load().targets
-	for id, s := range said {
+	for _, id := range slices.Sorted(maps.Keys(said)) { // in order: each draws
 		if t := targets[id]; t != nil {
-			t.load.setSilence(r.heeded(s))
+			t.load.setSilence(r.heeded(said[id]))
 			r.avoid(now, t)
 		}
 	}
--- a/emulator/caller.go
+++ b/emulator/caller.go
@@ -34,6 +34,8 @@
 	// site is its data centre, entry the one whose VMs get its packets.
 	site, entry int
 	port        uint16
+	// flows are those that are not closed, by port.
+	flows map[uint16]*flow
 	// idle are the open flows of each class that carry no request.
 	idle map[*Class][]*flow
 }
@@ -137,7 +139,23 @@
 		c.port = firstPort
 	}
 	key := baobabstep.FlowKey{Caller: netip.AddrPortFrom(c.address, port), Service: c.world.addresses[class]}
-	return &flow{caller: c, class: class, key: key, seq: uint32(mix(flowHash(key)))}
+	f := &flow{caller: c, class: class, key: key, seq: uint32(mix(flowHash(key)))}
+	c.flows[port] = f
+	return f
+}
+
+// forget drops a flow that is closed.
+func (f *flow) forget() {
+	f.closed = true
+	delete(f.caller.flows, f.key.Caller.Port())
+}
+
+// openFlow returns the flow with a key, nil if it is closed.
+func (w *World) openFlow(key baobabstep.FlowKey) *flow {
+	if c := w.callers[key.Caller.Addr()]; c != nil {
+		return c.flows[key.Caller.Port()]
+	}
+	return nil
 }
 
 // send hands a segment to the fabric.
@@ -277,7 +295,7 @@
 
 // close ends an open flow.
 func (f *flow) close() {
-	f.closed = true
+	f.forget()
 	f.send(baobabstep.Segment{Kind: baobabstep.KindClose, Token: f.token, Seq: f.seq, Acked: f.acked}, nil)
 }
 
@@ -286,7 +304,7 @@
 	if f.closed {
 		return
 	}
-	f.closed = true
+	f.forget()
 	if f.attempt != nil {
 		f.attempt.end(why)
 	}
@@ -343,7 +361,7 @@
 	if a := r.now; a != nil && !a.ended && a.flow != nil {
 		a.ended = true
 		f := a.flow
-		f.closed = true
+		f.forget()
 		f.send(baobabstep.Segment{Kind: baobabstep.KindReset, Token: f.token, Seq: f.seq}, nil)
 	}
 }
--- a/emulator/vm.go
+++ b/emulator/vm.go
@@ -157,7 +157,13 @@
 
 func (v *vm) tickNow() {
 	now := v.world.time()
-	v.router.Tick(now)
+	var ended []baobabstep.Forward
+	v.router.Tick(now, &ended)
+	for i := range ended {
+		if f := v.world.openFlow(ended[i].Flow); f != nil {
+			v.reset(f)
+		}
+	}
 	if v.board.Due(now) {
 		v.sendAll(v.board.Tick(now, v.own(now)))
 	}
@@ -212,12 +218,7 @@
 func (v *vm) forward(p *packet, f *baobabstep.Forward) {
 	w := v.world
 	if f.Target == 0 {
-		w.result.Tries.Resets++
-		why := CauseRefused
-		if p.flow.opened {
-			why = CauseEnded
-		}
-		w.after(w.deployment.Links.CallerMS.D(), func() { p.flow.ended(why) })
+		v.reset(p.flow)
 		return
 	}
 	t := w.targets[f.Target]
@@ -229,6 +230,17 @@
 	w.links.carry(v.site, t.site, 0, func() { t.receive(on) })
 }
 
+// reset tells a caller that its flow has ended.
+func (v *vm) reset(f *flow) {
+	w := v.world
+	w.result.Tries.Resets++
+	why := CauseRefused
+	if f.opened {
+		why = CauseEnded
+	}
+	w.after(w.deployment.Links.CallerMS.D(), func() { f.ended(why) })
+}
+
 // sendAll sends messages to other VMs.
 func (v *vm) sendAll(outs []heartbeat.Out) {
 	w := v.world
--- a/emulator/world.go
+++ b/emulator/world.go
@@ -47,6 +47,7 @@
 	sites      []site
 	vms        []*vm
 	byAddress  map[netip.AddrPort]*vm
+	callers    map[netip.Addr]*caller
 	targets    map[baobabstep.TargetID]*target
 	order      []*target // in the order in which they appeared
 	addresses  map[*Class]netip.AddrPort
@@ -78,7 +79,7 @@
 	}
 	w := &World{
 		deployment: d, seed: o.Seed, o: o, burst: 1,
-		byAddress: make(map[netip.AddrPort]*vm), targets: make(map[baobabstep.TargetID]*target),
+		byAddress: make(map[netip.AddrPort]*vm), callers: make(map[netip.Addr]*caller), targets: make(map[baobabstep.TargetID]*target),
 		addresses: make(map[*Class]netip.AddrPort), sites: make([]site, len(d.DataCentres)),
 		luck: rand.New(rand.NewPCG(o.Seed, streamLuck)),
 	}
@@ -104,10 +105,11 @@
 			w.byAddress[v.at] = v
 		}
 		for n := range dc.Callers {
-			w.sites[i].callers = append(w.sites[i].callers, &caller{
-				world: w, site: i, entry: i, port: firstPort, idle: make(map[*Class][]*flow),
+			c := &caller{
+				world: w, site: i, entry: i, port: firstPort, flows: make(map[uint16]*flow), idle: make(map[*Class][]*flow),
 				address: netip.AddrFrom4([4]byte{100, byte(64 + i), byte(n >> 8), byte(n)}),
-			})
+			}
+			w.sites[i].callers, w.callers[c.address] = append(w.sites[i].callers, c), c
 		}
 	}
 	for s := range w.deployment.Services {
--- a/entry/answers_test.go
+++ b/entry/answers_test.go
@@ -42,7 +42,7 @@
 		later.Kind, later.Seq, later.Acked, later.Size = baobabstep.KindClose, 211, 500+size, 0
 		send(now.Add(6*time.Millisecond), later)
 		if i%10 == 0 {
-			n.router.Tick(now.Add(7 * time.Millisecond))
+			n.router.Tick(now.Add(7*time.Millisecond), new([]baobabstep.Forward))
 		}
 	}
 	return now
--- a/entry/lines_bench_test.go
+++ b/entry/lines_bench_test.go
@@ -149,7 +149,7 @@
 		token = f.out[0].Token
 	}
 	if n%100 == 0 {
-		f.node.router.Tick(now)
+		f.node.router.Tick(now, new([]baobabstep.Forward))
 	}
 	return took
 }
--- a/entry/node.go
+++ b/entry/node.go
@@ -260,7 +260,9 @@
 			pause(ctx, troubleInterval, nil)
 		case <-ticker.C:
 			now := n.clock.Now()
-			n.router.Tick(now)
+			if err := n.tickRouter(now); err != nil && ctx.Err() == nil {
+				return err
+			}
 			n.beat(now)
 			n.reportDropped(now)
 			n.reportMalformed(now)
@@ -268,6 +270,16 @@
 	}
 }
 
+// tickRouter lets the router tick, and sends the resets that it wants sent.
+func (n *Node) tickRouter(now time.Time) error {
+	var ended []baobabstep.Forward
+	n.router.Tick(now, &ended)
+	if len(ended) == 0 {
+		return nil
+	}
+	return n.o.Segments[0].Send(ended)
+}
+
 func (n *Node) closeSockets() {
 	for _, segments := range n.o.Segments {
 		if err := segments.Close(); err != nil {
