--- a/emulator/vm.go
+++ b/emulator/vm.go
@@ -18,7 +18,7 @@
 	troubleInterval = 20 * time.Millisecond
 	// holdTime is how long a VM that has started keeps segments for its first
 	// routing table, as in package entry.
-	holdTime = 150 * time.Millisecond
+	holdTime = 180 * time.Millisecond
 )
 
 // vm is one VM. Each start makes a new router and a new board.
