--- a/core/heartbeat/alarm.go
+++ b/core/heartbeat/alarm.go
@@ -110,12 +110,8 @@
 )
 
 // hearers returns the VMs that get an alarm.
-func (b *Board) hearers(now time.Time) (to []netip.AddrPort) {
-	for _, p := range b.sorted(true) {
-		if b.live(now, p) {
-			to = append(to, p.address)
-		}
-	}
+func (b *Board) hearers(now time.Time) []netip.AddrPort {
+	to := b.neighbours(now)
 	if len(to) > alarmFanout {
 		b.o.Rand.Shuffle(len(to), func(i, j int) { to[i], to[j] = to[j], to[i] })
 		to = to[:alarmFanout]
--- a/core/heartbeat/beat.go
+++ b/core/heartbeat/beat.go
@@ -86,12 +86,7 @@
 func (b *Board) Spread(now time.Time, far bool) []netip.AddrPort {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var to []netip.AddrPort
-	for _, p := range b.sorted(true) {
-		if b.live(now, p) {
-			to = append(to, p.address)
-		}
-	}
+	to := b.neighbours(now)
 	if far {
 		for _, p := range b.firsts(now) {
 			to = append(to, p.address)
@@ -100,6 +95,16 @@
 	return to
 }
 
+// neighbours returns all live VMs of the own data centre.
+func (b *Board) neighbours(now time.Time) (list []netip.AddrPort) {
+	for _, p := range b.sorted(true) {
+		if b.live(now, p) {
+			list = append(list, p.address)
+		}
+	}
+	return list
+}
+
 // firsts returns the first live VM of each other data centre.
 func (b *Board) firsts(now time.Time) []*peer {
 	first := make(map[string]*peer)
--- a/core/heartbeat/board.go
+++ b/core/heartbeat/board.go
@@ -191,12 +191,13 @@
 		return false
 	}
 	b.count(p, false)
-	if p.last == nil || h.Life != p.last.Life || h.Number > p.alarmed {
-		p.reports = makeReports(now, h.Loads)
-	}
-	if p.last != nil && h.Life != p.last.Life {
+	newLife := p.last == nil || h.Life != p.last.Life
+	if newLife {
 		p.alarmed = 0
 	}
+	if newLife || h.Number > p.alarmed {
+		p.reports = makeReports(now, h.Loads)
+	}
 	p.last, p.heard = h, now
 	b.count(p, true)
 	b.meet(now, h.Peers)
--- a/core/token/answers.go
+++ b/core/token/answers.go
@@ -197,7 +197,7 @@
 // trialGap returns the time between two flows of this VM to a target on trial, so
 // that the VMs of its data centre together send one each answer.TrialGap.
 func (r *Router) trialGap() time.Duration {
-	return answer.TrialGap * time.Duration(1+(*r.heard.Load())[r.o.DataCentre])
+	return answer.TrialGap * time.Duration(r.vms())
 }
 
 // judge brings the verdicts of the watched targets up to date.
--- a/core/token/choose.go
+++ b/core/token/choose.go
@@ -118,7 +118,7 @@
 const sureOwn = 4.0
 
 func (r *Router) comparison(route *rule, list []candidate) comparison {
-	c := comparison{route: route, mean: meanTime(list), vms: 1 + float64((*r.heard.Load())[r.o.DataCentre])}
+	c := comparison{route: route, mean: meanTime(list), vms: float64(r.vms())}
 	own := 0.0
 	for i := range list {
 		own += list[i].assess.own / float64(len(list))
--- a/core/token/doc.go
+++ b/core/token/doc.go
@@ -21,9 +21,10 @@
 // # Where new flows go
 //
 // To the target whose slots are least busy, by its recent requests and their times
-// (choose.go). Targets that leave flows unanswered are avoided (health.go). Those
-// that answer, but fail more than their peers, count as busier (answers.go; package
-// answer judges). Where answers come too late from all, ordinary flows are refused
+// (choose.go). Targets that leave flows unanswered are suspect or dark, by what all
+// VMs of the data centre find (health.go, trouble.go), and are tried by one VM at a
+// time (avoid.go). Those that answer, but fail more than their peers, count as busier
+// (answers.go; package answer judges). Where answers come too late from all, ordinary flows are refused
 // (admission.go). Each of these is a [Mechanism] that can be switched off.
 //
 // # What must hold
--- a/core/token/follow.go
+++ b/core/token/follow.go
@@ -64,7 +64,7 @@
 // It is the target that is silent, not this VM that hears nothing, if another
 // target of the service was heard of just now.
 func (r *Router) outOfReach(now time.Time, s *snapshot, t *target) bool {
-	alone := (*r.heard.Load())[r.o.DataCentre] == 0
+	alone := r.vms() == 1
 	if !t.load.dark(now, alone) {
 		return false
 	}
--- a/core/token/health.go
+++ b/core/token/health.go
@@ -123,11 +123,8 @@
 // so found out in 200 ms, and its flows can be ended. Each VM sends one; the word of
 // the first of them that is left without an answer stops the others.
 func (h *health) doubtful(now time.Time) bool {
-	if h.opens+h.vanished > 0 || now.Before(h.trialAt) {
-		return false
-	}
-	others := h.others(now)
-	return h.unanswered+others.unanswered >= suspectAt && others.opens+others.vanished == 0
+	_, doubtful := h.standing(now)
+	return doubtful
 }
 
 // freshAnswer is how old a segment is at least when its sender is taken to have had
@@ -170,13 +167,18 @@
 
 // suspect tells whether new flows should avoid the target.
 func (h *health) suspect(now time.Time) bool {
-	switch {
-	case h.doubtful(now):
-		return false
-	case now.Before(h.avoidUntil):
-		return true
-	}
-	return h.unanswered+h.others(now).unanswered >= suspectAt && (h.unanswered < suspectAt || now.Before(h.trialAt))
+	suspect, _ := h.standing(now)
+	return suspect
+}
+
+// standing tells both with one look at what others say; a target is never both.
+func (h *health) standing(now time.Time) (suspect, doubtful bool) {
+	others := h.others(now)
+	many := h.unanswered+others.unanswered >= suspectAt
+	waits := now.Before(h.trialAt)
+	doubtful = many && !waits && h.opens+h.vanished+others.opens+others.vanished == 0
+	suspect = now.Before(h.avoidUntil) || many && (h.unanswered < suspectAt || waits)
+	return suspect && !doubtful, doubtful
 }
 
 // weight is how much the word of others counts beside own flows: as much as one
--- a/core/token/load.go
+++ b/core/token/load.go
@@ -60,8 +60,9 @@
 	defer l.mu.Unlock()
 	seen := l.tally.Sample(now).Plus(l.othersAnswers)
 	onTrial := l.verdict.State == answer.OnTrial
+	suspect, doubtful := l.health.standing(now)
 	return assessment{
-		suspect: l.health.suspect(now), doubtful: l.health.doubtful(now),
+		suspect: suspect, doubtful: doubtful,
 		own: l.recent.read(now), others: l.others,
 		took: seen.Took.Seconds(), answers: seen.Answers - seen.Failed,
 		penalty: l.verdict.Penalty, onTrial: onTrial, trialDue: onTrial && !now.Before(l.nextTrial),
--- a/core/token/router.go
+++ b/core/token/router.go
@@ -144,6 +144,9 @@
 	}
 }
 
+// vms returns the number of VMs of the data centre that are heard, and this one.
+func (r *Router) vms() int { return 1 + (*r.heard.Load())[r.o.DataCentre] }
+
 // heeded returns what this VM takes in of what others say of a target.
 func (r *Router) heeded(said baobabstep.TargetLoad) baobabstep.TargetLoad {
 	if !r.on(MechanismOtherLoads) {
--- a/core/token/trouble.go
+++ b/core/token/trouble.go
@@ -77,8 +77,7 @@
 // VMs of the data centre draw so that their trials are spread.
 func (r *Router) avoid(now time.Time, t *target) {
 	if r.on(MechanismAvoidance) {
-		vms := 1 + (*r.heard.Load())[r.o.DataCentre]
-		if t.load.avoid(now, vms, float64(r.draw())/math.MaxUint64) {
+		if t.load.avoid(now, r.vms(), float64(r.draw())/math.MaxUint64) {
 			r.record(now, EventAvoided, r.current.Load(), nil, t, nil)
 		}
 	}
--- a/emulator/result.go
+++ b/emulator/result.go
@@ -131,9 +131,8 @@
 func (r *Result) served(req *request, took time.Duration) {
 	w, c := r.window(req), r.classOf[req.class]
 	_ = c.times.RecordValue(min(int64(took/timeUnit), mostUnits)) // it is in range
-	earned := req.class.Worth
+	earned := req.class.earns(took)
 	if took > req.class.AimMS.D() {
-		earned = req.class.LateWorth
 		c.Late++
 		w.Lost[req.whyLate()] += req.class.Worth - earned
 		w.losePower(req, earned)
--- a/emulator/store.go
+++ b/emulator/store.go
@@ -26,9 +26,8 @@
 	// awayUntil is when it is back, slow by how much longer its answers take.
 	awayUntil time.Duration
 	slow      float64
-	// watchAt is when the fleet's watch waits again, yieldAt when it yields what
-	// changes now.
-	watchAt, yieldAt time.Duration
+	// watchAt is when the fleet's watch waits again.
+	watchAt time.Duration
 }
 
 // answer returns how long a call takes; false if there is no answer.
@@ -54,13 +53,11 @@
 func (s *store) tell(put []baobabstep.Registration, gone []baobabstep.TargetID) {
 	w := s.world
 	answer, _ := s.answer()
+	at := s.watchAt // with all others that come until then
 	if w.now >= s.watchAt {
-		s.watchAt = w.now + gatherTime
-		s.yieldAt = w.now
-	} else {
-		s.yieldAt = s.watchAt // with all others that come until then
+		at, s.watchAt = w.now, w.now+gatherTime
 	}
-	w.queue.push(max(s.yieldAt, s.awayUntil)+answer, func() {
+	w.queue.push(max(at, s.awayUntil)+answer, func() {
 		first := w.firstUp()
 		if first == nil {
 			return // whoever starts reads them
--- a/emulator/trouble.go
+++ b/emulator/trouble.go
@@ -206,12 +206,7 @@
 // powerOff stops a VM at once and starts it again.
 func (w *World) powerOff(v *vm, down time.Duration) {
 	v.stop()
-	run := v.run
-	w.after(down, func() {
-		if v.run == run {
-			v.start()
-		}
-	})
+	v.later(down, v.start)
 }
 
 func place(at, length int, draw *rand.Rand) int {
--- a/emulator/vm.go
+++ b/emulator/vm.go
@@ -67,11 +67,11 @@
 // start begins a run.
 func (v *vm) start() {
 	v.run++
-	w, run := v.world, v.run
+	w := v.world
 	v.up, v.listening, v.leaving, v.held = true, false, false, nil
 	v.poweredAt, v.frozenUntil = w.now, w.now
 	v.processor.restart(w.now)
-	seed := mix(w.seed ^ v.salt ^ uint64(run))
+	seed := mix(w.seed ^ v.salt ^ uint64(v.run))
 	v.router = token.New(w.options(token.Options{
 		DataCentre: w.deployment.DataCentres[v.site].Name, Rand: rand.New(rand.NewPCG(seed, 1)),
 	}))
@@ -80,7 +80,7 @@
 		Life: uint64(w.time().UnixMilli()), Seeds: w.seeds(), Rand: rand.New(rand.NewPCG(seed, 2)),
 	})
 	v.later(v.work(startWork), v.listen)
-	w.after(time.Duration(w.luck.Int64N(int64(tickInterval))), func() { v.tick(run) })
+	v.later(time.Duration(w.luck.Int64N(int64(tickInterval))), v.tick)
 }
 
 // listen opens the sockets and asks the store.
@@ -145,14 +145,11 @@
 	return v.works(now) && v.router.Ready() && !v.leaving
 }
 
-func (v *vm) tick(run int) {
-	if v.run != run {
-		return
-	}
+func (v *vm) tick() {
 	if v.works(v.world.now) {
 		v.later(v.work(tickWork), v.tickNow)
 	}
-	v.world.after(tickInterval, func() { v.tick(run) })
+	v.later(tickInterval, v.tick)
 }
 
 func (v *vm) tickNow() {
