entry, heartbeat, token, platform: evacuation of a data centre

Ruled out: a second call for the evacuations (0.5 calls a second more; routes and evacuations share a prefix, one range or watch brings both); a place for them in the routing table (its version is the operators' own and does not move with them).

Change: evacuations are a third kind that VMs hold, with version (the store's revision), source and age, like registrations. One reading brings both kinds of what operators want; heartbeats say which revision is held, the whole list travels in one message to the data centre and one VM of each other. An evacuation ends only by a newer revision. Targets of an evacuated data centre are not choosable; open flows stay. A table that cannot be read does not take the evacuations with it.

Found on the way, by the random model: a list that is empty and one that is none had different checksums, so VMs that learned the end of an evacuation from a message and from the store each took the other's word for something else; and what is held now takes over the version of the VM that vouches for it, since an evacuation that ends leaves what was there before it began.

Tests: rapid model of the fleet's beliefs with evacuations (600 runs), store, router, real VMs with all restarted and the store away for all but one.

--- a/core/heartbeat/ask.go
+++ b/core/heartbeat/ask.go
@@ -100,7 +100,7 @@
 		for _, p := range b.sorted(near) {
 			held := Held{}
 			if b.live(now, p) {
-				held = p.last.Held[kind]
+				held = p.last.HeldOf(kind)
 			}
 			switch {
 			case held.Version < version || held.Version == version && !ok || held.Sum == sum:
--- a/core/heartbeat/beat.go
+++ b/core/heartbeat/beat.go
@@ -12,7 +12,7 @@
 // Own is what this VM says of itself.
 type Own struct {
 	Leaving, Blind bool
-	Held           [kinds]Held
+	Held           [Kinds]Held
 	// Loads is what this VM sends to targets.
 	Loads []baobabstep.TargetLoad
 }
@@ -142,7 +142,7 @@
 	b.number++
 	h := &Heartbeat{
 		From: b.o.Self, DataCentre: b.o.DataCentre, Life: b.o.Life, Number: b.number,
-		Leaving: own.Leaving, Blind: own.Blind, Held: own.Held, Loads: MakeLoads(now, own.Loads, loads), Peers: b.sample(now),
+		Leaving: own.Leaving, Blind: own.Blind, Held: [pieceKinds]Held(own.Held[:pieceKinds]), HeldEvacuations: own.Held[Evacuations], Loads: MakeLoads(now, own.Loads, loads), Peers: b.sample(now),
 	}
 	m := &Message{Heartbeat: h}
 	for _, p := range to {
--- a/core/heartbeat/message.go
+++ b/core/heartbeat/message.go
@@ -32,7 +32,7 @@
 // number and a zero that means "not said"; a number is never used again. The
 // version itself decides nothing. It tells a later message with a part that
 // this program does not know from a malformed one.
-const formatVersion = 2
+const formatVersion = 3
 
 // Message is one message between VMs. Exactly one of its parts is set.
 type Message struct {
@@ -43,6 +43,8 @@
 	Piece     *Piece     `cbor:"4,keyasint,omitempty"`
 	Change    *Change    `cbor:"5,keyasint,omitempty"`
 	Alarm     *Alarm     `cbor:"6,keyasint,omitempty"`
+	// Evacuations is all that the sender holds of that kind.
+	Evacuations *EvacuationList `cbor:"7,keyasint,omitempty"`
 }
 
 // Heartbeat is what a VM says of itself.
@@ -56,11 +58,23 @@
 	// Leaving is set once the VM has begun a planned stop.
 	Leaving bool `cbor:"5,keyasint,omitempty"`
 	// Blind is set while the sender cannot read the store.
-	Blind bool        `cbor:"6,keyasint,omitempty"`
-	Held  [kinds]Held `cbor:"7,keyasint"`
-	Loads Loads       `cbor:"8,keyasint"`
+	Blind bool `cbor:"6,keyasint,omitempty"`
+	// Held is what the sender holds of Routes and Targets.
+	Held  [pieceKinds]Held `cbor:"7,keyasint"`
+	Loads Loads            `cbor:"8,keyasint"`
 	// Peers are some VMs that the sender hears.
 	Peers []netip.AddrPort `cbor:"9,keyasint,omitempty"`
+	// HeldEvacuations is what Held would say of Evacuations; a version 0 is that
+	// of a sender that knows nothing of that kind.
+	HeldEvacuations Held `cbor:"10,keyasint,omitzero"`
+}
+
+// HeldOf returns what the sender says of a kind.
+func (h *Heartbeat) HeldOf(kind Kind) Held {
+	if kind == Evacuations {
+		return h.HeldEvacuations
+	}
+	return h.Held[kind]
 }
 
 // Kind is something that VMs hold in common.
@@ -73,8 +87,13 @@
 	// Targets are the registrations; their version is the store's revision
 	// when they were read, which moves on without changing them.
 	Targets
+	// Evacuations are the data centres that get no new flow; their version is
+	// the store's revision, as that of Targets.
+	Evacuations
 
-	kinds = 2
+	// Kinds is their number, and pieceKinds that of those which travel in pieces.
+	Kinds      = 3
+	pieceKinds = 2
 )
 
 // Held says which version of one kind a VM holds and how fresh it is.
@@ -100,7 +119,7 @@
 // the content with the given checksum, by the sender's word; false if the sender
 // holds another or none.
 func (h *Heartbeat) Vouches(kind Kind, sum uint64) (age time.Duration, ok bool) {
-	held := &h.Held[kind]
+	held := h.HeldOf(kind)
 	return held.Age(), held.Version > 0 && held.Sum == sum
 }
 
@@ -226,19 +245,19 @@
 	}
 	if w := m.Want; w != nil {
 		parts++
-		if w.Kind >= kinds {
+		if w.Kind >= Kinds {
 			return false
 		}
 	}
 	if p := m.Piece; p != nil {
 		parts++
-		if p.Kind >= kinds || p.Count == 0 || p.Index >= p.Count || p.Count > maxPieces {
+		if p.Kind >= pieceKinds || p.Count == 0 || p.Index >= p.Count || p.Count > maxPieces {
 			return false
 		}
 	}
 	if c := m.Change; c != nil {
 		parts++
-		if c.Kind >= kinds || c.To.Version == 0 {
+		if c.Kind >= pieceKinds || c.To.Version == 0 {
 			return false
 		}
 	}
@@ -248,6 +267,12 @@
 			return false
 		}
 	}
+	if e := m.Evacuations; e != nil {
+		parts++
+		if e.Held.Version == 0 || len(e.DataCentres) > maxEvacuated {
+			return false
+		}
+	}
 	return parts == 1 && m.Version > 0
 }
 
--- a/core/heartbeat/transfer_test.go
+++ b/core/heartbeat/transfer_test.go
@@ -119,7 +119,7 @@
 		{"two parts", Message{Heartbeat: beat(1, 1, 1), Want: &Want{}}},
 		{"no sender", Message{Heartbeat: &Heartbeat{DataCentre: "a"}}},
 		{"no data centre", Message{Heartbeat: &Heartbeat{From: 1}}},
-		{"unknown kind wanted", Message{Want: &Want{Kind: kinds}}},
+		{"unknown kind wanted", Message{Want: &Want{Kind: Kinds}}},
 		{"piece past the end", Message{Piece: &Piece{Index: 2, Count: 2}}},
 		{"no pieces", Message{Piece: &Piece{}}},
 		{"absurd count", Message{Piece: &Piece{Count: maxPieces + 1}}},
--- a/core/heartbeat/version_test.go
+++ b/core/heartbeat/version_test.go
@@ -72,7 +72,7 @@
 	}{
 		{"heartbeat", recordedHeartbeat, Message{Version: 1, Heartbeat: &Heartbeat{
 			From: 7, DataCentre: "a", Life: 1000, Number: 2, Leaving: true,
-			Held:  [kinds]Held{{Version: 9, Sum: 8, AgeMS: 7}, {}},
+			Held:  [pieceKinds]Held{{Version: 9, Sum: 8, AgeMS: 7}, {}},
 			Loads: Loads{{Target: 5, Tenths: 7, Unanswered: 3, Opens: 1, HeardMS: 9, AnswerTenths: 40, FailedTenths: 30, TookMS: 20}, {Target: 9, Tenths: 2}},
 			Peers: []netip.AddrPort{netip.MustParseAddrPort("10.0.0.1:8166")},
 		}}},
--- a/core/token/event.go
+++ b/core/token/event.go
@@ -61,9 +61,9 @@
 	// Took is how long answers of the target take, Aim how long they may, where
 	// there was no room.
 	Took, Aim time.Duration
-	// Known, Draining and Gone count the targets of the service, where none
-	// could take a new flow.
-	Known, Draining, Gone int
+	// Known, Draining, Gone and Evacuated count the targets of the service, where
+	// none could take a new flow.
+	Known, Draining, Gone, Evacuated int
 	// Target is 0 if there is none, DataCentre is the target's.
 	Target     baobabstep.TargetID
 	DataCentre string
@@ -126,6 +126,8 @@
 				e.Gone++
 			case t.registration.Draining:
 				e.Draining++
+			case t.evacuated:
+				e.Evacuated++
 			}
 			e.Known++
 		}
--- a/core/token/router.go
+++ b/core/token/router.go
@@ -99,6 +99,13 @@
 	r.replace(r.current.Load().withChanges(now, put, gone))
 }
 
+// SetEvacuations tells which data centres get no new flow.
+func (r *Router) SetEvacuations(dataCentres []string) {
+	r.change.Lock()
+	defer r.change.Unlock()
+	r.replace(r.current.Load().withEvacuations(dataCentres))
+}
+
 // replace puts a snapshot in force. The caller holds r.change.
 func (r *Router) replace(s *snapshot) {
 	before := r.Ready()
--- a/core/token/snapshot.go
+++ b/core/token/snapshot.go
@@ -24,6 +24,8 @@
 	keep       time.Duration
 	beginLoads bool
 	services   *services
+	// evacuated names the data centres whose targets get no new flow.
+	evacuated map[string]bool
 	// spareUntil is until when registrations that go missing may be back.
 	spareUntil time.Time
 }
@@ -118,6 +120,27 @@
 	return r.shares[len(r.shares)-1].Service
 }
 
+// withEvacuations returns a copy of s in which the targets of just the given data
+// centres get no new flow.
+func (s *snapshot) withEvacuations(dataCentres []string) *snapshot {
+	next := *s
+	next.evacuated = make(map[string]bool, len(dataCentres))
+	for _, name := range dataCentres {
+		next.evacuated[name] = true
+	}
+	next.targets = make(map[baobabstep.TargetID]*target, len(s.targets))
+	for id, t := range s.targets {
+		if moved := next.evacuated[t.registration.DataCentre]; moved != t.evacuated {
+			changed := *t
+			changed.evacuated = moved
+			t = &changed
+		}
+		next.targets[id] = t
+	}
+	next.pools = makePools(next.targets)
+	return &next
+}
+
 // withRegistrations returns a copy of s in which the given registrations are
 // the ones that are there. Those that are there no more stay known for s.keep,
 // for the flows that they may still have.
@@ -264,7 +287,8 @@
 // target stays what it was and gets no new flow.
 func (s *snapshot) registered(now time.Time, r *baobabstep.Registration) *target {
 	t := &target{
-		id: r.ID, registration: *r, load: newLoad(now), service: s.services.get(r.Service), coldUntil: now.Add(r.ColdFor),
+		id: r.ID, registration: *r, load: newLoad(now), service: s.services.get(r.Service),
+		coldUntil: now.Add(r.ColdFor), evacuated: s.evacuated[r.DataCentre],
 	}
 	old := s.targets[r.ID]
 	if !t.sameRun(old) {
--- a/core/token/stats.go
+++ b/core/token/stats.go
@@ -27,6 +27,8 @@
 	// them that get no new flows, and Failing those that get few.
 	Version                  uint64
 	Targets, Silent, Failing int
+	// Evacuated are the data centres that get no new flow.
+	Evacuated int
 }
 
 // Stats returns the present counts.
@@ -34,7 +36,7 @@
 	s := r.current.Load()
 	stats := Stats{
 		Events: make(map[string]uint64, numEvents), Outcomes: make(map[string]uint64, answer.NumOutcomes), Passed: r.counts.passed.Load(),
-		Flows: r.flows.count(), Version: s.version, Targets: len(s.targets),
+		Flows: r.flows.count(), Version: s.version, Targets: len(s.targets), Evacuated: len(s.evacuated),
 	}
 	for kind := range numEvents {
 		stats.Events[kind.String()] = r.counts.events[kind].Load()
--- a/core/token/target.go
+++ b/core/token/target.go
@@ -21,14 +21,16 @@
 	// sparedUntil is until when a target whose registration is missing may
 	// still get new flows: it may have lapsed while the store was away.
 	sparedUntil time.Time
-	// coldUntil is when the target stops being slow after its start.
+	// coldUntil is when the target stops being cold, by its own word.
 	coldUntil time.Time
+	// evacuated is set while the target's data centre gets no new flow.
+	evacuated bool
 }
 
 // choosable tells whether the target may get new flows.
 func (t *target) choosable(now time.Time) bool {
 	there := t.missingSince.IsZero() || now.Before(t.sparedUntil)
-	return there && !t.registration.Draining
+	return there && !t.registration.Draining && !t.evacuated
 }
 
 // sameRun tells whether other is the same run of the same target, so that what
--- a/directory.go
+++ b/directory.go
@@ -17,6 +17,32 @@
 	IdleTimeout time.Duration
 }
 
+// DesiredState is what the operators want of the fleet.
+type DesiredState struct {
+	Table *RoutingTable
+	// Evacuated names the data centres whose targets get no new flow, sorted.
+	Evacuated []string
+}
+
+// DesiredChange is what a watch saw of the desired state.
+type DesiredChange struct {
+	// Table is the newest routing table, nil if it did not change.
+	Table *RoutingTable
+	// Evacuations are in the order in which they were made.
+	Evacuations []EvacuationChange
+}
+
+// Empty tells whether nothing changed.
+func (c *DesiredChange) Empty() bool { return c.Table == nil && len(c.Evacuations) == 0 }
+
+// EvacuationChange begins the evacuation of a data centre, or ends it.
+type EvacuationChange struct {
+	DataCentre string
+	Ended      bool
+	// Revision is the store's when the change was made.
+	Revision Revision
+}
+
 // Rule sends the new flows of one service address to services.
 type Rule struct {
 	Name    string
@@ -84,18 +110,19 @@
 	Recent // recent
 )
 
-// Directory is where a VM with token routing reads routes and targets. Every
+// Directory is where a VM with token routing reads the desired state and targets. Every
 // method may fail with CodePlatformUnavailable; watches fail with
 // CodeCompacted once the store no longer has the changes asked for.
 //
 // A watch alone is no proof of freshness: a store that is dropping its history
 // may pass over a change and yet return a later revision.
 type Directory interface {
-	// RoutingTable reads the routing table.
-	RoutingTable(ctx context.Context, f Freshness) (*RoutingTable, Revision, error)
-	// WatchRoutingTable waits until the table changes after a revision; the
-	// table is nil if it did not within wait.
-	WatchRoutingTable(ctx context.Context, after Revision, wait time.Duration) (*RoutingTable, Revision, error)
+	// Desired reads the desired state. Errors also: CodeNotFound while there is no
+	// routing table.
+	Desired(ctx context.Context, f Freshness) (*DesiredState, Revision, error)
+	// WatchDesired waits until the desired state changes after a revision; the
+	// change is empty if it did not within wait.
+	WatchDesired(ctx context.Context, after Revision, wait time.Duration) (*DesiredChange, Revision, error)
 	// Registrations reads all registrations. Of several pages the oldest
 	// revision is returned, so that a watch from there misses no change.
 	Registrations(ctx context.Context, f Freshness) ([]Registration, Revision, error)
--- a/entry/belief.go
+++ b/entry/belief.go
@@ -13,17 +13,18 @@
 	"baobabstep/core/token"
 )
 
-// beliefs are the routes and targets that this VM goes by. Each has a version,
+// beliefs are the routes, targets and evacuations that this VM goes by. Each has a version,
 // a source and an age: the time since the store was known to hold nothing newer.
 type beliefs struct {
 	router *token.Router
 	log    log.Interface
 
 	mu   sync.Mutex
-	held [2]belief
-	// table and targets are what held stands for.
-	table   *baobabstep.RoutingTable
-	targets *heartbeat.Registrations
+	held [heartbeat.Kinds]belief
+	// table, targets and evacuated are what held stands for.
+	table     *baobabstep.RoutingTable
+	targets   *heartbeat.Registrations
+	evacuated []string
 }
 
 // belief is what is held of one kind.
@@ -235,11 +236,18 @@
 	}
 }
 
-// confirm notes that the store held nothing newer than what is held at a time.
-func (b *beliefs) confirm(kind heartbeat.Kind, at time.Time) {
+// vouched notes that another VM holds the same, of a version, and that the store
+// held nothing newer at a time.
+//
+// What is held takes over the version: an evacuation that ends leaves what was
+// there before it began. Kept under its first version that would give way to the
+// evacuation itself, told late by a third VM, as if it had been confirmed.
+func (b *beliefs) vouched(kind heartbeat.Kind, version uint64, at time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.held[kind].confirm(at)
+	held := &b.held[kind]
+	held.version = max(held.version, version)
+	held.confirm(at)
 }
 
 // get returns what is held of a kind.
@@ -257,7 +265,7 @@
 }
 
 // told returns what heartbeats say of what is held.
-func (b *beliefs) told(now time.Time) (held [2]heartbeat.Held) {
+func (b *beliefs) told(now time.Time) (held [heartbeat.Kinds]heartbeat.Held) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for kind := range held {
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -87,10 +87,11 @@
 	spread float64
 }
 
-// reading is how one kind is read and watched.
+// reading is how some kinds are read and watched together.
 type reading struct {
-	kind heartbeat.Kind
-	name string
+	// kinds are those of one call; the first stands for the reading.
+	kinds []heartbeat.Kind
+	name  string
 	// within is the time in which news has to be in force.
 	within time.Duration
 	// gather is the pause between two watches.
@@ -107,24 +108,41 @@
 	revision atomic.Uint64
 }
 
-func (f *follower) routes() *reading {
+// desired is the reading of what the operators want: routes and evacuations lie
+// side by side in the store, and one call reads both.
+func (f *follower) desired() *reading {
 	return &reading{
-		kind: heartbeat.Routes, name: "routes", within: f.node.o.Settings.Token.ConfigApply(), gather: gatherRoutes,
-		read: f.readRoutes, watch: f.watchRoutes, again: make(chan struct{}, 1),
+		kinds: []heartbeat.Kind{heartbeat.Routes, heartbeat.Evacuations}, name: "desired",
+		within: f.node.o.Settings.Token.DesiredApply(), gather: gatherRoutes,
+		read: f.readDesired, watch: f.watchDesired, again: make(chan struct{}, 1),
 	}
 }
 
 func (f *follower) targets() *reading {
 	return &reading{
-		kind: heartbeat.Targets, name: "targets", within: f.node.o.Settings.Token.Drain(), gather: gatherTargets,
+		kinds: []heartbeat.Kind{heartbeat.Targets}, name: "targets", within: f.node.o.Settings.Token.Drain(), gather: gatherTargets,
 		read: f.readTargets, watch: f.watchTargets, again: make(chan struct{}, 1),
 	}
 }
 
-// due returns when a kind has to be read again.
+// kind returns the kind that stands for the reading.
+func (r *reading) kind() heartbeat.Kind { return r.kinds[0] }
+
+// due returns when something has to be read again.
 func (f *follower) due(now time.Time, r *reading) time.Time {
 	age := dueAge(f.node.rank(now))
-	held := f.node.beliefs.get(r.kind)
+	first := f.dueOf(r, r.kind(), age)
+	for _, kind := range r.kinds[1:] {
+		if due := f.dueOf(r, kind, age); due.Before(first) {
+			first = due
+		}
+	}
+	return first
+}
+
+// dueOf returns when a kind has to be read again by a VM that does so at an age.
+func (f *follower) dueOf(r *reading, kind heartbeat.Kind, age float64) time.Time {
+	held := f.node.beliefs.get(kind)
 	if held.unconfirmed {
 		return f.node.started.Add(confirmTime + time.Duration((min(age, nearAge)-readerAge+confirmSpread*f.spread)*float64(r.within)))
 	}
@@ -200,9 +218,9 @@
 // logReading says why the store is asked: each call costs.
 func (f *follower) logReading(r *reading, how baobabstep.Freshness) {
 	now := f.node.clock.Now()
-	rank, held := f.node.rank(now), f.node.beliefs.get(r.kind)
+	rank, held := f.node.rank(now), f.node.beliefs.get(r.kind())
 	fields := log.Fields{"reading": r.name, "freshness": how.String(), "near": rank.Near, "far": rank.Far, "unconfirmed": held.unconfirmed}
-	if age, known := f.node.beliefs.age(now, r.kind); known {
+	if age, known := f.node.beliefs.age(now, r.kind()); known {
 		fields["age_ms"] = age.Milliseconds()
 	}
 	f.node.log.WithFields(fields).Info("store read")
@@ -298,7 +316,7 @@
 	}
 	lost := err != nil
 	switch {
-	case f.node.blind[r.kind].Swap(lost) == lost:
+	case f.node.blind[r.kind()].Swap(lost) == lost:
 		return
 	case lost:
 		f.node.log.WithError(err).WithField("reading", r.name).Warn("store lost")
--- a/entry/hand.go
+++ b/entry/hand.go
@@ -13,6 +13,10 @@
 	if n.beliefs.get(w.Kind).version <= w.Newer {
 		return
 	}
+	if w.Kind == heartbeat.Evacuations {
+		n.sendEvacuations(now, from)
+		return
+	}
 	held, err := n.beliefs.whole(w.Kind)
 	if err != nil {
 		n.log.WithError(err).Error("cannot hand on what is held")
--- a/entry/heartbeat_bench_test.go
+++ b/entry/heartbeat_bench_test.go
@@ -64,7 +64,7 @@
 		number++
 		h := &heartbeat.Heartbeat{
 			From: baobabstep.VMID(from + 1), DataCentre: fmt.Sprintf("dc-%d", from%3), Life: 1, Number: number,
-			Held: held, Loads: heartbeat.MakeLoads(now, loads, benchLoads),
+			Held: [2]heartbeat.Held(held[:2]), HeldEvacuations: held[heartbeat.Evacuations], Loads: heartbeat.MakeLoads(now, loads, benchLoads),
 		}
 		raw := encodeBeat(b, h)
 		b.StartTimer()
--- a/entry/model_test.go
+++ b/entry/model_test.go
@@ -43,8 +43,10 @@
 	revision baobabstep.Revision
 	table    *baobabstep.RoutingTable
 	targets  []baobabstep.Registration
-	// tableAt and targetsAt are when the newest was accepted.
-	tableAt, targetsAt time.Time
+	// evacuated is replaced at each change, never written to.
+	evacuated []string
+	// tableAt, targetsAt and evacuatedAt are when the newest was accepted.
+	tableAt, targetsAt, evacuatedAt time.Time
 	// copied is what a copy of the store holds, which may be seconds old.
 	copied modelCopy
 	down   bool
@@ -53,10 +55,11 @@
 
 // modelCopy is what the store held at a time.
 type modelCopy struct {
-	revision baobabstep.Revision
-	table    *baobabstep.RoutingTable
-	targets  []baobabstep.Registration
-	at       time.Time
+	revision  baobabstep.Revision
+	table     *baobabstep.RoutingTable
+	targets   []baobabstep.Registration
+	evacuated []string
+	at        time.Time
 }
 
 // copyLag is how far a copy may be behind the store.
@@ -65,7 +68,7 @@
 // copyNow brings the copy up to date, if it is due or something was never copied.
 func (s *modelStore) copyNow(now time.Time) {
 	if s.copied.table == nil || now.Sub(s.copied.at) >= copyLag {
-		s.copied = modelCopy{s.revision, s.table, s.targets, now}
+		s.copied = modelCopy{s.revision, s.table, s.targets, s.evacuated, now}
 	}
 }
 
@@ -74,7 +77,7 @@
 	if how == baobabstep.Recent {
 		return s.copied
 	}
-	return modelCopy{revision: s.revision, table: s.table, targets: s.targets}
+	return modelCopy{revision: s.revision, table: s.table, targets: s.targets, evacuated: s.evacuated}
 }
 
 // modelDirectory is the store as one VM reaches it.
@@ -93,14 +96,14 @@
 	return nil
 }
 
-func (d modelDirectory) RoutingTable(_ context.Context, how baobabstep.Freshness) (*baobabstep.RoutingTable, baobabstep.Revision, error) {
+func (d modelDirectory) Desired(_ context.Context, how baobabstep.Freshness) (*baobabstep.DesiredState, baobabstep.Revision, error) {
 	if err := d.reach(); err != nil {
 		return nil, 0, err
 	}
 	read := d.store.read(how)
 	copied := *read.table
 	copied.Rules = slices.Clone(copied.Rules)
-	return &copied, read.revision, nil
+	return &baobabstep.DesiredState{Table: &copied, Evacuated: slices.Clone(read.evacuated)}, read.revision, nil
 }
 
 func (d modelDirectory) Registrations(_ context.Context, how baobabstep.Freshness) ([]baobabstep.Registration, baobabstep.Revision, error) {
@@ -109,8 +112,8 @@
 }
 
 // Watches never bring anything: the worst that a store does to them.
-func (d modelDirectory) WatchRoutingTable(context.Context, baobabstep.Revision, time.Duration) (*baobabstep.RoutingTable, baobabstep.Revision, error) {
-	return nil, 0, nil
+func (d modelDirectory) WatchDesired(context.Context, baobabstep.Revision, time.Duration) (*baobabstep.DesiredChange, baobabstep.Revision, error) {
+	return new(baobabstep.DesiredChange), 0, nil
 }
 
 func (d modelDirectory) WatchRegistrations(context.Context, baobabstep.Revision, time.Duration) ([]baobabstep.RegistrationChange, baobabstep.Revision, error) {
@@ -123,12 +126,13 @@
 type modelVM struct {
 	n    int
 	node *Node
-	// routes and targets are what its follower reads.
-	routes, targets *reading
+	// desired and targets are what its follower reads.
+	desired, targets *reading
 	// cut is set while the store is out of its reach.
 	cut bool
-	// version is the newest table of this life.
-	version uint64
+	// version is the newest table of this life, and evacuations the newest revision
+	// of evacuations.
+	version, evacuations uint64
 	// touchSince is when it last came to reach the store, or started.
 	touchSince time.Time
 	failedAt   time.Time
@@ -153,8 +157,10 @@
 	random             *rand.Rand
 	apart              map[[2]int]bool
 	tables             map[uint64]uint64
-	lives              uint64
-	settled            time.Time
+	// evacuations are all that the store ever held, by revision.
+	evacuations map[baobabstep.Revision][]string
+	lives       uint64
+	settled     time.Time
 }
 
 // Now implements [baobabstep.Clock].
@@ -186,7 +192,7 @@
 func newModel(t *rapid.T) *model {
 	m := &model{
 		t: t, now: time.Unix(1_800_000_000, 0), store: &modelStore{}, apart: map[[2]int]bool{},
-		random: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)), tables: map[uint64]uint64{},
+		random: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)), tables: map[uint64]uint64{}, evacuations: map[baobabstep.Revision][]string{},
 	}
 	m.changeRoutes()
 	m.changeTargets()
@@ -210,8 +216,8 @@
 		Directory: modelDirectory{m.store, vm}, Messages: modelMessages{m, modelAddress(vm.n)},
 		Rand: rand.New(rand.NewPCG(m.lives, 7)),
 	})
-	vm.routes, vm.targets = vm.node.follower.routes(), vm.node.follower.targets()
-	vm.version, vm.touchSince = 0, m.now
+	vm.desired, vm.targets = vm.node.follower.desired(), vm.node.follower.targets()
+	vm.version, vm.evacuations, vm.touchSince = 0, 0, m.now
 }
 
 func (m *model) changeRoutes() {
@@ -247,13 +253,36 @@
 	m.store.targetsAt = m.now
 }
 
+// changeEvacuations begins the evacuation of a data centre, or ends it.
+func (m *model) changeEvacuations() {
+	m.store.revision++
+	name := fmt.Sprintf("dc-%d", m.random.IntN(modelData))
+	list := slices.DeleteFunc(slices.Clone(m.store.evacuated), func(dc string) bool { return dc == name })
+	if len(list) == len(m.store.evacuated) {
+		list = slices.Sorted(slices.Values(append(list, name)))
+	}
+	m.store.evacuated, m.store.evacuatedAt = list, m.now
+	m.evacuations[m.store.revision] = list
+}
+
+// evacuatedAt returns what the store held at a revision.
+func (m *model) evacuatedAt(revision baobabstep.Revision) (list []string) {
+	newest := baobabstep.Revision(0)
+	for at, held := range m.evacuations {
+		if at <= revision && at >= newest {
+			newest, list = at, held
+		}
+	}
+	return list
+}
+
 // step lets stepTime pass: readings that are due, heartbeats, and the messages
 // of all, whatever they set off.
 func (m *model) step() {
 	m.now = m.now.Add(stepTime)
 	m.store.copyNow(m.now)
 	for _, vm := range m.vms {
-		for _, r := range []*reading{vm.routes, vm.targets} {
+		for _, r := range []*reading{vm.desired, vm.targets} {
 			// A failed reading is tried again after the shortest pause but one.
 			if m.now.Before(vm.node.follower.due(m.now, r)) || m.now.Sub(vm.failedAt) < stepTime {
 				continue
@@ -312,10 +341,27 @@
 		if age := m.now.Sub(held.confirmed); held.version > 0 && age < 0 {
 			m.t.Fatalf("VM %d is %v ahead of the store", vm.n, -age)
 		}
+		m.checkEvacuations(vm)
 		m.checkFresh(vm, held)
 	}
 }
 
+// checkEvacuations checks that a VM holds what the store held at the revision that
+// it names, and never goes back.
+func (m *model) checkEvacuations(vm *modelVM) {
+	held := vm.node.beliefs.get(heartbeat.Evacuations)
+	vm.node.beliefs.mu.Lock()
+	list := vm.node.beliefs.evacuated
+	vm.node.beliefs.mu.Unlock()
+	switch want := m.evacuatedAt(baobabstep.Revision(held.version)); {
+	case held.version < vm.evacuations:
+		m.t.Fatalf("VM %d went from revision %d of evacuations to %d", vm.n, vm.evacuations, held.version)
+	case held.version > 0 && !slices.Equal(list, want):
+		m.t.Fatalf("VM %d holds evacuations %v at revision %d, the store held %v", vm.n, list, held.version, want)
+	}
+	vm.evacuations = held.version
+}
+
 // checkFresh checks a VM that reached the store, and could rely on nothing
 // else, for all of the bound.
 func (m *model) checkFresh(vm *modelVM, held belief) {
@@ -325,6 +371,10 @@
 	if held.version < m.store.table.Version && m.now.Sub(m.store.tableAt) > freshBound {
 		m.t.Fatalf("VM %d holds version %d, %v after %d was accepted", vm.n, held.version, m.now.Sub(m.store.tableAt), m.store.table.Version)
 	}
+	evacuations := vm.node.beliefs.get(heartbeat.Evacuations)
+	if want, err := heartbeat.EvacuationsSum(m.store.evacuated); err != nil || evacuations.sum != want && m.now.Sub(m.store.evacuatedAt) > freshBound {
+		m.t.Fatalf("VM %d holds old evacuations %v after they changed (%v)", vm.n, m.now.Sub(m.store.evacuatedAt), err)
+	}
 	targets := vm.node.beliefs.get(heartbeat.Targets)
 	stored, err := heartbeat.NewRegistrations(m.store.targets)
 	if err != nil {
@@ -350,8 +400,9 @@
 					m.step()
 				}
 			},
-			"change routes":  func(*rapid.T) { m.changeRoutes() },
-			"change targets": func(*rapid.T) { m.changeTargets() },
+			"change routes":                     func(*rapid.T) { m.changeRoutes() },
+			"change targets":                    func(*rapid.T) { m.changeTargets() },
+			"evacuate a data centre, or end it": func(*rapid.T) { m.changeEvacuations() },
 			"cut or join a VM and the store": func(*rapid.T) {
 				vm := m.anyVM()
 				vm.cut, vm.touchSince = !vm.cut, m.now
--- a/entry/node.go
+++ b/entry/node.go
@@ -81,7 +81,7 @@
 	started  time.Time
 	stopping atomic.Bool
 	// blind is set for a kind while the store cannot be read.
-	blind     [2]atomic.Bool
+	blind     [heartbeat.Kinds]atomic.Bool
 	observers atomic.Pointer[observers]
 	// lastPacket is when the fabric last sent something, in nanoseconds since
 	// the start.
@@ -125,7 +125,7 @@
 
 // counters count what has no part of its own to count it.
 type counters struct {
-	malformed, linesDropped, changesLeft atomic.Uint64
+	malformed, linesDropped, changesLeft, unknownEvacuations atomic.Uint64
 }
 
 // Done is closed when Run has returned and every part has ended.
@@ -182,9 +182,9 @@
 // parts returns the long-running functions of the VM. What a first packet waits
 // for comes first: on a tenth of a core the parts start milliseconds apart.
 func (n *Node) parts(ctx context.Context, listener net.Listener) []func() error {
-	routes, targets := n.follower.routes(), n.follower.targets()
+	desired, targets := n.follower.desired(), n.follower.targets()
 	parts := []func() error{
-		func() error { return n.follower.follow(ctx, routes) },
+		func() error { return n.follower.follow(ctx, desired) },
 		func() error { return n.follower.follow(ctx, targets) },
 	}
 	for _, segments := range n.o.Segments {
@@ -195,7 +195,7 @@
 		func() error { return n.listen(ctx) },
 		func() error { return n.serveReady(ctx, listener) },
 		func() error { return n.tick(ctx) },
-		func() error { return n.follower.watch(ctx, routes) },
+		func() error { return n.follower.watch(ctx, desired) },
 		func() error { return n.follower.watch(ctx, targets) },
 		func() error { return n.serveMetrics(ctx) },
 	)
--- a/entry/read.go
+++ b/entry/read.go
@@ -2,18 +2,24 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"baobabstep"
 )
 
-func (f *follower) readRoutes(ctx context.Context, how baobabstep.Freshness) (baobabstep.Revision, error) {
+func (f *follower) readDesired(ctx context.Context, how baobabstep.Freshness) (baobabstep.Revision, error) {
 	began := f.node.clock.Now()
-	table, revision, err := f.directory.RoutingTable(ctx, how)
-	if err != nil {
+	state, revision, err := f.directory.Desired(ctx, how)
+	if state == nil {
+		return 0, err
+	}
+	from := readFrom(how, began, f.node.o.Settings.Token.DesiredApply())
+	err = errors.Join(err, f.node.learnEvacuations(state.Evacuated, revision, from))
+	if state.Table == nil {
 		return 0, err
 	}
-	return revision, f.node.learnRoutes(table, readFrom(how, began, f.node.o.Settings.Token.ConfigApply()))
+	return revision, errors.Join(err, f.node.learnRoutes(state.Table, from))
 }
 
 // readFrom returns the origin of what was read. What a copy held is taken to be as
@@ -25,14 +31,24 @@
 	return origin{source: sourceStore, confirmed: began}
 }
 
-func (f *follower) watchRoutes(ctx context.Context, after baobabstep.Revision) (baobabstep.Revision, bool, error) {
-	table, revision, err := f.directory.WatchRoutingTable(ctx, after, watchWait)
-	if err != nil || table == nil {
+func (f *follower) watchDesired(ctx context.Context, after baobabstep.Revision) (baobabstep.Revision, bool, error) {
+	change, revision, err := f.directory.WatchDesired(ctx, after, watchWait)
+	if err != nil || change.Empty() {
 		return revision, false, err
 	}
-	// The table was the newest when the watch returned, like one that is read;
-	// what the watch may have passed over comes with the next reading.
-	return revision, true, f.node.learnRoutes(table, origin{source: sourceWatch, confirmed: f.node.clock.Now()})
+	if len(change.Evacuations) > 0 {
+		changed, evacuateErr := f.node.beliefs.changeEvacuations(f.node.clock.Now(), change.Evacuations)
+		if changed {
+			f.node.spreadEvacuations(true)
+		}
+		err = evacuateErr
+	}
+	if change.Table != nil {
+		// The table was the newest when the watch returned, like one that is read;
+		// what the watch may have passed over comes with the next reading.
+		err = errors.Join(err, f.node.learnRoutes(change.Table, origin{source: sourceWatch, confirmed: f.node.clock.Now()}))
+	}
+	return revision, true, err
 }
 
 func (f *follower) readTargets(ctx context.Context, how baobabstep.Freshness) (baobabstep.Revision, error) {
--- a/entry/share.go
+++ b/entry/share.go
@@ -38,8 +38,8 @@
 // sharing is what Node needs to put together what peers send.
 type sharing struct {
 	mu       sync.Mutex
-	assembly [2]heartbeat.Assembly
-	wantedAt [2]time.Time
+	assembly [heartbeat.Kinds]heartbeat.Assembly
+	wantedAt [heartbeat.Kinds]time.Time
 	// serveAt is when this VM may next send the whole of something.
 	serveAt time.Time
 }
@@ -89,6 +89,8 @@
 		n.handlePiece(now, m.Piece)
 	case m.Change != nil:
 		n.handleChange(now, from, m.Change)
+	case m.Evacuations != nil:
+		n.handleEvacuations(now, from, m.Evacuations)
 	case m.Alarm != nil:
 		n.router.SetSilence(now, n.board.HandleAlarm(now, from, m.Alarm))
 	}
@@ -100,7 +102,7 @@
 	if !n.board.Handle(now, from, h) {
 		return
 	}
-	for _, kind := range []heartbeat.Kind{heartbeat.Routes, heartbeat.Targets} {
+	for kind := range heartbeat.Kind(heartbeat.Kinds) {
 		n.compare(now, kind, h)
 	}
 }
@@ -111,11 +113,11 @@
 	held := n.beliefs.get(kind)
 	if age, same := h.Vouches(kind, held.sum); same {
 		if held.version > 0 {
-			n.beliefs.confirm(kind, now.Add(-age))
+			n.beliefs.vouched(kind, h.HeldOf(kind).Version, now.Add(-age))
 		}
 		return
 	}
-	if h.Held[kind].Version <= held.version {
+	if h.HeldOf(kind).Version <= held.version {
 		return
 	}
 	if source, ok := n.board.Newer(now, kind, held.version, held.sum); ok && n.mayWant(now, kind) {
--- a/io/setting/token.go
+++ b/io/setting/token.go
@@ -1,6 +1,7 @@
 package setting
 
 import (
+	"cmp"
 	"net/netip"
 	"time"
 
@@ -17,6 +18,9 @@
 	// ConfigApplyMS is how soon a routing table has to be in force after the
 	// store accepted it.
 	ConfigApplyMS int `json:"config_apply_ms,omitempty"`
+	// EvacuateMS is how soon the evacuation of a data centre has to be in force
+	// after the store accepted it; as ConfigApplyMS if it is not said.
+	EvacuateMS int `json:"evacuate_ms,omitempty"`
 	// DrainMS is how soon a target that drains may get no new flow, and how
 	// long it serves at least.
 	DrainMS int `json:"drain_ms,omitempty"`
@@ -43,6 +47,14 @@
 	return time.Duration(t.ConfigApplyMS) * time.Millisecond
 }
 
+// Evacuate returns EvacuateMS as a duration.
+func (t *TokenSettings) Evacuate() time.Duration {
+	return time.Duration(cmp.Or(t.EvacuateMS, t.ConfigApplyMS)) * time.Millisecond
+}
+
+// DesiredApply returns how soon anything that the operators want has to be in force.
+func (t *TokenSettings) DesiredApply() time.Duration { return min(t.ConfigApply(), t.Evacuate()) }
+
 // Drain returns DrainMS as a duration.
 func (t *TokenSettings) Drain() time.Duration { return time.Duration(t.DrainMS) * time.Millisecond }
 
@@ -84,6 +96,7 @@
 		value time.Duration
 	}{
 		{"token.config_apply_ms", t.ConfigApply()},
+		{"token.evacuate_ms", t.Evacuate()},
 		{"token.drain_ms", t.Drain()},
 		{"token.flow_max_s", t.FlowMax()},
 		{"token.stop_grace_s", t.StopGrace()},
