quota, token, heartbeat, platform: cold targets get what they bear, from all VMs together

Cause: a service may say how many new requests a second its targets bear while they are cold. VMs ignored that, and what they knew of coldness was a factor of 1.6.

Change: core/quota divides a limit by rendezvous hash: the first few VMs of the target's data centre may send one (or more) in any second, the others none. Shares add up to what the target bears and at most half of the bound, so views that differ by as many VMs again keep it. Views only grow in the short term; a VM that started or met another less than 1.5 s ago, hears nobody, or started before any VM hears one of its seeds uses nothing. What a target does not say is presumed: cold after its data centre is no longer evacuated, and after it took no flows and is heard of again. The same run that says it is cold again is believed. Of the last target that takes one, urgent flows get seven of eight while they come. The factor is learned for each service from answers of cold and warm targets, and is 1 before.

TestColdTargetGetsLess asserted the constant; it now asserts the learned factor with the same bound, and a second test that no factor is applied where none was seen.

Three VMs with two views each, all interleavings: none broken.

--- a/core/heartbeat/board.go
+++ b/core/heartbeat/board.go
@@ -11,6 +11,7 @@
 	"golang.org/x/time/rate"
 
 	"baobabstep"
+	"baobabstep/core/quota"
 )
 
 // Options are the settings of a [Board]. Zero values stand for the defaults
@@ -96,6 +97,14 @@
 	tally               tally
 	// alarms bounds the bytes of alarms.
 	alarms *rate.Limiter
+	// metAt is when a VM of the own data centre was heard for the first time, or
+	// the start, and view what View returned last.
+	metAt time.Time
+	view  *quota.View
+	// started is when the board was made, and unseen are the seeds that no VM was
+	// heard to hear since.
+	started time.Time
+	unseen  map[netip.AddrPort]bool
 }
 
 // New returns a board that knows the seeds.
@@ -103,7 +112,12 @@
 	o.setDefaults()
 	b := &Board{
 		o: o, peers: make(map[netip.AddrPort]*peer), tally: make(tally), alarms: rate.NewLimiter(alarmRate, alarmBurst),
+		metAt: now, started: now, unseen: make(map[netip.AddrPort]bool),
 	}
+	for _, seed := range o.Seeds {
+		b.unseen[seed] = true
+	}
+	delete(b.unseen, o.Address)
 	b.meet(now, o.Seeds)
 	return b
 }
@@ -117,6 +131,17 @@
 	}
 }
 
+// see notes seeds that are heard, here or by another VM.
+func (b *Board) see(from netip.AddrPort, heard []netip.AddrPort) {
+	if len(b.unseen) == 0 {
+		return
+	}
+	delete(b.unseen, from)
+	for _, a := range heard {
+		delete(b.unseen, a)
+	}
+}
+
 // sorted returns the peers of the own data centre or of all others, those of
 // which only the address is known among both.
 func (b *Board) sorted(near bool) []*peer {
@@ -191,6 +216,9 @@
 		return false
 	}
 	b.count(p, false)
+	if p.last == nil && h.DataCentre == b.o.DataCentre {
+		b.metAt = now
+	}
 	newLife := p.last == nil || h.Life != p.last.Life
 	if newLife {
 		p.alarmed = 0
@@ -201,6 +229,7 @@
 	p.last, p.heard = h, now
 	b.count(p, true)
 	b.meet(now, h.Peers)
+	b.see(from, h.Peers)
 	return true
 }
 
--- a/core/heartbeat/change.go
+++ b/core/heartbeat/change.go
@@ -24,6 +24,9 @@
 		delete(old, r.Name)
 	}
 	c.RemovedRules = slices.Sorted(maps.Keys(old))
+	if !slices.Equal(from.ColdLimits, to.ColdLimits) {
+		c.ColdChanged, c.ColdLimits = true, makeColdLimits(to.ColdLimits)
+	}
 	return c
 }
 
@@ -50,6 +53,13 @@
 	}
 	to := &baobabstep.RoutingTable{Version: c.To.Version, IdleTimeout: c.Idle, Rules: slices.Collect(maps.Values(rules))}
 	SortRules(to.Rules)
+	to.ColdLimits = from.ColdLimits
+	if c.ColdChanged {
+		var err error
+		if to.ColdLimits, err = coldLimits(c.ColdLimits); err != nil {
+			return nil, err
+		}
+	}
 	content, err := EncodeRoutes(to)
 	if err != nil || Sum(content) != c.To.Sum {
 		return nil, conflict("got another table than the change should give")
--- a/core/heartbeat/change_test.go
+++ b/core/heartbeat/change_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
@@ -134,3 +135,42 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, len(raw) < 150 && len(content) > 5000, qt.IsTrue, qt.Commentf("%d of %d bytes", len(raw), len(content)))
 }
+
+// Operators change what cold targets of a service bear, and nothing else. VMs that
+// hear of the change hold the table that those which read it hold.
+func TestColdLimitsTravel(t *testing.T) {
+	from := &baobabstep.RoutingTable{Version: 1}
+	to := &baobabstep.RoutingTable{Version: 2, ColdLimits: []baobabstep.ColdLimit{
+		{Service: "b", PerSecond: 1.5, Lasts: time.Second}, {Service: "a", PerSecond: 6, Lasts: 4 * time.Second},
+	}}
+	SortTable(to)
+	travel := func(from, to *baobabstep.RoutingTable) *baobabstep.RoutingTable {
+		oldContent, err := EncodeRoutes(from)
+		qt.Assert(t, err, qt.IsNil)
+		content, err := EncodeRoutes(to)
+		qt.Assert(t, err, qt.IsNil)
+		decoded, err := DecodeRoutes(content)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, decoded.ColdLimits, qt.DeepEquals, to.ColdLimits)
+		raw, err := Encode(&Message{Change: RoutesChange(from, to, Sum(oldContent), MakeHeld(to.Version, Sum(content), 0))})
+		qt.Assert(t, err, qt.IsNil)
+		m, err := Decode(raw)
+		qt.Assert(t, err, qt.IsNil)
+		got, err := m.Change.ApplyRoutes(from, Sum(oldContent))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, got.ColdLimits, qt.DeepEquals, to.ColdLimits)
+		return got
+	}
+	got := travel(from, to)
+	same := *got
+	same.Version = 3
+	travel(got, &same)
+	travel(&same, &baobabstep.RoutingTable{Version: 4})
+
+	t.Run("a limit that cannot be is malformed", func(t *testing.T) {
+		raw, err := encMode.Marshal(&routesBody{Version: 1, ColdLimits: []coldBody{{Service: "a", PerSecond: -1, Lasts: 1}}})
+		qt.Assert(t, err, qt.IsNil)
+		_, err = DecodeRoutes(raw)
+		qt.Assert(t, baobabstep.CodeOf(err), qt.Equals, baobabstep.CodeMalformed)
+	})
+}
--- a/core/heartbeat/message.go
+++ b/core/heartbeat/message.go
@@ -188,6 +188,9 @@
 	Rules          []ruleBody            `cbor:"6,keyasint,omitempty"`
 	RemovedTargets []baobabstep.TargetID `cbor:"7,keyasint,omitempty"`
 	Targets        []targetBody          `cbor:"8,keyasint,omitempty"`
+	// ColdLimits are all of a routing table, if ColdChanged is set.
+	ColdChanged bool       `cbor:"9,keyasint,omitempty"`
+	ColdLimits  []coldBody `cbor:"10,keyasint,omitempty"`
 }
 
 var (
--- a/core/heartbeat/transfer.go
+++ b/core/heartbeat/transfer.go
@@ -29,6 +29,35 @@
 	Version     uint64        `cbor:"1,keyasint"`
 	IdleTimeout time.Duration `cbor:"2,keyasint,omitempty"`
 	Rules       []ruleBody    `cbor:"3,keyasint,omitempty"`
+	ColdLimits  []coldBody    `cbor:"4,keyasint,omitempty"`
+}
+
+// maxColdPerSecond bounds what is believed of a limit.
+const maxColdPerSecond = 1e6
+
+// coldBody is a baobabstep.ColdLimit.
+type coldBody struct {
+	Service   string        `cbor:"1,keyasint"`
+	PerSecond float64       `cbor:"2,keyasint"`
+	Lasts     time.Duration `cbor:"3,keyasint"`
+}
+
+func makeColdLimits(limits []baobabstep.ColdLimit) (bodies []coldBody) {
+	for _, l := range limits {
+		bodies = append(bodies, coldBody(l))
+	}
+	return bodies
+}
+
+// coldLimits returns the limits in bodies. Errors: CodeMalformed.
+func coldLimits(bodies []coldBody) (limits []baobabstep.ColdLimit, err error) {
+	for _, b := range bodies {
+		if !(b.PerSecond > 0 && b.PerSecond <= maxColdPerSecond) || b.Lasts <= 0 {
+			return nil, baobabstep.Errorf(baobabstep.CodeMalformed, "heartbeat.routes", "service %q: got %v requests a second for %v, want up to %v and a time above 0", b.Service, b.PerSecond, b.Lasts, float64(maxColdPerSecond))
+		}
+		limits = append(limits, baobabstep.ColdLimit(b))
+	}
+	return limits, nil
 }
 
 type ruleBody struct {
@@ -83,6 +112,12 @@
 	}, nil
 }
 
+// SortTable puts what a table lists into the order in which all VMs hold it.
+func SortTable(t *baobabstep.RoutingTable) {
+	SortRules(t.Rules)
+	slices.SortFunc(t.ColdLimits, func(a, b baobabstep.ColdLimit) int { return cmp.Compare(a.Service, b.Service) })
+}
+
 // SortRules puts rules into the order in which all VMs hold them.
 func SortRules(rules []baobabstep.Rule) {
 	slices.SortFunc(rules, func(a, b baobabstep.Rule) int {
@@ -90,10 +125,10 @@
 	})
 }
 
-// EncodeRoutes returns the content of a routing table, whose rules have to be
-// sorted by SortRules, so that equal ones have equal checksums.
+// EncodeRoutes returns the content of a routing table, which has to be sorted by
+// SortTable, so that equal ones have equal checksums.
 func EncodeRoutes(t *baobabstep.RoutingTable) ([]byte, error) {
-	body := routesBody{Version: t.Version, IdleTimeout: t.IdleTimeout, Rules: make([]ruleBody, len(t.Rules))}
+	body := routesBody{Version: t.Version, IdleTimeout: t.IdleTimeout, Rules: make([]ruleBody, len(t.Rules)), ColdLimits: makeColdLimits(t.ColdLimits)}
 	for i := range t.Rules {
 		body.Rules[i] = makeRule(&t.Rules[i])
 	}
@@ -113,7 +148,9 @@
 			return nil, err
 		}
 	}
-	return t, nil
+	var err error
+	t.ColdLimits, err = coldLimits(body.ColdLimits)
+	return t, err
 }
 
 func makeTarget(r *baobabstep.Registration) targetBody {
--- /dev/null
+++ b/core/quota/quota_test.go
@@ -0,0 +1,160 @@
+package quota
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"baobabstep"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+// allowance is what the sheet of a deployment says of cold targets.
+func allowance(perSecond float64) Limit {
+	return Limit{PerSecond: perSecond, Bound: 1.5*perSecond + 5}
+}
+
+// viewOf returns the settled view of VM self among all.
+func viewOf(self int, all ...int) *View {
+	v := &View{Self: vmID(self), Settled: true}
+	for _, n := range all {
+		if n != self {
+			v.Others = append(v.Others, vmID(n))
+		}
+	}
+	return v
+}
+
+func vmID(n int) baobabstep.VMID { return baobabstep.MakeVMID(fmt.Sprintf("vm-%d", n)) }
+
+func upTo(n int) (all []int) {
+	for i := range n {
+		all = append(all, i)
+	}
+	return all
+}
+
+// Callers want as many flows at a cold target as it bears, and the target must not
+// get more: VMs with one view use between half of what it bears and all of it.
+func TestSharesAddUp(t *testing.T) {
+	for _, vms := range []int{1, 3, 8, 26, 77, 195} {
+		for _, rate := range []float64{0.3, 1, 1.5, 4, 6, 10, 20} {
+			t.Run(fmt.Sprintf("%d VMs, %v a second", vms, rate), func(t *testing.T) {
+				limit := allowance(rate)
+				for key := range uint64(20) {
+					sum := 0.0
+					for n := range vms {
+						if s := viewOf(n, upTo(vms)...).Of(key, limit); s.Count > 0 {
+							sum += float64(s.Count) / s.Every.Seconds()
+						}
+					}
+					qt.Assert(t, sum <= min(limit.PerSecond, limit.Bound/2)+1e-6, qt.IsTrue, qt.Commentf("got %v", sum))
+					qt.Assert(t, sum >= limit.PerSecond/2, qt.IsTrue, qt.Commentf("got %v", sum))
+				}
+			})
+		}
+	}
+}
+
+func TestNothingToUse(t *testing.T) {
+	settled := viewOf(0, 0, 1)
+	for _, test := range []struct {
+		name  string
+		view  *View
+		limit Limit
+	}{
+		{"a VM that may not know the others", &View{Self: 1}, allowance(100)},
+		{"a limit of nothing", settled, allowance(0)},
+		{"a negative limit", settled, allowance(-3)},
+		{"a bound that no single use keeps", settled, Limit{PerSecond: 5, Bound: 0.9}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			qt.Assert(t, test.view.Of(1, test.limit), qt.Equals, Share{})
+		})
+	}
+}
+
+func TestMeter(t *testing.T) {
+	share := Share{Count: 2, Every: time.Second}
+	var m Meter
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	for _, ms := range []int{0, 100} {
+		qt.Assert(t, m.Allows(at(ms), share), qt.IsTrue)
+		m.Use(at(ms), share)
+	}
+	qt.Assert(t, m.Allows(at(999), share), qt.IsFalse)
+	qt.Assert(t, m.Allows(at(1000), share), qt.IsTrue)
+	m.Use(at(1000), share)
+	qt.Assert(t, m.Allows(at(1099), share), qt.IsFalse)
+	qt.Assert(t, m.Allows(at(1100), share), qt.IsTrue)
+	t.Run("a share that shrinks counts what was used before", func(t *testing.T) {
+		qt.Assert(t, m.Allows(at(1100), Share{Count: 1, Every: time.Second}), qt.IsFalse)
+	})
+	t.Run("no share allows nothing", func(t *testing.T) {
+		qt.Assert(t, m.Allows(at(9000), Share{}), qt.IsFalse)
+	})
+}
+
+// TestSmallFleetWhateverItsViews plays three VMs that each hold one of two views,
+// the whole or any part of it, and may change to the other between any two uses. All
+// of them want to use the target in every step of a quarter of a second. Whatever
+// the views and the order of changes, no second sees more than the bound.
+func TestSmallFleetWhateverItsViews(t *testing.T) {
+	const vms, steps, stepsInSecond = 3, 8, 4
+	views := make([][]*View, vms)
+	for n := range vms {
+		a, b := (n+1)%vms, (n+2)%vms
+		views[n] = []*View{viewOf(n), viewOf(n, a), viewOf(n, b), viewOf(n, a, b)}
+	}
+	limit := allowance(2)
+	most := 0
+	// change is the step at which each VM goes from its first view to its second.
+	play := func(first, second, change [vms]int) int {
+		var meters [vms]Meter
+		uses := make([]int, steps)
+		for step := range steps {
+			now := start.Add(time.Duration(step) * time.Second / stepsInSecond)
+			for n := range vms {
+				view := views[n][first[n]]
+				if step >= change[n] {
+					view = views[n][second[n]]
+				}
+				share := view.Of(7, limit)
+				for meters[n].Allows(now, share) {
+					meters[n].Use(now, share)
+					uses[step]++
+				}
+			}
+		}
+		worst := 0
+		for at := range steps - stepsInSecond + 1 {
+			sum := 0
+			for _, n := range uses[at : at+stepsInSecond] {
+				sum += n
+			}
+			worst = max(worst, sum)
+		}
+		return worst
+	}
+	const choices = 1 << (2 * vms) // one of four for each VM
+	split := func(x int) (out [vms]int) {
+		for n := range vms {
+			out[n] = x >> (2 * n) & 3
+		}
+		return out
+	}
+	for first := range choices {
+		for second := range choices {
+			for change := range choices {
+				worst := play(split(first), split(second), split(change))
+				if most = max(most, worst); float64(worst) > limit.Bound {
+					t.Fatalf("views %o then %o, changes %o: got %d in a second, want at most %v", first, second, change, worst, limit.Bound)
+				}
+			}
+		}
+	}
+	qt.Assert(t, most >= 2, qt.IsTrue)
+}
--- a/core/token/answers.go
+++ b/core/token/answers.go
@@ -30,9 +30,14 @@
 type service struct {
 	mu  sync.Mutex
 	sum answer.Sum
+	// cold and warm are the answers of targets that were cold, and of the others.
+	cold, warm answer.Sum
 	// mean is the time of answers at the last look, calm what it is while hardly
-	// any request waits.
+	// any request waits, and slowdown by how much longer cold targets took.
 	mean, calm time.Duration
+	slowdown   float64
+	// urgentAt is when a flow that is not ordinary came last.
+	urgentAt time.Time
 }
 
 const (
@@ -42,14 +47,27 @@
 	// quarter of what it adds.
 	calmRise = 0.001
 	// calmAnswers is the number of answers from which their mean may be the calm
-	// time. That of fewer is low by chance.
+	// time, or that of cold targets. That of fewer is off by chance.
 	calmAnswers = 10
 )
 
-func (s *service) add(now time.Time, outcome answer.Outcome, took time.Duration) {
+func (s *service) add(now time.Time, outcome answer.Outcome, took time.Duration, cold bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sum.Add(now, outcome, took)
+	if cold {
+		s.cold.Add(now, outcome, took)
+	} else {
+		s.warm.Add(now, outcome, took)
+	}
+}
+
+// coldFactor returns by how much longer cold targets took than others, 1 before
+// enough of both were seen.
+func (s *service) coldFactor() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(1, s.slowdown)
 }
 
 // look notes the mean time of the answers that were seen lately.
@@ -61,6 +79,9 @@
 		return
 	}
 	s.mean = sample.Took
+	if cold, warm := s.cold.Sample(now), s.warm.Sample(now); min(cold.Answers, warm.Answers) >= calmAnswers && warm.Took > 0 {
+		s.slowdown = cold.Took.Seconds() / warm.Took.Seconds()
+	}
 	switch {
 	case sample.Answers < calmAnswers:
 	case s.calm == 0 || s.mean < s.calm:
@@ -165,7 +186,7 @@
 func (r *Router) count(now time.Time, f *flow, outcome answer.Outcome) {
 	r.counts.outcomes[outcome].Add(1)
 	if f.target.load.count(now, outcome, callerHash(f.key), f.took) {
-		f.target.service.add(now, outcome, f.took)
+		f.target.service.add(now, outcome, f.took, now.Before(f.target.coldUntil))
 	}
 	if outcome != answer.Answered {
 		r.watch(f.target)
@@ -249,7 +270,7 @@
 		return 0
 	}
 	samples := make([]answer.Sample, 0, peersLooked)
-	for t := range p.ring(int(r.draw()%uint64(len(p.targets))), peersLooked).all() {
+	for t := range p.ring(int(r.draw()%uint64(len(p.targets))), peersLooked, nil).all() {
 		samples = append(samples, t.load.ownAnswers(now))
 	}
 	return answer.PeerShare(samples)
--- a/core/token/choose.go
+++ b/core/token/choose.go
@@ -10,9 +10,6 @@
 	// to be chosen, as a share of its slots. Its answers take longer, its bytes
 	// are paid for, and a partition takes its flows.
 	farMargin = 0.3
-	// coldFactor is how much slower a target takes its requests right after
-	// its start.
-	coldFactor = 1.6
 	// scanMost bounds the targets that are looked at for one new flow where few
 	// of them are near and fit: with 2,600 a flow took 0.34 ms, 6 ms on a small
 	// VM (BenchmarkChoose).
@@ -36,10 +33,14 @@
 	if p == nil || len(p.targets) == 0 {
 		return nil, false
 	}
+	var limit *coldLimit
+	if r.on(MechanismColdLimits) {
+		limit = s.coldLimits[p.targets[0].registration.Service]
+	}
 	start := int(r.draw() % uint64(len(p.targets)))
-	best, took := r.best(now, route, p.ring(start, scanMost), avoid)
+	best, took := r.best(now, route, p.ring(start, scanMost, limit), avoid)
 	if best == nil && len(p.targets) > scanMost {
-		best, took = r.best(now, route, p.ring(start, len(p.targets)), avoid)
+		best, took = r.best(now, route, p.ring(start, len(p.targets), limit), avoid)
 	}
 	if best == nil || p.find(h, tokenFor(h, best.id)) == nil {
 		return nil, false // another target has the same token; the caller's next try has another port
@@ -48,16 +49,17 @@
 }
 
 // ring is a part of a pool: count targets from start on, past the end from the
-// first one on.
+// first one on. limit is what the service's cold targets bear, nil for any number.
 type ring struct {
 	targets      []*target
 	start, count int
+	limit        *coldLimit
 }
 
 // ring returns at most the given number of targets. Identifiers are random, so
 // neighbours have nothing in common.
-func (p *pool) ring(start, most int) ring {
-	return ring{targets: p.targets, start: start, count: min(most, len(p.targets))}
+func (p *pool) ring(start, most int, limit *coldLimit) ring {
+	return ring{targets: p.targets, start: start, count: min(most, len(p.targets)), limit: limit}
 }
 
 func (g ring) all() iter.Seq[*target] {
@@ -84,6 +86,9 @@
 func (r *Router) best(now time.Time, route *rule, g ring, avoid *target) (best *target, took time.Duration) {
 	var space [scanMost]candidate
 	list := r.candidates(now, g, avoid, space[:0])
+	if g.limit != nil && r.leavesLast(now, route, list) {
+		return nil, 0
+	}
 	c := r.comparison(route, list)
 	for w := wishAll; w <= wishNone; w++ {
 		if at := r.least(now, c, list, w); at >= 0 {
@@ -98,6 +103,8 @@
 	route *rule
 	// mean is the mean time of a request, in seconds.
 	mean float64
+	// coldFactor is by how much longer a cold target takes.
+	coldFactor float64
 	// trust is how much this VM goes by its own requests, from 0 to 1, and vms
 	// the number of VMs of its data centre.
 	trust, vms float64
@@ -118,7 +125,10 @@
 const sureOwn = 4.0
 
 func (r *Router) comparison(route *rule, list []candidate) comparison {
-	c := comparison{route: route, mean: meanTime(list), vms: float64(r.vms())}
+	c := comparison{route: route, mean: meanTime(list), coldFactor: 1, vms: float64(r.vms())}
+	if len(list) > 0 {
+		c.coldFactor = list[0].target.service.coldFactor()
+	}
 	own := 0.0
 	for i := range list {
 		own += list[i].assess.own / float64(len(list))
@@ -165,7 +175,7 @@
 	heard := *r.heard.Load()
 	near := 0
 	for t := range g.all() {
-		if !t.choosable(now) {
+		if !t.choosable(now) || g.limit != nil && !r.takesCold(now, t, g.limit) {
 			continue
 		}
 		dc := t.registration.DataCentre
@@ -217,7 +227,7 @@
 		took = c.assess.serviceTime(by.mean)
 	}
 	if now.Before(c.target.coldUntil) && r.on(MechanismCold) {
-		took *= coldFactor
+		took *= by.coldFactor
 	}
 	score := by.requests(&c.assess) / loadWindow.Seconds() / float64(c.target.registration.Slots) * took
 	if c.target.registration.DataCentre != r.o.DataCentre && r.on(MechanismNear) {
--- a/core/token/choose_test.go
+++ b/core/token/choose_test.go
@@ -78,16 +78,35 @@
 	qt.Assert(t, got > all/targets && got < most, qt.IsTrue, qt.Commentf("got %d of %d, want less than %d", got, all, most))
 }
 
+// Targets of a service take 1.6 times as long while they are cold. Once that was
+// seen at some, the next one that is cold gets less before it has answered anything.
 func TestColdTargetGetsLess(t *testing.T) {
 	r := newRouter(t)
 	list := manyTargets(10)
 	list[5].ColdFor = time.Minute
 	r.SetRegistrations(start, list)
+	service := r.current.Load().services.get("fixtures")
+	for range 2 * calmAnswers {
+		service.add(start, answer.Answered, 30*time.Millisecond, false)
+		service.add(start, answer.Answered, 48*time.Millisecond, true)
+	}
+	service.look(start)
 	openMany(t, r, start, 1, 400)
 	got := openMany(t, r, start.Add(time.Second), 1000, 400)
 	qt.Assert(t, got[6]*5 <= got[7]*4, qt.IsTrue, qt.Commentf("%v", got))
 }
 
+// Cold targets of a service answer as fast as the others: they get as much.
+func TestColdTargetThatIsNotSlowGetsAsMuch(t *testing.T) {
+	r := newRouter(t)
+	list := manyTargets(10)
+	list[5].ColdFor = time.Minute
+	r.SetRegistrations(start, list)
+	openMany(t, r, start, 1, 400)
+	got := openMany(t, r, start.Add(time.Second), 1000, 400)
+	qt.Assert(t, got[6]*5 >= got[7]*4, qt.IsTrue, qt.Commentf("%v", got))
+}
+
 func TestOwnDataCentreIsPreferred(t *testing.T) {
 	r := newRouter(t)
 	t.Run("while it has room", func(t *testing.T) {
--- /dev/null
+++ b/core/token/cold.go
@@ -0,0 +1,143 @@
+package token
+
+import (
+	"time"
+
+	"baobabstep"
+	"baobabstep/core/quota"
+)
+
+// coldLimit is what a cold target of a service bears, from all VMs together.
+type coldLimit struct {
+	quota.Limit
+	// lasts is how long a target stays cold after its start.
+	lasts time.Duration
+}
+
+// makeColdLimits returns the limits of a table by service. What is as before is the
+// same value, so that shares of it stay known.
+func makeColdLimits(o *Options, table *baobabstep.RoutingTable, before map[string]*coldLimit) map[string]*coldLimit {
+	limits := make(map[string]*coldLimit, len(table.ColdLimits))
+	for _, c := range table.ColdLimits {
+		l := &coldLimit{
+			Limit: quota.Limit{PerSecond: c.PerSecond, Bound: c.PerSecond*o.ColdOvershoot + o.ColdSlack},
+			lasts: c.Lasts,
+		}
+		if old := before[c.Service]; old != nil && *old == *l {
+			l = old
+		}
+		limits[c.Service] = l
+	}
+	return limits
+}
+
+// coldness is what is known of a target beside its own word, and how many new flows
+// it got from this VM lately. The load of the target guards it.
+type coldness struct {
+	// presumedUntil is until when the target is taken to be cold though it does
+	// not say so, and closedUntil until when it gets no flow because of that.
+	presumedUntil, closedUntil time.Time
+	meter                      quota.Meter
+	// share is that of view and limit.
+	share quota.Share
+	view  *quota.View
+	limit *coldLimit
+}
+
+// shareOf returns this VM's share of the limit on a target.
+func (c *coldness) shareOf(id baobabstep.TargetID, view *quota.View, limit *coldLimit) quota.Share {
+	if c.view != view || c.limit != limit {
+		c.view, c.limit, c.share = view, limit, view.Of(uint64(id), limit.Limit)
+	}
+	return c.share
+}
+
+// restartSettle is how long a target that is back gets no further flow: the VMs
+// learn at different moments that it is, and each may have sent it one to find out.
+const restartSettle = time.Second
+
+// presumeCold takes a target to be cold that took no flows and is heard of again.
+//
+// It may have started anew, and its registration says so only seconds later. All
+// VMs would go for the target that seems idle: it got twice what it bears.
+func (r *Router) presumeCold(now time.Time, t *target) {
+	if limit := r.current.Load().coldLimits[t.registration.Service]; limit != nil {
+		t.load.presumeCold(now.Add(restartSettle), now.Add(limit.lasts))
+	}
+}
+
+func (l *load) presumeCold(closedUntil, until time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cold.closedUntil, l.cold.presumedUntil = closedUntil, until
+}
+
+// takesCold tells whether a target may get one more new flow from this VM, as far as
+// the limit on cold targets goes.
+//
+// Only the VMs beside a target divide its limit: the fewer they are, the sooner
+// each knows the others. Those of other data centres send a cold target nothing.
+func (r *Router) takesCold(now time.Time, t *target, limit *coldLimit) bool {
+	t.load.mu.Lock()
+	defer t.load.mu.Unlock()
+	c := &t.load.cold
+	if !now.Before(t.coldUntil) && !now.Before(c.presumedUntil) {
+		return true
+	}
+	view := r.view.Load()
+	if view == nil || t.registration.DataCentre != r.o.DataCentre || now.Before(c.closedUntil) {
+		return false
+	}
+	return c.meter.Allows(now, c.shareOf(t.id, view, limit))
+}
+
+const (
+	// urgentSoon is how soon after an urgent flow another one is expected.
+	urgentSoon = 200 * time.Millisecond
+	// ordinaryFloor is the part of the ordinary flows that do not wait for them.
+	ordinaryFloor = 8
+)
+
+// leavesLast tells whether an ordinary flow leaves the only target that takes one
+// more to urgent flows. Where all targets of a service are cold, each takes its next
+// flow at a moment, and ordinary flows, which come more often, would take nearly all.
+func (r *Router) leavesLast(now time.Time, route *rule, list []candidate) bool {
+	if len(list) == 0 {
+		return false
+	}
+	service := list[0].target.service
+	if !route.ordinary {
+		service.noteUrgent(now)
+		return false
+	}
+	return len(list) == 1 && service.expectsUrgent(now) && r.draw()%ordinaryFloor != 0
+}
+
+func (s *service) noteUrgent(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.urgentAt = now
+}
+
+func (s *service) expectsUrgent(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Sub(s.urgentAt) < urgentSoon
+}
+
+// useCold notes a first segment that goes to a target.
+func (r *Router) useCold(now time.Time, s *snapshot, t *target) {
+	limit := s.coldLimits[t.registration.Service]
+	if limit == nil {
+		return
+	}
+	t.load.mu.Lock()
+	defer t.load.mu.Unlock()
+	t.load.cold.meter.Use(now, t.load.cold.share)
+}
+
+// SetView tells which VMs of the data centre divide what its cold targets bear.
+func (r *Router) SetView(view *quota.View) { r.view.Store(view) }
+
+// LimitsCold tells whether any service limits what its cold targets get.
+func (r *Router) LimitsCold() bool { return len(r.current.Load().coldLimits) > 0 }
--- a/core/token/evacuation_test.go
+++ b/core/token/evacuation_test.go
@@ -32,7 +32,7 @@
 	key := flowFrom(1, fixtures)
 	target, token := open(t, r, start, key)
 	qt.Assert(t, target, qt.Equals, baobabstep.TargetID(1))
-	r.SetEvacuations([]string{"a"})
+	r.SetEvacuations(start, []string{"a"})
 	assertPlaced(t, r, start, 100, 2)
 	assertPassed(t, r, start, data(key, token), 1)
 
@@ -46,12 +46,12 @@
 		r := newRouter(t)
 		key := flowFrom(1, fixtures)
 		open(t, r, start, key)
-		r.SetEvacuations([]string{"a"})
+		r.SetEvacuations(start, []string{"a"})
 		target, _ := open(t, r, start.Add(200*time.Millisecond), key)
 		qt.Assert(t, target, qt.Equals, baobabstep.TargetID(2))
 	})
 	t.Run("until it is taken back", func(t *testing.T) {
-		r.SetEvacuations(nil)
+		r.SetEvacuations(start, nil)
 		r.SetOthers(start, map[baobabstep.TargetID]baobabstep.TargetLoad{2: {Requests: 1000}}, map[string]int{"b": 1})
 		assertPlaced(t, r, start, 400, 1, 5)
 	})
@@ -61,7 +61,7 @@
 // more, so callers are refused at once, which is true: nothing ran.
 func TestAllIsEvacuated(t *testing.T) {
 	r := newRouter(t)
-	r.SetEvacuations([]string{"a", "b"})
+	r.SetEvacuations(start, []string{"a", "b"})
 	key := flowFrom(1, fixtures)
 	assertReset(t, r, start, baobabstep.Segment{Kind: baobabstep.KindOpen, Flow: key, Seq: firstSeq})
 	t.Run("the log says why", func(t *testing.T) {
--- a/core/token/follow.go
+++ b/core/token/follow.go
@@ -28,7 +28,10 @@
 
 // answered notes that a target was heard of.
 func (r *Router) answered(now time.Time, t *target) {
-	again, disputed := t.load.answered(now)
+	back, again, disputed := t.load.answered(now)
+	if back {
+		r.presumeCold(now, t)
+	}
 	if again {
 		r.record(now, EventHeard, r.current.Load(), nil, t, nil)
 	}
--- a/core/token/load.go
+++ b/core/token/load.go
@@ -34,6 +34,7 @@
 	verdict       answer.Verdict
 	// nextTrial is when a target on trial may get the next flow.
 	nextTrial time.Time
+	cold      coldness
 }
 
 // newLoad returns the load of a target that appears.
@@ -107,15 +108,17 @@
 // leastTold is the weight of failures below which nothing is told.
 const leastTold = 0.2
 
-// answered notes that the target was heard of, and tells whether it had been
-// suspect, and whether other VMs say that it is silent and are to hear of it.
-func (l *load) answered(now time.Time) (again, disputed bool) {
+// answered notes that the target was heard of, and tells whether it had taken no
+// flows, whether it had been suspect, and whether other VMs say that it is silent
+// and are to hear of it.
+func (l *load) answered(now time.Time) (back, again, disputed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	back = l.health.distrusted()
 	again = l.health.unanswered >= suspectAt
 	disputed = l.health.others(now).vms > 0 || now.Before(l.health.avoidUntil)
 	l.health.answered(now)
-	return again, disputed
+	return back, again, disputed
 }
 
 // left notes a flow that the target left unanswered.
--- a/core/token/mechanism.go
+++ b/core/token/mechanism.go
@@ -14,7 +14,8 @@
 	MechanismOwnLoads // own_loads
 	// MechanismTimes: a target that takes longer counts as busier.
 	MechanismTimes // times
-	// MechanismCold: a target that has just started counts as slower.
+	// MechanismCold: a target that has just started counts as slower, by as much as
+	// such targets of its service were.
 	MechanismCold // cold
 	// MechanismNear: targets of the own data centre are preferred.
 	MechanismNear // near
@@ -42,6 +43,9 @@
 	MechanismAlarms // alarms
 	// MechanismAvoidance: a target that takes no flows is tried by one VM at a time.
 	MechanismAvoidance // avoidance
+	// MechanismColdLimits: all VMs together send a cold target no more new flows
+	// than it bears.
+	MechanismColdLimits // cold_limits
 	numMechanisms
 )
 
--- a/core/token/router.go
+++ b/core/token/router.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"baobabstep"
+	"baobabstep/core/quota"
 )
 
 // Options are the settings of a [Router]. Zero values stand for the defaults
@@ -21,6 +22,9 @@
 	// Idle is the silence after which the record of a flow is dropped, unless
 	// the routing table says less (15 s).
 	Idle time.Duration
+	// ColdOvershoot and ColdSlack bound what a cold target gets in any second: its
+	// limit times the one, and the other (1, 0).
+	ColdOvershoot, ColdSlack float64
 	// Without are the mechanisms that are switched off (none).
 	Without Mechanisms
 	// Finished, if set, gets the time of each request whose answer this VM saw
@@ -36,6 +40,7 @@
 func (o *Options) setDefaults() {
 	o.FlowMax = cmp.Or(o.FlowMax, 60*time.Second)
 	o.Idle = cmp.Or(o.Idle, 15*time.Second)
+	o.ColdOvershoot = cmp.Or(o.ColdOvershoot, 1)
 }
 
 // Router decides for the packets of flows.
@@ -50,6 +55,9 @@
 	// heard are the VMs heard of in each data centre.
 	heard atomic.Pointer[map[string]int]
 
+	// view is that of the VMs of the data centre, nil before any.
+	view atomic.Pointer[quota.View]
+
 	// troubles are the targets whose silence, or end of it, is to be told.
 	troubles *troubles
 
@@ -80,7 +88,9 @@
 	if s.haveTable && table.Version <= s.version {
 		return false
 	}
-	r.replace(s.withTable(now, table))
+	next := s.withTable(now, table)
+	next.coldLimits = makeColdLimits(&r.o, table, s.coldLimits)
+	r.replace(next)
 	return true
 }
 
@@ -99,11 +109,20 @@
 	r.replace(r.current.Load().withChanges(now, put, gone))
 }
 
-// SetEvacuations tells which data centres get no new flow.
-func (r *Router) SetEvacuations(dataCentres []string) {
+// SetEvacuations tells which data centres get no new flow. The targets of those that
+// get flows again are taken to be cold: they may have become so while they were
+// empty, and say it seconds later.
+func (r *Router) SetEvacuations(now time.Time, dataCentres []string) {
 	r.change.Lock()
 	defer r.change.Unlock()
-	r.replace(r.current.Load().withEvacuations(dataCentres))
+	before := r.current.Load()
+	next := before.withEvacuations(dataCentres)
+	for id, t := range before.targets {
+		if limit := next.coldLimits[t.registration.Service]; limit != nil && t.evacuated && !next.targets[id].evacuated {
+			t.load.presumeCold(now, now.Add(limit.lasts))
+		}
+	}
+	r.replace(next)
 }
 
 // replace puts a snapshot in force. The caller holds r.change.
@@ -143,7 +162,7 @@
 	for id, t := range r.current.Load().targets {
 		said := r.heeded(others[id])
 		if t.load.setOthers(said) {
-			r.record(now, EventHeard, r.current.Load(), nil, t, nil)
+			r.heardAgain(now, t)
 		}
 		if said.Failed > 0 {
 			r.watch(t)
@@ -246,6 +265,7 @@
 		avoid = nil
 		if !r.moves(now, s, f) {
 			f.heard = now
+			r.useCold(now, s, f.target)
 			r.record(now, EventRepeated, s, route, f.target, p)
 			send(f.target, h, p, out)
 			return
@@ -266,6 +286,7 @@
 	shard.add(p.Flow, f)
 	r.openings.begin(now, p.Flow.Caller.Addr(), f)
 	t.load.placed(now, r.trialGap())
+	r.useCold(now, s, t)
 	r.record(now, EventPlaced, s, route, t, p)
 	send(t, h, p, out)
 }
--- a/core/token/snapshot.go
+++ b/core/token/snapshot.go
@@ -26,6 +26,8 @@
 	services   *services
 	// evacuated names the data centres whose targets get no new flow.
 	evacuated map[string]bool
+	// coldLimits are those of services that have one.
+	coldLimits map[string]*coldLimit
 	// spareUntil is until when registrations that go missing may be back.
 	spareUntil time.Time
 }
@@ -301,7 +303,9 @@
 		return s.gone(now, old)
 	}
 	t.load = old.load
-	t.coldUntil = old.coldUntil
+	if *r == old.registration {
+		t.coldUntil = old.coldUntil // it says the same again, not that it stays cold for longer
+	}
 	return t
 }
 
--- a/core/token/trouble.go
+++ b/core/token/trouble.go
@@ -66,13 +66,19 @@
 	for _, id := range slices.Sorted(maps.Keys(said)) { // in order: each draws
 		if t := targets[id]; t != nil {
 			if t.load.setSilence(r.heeded(said[id])) {
-				r.record(now, EventHeard, r.current.Load(), nil, t, nil)
+				r.heardAgain(now, t)
 			}
 			r.avoid(now, t)
 		}
 	}
 }
 
+// heardAgain notes that another VM heard of a target that was avoided.
+func (r *Router) heardAgain(now time.Time, t *target) {
+	r.record(now, EventHeard, r.current.Load(), nil, t, nil)
+	r.presumeCold(now, t)
+}
+
 // avoid keeps new flows away from a target if it takes none, for a time that the
 // VMs of the data centre draw so that their trials are spread.
 func (r *Router) avoid(now time.Time, t *target) {
--- a/directory.go
+++ b/directory.go
@@ -15,6 +15,18 @@
 	// IdleTimeout is the silence after which a flow may be forgotten; 0 if
 	// the table does not say.
 	IdleTimeout time.Duration
+	// ColdLimits are those of services whose targets have one, each once.
+	ColdLimits []ColdLimit
+}
+
+// ColdLimit is how many new requests a second a target of a service bears while
+// it is cold after its start, from all VMs together.
+type ColdLimit struct {
+	Service string
+	// PerSecond is above 0.
+	PerSecond float64
+	// Lasts is how long a target stays cold.
+	Lasts time.Duration
 }
 
 // DesiredState is what the operators want of the fleet.
--- a/entry/belief.go
+++ b/entry/belief.go
@@ -65,7 +65,7 @@
 		held.confirm(from.confirmed)
 		return false, nil, nil
 	}
-	heartbeat.SortRules(table.Rules)
+	heartbeat.SortTable(table)
 	content, err := heartbeat.EncodeRoutes(table)
 	if err != nil {
 		return false, nil, err
--- a/entry/evacuation.go
+++ b/entry/evacuation.go
@@ -42,7 +42,7 @@
 	if first && len(list) == 0 {
 		return true, nil
 	}
-	b.router.SetEvacuations(list)
+	b.router.SetEvacuations(now, list)
 	b.log.WithFields(log.Fields{
 		"evacuated": list, "revision": held.version, "source": from.source, "age_ms": now.Sub(from.confirmed).Milliseconds(),
 	}).Info("evacuations in force")
--- a/entry/node.go
+++ b/entry/node.go
@@ -105,13 +105,14 @@
 		done:    make(chan struct{}),
 	}
 	n.router = token.New(token.Options{
-		DataCentre: o.Settings.DataCentre,
-		Rand:       rand.New(rand.NewPCG(o.Rand.Uint64(), o.Rand.Uint64())),
-		FlowMax:    o.Settings.Token.FlowMax(),
-		Without:    o.Settings.Token.Mechanisms(),
-		Finished:   n.observeRequest,
-		Record:     n.logEvent,
-		Wanted:     n.eventWanted,
+		DataCentre:    o.Settings.DataCentre,
+		Rand:          rand.New(rand.NewPCG(o.Rand.Uint64(), o.Rand.Uint64())),
+		FlowMax:       o.Settings.Token.FlowMax(),
+		ColdOvershoot: o.Settings.Token.ColdOvershoot, ColdSlack: o.Settings.Token.ColdSlack,
+		Without:  o.Settings.Token.Mechanisms(),
+		Finished: n.observeRequest,
+		Record:   n.logEvent,
+		Wanted:   n.eventWanted,
 	})
 	n.beliefs = newBeliefs(n.router, n.log)
 	n.board = heartbeat.New(n.started, heartbeat.Options{
--- a/entry/share.go
+++ b/entry/share.go
@@ -152,6 +152,9 @@
 	}
 	live := n.board.Live(now)
 	n.router.SetOthers(now, n.board.Loads(now), live)
+	if n.router.LimitsCold() {
+		n.router.SetView(n.board.View(now))
+	}
 	n.noteDataCentres(live)
 	n.noteRank(n.rank(now))
 }
--- a/io/setting/token.go
+++ b/io/setting/token.go
@@ -21,6 +21,11 @@
 	// EvacuateMS is how soon the evacuation of a data centre has to be in force
 	// after the store accepted it; as ConfigApplyMS if it is not said.
 	EvacuateMS int `json:"evacuate_ms,omitempty"`
+	// ColdOvershoot and ColdSlack bound the new flows that a cold target gets in
+	// any second, from all VMs together: its limit times ColdOvershoot, and
+	// ColdSlack.
+	ColdOvershoot float64 `json:"cold_overshoot,omitempty"`
+	ColdSlack     float64 `json:"cold_slack,omitempty"`
 	// DrainMS is how soon a target that drains may get no new flow, and how
 	// long it serves at least.
 	DrainMS int `json:"drain_ms,omitempty"`
@@ -38,6 +43,11 @@
 	defaultDrain       = 3 * time.Second
 	defaultFlowMax     = 60 * time.Second
 	defaultStopGrace   = 6 * time.Second
+	// defaultColdOvershoot leaves no room above the limit of a cold target.
+	defaultColdOvershoot = 1.0
+	// maxColdOvershoot and maxColdSlack are the largest that may be set.
+	maxColdOvershoot = 100.0
+	maxColdSlack     = 1e6
 	// maxBound is the largest time that any of TokenSettings may say.
 	maxBound = time.Hour
 )
@@ -71,6 +81,9 @@
 	if t.ConfigApplyMS == 0 {
 		t.ConfigApplyMS = int(defaultConfigApply / time.Millisecond)
 	}
+	if t.ColdOvershoot == 0 {
+		t.ColdOvershoot = defaultColdOvershoot
+	}
 	if t.DrainMS == 0 {
 		t.DrainMS = int(defaultDrain / time.Millisecond)
 	}
@@ -106,6 +119,12 @@
 			return fail("%s: got %v, want above 0 and at most %v", b.path, b.value, maxBound)
 		}
 	}
+	switch {
+	case t.ColdOvershoot <= 0 || t.ColdOvershoot > maxColdOvershoot:
+		return fail("token.cold_overshoot: got %v, want above 0 and at most %v", t.ColdOvershoot, maxColdOvershoot)
+	case t.ColdSlack < 0 || t.ColdSlack > maxColdSlack:
+		return fail("token.cold_slack: got %v, want 0 to %v", t.ColdSlack, maxColdSlack)
+	}
 	if _, err := token.ParseMechanisms(t.Without); err != nil {
 		return fail("token.without: %v", err)
 	}
