entry, token, heartbeat, platform: comments say the failure, not the tuning; evacuations are asked for first

And a VM that starts beside neighbours asked for routes and targets before evacuations, so it might place flows in an emptied data centre for some milliseconds.

No decision changes but the order of questions.

--- a/cmd/baobabstepd/main.go
+++ b/cmd/baobabstepd/main.go
@@ -36,10 +36,9 @@
 	// standard heap is not collected at all; at 50 % the peak of a VM falls by
 	// a quarter, for a tenth more processor time.
 	gcPercent = 50
-	// startGCPercent holds until the VM knows routes and targets. Reading 293
-	// registrations makes some 3 MB of garbage; to collect it meanwhile took 3 of
-	// the 15 ms of processor time of a start, 50 ms of waiting callers on 0.06 of
-	// a core (25 starts each, median, on a busy machine).
+	// startGCPercent holds until the VM knows routes and targets. Reading the
+	// registrations makes garbage; to collect it meanwhile takes a good part of the
+	// processor time of a start, for which callers wait.
 	startGCPercent = 400
 	// unreadableClass bounds the lines about registrations that cannot be read:
 	// one that stays is met at each reading.
--- a/core/heartbeat/alarm.go
+++ b/core/heartbeat/alarm.go
@@ -14,19 +14,17 @@
 	// whole; in a larger one each VM hears that part of what the others find.
 	alarmFanout = 48
 	// alarmRate and alarmBurst bound the bytes of a VM's alarms a second and at
-	// once. One takes about 70 bytes, 3 KB to 44 VMs; while a fifth of the targets
-	// is silent a VM that gets 8 requests a second raises two in a second. What
-	// is over goes with the heartbeats.
+	// once: two alarms a second to a data centre of alarmFanout. What is over goes
+	// with the heartbeats.
 	alarmRate  = 8e3
 	alarmBurst = 16e3
 )
 
 // Alarm tells of targets that just left flows unanswered, or were heard of though
-// others found them silent. It goes at once to the whole data centre: with 39 VMs
-// each meets a given target every seven seconds, and none finds out alone. Told
-// with the heartbeats, what one found came to the others up to a second later, and
-// callers lost 0.06 to 0.12 of the worth of the two seconds in which a fifth of the
-// targets fell silent.
+// others found them silent. It goes at once to the whole data centre: in a large one
+// each VM meets a given target seldom, and none finds out alone. Told with the
+// heartbeats, what one found would come to the others after callers have waited for
+// their time limits.
 type Alarm struct {
 	From baobabstep.VMID `cbor:"1,keyasint"`
 	// Life and Number are as in Heartbeat; both share one count.
--- a/core/heartbeat/beat.go
+++ b/core/heartbeat/beat.go
@@ -49,8 +49,8 @@
 
 // offset spreads the turns of the VMs of a data centre over those of length VMs
 // elsewhere, so that each of these hears from one after the other. With turns at
-// the same place, as after a start of all, VMs of 60 heard nothing of a data
-// centre for seconds, in more than half of all seconds.
+// the same place, as after a start of all, some VM hears nothing of a data centre
+// for seconds and takes it for out of reach.
 func (b *Board) offset(now time.Time, length int) int {
 	rank, vms := 0, 1
 	for _, p := range b.peers {
--- a/core/heartbeat/load.go
+++ b/core/heartbeat/load.go
@@ -13,7 +13,7 @@
 )
 
 // tally is the sum of what live VMs say of targets. It is kept as heartbeats come:
-// summing up 2,300 VMs anew ten times a second took a sixth of a core. Whole
+// what thousands of VMs say is too much to sum up anew at each look. Whole
 // numbers, so that what was added can be taken off again exactly.
 type tally map[baobabstep.TargetID]*tallied
 
--- a/core/heartbeat/message.go
+++ b/core/heartbeat/message.go
@@ -170,10 +170,10 @@
 	Data  []byte `cbor:"6,keyasint"`
 }
 
-// Change is what turns one content into the next. It costs some hundred bytes
-// where the whole has thousands: on a link of 10 Mbit/s, 9 KB for each of 29 VMs
-// took 0.2 s, several times a second while a service was released, and callers'
-// segments were lost behind it.
+// Change is what turns one content into the next, in a small part of the bytes of
+// the whole. While a service is released there are several in a second; the whole,
+// sent to every VM each time, fills a small link and callers' segments are lost
+// behind it.
 type Change struct {
 	Kind Kind `cbor:"1,keyasint,omitempty"`
 	// From is the checksum of the content that it applies to, To what the
--- a/core/heartbeat/registrations.go
+++ b/core/heartbeat/registrations.go
@@ -8,9 +8,8 @@
 )
 
 // Registrations are all that are registered, with a checksum that is kept in
-// step: the sum of the checksums of each. A change so costs what it changes. To
-// encode 3,000 registrations anew for the checksum of a list of which one had
-// changed took 2 ms, and ten change in a second.
+// step: the sum of the checksums of each. A change so costs what it changes, not
+// what there is: several registrations of thousands change in a second.
 type Registrations struct {
 	list map[baobabstep.TargetID]summed
 	sum  uint64
--- a/core/token/admission.go
+++ b/core/token/admission.go
@@ -14,11 +14,8 @@
 	// one answer in ten is late at four tenths.
 	//
 	// The load that it answers is one beyond the slots, in which every queue is
-	// full: what is taken then waits behind eight others, is late, and makes all
-	// others late. Measured with 8 VMs asked for 3.5 times the usual for four
-	// seconds, 1.06 of what the slots can do: 0.706 of the worth of those seconds
-	// without it, 0.717 at four tenths, 0.739 at three; at two a calm day would
-	// be refused flows.
+	// full: what is taken then waits behind a whole queue, is late, and makes all
+	// others late. Lower, calm days would be refused flows.
 	lateAt = 0.3
 	// calmFactor is by how much longer than in calm times answers have to take as
 	// well. Where the aim is hardly more than what a request takes in a slot,
--- a/core/token/choose.go
+++ b/core/token/choose.go
@@ -11,15 +11,14 @@
 	// are paid for, and a partition takes its flows.
 	farMargin = 0.3
 	// scanMost bounds the targets that are looked at for one new flow where few
-	// of them are near and fit: with 2,600 a flow took 0.34 ms, 6 ms on a small
-	// VM (BenchmarkChoose).
+	// of them are near and fit: on a small VM thousands would take longer than the
+	// flow's way to its target (BenchmarkChoose).
 	scanMost = 256
 	// enoughNear is the number of targets of the own data centre, fit for a new
 	// flow, of which the least loaded is chosen. Of all of them it would always
-	// be the one that seems idle, such as a new one: thirty VMs, which learn what
-	// the others send within half a second, sent one of 40 targets 115 flows in
-	// 0.3 s where it had to get 4, and it refused most. Of eight it gets a fifth
-	// of them at most, which its slots and its queue take.
+	// be the one that seems idle, such as a new one, for every VM at once until they
+	// hear of one another; it then refuses most of what it gets. Of a few that are
+	// drawn it gets no more than its slots and its queue take.
 	enoughNear = 8
 	// assumedTime is what a request takes, in seconds, before any was seen.
 	assumedTime = 0.03
@@ -113,15 +112,12 @@
 // sureOwn is the number of recent requests for each candidate at which a VM goes
 // half by its own, half by the word of all.
 //
-// What other VMs sent is known half a second late: all of them then go for the
-// target that was idle, until they hear of it from one another. A VM that sends
-// several requests to each target itself does better by taking the others for
-// VMs like itself: with three of ten targets six times slower and twice the usual
-// asked, 8 VMs earned 0.971 of the worth in place of 0.943 (emulated days). Of 87
-// VMs each sends a target less than one in the window, and is lost without the
-// others: 0.983 in place of 0.990. At a quarter of this number one request more or
-// less, times the VMs, still outweighed farMargin there; flows went to other data
-// centres, and a partition took 414 of 59,000 requests in place of 20.
+// What other VMs sent is known late: all of them go for the target that was idle,
+// until they hear of it from one another. A VM that sends several requests to each
+// target itself does better by taking the others for VMs like itself. In a large
+// fleet a VM sends a target less than one, and is lost without the others: one
+// request more or less, times the VMs, would outweigh farMargin, and flows would go
+// to other data centres for no reason, where a partition takes them.
 const sureOwn = 4.0
 
 func (r *Router) comparison(route *rule, list []candidate) comparison {
--- a/core/token/health.go
+++ b/core/token/health.go
@@ -28,10 +28,6 @@
 	// one own request to be enough, and sureVMs that for none. Three VMs, each with
 	// its own callers and its own link, of which one had a first segment left
 	// unanswered and none has heard of the target since, are not one broken link.
-	// Where the links of a data centre lose one packet in twenty for 32 s, and half
-	// of its callers use the VMs of another, 3 of 50,000 flows are ended at targets
-	// that live (two emulated days of 195 VMs; 1 and 10 by the evidence of single
-	// VMs).
 	enoughVMs, sureVMs = 2, 3
 	// freshFor is how long what was found of a target counts against its open
 	// flows, and is told to other VMs. A VM may have nothing for a target for
@@ -135,7 +131,7 @@
 // newRun is how long the word of other VMs against a target that has just
 // appeared is ignored. A target that starts again under its identifier was
 // silent before; VMs that have not heard of the new run yet say so for one
-// heartbeat and the way of the news, 0.8 s where 29 VMs take turns.
+// heartbeat and the way of the news, which is longer where many VMs take turns.
 const newRun = time.Second
 
 // word is what other VMs of the data centre say of a target together.
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -20,8 +20,7 @@
 	earlyEmpty = 0.9
 	// gatherRoutes and gatherTargets are the pauses between two watches. Changes
 	// come in bursts, as when a service is released; together they cost one call.
-	// Targets write all the time that they live: 293 of them ended each watch at
-	// once, 750 calls in 75 s at a pause of 0.1 s. A target that drains serves for
+	// Targets write all the time that they live, and end each watch at once. A target that drains serves for
 	// seconds, and one that is gone is found silent sooner than its registration
 	// lapses, so half a second later is soon enough.
 	gatherRoutes  = 100 * time.Millisecond
@@ -33,7 +32,7 @@
 	firstRetry = 50 * time.Millisecond
 	lastRetry  = time.Second
 	// seldom is by how much longer a VM waits to which two others of its data
-	// centre are nearer to try: with 27 VMs there, a fifth of the calls.
+	// centre are nearer to try.
 	seldom = 5
 	// lookInterval is how often a VM looks whether it has to read or watch: a
 	// heartbeat may have told it otherwise meanwhile.
@@ -58,9 +57,9 @@
 	settleTime = 700 * time.Millisecond
 	// confirmTime is how long what a copy of the store held may go unconfirmed
 	// before the first VM reads the store, and confirmSpread the share of the bound
-	// over which those that start together draw when they do: of 195, 80 take
-	// themselves for the first after 0.7 s and 42 after 1.2 s. The first reading
-	// of any is known to all within half a second.
+	// over which those that start together draw when they do: many of them take
+	// themselves for the first until they have heard of all. The first reading of
+	// any is known to all within half a second.
 	confirmTime   = 1200 * time.Millisecond
 	confirmSpread = 0.25
 )
@@ -152,8 +151,8 @@
 // freshness returns how new the next reading has to be. A VM that starts takes what
 // a copy of the store holds, at a tenth of the price, and serves by it at once; the
 // heartbeats of the others, or a reading when it is due, say within two seconds
-// whether it still holds. With 293 registrations in pages of 50 a start so costs
-// 0.8 calls in place of 8, and a fleet of 195 VMs that starts 160 in place of 1,560.
+// whether it still holds. A fleet that starts would otherwise read every page once
+// for each VM at the full price.
 func (r *reading) freshness() baobabstep.Freshness {
 	if r.tried {
 		return baobabstep.Newest
--- a/entry/node.go
+++ b/entry/node.go
@@ -39,9 +39,8 @@
 	// leave flows unanswered. Dozens of flows find that in one moment.
 	troubleInterval = 20 * time.Millisecond
 	// holdTime bounds how long segments wait in the socket of a VM that has just
-	// started for its first routing table, which takes 15 ms, or 0.10 to 0.22 s on
-	// 0.06 of a core before 293 targets. Callers copy what was not answered after 0.2 s, over another VM
-	// if need be. What is older than that may have been served meanwhile: an old
+	// started for its first routing table. Callers copy what was not answered after
+	// 0.2 s, over another VM if need be. What is older than that may have been served meanwhile: an old
 	// first segment would open a second target whose token the caller takes over,
 	// an old request comes after the next one.
 	holdTime = 180 * time.Millisecond
--- a/entry/share.go
+++ b/entry/share.go
@@ -17,9 +17,9 @@
 	// wantInterval is the least time between two requests for one kind.
 	wantInterval = 100 * time.Millisecond
 	// serveRate bounds what is sent in pieces, in bytes a second: a sixth of a
-	// link of 10 Mbit/s. Who gets the whole sends it on, so 30 VMs have 18 KB
-	// after five rounds of 0.1 s; sent to all who ask at once it filled the
-	// link, and callers' segments were lost.
+	// link of 10 Mbit/s. Sent to all who ask at once it would fill the link, and
+	// callers' segments would be lost. Who gets the whole sends it on, so all have it
+	// after a few rounds.
 	serveRate = 200e3
 )
 
@@ -96,13 +96,17 @@
 	}
 }
 
+// compareOrder is the order in which a VM asks for what it does not hold. One that
+// has just started knows where flows must not go before it can place any.
+var compareOrder = [heartbeat.Kinds]heartbeat.Kind{heartbeat.Evacuations, heartbeat.Routes, heartbeat.Targets}
+
 // handleHeartbeat takes over the sender's certainty, and asks for what it holds
 // and this VM does not.
 func (n *Node) handleHeartbeat(now time.Time, from netip.AddrPort, h *heartbeat.Heartbeat) {
 	if !n.board.Handle(now, from, h) {
 		return
 	}
-	for kind := range heartbeat.Kind(heartbeat.Kinds) {
+	for _, kind := range compareOrder {
 		n.compare(now, kind, h)
 	}
 }
--- a/io/setting/setting.go
+++ b/io/setting/setting.go
@@ -103,8 +103,7 @@
 }
 
 // namePattern says which names are safe in keys, logs and metric labels; isName
-// checks it. Compiled as a regular expression at each start it took 0.2 of the 4 ms
-// of processor time before a VM reads its settings (GODEBUG=inittrace=1).
+// checks it. A regular expression would be compiled at each start, while callers wait.
 const namePattern = `^[a-z0-9][a-z0-9._-]{0,62}$`
 
 const maxName = 63
