fade, token, answer: one place for weights that fade with age

Cause: the same exponential stood in the meter of load, in sums of answers and in the verdict on a trial, each with its own guard against time that runs backwards.

Change: core/fade. No decision changes; the sums' guard against a zero time is not needed, since what fades there is nothing.

--- a/core/answer/judge.go
+++ b/core/answer/judge.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"baobabstep/core/fade"
 )
 
 const (
@@ -106,7 +108,7 @@
 			v.trialAt, v.failedBefore = now, e.Target.Failed
 		}
 	case OnTrial:
-		old := v.failedBefore * math.Exp(-float64(now.Sub(v.trialAt))/float64(window))
+		old := v.failedBefore * fade.Left(now.Sub(v.trialAt), window)
 		switch {
 		case e.Target.Failed-old >= trialFailures:
 			v.convict(now, e.excess())
--- a/core/answer/tally.go
+++ b/core/answer/tally.go
@@ -1,9 +1,10 @@
 package answer
 
 import (
-	"math"
 	"math/bits"
 	"time"
+
+	"baobabstep/core/fade"
 )
 
 //go:generate stringer -type=Outcome -linecomment -output=outcome_string.go
@@ -25,11 +26,9 @@
 )
 
 const (
-	// window is the time over which outcomes count. A target of a small fleet
-	// answers 27 requests a second, one of a large fleet 14: some 30 to 50 in
-	// the window, enough to tell one in five from none. At 4 s what a target
-	// answered before it began to fail hides it for half a second longer; at
-	// 1 s the times of slow targets are those of too few requests.
+	// window is the time over which outcomes count: long enough for some dozens of
+	// answers of a target, which tell one failure in five from none, and short
+	// enough that what it answered before it began to fail does not hide it.
 	window = 2 * time.Second
 	// callerPause is the time in which a caller's failures at a target count
 	// once: one heavy caller, or one that lies about what it received, is not
@@ -78,12 +77,10 @@
 }
 
 func (s *Sum) fade(now time.Time) {
-	if passed := now.Sub(s.at); passed > 0 && !s.at.IsZero() {
-		keep := math.Exp(-float64(passed) / float64(window))
-		s.answers *= keep
-		s.failed *= keep
-		s.seconds *= keep
-	}
+	left := fade.Left(now.Sub(s.at), window)
+	s.answers *= left
+	s.failed *= left
+	s.seconds *= left
 	if now.After(s.at) {
 		s.at = now
 	}
--- a/core/token/load.go
+++ b/core/token/load.go
@@ -8,6 +8,7 @@
 
 	"baobabstep"
 	"baobabstep/core/answer"
+	"baobabstep/core/fade"
 )
 
 // loadWindow is the time over which requests count as load. It is long against
@@ -194,11 +195,10 @@
 }
 
 func (m *meter) read(now time.Time) float64 {
-	passed := now.Sub(m.at)
-	if passed <= 0 || m.value == 0 {
-		return m.value
+	if m.value == 0 {
+		return 0 // most targets of a large fleet
 	}
-	return m.value * math.Exp(-float64(passed)/float64(loadWindow))
+	return m.value * fade.Left(now.Sub(m.at), loadWindow)
 }
 
 func (m *meter) add(now time.Time, n float64) {
