config, operator: a data centre is evacuated in one change of the project's own configuration

Cause: the own configuration path knew drains of single targets only; emptying a data centre took one change a target, and ending it would have undrained targets that were drained for reasons of their own. Found beside it, on a busy machine: an operator who drains a target and takes that back at once was refused ("changes nothing"): the second edit was made from the version before the first one, which this VM had not read yet.

Change: `data-centre evacuate` and `data-centre restore` mark all targets of a data centre, of all accounts, in one change with one audit entry; the mark stands beside the one of a single drain. An edit that the server makes waits, for 2 s at most, until the VM holds what was accepted over it before, and says so if it does not.

No program that the users' platform runs is touched.

--- a/cmd/baobabstep/main.go
+++ b/cmd/baobabstep/main.go
@@ -25,6 +25,7 @@
 	Template      command.Template   `cmd:"" help:"Templates that services are made from."`
 	Account       command.Account    `cmd:"" help:"Client accounts: edit a draft, see the difference, accept."`
 	Target        command.Target     `cmd:"" help:"Drain and undrain targets."`
+	DataCentre    command.DataCentre `cmd:"" help:"Evacuate and restore data centres."`
 	Status        command.Status     `cmd:"" help:"The fleet as one VM sees it."`
 	Explain       command.Explain    `cmd:"" help:"Where a flow or request went, and why."`
 	Trace         trace              `cmd:"" help:"From logs of VMs with token routing: what became of a flow, and why."`
--- a/core/config/document.go
+++ b/core/config/document.go
@@ -87,6 +87,9 @@
 	Slots       int  `json:"slots,omitempty"`
 	Connections int  `json:"connections,omitempty"`
 	Drained     bool `json:"drained,omitempty"`
+	// Evacuated is set while the target's data centre is; it ends with that, and
+	// leaves Drained as it is.
+	Evacuated bool `json:"evacuated,omitempty"`
 }
 
 // ClassRuleValue is one item of a class rule list.
--- a/core/config/edit.go
+++ b/core/config/edit.go
@@ -51,15 +51,53 @@
 		return Edit{}, baobabstep.Errorf(baobabstep.CodeNotFound, "config.drain", "got target %q, want one that is configured", target)
 	}
 	account := s.Account(s.Config.Service(t.Service).Account)
-	changed, err := s.withDrained(account, target, drained)
+	changed, _, err := s.withTargets(account, func(v *TargetValue) bool {
+		marks := v.Name == target
+		if marks {
+			v.Drained = drained
+		}
+		return marks
+	})
 	if err != nil {
 		return Edit{}, err
 	}
-	return Edit{Kind: ObjectAccount, Name: account.Name, Base: Encode(account), Document: Encode(changed)}, nil
+	return accountEdit(account, changed), nil
+}
+
+// EvacuationEdits returns the edits that mark all targets of a data centre as
+// evacuated, or take the marks back; one for each account that has any. Targets that
+// are added later are not marked.
+func (s *Set) EvacuationEdits(dataCentre string, evacuated bool) ([]Edit, error) {
+	var edits []Edit
+	for _, ref := range s.Refs(ObjectAccount) {
+		account := s.Account(ref.Name)
+		changed, marked, err := s.withTargets(account, func(v *TargetValue) bool {
+			marks := v.DataCentre == dataCentre && v.Evacuated != evacuated
+			if marks {
+				v.Evacuated = evacuated
+			}
+			return marks
+		})
+		if err != nil {
+			return nil, err
+		}
+		if marked {
+			edits = append(edits, accountEdit(account, changed))
+		}
+	}
+	if len(edits) == 0 {
+		return nil, baobabstep.Errorf(baobabstep.CodeNotFound, "config.evacuate", "got data centre %q, want one with targets whose mark this changes", dataCentre)
+	}
+	return edits, nil
+}
+
+func accountEdit(before, after *Account) Edit {
+	return Edit{Kind: ObjectAccount, Name: before.Name, Base: Encode(before), Document: Encode(after)}
 }
 
-// withDrained returns a copy of the account in which the target is marked.
-func (s *Set) withDrained(a *Account, target string, drained bool) (*Account, error) {
+// withTargets returns a copy of the account in which mark has changed targets, and
+// whether it changed any.
+func (s *Set) withTargets(a *Account, mark func(*TargetValue) bool) (_ *Account, marked bool, err error) {
 	out := *a
 	out.Services = slices.Clone(a.Services)
 	for i := range out.Services {
@@ -73,16 +111,15 @@
 			}
 			var list []TargetValue
 			if err := decodeAny(raw, &list); err != nil {
-				return nil, err
+				return nil, false, err
 			}
 			for j := range list {
-				if list[j].Name == target {
-					list[j].Drained = drained
-					values[name] = Encode(list)
+				if mark(&list[j]) {
+					marked, values[name] = true, Encode(list)
 				}
 			}
 		}
 		one.Values = values
 	}
-	return &out, nil
+	return &out, marked, nil
 }
--- a/core/config/render.go
+++ b/core/config/render.go
@@ -180,7 +180,7 @@
 	}
 	return baobabstep.Target{
 		ID: baobabstep.MakeTargetID(v.Name), Name: v.Name, Service: s.ID, Address: address,
-		DataCentre: v.DataCentre, Drained: v.Drained,
+		DataCentre: v.DataCentre, Drained: v.Drained || v.Evacuated,
 	}
 }
 
--- a/core/config/value.go
+++ b/core/config/value.go
@@ -67,7 +67,7 @@
 		}
 	case TypeTargetList:
 		if err := decodeAny(raw, &v.targets); err != nil {
-			return v, fmt.Sprintf("a list of targets with name, address, data_centre and optionally slots, connections, drained (%v)", err)
+			return v, fmt.Sprintf("a list of targets with name, address, data_centre and optionally slots, connections, drained, evacuated (%v)", err)
 		}
 	case TypeClassRuleList:
 		return parseClasses(raw)
--- a/io/operator/api.go
+++ b/io/operator/api.go
@@ -145,9 +145,12 @@
 	// Template puts a template's document.
 	Template json.RawMessage `json:"template,omitempty"`
 	// Target drains, or with Undrain undrains, a target.
-	Target  string         `json:"target,omitempty"`
-	Undrain bool           `json:"undrain,omitempty"`
-	Export  *config.Export `json:"export,omitempty"`
+	Target  string `json:"target,omitempty"`
+	Undrain bool   `json:"undrain,omitempty"`
+	// DataCentre evacuates a data centre, or with Restore ends that.
+	DataCentre string         `json:"data_centre,omitempty"`
+	Restore    bool           `json:"restore,omitempty"`
+	Export     *config.Export `json:"export,omitempty"`
 }
 
 // ChangeAnswer is what became of a change.
--- a/io/operator/change.go
+++ b/io/operator/change.go
@@ -124,12 +124,14 @@
 	case len(q.Template) > 0:
 		err = s.templateChange(&c, q.Template)
 	case q.Target != "":
-		err = s.targetChange(&c, q)
+		err = s.targetChange(ctx, &c, q)
+	case q.DataCentre != "":
+		err = s.dataCentreChange(ctx, &c, q)
 	case q.Export != nil:
 		c.Action = "config import"
 		c.Edits, err = q.Export.Edits(s.o.Replica.Set())
 	default:
-		err = baobabstep.Errorf(baobabstep.CodeUsage, "operator.change", "got no account, template, target or export, want one of them")
+		err = baobabstep.Errorf(baobabstep.CodeUsage, "operator.change", "got no account, template, target, data centre or export, want one of them")
 	}
 	if err != nil {
 		return ChangeAnswer{}, err
@@ -146,6 +148,7 @@
 	if res.Err != nil || q.DryRun {
 		return a, res.Err
 	}
+	s.noteAccepted(res.Version)
 	if err := s.o.Trail.CatchUp(ctx); err != nil {
 		a.AuditPending = err.Error()
 	}
@@ -203,8 +206,8 @@
 	return nil
 }
 
-func (s *Server) targetChange(c *config.Change, q ChangeQuery) error {
-	set, err := s.set()
+func (s *Server) targetChange(ctx context.Context, c *config.Change, q ChangeQuery) error {
+	set, err := s.ownSet(ctx)
 	if err != nil {
 		return err
 	}
@@ -222,6 +225,21 @@
 	return nil
 }
 
+// dataCentreChange evacuates a data centre, or ends that, for all accounts at once.
+func (s *Server) dataCentreChange(ctx context.Context, c *config.Change, q ChangeQuery) error {
+	set, err := s.ownSet(ctx)
+	if err != nil {
+		return err
+	}
+	c.Edits, err = set.EvacuationEdits(q.DataCentre, !q.Restore)
+	c.Action = "data-centre evacuate"
+	if q.Restore {
+		c.Action = "data-centre restore"
+	}
+	c.Merge = true // as for one target
+	return err
+}
+
 // hasSubject says whether an entry concerns a document.
 func hasSubject(e *baobabstep.AuditEntry, subject string) bool {
 	if slices.Contains(strings.Fields(e.Subject), subject) {
--- a/io/operator/command/command_test.go
+++ b/io/operator/command/command_test.go
@@ -90,6 +90,8 @@
 		Audit    command.Audit    `cmd:""`
 		Target   command.Target   `cmd:""`
 		Config   command.Config   `cmd:""`
+
+		DataCentre command.DataCentre `cmd:""`
 	}
 	var out bytes.Buffer
 	parser, err := kong.New(&cli)
@@ -160,6 +162,12 @@
 	v.must("rui", "target undrain", "audit list")
 	v.must("rui", "4 entries verified", "audit verify")
 	v.refused("rui", baobabstep.CodeNotFound, "one that is configured", "target drain nobody --reason=none")
+	v.refused("rui", baobabstep.CodeDangerous, "at most 34 %", "data-centre evacuate hobart-a --reason=power_work")
+	v.must("rui", "accepted as version 5", "data-centre evacuate hobart-a --reason=power_work --confirm=tas-south/results")
+	v.refused("rui", baobabstep.CodeNotFound, "whose mark this changes", "data-centre evacuate hobart-a --reason=again")
+	v.must("rui", "accepted as version 6", "data-centre restore hobart-a --reason=done")
+	v.refused("rui", baobabstep.CodeNotFound, "whose mark this changes", "data-centre evacuate nowhere --reason=none")
+	v.must("rui", "data-centre restore", "audit list")
 	v.refused("rui", baobabstep.CodeUsage, "want path=value", "account edit tas-south --set=nothing")
 	v.refused("rui", baobabstep.CodeNotFound, "part services.none", "account edit tas-south --set=services.none.values=1")
 }
--- a/io/operator/command/status.go
+++ b/io/operator/command/status.go
@@ -155,3 +155,35 @@
 		return s.carryOut(ctx, c, q)
 	})
 }
+
+// DataCentre holds the commands for data centres.
+type DataCentre struct {
+	Evacuate DataCentreEvacuate `cmd:"" help:"Give all targets of a data centre no new work; their flows stay."`
+	Restore  DataCentreRestore  `cmd:"" help:"Let the targets of a data centre have new work again."`
+}
+
+// DataCentreEvacuate marks all targets of a data centre.
+type DataCentreEvacuate struct {
+	Name string `arg:"" help:"The data centre."`
+	Change
+}
+
+// Run carries out the command.
+func (c *DataCentreEvacuate) Run(g *Globals) error { return evacuate(g, &c.Change, c.Name, false) }
+
+// DataCentreRestore takes the marks away.
+type DataCentreRestore struct {
+	Name string `arg:"" help:"The data centre."`
+	Change
+}
+
+// Run carries out the command.
+func (c *DataCentreRestore) Run(g *Globals) error { return evacuate(g, &c.Change, c.Name, true) }
+
+func evacuate(g *Globals, c *Change, dataCentre string, restore bool) error {
+	return g.run(func(ctx context.Context, s *session) error {
+		q := c.query()
+		q.DataCentre, q.Restore = dataCentre, restore
+		return s.carryOut(ctx, c, q)
+	})
+}
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -6,6 +6,8 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
+	"time"
 
 	"baobabstep"
 	"baobabstep/core/config"
@@ -34,6 +36,8 @@
 	o    Options
 	keys *keyring
 	mux  *http.ServeMux
+	// newest is the newest version that a change over this VM became.
+	newest atomic.Uint64
 }
 
 var _ http.Handler = (*Server)(nil)
@@ -138,6 +142,45 @@
 	return nil, baobabstep.Errorf(baobabstep.CodeIncomplete, "operator.set", "VM %s has no configuration yet", s.o.VM)
 }
 
+const (
+	// ownWait is how long an edit waits for the versions accepted before it over
+	// this VM, and ownLook how often it looks.
+	ownWait = 2 * time.Second
+	ownLook = 10 * time.Millisecond
+)
+
+// ownSet returns the version in force here once it holds what was accepted over this
+// VM before.
+//
+// An operator drains a target and takes that back at once. Made from the version
+// before the first change, the second would change nothing, and be refused.
+func (s *Server) ownSet(ctx context.Context) (*config.Set, error) {
+	ctx, cancel := context.WithTimeout(ctx, ownWait)
+	defer cancel()
+	want := s.newest.Load()
+	for {
+		set, err := s.set()
+		if err != nil || set.Manifest.Version >= want {
+			return set, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, baobabstep.Errorf(baobabstep.CodeIncomplete, "operator.set", "VM %s has version %d, want %d, which was accepted over it", s.o.VM, set.Manifest.Version, want)
+		case <-time.After(ownLook):
+		}
+	}
+}
+
+// noteAccepted notes a version that a change over this VM became.
+func (s *Server) noteAccepted(version uint64) {
+	for {
+		seen := s.newest.Load()
+		if version <= seen || s.newest.CompareAndSwap(seen, version) {
+			return
+		}
+	}
+}
+
 func (s *Server) documents(ctx context.Context, _ string, q DocumentQuery) ([]Document, error) {
 	set, err := s.set()
 	if err != nil {
