--- a/core/token/cold.go
+++ b/core/token/cold.go
@@ -78,17 +78,28 @@
 // Only the VMs beside a target divide its limit: the fewer they are, the sooner
 // each knows the others. Those of other data centres send a cold target nothing.
 func (r *Router) takesCold(now time.Time, t *target, limit *coldLimit) bool {
-	t.load.mu.Lock()
-	defer t.load.mu.Unlock()
-	c := &t.load.cold
-	if !now.Before(t.coldUntil) && !now.Before(c.presumedUntil) {
+	if !t.isCold(now) {
 		return true
 	}
 	view := r.view.Load()
-	if view == nil || t.registration.DataCentre != r.o.DataCentre || now.Before(c.closedUntil) {
+	if view == nil || t.registration.DataCentre != r.o.DataCentre {
 		return false
 	}
-	return c.meter.Allows(now, c.shareOf(t.id, view, limit))
+	t.load.mu.Lock()
+	defer t.load.mu.Unlock()
+	c := &t.load.cold
+	return !now.Before(c.closedUntil) && c.meter.Allows(now, c.shareOf(t.id, view, limit))
+}
+
+// isCold tells whether the target is cold, by its own word or because it is taken to
+// be.
+func (t *target) isCold(now time.Time) bool {
+	if now.Before(t.coldUntil) {
+		return true
+	}
+	t.load.mu.Lock()
+	defer t.load.mu.Unlock()
+	return now.Before(t.load.cold.presumedUntil)
 }
 
 const (
@@ -110,7 +121,10 @@
 		service.noteUrgent(now)
 		return false
 	}
-	return len(list) == 1 && service.expectsUrgent(now) && r.draw()%ordinaryFloor != 0
+	if len(list) != 1 || !list[0].target.isCold(now) {
+		return false
+	}
+	return service.expectsUrgent(now) && r.draw()%ordinaryFloor != 0
 }
 
 func (s *service) noteUrgent(now time.Time) {
--- a/core/token/cold_test.go
+++ b/core/token/cold_test.go
@@ -134,6 +134,22 @@
 	})
 }
 
+// A service has one target, which is warm. Urgent flows come as well: the ordinary
+// ones need not leave it to them, since it takes any number.
+func TestOnlyTargetIsWarm(t *testing.T) {
+	urgent, ordinary := rule1(results, "fixtures"), rule1(fixtures, "fixtures")
+	ordinary.Repeatable, ordinary.Priority = true, 2
+	table := table(1, urgent, ordinary)
+	table.ColdLimits = coldTable(1).ColdLimits
+	r := New(Options{DataCentre: "a", Rand: rand.New(rand.NewPCG(1, 2))})
+	r.SetTable(start, table)
+	r.SetRegistrations(start, []baobabstep.Registration{registration(1, "fixtures", "a")})
+	for n := range uint16(50) {
+		open(t, r, start, flowFrom(2*n, results))
+		open(t, r, start, flowFrom(2*n+1, fixtures))
+	}
+}
+
 // All targets of a service are cold, and more is asked than they bear. What fits is
 // served, the rest is refused at once, and urgent flows are served first: of the two
 // flows a second, ordinary ones that come ten times as often must not take all.
--- a/entry/evacuation.go
+++ b/entry/evacuation.go
@@ -49,24 +49,23 @@
 	return true, nil
 }
 
-// changeEvacuations takes in what a watch saw. It says nothing of the age of what
-// is held: the watch may have passed over another change.
-func (b *beliefs) changeEvacuations(now time.Time, changes []baobabstep.EvacuationChange) (changed bool, err error) {
+// evacuationsAfter returns what changes, in the order in which they came, make of
+// what is held, and as of which revision.
+func (b *beliefs) evacuationsAfter(changes []baobabstep.EvacuationChange) (dataCentres []string, revision baobabstep.Revision) {
 	b.mu.Lock()
-	list, newest := slices.Clone(b.evacuated), baobabstep.Revision(b.held[heartbeat.Evacuations].version)
-	confirmed := b.held[heartbeat.Evacuations].confirmed
-	b.mu.Unlock()
+	defer b.mu.Unlock()
+	dataCentres, revision = slices.Clone(b.evacuated), baobabstep.Revision(b.held[heartbeat.Evacuations].version)
 	for _, c := range changes {
-		if c.Revision <= newest {
+		if c.Revision <= revision {
 			continue
 		}
-		newest = c.Revision
-		list = slices.DeleteFunc(list, func(dc string) bool { return dc == c.DataCentre })
+		revision = c.Revision
+		dataCentres = slices.DeleteFunc(dataCentres, func(name string) bool { return name == c.DataCentre })
 		if !c.Ended {
-			list = append(list, c.DataCentre)
+			dataCentres = append(dataCentres, c.DataCentre)
 		}
 	}
-	return b.holdEvacuations(now, list, newest, origin{source: sourceWatch, confirmed: confirmed})
+	return dataCentres, revision
 }
 
 // evacuations returns what is held as it travels. Errors: CodeTooLarge.
@@ -76,16 +75,36 @@
 	return heartbeat.NewEvacuationList(b.held[heartbeat.Evacuations].told(now), b.evacuated)
 }
 
-// learnEvacuations takes in all evacuated data centres, and hands on what is new.
+// learnEvacuations takes in all evacuated data centres as the store holds them, and
+// tells other VMs of a change.
 func (n *Node) learnEvacuations(dataCentres []string, revision baobabstep.Revision, from origin) error {
-	changed, err := n.beliefs.holdEvacuations(n.clock.Now(), dataCentres, revision, from)
+	changed, err := n.holdEvacuations(n.clock.Now(), dataCentres, revision, from)
 	if changed {
-		n.noteUnknownDataCentres(dataCentres)
-		n.spreadEvacuations(from.source != sourcePeer)
+		n.spreadEvacuations(true)
 	}
 	return err
 }
 
+// watchEvacuations takes in what a watch saw. It says nothing of the age of what is
+// held: the watch may have passed over another change.
+func (n *Node) watchEvacuations(changes []baobabstep.EvacuationChange) error {
+	dataCentres, revision := n.beliefs.evacuationsAfter(changes)
+	confirmed := n.beliefs.get(heartbeat.Evacuations).confirmed
+	return n.learnEvacuations(dataCentres, revision, origin{source: sourceWatch, confirmed: confirmed})
+}
+
+// holdEvacuations takes in all evacuated data centres as of a revision, and tells
+// whether that changes what was held. What a VM learns first changes nothing: others
+// learn it from heartbeats, and a fleet that starts would send it to all from all.
+func (n *Node) holdEvacuations(now time.Time, dataCentres []string, revision baobabstep.Revision, from origin) (changed bool, err error) {
+	first := n.beliefs.get(heartbeat.Evacuations).version == 0
+	others, err := n.beliefs.holdEvacuations(now, dataCentres, revision, from)
+	if others {
+		n.noteUnknownDataCentres(dataCentres)
+	}
+	return others && !first, err
+}
+
 // noteUnknownDataCentres says which evacuations concern no data centre of the
 // settings. They are in force all the same: the settings may be older.
 func (n *Node) noteUnknownDataCentres(dataCentres []string) {
@@ -101,18 +120,21 @@
 // other, what is held.
 func (n *Node) spreadEvacuations(far bool) {
 	now := n.clock.Now()
-	for _, to := range n.board.Spread(now, far) {
-		n.sendEvacuations(now, to)
-	}
+	n.sendEvacuations(now, n.board.Spread(now, far)...)
 }
 
-func (n *Node) sendEvacuations(now time.Time, to netip.AddrPort) {
+func (n *Node) sendEvacuations(now time.Time, to ...netip.AddrPort) {
 	list, err := n.beliefs.evacuations(now)
 	if err != nil {
 		n.log.WithError(err).Error("cannot hand on evacuations")
 		return
 	}
-	n.sendMessage(to, &heartbeat.Message{Evacuations: list})
+	m := &heartbeat.Message{Evacuations: list}
+	outs := make([]heartbeat.Out, len(to))
+	for i := range to {
+		outs[i] = heartbeat.Out{To: to[i], Message: m}
+	}
+	n.sendAll(outs)
 }
 
 // handleEvacuations takes over what a peer holds.
@@ -122,7 +144,7 @@
 		n.counts.malformed.Add(1)
 		return
 	}
-	changed, err := n.beliefs.holdEvacuations(now, e.DataCentres, baobabstep.Revision(e.Held.Version), origin{source: sourcePeer, confirmed: now.Add(-e.Held.Age())})
+	changed, err := n.holdEvacuations(now, e.DataCentres, baobabstep.Revision(e.Held.Version), origin{source: sourcePeer, confirmed: now.Add(-e.Held.Age())})
 	if err != nil {
 		n.counts.malformed.Add(1)
 		return
--- a/entry/read.go
+++ b/entry/read.go
@@ -37,11 +37,7 @@
 		return revision, false, err
 	}
 	if len(change.Evacuations) > 0 {
-		changed, evacuateErr := f.node.beliefs.changeEvacuations(f.node.clock.Now(), change.Evacuations)
-		if changed {
-			f.node.spreadEvacuations(true)
-		}
-		err = evacuateErr
+		err = f.node.watchEvacuations(change.Evacuations)
 	}
 	if change.Table != nil {
 		// The table was the newest when the watch returned, like one that is read;
