token, quota, entry, emulator: one mixer, one way to spread, and no predicate that takes notes

Cause, from reading the whole change: (1) the same mixing of bits stood in tokens, in the shares of cold targets and in the emulator. (2) The emulator spread evacuations by a copy of the loop that spreads registrations. (3) leavesLast, by its name a question, also noted urgent flows. (4) Whether evacuations were held before was asked twice, under two locks, by two functions of one name. (5) A list that is sorted was sorted again for each message.

Ruled out: the mixers of core/place, core/request, core/member, core/config, core/target use other constants, and what they give is compared between VMs of two versions: left.

Change: core/mix; store.spread; noteFlow beside leavesLast; takeEvacuations in Node. No decision changes.

--- a/core/heartbeat/evacuation.go
+++ b/core/heartbeat/evacuation.go
@@ -1,10 +1,6 @@
 package heartbeat
 
-import (
-	"slices"
-
-	"baobabstep"
-)
+import "baobabstep"
 
 // maxEvacuated bounds the data centres of one message.
 const maxEvacuated = 64
@@ -16,14 +12,13 @@
 	DataCentres []string `cbor:"2,keyasint,omitempty"`
 }
 
-// NewEvacuationList returns the list of the given data centres, in any order.
-// Errors: CodeTooLarge.
+// NewEvacuationList returns the list of the given data centres, which have to be
+// sorted. Errors: CodeTooLarge.
 func NewEvacuationList(held Held, dataCentres []string) (*EvacuationList, error) {
 	if len(dataCentres) > maxEvacuated {
 		return nil, baobabstep.Errorf(baobabstep.CodeTooLarge, "heartbeat.evacuations", "got %d data centres, want at most %d", len(dataCentres), maxEvacuated)
 	}
-	sorted := slices.Compact(slices.Sorted(slices.Values(dataCentres)))
-	return &EvacuationList{Held: held, DataCentres: sorted}, nil
+	return &EvacuationList{Held: held, DataCentres: dataCentres}, nil
 }
 
 // EvacuationsSum returns the checksum of a list, whose data centres have to be
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -31,6 +31,7 @@
 	"time"
 
 	"baobabstep"
+	"baobabstep/core/mix"
 )
 
 // Limit is what a fleet may do to one thing.
@@ -97,11 +98,5 @@
 
 // weight is the rendezvous weight of a VM for a key.
 func weight(vm baobabstep.VMID, key uint64) uint64 {
-	x := uint64(vm) ^ key*0x9e3779b97f4a7c15
-	x ^= x >> 32
-	x *= 0xd6e8feb86659fd93
-	x ^= x >> 32
-	x *= 0xd6e8feb86659fd93
-	x ^= x >> 32
-	return x
+	return mix.Bits(uint64(vm) ^ key*0x9e3779b97f4a7c15)
 }
--- a/core/token/choose.go
+++ b/core/token/choose.go
@@ -85,8 +85,11 @@
 func (r *Router) best(now time.Time, route *rule, g ring, avoid *target) (best *target, took time.Duration) {
 	var space [scanMost]candidate
 	list := r.candidates(now, g, avoid, space[:0])
-	if g.limit != nil && r.leavesLast(now, route, list) {
-		return nil, 0
+	if g.limit != nil && len(list) > 0 {
+		list[0].target.service.noteFlow(now, route)
+		if r.leavesLast(now, route, list) {
+			return nil, 0
+		}
 	}
 	c := r.comparison(route, list)
 	for w := wishAll; w <= wishNone; w++ {
--- a/core/token/cold.go
+++ b/core/token/cold.go
@@ -105,29 +105,26 @@
 const (
 	// urgentSoon is how soon after an urgent flow another one is expected.
 	urgentSoon = 200 * time.Millisecond
-	// ordinaryFloor is the part of the ordinary flows that do not wait for them.
+	// ordinaryFloor: of so many ordinary flows one does not wait for urgent ones.
 	ordinaryFloor = 8
 )
 
-// leavesLast tells whether an ordinary flow leaves the only target that takes one
-// more to urgent flows. Where all targets of a service are cold, each takes its next
-// flow at a moment, and ordinary flows, which come more often, would take nearly all.
+// leavesLast tells whether a flow leaves the only target that takes one more to
+// urgent flows, as ordinary ones do. Where all targets of a service are cold, each
+// takes its next flow at a moment, and ordinary flows, which come more often, would
+// take nearly all.
 func (r *Router) leavesLast(now time.Time, route *rule, list []candidate) bool {
-	if len(list) == 0 {
+	if !route.ordinary || len(list) != 1 || !list[0].target.isCold(now) {
 		return false
 	}
-	service := list[0].target.service
-	if !route.ordinary {
-		service.noteUrgent(now)
-		return false
-	}
-	if len(list) != 1 || !list[0].target.isCold(now) {
-		return false
-	}
-	return service.expectsUrgent(now) && r.draw()%ordinaryFloor != 0
+	return list[0].target.service.expectsUrgent(now) && r.draw()%ordinaryFloor != 0
 }
 
-func (s *service) noteUrgent(now time.Time) {
+// noteFlow notes that a new flow of a rule came; ordinary ones say nothing.
+func (s *service) noteFlow(now time.Time, route *rule) {
+	if route.ordinary {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.urgentAt = now
--- a/core/token/token.go
+++ b/core/token/token.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"baobabstep"
+	"baobabstep/core/mix"
 )
 
 // flowHash is the part of a token that depends on the flow.
@@ -28,10 +29,6 @@
 // would make two of 26,000 collide with near certainty, for all their flows.
 // Mixed with the flow, a collision concerns one flow in 2^32 for each pair.
 func tokenFor(h flowHash, id baobabstep.TargetID) uint32 {
-	x := uint64(h) ^ uint64(id)*0x9e3779b97f4a7c15
-	x ^= x >> 32
-	x *= 0xd6e8feb86659fd93
-	x ^= x >> 32
-	x *= 0xd6e8feb86659fd93
+	x := mix.Bits(uint64(h) ^ uint64(id)*0x9e3779b97f4a7c15)
 	return max(1, uint32(x>>32))
 }
--- a/emulator/fabric.go
+++ b/emulator/fabric.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"baobabstep"
+	"baobabstep/core/mix"
 )
 
 const (
@@ -66,7 +67,7 @@
 		if !all && !v.rotated {
 			continue
 		}
-		if weight := mix(hash ^ v.salt); best == nil || weight > most {
+		if weight := mix.Bits(hash ^ v.salt); best == nil || weight > most {
 			best, most = v, weight
 		}
 	}
@@ -78,7 +79,7 @@
 	if all {
 		count = uint64(len(vms))
 	}
-	at := mix(flowHash(key)) % count
+	at := mix.Bits(flowHash(key)) % count
 	for _, v := range vms {
 		if !all && !v.rotated {
 			continue
@@ -101,12 +102,3 @@
 	b[10], b[11] = byte(key.Service.Port()>>8), byte(key.Service.Port())
 	return xxhash.Sum64(b[:])
 }
-
-// mix spreads the bits of x.
-func mix(x uint64) uint64 {
-	x ^= x >> 32
-	x *= 0xd6e8feb86659fd93
-	x ^= x >> 32
-	x *= 0xd6e8feb86659fd93
-	return x ^ x>>32
-}
--- a/emulator/store.go
+++ b/emulator/store.go
@@ -57,35 +57,30 @@
 	if w.now >= s.watchAt {
 		at, s.watchAt = w.now, w.now+gatherTime
 	}
-	w.queue.push(max(at, s.awayUntil)+answer, func() {
-		first := w.firstUp()
-		if first == nil {
-			return // whoever starts reads them
-		}
-		for i := range w.sites {
-			w.handOn(first.site, i, func() {
-				for _, v := range w.sites[i].vms {
-					w.handOn(i, v.site, func() { v.learn(put, gone) })
-				}
-			})
-		}
-	})
+	s.spread(max(at, s.awayUntil)+answer, func(v *vm) { v.learn(put, gone) })
 }
 
-// tellEvacuations spreads which data centres are evacuated, as tell does.
+// tellEvacuations spreads which data centres are evacuated; its watch does not wait
+// for more.
 func (s *store) tellEvacuations() {
-	w := s.world
-	list := w.evacuatedNames()
+	list := s.world.evacuatedNames()
 	answer, _ := s.answer()
-	w.queue.push(max(w.now, s.awayUntil)+answer, func() {
+	s.spread(max(s.world.now, s.awayUntil)+answer, func(v *vm) { v.learnEvacuations(list) })
+}
+
+// spread lets the first VM know something at a moment, which hands it to those of its
+// data centre and to one of each other.
+func (s *store) spread(at time.Duration, know func(*vm)) {
+	w := s.world
+	w.queue.push(at, func() {
 		first := w.firstUp()
 		if first == nil {
-			return
+			return // whoever starts reads it
 		}
 		for i := range w.sites {
 			w.handOn(first.site, i, func() {
 				for _, v := range w.sites[i].vms {
-					w.handOn(i, v.site, func() { v.learnEvacuations(list) })
+					w.handOn(i, v.site, func() { know(v) })
 				}
 			})
 		}
--- a/emulator/target.go
+++ b/emulator/target.go
@@ -13,7 +13,7 @@
 	// failTime is what a target takes to answer with an error.
 	failTime = time.Millisecond
 	// abruptShare is the part of the requests that find a full target which it
-	// resets at once, as measured: 308 of 3,416.
+	// resets at once.
 	abruptShare = 0.09
 	// errorBytes is the size of an answer that says that a request failed.
 	errorBytes = 160
@@ -152,8 +152,7 @@
 }
 
 // begin runs a request or lets it wait. A full target sheds it, but says so only
-// when its turn would have come, as measured: sheds are answered after the time
-// that a whole queue takes, 55 to 75 ms in a burst and 2 s where the slots hang.
+// when its turn would have come, after the time that a whole queue takes.
 func (t *target) begin(j *job) {
 	if t.busy < t.service.Slots {
 		t.run(j)
--- a/emulator/vm.go
+++ b/emulator/vm.go
@@ -8,6 +8,7 @@
 
 	"baobabstep"
 	"baobabstep/core/heartbeat"
+	"baobabstep/core/mix"
 	"baobabstep/core/token"
 )
 
@@ -58,7 +59,7 @@
 func newVM(w *World, site, number int) *vm {
 	name := fmt.Sprintf("vm-%s-%d", w.deployment.DataCentres[site].Name, number)
 	return &vm{
-		world: w, site: site, number: number, name: name, salt: mix(uint64(baobabstep.MakeVMID(name))), slow: 1,
+		world: w, site: site, number: number, name: name, salt: mix.Bits(uint64(baobabstep.MakeVMID(name))), slow: 1,
 		at:        netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(site + 1), byte(200 + number>>8), byte(number)}), 7000),
 		processor: processor{share: w.deployment.DataCentres[site].share(number - 1)},
 	}
@@ -71,7 +72,7 @@
 	v.up, v.listening, v.leaving, v.held = true, false, false, nil
 	v.poweredAt, v.frozenUntil = w.now, w.now
 	v.processor.restart(w.now)
-	seed := mix(w.seed ^ v.salt ^ uint64(v.run))
+	seed := mix.Bits(w.seed ^ v.salt ^ uint64(v.run))
 	v.router = token.New(w.options(token.Options{
 		DataCentre: w.deployment.DataCentres[v.site].Name, Rand: rand.New(rand.NewPCG(seed, 1)),
 		ColdOvershoot: coldOvershoot, ColdSlack: coldSlack,
--- a/emulator/world.go
+++ b/emulator/world.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"baobabstep"
+	"baobabstep/core/mix"
 	"baobabstep/core/token"
 )
 
@@ -131,7 +132,7 @@
 }
 
 func (w *World) addTarget(s *Service, site int) *target {
-	id := baobabstep.TargetID(mix(w.seed+uint64(len(w.order))*7919+1)>>24 | 1)
+	id := baobabstep.TargetID(mix.Bits(w.seed+uint64(len(w.order))*7919+1)>>24 | 1)
 	t := &target{world: w, id: id, life: 1, service: s, site: site, slow: 1, holds: make(map[*flow]bool), hung: make(map[*flow]*job)}
 	w.targets[id] = t
 	w.order = append(w.order, t)
--- a/entry/belief.go
+++ b/entry/belief.go
@@ -13,8 +13,9 @@
 	"baobabstep/core/token"
 )
 
-// beliefs are the routes, targets and evacuations that this VM goes by. Each has a version,
-// a source and an age: the time since the store was known to hold nothing newer.
+// beliefs are the routes, targets and evacuations that this VM goes by. Each has a
+// version, a source and an age: the time since the store was known to hold nothing
+// newer.
 type beliefs struct {
 	router *token.Router
 	log    log.Interface
--- a/entry/evacuation.go
+++ b/entry/evacuation.go
@@ -12,41 +12,41 @@
 )
 
 // holdEvacuations takes in all evacuated data centres as of a revision. It returns
-// whether they are others than before.
+// whether they are others than before, and whether they are the first.
 //
 // An evacuation ends only by a newer word of the operators. A copy of the store, a
 // heartbeat that was late or a VM that has not heard yet has an older revision, and
 // would send flows back into a data centre that is being emptied.
-func (b *beliefs) holdEvacuations(now time.Time, dataCentres []string, revision baobabstep.Revision, from origin) (changed bool, err error) {
+func (b *beliefs) holdEvacuations(now time.Time, dataCentres []string, revision baobabstep.Revision, from origin) (changed, first bool, err error) {
 	list := slices.Sorted(slices.Values(dataCentres))
 	sum, err := heartbeat.EvacuationsSum(list)
 	if err != nil {
-		return false, err
+		return false, false, err
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	held := &b.held[heartbeat.Evacuations]
-	first := held.version == 0
+	first = held.version == 0
 	switch {
 	case uint64(revision) < held.version:
-		return false, nil
+		return false, first, nil
 	case !first && sum == held.sum:
 		held.version = uint64(revision)
 		held.confirm(from.confirmed)
-		return false, nil
+		return false, first, nil
 	}
 	b.evacuated = list
 	held.version, held.sum = uint64(revision), sum
 	held.confirm(from.confirmed)
 	held.unconfirmed = from.recent
 	if first && len(list) == 0 {
-		return true, nil
+		return true, first, nil
 	}
 	b.router.SetEvacuations(now, list)
 	b.log.WithFields(log.Fields{
 		"evacuated": list, "revision": held.version, "source": from.source, "age_ms": now.Sub(from.confirmed).Milliseconds(),
 	}).Info("evacuations in force")
-	return true, nil
+	return true, first, nil
 }
 
 // evacuationsAfter returns what changes, in the order in which they came, make of
@@ -78,7 +78,7 @@
 // learnEvacuations takes in all evacuated data centres as the store holds them, and
 // tells other VMs of a change.
 func (n *Node) learnEvacuations(dataCentres []string, revision baobabstep.Revision, from origin) error {
-	changed, err := n.holdEvacuations(n.clock.Now(), dataCentres, revision, from)
+	changed, err := n.takeEvacuations(n.clock.Now(), dataCentres, revision, from)
 	if changed {
 		n.spreadEvacuations(true)
 	}
@@ -93,16 +93,15 @@
 	return n.learnEvacuations(dataCentres, revision, origin{source: sourceWatch, confirmed: confirmed})
 }
 
-// holdEvacuations takes in all evacuated data centres as of a revision, and tells
+// takeEvacuations takes in all evacuated data centres as of a revision, and tells
 // whether that changes what was held. What a VM learns first changes nothing: others
 // learn it from heartbeats, and a fleet that starts would send it to all from all.
-func (n *Node) holdEvacuations(now time.Time, dataCentres []string, revision baobabstep.Revision, from origin) (changed bool, err error) {
-	first := n.beliefs.get(heartbeat.Evacuations).version == 0
-	others, err := n.beliefs.holdEvacuations(now, dataCentres, revision, from)
-	if others {
+func (n *Node) takeEvacuations(now time.Time, dataCentres []string, revision baobabstep.Revision, from origin) (changed bool, err error) {
+	changed, first, err := n.beliefs.holdEvacuations(now, dataCentres, revision, from)
+	if changed {
 		n.noteUnknownDataCentres(dataCentres)
 	}
-	return others && !first, err
+	return changed && !first, err
 }
 
 // noteUnknownDataCentres says which evacuations concern no data centre of the
@@ -144,7 +143,7 @@
 		n.counts.malformed.Add(1)
 		return
 	}
-	changed, err := n.holdEvacuations(now, e.DataCentres, baobabstep.Revision(e.Held.Version), origin{source: sourcePeer, confirmed: now.Add(-e.Held.Age())})
+	changed, err := n.takeEvacuations(now, e.DataCentres, baobabstep.Revision(e.Held.Version), origin{source: sourcePeer, confirmed: now.Add(-e.Held.Age())})
 	if err != nil {
 		n.counts.malformed.Add(1)
 		return
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -20,9 +20,9 @@
 	earlyEmpty = 0.9
 	// gatherRoutes and gatherTargets are the pauses between two watches. Changes
 	// come in bursts, as when a service is released; together they cost one call.
-	// Targets write all the time that they live, and end each watch at once. A target that drains serves for
-	// seconds, and one that is gone is found silent sooner than its registration
-	// lapses, so half a second later is soon enough.
+	// Targets write all the time that they live, and end each watch at once. A target
+	// that drains serves for seconds, and one that is gone is found silent sooner than
+	// its registration lapses, so half a second later is soon enough.
 	gatherRoutes  = 100 * time.Millisecond
 	gatherTargets = 500 * time.Millisecond
 	// absentRetry is the pause after the store said that there is no routing
--- a/entry/node.go
+++ b/entry/node.go
@@ -6,8 +6,8 @@
 // and targets, and every other VM could serve each of its packets; so it joins
 // and leaves without handing anything over.
 //
-// Goroutines: one for each socket of packets, two for each kind that is read
-// from the directory, one for what peers say, one that ticks, one for each HTTP
+// Goroutines: one for each socket of packets, two for each reading
+// of the directory, one for what peers say, one that ticks, one for each HTTP
 // listener. Each reports its end to Run.
 package entry
 
@@ -40,9 +40,9 @@
 	troubleInterval = 20 * time.Millisecond
 	// holdTime bounds how long segments wait in the socket of a VM that has just
 	// started for its first routing table. Callers copy what was not answered after
-	// 0.2 s, over another VM if need be. What is older than that may have been served meanwhile: an old
-	// first segment would open a second target whose token the caller takes over,
-	// an old request comes after the next one.
+	// 0.2 s, over another VM if need be. What is older than that may have been served
+	// meanwhile: an old first segment would open a second target whose token the
+	// caller takes over, an old request comes after the next one.
 	holdTime = 180 * time.Millisecond
 	// headerTimeout bounds the reading of a readiness check.
 	headerTimeout = 2 * time.Second
