entry, platform: news that is older than what is held is logged and counted

Now each own reading that is passed over writes "news passed over" with kind, source and both revisions, bounded like every class of lines; news of peers, which is late as a matter of course, is counted only. No decision changed.

Test: entry.TestPassedOverReadingIsLogged (no such line before).

--- /dev/null
+++ b/core/heartbeat/generate.go
@@ -0,0 +1,3 @@
+package heartbeat
+
+//go:generate stringer -type=Kind -linecomment -output=kind_string.go
--- a/core/heartbeat/message.go
+++ b/core/heartbeat/message.go
@@ -80,16 +80,16 @@
 // Kind is something that VMs hold in common.
 type Kind uint8
 
-// Kinds of what VMs hold.
+// Kinds of what VMs hold. The comment of each is its name in logs.
 const (
 	// Routes is the routing table; its version is the table's.
-	Routes Kind = iota
+	Routes Kind = iota // routes
 	// Targets are the registrations; their version is the store's revision
 	// when they were read, which moves on without changing them.
-	Targets
+	Targets // targets
 	// Evacuations are the data centres that get no new flow; their version is
 	// the store's revision, as that of Targets.
-	Evacuations
+	Evacuations // evacuations
 
 	// Kinds is their number, and pieceKinds that of those which travel in pieces.
 	Kinds      = 3
--- a/entry/belief.go
+++ b/entry/belief.go
@@ -19,6 +19,9 @@
 type beliefs struct {
 	router *token.Router
 	log    log.Interface
+	limits LogLimits
+	// passedOver counts news that was older than what is held, by source.
+	passedOver map[string]uint64
 
 	mu   sync.Mutex
 	held [heartbeat.Kinds]belief
@@ -41,8 +44,38 @@
 	unconfirmed bool
 }
 
-func newBeliefs(router *token.Router, logger log.Interface) *beliefs {
-	return &beliefs{router: router, log: logger, targets: heartbeat.NoRegistrations()}
+func newBeliefs(router *token.Router, logger log.Interface, limits LogLimits) *beliefs {
+	return &beliefs{
+		router: router, log: logger, limits: limits, passedOver: make(map[string]uint64), targets: heartbeat.NoRegistrations(),
+	}
+}
+
+// passedOverClass is the class of lines about news that was passed over.
+const passedOverClass = "news passed over"
+
+// passOver notes news of a version that is older than what is held. What other VMs
+// tell late is only counted. The caller holds b.mu.
+func (b *beliefs) passOver(now time.Time, kind heartbeat.Kind, offered uint64, from origin) {
+	b.passedOver[from.source]++
+	if from.source == sourcePeer || !b.limits.Wanted(now, passedOverClass) {
+		return
+	}
+	held := &b.held[kind]
+	b.log.WithFields(log.Fields{
+		"kind": kind.String(), "source": from.source, "offered": offered, "held": held.version,
+		"age_ms": now.Sub(held.confirmed).Milliseconds(),
+	}).Warn("news passed over")
+}
+
+// passedOverCounts returns how often news was passed over, by source.
+func (b *beliefs) passedOverCounts() map[string]float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	counts := make(map[string]float64)
+	for _, source := range sources {
+		counts[source] = float64(b.passedOver[source])
+	}
+	return counts
 }
 
 // origin says where news came from and how fresh it is.
@@ -61,6 +94,7 @@
 	held := &b.held[heartbeat.Routes]
 	switch {
 	case table.Version < held.version:
+		b.passOver(now, heartbeat.Routes, table.Version, from)
 		return false, nil, nil
 	case table.Version == held.version:
 		held.confirm(from.confirmed)
@@ -96,6 +130,7 @@
 	first := held.version == 0
 	switch {
 	case uint64(revision) < held.version:
+		b.passOver(now, heartbeat.Targets, uint64(revision), from)
 		return false, nil, nil
 	case !first && next.Sum() == held.sum:
 		held.version = uint64(revision)
@@ -137,6 +172,7 @@
 	defer b.mu.Unlock()
 	held := &b.held[heartbeat.Targets]
 	if uint64(revision) <= held.version {
+		b.passOver(now, heartbeat.Targets, uint64(revision), origin{source: sourceWatch})
 		return false, nil, nil
 	}
 	d := b.difference(changes)
--- a/entry/evacuation.go
+++ b/entry/evacuation.go
@@ -29,6 +29,7 @@
 	first = held.version == 0
 	switch {
 	case uint64(revision) < held.version:
+		b.passOver(now, heartbeat.Evacuations, uint64(revision), from)
 		return false, first, nil
 	case !first && sum == held.sum:
 		held.version = uint64(revision)
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -73,6 +73,8 @@
 	sourceCopy = "copy"
 )
 
+var sources = []string{sourceStore, sourceWatch, sourcePeer, sourceCopy}
+
 // follower keeps the beliefs in step with the directory.
 //
 // A watch brings news within milliseconds, but is no proof that there was none:
--- a/entry/journal_test.go
+++ b/entry/journal_test.go
@@ -32,3 +32,21 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, string(encoded), qt.Contains, `"routes_age_ms":250`)
 }
+
+// A reading that is older than what is held leaves no trace, and on-call cannot
+// tell a store that went back from one that is not read.
+func TestPassedOverReadingIsLogged(t *testing.T) {
+	lines := memory.New()
+	n := newTestNode(new(countedMessages), &log.Logger{Handler: lines, Level: log.InfoLevel}, allLines{})
+	for _, revision := range []baobabstep.Revision{500, 450} {
+		err := n.learnTargets(nil, revision, origin{source: sourceStore, confirmed: benchEpoch})
+		qt.Assert(t, err, qt.IsNil)
+	}
+	last := lines.Entries[len(lines.Entries)-1]
+	qt.Check(t, last.Message, qt.Equals, "news passed over")
+	qt.Check(t, last.Fields, qt.DeepEquals, log.Fields{
+		"kind": "targets", "source": "store", "offered": uint64(450), "held": uint64(500), "age_ms": int64(0),
+		"vm": "vm-0", "data_centre": "dc-0",
+	})
+	qt.Check(t, n.beliefs.passedOverCounts(), qt.DeepEquals, map[string]float64{"store": 1, "watch": 0, "peer": 0, "copy": 0})
+}
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -87,7 +87,8 @@
 		{Name: "token_messages_malformed_total", Help: "Messages of VMs that could not be decoded.", Read: value(func() float64 { return float64(n.counts.malformed.Load()) })},
 		{Name: "token_segments_malformed_total", Help: "Datagrams of callers that could not be decoded.", Read: value(n.readMalformed)},
 		{Name: "token_changes_left_total", Help: "Changes of other VMs that did not apply here; the whole is asked for instead.", Read: value(func() float64 { return float64(n.counts.changesLeft.Load()) })},
-		{Name: "token_directory_counts", Help: "Calls to the platform's store, those that failed, and what could not be read.", Label: "event", Gauge: true, Read: n.readDirectory},
+		{Name: "token_passed_over_total", Help: "News that was older than what the VM held, by where it came from.", Label: "source", Read: n.beliefs.passedOverCounts},
+		{Name: "token_directory_counts", Help: "Calls to the platform's store, those that failed, what could not be read, and its era.", Label: "event", Gauge: true, Read: n.readDirectory},
 		{Name: "token_log_lines_dropped_total", Help: "Log lines left out, by bounds or because nobody read them.", Read: value(func() float64 { return float64(n.counts.linesDropped.Load()) })},
 	}
 }
--- a/entry/node.go
+++ b/entry/node.go
@@ -113,7 +113,7 @@
 		Record:   n.logEvent,
 		Wanted:   n.eventWanted,
 	})
-	n.beliefs = newBeliefs(n.router, n.log)
+	n.beliefs = newBeliefs(n.router, n.log, o.LogLimits)
 	n.board = heartbeat.New(n.started, heartbeat.Options{
 		Self: o.Settings.VM().ID, DataCentre: o.Settings.DataCentre, Address: o.Settings.PeerAddress,
 		Life: uint64(n.started.UnixMilli()), Seeds: o.Settings.Seeds,
