--- /dev/null
+++ b/entry/restore_model_test.go
@@ -0,0 +1,61 @@
+package entry
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// restore brings the model's store back from a backup.
+func (m *model) restore(backup modelCopy) {
+	s := m.store
+	s.revision, s.table, s.targets, s.evacuated = backup.revision, backup.table, backup.targets, backup.evacuated
+	s.tableAt, s.targetsAt, s.evacuatedAt = m.now, m.now, m.now
+}
+
+// writeAgain lets operators and targets write again what a backup lacks.
+func (m *model) writeAgain(lost modelCopy) {
+	s := m.store
+	s.revision++
+	s.table, s.targets, s.evacuated = lost.table, lost.targets, lost.evacuated
+	s.tableAt, s.targetsAt, s.evacuatedAt = m.now, m.now, m.now
+	m.evacuations[s.revision] = s.evacuated
+}
+
+func (m *model) change() {
+	switch m.random.IntN(3) {
+	case 0:
+		m.changeRoutes()
+	case 1:
+		m.changeTargets()
+	default:
+		m.changeEvacuations()
+	}
+}
+
+// Guards against VMs that pass over the news of a store that came back from a backup.
+func TestFleetFollowsRestoredStore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t)
+		for range 30 {
+			m.step()
+		}
+		for range rapid.IntRange(1, 3).Draw(t, "restores") {
+			backup := m.store.read(0)
+			for range rapid.IntRange(1, 40).Draw(t, "lost changes") {
+				m.change()
+				m.step()
+			}
+			lost := m.store.read(0)
+			m.restore(backup)
+			for range rapid.IntRange(0, 20).Draw(t, "steps until written again") {
+				m.step()
+			}
+			m.writeAgain(lost)
+			m.change()
+			for range int(freshBound/stepTime) + 5 {
+				m.step()
+			}
+		}
+	})
+}
