baobabstep, heartbeat, entry, platform: revisions of the store belong to an era

Cause: after a drill the store came back from a copy some seconds old, with lower revisions. Every VM compared plain numbers, so it passed over each reading, piece, change and heartbeat until the store had given out as many numbers again as it had lost; with 14 targets that write only when something changes that took 5 to 7 s. Meanwhile all VMs read as often as their clients let them, since a reading that is passed over confirms nothing. A watch from a lost number was worse once the number was given out again: it skipped the changes before it and reported no error. Class: an order that only its writer keeps was taken for an order of all time.

Ruled out: starvation by the call budget (the readings succeeded, 120 a second) and a watch that skips with a reading not yet due.

Now Revision is an era and a number, compared in this order. Heartbeats, wants, pieces and changes carry the era under numbers of their own (format 4): programs of format 3 go on as before, and count as of era 0. Routing tables keep the operators' numbers and still only grow.

The largest heartbeat grew past its bound in its test, now that the test also fills in evacuations: MaxMessage is 1340 bytes, 1372 with the code, of 1400 that are taken.

--- a/core/heartbeat/ask.go
+++ b/core/heartbeat/ask.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"baobabstep"
 )
 
 // IsNear tells whether the VM at an address stands in the own data centre.
@@ -92,7 +94,7 @@
 
 // Newer returns a live VM that holds a newer version with another content, one
 // of the own data centre if there is one; of several with the newest, any.
-func (b *Board) Newer(now time.Time, kind Kind, version, sum uint64) (from netip.AddrPort, ok bool) {
+func (b *Board) Newer(now time.Time, kind Kind, revision baobabstep.Revision, sum uint64) (from netip.AddrPort, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, near := range []bool{true, false} {
@@ -102,14 +104,15 @@
 			if b.live(now, p) {
 				held = p.last.HeldOf(kind)
 			}
+			said := held.Revision()
 			switch {
-			case held.Version < version || held.Version == version && !ok || held.Sum == sum:
+			case said.Before(revision) || said == revision && !ok || held.Sum == sum:
 				continue
-			case held.Version > version:
+			case revision.Before(said):
 				same = 0
 			}
 			same++
-			if version, ok = held.Version, true; b.o.Rand.IntN(same) == 0 {
+			if revision, ok = said, true; b.o.Rand.IntN(same) == 0 {
 				from = p.address
 			}
 		}
--- a/core/heartbeat/board_test.go
+++ b/core/heartbeat/board_test.go
@@ -122,11 +122,11 @@
 	asked := map[netip.AddrPort]int{}
 	for _, n := range []int{3, 5, 7, 9} {
 		h := beat(n, 1, 1)
-		h.Held[Targets] = MakeHeld(10, 77, 0)
+		h.Held[Targets] = MakeHeld(revisionOf(10), 77, 0)
 		b.Handle(start, address(n), h)
 	}
 	for range 400 {
-		from, ok := b.Newer(start, Targets, 9, 66)
+		from, ok := b.Newer(start, Targets, revisionOf(9), 66)
 		qt.Assert(t, ok, qt.IsTrue)
 		asked[from]++
 	}
@@ -140,7 +140,7 @@
 	b := newBoard(1)
 	say := func(n int, number, version, sum uint64, age time.Duration) {
 		h := beat(n, 1, number)
-		h.Held[Targets] = MakeHeld(version, sum, age)
+		h.Held[Targets] = MakeHeld(revisionOf(version), sum, age)
 		b.Handle(start, address(n), h)
 	}
 	say(3, 1, 10, 77, 300*time.Millisecond)
@@ -148,27 +148,38 @@
 	say(2, 1, 14, 88, 0) // another data centre
 	later := start.Add(100 * time.Millisecond)
 
-	from, ok := b.Newer(later, Targets, 9, 66)
+	from, ok := b.Newer(later, Targets, revisionOf(9), 66)
 	qt.Assert(t, ok, qt.IsTrue)
 	qt.Assert(t, from, qt.Equals, address(5))
 	t.Run("the same content at a later revision is nothing newer", func(t *testing.T) {
-		from, ok := b.Newer(later, Targets, 10, 77)
+		from, ok := b.Newer(later, Targets, revisionOf(10), 77)
 		qt.Assert(t, ok, qt.IsTrue)
 		qt.Assert(t, from, qt.Equals, address(2)) // the other content
 	})
 	t.Run("an older version is never taken", func(t *testing.T) {
-		_, ok := b.Newer(later, Targets, 14, 66)
+		_, ok := b.Newer(later, Targets, revisionOf(14), 66)
 		qt.Assert(t, ok, qt.IsFalse)
 	})
+	t.Run("a later era is newer whatever its number", func(t *testing.T) {
+		held := baobabstep.Revision{Era: 1, Number: 3}
+		_, ok := b.Newer(later, Targets, held, 66)
+		qt.Assert(t, ok, qt.IsFalse)
+		h := beat(5, 1, 2)
+		h.Held[Targets] = MakeHeld(baobabstep.Revision{Era: 2, Number: 1}, 99, 0)
+		b.Handle(start, address(5), h)
+		from, ok := b.Newer(later, Targets, held, 66)
+		qt.Assert(t, ok, qt.IsTrue)
+		qt.Assert(t, from, qt.Equals, address(5))
+	})
 	t.Run("silent VMs hold nothing", func(t *testing.T) {
-		_, ok := b.Newer(start.Add(time.Second), Targets, 9, 66)
+		_, ok := b.Newer(start.Add(time.Second), Targets, revisionOf(9), 66)
 		qt.Assert(t, ok, qt.IsFalse)
 	})
 }
 
 func TestVouches(t *testing.T) {
 	h := beat(3, 1, 1)
-	h.Held[Targets] = MakeHeld(10, 77, 300*time.Millisecond)
+	h.Held[Targets] = MakeHeld(revisionOf(10), 77, 300*time.Millisecond)
 	for _, c := range []struct {
 		name string
 		kind Kind
@@ -447,8 +458,9 @@
 		h.Peers = append(h.Peers, netip.MustParseAddrPort("255.255.255.255:65535"))
 	}
 	for kind := range h.Held {
-		h.Held[kind] = Held{Version: 1<<64 - 1, Sum: 1<<64 - 1, AgeMS: maxAge}
+		h.Held[kind] = Held{Version: 1<<64 - 1, Sum: 1<<64 - 1, AgeMS: maxAge, Era: 1<<64 - 1}
 	}
+	h.HeldEvacuations = h.Held[Targets]
 	var own []baobabstep.TargetLoad
 	for id := range 200 {
 		own = append(own, baobabstep.TargetLoad{Target: baobabstep.TargetID(id) + 1<<39, Requests: 6000, Unanswered: 255, Opens: 255, HeardAt: start.Add(-time.Minute), Disputed: true, Answers: 6000, Failed: 6000, Took: time.Minute})
@@ -460,3 +472,6 @@
 	_, err = Decode(raw)
 	qt.Assert(t, err, qt.IsNil)
 }
+
+// revisionOf returns a revision of a store that counts no eras.
+func revisionOf(number uint64) baobabstep.Revision { return baobabstep.Revision{Number: number} }
--- a/core/heartbeat/change_test.go
+++ b/core/heartbeat/change_test.go
@@ -51,7 +51,7 @@
 		fromContent, err := EncodeRoutes(from)
 		fromSum := sumOf(t, fromContent, err)
 		toContent, err := EncodeRoutes(to)
-		c := RoutesChange(from, to, fromSum, MakeHeld(9, sumOf(t, toContent, err), 0))
+		c := RoutesChange(from, to, fromSum, MakeHeld(revisionOf(9), sumOf(t, toContent, err), 0))
 		got, err := c.ApplyRoutes(from, fromSum)
 		if err != nil || fmt.Sprint(got) != fmt.Sprint(to) {
 			rt.Fatalf("got %v, %v, want %v", got, err, to)
@@ -64,7 +64,7 @@
 		}
 		before, after := drawTargets(rt), drawTargets(rt)
 		held, wanted := registrations(t, before), registrations(t, after)
-		d := TargetsChange(held.To(wanted), held.Sum(), MakeHeld(3, wanted.Sum(), 0))
+		d := TargetsChange(held.To(wanted), held.Sum(), MakeHeld(revisionOf(3), wanted.Sum(), 0))
 		other := registrations(t, drawTargets(rt))
 		if other.Sum() != held.Sum() {
 			if _, err := d.Difference(other); baobabstep.CodeOf(err) != baobabstep.CodeConflict {
@@ -114,7 +114,7 @@
 func TestChangeToAnotherChecksumIsRefused(t *testing.T) {
 	held := registrations(t, []baobabstep.Registration{{ID: 3, Service: "s", Address: address(3), Slots: 2}})
 	sum := held.Sum()
-	c := TargetsChange(Difference{Gone: []baobabstep.TargetID{3}}, sum, MakeHeld(2, sum+1, 0))
+	c := TargetsChange(Difference{Gone: []baobabstep.TargetID{3}}, sum, MakeHeld(revisionOf(2), sum+1, 0))
 	_, err := c.Difference(held)
 	qt.Check(t, baobabstep.CodeOf(err), qt.Equals, baobabstep.CodeConflict)
 	qt.Check(t, held.Len(), qt.Equals, 1)
@@ -131,7 +131,7 @@
 	content, err := EncodeTargets(to)
 	qt.Assert(t, err, qt.IsNil)
 	before, after := registrations(t, from), registrations(t, to)
-	raw, err := Encode(&Message{Change: TargetsChange(before.To(after), before.Sum(), MakeHeld(2, after.Sum(), 0))})
+	raw, err := Encode(&Message{Change: TargetsChange(before.To(after), before.Sum(), MakeHeld(revisionOf(2), after.Sum(), 0))})
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, len(raw) < 150 && len(content) > 5000, qt.IsTrue, qt.Commentf("%d of %d bytes", len(raw), len(content)))
 }
@@ -152,7 +152,7 @@
 		decoded, err := DecodeRoutes(content)
 		qt.Assert(t, err, qt.IsNil)
 		qt.Assert(t, decoded.ColdLimits, qt.DeepEquals, to.ColdLimits)
-		raw, err := Encode(&Message{Change: RoutesChange(from, to, Sum(oldContent), MakeHeld(to.Version, Sum(content), 0))})
+		raw, err := Encode(&Message{Change: RoutesChange(from, to, Sum(oldContent), MakeHeld(revisionOf(to.Version), Sum(content), 0))})
 		qt.Assert(t, err, qt.IsNil)
 		m, err := Decode(raw)
 		qt.Assert(t, err, qt.IsNil)
--- a/core/heartbeat/doc.go
+++ b/core/heartbeat/doc.go
@@ -20,7 +20,8 @@
 //
 // # What must hold
 //
-//   - A VM never takes over an older version than it holds.
+//   - A VM never takes over an older version than it holds. Of what the store
+//     numbers, a version of a later era is newer whatever its number.
 //   - What arrives in pieces is used only as a whole whose checksum fits.
 //   - Numbers of one life only grow: a message that is late, or recorded and
 //     sent again, changes nothing.
--- a/core/heartbeat/message.go
+++ b/core/heartbeat/message.go
@@ -11,7 +11,7 @@
 
 // MaxMessage bounds an encoded message in bytes: one datagram that no link of
 // 1,500 bytes has to cut, with room for the code that authenticates it.
-const MaxMessage = 1300
+const MaxMessage = 1340
 
 // Limits of what a heartbeat carries. It stays below MaxMessage, and with the
 // fan-outs of [Options] a VM sends at most 18 KB a second of heartbeats, of the
@@ -32,7 +32,7 @@
 // number and a zero that means "not said"; a number is never used again. The
 // version itself decides nothing. It tells a later message with a part that
 // this program does not know from a malformed one.
-const formatVersion = 3
+const formatVersion = 4
 
 // Message is one message between VMs. Exactly one of its parts is set.
 type Message struct {
@@ -82,7 +82,8 @@
 
 // Kinds of what VMs hold. The comment of each is its name in logs.
 const (
-	// Routes is the routing table; its version is the table's.
+	// Routes is the routing table; its version is the table's, which belongs to no
+	// era: operators only raise it.
 	Routes Kind = iota // routes
 	// Targets are the registrations; their version is the store's revision
 	// when they were read, which moves on without changing them.
@@ -105,11 +106,18 @@
 	// AgeMS is how long ago the store, or a VM that had asked it, was known
 	// to hold nothing newer.
 	AgeMS uint32 `cbor:"3,keyasint,omitempty"`
+	// Era is that of the store's revision in Version; 0 for routes.
+	Era uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // MakeHeld returns what a VM says of what it holds.
-func MakeHeld(version, sum uint64, age time.Duration) Held {
-	return Held{Version: version, Sum: sum, AgeMS: uint32(min(max(0, age.Milliseconds()), maxAge))}
+func MakeHeld(revision baobabstep.Revision, sum uint64, age time.Duration) Held {
+	return Held{Version: revision.Number, Era: revision.Era, Sum: sum, AgeMS: uint32(min(max(0, age.Milliseconds()), maxAge))}
+}
+
+// Revision returns Version with its era.
+func (h Held) Revision() baobabstep.Revision {
+	return baobabstep.Revision{Era: h.Era, Number: h.Version}
 }
 
 // Age returns AgeMS as a duration.
@@ -155,8 +163,19 @@
 // Want asks for what the receiver holds of one kind.
 type Want struct {
 	Kind Kind `cbor:"1,keyasint,omitempty"`
-	// Newer is the version that the sender holds already.
+	// Newer and Era are the version that the sender holds already, as in Held.
 	Newer uint64 `cbor:"2,keyasint,omitempty"`
+	Era   uint64 `cbor:"3,keyasint,omitempty"`
+}
+
+// MakeWant asks for what is newer than a revision.
+func MakeWant(kind Kind, held baobabstep.Revision) *Want {
+	return &Want{Kind: kind, Newer: held.Number, Era: held.Era}
+}
+
+// Revision returns what the sender holds already.
+func (w *Want) Revision() baobabstep.Revision {
+	return baobabstep.Revision{Era: w.Era, Number: w.Newer}
 }
 
 // Piece is one part of what a VM holds.
--- a/core/heartbeat/transfer.go
+++ b/core/heartbeat/transfer.go
@@ -234,7 +234,7 @@
 // has waited too long.
 func (a *Assembly) Add(now time.Time, p *Piece) (content []byte, held Held, whole bool) {
 	if !a.sameAs(p) {
-		if a.left > 0 && p.Held.Version <= a.held.Version && now.Sub(a.since) < pieceTimeout {
+		if a.left > 0 && !a.held.Revision().Before(p.Held.Revision()) && now.Sub(a.since) < pieceTimeout {
 			return nil, Held{}, false
 		}
 		*a = Assembly{held: p.Held, since: now, pieces: make([][]byte, p.Count), left: int(p.Count)}
@@ -257,5 +257,5 @@
 
 // sameAs tells whether a piece belongs to the unfinished whole.
 func (a *Assembly) sameAs(p *Piece) bool {
-	return a.left > 0 && a.held.Version == p.Held.Version && a.held.Sum == p.Held.Sum && len(a.pieces) == int(p.Count)
+	return a.left > 0 && a.held.Revision() == p.Held.Revision() && a.held.Sum == p.Held.Sum && len(a.pieces) == int(p.Count)
 }
--- a/core/heartbeat/transfer_test.go
+++ b/core/heartbeat/transfer_test.go
@@ -27,7 +27,7 @@
 	t.Helper()
 	content, err := EncodeRoutes(bigTable(version))
 	qt.Assert(t, err, qt.IsNil)
-	list, err := Split(Routes, MakeHeld(version, Sum(content), 0), content)
+	list, err := Split(Routes, MakeHeld(revisionOf(version), Sum(content), 0), content)
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, len(list) > 5, qt.IsTrue)
 	for _, m := range list {
@@ -75,6 +75,18 @@
 	}
 }
 
+// Guards against pieces of a restored store that wait behind those of the era before.
+func TestPiecesOfALaterEra(t *testing.T) {
+	var a Assembly
+	a.Add(start, pieces(t, 9)[0].Piece)
+	whole := false
+	for _, m := range pieces(t, 8) {
+		m.Piece.Held.Era = 1
+		_, _, whole = a.Add(start, m.Piece)
+	}
+	qt.Assert(t, whole, qt.IsTrue)
+}
+
 // A piece was lost. The whole that waits for it must not block what comes later,
 // not even an older version from a peer that is still there.
 func TestLostPieceBlocksNothing(t *testing.T) {
--- a/directory.go
+++ b/directory.go
@@ -107,8 +107,21 @@
 	Revision Revision
 }
 
-// Revision numbers the changes of the platform's store.
-type Revision uint64
+// Revision is a position in the history of the platform's store. The zero value
+// comes before all others.
+type Revision struct {
+	// Era counts how often the store came back from a backup. That loses its last
+	// changes, and the next era gives their numbers out again.
+	Era uint64
+	// Number counts the changes.
+	Number uint64
+}
+
+// Before tells whether r comes before other. Numbers of two eras say nothing of
+// each other.
+func (r Revision) Before(other Revision) bool {
+	return r.Era < other.Era || r.Era == other.Era && r.Number < other.Number
+}
 
 // Freshness is how new the answer to a reading has to be.
 type Freshness uint8
@@ -126,6 +139,10 @@
 // method may fail with CodePlatformUnavailable; watches fail with
 // CodeCompacted once the store no longer has the changes asked for.
 //
+// A store that came back from a backup has lost changes. Its answers then have
+// revisions of a later era, and a watch from one of an earlier era fails with
+// CodeCompacted.
+//
 // A watch alone is no proof of freshness: a store that is dropping its history
 // may pass over a change and yet return a later revision.
 type Directory interface {
--- a/entry/belief.go
+++ b/entry/belief.go
@@ -14,7 +14,7 @@
 )
 
 // beliefs are the routes, targets and evacuations that this VM goes by. Each has a
-// version, a source and an age: the time since the store was known to hold nothing
+// revision, a source and an age: the time since the store was known to hold nothing
 // newer.
 type beliefs struct {
 	router *token.Router
@@ -33,7 +33,9 @@
 
 // belief is what is held of one kind.
 type belief struct {
-	version, sum uint64
+	// revision is the store's; that of routes is the table's version.
+	revision baobabstep.Revision
+	sum      uint64
 	// content is what travels to other VMs; that of targets is made when one
 	// asks for it.
 	content []byte
@@ -53,16 +55,17 @@
 // passedOverClass is the class of lines about news that was passed over.
 const passedOverClass = "news passed over"
 
-// passOver notes news of a version that is older than what is held. What other VMs
+// passOver notes news that is older than what is held. What other VMs
 // tell late is only counted. The caller holds b.mu.
-func (b *beliefs) passOver(now time.Time, kind heartbeat.Kind, offered uint64, from origin) {
+func (b *beliefs) passOver(now time.Time, kind heartbeat.Kind, offered baobabstep.Revision, from origin) {
 	b.passedOver[from.source]++
 	if from.source == sourcePeer || !b.limits.Wanted(now, passedOverClass) {
 		return
 	}
 	held := &b.held[kind]
 	b.log.WithFields(log.Fields{
-		"kind": kind.String(), "source": from.source, "offered": offered, "held": held.version,
+		"kind": kind.String(), "source": from.source, "offered": offered.Number, "offered_era": offered.Era,
+		"held": held.revision.Number, "held_era": held.revision.Era,
 		"age_ms": now.Sub(held.confirmed).Milliseconds(),
 	}).Warn("news passed over")
 }
@@ -92,11 +95,12 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	held := &b.held[heartbeat.Routes]
+	revision := tableRevision(table)
 	switch {
-	case table.Version < held.version:
-		b.passOver(now, heartbeat.Routes, table.Version, from)
+	case revision.Before(held.revision):
+		b.passOver(now, heartbeat.Routes, revision, from)
 		return false, nil, nil
-	case table.Version == held.version:
+	case revision == held.revision:
 		held.confirm(from.confirmed)
 		return false, nil, nil
 	}
@@ -106,7 +110,7 @@
 		return false, nil, err
 	}
 	b.router.SetTable(now, table)
-	next := belief{version: table.Version, sum: heartbeat.Sum(content), content: content, confirmed: from.confirmed, unconfirmed: from.recent}
+	next := belief{revision: revision, sum: heartbeat.Sum(content), content: content, confirmed: from.confirmed, unconfirmed: from.recent}
 	if b.table != nil {
 		change = heartbeat.RoutesChange(b.table, table, held.sum, next.told(now))
 	}
@@ -117,6 +121,15 @@
 	return true, change, nil
 }
 
+// tableRevision returns the revision of a routing table. Operators number tables
+// themselves and never go back, whatever becomes of the store.
+func tableRevision(table *baobabstep.RoutingTable) baobabstep.Revision {
+	return baobabstep.Revision{Number: table.Version}
+}
+
+// isHeld tells whether anything is held.
+func (h *belief) isHeld() bool { return h.revision != baobabstep.Revision{} }
+
 // holdTargets takes in all registrations as of a revision, and returns as
 // holdRoutes does.
 func (b *beliefs) holdTargets(now time.Time, list []baobabstep.Registration, revision baobabstep.Revision, from origin) (changed bool, change *heartbeat.Change, err error) {
@@ -127,13 +140,13 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	held := &b.held[heartbeat.Targets]
-	first := held.version == 0
+	first := !held.isHeld()
 	switch {
-	case uint64(revision) < held.version:
-		b.passOver(now, heartbeat.Targets, uint64(revision), from)
+	case revision.Before(held.revision):
+		b.passOver(now, heartbeat.Targets, revision, from)
 		return false, nil, nil
 	case !first && next.Sum() == held.sum:
-		held.version = uint64(revision)
+		held.revision = revision
 		held.confirm(from.confirmed)
 		return false, nil, nil
 	}
@@ -153,7 +166,7 @@
 func (b *beliefs) advance(revision baobabstep.Revision, from origin) (oldSum uint64) {
 	held := &b.held[heartbeat.Targets]
 	oldSum = held.sum
-	held.version, held.sum, held.content = uint64(revision), b.targets.Sum(), nil
+	held.revision, held.sum, held.content = revision, b.targets.Sum(), nil
 	held.confirm(from.confirmed)
 	held.unconfirmed = from.recent
 	return oldSum
@@ -161,7 +174,7 @@
 
 func (b *beliefs) logTargets(from origin) {
 	b.log.WithFields(log.Fields{
-		"revision": b.held[heartbeat.Targets].version, "targets": b.targets.Len(), "source": from.source,
+		"revision": b.held[heartbeat.Targets].revision.Number, "era": b.held[heartbeat.Targets].revision.Era, "targets": b.targets.Len(), "source": from.source,
 	}).Info("targets changed")
 }
 
@@ -171,13 +184,13 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	held := &b.held[heartbeat.Targets]
-	if uint64(revision) <= held.version {
-		b.passOver(now, heartbeat.Targets, uint64(revision), origin{source: sourceWatch})
+	if !held.revision.Before(revision) {
+		b.passOver(now, heartbeat.Targets, revision, origin{source: sourceWatch})
 		return false, nil, nil
 	}
 	d := b.difference(changes)
 	if d.Empty() {
-		held.version = uint64(revision)
+		held.revision = revision
 		return false, nil, nil
 	}
 	oldSum, err := b.changeBy(now, d, revision, origin{source: sourceWatch})
@@ -192,7 +205,7 @@
 func (b *beliefs) difference(changes []baobabstep.RegistrationChange) (d heartbeat.Difference) {
 	last := make(map[baobabstep.TargetID]*baobabstep.RegistrationChange)
 	for i := range changes {
-		if uint64(changes[i].Revision) > b.held[heartbeat.Targets].version {
+		if b.held[heartbeat.Targets].revision.Before(changes[i].Revision) {
 			last[changes[i].Registration.ID] = &changes[i]
 		}
 	}
@@ -235,14 +248,14 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	held := &b.held[heartbeat.Targets]
-	if held.version == 0 || c.To.Version <= held.version {
+	if !held.isHeld() || !held.revision.Before(c.To.Revision()) {
 		return false, nil
 	}
 	d, err := c.Difference(b.targets)
 	if err != nil {
 		return false, err
 	}
-	_, err = b.changeBy(now, d, baobabstep.Revision(c.To.Version), from)
+	_, err = b.changeBy(now, d, c.To.Revision(), from)
 	return err == nil, err
 }
 
@@ -273,17 +286,19 @@
 	}
 }
 
-// vouched notes that another VM holds the same, of a version, and that the store
+// vouched notes that another VM holds the same, of a revision, and that the store
 // held nothing newer at a time.
 //
-// What is held takes over the version: an evacuation that ends leaves what was
-// there before it began. Kept under its first version that would give way to the
+// What is held takes over the revision: an evacuation that ends leaves what was
+// there before it began. Kept under its first revision that would give way to the
 // evacuation itself, told late by a third VM, as if it had been confirmed.
-func (b *beliefs) vouched(kind heartbeat.Kind, version uint64, at time.Time) {
+func (b *beliefs) vouched(kind heartbeat.Kind, revision baobabstep.Revision, at time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	held := &b.held[kind]
-	held.version = max(held.version, version)
+	if held.revision.Before(revision) {
+		held.revision = revision
+	}
 	held.confirm(at)
 }
 
@@ -312,5 +327,5 @@
 }
 
 func (h *belief) told(now time.Time) heartbeat.Held {
-	return heartbeat.MakeHeld(h.version, h.sum, now.Sub(h.confirmed))
+	return heartbeat.MakeHeld(h.revision, h.sum, now.Sub(h.confirmed))
 }
--- a/entry/change_bench_test.go
+++ b/entry/change_bench_test.go
@@ -24,7 +24,7 @@
 	list := benchRegistrations(targets)
 	from := origin{source: sourcePeer, confirmed: benchEpoch}
 	for _, n := range []*Node{source, taker} {
-		_, _, err := n.beliefs.holdTargets(benchEpoch, list, 1, from)
+		_, _, err := n.beliefs.holdTargets(benchEpoch, list, baobabstep.Revision{Number: 1}, from)
 		qt.Assert(b, err, qt.IsNil)
 	}
 	peer := peerAddress(3) // of the same data centre
@@ -35,7 +35,7 @@
 		now := benchEpoch.Add(time.Duration(i) * time.Second / 10)
 		r := list[i%len(list)]
 		r.Draining = i/len(list)%2 == 0
-		revision := baobabstep.Revision(i + 2)
+		revision := baobabstep.Revision{Number: uint64(i + 2)}
 		changed, change, err := source.beliefs.changeTargets(now, []baobabstep.RegistrationChange{{Registration: r, Revision: revision}}, revision)
 		qt.Assert(b, err, qt.IsNil)
 		qt.Assert(b, changed, qt.IsTrue)
@@ -45,7 +45,7 @@
 		taker.receive(now, peer, raw)
 	}
 	b.StopTimer()
-	qt.Assert(b, taker.beliefs.get(heartbeat.Targets).version, qt.Equals, uint64(b.N+1))
+	qt.Assert(b, taker.beliefs.get(heartbeat.Targets).revision.Number, qt.Equals, uint64(b.N+1))
 }
 
 func encodeBeat(b *testing.B, h *heartbeat.Heartbeat) []byte {
--- a/entry/evacuation.go
+++ b/entry/evacuation.go
@@ -26,18 +26,18 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	held := &b.held[heartbeat.Evacuations]
-	first = held.version == 0
+	first = !held.isHeld()
 	switch {
-	case uint64(revision) < held.version:
-		b.passOver(now, heartbeat.Evacuations, uint64(revision), from)
+	case revision.Before(held.revision):
+		b.passOver(now, heartbeat.Evacuations, revision, from)
 		return false, first, nil
 	case !first && sum == held.sum:
-		held.version = uint64(revision)
+		held.revision = revision
 		held.confirm(from.confirmed)
 		return false, first, nil
 	}
 	b.evacuated = list
-	held.version, held.sum = uint64(revision), sum
+	held.revision, held.sum = revision, sum
 	held.confirm(from.confirmed)
 	held.unconfirmed = from.recent
 	if first && len(list) == 0 {
@@ -45,7 +45,7 @@
 	}
 	b.router.SetEvacuations(now, list)
 	b.log.WithFields(log.Fields{
-		"evacuated": list, "revision": held.version, "source": from.source, "age_ms": now.Sub(from.confirmed).Milliseconds(),
+		"evacuated": list, "revision": revision.Number, "era": revision.Era, "source": from.source, "age_ms": now.Sub(from.confirmed).Milliseconds(),
 	}).Info("evacuations in force")
 	return true, first, nil
 }
@@ -55,9 +55,9 @@
 func (b *beliefs) evacuationsAfter(changes []baobabstep.EvacuationChange) (dataCentres []string, revision baobabstep.Revision) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	dataCentres, revision = slices.Clone(b.evacuated), baobabstep.Revision(b.held[heartbeat.Evacuations].version)
+	dataCentres, revision = slices.Clone(b.evacuated), b.held[heartbeat.Evacuations].revision
 	for _, c := range changes {
-		if c.Revision <= revision {
+		if !revision.Before(c.Revision) {
 			continue
 		}
 		revision = c.Revision
@@ -144,7 +144,7 @@
 		n.counts.malformed.Add(1)
 		return
 	}
-	changed, err := n.takeEvacuations(now, e.DataCentres, baobabstep.Revision(e.Held.Version), origin{source: sourcePeer, confirmed: now.Add(-e.Held.Age())})
+	changed, err := n.takeEvacuations(now, e.DataCentres, e.Held.Revision(), origin{source: sourcePeer, confirmed: now.Add(-e.Held.Age())})
 	if err != nil {
 		n.counts.malformed.Add(1)
 		return
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -106,7 +106,7 @@
 	again chan struct{}
 	// revision is the newest of the store that this VM read itself; a watch
 	// goes on from there.
-	revision atomic.Uint64
+	revision atomic.Pointer[baobabstep.Revision]
 }
 
 // desired is the reading of what the operators want: routes and evacuations lie
@@ -267,12 +267,12 @@
 	pauses := newPauses()
 	for ctx.Err() == nil {
 		now := f.node.clock.Now()
-		after := baobabstep.Revision(r.revision.Load())
-		if after == 0 || !f.watches(now) {
+		after := r.revision.Load()
+		if after == nil || !f.watches(now) {
 			pause(ctx, lookInterval, nil)
 			continue
 		}
-		next, changed, err := r.watch(ctx, after)
+		next, changed, err := r.watch(ctx, *after)
 		if ctx.Err() != nil {
 			break
 		}
@@ -291,8 +291,8 @@
 
 // advance notes a revision up to which all changes are known.
 func (r *reading) advance(to baobabstep.Revision) {
-	if uint64(to) > r.revision.Load() {
-		r.revision.Store(uint64(to))
+	if known := r.revision.Load(); known == nil || known.Before(to) {
+		r.revision.Store(&to)
 	}
 }
 
--- a/entry/hand.go
+++ b/entry/hand.go
@@ -10,7 +10,7 @@
 
 // handleWant sends what this VM holds, if it is newer.
 func (n *Node) handleWant(now time.Time, from netip.AddrPort, w *heartbeat.Want) {
-	if n.beliefs.get(w.Kind).version <= w.Newer {
+	if !w.Revision().Before(n.beliefs.get(w.Kind).revision) {
 		return
 	}
 	if w.Kind == heartbeat.Evacuations {
@@ -65,7 +65,7 @@
 	case heartbeat.Targets:
 		var list []baobabstep.Registration
 		if list, err = heartbeat.DecodeTargets(content); err == nil {
-			err = n.learnTargets(list, baobabstep.Revision(held.Version), from)
+			err = n.learnTargets(list, held.Revision(), from)
 		}
 	}
 	if err != nil {
@@ -76,7 +76,7 @@
 // handleChange takes over a change of what this VM holds. One of something else
 // is left: the sender's next heartbeat makes this VM ask for the whole.
 func (n *Node) handleChange(now time.Time, from netip.AddrPort, c *heartbeat.Change) {
-	if c.To.Version <= n.beliefs.get(c.Kind).version {
+	if !n.beliefs.get(c.Kind).revision.Before(c.To.Revision()) {
 		return
 	}
 	if c.Kind == heartbeat.Targets && c.From == n.beliefs.get(c.Kind).sum {
--- a/entry/heartbeat_bench_test.go
+++ b/entry/heartbeat_bench_test.go
@@ -49,7 +49,7 @@
 	sent := new(countedMessages)
 	n := newQuietNode(sent)
 	list := benchRegistrations(targets)
-	_, _, err := n.beliefs.holdTargets(benchEpoch, list, 1, origin{source: sourcePeer, confirmed: benchEpoch})
+	_, _, err := n.beliefs.holdTargets(benchEpoch, list, baobabstep.Revision{Number: 1}, origin{source: sourcePeer, confirmed: benchEpoch})
 	qt.Assert(b, err, qt.IsNil)
 	held := n.beliefs.told(benchEpoch)
 	draw := rand.New(rand.NewPCG(3, 4))
--- a/entry/journal_test.go
+++ b/entry/journal_test.go
@@ -26,7 +26,7 @@
 	_, has := lines.Entries[0].Fields["routes_age_ms"]
 	qt.Check(t, has, qt.IsFalse)
 
-	n.beliefs.vouched(heartbeat.Routes, 0, benchEpoch.Add(-250*time.Millisecond))
+	n.beliefs.vouched(heartbeat.Routes, baobabstep.Revision{}, benchEpoch.Add(-250*time.Millisecond))
 	n.router.Handle(benchEpoch, &p, new([]baobabstep.Forward))
 	encoded, err := json.Marshal(lines.Entries[1].Fields)
 	qt.Assert(t, err, qt.IsNil)
@@ -38,14 +38,15 @@
 func TestPassedOverReadingIsLogged(t *testing.T) {
 	lines := memory.New()
 	n := newTestNode(new(countedMessages), &log.Logger{Handler: lines, Level: log.InfoLevel}, allLines{})
-	for _, revision := range []baobabstep.Revision{500, 450} {
-		err := n.learnTargets(nil, revision, origin{source: sourceStore, confirmed: benchEpoch})
+	for _, number := range []uint64{500, 450} {
+		err := n.learnTargets(nil, baobabstep.Revision{Era: 1, Number: number}, origin{source: sourceStore, confirmed: benchEpoch})
 		qt.Assert(t, err, qt.IsNil)
 	}
 	last := lines.Entries[len(lines.Entries)-1]
 	qt.Check(t, last.Message, qt.Equals, "news passed over")
 	qt.Check(t, last.Fields, qt.DeepEquals, log.Fields{
-		"kind": "targets", "source": "store", "offered": uint64(450), "held": uint64(500), "age_ms": int64(0),
+		"kind": "targets", "source": "store",
+		"offered": uint64(450), "offered_era": uint64(1), "held": uint64(500), "held_era": uint64(1), "age_ms": int64(0),
 		"vm": "vm-0", "data_centre": "dc-0",
 	})
 	qt.Check(t, n.beliefs.passedOverCounts(), qt.DeepEquals, map[string]float64{"store": 1, "watch": 0, "peer": 0, "copy": 0})
--- a/entry/model_test.go
+++ b/entry/model_test.go
@@ -98,7 +98,7 @@
 
 func (d modelDirectory) Desired(_ context.Context, how baobabstep.Freshness) (*baobabstep.DesiredState, baobabstep.Revision, error) {
 	if err := d.reach(); err != nil {
-		return nil, 0, err
+		return nil, baobabstep.Revision{}, err
 	}
 	read := d.store.read(how)
 	copied := *read.table
@@ -113,11 +113,11 @@
 
 // Watches never bring anything: the worst that a store does to them.
 func (d modelDirectory) WatchDesired(context.Context, baobabstep.Revision, time.Duration) (*baobabstep.DesiredChange, baobabstep.Revision, error) {
-	return new(baobabstep.DesiredChange), 0, nil
+	return new(baobabstep.DesiredChange), baobabstep.Revision{}, nil
 }
 
 func (d modelDirectory) WatchRegistrations(context.Context, baobabstep.Revision, time.Duration) ([]baobabstep.RegistrationChange, baobabstep.Revision, error) {
-	return nil, 0, nil
+	return nil, baobabstep.Revision{}, nil
 }
 
 func (d modelDirectory) Secret(context.Context, []byte) ([]byte, error) { return nil, nil }
@@ -132,7 +132,7 @@
 	cut bool
 	// version is the newest table of this life, and evacuations the newest revision
 	// of evacuations.
-	version, evacuations uint64
+	version, evacuations baobabstep.Revision
 	// touchSince is when it last came to reach the store, or started.
 	touchSince time.Time
 	failedAt   time.Time
@@ -217,11 +217,11 @@
 		Rand: rand.New(rand.NewPCG(m.lives, 7)),
 	})
 	vm.desired, vm.targets = vm.node.follower.desired(), vm.node.follower.targets()
-	vm.version, vm.evacuations, vm.touchSince = 0, 0, m.now
+	vm.version, vm.evacuations, vm.touchSince = baobabstep.Revision{}, baobabstep.Revision{}, m.now
 }
 
 func (m *model) changeRoutes() {
-	m.store.revision++
+	m.store.revision.Number++
 	version := uint64(1)
 	if m.store.table != nil {
 		version = m.store.table.Version + 1 + m.random.Uint64N(3)
@@ -243,7 +243,7 @@
 }
 
 func (m *model) changeTargets() {
-	m.store.revision++
+	m.store.revision.Number++
 	m.store.targets = nil
 	for n := range 4 {
 		m.store.targets = append(m.store.targets, baobabstep.Registration{
@@ -255,7 +255,7 @@
 
 // changeEvacuations begins the evacuation of a data centre, or ends it.
 func (m *model) changeEvacuations() {
-	m.store.revision++
+	m.store.revision.Number++
 	name := fmt.Sprintf("dc-%d", m.random.IntN(modelData))
 	list := slices.DeleteFunc(slices.Clone(m.store.evacuated), func(dc string) bool { return dc == name })
 	if len(list) == len(m.store.evacuated) {
@@ -267,9 +267,9 @@
 
 // evacuatedAt returns what the store held at a revision.
 func (m *model) evacuatedAt(revision baobabstep.Revision) (list []string) {
-	newest := baobabstep.Revision(0)
+	var newest baobabstep.Revision
 	for at, held := range m.evacuations {
-		if at <= revision && at >= newest {
+		if !revision.Before(at) && !at.Before(newest) {
 			newest, list = at, held
 		}
 	}
@@ -332,13 +332,13 @@
 	for _, vm := range m.vms {
 		held := vm.node.beliefs.get(heartbeat.Routes)
 		switch {
-		case held.version < vm.version:
-			m.t.Fatalf("VM %d went from version %d to %d", vm.n, vm.version, held.version)
-		case held.version > 0 && m.tables[held.version] != held.sum:
-			m.t.Fatalf("VM %d holds a version %d that the store never had", vm.n, held.version)
+		case held.revision.Before(vm.version):
+			m.t.Fatalf("VM %d went from version %d to %d", vm.n, vm.version.Number, held.revision.Number)
+		case held.isHeld() && m.tables[held.revision.Number] != held.sum:
+			m.t.Fatalf("VM %d holds a version %d that the store never had", vm.n, held.revision.Number)
 		}
-		vm.version = held.version
-		if age := m.now.Sub(held.confirmed); held.version > 0 && age < 0 {
+		vm.version = held.revision
+		if age := m.now.Sub(held.confirmed); held.isHeld() && age < 0 {
 			m.t.Fatalf("VM %d is %v ahead of the store", vm.n, -age)
 		}
 		m.checkEvacuations(vm)
@@ -353,13 +353,13 @@
 	vm.node.beliefs.mu.Lock()
 	list := vm.node.beliefs.evacuated
 	vm.node.beliefs.mu.Unlock()
-	switch want := m.evacuatedAt(baobabstep.Revision(held.version)); {
-	case held.version < vm.evacuations:
-		m.t.Fatalf("VM %d went from revision %d of evacuations to %d", vm.n, vm.evacuations, held.version)
-	case held.version > 0 && !slices.Equal(list, want):
-		m.t.Fatalf("VM %d holds evacuations %v at revision %d, the store held %v", vm.n, list, held.version, want)
+	switch want := m.evacuatedAt(held.revision); {
+	case held.revision.Before(vm.evacuations):
+		m.t.Fatalf("VM %d went from revision %v of evacuations to %v", vm.n, vm.evacuations, held.revision)
+	case held.isHeld() && !slices.Equal(list, want):
+		m.t.Fatalf("VM %d holds evacuations %v at revision %v, the store held %v", vm.n, list, held.revision, want)
 	}
-	vm.evacuations = held.version
+	vm.evacuations = held.revision
 }
 
 // checkFresh checks a VM that reached the store, and could rely on nothing
@@ -368,8 +368,8 @@
 	if vm.cut || m.store.down || m.now.Sub(vm.touchSince) < freshBound || m.now.Sub(m.settled) < freshBound {
 		return
 	}
-	if held.version < m.store.table.Version && m.now.Sub(m.store.tableAt) > freshBound {
-		m.t.Fatalf("VM %d holds version %d, %v after %d was accepted", vm.n, held.version, m.now.Sub(m.store.tableAt), m.store.table.Version)
+	if held.revision.Number < m.store.table.Version && m.now.Sub(m.store.tableAt) > freshBound {
+		m.t.Fatalf("VM %d holds version %d, %v after %d was accepted", vm.n, held.revision.Number, m.now.Sub(m.store.tableAt), m.store.table.Version)
 	}
 	evacuations := vm.node.beliefs.get(heartbeat.Evacuations)
 	if want, err := heartbeat.EvacuationsSum(m.store.evacuated); err != nil || evacuations.sum != want && m.now.Sub(m.store.evacuatedAt) > freshBound {
@@ -407,6 +407,14 @@
 				vm := m.anyVM()
 				vm.cut, vm.touchSince = !vm.cut, m.now
 			},
+			"restore the store": func(t *rapid.T) {
+				lost := m.store.read(baobabstep.Newest)
+				m.restore(m.store.copied)
+				for range rapid.IntRange(0, 20).Draw(t, "steps until written again") {
+					m.step()
+				}
+				m.writeAgain(lost)
+			},
 			"stop or start the store": func(*rapid.T) { m.store.down, m.settled = !m.store.down, m.now },
 			"restart a VM":            func(*rapid.T) { m.restart(m.anyVM()) },
 			"restart all": func(*rapid.T) {
--- a/entry/read.go
+++ b/entry/read.go
@@ -12,12 +12,12 @@
 	began := f.node.clock.Now()
 	state, revision, err := f.directory.Desired(ctx, how)
 	if state == nil {
-		return 0, err
+		return baobabstep.Revision{}, err
 	}
 	from := readFrom(how, began, f.node.o.Settings.Token.DesiredApply())
 	err = errors.Join(err, f.node.learnEvacuations(state.Evacuated, revision, from))
 	if state.Table == nil {
-		return 0, err
+		return baobabstep.Revision{}, err
 	}
 	return revision, errors.Join(err, f.node.learnRoutes(state.Table, from))
 }
@@ -51,7 +51,7 @@
 	began := f.node.clock.Now()
 	list, revision, err := f.directory.Registrations(ctx, how)
 	if err != nil {
-		return 0, err
+		return baobabstep.Revision{}, err
 	}
 	return revision, f.node.learnTargets(list, revision, readFrom(how, began, f.node.o.Settings.Token.Drain()))
 }
--- a/entry/restore_model_test.go
+++ b/entry/restore_model_test.go
@@ -4,19 +4,23 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"baobabstep"
 )
 
-// restore brings the model's store back from a backup.
+// restore brings the model's store back from a backup, in another era.
 func (m *model) restore(backup modelCopy) {
 	s := m.store
-	s.revision, s.table, s.targets, s.evacuated = backup.revision, backup.table, backup.targets, backup.evacuated
+	s.revision = baobabstep.Revision{Era: s.revision.Era + 1, Number: backup.revision.Number}
+	s.table, s.targets, s.evacuated = backup.table, backup.targets, backup.evacuated
+	m.evacuations[s.revision] = s.evacuated
 	s.tableAt, s.targetsAt, s.evacuatedAt = m.now, m.now, m.now
 }
 
 // writeAgain lets operators and targets write again what a backup lacks.
 func (m *model) writeAgain(lost modelCopy) {
 	s := m.store
-	s.revision++
+	s.revision.Number++
 	s.table, s.targets, s.evacuated = lost.table, lost.targets, lost.evacuated
 	s.tableAt, s.targetsAt, s.evacuatedAt = m.now, m.now, m.now
 	m.evacuations[s.revision] = s.evacuated
@@ -41,12 +45,12 @@
 			m.step()
 		}
 		for range rapid.IntRange(1, 3).Draw(t, "restores") {
-			backup := m.store.read(0)
+			backup := m.store.read(baobabstep.Newest)
 			for range rapid.IntRange(1, 40).Draw(t, "lost changes") {
 				m.change()
 				m.step()
 			}
-			lost := m.store.read(0)
+			lost := m.store.read(baobabstep.Newest)
 			m.restore(backup)
 			for range rapid.IntRange(0, 20).Draw(t, "steps until written again") {
 				m.step()
--- a/entry/share.go
+++ b/entry/share.go
@@ -116,16 +116,16 @@
 func (n *Node) compare(now time.Time, kind heartbeat.Kind, h *heartbeat.Heartbeat) {
 	held := n.beliefs.get(kind)
 	if age, same := h.Vouches(kind, held.sum); same {
-		if held.version > 0 {
-			n.beliefs.vouched(kind, h.HeldOf(kind).Version, now.Add(-age))
+		if held.isHeld() {
+			n.beliefs.vouched(kind, h.HeldOf(kind).Revision(), now.Add(-age))
 		}
 		return
 	}
-	if h.HeldOf(kind).Version <= held.version {
+	if !held.revision.Before(h.HeldOf(kind).Revision()) {
 		return
 	}
-	if source, ok := n.board.Newer(now, kind, held.version, held.sum); ok && n.mayWant(now, kind) {
-		n.sendMessage(source, &heartbeat.Message{Want: &heartbeat.Want{Kind: kind, Newer: held.version}})
+	if source, ok := n.board.Newer(now, kind, held.revision, held.sum); ok && n.mayWant(now, kind) {
+		n.sendMessage(source, &heartbeat.Message{Want: heartbeat.MakeWant(kind, held.revision)})
 	}
 }
 
