entry: a store that holds less than a VM does is not read without end

Cause: the next reading is due by the age of what is held, and a reading that was passed over left that age as it was; it was due again at once.

A routing table that the store itself holds and that is older than ours proves that the store holds nothing newer: it confirms ours.

--- a/entry/belief.go
+++ b/entry/belief.go
@@ -99,6 +99,9 @@
 	switch {
 	case revision.Before(held.revision):
 		b.passOver(now, heartbeat.Routes, revision, from)
+		if from.source == sourceStore {
+			held.confirm(from.confirmed) // all that the store holds is older
+		}
 		return false, nil, nil
 	case revision == held.revision:
 		held.confirm(from.confirmed)
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -189,17 +189,26 @@
 			continue
 		}
 		err := f.readOnce(ctx, r)
-		switch {
-		case ctx.Err() != nil:
-		case err != nil:
-			pause(ctx, f.retryPause(now, err, pauses.NextBackOff()), r.again)
-		default:
-			pauses.Reset()
+		if d := f.pauseAfter(f.node.clock.Now(), r, err, pauses); d > 0 {
+			pause(ctx, d, r.again)
 		}
 	}
 	return nil
 }
 
+// pauseAfter returns how long to wait after a reading that ended with err, before it
+// is looked again when the next one is due.
+func (f *follower) pauseAfter(now time.Time, r *reading, err error, pauses backoff.BackOff) time.Duration {
+	switch {
+	case err != nil:
+		return f.retryPause(now, err, pauses.NextBackOff())
+	case !f.due(now, r).After(now):
+		return pauses.NextBackOff() // it was passed over, and the next one may be as well
+	}
+	pauses.Reset()
+	return 0
+}
+
 // readOnce reads a kind, and notes what became of it.
 func (f *follower) readOnce(ctx context.Context, r *reading) error {
 	how := r.freshness()
--- a/entry/restore_model_test.go
+++ b/entry/restore_model_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"testing"
+	"time"
 
+	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
 	"baobabstep"
@@ -63,3 +65,50 @@
 		}
 	})
 }
+
+// Guards against VMs that read without end while the store holds an older routing
+// table than they do.
+func TestRestoredStoreIsAskedSeldom(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t)
+		for range 30 {
+			m.step()
+		}
+		backup := m.store.read(baobabstep.Newest)
+		m.changeRoutes()
+		for range 40 {
+			m.step()
+		}
+		m.restore(backup)
+		before := m.store.calls
+		const steps = 50
+		for range steps {
+			m.step()
+		}
+		if perSecond := float64(m.store.calls-before) / (steps * stepTime).Seconds(); perSecond > 2 {
+			t.Fatalf("%d VMs made %.1f calls a second", modelVMs, perSecond)
+		}
+	})
+}
+
+// Guards against a reading that is repeated at once because it was passed over.
+func TestPauseAfterReading(t *testing.T) {
+	n := newQuietNode(new(countedMessages))
+	r := n.follower.targets()
+	r.within = 3 * time.Second
+	pauses := newPauses()
+	pauses.RandomizationFactor = 0
+	read := func(number uint64, confirmed time.Time) {
+		err := n.learnTargets(nil, baobabstep.Revision{Number: number}, origin{source: sourceStore, confirmed: confirmed})
+		qt.Assert(t, err, qt.IsNil)
+	}
+	read(500, benchEpoch)
+	qt.Check(t, n.follower.pauseAfter(benchEpoch, r, nil, pauses), qt.Equals, time.Duration(0))
+	later := benchEpoch.Add(time.Minute)
+	read(450, later)
+	first := n.follower.pauseAfter(later, r, nil, pauses)
+	qt.Check(t, first, qt.Equals, firstRetry)
+	qt.Check(t, n.follower.pauseAfter(later, r, nil, pauses) > first, qt.IsTrue)
+	read(501, later)
+	qt.Check(t, n.follower.pauseAfter(later, r, nil, pauses), qt.Equals, time.Duration(0))
+}
