token: a target that leaves stays leaving while a restored store lacks its word

While the store has just come back (the grace for registrations that lapsed, 2.5 s), a run that had said that it leaves gets no new flow, whatever the store says of it. After the grace, and while the store is well, its word in the store holds: a target may take its leave back.

Test: token.TestLeavingTargetStaysLeavingOverARestore, of which the first three parts failed before.

--- a/core/token/event.go
+++ b/core/token/event.go
@@ -99,7 +99,7 @@
 		e.Rule = route.name
 	}
 	if kind == EventRefused {
-		e.countTargets(s, route)
+		e.countTargets(now, s, route)
 	}
 	if kind == EventNoRoom {
 		e.Took, e.Aim = t.load.time(now), route.aim
@@ -113,7 +113,7 @@
 }
 
 // countTargets says why a rule had no target for a new flow.
-func (e *Event) countTargets(s *snapshot, route *rule) {
+func (e *Event) countTargets(now time.Time, s *snapshot, route *rule) {
 	for _, share := range route.shares {
 		e.Service = share.Service
 		p := s.pools[share.Service]
@@ -124,7 +124,7 @@
 			switch {
 			case !t.missingSince.IsZero():
 				e.Gone++
-			case t.registration.Draining:
+			case t.leaves(now):
 				e.Draining++
 			case t.evacuated:
 				e.Evacuated++
--- a/core/token/router.go
+++ b/core/token/router.go
@@ -135,14 +135,15 @@
 }
 
 // lapseGrace is how long after the return of the store registrations that
-// lapsed meanwhile may take to be back: about 2 s for a target that lives, and
-// what the news takes.
+// lapsed or were lost meanwhile may take to be back: about 2 s for a target that
+// lives, and what the news takes.
 const lapseGrace = 2500 * time.Millisecond
 
 // StoreBack tells that the store was out of reach until now. Targets renew
 // their registrations in it; those that could not for long enough are missing
 // from it at first, though they live. Without the grace most targets of every
-// service seem to be gone at once, and callers are refused.
+// service seem to be gone at once, and callers are refused. A store that came back
+// from a backup lacks what targets wrote last: one that leaves seems to stay.
 func (r *Router) StoreBack(now time.Time) {
 	r.change.Lock()
 	defer r.change.Unlock()
--- a/core/token/router_test.go
+++ b/core/token/router_test.go
@@ -178,6 +178,56 @@
 	})
 }
 
+// Guards against flows to a target that leaves, because a restored store lost its word.
+func TestLeavingTargetStaysLeavingOverARestore(t *testing.T) {
+	back := start.Add(10 * time.Second)
+	restored := func(t *testing.T, forget func(r *Router, leaving []baobabstep.Registration)) *Router {
+		r := newRouter(t)
+		list := threeTargets()
+		list[0].Draining, list[1].Draining = true, true
+		r.SetRegistrations(start, list)
+		forget(r, list)
+		r.StoreBack(back)
+		r.SetRegistrations(back, threeTargets())
+		return r
+	}
+	lostWord := func(*Router, []baobabstep.Registration) {}
+	gone := func(r *Router, list []baobabstep.Registration) { r.SetRegistrations(start, list[2:]) }
+	segment := baobabstep.Segment{Kind: baobabstep.KindOpen, Flow: flowFrom(1, fixtures)}
+	t.Run("that lost its word", func(t *testing.T) {
+		assertReset(t, restored(t, lostWord), back.Add(lapseGrace-1), segment)
+	})
+	t.Run("that brings it back though it had gone", func(t *testing.T) {
+		assertReset(t, restored(t, gone), back.Add(lapseGrace-1), segment)
+	})
+	t.Run("whatever else the target writes meanwhile", func(t *testing.T) {
+		r := restored(t, lostWord)
+		for _, list := range [][]baobabstep.Registration{threeTargets()[:1], threeTargets()[1:2]} {
+			list[0].ColdFor = time.Second
+			r.ChangeRegistrations(back.Add(time.Second), list, nil)
+		}
+		assertReset(t, r, back.Add(lapseGrace-1), segment)
+	})
+	t.Run("but not past the grace", func(t *testing.T) {
+		open(t, restored(t, lostWord), back.Add(lapseGrace), segment.Flow)
+	})
+	t.Run("and not another run", func(t *testing.T) {
+		r := restored(t, lostWord)
+		again := threeTargets()[:1]
+		again[0].Life = 7
+		r.ChangeRegistrations(back, again, nil)
+		open(t, r, back, segment.Flow)
+	})
+	t.Run("and not while the store is well", func(t *testing.T) {
+		r := newRouter(t)
+		list := threeTargets()
+		list[0].Draining, list[1].Draining = true, true
+		r.SetRegistrations(start, list)
+		r.SetRegistrations(back, threeTargets())
+		open(t, r, back, segment.Flow)
+	})
+}
+
 func TestWeightsOfShares(t *testing.T) {
 	r := newRouter(t)
 	r.SetTable(start, table(2, baobabstep.Rule{Address: fixtures, Shares: []baobabstep.Share{
--- a/core/token/snapshot.go
+++ b/core/token/snapshot.go
@@ -303,6 +303,10 @@
 		return s.gone(now, old)
 	}
 	t.load = old.load
+	t.leavingUntil = old.leavingUntil
+	if old.registration.Draining && !r.Draining {
+		t.leavingUntil = s.spareUntil
+	}
 	if *r == old.registration {
 		t.coldUntil = old.coldUntil // it says the same again, not that it stays cold for longer
 	}
--- a/core/token/snapshot_test.go
+++ b/core/token/snapshot_test.go
@@ -17,7 +17,7 @@
 	for _, service := range slices.Sorted(maps.Keys(s.pools)) {
 		for _, t := range s.pools[service].targets {
 			known := s.targets[t.id]
-			lines = append(lines, fmt.Sprint(service, t.id, t.registration, t.missingSince.Sub(start), t.sparedUntil.Sub(start), t.coldUntil.Sub(start), known == t))
+			lines = append(lines, fmt.Sprint(service, t.id, t.registration, t.missingSince.Sub(start), t.sparedUntil.Sub(start), t.coldUntil.Sub(start), t.leavingUntil.Sub(start), known == t))
 		}
 	}
 	return append(lines, fmt.Sprint(len(s.targets)))
--- a/core/token/target.go
+++ b/core/token/target.go
@@ -21,6 +21,9 @@
 	// sparedUntil is until when a target whose registration is missing may
 	// still get new flows: it may have lapsed while the store was away.
 	sparedUntil time.Time
+	// leavingUntil is until when the target gets no new flow because it had said that
+	// it leaves before the store came back from a backup.
+	leavingUntil time.Time
 	// coldUntil is when the target stops being cold, by its own word.
 	coldUntil time.Time
 	// evacuated is set while the target's data centre gets no new flow.
@@ -30,7 +33,11 @@
 // choosable tells whether the target may get new flows.
 func (t *target) choosable(now time.Time) bool {
 	there := t.missingSince.IsZero() || now.Before(t.sparedUntil)
-	return there && !t.registration.Draining && !t.evacuated
+	return there && !t.leaves(now) && !t.evacuated
+}
+
+func (t *target) leaves(now time.Time) bool {
+	return t.registration.Draining || now.Before(t.leavingUntil)
 }
 
 // sameRun tells whether other is the same run of the same target, so that what
