entry: every VM notices that the store came back from a backup

One VM of a fleet reads; all others learn of the restored list from it, by a change, pieces or a checksum, had no grace and refused callers at once.

The beliefs note the newest era of whatever they take in. A later one starts the grace, before what the store holds then is put in force, and writes "store restored".

Test: entry.TestTargetsThatARestoredStoreLacks; its parts with a list by the store, a list by a peer, a change by a peer and evacuations first failed before.

--- a/entry/belief.go
+++ b/entry/belief.go
@@ -25,6 +25,10 @@
 
 	mu   sync.Mutex
 	held [heartbeat.Kinds]belief
+	// era is the newest of the store that was heard of, and restoredAt when it took
+	// the place of another one; zero if it never did.
+	era        uint64
+	restoredAt time.Time
 	// table, targets and evacuated are what held stands for.
 	table     *baobabstep.RoutingTable
 	targets   *heartbeat.Registrations
@@ -133,6 +137,24 @@
 // isHeld tells whether anything is held.
 func (h *belief) isHeld() bool { return h.revision != baobabstep.Revision{} }
 
+// move makes a kind stand at a revision. The first of a later era says that the store
+// came back from a backup. The caller holds b.mu, and puts what the store holds then
+// in force after this.
+func (b *beliefs) move(now time.Time, kind heartbeat.Kind, to baobabstep.Revision) {
+	known := slices.ContainsFunc(b.held[:], func(h belief) bool { return h.isHeld() })
+	b.held[kind].revision = to
+	if to.Era <= b.era {
+		return
+	}
+	b.era = to.Era
+	if !known {
+		return
+	}
+	b.restoredAt = now
+	b.router.StoreBack(now)
+	b.log.WithFields(log.Fields{"era": to.Era, "revision": to.Number, "kind": kind.String()}).Warn("store restored")
+}
+
 // holdTargets takes in all registrations as of a revision, and returns as
 // holdRoutes does.
 func (b *beliefs) holdTargets(now time.Time, list []baobabstep.Registration, revision baobabstep.Revision, from origin) (changed bool, change *heartbeat.Change, err error) {
@@ -149,13 +171,13 @@
 		b.passOver(now, heartbeat.Targets, revision, from)
 		return false, nil, nil
 	case !first && next.Sum() == held.sum:
-		held.revision = revision
+		b.move(now, heartbeat.Targets, revision)
 		held.confirm(from.confirmed)
 		return false, nil, nil
 	}
 	before := b.targets
 	b.targets = next
-	oldSum := b.advance(revision, from)
+	oldSum := b.advance(now, revision, from)
 	if !first {
 		change = heartbeat.TargetsChange(before.To(next), oldSum, held.told(now))
 	}
@@ -166,10 +188,11 @@
 
 // advance makes held stand for b.targets, and returns the checksum before. The
 // caller holds b.mu.
-func (b *beliefs) advance(revision baobabstep.Revision, from origin) (oldSum uint64) {
+func (b *beliefs) advance(now time.Time, revision baobabstep.Revision, from origin) (oldSum uint64) {
 	held := &b.held[heartbeat.Targets]
 	oldSum = held.sum
-	held.revision, held.sum, held.content = revision, b.targets.Sum(), nil
+	b.move(now, heartbeat.Targets, revision)
+	held.sum, held.content = b.targets.Sum(), nil
 	held.confirm(from.confirmed)
 	held.unconfirmed = from.recent
 	return oldSum
@@ -193,7 +216,7 @@
 	}
 	d := b.difference(changes)
 	if d.Empty() {
-		held.revision = revision
+		b.move(now, heartbeat.Targets, revision)
 		return false, nil, nil
 	}
 	oldSum, err := b.changeBy(now, d, revision, origin{source: sourceWatch})
@@ -230,7 +253,7 @@
 	if err := b.targets.Apply(d); err != nil {
 		return 0, err
 	}
-	oldSum = b.advance(revision, from)
+	oldSum = b.advance(now, revision, from)
 	b.router.ChangeRegistrations(now, d.Put, d.Gone)
 	b.logTargets(from)
 	return oldSum, nil
@@ -295,12 +318,12 @@
 // What is held takes over the revision: an evacuation that ends leaves what was
 // there before it began. Kept under its first revision that would give way to the
 // evacuation itself, told late by a third VM, as if it had been confirmed.
-func (b *beliefs) vouched(kind heartbeat.Kind, revision baobabstep.Revision, at time.Time) {
+func (b *beliefs) vouched(now time.Time, kind heartbeat.Kind, revision baobabstep.Revision, at time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	held := &b.held[kind]
 	if held.revision.Before(revision) {
-		held.revision = revision
+		b.move(now, kind, revision)
 	}
 	held.confirm(at)
 }
--- a/entry/evacuation.go
+++ b/entry/evacuation.go
@@ -32,12 +32,12 @@
 		b.passOver(now, heartbeat.Evacuations, revision, from)
 		return false, first, nil
 	case !first && sum == held.sum:
-		held.revision = revision
+		b.move(now, heartbeat.Evacuations, revision)
 		held.confirm(from.confirmed)
 		return false, first, nil
 	}
-	b.evacuated = list
-	held.revision, held.sum = revision, sum
+	b.move(now, heartbeat.Evacuations, revision)
+	b.evacuated, held.sum = list, sum
 	held.confirm(from.confirmed)
 	held.unconfirmed = from.recent
 	if first && len(list) == 0 {
--- a/entry/journal_test.go
+++ b/entry/journal_test.go
@@ -26,7 +26,7 @@
 	_, has := lines.Entries[0].Fields["routes_age_ms"]
 	qt.Check(t, has, qt.IsFalse)
 
-	n.beliefs.vouched(heartbeat.Routes, baobabstep.Revision{}, benchEpoch.Add(-250*time.Millisecond))
+	n.beliefs.vouched(benchEpoch, heartbeat.Routes, baobabstep.Revision{}, benchEpoch.Add(-250*time.Millisecond))
 	n.router.Handle(benchEpoch, &p, new([]baobabstep.Forward))
 	encoded, err := json.Marshal(lines.Entries[1].Fields)
 	qt.Assert(t, err, qt.IsNil)
--- a/entry/restore_model_test.go
+++ b/entry/restore_model_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"baobabstep"
+	"baobabstep/core/heartbeat"
 )
 
 // restore brings the model's store back from a backup, in another era.
@@ -91,6 +92,60 @@
 	})
 }
 
+// restoredNode returns a VM with one ready target that learns of the next era of the
+// store by take, and whether it places a flow then.
+func placesAfterRestore(t *testing.T, take func(n *Node, era baobabstep.Revision)) bool {
+	t.Helper()
+	n := newQuietNode(new(countedMessages))
+	n.router.SetTable(benchEpoch, testTable())
+	from := origin{source: sourceStore, confirmed: benchEpoch}
+	before, next := baobabstep.Revision{Era: 1, Number: 500}, baobabstep.Revision{Era: 2, Number: 450}
+	qt.Assert(t, n.learnTargets(benchRegistrations(1), before, from), qt.IsNil)
+	qt.Assert(t, n.learnEvacuations(nil, before, from), qt.IsNil)
+	take(n, next)
+	var out []baobabstep.Forward
+	p := baobabstep.Segment{Kind: baobabstep.KindOpen, Flow: baobabstep.FlowKey{Caller: benchService, Service: benchService}}
+	n.router.Handle(benchEpoch, &p, &out)
+	return len(out) == 1 && out[0].Target != 0
+}
+
+// Guards against callers that are refused because a restored store lacks targets that
+// registered lately, on VMs that were never refused by it.
+func TestTargetsThatARestoredStoreLacks(t *testing.T) {
+	none := func(t *testing.T, n *Node, at baobabstep.Revision, source string) {
+		qt.Assert(t, n.learnTargets(nil, at, origin{source: source, confirmed: benchEpoch}), qt.IsNil)
+	}
+	for _, source := range []string{sourceStore, sourcePeer} {
+		t.Run("a list by "+source, func(t *testing.T) {
+			qt.Assert(t, placesAfterRestore(t, func(n *Node, at baobabstep.Revision) { none(t, n, at, source) }), qt.IsTrue)
+		})
+	}
+	t.Run("a change by a peer", func(t *testing.T) {
+		qt.Assert(t, placesAfterRestore(t, func(n *Node, at baobabstep.Revision) {
+			gone := heartbeat.Difference{Gone: []baobabstep.TargetID{benchRegistrations(1)[0].ID}}
+			change := heartbeat.TargetsChange(gone, n.beliefs.get(heartbeat.Targets).sum, heartbeat.MakeHeld(at, heartbeat.NoRegistrations().Sum(), 0))
+			n.handleChange(benchEpoch, peerAddress(3), change)
+			qt.Assert(t, n.beliefs.get(heartbeat.Targets).revision, qt.Equals, at)
+		}), qt.IsTrue)
+	})
+	t.Run("after evacuations of the new era", func(t *testing.T) {
+		qt.Assert(t, placesAfterRestore(t, func(n *Node, at baobabstep.Revision) {
+			qt.Assert(t, n.learnEvacuations(nil, at, origin{source: sourceStore, confirmed: benchEpoch}), qt.IsNil)
+			none(t, n, at, sourceStore)
+		}), qt.IsTrue)
+	})
+	t.Run("but they are gone in the same era", func(t *testing.T) {
+		qt.Assert(t, placesAfterRestore(t, func(n *Node, _ baobabstep.Revision) {
+			none(t, n, baobabstep.Revision{Era: 1, Number: 501}, sourceStore)
+		}), qt.IsFalse)
+	})
+	t.Run("and when the first era is heard of", func(t *testing.T) {
+		n := newQuietNode(new(countedMessages))
+		none(t, n, baobabstep.Revision{Era: 4, Number: 1}, sourceStore)
+		qt.Assert(t, n.beliefs.restoredAt.IsZero(), qt.IsTrue)
+	})
+}
+
 // Guards against a reading that is repeated at once because it was passed over.
 func TestPauseAfterReading(t *testing.T) {
 	n := newQuietNode(new(countedMessages))
--- a/entry/share.go
+++ b/entry/share.go
@@ -117,7 +117,7 @@
 	held := n.beliefs.get(kind)
 	if age, same := h.Vouches(kind, held.sum); same {
 		if held.isHeld() {
-			n.beliefs.vouched(kind, h.HeldOf(kind).Revision(), now.Add(-age))
+			n.beliefs.vouched(now, kind, h.HeldOf(kind).Revision(), now.Add(-age))
 		}
 		return
 	}
