entry: evacuations outlast a restore of the store

For the 2.5 s after a restore in which operators write again, what was in force is merged with what the store holds: names that operators began or ended since the backup, by comparing with its first list, go at once; names that only the backup lacks, or has again, stay as they were. Then the store's list alone holds. What VMs tell each other stays the store's list, so that their checksums agree.

--- a/core/token/router.go
+++ b/core/token/router.go
@@ -134,10 +134,10 @@
 	}
 }
 
-// lapseGrace is how long after the return of the store registrations that
-// lapsed or were lost meanwhile may take to be back: about 2 s for a target that
-// lives, and what the news takes.
-const lapseGrace = 2500 * time.Millisecond
+// LapseGrace is how long after the return of the store it may lack what targets and
+// operators had written: about 2 s for a registration of a target that lives, and
+// what the news takes.
+const LapseGrace = 2500 * time.Millisecond
 
 // StoreBack tells that the store was out of reach until now. Targets renew
 // their registrations in it; those that could not for long enough are missing
@@ -148,7 +148,7 @@
 	r.change.Lock()
 	defer r.change.Unlock()
 	next := *r.current.Load()
-	next.spareUntil = now.Add(lapseGrace)
+	next.spareUntil = now.Add(LapseGrace)
 	r.current.Store(&next)
 }
 
--- a/core/token/router_test.go
+++ b/core/token/router_test.go
@@ -155,15 +155,15 @@
 		return r
 	}
 	t.Run("still get new flows", func(t *testing.T) {
-		open(t, lapsed(t), back.Add(lapseGrace-1), flowFrom(1, fixtures))
+		open(t, lapsed(t), back.Add(LapseGrace-1), flowFrom(1, fixtures))
 	})
 	t.Run("but not past the grace", func(t *testing.T) {
-		assertReset(t, lapsed(t), back.Add(lapseGrace), baobabstep.Segment{Kind: baobabstep.KindOpen, Flow: flowFrom(1, fixtures)})
+		assertReset(t, lapsed(t), back.Add(LapseGrace), baobabstep.Segment{Kind: baobabstep.KindOpen, Flow: flowFrom(1, fixtures)})
 	})
 	t.Run("and none that goes later", func(t *testing.T) {
 		r := newRouter(t)
 		r.StoreBack(back)
-		later := back.Add(lapseGrace)
+		later := back.Add(LapseGrace)
 		r.SetRegistrations(later, nil)
 		assertReset(t, r, later, baobabstep.Segment{Kind: baobabstep.KindOpen, Flow: flowFrom(1, fixtures)})
 	})
@@ -195,10 +195,10 @@
 	gone := func(r *Router, list []baobabstep.Registration) { r.SetRegistrations(start, list[2:]) }
 	segment := baobabstep.Segment{Kind: baobabstep.KindOpen, Flow: flowFrom(1, fixtures)}
 	t.Run("that lost its word", func(t *testing.T) {
-		assertReset(t, restored(t, lostWord), back.Add(lapseGrace-1), segment)
+		assertReset(t, restored(t, lostWord), back.Add(LapseGrace-1), segment)
 	})
 	t.Run("that brings it back though it had gone", func(t *testing.T) {
-		assertReset(t, restored(t, gone), back.Add(lapseGrace-1), segment)
+		assertReset(t, restored(t, gone), back.Add(LapseGrace-1), segment)
 	})
 	t.Run("whatever else the target writes meanwhile", func(t *testing.T) {
 		r := restored(t, lostWord)
@@ -206,10 +206,10 @@
 			list[0].ColdFor = time.Second
 			r.ChangeRegistrations(back.Add(time.Second), list, nil)
 		}
-		assertReset(t, r, back.Add(lapseGrace-1), segment)
+		assertReset(t, r, back.Add(LapseGrace-1), segment)
 	})
 	t.Run("but not past the grace", func(t *testing.T) {
-		open(t, restored(t, lostWord), back.Add(lapseGrace), segment.Flow)
+		open(t, restored(t, lostWord), back.Add(LapseGrace), segment.Flow)
 	})
 	t.Run("and not another run", func(t *testing.T) {
 		r := restored(t, lostWord)
--- a/core/token/run_test.go
+++ b/core/token/run_test.go
@@ -106,7 +106,7 @@
 	open(t, r, start.Add(lateReturn), flowFrom(1, fixtures))
 
 	t.Run("but not for ever", func(t *testing.T) {
-		now := start.Add(lapseGrace)
+		now := start.Add(LapseGrace)
 		assertReset(t, r, now, baobabstep.Segment{Kind: baobabstep.KindOpen, Flow: flowFrom(2, fixtures), Seq: 9})
 	})
 	t.Run("and only then", func(t *testing.T) {
--- a/entry/belief.go
+++ b/entry/belief.go
@@ -33,6 +33,10 @@
 	table     *baobabstep.RoutingTable
 	targets   *heartbeat.Registrations
 	evacuated []string
+	// inForce are the data centres that get no flow, which differ from evacuated
+	// while merge is set.
+	inForce []string
+	merge   *evacuationMerge
 }
 
 // belief is what is held of one kind.
--- a/entry/evacuation.go
+++ b/entry/evacuation.go
@@ -9,6 +9,7 @@
 
 	"baobabstep"
 	"baobabstep/core/heartbeat"
+	"baobabstep/core/token"
 )
 
 // holdEvacuations takes in all evacuated data centres as of a revision. It returns
@@ -36,18 +37,67 @@
 		held.confirm(from.confirmed)
 		return false, first, nil
 	}
+	if !first && held.revision.Era < revision.Era {
+		b.merge = &evacuationMerge{ours: b.inForce, backup: list}
+	}
 	b.move(now, heartbeat.Evacuations, revision)
 	b.evacuated, held.sum = list, sum
 	held.confirm(from.confirmed)
 	held.unconfirmed = from.recent
-	if first && len(list) == 0 {
-		return true, first, nil
+	b.enforceEvacuations(now, from.source)
+	return true, first, nil
+}
+
+// evacuationMerge brings together what was in force when the store came back from a
+// backup and what operators change from then on.
+type evacuationMerge struct {
+	// ours was in force, backup is what the store came back with.
+	ours, backup []string
+}
+
+// with returns what is in force once the store holds a list, sorted: ours, and what
+// operators began or ended since.
+func (m *evacuationMerge) with(list []string) (merged []string) {
+	all := slices.Concat(m.ours, list)
+	slices.Sort(all)
+	for _, name := range slices.Compact(all) {
+		ours, backup, now := slices.Contains(m.ours, name), slices.Contains(m.backup, name), slices.Contains(list, name)
+		if began, ended := now && !backup, backup && !now; began || ours && !ended {
+			merged = append(merged, name)
+		}
+	}
+	return merged
+}
+
+// enforceEvacuations puts in force what is held, merged with what a restored store may
+// lack for token.LapseGrace. The caller holds b.mu.
+func (b *beliefs) enforceEvacuations(now time.Time, source string) {
+	if now.Sub(b.restoredAt) >= token.LapseGrace {
+		b.merge = nil
 	}
+	list := b.evacuated
+	if b.merge != nil {
+		list = b.merge.with(list)
+	}
+	if slices.Equal(list, b.inForce) {
+		return
+	}
+	b.inForce = list
 	b.router.SetEvacuations(now, list)
+	held := &b.held[heartbeat.Evacuations]
 	b.log.WithFields(log.Fields{
-		"evacuated": list, "revision": revision.Number, "era": revision.Era, "source": from.source, "age_ms": now.Sub(from.confirmed).Milliseconds(),
+		"evacuated": list, "revision": held.revision.Number, "era": held.revision.Era, "source": source,
+		"age_ms": now.Sub(held.confirmed).Milliseconds(),
 	}).Info("evacuations in force")
-	return true, first, nil
+}
+
+// settleEvacuations ends the merge with what a restored store lacked, once it is due.
+func (b *beliefs) settleEvacuations(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.merge != nil {
+		b.enforceEvacuations(now, sourceStore)
+	}
 }
 
 // evacuationsAfter returns what changes, in the order in which they came, make of
--- a/entry/node.go
+++ b/entry/node.go
@@ -263,6 +263,7 @@
 			if err := n.tickRouter(now); err != nil && ctx.Err() == nil {
 				return err
 			}
+			n.beliefs.settleEvacuations(now)
 			n.beat(now)
 			n.reportDropped(now)
 			n.reportMalformed(now)
--- a/entry/restore_model_test.go
+++ b/entry/restore_model_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"baobabstep"
 	"baobabstep/core/heartbeat"
+	"baobabstep/core/token"
 )
 
 // restore brings the model's store back from a backup, in another era.
@@ -146,6 +148,48 @@
 	})
 }
 
+// Guards against flows into an evacuated data centre because a restored store lost the
+// operators' wish.
+func TestEvacuationsOverARestore(t *testing.T) {
+	const a, b, c = "dc-a", "dc-b", "dc-c"
+	for _, test := range []struct {
+		name string
+		// before is what was in force, backup what the store came back with, and
+		// since what it held after a change that operators made then.
+		before, backup, since []string
+		// want is in force after backup, and wantSince after since.
+		want, wantSince []string
+	}{
+		{"one is lost and written again", []string{a}, nil, []string{a}, []string{a}, []string{a}},
+		{"one is lost, another begins", []string{a}, nil, []string{b}, []string{a}, []string{a, b}},
+		{"an ended one is back and ends again", nil, []string{a}, nil, nil, nil},
+		{"one that both have ends", []string{a, c}, []string{a}, nil, []string{a, c}, []string{c}},
+		{"the backup lacks nothing", []string{a}, []string{a}, []string{a, b}, []string{a}, []string{a, b}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			n := newQuietNode(new(countedMessages))
+			hold := func(now time.Time, revision baobabstep.Revision, list []string) {
+				_, err := n.takeEvacuations(now, list, revision, origin{source: sourceStore, confirmed: now})
+				qt.Assert(t, err, qt.IsNil)
+			}
+			assertInForce := func(want []string) {
+				t.Helper()
+				qt.Assert(t, slices.Equal(n.beliefs.inForce, want), qt.IsTrue, qt.Commentf("got %v, want %v", n.beliefs.inForce, want))
+			}
+			hold(benchEpoch, baobabstep.Revision{Era: 1, Number: 500}, test.before)
+			hold(benchEpoch, baobabstep.Revision{Era: 2, Number: 450}, test.backup)
+			assertInForce(test.want)
+			later := benchEpoch.Add(time.Second)
+			hold(later, baobabstep.Revision{Era: 2, Number: 451}, test.since)
+			assertInForce(test.wantSince)
+			n.beliefs.settleEvacuations(benchEpoch.Add(token.LapseGrace - 1))
+			assertInForce(test.wantSince)
+			n.beliefs.settleEvacuations(benchEpoch.Add(token.LapseGrace))
+			assertInForce(test.since)
+		})
+	}
+}
+
 // Guards against a reading that is repeated at once because it was passed over.
 func TestPauseAfterReading(t *testing.T) {
 	n := newQuietNode(new(countedMessages))
