entry: what a copy of the store held gives way to any other news of its era

A copy that lags behind a restore may claim a revision that the store has lost and not reached again; the VM then passed over the store's own answers, and a watch from there went on from the wrong place.

What a copy held now stands at the lowest number of its era, and no watch goes on from it, so a reading or a peer's word of that era replaces it.

Tests: entry.TestStoreOverrulesACopy failed before; the models' copies now lag behind each restore with numbers that are too high. Their check of evacuations at a revision cannot hold for a copy, which names none: it is replaced for those by the check that the store did hold the list at some time.

--- a/entry/belief.go
+++ b/entry/belief.go
@@ -97,6 +97,18 @@
 	recent bool
 }
 
+// copyNumber is the number at which a copy of the store stands.
+const copyNumber = 1
+
+// stands returns the revision of news. A copy of the store may number what the store
+// has lost since, so what it held gives way to whatever else is heard of its era.
+func (o *origin) stands(revision baobabstep.Revision) baobabstep.Revision {
+	if o.recent {
+		return baobabstep.Revision{Era: revision.Era, Number: copyNumber}
+	}
+	return revision
+}
+
 // holdRoutes takes in a routing table. It returns whether it is a newer one, and
 // what it changes of the one before, nil for the first.
 func (b *beliefs) holdRoutes(now time.Time, table *baobabstep.RoutingTable, from origin) (changed bool, change *heartbeat.Change, err error) {
@@ -166,6 +178,7 @@
 	if err != nil {
 		return false, nil, err
 	}
+	revision = from.stands(revision)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	held := &b.held[heartbeat.Targets]
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -219,7 +219,7 @@
 		return ctx.Err()
 	}
 	f.noteStore(r, err)
-	if err == nil {
+	if err == nil && how == baobabstep.Newest {
 		r.advance(revision)
 	}
 	return err
--- a/entry/model_test.go
+++ b/entry/model_test.go
@@ -276,6 +276,16 @@
 	return list
 }
 
+// everEvacuated tells whether the store ever held a list.
+func (m *model) everEvacuated(list []string) bool {
+	for _, held := range m.evacuations {
+		if slices.Equal(held, list) {
+			return true
+		}
+	}
+	return len(list) == 0
+}
+
 // step lets stepTime pass: readings that are due, heartbeats, and the messages
 // of all, whatever they set off.
 func (m *model) step() {
@@ -354,6 +364,9 @@
 	list := vm.node.beliefs.evacuated
 	vm.node.beliefs.mu.Unlock()
 	switch want := m.evacuatedAt(held.revision); {
+	case held.revision.Number == copyNumber && !m.everEvacuated(list):
+		m.t.Fatalf("VM %d holds evacuations %v, which the store never held", vm.n, list)
+	case held.revision.Number == copyNumber:
 	case held.revision.Before(vm.evacuations):
 		m.t.Fatalf("VM %d went from revision %v of evacuations to %v", vm.n, vm.evacuations, held.revision)
 	case held.isHeld() && !slices.Equal(list, want):
--- a/entry/restore_model_test.go
+++ b/entry/restore_model_test.go
@@ -20,6 +20,9 @@
 	s.table, s.targets, s.evacuated = backup.table, backup.targets, backup.evacuated
 	m.evacuations[s.revision] = s.evacuated
 	s.tableAt, s.targetsAt, s.evacuatedAt = m.now, m.now, m.now
+	// The worst that copies do: they lag behind the restore, and number what is lost.
+	s.copied.revision = baobabstep.Revision{Era: s.revision.Era, Number: s.revision.Number + 100}
+	s.copied.at = m.now
 }
 
 // writeAgain lets operators and targets write again what a backup lacks.
@@ -148,6 +151,25 @@
 	})
 }
 
+// Guards against news that is passed over because a lagging copy of a restored store
+// claimed a revision that the store has not reached.
+func TestStoreOverrulesACopy(t *testing.T) {
+	n := newQuietNode(new(countedMessages))
+	fromCopy := origin{source: sourceCopy, confirmed: benchEpoch, recent: true}
+	fromStore := origin{source: sourceStore, confirmed: benchEpoch.Add(time.Second)}
+	claimed, actual := baobabstep.Revision{Era: 2, Number: 500}, baobabstep.Revision{Era: 2, Number: 450}
+	list := benchRegistrations(1)
+	leaving := slices.Clone(list)
+	leaving[0].Draining = true
+	qt.Assert(t, n.learnTargets(list, claimed, fromCopy), qt.IsNil)
+	qt.Assert(t, n.learnEvacuations([]string{"dc-a"}, claimed, fromCopy), qt.IsNil)
+	qt.Assert(t, n.learnTargets(leaving, actual, fromStore), qt.IsNil)
+	qt.Assert(t, n.learnEvacuations([]string{"dc-b"}, actual, fromStore), qt.IsNil)
+	held, _ := n.beliefs.targets.Get(list[0].ID)
+	qt.Check(t, held.Draining, qt.IsTrue)
+	qt.Check(t, n.beliefs.inForce, qt.DeepEquals, []string{"dc-b"})
+}
+
 // Guards against flows into an evacuated data centre because a restored store lost the
 // operators' wish.
 func TestEvacuationsOverARestore(t *testing.T) {
