entry: the fleet's secret outlasts a restore of the store

VMs that run keep the one they have; each VM that starts finds none, makes another, and hears nobody of the others for as long as both run: every belief, load and alarm stays in its half.

After a restore each VM looks for the secret again and offers its own: the first VM of the fleet at once, so that it is there before others start, the rest spread over 2 s. One that another VM wrote first is taken over.

--- a/directory.go
+++ b/directory.go
@@ -159,8 +159,8 @@
 	// nothing changed within wait.
 	WatchRegistrations(ctx context.Context, after Revision, wait time.Duration) ([]RegistrationChange, Revision, error)
 	// Secret returns the secret that the VMs of the fleet share. If there is
-	// none yet, offer becomes it, unless another VM's came first.
-	Secret(ctx context.Context, offer []byte) ([]byte, error)
+	// none, offer becomes it, unless another VM's came first.
+	Secret(ctx context.Context, offer []byte, f Freshness) ([]byte, error)
 }
 
 // TargetLoad is what one VM sends to one target.
--- a/entry/belief.go
+++ b/entry/belief.go
@@ -29,6 +29,8 @@
 	// the place of another one; zero if it never did.
 	era        uint64
 	restoredAt time.Time
+	// restored has a value after a restore.
+	restored chan struct{}
 	// table, targets and evacuated are what held stands for.
 	table     *baobabstep.RoutingTable
 	targets   *heartbeat.Registrations
@@ -56,7 +58,8 @@
 
 func newBeliefs(router *token.Router, logger log.Interface, limits LogLimits) *beliefs {
 	return &beliefs{
-		router: router, log: logger, limits: limits, passedOver: make(map[string]uint64), targets: heartbeat.NoRegistrations(),
+		router: router, log: logger, limits: limits, passedOver: make(map[string]uint64), restored: make(chan struct{}, 1),
+		targets: heartbeat.NoRegistrations(),
 	}
 }
 
@@ -168,6 +171,10 @@
 	}
 	b.restoredAt = now
 	b.router.StoreBack(now)
+	select {
+	case b.restored <- struct{}{}:
+	default:
+	}
 	b.log.WithFields(log.Fields{"era": to.Era, "revision": to.Number, "kind": kind.String()}).Warn("store restored")
 }
 
--- a/entry/model_test.go
+++ b/entry/model_test.go
@@ -120,7 +120,9 @@
 	return nil, baobabstep.Revision{}, nil
 }
 
-func (d modelDirectory) Secret(context.Context, []byte) ([]byte, error) { return nil, nil }
+func (d modelDirectory) Secret(context.Context, []byte, baobabstep.Freshness) ([]byte, error) {
+	return nil, nil
+}
 
 // modelVM is one VM over its lives.
 type modelVM struct {
--- a/entry/node.go
+++ b/entry/node.go
@@ -191,7 +191,7 @@
 		parts = append(parts, func() error { return n.serve(ctx, segments) })
 	}
 	return append(parts,
-		func() error { return n.findSecret(ctx) },
+		func() error { return n.keepSecret(ctx) },
 		func() error { return n.listen(ctx) },
 		func() error { return n.serveReady(ctx, listener) },
 		func() error { return n.tick(ctx) },
--- a/entry/restore_test.go
+++ b/entry/restore_test.go
@@ -49,3 +49,42 @@
 		qt.Assert(t, f.request(100+n), qt.Equals, standin.Refused)
 	}
 }
+
+const secretKey = "baobabstep/secret"
+
+// withoutSecret brings the store back from a backup that lacks the fleet's secret, and
+// returns that. Another one, if there is any, is written before a VM sees it.
+func (f *fixture) withoutSecret(other []byte) (lost []byte) {
+	f.t.Helper()
+	f.target(1)
+	f.until("a request is answered", func() bool { return f.request(1) == standin.Answered })
+	f.until("the fleet has a secret", func() bool { return len(f.store.Value(secretKey)) > 0 })
+	lost = f.store.Value(secretKey)
+	f.store.SetGate(func(string) bool { return false })
+	f.store.Write(secretKey, other)
+	f.store.Restore(f.store.Backup())
+	f.store.SetGate(nil)
+	return lost
+}
+
+// Guards against a fleet in two halves that cannot read each other: VMs from before a
+// restore that lost the secret, and VMs that start after it and make another one.
+func TestSecretOverARestore(t *testing.T) {
+	t.Run("it is written again", func(t *testing.T) {
+		f := newFixture(t, 98, 2)
+		lost := f.withoutSecret(nil)
+		f.until("it is back", func() bool { return slices.Equal(f.store.Value(secretKey), lost) })
+	})
+	t.Run("another one that came first is taken over", func(t *testing.T) {
+		f := newFixture(t, 99, 1)
+		other := []byte("a secret of a VM that started just now")
+		f.withoutSecret(other)
+		f.until("the VM noticed", func() bool { return f.logged("secret replaced", func(map[string]any) bool { return true }) })
+		f.store.SetGate(func(key string) bool { return key == secretKey })
+		f.vms = append(f.vms, f.startVM(2))
+		f.until("both hear each other", func() bool {
+			return f.logged("routing table in force", func(fields map[string]any) bool { return fields["source"] == "peer" })
+		})
+		qt.Assert(t, f.store.Value(secretKey), qt.DeepEquals, other)
+	})
+}
--- a/entry/share.go
+++ b/entry/share.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"crypto/rand"
 	"net/netip"
@@ -14,6 +15,9 @@
 const (
 	// secretBytes is the size of a secret that this VM offers.
 	secretBytes = 32
+	// secretSpread is the time after a restore of the store in which all VMs look for
+	// the secret.
+	secretSpread = 2 * time.Second
 	// wantInterval is the least time between two requests for one kind.
 	wantInterval = 100 * time.Millisecond
 	// serveRate bounds what is sent in pieces, in bytes a second: a sixth of a
@@ -44,26 +48,59 @@
 	serveAt time.Time
 }
 
-// findSecret reads the fleet's secret, or makes it, until it is known.
-func (n *Node) findSecret(ctx context.Context) error {
+// keepSecret finds the fleet's secret, and again after each restore of the store.
+//
+// A restored store may have lost it. VMs that start then would make another one, and
+// neither they nor the others could read what the other half sends.
+func (n *Node) keepSecret(ctx context.Context) error {
+	offer := make([]byte, secretBytes)
+	if _, err := rand.Read(offer); err != nil {
+		return err
+	}
+	secret := n.agreeSecret(ctx, offer, baobabstep.Recent)
+	if ctx.Err() != nil {
+		return nil
+	}
+	n.log.Info("peers can be heard")
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-n.beliefs.restored:
+		}
+		pause(ctx, n.secretDelay(n.clock.Now()), nil)
+		agreed := n.agreeSecret(ctx, secret, baobabstep.Newest)
+		if ctx.Err() == nil && !bytes.Equal(agreed, secret) {
+			n.log.Warn("secret replaced")
+			secret = agreed
+		}
+	}
+}
+
+// agreeSecret offers a secret until it or another one is known to be the fleet's, and
+// puts that in force.
+func (n *Node) agreeSecret(ctx context.Context, offer []byte, how baobabstep.Freshness) (secret []byte) {
 	pauses := newPauses()
 	for ctx.Err() == nil {
-		offer := make([]byte, secretBytes)
-		if _, err := rand.Read(offer); err != nil {
-			return err
-		}
-		secret, err := n.o.Directory.Secret(ctx, offer)
+		secret, err := n.o.Directory.Secret(ctx, offer, how)
 		if err == nil {
 			err = n.o.Messages.SetSecret(secret)
 		}
 		if err == nil {
-			n.log.Info("peers can be heard")
-			<-ctx.Done() // a part that returns ends the VM
-			return nil
+			return secret
 		}
 		pause(ctx, pauses.NextBackOff(), nil)
 	}
-	return nil
+	return offer
+}
+
+// secretDelay returns how long after a restore this VM looks for the secret: the
+// first of the fleet at once, so that it is there when others start.
+func (n *Node) secretDelay(now time.Time) time.Duration {
+	if n.rank(now).First() {
+		return 0
+	}
+	return time.Duration(n.follower.spread * float64(secretSpread))
 }
 
 // listen takes in what peers send.
