soak, stand-in: the store is restored from a backup among the faults

The judge's promises stay as they are, from 4 s after the store's return. In the stand-in what is pending of one restore is pending after the next one, too.

--- a/soak/fault.go
+++ b/soak/fault.go
@@ -39,6 +39,7 @@
 	{"store_silent", true, storeFault(standin.FaultSilent)},
 	{"store_lost_answers", true, storeFault(standin.FaultLostAnswers)},
 	{"store_compact", true, compactStore},
+	{"store_restore", true, restoreStore},
 	{"link_reset", true, linkTrouble(linkReset)},
 	{"link_silent", true, linkTrouble(linkSilent)},
 	{"link_one_way", true, linkTrouble(linkOneWay)},
@@ -176,6 +177,30 @@
 	f.judge.uneasy(time.Now())
 }
 
+// lostTime is the most that a restored store loses, and writeAgainTime the most that
+// operators and targets take to write again what is lost.
+const (
+	lostTime       = 6 * time.Second
+	writeAgainTime = 2 * time.Second
+)
+
+// restoreStore takes the store away and brings it back from a backup some seconds old.
+func restoreStore(ctx context.Context, f *fleet, r *rand.Rand) {
+	backup := f.store.Backup()
+	sleep(ctx, upTo(r, lostTime))
+	f.store.SetFault(standin.FaultSilent)
+	sleep(ctx, faultTime(r))
+	f.store.Restore(backup)
+	f.store.SetFault(standin.FaultNone)
+	f.judge.uneasy(time.Now())
+	sleep(ctx, upTo(r, writeAgainTime))
+	f.store.WriteAgain()
+}
+
+func upTo(r *rand.Rand, most time.Duration) time.Duration {
+	return time.Duration(r.Int64N(int64(most)))
+}
+
 func linkTrouble(fault linkFault) func(context.Context, *fleet, *rand.Rand) {
 	return func(ctx context.Context, f *fleet, r *rand.Rand) {
 		v := f.anyVM(r)
