emulator: a store that comes back from a backup

The emulator could not play what callers get while a restored store lacks the last registrations. store_restore keeps what the store holds, takes it away GapMS later for ForMS, brings the backup back and lets targets write again after 2 s; VMs that start in between read the backup. Promises count new flows at targets that said for longer than 3 s that they leave.

--- a/emulator/kind_string.go
+++ b/emulator/kind_string.go
@@ -32,12 +32,13 @@
 	_ = x[KindStoreSlow-21]
 	_ = x[KindEvacuate-22]
 	_ = x[KindColdReturn-23]
-	_ = x[numKinds-24]
+	_ = x[KindStoreRestore-24]
+	_ = x[numKinds-25]
 }
 
-const _Kind_name = "nonetarget_errortarget_hangtarget_resettarget_shedtarget_slowtarget_flaptarget_crashtarget_replaceburstshiftvm_offvm_freezevm_slowcutlossdoubletarget_addvm_rolldata_centre_offstore_awaystore_slowevacuatecold_returnnumKinds"
+const _Kind_name = "nonetarget_errortarget_hangtarget_resettarget_shedtarget_slowtarget_flaptarget_crashtarget_replaceburstshiftvm_offvm_freezevm_slowcutlossdoubletarget_addvm_rolldata_centre_offstore_awaystore_slowevacuatecold_returnstore_restorenumKinds"
 
-var _Kind_index = [...]uint8{0, 4, 16, 27, 39, 50, 61, 72, 84, 98, 103, 108, 114, 123, 130, 133, 137, 143, 153, 160, 175, 185, 195, 203, 214, 222}
+var _Kind_index = [...]uint8{0, 4, 16, 27, 39, 50, 61, 72, 84, 98, 103, 108, 114, 123, 130, 133, 137, 143, 153, 160, 175, 185, 195, 203, 214, 227, 235}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/emulator/result.go
+++ b/emulator/result.go
@@ -50,6 +50,9 @@
 
 // Promises counts new flows that targets took where few or none are allowed.
 type Promises struct {
+	// LeavingLate are those at targets that had said for longer than the bound that
+	// they leave.
+	LeavingLate int `json:"leaving_late"`
 	// Evacuated are those at targets of evacuated data centres, EvacuatedLate those
 	// after the bound, and EvacuatedMS is when the last came, after the operators
 	// asked.
--- a/emulator/store.go
+++ b/emulator/store.go
@@ -28,6 +28,38 @@
 	slow      float64
 	// watchAt is when the fleet's watch waits again.
 	watchAt time.Duration
+	// backup is what the store holds after a restore, until targets have written
+	// again; nil otherwise.
+	backup []baobabstep.Registration
+}
+
+// writeAgainTime is how long after a restore targets take to write again.
+const writeAgainTime = 2 * time.Second
+
+// restore brings the store back from a backup.
+func (s *store) restore(backup []baobabstep.Registration) {
+	s.backup = backup
+	s.tellAll(func(v *vm) { v.router.StoreBack(v.world.time()) })
+	s.world.after(writeAgainTime, func() {
+		s.backup = nil
+		s.tellAll(func(*vm) {})
+	})
+}
+
+// tellAll spreads all registrations that the store holds; VMs do something before
+// they take them in.
+func (s *store) tellAll(before func(*vm)) {
+	list := s.held()
+	answer, _ := s.answer()
+	s.spread(s.world.now+answer, func(v *vm) { v.learnAll(list, before) })
+}
+
+// held returns the registrations that the store holds.
+func (s *store) held() []baobabstep.Registration {
+	if s.backup != nil {
+		return s.backup
+	}
+	return s.world.registrations()
 }
 
 // answer returns how long a call takes; false if there is no answer.
@@ -42,7 +74,7 @@
 		v.later(storeRetry, func() { s.read(v) })
 		return
 	}
-	count := len(s.world.registrations())
+	count := len(s.held())
 	pages := 1 + (count-1)/storePage
 	work := v.work(time.Duration(1+pages)*callWork + time.Duration(count)*registrationWork)
 	v.later(time.Duration(pages)*answer+work, v.know)
--- a/emulator/target.go
+++ b/emulator/target.go
@@ -44,6 +44,7 @@
 	// dark targets say nothing while they are down, others reset.
 	dark      bool
 	draining  bool
+	leavingAt time.Duration
 	coldUntil time.Duration
 	// slow is by how much longer work takes.
 	slow  float64
@@ -109,9 +110,15 @@
 	t.reply(p.flow, acceptTime, func() { p.flow.accepted(t, p.segment.Token) })
 }
 
+// leave makes the target say that it leaves.
+func (t *target) leave() { t.draining, t.leavingAt = true, t.world.now }
+
 // noteNew notes a new flow, and whether it breaks a promise.
 func (t *target) noteNew() {
 	now, promises := t.world.now, &t.world.result.Promises
+	if t.draining && now-t.leavingAt > leavingBound {
+		promises.LeavingLate++
+	}
 	if since, evacuated := t.world.evacuated[t.site]; evacuated {
 		promises.Evacuated++
 		promises.EvacuatedMS = max(promises.EvacuatedMS, Duration(float64(now-since)/float64(time.Millisecond)))
--- a/emulator/trouble.go
+++ b/emulator/trouble.go
@@ -70,6 +70,9 @@
 	// KindColdReturn: all targets of a data centre fall silent at once, and come
 	// back cold together.
 	KindColdReturn // cold_return
+	// KindStoreRestore: the store is away for ForMS and comes back from a backup of
+	// GapMS before; targets write again what it lacks.
+	KindStoreRestore // store_restore
 	numKinds
 )
 
@@ -173,6 +176,12 @@
 		}
 	case KindStoreAway:
 		w.store.awayUntil = w.now + t.ForMS.D()
+	case KindStoreRestore:
+		backup := w.registrations()
+		w.after(t.GapMS.D(), func() {
+			w.store.awayUntil = w.now + t.ForMS.D()
+			end(func() { w.store.restore(backup) })
+		})
 	case KindStoreSlow:
 		w.store.slow = max(1, t.X)
 		end(func() { w.store.slow = 1 })
@@ -290,7 +299,7 @@
 func (w *World) replace(old *target) {
 	x := w.addTarget(old.service, old.site)
 	x.start(true)
-	old.draining = true
+	old.leave()
 	w.store.tell([]baobabstep.Registration{x.registration(), old.registration()}, nil)
 	w.after(drainTime, func() {
 		old.crash(false)
--- a/emulator/vm.go
+++ b/emulator/vm.go
@@ -99,7 +99,7 @@
 	w := v.world
 	v.router.SetTable(w.time(), w.table())
 	v.router.SetEvacuations(w.time(), w.evacuatedNames())
-	v.router.SetRegistrations(w.time(), w.registrations())
+	v.router.SetRegistrations(w.time(), w.store.held())
 	v.release()
 }
 
@@ -291,6 +291,17 @@
 	})
 }
 
+// learnAll takes in all registrations.
+func (v *vm) learnAll(list []baobabstep.Registration, before func(*vm)) {
+	if !v.up || !v.router.Ready() {
+		return // it reads them at its start
+	}
+	v.later(v.work(hearWork+time.Duration(len(list))*registrationWork), func() {
+		before(v)
+		v.router.SetRegistrations(v.world.time(), list)
+	})
+}
+
 // learnEvacuations takes in which data centres are evacuated.
 func (v *vm) learnEvacuations(list []string) {
 	if v.up && v.router.Ready() {
--- a/emulator/world.go
+++ b/emulator/world.go
@@ -29,6 +29,9 @@
 	// get as many times its limit, and as many flows more, in any second.
 	coldOvershoot = 1.5
 	coldSlack     = 5.0
+	// leavingBound is how soon after a target says that it leaves the last new flow
+	// may come.
+	leavingBound = 3 * time.Second
 	// evacuationBound is how soon after operators ask for it a data centre may get
 	// no new flow.
 	evacuationBound = 5 * time.Second
