io/platform, stand-in: a platform restored from a backup is believed at once

After a restore it refused every one, for as long as it took to give the lost revisions out again, and the VM neither read nor accepted anything. Then its watch went on from a number that meant something else.

The platform's answers name their era. A later one clears what was met before; an answer of an earlier one is that of a machine that lags. A watch whose answer is of another era fails with Compacted, and the reader reads the head again whenever the era has changed since, whichever call met it first.

Tests: io/platform.TestRestoredPlatformIsBelieved and TestWatchAcrossRestore, both failed before.

--- a/io/platform/client.go
+++ b/io/platform/client.go
@@ -142,6 +142,10 @@
 	}
 }
 
+// Era returns the era of the platform's store, by its last answer: revisions of
+// another one say nothing.
+func (c *Client) Era() uint64 { return c.seen.currentEra() }
+
 // Close frees idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
@@ -205,10 +209,15 @@
 		wait = 0
 	}
 	q := url.Values{"prefix": {prefix}, "after": {strconv.FormatUint(after, 10)}, "wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)}}
+	const op = "platform.watch"
+	era := c.seen.currentEra()
 	var a ListAnswer
-	if err := c.call(ctx, "platform.watch", callRead, wait, http.MethodGet, PathWatch+"?"+q.Encode(), nil, &a); err != nil {
+	if err := c.call(ctx, op, callRead, wait, http.MethodGet, PathWatch+"?"+q.Encode(), nil, &a); err != nil {
 		return nil, err
 	}
+	if now := c.seen.currentEra(); now != era {
+		return nil, baobabstep.Errorf(baobabstep.CodeCompacted, op, "got era %d, want %d", now, era)
+	}
 	out := a.Values[:0]
 	for _, v := range a.Values {
 		if v.Revision > after && c.seen.fresh(v.Key, v.Revision) {
@@ -301,6 +310,9 @@
 	if err != nil {
 		return lost(kind, op, err)
 	}
+	if err := c.enterEra(op, res.Header); err != nil {
+		return lost(kind, op, err)
+	}
 	if err := statusError(kind, op, res.StatusCode, data); err != nil {
 		if res.StatusCode == http.StatusNotFound {
 			// The revision of the store tells how old the answer is.
@@ -314,6 +326,23 @@
 	return nil
 }
 
+// enterEra notes the era of an answer. Errors: CodePlatformUnavailable for one of
+// before a restore, which comes from a machine that lags.
+func (c *Client) enterEra(op string, header http.Header) error {
+	text := header.Get(HeaderEra)
+	if text == "" {
+		return nil
+	}
+	era, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return baobabstep.Errorf(baobabstep.CodeMalformed, op, "got era %.20q, want a whole number", text)
+	}
+	if !c.seen.enter(era) {
+		return c.staleError(op, "era "+text)
+	}
+	return nil
+}
+
 // lost tells whether a call that got no answer may have taken effect. A read
 // has no effect, and a connection that was never made carried nothing.
 func lost(kind callKind, op string, err error) error {
@@ -360,14 +389,33 @@
 // maxSeen bounds the keys whose revisions are remembered.
 const maxSeen = 1 << 16
 
-// seen remembers the greatest revision met, for each key and for the store. A
-// platform of several machines may answer from one that lags; applying that
-// answer would undo what a later one brought.
+// seen remembers the greatest revision met, for each key and for the store, in the
+// store's era. A platform of several machines may answer from one that lags; applying
+// that answer would undo what a later one brought.
 type seen struct {
 	mu   sync.Mutex
+	era  uint64
 	keys map[string]uint64
 }
 
+// enter notes the era of an answer. It returns false for one that has ended: the
+// revisions of a later one say nothing of it.
+func (s *seen) enter(era uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if era > s.era {
+		s.era = era
+		clear(s.keys)
+	}
+	return era == s.era
+}
+
+func (s *seen) currentEra() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 func (s *seen) note(key string, revision uint64) { s.fresh(key, revision) }
 
 func (s *seen) fresh(key string, revision uint64) bool {
--- a/io/platform/failure_test.go
+++ b/io/platform/failure_test.go
@@ -150,6 +150,42 @@
 	c.Assert(client.Counts().Stale, qt.Equals, uint64(3))
 }
 
+// Guards against a client that takes a platform restored from a backup for a machine
+// that lags, and refuses its answers until it has caught up.
+func TestRestoredPlatformIsBelieved(t *testing.T) {
+	c := qt.New(t)
+	p := newPair(c, platform.Options{})
+	backup := p.platform.Backup()
+	one := put(c, p.client, "k", "1", 0)
+	put(c, p.client, "k", "2", one)
+	p.platform.Restore(backup)
+	_, err := p.client.Get(t.Context(), "k")
+	assertCode(c, err, baobabstep.CodeNotFound)
+	put(c, p.client, "k", "3", 0)
+	values, err := p.client.List(t.Context(), "k")
+	c.Assert(err, qt.IsNil)
+	c.Assert(values, qt.HasLen, 1)
+	c.Assert(p.client.Counts().Stale, qt.Equals, uint64(0))
+}
+
+// Guards against changes that a watch skips because its revision was lost and given
+// out again.
+func TestWatchAcrossRestore(t *testing.T) {
+	c := qt.New(t)
+	p := newPair(c, platform.Options{})
+	put(c, p.client, "k", "1", 0)
+	backup := p.platform.Backup()
+	lost := put(c, p.client, "other", "1", 0)
+	p.platform.Restore(backup)
+	admin := platform.NewClient(platform.Options{URL: p.server.URL, MaxCalls: 1e6, Burst: 1e6})
+	defer admin.Close()
+	for _, key := range []string{"a", "b"} {
+		put(c, admin, key, "1", 0)
+	}
+	_, err := p.client.Watch(t.Context(), "a", lost, 0)
+	assertCode(c, err, baobabstep.CodeCompacted)
+}
+
 // follower runs a reader whose deliveries can be awaited.
 type follower struct {
 	replica *config.Replica
--- a/io/platform/reader.go
+++ b/io/platform/reader.go
@@ -48,7 +48,21 @@
 // fleetSized is a platform whose budget and pauses follow from the fleet's size.
 type fleetSized interface{ SetFleetSize(vms int) }
 
-var _ fleetSized = (*Client)(nil)
+// restorable is a platform whose store may come back from a backup.
+type restorable interface{ Era() uint64 }
+
+var (
+	_ fleetSized = (*Client)(nil)
+	_ restorable = (*Client)(nil)
+)
+
+// era returns the era of the platform's store, 0 if it has none.
+func (r *Reader) era() uint64 {
+	if p, ok := r.platform.(restorable); ok {
+		return p.Era()
+	}
+	return 0
+}
 
 // Done is closed once Run has returned.
 func (r *Reader) Done() <-chan struct{} { return r.done }
@@ -57,7 +71,7 @@
 func (r *Reader) Run(ctx context.Context) {
 	defer close(r.done)
 	started := r.clock.Now()
-	var revision uint64
+	var revision, era uint64
 	for ctx.Err() == nil {
 		if sized, ok := r.platform.(fleetSized); ok {
 			sized.SetFleetSize(r.replica.FleetSize())
@@ -66,6 +80,9 @@
 			pause(ctx, idleWait)
 			continue
 		}
+		if now := r.era(); now != era {
+			revision, era = 0, now // another call met a restored store first
+		}
 		next, err := r.step(ctx, revision, started)
 		if err != nil {
 			pause(ctx, retryWait)
--- a/io/platform/wire.go
+++ b/io/platform/wire.go
@@ -15,6 +15,11 @@
 	PathVMs   = "/v1/vms"
 )
 
+// HeaderEra is in all answers: how often the store came back from a backup. It then
+// lacks its last changes, and gives their revisions out again. Without the header it
+// never does.
+const HeaderEra = "Store-Era"
+
 // KeyAnswer answers a read of one key.
 type KeyAnswer struct {
 	KeyValue baobabstep.KeyValue `json:"key_value"`
--- a/standin/platform/fault.go
+++ b/standin/platform/fault.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	wire "baobabstep/io/platform"
@@ -124,6 +125,7 @@
 		}
 		p.mu.Lock()
 		p.stats.BytesOut += uint64(len(body))
+		w.Header().Set(wire.HeaderEra, strconv.FormatUint(p.era, 10))
 		p.mu.Unlock()
 		w.Header().Set("Content-Type", "application/json")
 		w.WriteHeader(verdict.status)
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -5,8 +5,10 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -40,7 +42,9 @@
 	o   Options
 	mux *http.ServeMux
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// era counts how often the store came back from a backup.
+	era      uint64
 	revision uint64
 	keys     map[string]baobabstep.KeyValue
 	// changes are the latest writes, oldest first; those up to compacted
@@ -116,6 +120,33 @@
 	return p
 }
 
+// Backup is what the store held at a moment.
+type Backup struct {
+	revision, compacted uint64
+	keys                map[string]baobabstep.KeyValue
+	changes             []baobabstep.KeyValue
+}
+
+// Backup returns what the store holds now.
+func (p *Platform) Backup() *Backup {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return &Backup{revision: p.revision, compacted: p.compacted, keys: maps.Clone(p.keys), changes: slices.Clone(p.changes)}
+}
+
+// Restore brings the store back from a backup: what was written since is gone, leases
+// as well, and revisions are given out again.
+func (p *Platform) Restore(b *Backup) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.era++
+	p.revision, p.compacted = b.revision, b.compacted
+	p.keys, p.changes = maps.Clone(b.keys), slices.Clone(b.changes)
+	clear(p.leases)
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
 // ServeHTTP serves the platform's interface and the stand-in's own.
 func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) { p.mux.ServeHTTP(w, r) }
 
@@ -260,7 +291,7 @@
 		last[kv.Key] = len(values)
 		values = append(values, kv)
 	}
-	return values, after < p.compacted, p.changed, p.faults.Outage || p.refused[source]
+	return values, after < p.compacted || after > p.revision, p.changed, p.faults.Outage || p.refused[source]
 }
 
 func (p *Platform) lease(r *http.Request) reply {
