config, io/platform: a platform that was set back gets back what is in force

VMs rightly keep theirs, but nobody wrote it back: operators could accept nothing ("its store was set back"), and once all VMs had restarted the accepted changes were gone.

A reader that finds an older head, or none, and an accept that does, first write the version in force back, object by object, then the head by compare-and-swap, with the identifiers of the lost changes, so that a repeated command is not made twice. A dry run, and a VM that lacks an object, are refused as before.

--- a/core/config/accept.go
+++ b/core/config/accept.go
@@ -80,6 +80,9 @@
 	attempts int
 	// restarts counts reads of the head.
 	restarts int
+	// restoring is set while a store that was set back gets back what is in force,
+	// only if that is all there is to do.
+	restoring, only bool
 
 	head     Head
 	revision uint64
@@ -125,8 +128,19 @@
 	return a
 }
 
+// NewRestore returns the machine that gives a store that was set back what is in
+// force here. It changes nothing if the store has that, or something newer.
+func NewRestore(o AcceptOptions) *Accept {
+	a := NewAccept(Change{}, o)
+	a.only = true
+	return a
+}
+
 // Start returns the first step.
 func (a *Accept) Start() Step {
+	if a.only {
+		return a.readHead()
+	}
 	if err := a.change.check(); err != nil {
 		return a.fail(err)
 	}
@@ -213,16 +227,21 @@
 	default:
 		return a.fail(answer.Err)
 	}
+	if s := a.o.Current; s != nil && s.Manifest.Version > a.head.Version {
+		a.restoring = true
+		return a.build(now)
+	}
+	a.restoring = false
+	if a.only {
+		a.state = stateDone
+		return Step{}
+	}
 	if v, ok := a.head.find(a.change.ID); ok {
 		a.result.Version = v
 		a.result.Repeated = true
 		a.state = stateDone
 		return Step{}
 	}
-	if s := a.o.Current; s != nil && s.Manifest.Version > a.head.Version {
-		return a.fail(baobabstep.Errorf(baobabstep.CodeOldVersion, "config.accept",
-			"the platform has version %d although version %d is in force: its store was set back; a change now would be lost; nothing was accepted", a.head.Version, s.Manifest.Version))
-	}
 	return a.build(now)
 }
 
@@ -244,7 +263,7 @@
 func (a *Accept) build(now time.Time) Step {
 	if a.head.Version == 0 {
 		a.before = nil
-		return a.prepare(now)
+		return a.built(now)
 	}
 	s, missing, err := a.builder.Build(a.head.Manifest, a.lookup, a.o.Current)
 	if err != nil {
@@ -255,6 +274,14 @@
 		return a.readNext()
 	}
 	a.before = s
+	return a.built(now)
+}
+
+// built goes on once the version that the head names is at hand.
+func (a *Accept) built(now time.Time) Step {
+	if a.restoring {
+		return a.prepareRestore()
+	}
 	return a.prepare(now)
 }
 
@@ -322,6 +349,9 @@
 func (a *Accept) headWritten(answer Answer, code baobabstep.Code) Step {
 	switch code {
 	case baobabstep.CodeOK:
+		if a.restoring {
+			return a.readHead()
+		}
 		a.state = stateDone
 		return Step{}
 	case baobabstep.CodeConflict:
--- a/core/config/main_test.go
+++ b/core/config/main_test.go
@@ -84,7 +84,10 @@
 
 // accept carries a change through the store.
 func (s *store) accept(now time.Time, c config.Change, o config.AcceptOptions) config.Result {
-	a := config.NewAccept(c, o)
+	return s.run(now, config.NewAccept(c, o))
+}
+
+func (s *store) run(now time.Time, a *config.Accept) config.Result {
 	for step := a.Start(); step.Kind != config.StepDone; {
 		step = s.step(now, a, step)
 	}
--- a/io/platform/failure_test.go
+++ b/io/platform/failure_test.go
@@ -241,6 +241,49 @@
 	}
 }
 
+// Guards against a change that is accepted and never in force, or lost again, because
+// the platform came back from a backup.
+func TestReaderRestoresThePlatform(t *testing.T) {
+	for _, one := range []struct {
+		name string
+		// lost is the number of changes that the backup lacks.
+		lost int
+	}{{"one change lost", 1}, {"all lost", 2}} {
+		t.Run(one.name, func(t *testing.T) {
+			c := qt.New(t)
+			p := newPair(c, platform.Options{})
+			admin := platform.NewClient(platform.Options{URL: p.server.URL, MaxCalls: 1e6, Burst: 1e6})
+			defer admin.Close()
+			reading := platform.NewClient(platform.Options{URL: p.server.URL, MaxCalls: 1e6, Burst: 1e6})
+			defer reading.Close()
+			backups := []*standin.Backup{p.platform.Backup()}
+			c.Assert(platform.Import(t.Context(), admin, example(c, 1), change("1")).Err, qt.IsNil)
+			backups = append(backups, p.platform.Backup())
+			c.Assert(platform.Import(t.Context(), admin, example(c, 2), change("2")).Err, qt.IsNil)
+			f := follow(c, reading)
+			f.await(2)
+			p.platform.Restore(backups[2-one.lost])
+			p.platform.SetFaults(standin.Faults{Outage: true}) // its watches end
+			p.platform.SetFaults(standin.Faults{})
+			restored := func() bool {
+				kv, err := admin.Get(t.Context(), config.HeadKey)
+				if err != nil {
+					return false
+				}
+				head, err := config.DecodeHead(kv.Value)
+				return err == nil && head.Version == 2
+			}
+			for !restored() {
+				time.Sleep(time.Millisecond)
+			}
+			assertWhole(c, admin, 2)
+			c.Assert(platform.Import(t.Context(), admin, example(c, 1), change("3")).Err, qt.IsNil)
+			f.await(3)
+			c.Assert(f.replica.Status(time.Now()).Counts.Clashes, qt.Equals, uint64(0))
+		})
+	}
+}
+
 // pausing stops before its nth write, until resumed.
 type pausing struct {
 	baobabstep.Platform
--- a/io/platform/reader.go
+++ b/io/platform/reader.go
@@ -108,7 +108,7 @@
 	Accept(ctx, r.platform, r.clock, config.Change{
 		ID: fmt.Sprintf("quarantine-%d", version), Operator: "baobabstep", Action: "quarantine lift",
 		Reason: "the addresses have left their former services on all VMs, or long ago", Lift: version,
-	}, config.AcceptOptions{Objects: r.replica.Object, Current: r.replica.Set(), Builder: r.replica.Builder()})
+	}, r.acceptOptions())
 }
 
 // wait returns how long to wait for a change: shortly while addresses are in
@@ -140,6 +140,9 @@
 	if head == nil {
 		return revision, nil
 	}
+	if r.isSetBack(head) {
+		return 0, Restore(ctx, r.platform, r.clock, r.acceptOptions())
+	}
 	objects := map[config.Digest][]byte{}
 	for {
 		missing, err := r.replica.Wants(head.Value, objects)
@@ -164,6 +167,17 @@
 	return head.Revision, nil
 }
 
+// isSetBack tells whether the platform's head is older than what is in force here.
+func (r *Reader) isSetBack(head *baobabstep.KeyValue) bool {
+	current := r.replica.Current()
+	h, err := config.DecodeHead(head.Value)
+	return err == nil && current != nil && h.Version < current.Version
+}
+
+func (r *Reader) acceptOptions() config.AcceptOptions {
+	return config.AcceptOptions{Objects: r.replica.Object, Current: r.replica.Set(), Builder: r.replica.Builder()}
+}
+
 func (r *Reader) peerHasOne() bool { return r.replica.Status(r.clock.Now()).Newest > 0 }
 
 // head returns the head's value if it changed after revision, else nil.
@@ -176,6 +190,9 @@
 		if baobabstep.CodeOf(err) != baobabstep.CodeNotFound {
 			return nil, err
 		}
+		if r.replica.Current() != nil {
+			return nil, Restore(ctx, r.platform, r.clock, r.acceptOptions())
+		}
 	}
 	values, err := r.platform.Watch(ctx, config.HeadKey, revision, r.wait())
 	if err != nil {
