entry: the first era that a VM hears of is no restore

Reading the change as a newcomer: a VM that had its routes from a peer before its own first reading took that reading for a restore, wrote "store restored", kept targets that were gone for 2.5 s and looked for the secret once more. Routes belong to no era, so only what the store numbers counts as known.

entry.TestTargetsThatARestoredStoreLacks, "and when the first era is heard of", failed with routes learned first.

--- a/entry/belief.go
+++ b/entry/belief.go
@@ -66,8 +66,8 @@
 // passedOverClass is the class of lines about news that was passed over.
 const passedOverClass = "news passed over"
 
-// passOver notes news that is older than what is held. What other VMs
-// tell late is only counted. The caller holds b.mu.
+// passOver notes news that is older than what is held. What other VMs tell late is
+// only counted. The caller holds b.mu.
 func (b *beliefs) passOver(now time.Time, kind heartbeat.Kind, offered baobabstep.Revision, from origin) {
 	b.passedOver[from.source]++
 	if from.source == sourcePeer || !b.limits.Wanted(now, passedOverClass) {
@@ -100,12 +100,13 @@
 	recent bool
 }
 
-// copyNumber is the number at which a copy of the store stands.
+// copyNumber is the number that what a copy of the store held counts as.
 const copyNumber = 1
 
-// stands returns the revision of news. A copy of the store may number what the store
-// has lost since, so what it held gives way to whatever else is heard of its era.
-func (o *origin) stands(revision baobabstep.Revision) baobabstep.Revision {
+// effectiveRevision returns the revision that news counts as. A copy of the store may
+// number what the store has lost since, so what it held gives way to whatever else is
+// heard of its era.
+func (o *origin) effectiveRevision(revision baobabstep.Revision) baobabstep.Revision {
 	if o.recent {
 		return baobabstep.Revision{Era: revision.Era, Number: copyNumber}
 	}
@@ -160,7 +161,7 @@
 // came back from a backup. The caller holds b.mu, and puts what the store holds then
 // in force after this.
 func (b *beliefs) move(now time.Time, kind heartbeat.Kind, to baobabstep.Revision) {
-	known := slices.ContainsFunc(b.held[:], func(h belief) bool { return h.isHeld() })
+	known := b.held[heartbeat.Targets].isHeld() || b.held[heartbeat.Evacuations].isHeld()
 	b.held[kind].revision = to
 	if to.Era <= b.era {
 		return
@@ -185,7 +186,7 @@
 	if err != nil {
 		return false, nil, err
 	}
-	revision = from.stands(revision)
+	revision = from.effectiveRevision(revision)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	held := &b.held[heartbeat.Targets]
--- a/entry/restore_model_test.go
+++ b/entry/restore_model_test.go
@@ -139,6 +139,7 @@
 	})
 	t.Run("and when the first era is heard of", func(t *testing.T) {
 		n := newQuietNode(new(countedMessages))
+		qt.Assert(t, n.learnRoutes(testTable(), origin{source: sourcePeer, confirmed: benchEpoch}), qt.IsNil)
 		none(t, n, baobabstep.Revision{Era: 4, Number: 1}, sourceStore)
 		qt.Assert(t, n.beliefs.restoredAt.IsZero(), qt.IsTrue)
 	})
