--- a/entry/model_test.go
+++ b/entry/model_test.go
@@ -410,6 +410,7 @@
 // older table, none holds one that never was, and that each that can reach the
 // store is as fresh as promised although no watch ever says anything.
 func TestFleetKeepsItsBeliefs(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		m := newModel(t)
 		t.Repeat(map[string]func(*rapid.T){
@@ -468,6 +469,7 @@
 
 // A calm fleet asks the store seldom, however many VMs it has: one of them reads.
 func TestCalmFleetAsksSeldom(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		m := newModel(t)
 		for range 30 {
--- a/entry/restore_model_test.go
+++ b/entry/restore_model_test.go
@@ -47,6 +47,7 @@
 
 // Guards against VMs that pass over the news of a store that came back from a backup.
 func TestFleetFollowsRestoredStore(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		m := newModel(t)
 		for range 30 {
@@ -75,6 +76,7 @@
 // Guards against VMs that read without end while the store holds an older routing
 // table than they do.
 func TestRestoredStoreIsAskedSeldom(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		m := newModel(t)
 		for range 30 {
