token: a run that has ended does not come back with a restored store

VMs took the former run for the present one: a cold target counted as warm and had its share of cold flows from no VM bounded, and what was known of its load was dropped; new flows went to a target that was gone, and their callers waited 1.4 s.

StoreRestored now stands beside StoreBack, so that a store that was only away changes nothing here.

Test: core/token.TestEndedRunStaysEndedOverARestore, of which the first and the fourth part failed before. TestChangesGiveWhatAllRegistrationsWould restores the store too.

--- a/core/token/router.go
+++ b/core/token/router.go
@@ -142,8 +142,7 @@
 // StoreBack tells that the store was out of reach until now. Targets renew
 // their registrations in it; those that could not for long enough are missing
 // from it at first, though they live. Without the grace most targets of every
-// service seem to be gone at once, and callers are refused. A store that came back
-// from a backup lacks what targets wrote last: one that leaves seems to stay.
+// service seem to be gone at once, and callers are refused.
 func (r *Router) StoreBack(now time.Time) {
 	r.change.Lock()
 	defer r.change.Unlock()
@@ -152,6 +151,18 @@
 	r.current.Store(&next)
 }
 
+// StoreRestored tells that the store came back from a backup. Beside what StoreBack
+// says of, it lacks what targets wrote last: one that leaves seems to stay, and one
+// that is gone to be back.
+func (r *Router) StoreRestored(now time.Time) {
+	r.StoreBack(now)
+	r.change.Lock()
+	defer r.change.Unlock()
+	next := *r.current.Load()
+	next.restoredAt = now
+	r.current.Store(&next)
+}
+
 // SetOthers tells what other VMs send to targets, and how many VMs of each data
 // centre are heard.
 //
--- a/core/token/router_test.go
+++ b/core/token/router_test.go
@@ -187,7 +187,7 @@
 		list[0].Draining, list[1].Draining = true, true
 		r.SetRegistrations(start, list)
 		forget(r, list)
-		r.StoreBack(back)
+		r.StoreRestored(back)
 		r.SetRegistrations(back, threeTargets())
 		return r
 	}
@@ -218,16 +218,67 @@
 		r.ChangeRegistrations(back, again, nil)
 		open(t, r, back, segment.Flow)
 	})
-	t.Run("and not while the store is well", func(t *testing.T) {
+	t.Run("and not while the store is well, or only was away", func(t *testing.T) {
 		r := newRouter(t)
 		list := threeTargets()
 		list[0].Draining, list[1].Draining = true, true
 		r.SetRegistrations(start, list)
+		r.StoreBack(back)
 		r.SetRegistrations(back, threeTargets())
 		open(t, r, back, segment.Flow)
 	})
 }
 
+// Guards against a flood of a cold target, and flows to one that is gone, because a
+// restored store tells of runs that have ended.
+func TestEndedRunStaysEndedOverARestore(t *testing.T) {
+	back := start.Add(10 * time.Second)
+	cold := registration(1, "fixtures", "a")
+	cold.Life, cold.ColdFor = 200, 20*time.Second
+	warm := cold
+	warm.Life, warm.ColdFor = 100, 0
+	known := func(t *testing.T, list ...baobabstep.Registration) *Router {
+		r := newRouter(t)
+		r.SetRegistrations(start, list)
+		return r
+	}
+	t.Run("a former run takes nothing from the present one", func(t *testing.T) {
+		r := known(t, cold)
+		r.StoreRestored(back)
+		r.SetRegistrations(back, []baobabstep.Registration{warm})
+		held := r.current.Load().targets[1]
+		qt.Assert(t, held.registration.Life, qt.Equals, cold.Life)
+		qt.Assert(t, held.isCold(back), qt.IsTrue)
+	})
+	t.Run("a later run does", func(t *testing.T) {
+		r := known(t, warm)
+		r.StoreRestored(back)
+		r.SetRegistrations(back, []baobabstep.Registration{cold})
+		qt.Assert(t, r.current.Load().targets[1].registration.Life, qt.Equals, cold.Life)
+	})
+	t.Run("and so does a former one while the store is well", func(t *testing.T) {
+		r := known(t, cold)
+		r.SetRegistrations(back, []baobabstep.Registration{warm})
+		qt.Assert(t, r.current.Load().targets[1].registration.Life, qt.Equals, warm.Life)
+	})
+	segment := baobabstep.Segment{Kind: baobabstep.KindOpen, Flow: flowFrom(1, fixtures)}
+	t.Run("a target that had gone gets no flow", func(t *testing.T) {
+		r := known(t, warm)
+		r.SetRegistrations(start.Add(time.Second), nil)
+		r.StoreRestored(back)
+		r.SetRegistrations(back, []baobabstep.Registration{warm})
+		assertReset(t, r, back.Add(LapseGrace-1), segment)
+		open(t, r, back.Add(LapseGrace), segment.Flow)
+	})
+	t.Run("one that lapsed with the store does once it is back", func(t *testing.T) {
+		r := known(t, warm)
+		r.StoreRestored(back)
+		r.SetRegistrations(back, nil)
+		r.SetRegistrations(back.Add(time.Second), []baobabstep.Registration{warm})
+		open(t, r, back.Add(time.Second), segment.Flow)
+	})
+}
+
 func TestWeightsOfShares(t *testing.T) {
 	r := newRouter(t)
 	r.SetTable(start, table(2, baobabstep.Rule{Address: fixtures, Shares: []baobabstep.Share{
--- a/core/token/snapshot.go
+++ b/core/token/snapshot.go
@@ -30,6 +30,8 @@
 	coldLimits map[string]*coldLimit
 	// spareUntil is until when registrations that go missing may be back.
 	spareUntil time.Time
+	// restoredAt is when the store came back from a backup, zero if it never did.
+	restoredAt time.Time
 }
 
 // ready tells whether both a routing table and targets are known.
@@ -283,6 +285,9 @@
 // registered returns the target of a registration, with the load that an
 // earlier one of the same run had.
 //
+// While the store may lack what was written last, a run that started before the one
+// that is known has ended, and a target that was out before stays out.
+//
 // A run that says another service than before is not the target's own word: a
 // process serves one. Taken for true, the flows that it holds would find no
 // target any more, and new ones of the other service would be refused. So the
@@ -293,6 +298,9 @@
 		coldUntil: now.Add(r.ColdFor), evacuated: s.evacuated[r.DataCentre],
 	}
 	old := s.targets[r.ID]
+	if old != nil && s.restoring(now) && r.Life < old.registration.Life {
+		return old
+	}
 	if !t.sameRun(old) {
 		if old != nil {
 			t.load.verdict = old.load.judged()
@@ -304,8 +312,8 @@
 	}
 	t.load = old.load
 	t.leavingUntil = old.leavingUntil
-	if old.registration.Draining && !r.Draining {
-		t.leavingUntil = s.spareUntil
+	if s.restoring(now) && s.wasOut(old) && !r.Draining {
+		t.leavingUntil = s.restoredAt.Add(LapseGrace)
 	}
 	if *r == old.registration {
 		t.coldUntil = old.coldUntil // it says the same again, not that it stays cold for longer
@@ -313,6 +321,17 @@
 	return t
 }
 
+// restoring tells whether the store came back from a backup so lately that it may lack
+// what targets wrote last.
+func (s *snapshot) restoring(now time.Time) bool { return now.Before(s.restoredAt.Add(LapseGrace)) }
+
+// wasOut tells whether a target had said that it leaves, or was gone before the store
+// came back.
+func (s *snapshot) wasOut(t *target) bool {
+	gone := !t.missingSince.IsZero() && t.missingSince.Before(s.restoredAt)
+	return t.registration.Draining || gone
+}
+
 func makePools(targets map[baobabstep.TargetID]*target) map[string]*pool {
 	pools := make(map[string]*pool)
 	for _, t := range targets {
--- a/core/token/snapshot_test.go
+++ b/core/token/snapshot_test.go
@@ -37,6 +37,10 @@
 				whole.StoreBack(now)
 				changed.StoreBack(now)
 			}
+			if rapid.IntRange(0, 5).Draw(t, "restored") == 0 {
+				whole.StoreRestored(now)
+				changed.StoreRestored(now)
+			}
 			var put []baobabstep.Registration
 			var gone []baobabstep.TargetID
 			for _, n := range rapid.SliceOfNDistinct(rapid.IntRange(1, 6), 0, 4, rapid.ID[int]).Draw(t, "targets") {
--- a/core/token/target.go
+++ b/core/token/target.go
@@ -22,7 +22,8 @@
 	// still get new flows: it may have lapsed while the store was away.
 	sparedUntil time.Time
 	// leavingUntil is until when the target gets no new flow because it had said that
-	// it leaves before the store came back from a backup.
+	// it leaves, or was gone, before the store came back
+	// from a backup.
 	leavingUntil time.Time
 	// coldUntil is when the target stops being cold, by its own word.
 	coldUntil time.Time
--- a/emulator/store.go
+++ b/emulator/store.go
@@ -39,7 +39,7 @@
 // restore brings the store back from a backup.
 func (s *store) restore(backup []baobabstep.Registration) {
 	s.backup = backup
-	s.tellAll(func(v *vm) { v.router.StoreBack(v.world.time()) })
+	s.tellAll(func(v *vm) { v.router.StoreRestored(v.world.time()) })
 	s.world.after(writeAgainTime, func() {
 		s.backup = nil
 		s.tellAll(func(*vm) {})
--- a/entry/belief.go
+++ b/entry/belief.go
@@ -171,7 +171,7 @@
 		return
 	}
 	b.restoredAt = now
-	b.router.StoreBack(now)
+	b.router.StoreRestored(now)
 	select {
 	case b.restored <- struct{}{}:
 	default:
