--- a/core/token/router.go
+++ b/core/token/router.go
@@ -151,9 +151,9 @@
 	r.current.Store(&next)
 }
 
-// StoreRestored tells that the store came back from a backup. Beside what StoreBack
-// says of, it lacks what targets wrote last: one that leaves seems to stay, and one
-// that is gone to be back.
+// StoreRestored tells that the store came back from a backup, in place of StoreBack. It
+// may also lack what targets wrote last: a target that leaves is registered as ready,
+// and one that has gone is registered again.
 func (r *Router) StoreRestored(now time.Time) {
 	r.StoreBack(now)
 	r.change.Lock()
--- a/entry/belief.go
+++ b/entry/belief.go
@@ -25,11 +25,11 @@
 
 	mu   sync.Mutex
 	held [heartbeat.Kinds]belief
-	// era is the newest of the store that was heard of, and restoredAt when it took
-	// the place of another one; zero if it never did.
+	// era is the newest of the store that was heard of, and restoredAt when it replaced
+	// an earlier one; zero if it never did.
 	era        uint64
 	restoredAt time.Time
-	// restored has a value after a restore.
+	// restored receives a value after each restore.
 	restored chan struct{}
 	// table, targets and evacuated are what held stands for.
 	table     *baobabstep.RoutingTable
@@ -157,9 +157,9 @@
 // isHeld tells whether anything is held.
 func (h *belief) isHeld() bool { return h.revision != baobabstep.Revision{} }
 
-// move makes a kind stand at a revision. The first of a later era says that the store
-// came back from a backup. The caller holds b.mu, and puts what the store holds then
-// in force after this.
+// move sets the revision of what is held of a kind. The first one of a later era tells
+// that the store was restored; the router has to know before it gets what the store
+// holds then. The caller holds b.mu.
 func (b *beliefs) move(now time.Time, kind heartbeat.Kind, to baobabstep.Revision) {
 	known := b.held[heartbeat.Targets].isHeld() || b.held[heartbeat.Evacuations].isHeld()
 	b.held[kind].revision = to
--- a/entry/evacuation.go
+++ b/entry/evacuation.go
@@ -49,8 +49,8 @@
 	return true, first, nil
 }
 
-// evacuationMerge brings together what was in force when the store came back from a
-// backup and what operators change from then on.
+// evacuationMerge combines what was in force when the store was restored with what
+// operators change from then on.
 type evacuationMerge struct {
 	// ours was in force, backup is what the store came back with.
 	ours, backup []string
