config, io/platform: a restore derives what it kept, and names nothing of the users' platform

Reading the change again: Accept kept a flag for what its head and the version in force already say; the next head, with the cut of the list of changes, was written a second time beside prepare.go; the reader restored the platform inside the function that reads the head; and the project's own protocol carried a header under the name of the users' platform, whose words belong in platform/ alone.

isSetBack replaces the flag; Head.next makes the head for both; head reports CodeNotFound and step decides; the own header is Revision-Era.

--- a/core/config/accept.go
+++ b/core/config/accept.go
@@ -80,9 +80,8 @@
 	attempts int
 	// restarts counts reads of the head.
 	restarts int
-	// restoring is set while a store that was set back gets back what is in force,
-	// only if that is all there is to do.
-	restoring, only bool
+	// restoreOnly is set if there is no change to make.
+	restoreOnly bool
 
 	head     Head
 	revision uint64
@@ -132,13 +131,13 @@
 // force here. It changes nothing if the store has that, or something newer.
 func NewRestore(o AcceptOptions) *Accept {
 	a := NewAccept(Change{}, o)
-	a.only = true
+	a.restoreOnly = true
 	return a
 }
 
 // Start returns the first step.
 func (a *Accept) Start() Step {
-	if a.only {
+	if a.restoreOnly {
 		return a.readHead()
 	}
 	if err := a.change.check(); err != nil {
@@ -227,12 +226,10 @@
 	default:
 		return a.fail(answer.Err)
 	}
-	if s := a.o.Current; s != nil && s.Manifest.Version > a.head.Version {
-		a.restoring = true
+	if a.isSetBack() {
 		return a.build(now)
 	}
-	a.restoring = false
-	if a.only {
+	if a.restoreOnly {
 		a.state = stateDone
 		return Step{}
 	}
@@ -279,7 +276,7 @@
 
 // built goes on once the version that the head names is at hand.
 func (a *Accept) built(now time.Time) Step {
-	if a.restoring {
+	if a.isSetBack() {
 		return a.prepareRestore()
 	}
 	return a.prepare(now)
@@ -349,8 +346,8 @@
 func (a *Accept) headWritten(answer Answer, code baobabstep.Code) Step {
 	switch code {
 	case baobabstep.CodeOK:
-		if a.restoring {
-			return a.readHead()
+		if a.isSetBack() {
+			return a.readHead() // it has been restored; now for the change
 		}
 		a.state = stateDone
 		return Step{}
--- a/core/config/prepare.go
+++ b/core/config/prepare.go
@@ -202,11 +202,7 @@
 			return nil, err
 		}
 	}
-	a.newHead = Head{
-		Format: Format, Version: m.Version, Manifest: draft.Digest, Collections: a.head.Collections,
-		Changes: append(slices.Clone(a.head.Changes), ChangeID{a.change.ID, m.Version}),
-	}
-	a.newHead.Changes = a.newHead.Changes[max(0, len(a.newHead.Changes)-MaxChangeIDs):]
+	a.newHead = a.head.next(draft, ChangeID{a.change.ID, m.Version})
 	a.result.Entry = m.Entry
 	a.result.Version, a.result.BaseVersion = m.Version, a.head.Version
 	a.orderWrites(draft.Digest)
--- a/core/config/restore.go
+++ b/core/config/restore.go
@@ -6,6 +6,12 @@
 	"baobabstep"
 )
 
+// isSetBack tells whether the store's version, by the head that was read last, is older
+// than what is in force here.
+func (a *Accept) isSetBack() bool {
+	return a.o.Current != nil && a.head.Version < a.o.Current.Manifest.Version
+}
+
 // prepareRestore makes the writes that give a store that was set back what is in force
 // here: what was accepted may not revert, and a change on top of the older version
 // would be given a number that is in use. The store's head still is the one value
@@ -29,11 +35,7 @@
 		lost[d] = b
 	}
 	a.objects = lost
-	a.newHead = Head{
-		Format: Format, Version: current.Manifest.Version, Manifest: current.Digest, Collections: a.head.Collections,
-		Changes: append(slices.Clone(a.head.Changes), a.lostChanges()...),
-	}
-	a.newHead.Changes = a.newHead.Changes[max(0, len(a.newHead.Changes)-MaxChangeIDs):]
+	a.newHead = a.head.next(current, a.lostChanges()...)
 	a.orderWrites(current.Digest)
 	return a.writeNext()
 }
--- a/core/config/tree.go
+++ b/core/config/tree.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"slices"
 	"sort"
 	"time"
 
@@ -68,6 +69,15 @@
 	Collections uint64 `json:"collections"`
 }
 
+// next returns the head of a version that changes led to.
+func (h *Head) next(s *Set, changes ...ChangeID) Head {
+	all := append(slices.Clone(h.Changes), changes...)
+	return Head{
+		Format: Format, Version: s.Manifest.Version, Manifest: s.Digest, Collections: h.Collections,
+		Changes: all[max(0, len(all)-MaxChangeIDs):],
+	}
+}
+
 // ChangeID says which version a change became.
 type ChangeID struct {
 	ID      string `json:"id"`
--- a/io/platform/reader.go
+++ b/io/platform/reader.go
@@ -133,14 +133,15 @@
 // revision that has been dealt with.
 func (r *Reader) step(ctx context.Context, revision uint64, started time.Time) (uint64, error) {
 	head, err := r.head(ctx, revision)
-	if err != nil {
+	gone := baobabstep.CodeOf(err) == baobabstep.CodeNotFound
+	if err != nil && !gone {
 		return revision, err
 	}
 	r.replica.PlatformAnswered(r.clock.Now())
-	if head == nil {
+	if head == nil && !gone {
 		return revision, nil
 	}
-	if r.isSetBack(head) {
+	if gone || r.isSetBack(head) {
 		return 0, Restore(ctx, r.platform, r.clock, r.acceptOptions())
 	}
 	objects := map[config.Digest][]byte{}
@@ -180,19 +181,17 @@
 
 func (r *Reader) peerHasOne() bool { return r.replica.Status(r.clock.Now()).Newest > 0 }
 
-// head returns the head's value if it changed after revision, else nil.
+// head returns the head's value if it changed after revision, else nil. Errors also:
+// CodeNotFound if there is none though a version is in force here.
 func (r *Reader) head(ctx context.Context, revision uint64) (*baobabstep.KeyValue, error) {
 	if revision == 0 {
 		kv, err := r.platform.Get(ctx, config.HeadKey)
 		if err == nil {
 			return &kv, nil
 		}
-		if baobabstep.CodeOf(err) != baobabstep.CodeNotFound {
+		if baobabstep.CodeOf(err) != baobabstep.CodeNotFound || r.replica.Current() != nil {
 			return nil, err
 		}
-		if r.replica.Current() != nil {
-			return nil, Restore(ctx, r.platform, r.clock, r.acceptOptions())
-		}
 	}
 	values, err := r.platform.Watch(ctx, config.HeadKey, revision, r.wait())
 	if err != nil {
--- a/io/platform/wire.go
+++ b/io/platform/wire.go
@@ -18,7 +18,7 @@
 // HeaderEra is in all answers: how often the store came back from a backup. It then
 // lacks its last changes, and gives their revisions out again. Without the header it
 // never does.
-const HeaderEra = "Store-Era"
+const HeaderEra = "Revision-Era"
 
 // KeyAnswer answers a read of one key.
 type KeyAnswer struct {
