entry: one place compares what the store numbers, and takes it in

The variable with the sources of news had the name of the method that lists the metrics.

The models' loops of steps, and a restore that is written over again, stood up to nine times: steps and restoreAndRewrite.

--- a/entry/belief.go
+++ b/entry/belief.go
@@ -86,7 +86,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	counts := make(map[string]float64)
-	for _, source := range sources {
+	for _, source := range newsSources {
 		counts[source] = float64(b.passedOver[source])
 	}
 	return counts
@@ -191,18 +191,12 @@
 	defer b.mu.Unlock()
 	held := &b.held[heartbeat.Targets]
 	first := !held.isHeld()
-	switch {
-	case revision.Before(held.revision):
-		b.passOver(now, heartbeat.Targets, revision, from)
-		return false, nil, nil
-	case !first && next.Sum() == held.sum:
-		b.move(now, heartbeat.Targets, revision)
-		held.confirm(from.confirmed)
+	if !b.differs(now, heartbeat.Targets, next.Sum(), revision, from) {
 		return false, nil, nil
 	}
 	before := b.targets
 	b.targets = next
-	oldSum := b.advance(now, revision, from)
+	oldSum := b.replace(now, heartbeat.Targets, next.Sum(), revision, from)
 	if !first {
 		change = heartbeat.TargetsChange(before.To(next), oldSum, held.told(now))
 	}
@@ -211,13 +205,30 @@
 	return true, change, nil
 }
 
-// advance makes held stand for b.targets, and returns the checksum before. The
+// differs tells whether news of a kind that the store numbers has another content than
+// what is held. News that is older is passed over, the same content is confirmed. The
 // caller holds b.mu.
-func (b *beliefs) advance(now time.Time, revision baobabstep.Revision, from origin) (oldSum uint64) {
-	held := &b.held[heartbeat.Targets]
+func (b *beliefs) differs(now time.Time, kind heartbeat.Kind, sum uint64, revision baobabstep.Revision, from origin) bool {
+	held := &b.held[kind]
+	switch {
+	case revision.Before(held.revision):
+		b.passOver(now, kind, revision, from)
+		return false
+	case held.isHeld() && sum == held.sum:
+		b.move(now, kind, revision)
+		held.confirm(from.confirmed)
+		return false
+	}
+	return true
+}
+
+// replace makes a kind stand for another content, and returns the checksum before. The
+// caller holds b.mu.
+func (b *beliefs) replace(now time.Time, kind heartbeat.Kind, sum uint64, revision baobabstep.Revision, from origin) (oldSum uint64) {
+	held := &b.held[kind]
 	oldSum = held.sum
-	b.move(now, heartbeat.Targets, revision)
-	held.sum, held.content = b.targets.Sum(), nil
+	b.move(now, kind, revision)
+	held.sum, held.content = sum, nil
 	held.confirm(from.confirmed)
 	held.unconfirmed = from.recent
 	return oldSum
@@ -278,7 +289,7 @@
 	if err := b.targets.Apply(d); err != nil {
 		return 0, err
 	}
-	oldSum = b.advance(now, revision, from)
+	oldSum = b.replace(now, heartbeat.Targets, b.targets.Sum(), revision, from)
 	b.router.ChangeRegistrations(now, d.Put, d.Gone)
 	b.logTargets(from)
 	return oldSum, nil
--- a/entry/evacuation.go
+++ b/entry/evacuation.go
@@ -29,22 +29,14 @@
 	defer b.mu.Unlock()
 	held := &b.held[heartbeat.Evacuations]
 	first = !held.isHeld()
-	switch {
-	case revision.Before(held.revision):
-		b.passOver(now, heartbeat.Evacuations, revision, from)
-		return false, first, nil
-	case !first && sum == held.sum:
-		b.move(now, heartbeat.Evacuations, revision)
-		held.confirm(from.confirmed)
+	if !b.differs(now, heartbeat.Evacuations, sum, revision, from) {
 		return false, first, nil
 	}
 	if !first && held.revision.Era < revision.Era {
 		b.merge = &evacuationMerge{ours: b.inForce, backup: list}
 	}
-	b.move(now, heartbeat.Evacuations, revision)
-	b.evacuated, held.sum = list, sum
-	held.confirm(from.confirmed)
-	held.unconfirmed = from.recent
+	b.evacuated = list
+	b.replace(now, heartbeat.Evacuations, sum, revision, from)
 	b.enforceEvacuations(now, from.source)
 	return true, first, nil
 }
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -73,7 +73,7 @@
 	sourceCopy = "copy"
 )
 
-var sources = []string{sourceStore, sourceWatch, sourcePeer, sourceCopy}
+var newsSources = []string{sourceStore, sourceWatch, sourcePeer, sourceCopy}
 
 // follower keeps the beliefs in step with the directory.
 //
--- a/entry/model_test.go
+++ b/entry/model_test.go
@@ -322,6 +322,13 @@
 	m.check()
 }
 
+// steps lets some steps pass.
+func (m *model) steps(count int) {
+	for range count {
+		m.step()
+	}
+}
+
 // send lets a message arrive once, twice, or with the next step.
 func (m *model) send(x modelMessage) {
 	if m.random.Float64() < m.late {
@@ -415,9 +422,7 @@
 		m := newModel(t)
 		t.Repeat(map[string]func(*rapid.T){
 			"pass time": func(*rapid.T) {
-				for range 20 {
-					m.step()
-				}
+				m.steps(20)
 			},
 			"change routes":                     func(*rapid.T) { m.changeRoutes() },
 			"change targets":                    func(*rapid.T) { m.changeTargets() },
@@ -427,12 +432,7 @@
 				vm.cut, vm.touchSince = !vm.cut, m.now
 			},
 			"restore the store": func(t *rapid.T) {
-				lost := m.store.read(baobabstep.Newest)
-				m.restore(m.store.copied)
-				for range rapid.IntRange(0, 20).Draw(t, "steps until written again") {
-					m.step()
-				}
-				m.writeAgain(lost)
+				m.restoreAndRewrite(t, m.store.copied)
 			},
 			"stop or start the store": func(*rapid.T) { m.store.down, m.settled = !m.store.down, m.now },
 			"restart a VM":            func(*rapid.T) { m.restart(m.anyVM()) },
@@ -459,9 +459,7 @@
 			"double messages, or not": func(*rapid.T) { m.double = 0.4 - m.double },
 			"delay messages, or not":  func(*rapid.T) { m.late = 0.3 - m.late },
 			"": func(*rapid.T) {
-				for range stepsEach {
-					m.step()
-				}
+				m.steps(stepsEach)
 			},
 		})
 	})
@@ -472,9 +470,7 @@
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		m := newModel(t)
-		for range 30 {
-			m.step()
-		}
+		m.steps(30)
 		m.assertCalls(100)
 	})
 }
@@ -483,9 +479,7 @@
 // times.
 func (m *model) assertCalls(steps int) {
 	before := m.store.calls
-	for range steps {
-		m.step()
-	}
+	m.steps(steps)
 	passed := time.Duration(steps) * stepTime
 	if perSecond := float64(m.store.calls-before) / passed.Seconds(); perSecond > calmCalls {
 		m.t.Fatalf("%d VMs made %.1f calls a second", modelVMs, perSecond)
--- a/entry/restore_model_test.go
+++ b/entry/restore_model_test.go
@@ -34,6 +34,15 @@
 	m.evacuations[s.revision] = s.evacuated
 }
 
+// restoreAndRewrite brings the store back from a backup, and lets operators and targets
+// write again what it lacks within two seconds.
+func (m *model) restoreAndRewrite(t *rapid.T, backup modelCopy) {
+	lost := m.store.read(baobabstep.Newest)
+	m.restore(backup)
+	m.steps(rapid.IntRange(0, 20).Draw(t, "steps until written again"))
+	m.writeAgain(lost)
+}
+
 func (m *model) change() {
 	switch m.random.IntN(3) {
 	case 0:
@@ -50,25 +59,16 @@
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		m := newModel(t)
-		for range 30 {
-			m.step()
-		}
+		m.steps(30)
 		for range rapid.IntRange(1, 3).Draw(t, "restores") {
 			backup := m.store.read(baobabstep.Newest)
 			for range rapid.IntRange(1, 40).Draw(t, "lost changes") {
 				m.change()
 				m.step()
 			}
-			lost := m.store.read(baobabstep.Newest)
-			m.restore(backup)
-			for range rapid.IntRange(0, 20).Draw(t, "steps until written again") {
-				m.step()
-			}
-			m.writeAgain(lost)
+			m.restoreAndRewrite(t, backup)
 			m.change()
-			for range int(freshBound/stepTime) + 5 {
-				m.step()
-			}
+			m.steps(int(freshBound/stepTime) + 5)
 		}
 	})
 }
@@ -79,14 +79,10 @@
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		m := newModel(t)
-		for range 30 {
-			m.step()
-		}
+		m.steps(30)
 		backup := m.store.read(baobabstep.Newest)
 		m.changeRoutes()
-		for range 40 {
-			m.step()
-		}
+		m.steps(40)
 		m.restore(backup)
 		m.assertCalls(50)
 	})
