--- a/core/heartbeat/beat.go
+++ b/core/heartbeat/beat.go
@@ -95,6 +95,66 @@
 	return to
 }
 
+const (
+	// relayByteBudget limits the bytes a VM sends to relay one change within its data
+	// centre; the resulting fanout is clamped to [minRelayFanout, maxRelayFanout].
+	relayByteBudget = 24e3
+	minRelayFanout  = 4
+	maxRelayFanout  = 16
+)
+
+// RelayFanout returns the number of VMs to which each VM relays a change of size bytes.
+func RelayFanout(size int) int {
+	return max(minRelayFanout, min(maxRelayFanout, relayByteBudget/max(1, size)))
+}
+
+// RelayPeers returns the VMs of the own data centre to which this VM relays a change
+// from origin. The VMs, sorted by address and rotated to start at origin, form a tree
+// in which each has at most fanout children. If VMs disagree on the membership, some
+// receive the change twice, and others detect that they missed it from a heartbeat.
+func (b *Board) RelayPeers(now time.Time, origin netip.AddrPort, fanout int) (to []netip.AddrPort) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	ring := append(b.neighbours(now), b.o.Address)
+	if !slices.Contains(ring, origin) {
+		ring = append(ring, origin)
+	}
+	slices.SortFunc(ring, netip.AddrPort.Compare)
+	n := len(ring)
+	first := slices.Index(ring, origin)
+	rank := (slices.Index(ring, b.o.Address) - first + n) % n
+	for i := rank*fanout + 1; i <= (rank+1)*fanout && i < n; i++ {
+		to = append(to, ring[(first+i)%n])
+	}
+	return to
+}
+
+// FarPeers returns one VM of each other data centre.
+func (b *Board) FarPeers(now time.Time) (to []netip.AddrPort) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, p := range b.firsts(now) {
+		to = append(to, p.address)
+	}
+	return to
+}
+
+// relayHopDelay is the time a VM limited to a tenth of a core takes to relay a change.
+const relayHopDelay = 50 * time.Millisecond
+
+// RelayDelay estimates the time a relayed change takes from the first to the last VM
+// of the data centre, for a change of which each VM sends minRelayFanout copies.
+func (b *Board) RelayDelay() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	levels := 0
+	for reached, level := minRelayFanout, minRelayFanout; reached < b.nearVMs; reached += level {
+		level *= minRelayFanout
+		levels++
+	}
+	return time.Duration(levels) * relayHopDelay
+}
+
 // neighbours returns all live VMs of the own data centre.
 func (b *Board) neighbours(now time.Time) (list []netip.AddrPort) {
 	for _, p := range b.sorted(true) {
--- a/core/heartbeat/board.go
+++ b/core/heartbeat/board.go
@@ -94,7 +94,9 @@
 	// nearTurns and farTurns are the rounds of heartbeats in which each VM of
 	// the own data centre and of others gets one.
 	nearTurns, farTurns int
-	tally               tally
+	// nearVMs is the number of known peers in the own data centre.
+	nearVMs int
+	tally   tally
 	// changed are the targets whose loads may differ from what Loads last returned.
 	changed map[baobabstep.TargetID]struct{}
 	// alarms bounds the bytes of alarms.
@@ -181,6 +183,7 @@
 			far++
 		}
 	}
+	b.nearVMs = near
 	b.nearTurns = (near + b.o.NearFanout - 1) / b.o.NearFanout
 	b.farTurns = (far + b.o.FarFanout - 1) / b.o.FarFanout
 }
--- a/core/heartbeat/board_test.go
+++ b/core/heartbeat/board_test.go
@@ -20,7 +20,7 @@
 var start = time.Unix(1_800_000_000, 0)
 
 func address(n int) netip.AddrPort {
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 7000)
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(n >> 8), byte(n)}), 7000)
 }
 
 // newBoard returns the board of VM n; odd ones stand in data centre a, even
@@ -491,3 +491,45 @@
 
 // revisionOf returns a revision of a store that counts no eras.
 func revisionOf(number uint64) baobabstep.Revision { return baobabstep.Revision{Number: number} }
+
+// Guards against relay trees that miss a VM of the data centre or reach it twice.
+func TestRelayReachesEachOnce(t *testing.T) {
+	for _, vms := range []int{1, 2, 5, 17, 18, 60, 200} {
+		for _, fanout := range []int{minRelayFanout, maxRelayFanout} {
+			boards := make(map[netip.AddrPort]*Board)
+			for n := 1; n <= 2*vms; n += 2 { // odd VMs share a data centre
+				b := newBoard(n)
+				for other := 1; other <= 2*vms; other += 2 {
+					b.Handle(start, address(other), beat(other, 1, 1))
+				}
+				b.countTurns()
+				boards[address(n)] = b
+			}
+			origin := address(1 + 2*(vms/2))
+			got := map[netip.AddrPort]int{}
+			for senders := []netip.AddrPort{origin}; len(senders) > 0; senders = senders[1:] {
+				to := boards[senders[0]].RelayPeers(start, origin, fanout)
+				qt.Assert(t, len(to) <= fanout, qt.IsTrue)
+				for _, at := range to {
+					got[at]++
+					senders = append(senders, at)
+				}
+			}
+			qt.Assert(t, got, qt.HasLen, vms-1)
+			for at, times := range got {
+				qt.Assert(t, times, qt.Equals, 1, qt.Commentf("%v", at))
+			}
+		}
+	}
+}
+
+func TestRelayDelay(t *testing.T) {
+	for vms, want := range map[int]time.Duration{1: 0, 4: 0, 5: relayHopDelay, 20: relayHopDelay, 21: 2 * relayHopDelay, 200: 3 * relayHopDelay, 400: 4 * relayHopDelay} {
+		b := newBoard(1)
+		for n := range vms {
+			b.Handle(start, address(3+2*n), beat(3+2*n, 1, 1))
+		}
+		b.countTurns()
+		qt.Assert(t, b.RelayDelay(), qt.Equals, want, qt.Commentf("%d VMs", vms))
+	}
+}
--- /dev/null
+++ b/core/heartbeat/history.go
@@ -0,0 +1,81 @@
+package heartbeat
+
+import (
+	"slices"
+
+	"baobabstep"
+)
+
+// maxHistory limits the registrations and target IDs in a History. It covers some
+// seconds of a rollout that replaces thousands of targets.
+const maxHistory = 8192
+
+// History keeps the latest changes of registrations, so that a VM that missed some can
+// be sent only those. The zero value is empty.
+type History struct {
+	steps []step
+	size  int
+}
+
+// step is the difference between the registrations of two revisions.
+type step struct {
+	from, to baobabstep.Revision
+	Difference
+}
+
+func (s *step) size() int { return len(s.Put) + len(s.Gone) }
+
+// Add appends the difference between two revisions. It first clears the history if from
+// is not the latest recorded revision.
+func (h *History) Add(from, to baobabstep.Revision, d Difference) {
+	if n := len(h.steps); n > 0 && h.steps[n-1].to != from {
+		*h = History{}
+	}
+	h.steps = append(h.steps, step{from: from, to: to, Difference: d})
+	h.size += h.steps[len(h.steps)-1].size()
+	drop := 0
+	for h.size > maxHistory && drop < len(h.steps) {
+		h.size -= h.steps[drop].size()
+		drop++
+	}
+	h.steps = slices.Delete(h.steps, 0, drop)
+}
+
+// Move advances the latest recorded revision without a change of registrations.
+func (h *History) Move(to baobabstep.Revision) {
+	if n := len(h.steps); n > 0 {
+		h.steps[n-1].to = to
+	}
+}
+
+// Since returns the difference between the registrations of a revision and the current
+// ones, or false if the history does not reach back that far. The difference may
+// include targets that did not change.
+func (h *History) Since(revision baobabstep.Revision) (d Difference, ok bool) {
+	if len(h.steps) == 0 || revision.Before(h.steps[0].from) {
+		return d, false
+	}
+	last := make(map[baobabstep.TargetID]*baobabstep.Registration)
+	for i := range h.steps {
+		s := &h.steps[i]
+		if !revision.Before(s.to) {
+			continue
+		}
+		for j := range s.Put {
+			last[s.Put[j].ID] = &s.Put[j]
+		}
+		for _, id := range s.Gone {
+			last[id] = nil
+		}
+	}
+	for id, r := range last {
+		if r == nil {
+			d.Gone = append(d.Gone, id)
+		} else {
+			d.Put = append(d.Put, *r)
+		}
+	}
+	SortTargets(d.Put)
+	slices.Sort(d.Gone)
+	return d, true
+}
--- a/core/heartbeat/message.go
+++ b/core/heartbeat/message.go
@@ -32,7 +32,7 @@
 // number and a zero that means "not said"; a number is never used again. The
 // version itself decides nothing. It tells a later message with a part that
 // this program does not know from a malformed one.
-const formatVersion = 4
+const formatVersion = 5
 
 // Message is one message between VMs. Exactly one of its parts is set.
 type Message struct {
@@ -45,6 +45,7 @@
 	Alarm     *Alarm     `cbor:"6,keyasint,omitempty"`
 	// Evacuations is all that the sender holds of that kind.
 	Evacuations *EvacuationList `cbor:"7,keyasint,omitempty"`
+	Fragment    *Fragment       `cbor:"8,keyasint,omitempty"`
 }
 
 // Heartbeat is what a VM says of itself.
@@ -166,11 +167,14 @@
 	// Newer and Era are the version that the sender holds already, as in Held.
 	Newer uint64 `cbor:"2,keyasint,omitempty"`
 	Era   uint64 `cbor:"3,keyasint,omitempty"`
+	// Sum is the checksum of the content that the sender holds, to request a change to
+	// it. 0 requests the whole.
+	Sum uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // MakeWant asks for what is newer than a revision.
-func MakeWant(kind Kind, held baobabstep.Revision) *Want {
-	return &Want{Kind: kind, Newer: held.Number, Era: held.Era}
+func MakeWant(kind Kind, held baobabstep.Revision, sum uint64) *Want {
+	return &Want{Kind: kind, Newer: held.Number, Era: held.Era, Sum: sum}
 }
 
 // Revision returns what the sender holds already.
@@ -210,6 +214,9 @@
 	// ColdLimits are all of a routing table, if ColdChanged is set.
 	ColdChanged bool       `cbor:"9,keyasint,omitempty"`
 	ColdLimits  []coldBody `cbor:"10,keyasint,omitempty"`
+	// Origin is the root of the relay tree: the VM that first sent the change within the
+	// data centre. If unset, receivers do not relay the change.
+	Origin netip.AddrPort `cbor:"11,keyasint,omitzero"`
 }
 
 var (
@@ -229,23 +236,33 @@
 
 // Encode returns the bytes of a message. Errors: CodeTooLarge.
 func Encode(m *Message) ([]byte, error) {
+	b, err := marshal(m)
+	if err != nil {
+		return nil, err
+	}
+	if len(b) > MaxMessage {
+		return nil, baobabstep.Errorf(baobabstep.CodeTooLarge, "heartbeat.encode", "got %d bytes, want at most %d", len(b), MaxMessage)
+	}
+	return b, nil
+}
+
+func marshal(m *Message) ([]byte, error) {
 	sent := *m
 	sent.Version = formatVersion
 	b, err := encMode.Marshal(&sent)
 	if err != nil {
 		return nil, baobabstep.Errorf(baobabstep.CodeInternal, "heartbeat.encode", "%w", err)
 	}
-	if len(b) > MaxMessage {
-		return nil, baobabstep.Errorf(baobabstep.CodeTooLarge, "heartbeat.encode", "got %d bytes, want at most %d", len(b), MaxMessage)
-	}
 	return b, nil
 }
 
 // Decode returns the message in b. Errors: CodeMalformed; CodeForeignVersion for
 // a message of a later version whose part this program does not know.
-func Decode(b []byte) (*Message, error) {
+func Decode(b []byte) (*Message, error) { return unmarshal(decMode, b) }
+
+func unmarshal(mode cbor.DecMode, b []byte) (*Message, error) {
 	var m Message
-	if err := decMode.Unmarshal(b, &m); err != nil {
+	if err := mode.Unmarshal(b, &m); err != nil {
 		return nil, baobabstep.Errorf(baobabstep.CodeMalformed, "heartbeat.decode", "%w", err)
 	}
 	if m.Version > formatVersion && m == (Message{Version: m.Version}) {
@@ -295,6 +312,12 @@
 			return false
 		}
 	}
+	if f := m.Fragment; f != nil {
+		parts++
+		if f.Index >= f.Count || f.Count > maxFragments {
+			return false
+		}
+	}
 	return parts == 1 && m.Version > 0
 }
 
--- a/entry/belief.go
+++ b/entry/belief.go
@@ -35,6 +35,8 @@
 	table     *baobabstep.RoutingTable
 	targets   *heartbeat.Registrations
 	evacuated []string
+	// history holds the latest changes to targets.
+	history heartbeat.History
 	// inForce are the data centres that get no flow, which differ from evacuated
 	// while merge is set.
 	inForce []string
@@ -163,6 +165,9 @@
 func (b *beliefs) move(now time.Time, kind heartbeat.Kind, to baobabstep.Revision) {
 	known := b.held[heartbeat.Targets].isHeld() || b.held[heartbeat.Evacuations].isHeld()
 	b.held[kind].revision = to
+	if kind == heartbeat.Targets {
+		b.history.Move(to)
+	}
 	if to.Era <= b.era {
 		return
 	}
@@ -194,11 +199,15 @@
 	if !b.differs(now, heartbeat.Targets, next.Sum(), revision, from) {
 		return false, nil, nil
 	}
-	before := b.targets
+	var d heartbeat.Difference
+	if !first {
+		d = b.targets.To(next)
+		b.history.Add(held.revision, revision, d)
+	}
 	b.targets = next
 	oldSum := b.replace(now, heartbeat.Targets, next.Sum(), revision, from)
 	if !first {
-		change = heartbeat.TargetsChange(before.To(next), oldSum, held.told(now))
+		change = heartbeat.TargetsChange(d, oldSum, held.told(now))
 	}
 	b.router.SetRegistrations(now, list)
 	b.logTargets(from)
@@ -289,6 +298,7 @@
 	if err := b.targets.Apply(d); err != nil {
 		return 0, err
 	}
+	b.history.Add(b.held[heartbeat.Targets].revision, revision, d)
 	oldSum = b.replace(now, heartbeat.Targets, b.targets.Sum(), revision, from)
 	b.router.ChangeRegistrations(now, d.Put, d.Gone)
 	b.logTargets(from)
@@ -342,6 +352,18 @@
 	return *held, nil
 }
 
+// targetsSince returns the change from the registrations of a revision, with checksum
+// sum, to those held now, or nil if the history does not reach back that far.
+func (b *beliefs) targetsSince(now time.Time, revision baobabstep.Revision, sum uint64) *heartbeat.Change {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	d, ok := b.history.Since(revision)
+	if !ok {
+		return nil
+	}
+	return heartbeat.TargetsChange(d, sum, b.held[heartbeat.Targets].told(now))
+}
+
 func (h *belief) confirm(at time.Time) {
 	if at.After(h.confirmed) {
 		h.confirmed, h.unconfirmed = at, false
--- a/entry/hand.go
+++ b/entry/hand.go
@@ -17,6 +17,9 @@
 		n.sendEvacuations(now, from)
 		return
 	}
+	if w.Kind == heartbeat.Targets && w.Sum != 0 && n.sendChange(now, from, w) {
+		return
+	}
 	held, err := n.beliefs.whole(w.Kind)
 	if err != nil {
 		n.log.WithError(err).Error("cannot hand on what is held")
@@ -35,6 +38,39 @@
 	}
 }
 
+// sendChange answers a request with the changes since the requested revision. It
+// returns false if they are unknown or too large to send; it returns true without
+// sending if the rate limit is reached.
+func (n *Node) sendChange(now time.Time, to netip.AddrPort, w *heartbeat.Want) bool {
+	change := n.beliefs.targetsSince(now, w.Revision(), w.Sum)
+	if change == nil {
+		return false
+	}
+	datagrams, err := heartbeat.EncodeDatagrams(&heartbeat.Message{Change: change})
+	if err != nil {
+		return false
+	}
+	if n.mayServe(now, totalSize(datagrams)) {
+		n.sendDatagrams(datagrams, to)
+	}
+	return true
+}
+
+func (n *Node) sendDatagrams(datagrams [][]byte, to ...netip.AddrPort) {
+	for _, address := range to {
+		for _, raw := range datagrams {
+			n.o.Messages.Send(address, raw)
+		}
+	}
+}
+
+func totalSize(datagrams [][]byte) (bytes int) {
+	for _, raw := range datagrams {
+		bytes += len(raw)
+	}
+	return bytes
+}
+
 // mayServe tells whether the whole may be sent now, and if so counts its bytes.
 func (n *Node) mayServe(now time.Time, size int) bool {
 	n.sharing.mu.Lock()
@@ -86,17 +122,34 @@
 	switch {
 	case baobabstep.CodeOf(err) == baobabstep.CodeConflict:
 		n.counts.changesLeft.Add(1)
+		if c.Kind == heartbeat.Targets && c.From == n.beliefs.get(c.Kind).sum {
+			n.setWantWhole(true)
+		}
 		return
 	case err != nil:
 		n.counts.malformed.Add(1)
 		return
 	}
-	// From another data centre it came to this VM alone.
-	if changed && !n.board.IsNear(from) {
+	if c.Kind == heartbeat.Targets && changed {
+		n.setWantWhole(false)
+	}
+	switch near := n.board.IsNear(from); {
+	case !changed:
+	case !near: // other data centres send a change to only one VM here
 		n.spread(c, false)
+	case c.Origin.IsValid():
+		n.relay(c)
 	}
 }
 
+// setWantWhole sets whether the next request for targets asks for the whole list
+// rather than for changes.
+func (n *Node) setWantWhole(whole bool) {
+	n.sharing.mu.Lock()
+	defer n.sharing.mu.Unlock()
+	n.sharing.wantWhole = whole
+}
+
 func (n *Node) learnRoutes(table *baobabstep.RoutingTable, from origin) error {
 	changed, change, err := n.beliefs.holdRoutes(n.clock.Now(), table, from)
 	if changed {
@@ -109,6 +162,7 @@
 	n.noteReturn(n.clock.Now())
 	changed, change, err := n.beliefs.holdTargets(n.clock.Now(), list, revision, from)
 	if changed {
+		n.setWantWhole(false)
 		n.handOn(change, from.source != sourcePeer)
 	}
 	return err
@@ -131,16 +185,27 @@
 	n.announce(fromStore)
 }
 
-// spread sends a change, unless it is too large for one message.
+// spread sends a change into the relay tree of the own data centre and, with far set,
+// to one VM of each other data centre. It returns false if the change is too large.
 func (n *Node) spread(c *heartbeat.Change, far bool) bool {
-	raw, err := heartbeat.Encode(&heartbeat.Message{Change: c})
-	if err != nil {
-		return false
+	c.Origin = n.o.Settings.PeerAddress
+	datagrams, ok := n.relay(c)
+	if ok && far {
+		n.sendDatagrams(datagrams, n.board.FarPeers(n.clock.Now())...)
 	}
-	for _, to := range n.board.Spread(n.clock.Now(), far) {
-		n.o.Messages.Send(to, raw)
+	return ok
+}
+
+// relay sends a change to this VM's children in the relay tree. It returns the encoded
+// datagrams, or false if the change is too large.
+func (n *Node) relay(c *heartbeat.Change) (datagrams [][]byte, ok bool) {
+	datagrams, err := heartbeat.EncodeDatagrams(&heartbeat.Message{Change: c})
+	if err != nil {
+		return nil, false
 	}
-	return true
+	fanout := heartbeat.RelayFanout(totalSize(datagrams))
+	n.sendDatagrams(datagrams, n.board.RelayPeers(n.clock.Now(), c.Origin, fanout)...)
+	return datagrams, true
 }
 
 // announce sends heartbeats at once, to other data centres as well if far is set.
--- a/entry/share.go
+++ b/entry/share.go
@@ -41,9 +41,17 @@
 
 // sharing is what Node needs to put together what peers send.
 type sharing struct {
-	mu       sync.Mutex
-	assembly [heartbeat.Kinds]heartbeat.Assembly
-	wantedAt [heartbeat.Kinds]time.Time
+	mu        sync.Mutex
+	assembly  [heartbeat.Kinds]heartbeat.Assembly
+	fragments heartbeat.FragmentAssembly
+	wantedAt  [heartbeat.Kinds]time.Time
+	// outdated is the held revision of a kind for which a peer has a newer one, and
+	// outdatedSince is when this VM first heard of a newer one.
+	outdated      [heartbeat.Kinds]baobabstep.Revision
+	outdatedSince [heartbeat.Kinds]time.Time
+	// wantWhole is set when a change to the held targets did not give the expected
+	// checksum, to request the whole list.
+	wantWhole bool
 	// serveAt is when this VM may next send the whole of something.
 	serveAt time.Time
 }
@@ -117,6 +125,11 @@
 		}
 		return
 	}
+	n.handleMessage(now, from, m)
+}
+
+// handleMessage dispatches a decoded message.
+func (n *Node) handleMessage(now time.Time, from netip.AddrPort, m *heartbeat.Message) {
 	switch {
 	case m.Heartbeat != nil:
 		n.handleHeartbeat(now, from, m.Heartbeat)
@@ -130,6 +143,22 @@
 		n.handleEvacuations(now, from, m.Evacuations)
 	case m.Alarm != nil:
 		n.router.SetSilence(now, n.board.HandleAlarm(now, from, m.Alarm))
+	case m.Fragment != nil:
+		n.handleFragment(now, from, m.Fragment)
+	}
+}
+
+// handleFragment adds a fragment and handles the message once it is complete.
+func (n *Node) handleFragment(now time.Time, from netip.AddrPort, f *heartbeat.Fragment) {
+	n.sharing.mu.Lock()
+	m, err := n.sharing.fragments.Add(now, from, f)
+	n.sharing.mu.Unlock()
+	switch {
+	case baobabstep.CodeOf(err) == baobabstep.CodeForeignVersion:
+	case err != nil:
+		n.counts.malformed.Add(1)
+	case m != nil:
+		n.handleMessage(now, from, m)
 	}
 }
 
@@ -161,18 +190,39 @@
 	if !held.revision.Before(h.HeldOf(kind).Revision()) {
 		return
 	}
-	if source, ok := n.board.Newer(now, kind, held.revision, held.sum); ok && n.mayWant(now, kind) {
-		n.sendMessage(source, &heartbeat.Message{Want: heartbeat.MakeWant(kind, held.revision)})
+	if !n.mayWant(now, kind, held.revision) {
+		return
+	}
+	if source, ok := n.board.Newer(now, kind, held.revision, held.sum); ok {
+		n.sendMessage(source, &heartbeat.Message{Want: heartbeat.MakeWant(kind, held.revision, n.wantSum(kind, held.sum))})
 	}
 }
 
-func (n *Node) mayWant(now time.Time, kind heartbeat.Kind) bool {
+// wantSum returns the checksum to send in a request: sum to request a change to the
+// held content, or 0 to request the whole.
+func (n *Node) wantSum(kind heartbeat.Kind, sum uint64) uint64 {
 	n.sharing.mu.Lock()
 	defer n.sharing.mu.Unlock()
-	if now.Sub(n.sharing.wantedAt[kind]) < wantInterval {
+	if kind != heartbeat.Targets || n.sharing.wantWhole {
+		return 0
+	}
+	return sum
+}
+
+// mayWant tells whether this VM may now request a newer revision of a kind than the one
+// held. It first waits for RelayDelay, as the change may still arrive by relay.
+func (n *Node) mayWant(now time.Time, kind heartbeat.Kind, held baobabstep.Revision) bool {
+	s := &n.sharing
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.outdated[kind] != held || s.outdatedSince[kind].IsZero() {
+		s.outdated[kind], s.outdatedSince[kind] = held, now
+	}
+	known := held != baobabstep.Revision{}
+	if known && now.Sub(s.outdatedSince[kind]) < n.board.RelayDelay() || now.Sub(s.wantedAt[kind]) < wantInterval {
 		return false
 	}
-	n.sharing.wantedAt[kind] = now
+	s.wantedAt[kind] = now
 	return true
 }
 
