--- a/entry/belief.go
+++ b/entry/belief.go
@@ -195,6 +195,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	held := &b.held[heartbeat.Targets]
+	if from.source == sourceStore && revision.Era == held.revision.Era && revision.Before(held.revision) {
+		if merged := b.mergeHistory(next, revision); merged != nil {
+			next, list, revision = merged, merged.List(), held.revision
+		}
+	}
 	first := !held.isHeld()
 	if !b.differs(now, heartbeat.Targets, next.Sum(), revision, from) {
 		return false, nil, nil
@@ -214,6 +219,22 @@
 	return true, change, nil
 }
 
+// mergeHistory applies to next, which was read from the store at an older revision, the
+// changes in the history since then. It returns nil if the history does not reach back
+// that far or on an error. Without the merge, no read would confirm what is held while changes
+// arrive faster than all pages can be read, and every VM would read the store itself. The
+// caller holds b.mu.
+func (b *beliefs) mergeHistory(next *heartbeat.Registrations, revision baobabstep.Revision) *heartbeat.Registrations {
+	d, ok := b.history.Since(revision)
+	if !ok {
+		return nil
+	}
+	if err := next.Apply(d); err != nil {
+		return nil
+	}
+	return next
+}
+
 // differs tells whether news of a kind that the store numbers has another content than
 // what is held. News that is older is passed over, the same content is confirmed. The
 // caller holds b.mu.
