--- a/core/heartbeat/history.go
+++ b/core/heartbeat/history.go
@@ -26,11 +26,15 @@
 func (s *step) size() int { return len(s.Put) + len(s.Gone) }
 
 // Add appends the difference between two revisions. It first clears the history if from
-// is not the latest recorded revision.
+// is not the latest recorded revision, or if the store has not reached from.
 func (h *History) Add(from, to baobabstep.Revision, d Difference) {
 	if n := len(h.steps); n > 0 && h.steps[n-1].to != from {
 		*h = History{}
 	}
+	if to.Before(from) {
+		*h = History{}
+		return
+	}
 	h.steps = append(h.steps, step{from: from, to: to, Difference: d})
 	h.size += h.steps[len(h.steps)-1].size()
 	drop := 0
@@ -43,7 +47,12 @@
 
 // Move advances the latest recorded revision without a change of registrations.
 func (h *History) Move(to baobabstep.Revision) {
-	if n := len(h.steps); n > 0 {
+	n := len(h.steps)
+	switch {
+	case n == 0:
+	case to.Before(h.steps[n-1].to):
+		*h = History{}
+	default:
 		h.steps[n-1].to = to
 	}
 }
--- a/core/heartbeat/history_test.go
+++ b/core/heartbeat/history_test.go
@@ -72,3 +72,16 @@
 func registrationOf(id baobabstep.TargetID) baobabstep.Registration {
 	return baobabstep.Registration{ID: id, Service: "s", DataCentre: "dc", Address: address(int(id)), Slots: 1}
 }
+
+// Guards against changes of a revision that the store has not reached, which a copy of it announced.
+func TestHistoryEndsWhereRevisionsGoBack(t *testing.T) {
+	var h History
+	h.Add(revisionOf(400), revisionOf(500), Difference{Gone: []baobabstep.TargetID{1}})
+	h.Add(revisionOf(500), revisionOf(450), Difference{Gone: []baobabstep.TargetID{2}})
+	h.Add(revisionOf(450), revisionOf(470), Difference{Gone: []baobabstep.TargetID{3}})
+	d, ok := h.Since(revisionOf(460))
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, d.Gone, qt.DeepEquals, []baobabstep.TargetID{3})
+	_, ok = h.Since(revisionOf(430))
+	qt.Assert(t, ok, qt.IsFalse)
+}
--- a/core/heartbeat/message.go
+++ b/core/heartbeat/message.go
@@ -46,6 +46,7 @@
 	// Evacuations is all that the sender holds of that kind.
 	Evacuations *EvacuationList `cbor:"7,keyasint,omitempty"`
 	Fragment    *Fragment       `cbor:"8,keyasint,omitempty"`
+	Section     *Section        `cbor:"9,keyasint,omitempty"`
 }
 
 // Heartbeat is what a VM says of itself.
@@ -170,11 +171,14 @@
 	// Sum is the checksum of the content that the sender holds, to request a change to
 	// it. 0 requests the whole.
 	Sum uint64 `cbor:"4,keyasint,omitempty"`
+	// Digests are the bucket digests of the sender's registrations. If set, sections of
+	// the buckets that differ are requested.
+	Digests []byte `cbor:"5,keyasint,omitempty"`
 }
 
 // MakeWant asks for what is newer than a revision.
-func MakeWant(kind Kind, held baobabstep.Revision, sum uint64) *Want {
-	return &Want{Kind: kind, Newer: held.Number, Era: held.Era, Sum: sum}
+func MakeWant(kind Kind, held baobabstep.Revision) *Want {
+	return &Want{Kind: kind, Newer: held.Number, Era: held.Era}
 }
 
 // Revision returns what the sender holds already.
@@ -318,6 +322,12 @@
 			return false
 		}
 	}
+	if s := m.Section; s != nil {
+		parts++
+		if s.Held.Version == 0 {
+			return false
+		}
+	}
 	return parts == 1 && m.Version > 0
 }
 
--- a/core/heartbeat/version_test.go
+++ b/core/heartbeat/version_test.go
@@ -29,7 +29,7 @@
 	t.Helper()
 	loads := []byte{5, 7<<1 | 1, 10, 3, 1, 9, 40, 30, 20, 77, 78, 2, 99, 4, 2 << 1}
 	raw, err := cbor.Marshal(map[int]any{
-		1: formatVersion + 1, 9: "a part of its own",
+		1: formatVersion + 1, 99: "a part of its own",
 		2: map[int]any{
 			1: 7, 2: "a", 3: 1000, 4: 2, 30: []string{"more"},
 			7: []any{map[int]any{1: 9, 2: 8, 3: 7, 11: true}, map[int]any{}, map[int]any{1: 5}},
@@ -53,7 +53,7 @@
 }
 
 func TestPartOfALaterVersionIsNotMalformed(t *testing.T) {
-	raw, err := cbor.Marshal(map[int]any{1: formatVersion + 1, 9: "a part of its own"})
+	raw, err := cbor.Marshal(map[int]any{1: formatVersion + 1, 99: "a part of its own"})
 	qt.Assert(t, err, qt.IsNil)
 	_, err = Decode(raw)
 	qt.Assert(t, baobabstep.CodeOf(err), qt.Equals, baobabstep.CodeForeignVersion)
--- a/directory.go
+++ b/directory.go
@@ -155,6 +155,9 @@
 	// Registrations reads all registrations. Of several pages the oldest
 	// revision is returned, so that a watch from there misses no change.
 	Registrations(ctx context.Context, f Freshness) ([]Registration, Revision, error)
+	// FirstRegistrations reads the first page of registrations; complete tells whether
+	// there are no others.
+	FirstRegistrations(ctx context.Context, f Freshness) (list []Registration, complete bool, revision Revision, err error)
 	// WatchRegistrations waits for changes after a revision; none come if
 	// nothing changed within wait.
 	WatchRegistrations(ctx context.Context, after Revision, wait time.Duration) ([]RegistrationChange, Revision, error)
--- a/entry/belief.go
+++ b/entry/belief.go
@@ -37,6 +37,12 @@
 	evacuated []string
 	// history holds the latest changes to targets.
 	history heartbeat.History
+	// unapplied holds the changes to targets by sections that are not yet applied to
+	// the router.
+	unapplied heartbeat.Difference
+	// lastSectionAt is when targets were last changed by a section or by the first page
+	// of the store.
+	lastSectionAt time.Time
 	// inForce are the data centres that get no flow, which differ from evacuated
 	// while merge is set.
 	inForce []string
@@ -56,6 +62,10 @@
 	// unconfirmed is set while all that is known of the content is that a copy of
 	// the store held it.
 	unconfirmed bool
+	// revisionFromCopy is set while the revision is known only from a copy of the store.
+	// A copy can be ahead of a store that was restored from a backup, so content read
+	// from the store itself replaces it even if its revision is lower.
+	revisionFromCopy bool
 }
 
 func newBeliefs(router *token.Router, logger log.Interface, limits LogLimits) *beliefs {
@@ -102,19 +112,6 @@
 	recent bool
 }
 
-// copyNumber is the number that what a copy of the store held counts as.
-const copyNumber = 1
-
-// effectiveRevision returns the revision that news counts as. A copy of the store may
-// number what the store has lost since, so what it held gives way to whatever else is
-// heard of its era.
-func (o *origin) effectiveRevision(revision baobabstep.Revision) baobabstep.Revision {
-	if o.recent {
-		return baobabstep.Revision{Era: revision.Era, Number: copyNumber}
-	}
-	return revision
-}
-
 // holdRoutes takes in a routing table. It returns whether it is a newer one, and
 // what it changes of the one before, nil for the first.
 func (b *beliefs) holdRoutes(now time.Time, table *baobabstep.RoutingTable, from origin) (changed bool, change *heartbeat.Change, err error) {
@@ -191,11 +188,10 @@
 	if err != nil {
 		return false, nil, err
 	}
-	revision = from.effectiveRevision(revision)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	held := &b.held[heartbeat.Targets]
-	if from.source == sourceStore && revision.Era == held.revision.Era && revision.Before(held.revision) {
+	if from.source == sourceStore && !held.revisionFromCopy && revision.Era == held.revision.Era && revision.Before(held.revision) {
 		if merged := b.mergeHistory(next, revision); merged != nil {
 			next, list, revision = merged, merged.List(), held.revision
 		}
@@ -214,6 +210,7 @@
 	if !first {
 		change = heartbeat.TargetsChange(d, oldSum, held.told(now))
 	}
+	b.unapplied = heartbeat.Difference{}
 	b.router.SetRegistrations(now, list)
 	b.logTargets(from)
 	return true, change, nil
@@ -240,12 +237,14 @@
 // caller holds b.mu.
 func (b *beliefs) differs(now time.Time, kind heartbeat.Kind, sum uint64, revision baobabstep.Revision, from origin) bool {
 	held := &b.held[kind]
+	overridden := held.revisionFromCopy && from.source == sourceStore
 	switch {
-	case revision.Before(held.revision):
+	case revision.Before(held.revision) && !overridden:
 		b.passOver(now, kind, revision, from)
 		return false
 	case held.isHeld() && sum == held.sum:
 		b.move(now, kind, revision)
+		held.revisionFromCopy = from.recent
 		held.confirm(from.confirmed)
 		return false
 	}
@@ -260,7 +259,7 @@
 	b.move(now, kind, revision)
 	held.sum, held.content = sum, nil
 	held.confirm(from.confirmed)
-	held.unconfirmed = from.recent
+	held.unconfirmed, held.revisionFromCopy = from.recent, from.recent
 	return oldSum
 }
 
@@ -319,6 +318,7 @@
 	if err := b.targets.Apply(d); err != nil {
 		return 0, err
 	}
+	b.applySections(now)
 	b.history.Add(b.held[heartbeat.Targets].revision, revision, d)
 	oldSum = b.replace(now, heartbeat.Targets, b.targets.Sum(), revision, from)
 	b.router.ChangeRegistrations(now, d.Put, d.Gone)
@@ -403,6 +403,7 @@
 	held := &b.held[kind]
 	if held.revision.Before(revision) {
 		b.move(now, kind, revision)
+		held.revisionFromCopy = false
 	}
 	held.confirm(at)
 }
@@ -431,6 +432,15 @@
 	return held
 }
 
+// copyNumber is announced in place of a revision number known only from a copy of the
+// store. If that number were ahead of the store, peers would ignore the store's
+// revisions until it caught up.
+const copyNumber = 1
+
 func (h *belief) told(now time.Time) heartbeat.Held {
-	return heartbeat.MakeHeld(h.revision, h.sum, now.Sub(h.confirmed))
+	revision := h.revision
+	if h.revisionFromCopy {
+		revision.Number = copyNumber
+	}
+	return heartbeat.MakeHeld(revision, h.sum, now.Sub(h.confirmed))
 }
--- a/entry/evacuation.go
+++ b/entry/evacuation.go
@@ -24,7 +24,6 @@
 	if err != nil {
 		return false, false, err
 	}
-	revision = from.effectiveRevision(revision)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	held := &b.held[heartbeat.Evacuations]
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -28,6 +29,9 @@
 	// absentRetry is the pause after the store said that there is no routing
 	// table yet.
 	absentRetry = 500 * time.Millisecond
+	// absentSpread is the time over which VMs that start together spread their second
+	// read of a routing table that did not exist at the first.
+	absentSpread = 2 * time.Second
 	// firstRetry and lastRetry bound the pauses after failed calls.
 	firstRetry = 50 * time.Millisecond
 	lastRetry  = time.Second
@@ -62,6 +66,19 @@
 	// any is known to all within half a second.
 	confirmTime   = 1200 * time.Millisecond
 	confirmSpread = 0.25
+
+	// sectionTimeout is how long a VM with incomplete targets waits for the next section
+	// before it reads all targets from the store.
+	sectionTimeout = 400 * time.Millisecond
+	// maxSectionWait bounds how long a VM keeps waiting for sections beyond its full read
+	// delay. Sections from peers that hold different registrations may not converge.
+	maxSectionWait = 3 * time.Second
+	// fullReadBytes is the size of a full read of the targets of a large fleet. The full
+	// read delay scales with the time that the link takes to transfer it.
+	fullReadBytes = 12e6
+	// minFullReadDelay and maxFullReadDelay bound the longest full read delay that can
+	// be drawn, in seconds.
+	minFullReadDelay, maxFullReadDelay = 0.1, 8.0
 )
 
 // Sources of beliefs, as the log names them.
@@ -84,8 +101,23 @@
 type follower struct {
 	node      *Node
 	directory baobabstep.Directory
-	// spread is drawn at the start, from 0 to 1.
-	spread float64
+	// spread is drawn at the start from a uniform distribution from 0 to 1. expSpread is
+	// drawn with exponentialSpread, which gives few VMs less than half.
+	spread, expSpread float64
+}
+
+// spreadRate is the rate parameter of the distribution of follower.expSpread. The
+// density at 0 is exp(-spreadRate) times that at 1.
+const spreadRate = 6.0
+
+// exponentialSpread maps a uniform sample from 0 to 1 to a truncated exponential
+// distribution whose density rises towards 1. Used as a delay, it keeps the number of
+// requests small regardless of how many VMs start together: what the first ones learn
+// reaches the others before their timers expire. Multicast protocols suppress feedback
+// with the same distribution of timers.
+func exponentialSpread(uniform float64) float64 {
+	low := math.Exp(-spreadRate)
+	return 1 + math.Log(low+(1-low)*uniform)/spreadRate
 }
 
 // reading is how some kinds are read and watched together.
@@ -98,6 +130,9 @@
 	// gather is the pause between two watches.
 	gather time.Duration
 	read   func(ctx context.Context, how baobabstep.Freshness) (baobabstep.Revision, error)
+	// readFirst, used for the first reading, reads a single page; nil if the content
+	// always fits one.
+	readFirst func(ctx context.Context, how baobabstep.Freshness) (baobabstep.Revision, error)
 	// tried is set once a reading was tried. It belongs to the goroutine that reads.
 	tried bool
 	// watch returns whether anything changed.
@@ -122,7 +157,7 @@
 func (f *follower) targets() *reading {
 	return &reading{
 		kinds: []heartbeat.Kind{heartbeat.Targets}, name: "targets", within: f.node.o.Settings.Token.Drain(), gather: gatherTargets,
-		read: f.readTargets, watch: f.watchTargets, again: make(chan struct{}, 1),
+		readFirst: f.readFirstTargets, read: f.readTargets, watch: f.watchTargets, again: make(chan struct{}, 1),
 	}
 }
 
@@ -144,8 +179,13 @@
 // dueOf returns when a kind has to be read again by a VM that does so at an age.
 func (f *follower) dueOf(r *reading, kind heartbeat.Kind, age float64) time.Time {
 	held := f.node.beliefs.get(kind)
+	if since, incomplete := f.node.beliefs.incompleteTargets(); incomplete && kind == heartbeat.Targets {
+		due := f.node.started.Add(f.fullReadDelay())
+		return earlierOf(laterOf(due, since.Add(sectionTimeout)), due.Add(maxSectionWait))
+	}
 	if held.unconfirmed {
-		return f.node.started.Add(confirmTime + time.Duration((min(age, nearAge)-readerAge+confirmSpread*f.spread)*float64(r.within)))
+		wait := confirmTime + time.Duration((min(age, nearAge)-readerAge+confirmSpread*f.expSpread)*float64(r.within))
+		return f.node.started.Add(min(wait, time.Duration(lastAge*float64(r.within))))
 	}
 	return held.confirmed.Add(time.Duration(age * float64(r.within)))
 }
@@ -155,13 +195,38 @@
 // heartbeats of the others, or a reading when it is due, say within two seconds
 // whether it still holds. A fleet that starts would otherwise read every page once
 // for each VM at the full price.
-func (r *reading) freshness() baobabstep.Freshness {
-	if r.tried {
+func (r *reading) freshness(incomplete bool) baobabstep.Freshness {
+	if r.tried && !incomplete {
 		return baobabstep.Newest
 	}
 	return baobabstep.Recent
 }
 
+// fullReadDelay returns how long after its start a VM with incomplete targets reads all
+// of them from the store, unless peers have sent the others by then.
+//
+// VMs with faster links have shorter delays, and among VMs with equal links few draw a
+// short one, so a fleet that starts together makes only a few full reads.
+func (f *follower) fullReadDelay() time.Duration {
+	link := f.node.o.Settings.Token.LinkBytesPerSecond()
+	longest := min(max(fullReadBytes/link, minFullReadDelay), maxFullReadDelay)
+	return time.Duration(longest * f.expSpread * float64(time.Second))
+}
+
+func earlierOf(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // dueAge returns the age at which the VM of a rank reads the store, as a share
 // of the time in which news has to be in force.
 func dueAge(rank heartbeat.Rank) float64 {
@@ -211,10 +276,14 @@
 
 // readOnce reads a kind, and notes what became of it.
 func (f *follower) readOnce(ctx context.Context, r *reading) error {
-	how := r.freshness()
+	_, incomplete := f.node.beliefs.incompleteTargets()
+	how, read := r.freshness(incomplete && r.readFirst != nil), r.read
+	if !r.tried && r.readFirst != nil {
+		read = r.readFirst
+	}
 	r.tried = true
 	f.logReading(r, how)
-	revision, err := r.read(ctx, how)
+	revision, err := read(ctx, how)
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
@@ -244,7 +313,7 @@
 	absent := baobabstep.CodeOf(err) == baobabstep.CodeNotFound
 	switch {
 	case absent && now.Sub(f.node.started) < settleTime:
-		return settleTime + time.Duration(f.spread*float64(absentRetry)) // until it knows who is the first
+		return settleTime + time.Duration(f.expSpread*float64(absentSpread)) // until it knows who is the first
 	case absent && rank.First():
 		return absentRetry
 	case absent:
--- a/entry/hand.go
+++ b/entry/hand.go
@@ -17,7 +17,7 @@
 		n.sendEvacuations(now, from)
 		return
 	}
-	if w.Kind == heartbeat.Targets && w.Sum != 0 && n.sendChange(now, from, w) {
+	if w.Kind == heartbeat.Targets && (w.Sum != 0 && n.sendChange(now, from, w) || n.sendSections(now, from, w)) {
 		return
 	}
 	held, err := n.beliefs.whole(w.Kind)
@@ -71,6 +71,57 @@
 	return bytes
 }
 
+// sendSections answers a request for targets with sections of the buckets that differ.
+// It returns false if the request has no digests, if they are equal although the
+// contents differ, or if a section exceeds the message limit; it returns true without
+// sending if the rate limit is reached.
+func (n *Node) sendSections(now time.Time, to netip.AddrPort, w *heartbeat.Want) bool {
+	if len(w.Digests) == 0 {
+		return false
+	}
+	sections := n.beliefs.sections(now, w.Digests, n.o.Settings.VM().ID)
+	var datagrams [][]byte
+	for _, s := range sections {
+		raw, err := heartbeat.Encode(&heartbeat.Message{Section: s})
+		if err != nil {
+			return false
+		}
+		datagrams = append(datagrams, raw)
+	}
+	if len(datagrams) == 0 {
+		return false
+	}
+	if n.mayServe(now, totalSize(datagrams)) {
+		n.sendDatagrams(datagrams, to)
+	}
+	return true
+}
+
+// serveRate returns the rate limit, in bytes a second, of sending content to other VMs.
+func (n *Node) serveRate() float64 { return n.o.Settings.Token.LinkBytesPerSecond() * linkShare }
+
+// handleSection applies a section from a peer. At the end of a response it requests the
+// sections that are still missing.
+func (n *Node) handleSection(now time.Time, s *heartbeat.Section) {
+	from := n.peerOrigin(now, s.Held, n.o.Settings.Token.Drain())
+	taken, complete, err := n.beliefs.takeSection(now, s, from)
+	switch {
+	case err != nil:
+		n.counts.malformed.Add(1)
+	case complete:
+		n.setWantWhole(false)
+		n.announce(false)
+	case taken && s.End:
+		n.sendWant(now, heartbeat.Targets)
+	}
+}
+
+// peerOrigin returns the origin of content from a peer. If the peer's content was
+// last confirmed at least within ago, it counts as read from a copy of the store.
+func (n *Node) peerOrigin(now time.Time, held heartbeat.Held, within time.Duration) origin {
+	return origin{source: sourcePeer, confirmed: now.Add(-held.Age()), recent: held.Age() >= within}
+}
+
 // mayServe tells whether the whole may be sent now, and if so counts its bytes.
 func (n *Node) mayServe(now time.Time, size int) bool {
 	n.sharing.mu.Lock()
@@ -78,7 +129,7 @@
 	if now.Before(n.sharing.serveAt) {
 		return false
 	}
-	n.sharing.serveAt = now.Add(time.Duration(float64(size) / serveRate * float64(time.Second)))
+	n.sharing.serveAt = now.Add(time.Duration(float64(size) / n.serveRate() * float64(time.Second)))
 	return true
 }
 
@@ -101,7 +152,7 @@
 	case heartbeat.Targets:
 		var list []baobabstep.Registration
 		if list, err = heartbeat.DecodeTargets(content); err == nil {
-			err = n.learnTargets(list, held.Revision(), from)
+			err = n.learnTargets(list, held.Revision(), n.peerOrigin(now, held, n.o.Settings.Token.Drain()))
 		}
 	}
 	if err != nil {
--- a/entry/model_test.go
+++ b/entry/model_test.go
@@ -114,6 +114,11 @@
 	return slices.Clone(read.targets), read.revision, d.reach()
 }
 
+func (d modelDirectory) FirstRegistrations(ctx context.Context, how baobabstep.Freshness) ([]baobabstep.Registration, bool, baobabstep.Revision, error) {
+	list, revision, err := d.Registrations(ctx, how)
+	return list, true, revision, err
+}
+
 // Watches never bring anything: the worst that a store does to them.
 func (d modelDirectory) WatchDesired(context.Context, baobabstep.Revision, time.Duration) (*baobabstep.DesiredChange, baobabstep.Revision, error) {
 	return new(baobabstep.DesiredChange), baobabstep.Revision{}, nil
@@ -375,10 +380,12 @@
 	vm.node.beliefs.mu.Lock()
 	list := vm.node.beliefs.evacuated
 	vm.node.beliefs.mu.Unlock()
+	fromCopy := held.revisionFromCopy || held.revision.Number == copyNumber
 	switch want := m.evacuatedAt(held.revision); {
-	case held.revision.Number == copyNumber && !m.everEvacuated(list):
+	case fromCopy && !m.everEvacuated(list):
 		m.t.Fatalf("VM %d holds evacuations %v, which the store never held", vm.n, list)
-	case held.revision.Number == copyNumber:
+	case fromCopy: // the revision of a copy does not identify the content
+		return
 	case held.revision.Before(vm.evacuations):
 		m.t.Fatalf("VM %d went from revision %v of evacuations to %v", vm.n, vm.evacuations, held.revision)
 	case held.isHeld() && !slices.Equal(list, want):
--- a/entry/node.go
+++ b/entry/node.go
@@ -119,7 +119,7 @@
 		Life: uint64(n.started.UnixMilli()), Seeds: o.Settings.Seeds,
 		Rand: rand.New(rand.NewPCG(o.Rand.Uint64(), o.Rand.Uint64())),
 	})
-	n.follower = &follower{node: n, directory: o.Directory, spread: o.Rand.Float64()}
+	n.follower = &follower{node: n, directory: o.Directory, spread: o.Rand.Float64(), expSpread: exponentialSpread(o.Rand.Float64())}
 	return n
 }
 
@@ -264,6 +264,7 @@
 				return err
 			}
 			n.beliefs.settleEvacuations(now)
+			n.beliefs.settleSections(now)
 			n.beat(now)
 			n.reportDropped(now)
 			n.reportMalformed(now)
--- a/entry/read.go
+++ b/entry/read.go
@@ -47,6 +47,20 @@
 	return revision, true, err
 }
 
+// readFirstTargets reads the first page of targets. If there are more, the VM routes
+// flows to these until it has received the others.
+func (f *follower) readFirstTargets(ctx context.Context, how baobabstep.Freshness) (baobabstep.Revision, error) {
+	began := f.node.clock.Now()
+	list, complete, revision, err := f.directory.FirstRegistrations(ctx, how)
+	switch {
+	case err != nil:
+		return baobabstep.Revision{}, err
+	case complete:
+		return revision, f.node.learnTargets(list, revision, readFrom(how, began, f.node.o.Settings.Token.Drain()))
+	}
+	return baobabstep.Revision{}, f.node.beliefs.holdIncomplete(f.node.clock.Now(), list)
+}
+
 func (f *follower) readTargets(ctx context.Context, how baobabstep.Freshness) (baobabstep.Revision, error) {
 	began := f.node.clock.Now()
 	list, revision, err := f.directory.Registrations(ctx, how)
--- a/entry/relay_test.go
+++ b/entry/relay_test.go
@@ -45,17 +45,21 @@
 	x.fleet.queue = append(x.fleet.queue, modelMessage{x.from, to, slices.Clone(raw)})
 }
 
+func (f *dataCentreFleet) newNode(i int) *Node {
+	at := peerAddress(3 * i)
+	return New(Options{
+		Settings:  &setting.Settings{Name: fmt.Sprintf("vm-%d", i), Region: "r", DataCentre: "dc-0", PeerAddress: at},
+		LogLimits: noLines{}, Logger: &log.Logger{Handler: discard.New(), Level: log.ErrorLevel},
+		Messages: &fleetMessages{fleet: f, from: at}, Rand: rand.New(rand.NewPCG(1, uint64(i))), Clock: f,
+	})
+}
+
 func newDataCentreFleet(t testing.TB, vms, targets int) *dataCentreFleet {
 	t.Helper()
 	f := &dataCentreFleet{t: t, now: benchEpoch, sent: map[netip.AddrPort]int{}, kinds: map[string]int{}}
 	list := benchRegistrations(targets)
 	for i := range vms {
-		at := peerAddress(3 * i)
-		n := New(Options{
-			Settings:  &setting.Settings{Name: fmt.Sprintf("vm-%d", i), Region: "r", DataCentre: "dc-0", PeerAddress: at},
-			LogLimits: noLines{}, Logger: &log.Logger{Handler: discard.New(), Level: log.ErrorLevel},
-			Messages: &fleetMessages{fleet: f, from: at}, Rand: rand.New(rand.NewPCG(1, uint64(i))), Clock: f,
-		})
+		n := f.newNode(i)
 		_, _, err := n.beliefs.holdTargets(f.now, list, baobabstep.Revision{Number: 1}, origin{source: sourceStore, confirmed: f.now})
 		qt.Assert(t, err, qt.IsNil)
 		f.nodes = append(f.nodes, n)
@@ -114,6 +118,8 @@
 		return "change"
 	case m.Fragment != nil:
 		return "fragment"
+	case m.Section != nil:
+		return "section"
 	}
 	return "other"
 }
@@ -203,5 +209,5 @@
 		f.deliver()
 	}
 	qt.Assert(t, f.outdated(), qt.Equals, 0)
-	qt.Assert(t, f.kinds["piece"] > 0, qt.IsTrue)
+	qt.Assert(t, f.kinds["section"] > 0, qt.IsTrue)
 }
--- a/entry/share.go
+++ b/entry/share.go
@@ -20,11 +20,13 @@
 	secretSpread = 2 * time.Second
 	// wantInterval is the least time between two requests for one kind.
 	wantInterval = 100 * time.Millisecond
-	// serveRate bounds what is sent in pieces, in bytes a second: a sixth of a
-	// link of 10 Mbit/s. Sent to all who ask at once it would fill the link, and
-	// callers' segments would be lost. Who gets the whole sends it on, so all have it
-	// after a few rounds.
-	serveRate = 200e3
+	// linkShare is the share of the VM's link that may be used to send content to other
+	// VMs; the rest is left to callers' segments, which would be lost on a full link.
+	// Receivers forward the content, so it reaches all VMs after a few rounds.
+	linkShare = 1.0 / 6
+	// maxAnswerBytes limits the sections in one response. The receiver requests further
+	// ones, possibly from another VM.
+	maxAnswerBytes = 32e3
 )
 
 // Messages carries what VMs tell each other.
@@ -145,6 +147,8 @@
 		n.router.SetSilence(now, n.board.HandleAlarm(now, from, m.Alarm))
 	case m.Fragment != nil:
 		n.handleFragment(now, from, m.Fragment)
+	case m.Section != nil:
+		n.handleSection(now, m.Section)
 	}
 }
 
@@ -193,20 +197,32 @@
 	if !n.mayWant(now, kind, held.revision) {
 		return
 	}
-	if source, ok := n.board.Newer(now, kind, held.revision, held.sum); ok {
-		n.sendMessage(source, &heartbeat.Message{Want: heartbeat.MakeWant(kind, held.revision, n.wantSum(kind, held.sum))})
+	n.sendWant(now, kind)
+}
+
+// sendWant requests a kind from a VM that holds a newer revision of it, if there is one.
+func (n *Node) sendWant(now time.Time, kind heartbeat.Kind) {
+	held := n.beliefs.get(kind)
+	source, ok := n.board.Newer(now, kind, held.revision, held.sum)
+	if !ok {
+		return
 	}
+	want := heartbeat.MakeWant(kind, held.revision)
+	if kind == heartbeat.Targets {
+		want.Digests = n.beliefs.digests()
+		if held.isHeld() && !n.wantsWhole() {
+			want.Sum = held.sum
+		}
+	}
+	n.sendMessage(source, &heartbeat.Message{Want: want})
 }
 
-// wantSum returns the checksum to send in a request: sum to request a change to the
-// held content, or 0 to request the whole.
-func (n *Node) wantSum(kind heartbeat.Kind, sum uint64) uint64 {
+// wantsWhole tells whether a change of targets did not apply, so that the next request
+// must not be for changes.
+func (n *Node) wantsWhole() bool {
 	n.sharing.mu.Lock()
 	defer n.sharing.mu.Unlock()
-	if kind != heartbeat.Targets || n.sharing.wantWhole {
-		return 0
-	}
-	return sum
+	return n.sharing.wantWhole
 }
 
 // mayWant tells whether this VM may now request a newer revision of a kind than the one
--- a/entry/share_test.go
+++ b/entry/share_test.go
@@ -10,7 +10,7 @@
 // Thirty VMs ask for a table of 18 KB at one moment. Served at once, they fill
 // the link of the VM that has it, and callers' segments are lost behind it.
 func TestWholesArePaced(t *testing.T) {
-	n := new(Node)
+	n := newQuietNode(new(countedMessages))
 	now := time.Unix(1_800_000_000, 0)
 	served := 0
 	for range 30 {
@@ -19,7 +19,7 @@
 		}
 	}
 	qt.Assert(t, served, qt.Equals, 1)
-	next := now.Add(time.Duration(18_000 / serveRate * float64(time.Second)))
+	next := now.Add(time.Duration(18_000 / n.serveRate() * float64(time.Second)))
 	qt.Assert(t, n.mayServe(next.Add(-1), 100), qt.IsFalse)
 	qt.Assert(t, n.mayServe(next, 100), qt.IsTrue)
 }
