--- a/core/heartbeat/ask.go
+++ b/core/heartbeat/ask.go
@@ -57,7 +57,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	live := make(map[string]int)
-	last := make(map[string]time.Time)
+	stats := make(map[string]*farStats)
 	total := 0
 	for _, p := range b.peers {
 		if !b.live(now, p) {
@@ -66,30 +66,55 @@
 		dc := p.last.DataCentre
 		live[dc]++
 		total++
-		if p.heard.After(last[dc]) {
-			last[dc] = p.heard
+		if stats[dc] == nil {
+			stats[dc] = new(farStats)
 		}
+		stats[dc].add(p)
 	}
-	for dc, vms := range live {
-		if dc != b.o.DataCentre && now.Sub(last[dc]) >= b.farSilent(vms, total) {
+	for dc, s := range stats {
+		if dc != b.o.DataCentre && now.Sub(s.last) >= b.farSilent(s, total) {
 			delete(live, dc)
 		}
 	}
 	return live
 }
 
+// farStats summarizes the heartbeats from the live VMs of another data centre.
+type farStats struct {
+	vms int
+	// last is when the latest heartbeat was received.
+	last time.Time
+	// rate is the expected number of heartbeats a second from the VMs that report
+	// their turn.
+	rate float64
+	// withoutTurn is the number of VMs that do not report their turn.
+	withoutTurn int
+}
+
+func (s *farStats) add(p *peer) {
+	s.vms++
+	if turn := p.last.turn(); turn > 0 {
+		s.rate += 1 / turn.Seconds()
+	} else {
+		s.withoutTurn++
+	}
+	if p.heard.After(s.last) {
+		s.last = p.heard
+	}
+}
+
 // farGaps is how many times the mean time between two heartbeats from another
 // data centre it may be silent.
 const farGaps = 4
 
-// farSilent returns the silence after which another data centre is out of reach,
-// of which the given number of VMs are known, among total in all. Each of them
-// sends to FarFanout of those elsewhere in a time of Far; a small one in a large
-// fleet is heard seldom.
-func (b *Board) farSilent(vms, total int) time.Duration {
-	elsewhere := max(1, total+1-vms)
-	gap := b.o.Far * time.Duration(elsewhere) / time.Duration(vms*min(b.o.FarFanout, elsewhere))
-	return max(b.o.FarSilent, farGaps*gap)
+// farSilent returns the silence after which another data centre is out of reach, with
+// total live peers in all data centres. It grows with the mean time between heartbeats,
+// which is long for a small data centre in a large fleet. A VM that does not report its
+// turn is assumed to send to FarFanout VMs of other data centres every Far.
+func (b *Board) farSilent(s *farStats, total int) time.Duration {
+	elsewhere := max(1, total+1-s.vms)
+	rate := s.rate + float64(s.withoutTurn*min(b.o.FarFanout, elsewhere))/(b.o.Far.Seconds()*float64(elsewhere))
+	return max(b.o.FarSilent, time.Duration(farGaps/rate*float64(time.Second)))
 }
 
 // Newer returns a live VM that holds a newer version with another content, one
--- a/core/heartbeat/beat.go
+++ b/core/heartbeat/beat.go
@@ -33,24 +33,85 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.forget(now)
+	b.fanouts = b.fanoutsFor(now, own.Loads)
 	b.countTurns()
 	var outs []Out
 	if at := round(now, b.o.Near); at != b.nearRound {
 		b.nearRound = at
-		outs = b.beat(outs, now, own, maxLoads, turn(b.sorted(true), at, b.o.NearFanout, 0))
+		list := b.sorted(true)
+		to := turn(list, at, b.fanouts.near, b.offset(now, len(list)))
+		to, far := b.addNewPeers(to)
+		outs = b.beat(outs, now, own, nearBeatOptions(b), to)
+		outs = b.beat(outs, now, own, farBeatOptions(b), far)
 	}
 	if at := round(now, b.o.Far); at != b.farRound {
 		b.farRound = at
 		list := b.sorted(false)
-		outs = b.beat(outs, now, own, farLoads, turn(list, at, b.o.FarFanout, b.offset(now, len(list))))
+		outs = b.beat(outs, now, own, farBeatOptions(b), turn(list, at, b.fanouts.far, b.offset(now, len(list))))
 	}
 	return outs
 }
 
-// offset spreads the turns of the VMs of a data centre over those of length VMs
-// elsewhere, so that each of these hears from one after the other. With turns at
-// the same place, as after a start of all, some VM hears nothing of a data centre
-// for seconds and takes it for out of reach.
+// minTurnPeers is the number of heartbeats in a round that are reserved for the VMs whose
+// turn it is.
+const minTurnPeers = 2
+
+// addNewPeers adds new peers to the VMs whose turn it is, up to NearFanout in total, and
+// drops some of the latter if necessary. New peers are the VMs in newPeers, which may
+// know no other VM, and a random selection of those of which only the address is known.
+// VMs known to be in another data centre are returned in far.
+func (b *Board) addNewPeers(turn []*peer) (to, far []*peer) {
+	unknown := b.unknown()
+	b.o.Rand.Shuffle(len(unknown), func(i, j int) { unknown[i], unknown[j] = unknown[j], unknown[i] })
+	added := slices.DeleteFunc(append(b.newPeers, unknown...), func(p *peer) bool { return slices.Contains(turn, p) })
+	b.newPeers = nil
+	added = added[:min(len(added), max(0, b.o.NearFanout-minTurnPeers))]
+	to = slices.Clone(turn)
+	if most := b.o.NearFanout - len(added); len(to) > most {
+		b.o.Rand.Shuffle(len(to), func(i, j int) { to[i], to[j] = to[j], to[i] })
+		to = to[:most] // random ones, so that no VM is passed over in each of its turns
+	}
+	for _, p := range added {
+		if p.last != nil && p.last.DataCentre != b.o.DataCentre {
+			far = append(far, p)
+		} else {
+			to = append(to, p)
+		}
+	}
+	return to, far
+}
+
+// AnswerNewPeers returns heartbeats without loads to the VMs that started or were first
+// heard since the last call. A VM that has just started knows only the seeds, and learns
+// of the others from these answers. VMs above the rate limit wait for the next call or
+// round.
+func (b *Board) AnswerNewPeers(now time.Time, own Own) (outs []Out) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	own.Loads = nil
+	for len(b.newPeers) > 0 && b.answers.AllowN(now, 1) {
+		p := b.newPeers[0]
+		b.newPeers = b.newPeers[1:]
+		options := nearBeatOptions(b)
+		if p.last.DataCentre != b.o.DataCentre {
+			options = farBeatOptions(b)
+		}
+		outs = b.beat(outs, now, own, options, []*peer{p})
+	}
+	return outs
+}
+
+// HasNewPeers tells whether new peers wait for an answer.
+func (b *Board) HasNewPeers() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.newPeers) > 0
+}
+
+// offset returns where this VM starts in a list of length receivers. Offsets are spread
+// over the VMs of a data centre. With equal offsets, a receiver would get the heartbeats
+// of all of them in one round, which can overflow its socket buffer, and then none for
+// seconds.
 func (b *Board) offset(now time.Time, length int) int {
 	rank, vms := 0, 1
 	for _, p := range b.peers {
@@ -74,9 +135,9 @@
 	defer b.mu.Unlock()
 	to := b.sorted(true)
 	b.o.Rand.Shuffle(len(to), func(i, j int) { to[i], to[j] = to[j], to[i] })
-	outs := b.beat(nil, now, own, maxLoads, to[:min(len(to), b.o.AnnounceFanout)])
+	outs := b.beat(nil, now, own, nearBeatOptions(b), to[:min(len(to), b.o.AnnounceFanout)])
 	if far {
-		outs = b.beat(outs, now, own, farLoads, b.firsts(now))
+		outs = b.beat(outs, now, own, farBeatOptions(b), b.firsts(now))
 	}
 	return outs
 }
@@ -194,15 +255,33 @@
 	return chosen
 }
 
-// beat adds a heartbeat with at most the given number of loads to some VMs.
-func (b *Board) beat(outs []Out, now time.Time, own Own, loads int, to []*peer) []Out {
+// beatOptions are the parameters of a heartbeat that depend on its receivers.
+type beatOptions struct {
+	// loads limits the number of loads in the heartbeat.
+	loads int
+	// turn is the time in which this VM sends one heartbeat to each VM of the own data
+	// centre, or of all others.
+	turn time.Duration
+}
+
+func nearBeatOptions(b *Board) beatOptions {
+	return beatOptions{loads: maxLoads, turn: time.Duration(b.nearTurns) * b.o.Near}
+}
+
+func farBeatOptions(b *Board) beatOptions {
+	return beatOptions{loads: farLoads, turn: time.Duration(b.farTurns) * b.o.Far}
+}
+
+// beat appends to outs one heartbeat for each of the given VMs.
+func (b *Board) beat(outs []Out, now time.Time, own Own, o beatOptions, to []*peer) []Out {
 	if len(to) == 0 {
 		return outs
 	}
 	b.number++
 	h := &Heartbeat{
 		From: b.o.Self, DataCentre: b.o.DataCentre, Life: b.o.Life, Number: b.number,
-		Leaving: own.Leaving, Blind: own.Blind, Held: [pieceKinds]Held(own.Held[:pieceKinds]), HeldEvacuations: own.Held[Evacuations], Loads: MakeLoads(now, own.Loads, loads), Peers: b.sample(now),
+		Leaving: own.Leaving, Blind: own.Blind, Held: [pieceKinds]Held(own.Held[:pieceKinds]), HeldEvacuations: own.Held[Evacuations], Loads: MakeLoads(now, own.Loads, o.loads), Peers: b.sample(now),
+		TurnMS: uint32(o.turn.Milliseconds()),
 	}
 	m := &Message{Heartbeat: h}
 	for _, p := range to {
@@ -211,15 +290,28 @@
 	return outs
 }
 
-// sample returns a few VMs that were heard lately.
+// sample returns the addresses of up to maxPeers random live VMs. It prefers those of
+// the own data centre, and includes at least one of another if any is live.
 func (b *Board) sample(now time.Time) []netip.AddrPort {
-	var heard []netip.AddrPort
+	var near, far []netip.AddrPort
 	for _, p := range b.peers {
-		if b.live(now, p) {
-			heard = append(heard, p.address)
+		switch {
+		case !b.live(now, p):
+		case p.last.DataCentre == b.o.DataCentre:
+			near = append(near, p.address)
+		default:
+			far = append(far, p.address)
 		}
 	}
-	slices.SortFunc(heard, netip.AddrPort.Compare)
-	b.o.Rand.Shuffle(len(heard), func(i, j int) { heard[i], heard[j] = heard[j], heard[i] })
-	return heard[:min(len(heard), maxPeers)]
+	b.shuffleAddresses(near)
+	b.shuffleAddresses(far)
+	farPeers := min(len(far), max(1, maxPeers-len(near)))
+	return append(near[:min(len(near), maxPeers-farPeers)], far[:farPeers]...)
+}
+
+// shuffleAddresses sorts a list before it shuffles it, so that the result does not depend
+// on the iteration order of a map.
+func (b *Board) shuffleAddresses(list []netip.AddrPort) {
+	slices.SortFunc(list, netip.AddrPort.Compare)
+	b.o.Rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 }
--- a/core/heartbeat/board.go
+++ b/core/heartbeat/board.go
@@ -94,6 +94,13 @@
 	// nearTurns and farTurns are the rounds of heartbeats in which each VM of
 	// the own data centre and of others gets one.
 	nearTurns, farTurns int
+	// newPeers are the VMs that started, or were first heard, since the last round, and
+	// have not been answered.
+	newPeers []*peer
+	// fanouts are the current numbers of VMs that get a heartbeat in a round.
+	fanouts fanouts
+	// answers limits the heartbeats that AnswerNewPeers returns.
+	answers *rate.Limiter
 	// nearVMs is the number of known peers in the own data centre.
 	nearVMs int
 	tally   tally
@@ -115,22 +122,37 @@
 func New(now time.Time, o Options) *Board {
 	o.setDefaults()
 	b := &Board{
-		o: o, peers: make(map[netip.AddrPort]*peer), tally: make(tally), changed: make(map[baobabstep.TargetID]struct{}), alarms: rate.NewLimiter(alarmRate, alarmBurst),
+		o: o, peers: make(map[netip.AddrPort]*peer), tally: make(tally), changed: make(map[baobabstep.TargetID]struct{}), alarms: rate.NewLimiter(alarmRate, alarmBurst), answers: rate.NewLimiter(answerRate, answerBurst),
 		metAt: now, started: now, unseen: make(map[netip.AddrPort]bool),
 	}
 	for _, seed := range o.Seeds {
 		b.unseen[seed] = true
 	}
+	b.fanouts = fanouts{near: o.NearFanout, far: o.FarFanout}
 	delete(b.unseen, o.Address)
 	b.meet(now, o.Seeds)
 	return b
 }
 
+// maxUnknownPeers limits the peers of which only the address is known. Without a limit, a
+// VM would learn the addresses of all others at once when a whole fleet starts.
+const maxUnknownPeers = 32
+
 // meet takes in addresses of VMs that this one does not know yet.
 func (b *Board) meet(now time.Time, addresses []netip.AddrPort) {
+	unknown := 0
+	for _, p := range b.peers {
+		if p.last == nil {
+			unknown++
+		}
+	}
 	for _, a := range addresses {
+		if unknown >= maxUnknownPeers {
+			return
+		}
 		if a.IsValid() && a != b.o.Address && b.peers[a] == nil {
 			b.peers[a] = &peer{address: a, heard: now}
+			unknown++
 		}
 	}
 }
@@ -146,12 +168,21 @@
 	}
 }
 
-// sorted returns the peers of the own data centre or of all others, those of
-// which only the address is known among both.
+// sorted returns the peers that have sent a heartbeat, of the own data centre or of all
+// others, sorted by address.
 func (b *Board) sorted(near bool) []*peer {
-	var list []*peer
+	return b.filterPeers(func(p *peer) bool { return p.last != nil && (p.last.DataCentre == b.o.DataCentre) == near })
+}
+
+// unknown returns the peers of which only the address is known, sorted by address.
+func (b *Board) unknown() []*peer {
+	return b.filterPeers(func(p *peer) bool { return p.last == nil })
+}
+
+// filterPeers returns the peers that match, sorted by address.
+func (b *Board) filterPeers(match func(*peer) bool) (list []*peer) {
 	for _, p := range b.peers {
-		if p.last == nil || (p.last.DataCentre == b.o.DataCentre) == near {
+		if match(p) {
 			list = append(list, p)
 		}
 	}
@@ -163,9 +194,12 @@
 	if p.last == nil {
 		return false
 	}
-	turns := b.nearTurns
+	turns, interval := b.nearTurns, b.o.Near
 	if p.last.DataCentre != b.o.DataCentre {
-		turns = b.farTurns
+		turns, interval = b.farTurns, b.o.Far
+	}
+	if turn := p.last.turn(); turn > 0 {
+		turns = int(turn / interval)
 	}
 	return now.Sub(p.heard) < b.o.Silent*time.Duration(max(1, turns))
 }
@@ -184,8 +218,8 @@
 		}
 	}
 	b.nearVMs = near
-	b.nearTurns = (near + b.o.NearFanout - 1) / b.o.NearFanout
-	b.farTurns = (far + b.o.FarFanout - 1) / b.o.FarFanout
+	b.nearTurns = (near + b.fanouts.near - 1) / b.fanouts.near
+	b.farTurns = (far + b.fanouts.far - 1) / b.fanouts.far
 }
 
 // forgetTurns is how many turns a VM may miss before it is forgotten: in a fleet
@@ -195,15 +229,26 @@
 // forget drops VMs that were silent for long, but never a seed: a VM that was
 // cut off for long has to find the others again.
 func (b *Board) forget(now time.Time) {
-	after := max(b.o.Forget, forgetTurns*time.Duration(b.farTurns)*b.o.Far)
 	for address, p := range b.peers {
-		if now.Sub(p.heard) >= after && !slices.Contains(b.o.Seeds, address) {
+		if now.Sub(p.heard) >= b.forgetAfter(p) && !slices.Contains(b.o.Seeds, address) {
 			b.count(p, false)
 			delete(b.peers, address)
 		}
 	}
 }
 
+// unknownTimeout is how long a VM of which only the address is known is kept without an
+// answer.
+const unknownTimeout = 5 * time.Second
+
+// forgetAfter returns the silence after which a VM is forgotten.
+func (b *Board) forgetAfter(p *peer) time.Duration {
+	if p.last == nil {
+		return unknownTimeout
+	}
+	return max(b.o.Forget, forgetTurns*time.Duration(b.farTurns)*b.o.Far, forgetTurns*p.last.turn())
+}
+
 // Handle takes in a heartbeat. It returns false for one that is not newer than
 // what is known of its sender.
 func (b *Board) Handle(now time.Time, from netip.AddrPort, h *Heartbeat) bool {
@@ -227,6 +272,7 @@
 	newLife := p.last == nil || h.Life != p.last.Life
 	if newLife {
 		p.alarmed = 0
+		b.addNewPeer(p)
 	}
 	if newLife || h.Number > p.alarmed {
 		b.markReportsChanged(p)
@@ -239,6 +285,20 @@
 	return true
 }
 
+const (
+	// maxNewPeers limits the VMs that wait for an answer to their first heartbeat.
+	maxNewPeers = 64
+	// answerRate, in answers a second, and answerBurst limit AnswerNewPeers.
+	answerRate, answerBurst = 50, 64
+)
+
+// addNewPeer queues a VM that has started, or is heard for the first time, for an answer.
+func (b *Board) addNewPeer(p *peer) {
+	if len(b.newPeers) < maxNewPeers && !slices.Contains(b.newPeers, p) {
+		b.newPeers = append(b.newPeers, p)
+	}
+}
+
 func newer(h, last *Heartbeat) bool {
 	if h.From != last.From {
 		return h.Life >= last.Life
--- /dev/null
+++ b/core/heartbeat/fanout_test.go
@@ -0,0 +1,152 @@
+package heartbeat
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"baobabstep"
+)
+
+// countNearHeartbeats returns the number of heartbeats that VM 9 sends within its data
+// centre in ten seconds, after its startup period, with the given number of other VMs.
+func countNearHeartbeats(vms int, own Own) (sent int, b *Board) {
+	b = newBoard(9)
+	now := start.Add(time.Minute)
+	for n := range vms {
+		number := 2*n + 1
+		if number >= 9 {
+			number += 2
+		}
+		b.Handle(now, address(number), beat(number, 1, 1))
+	}
+	b.Tick(now, own)
+	for range 50 {
+		now = now.Add(b.o.Near)
+		for _, out := range b.Tick(now, own) {
+			if b.IsNear(out.To) {
+				sent++
+			}
+		}
+	}
+	return sent, b
+}
+
+func ownWithRequests(requests float64) Own {
+	return Own{Loads: []baobabstep.TargetLoad{{Target: 1, Requests: requests}}}
+}
+
+// Guards against idle VMs of a large data centre sending heartbeats at full fan-out.
+func TestFanoutFollowsTraffic(t *testing.T) {
+	for _, c := range []struct {
+		vms      int
+		requests float64
+		want     int
+	}{
+		{4, 0, 200}, {40, 0, 400}, {63, 0, 400}, // below largeDataCentre the load has no effect
+		{64, 0, 100}, {120, 0, 100}, {120, 10, 200}, {120, 1000, 400},
+	} {
+		t.Run(fmt.Sprintf("vms=%d/requests=%v", c.vms, c.requests), func(t *testing.T) {
+			sent, _ := countNearHeartbeats(c.vms, ownWithRequests(c.requests))
+			qt.Assert(t, sent, qt.Equals, c.want)
+		})
+	}
+}
+
+// Guards against idle VMs being considered dead because they send few heartbeats.
+func TestSlowSendersStayLive(t *testing.T) {
+	sent, b := countNearHeartbeats(120, ownWithRequests(0))
+	qt.Assert(t, sent, qt.Equals, 100)
+	other := newBoard(11)
+	h := b.Tick(start.Add(71*time.Second), ownWithRequests(0))[0].Message.Heartbeat
+	qt.Assert(t, h.TurnMS, qt.Equals, uint32(12000))
+	other.Handle(start, address(9), h)
+	qt.Assert(t, other.Live(start.Add(20 * time.Second))["a"], qt.Equals, 1)
+	qt.Assert(t, other.Live(start.Add(50 * time.Second))["a"], qt.Equals, 0)
+}
+
+// Guards against a VM receiving the heartbeats of its whole data centre in one round, and
+// then none for seconds.
+func TestTurnsAreSpread(t *testing.T) {
+	const vms = 60
+	boards := make([]*Board, vms)
+	for i := range boards {
+		boards[i] = newBoard(2*i + 1)
+		for j := range boards {
+			if i != j {
+				boards[i].Handle(start, address(2*j+1), beat(2*j+1, 1, 1))
+			}
+		}
+		boards[i].Tick(start, Own{})
+	}
+	now := start
+	for range 20 {
+		now = now.Add(200 * time.Millisecond)
+		received := map[netip.AddrPort]int{}
+		for _, b := range boards {
+			for _, out := range b.Tick(now, Own{}) {
+				received[out.To]++
+			}
+		}
+		for i := range boards {
+			got := received[address(2*i+1)]
+			qt.Assert(t, got >= 4 && got <= 16, qt.IsTrue, qt.Commentf("VM %d received %d heartbeats in a round", i, got))
+		}
+	}
+}
+
+// Guards against a newly started VM learning of other VMs only when its turn comes.
+func TestNewPeersGetHeartbeat(t *testing.T) {
+	b := newBoard(1)
+	for n := 3; n < 120; n += 2 {
+		b.Handle(start, address(n), beat(n, 1, 1))
+	}
+	b.Tick(start, Own{})
+	for _, newPeer := range []int{121, 122} { // own data centre, other data centre
+		b.Handle(start, address(newPeer), beat(newPeer, 1, 1))
+	}
+	answered := map[netip.AddrPort]bool{}
+	for _, out := range b.Tick(start.Add(b.o.Near), Own{}) {
+		answered[out.To] = true
+	}
+	qt.Assert(t, answered[address(121)] && answered[address(122)], qt.IsTrue)
+}
+
+// Guards against VMs that never get a heartbeat because seeds that are gone take their places.
+func TestDeadSeedsTakeNoTurns(t *testing.T) {
+	b := newBoard(1, 201, 203, 205)
+	for n := 3; n < 35; n += 2 { // two rounds
+		b.Handle(start, address(n), beat(n, 1, 1))
+	}
+	now, heard := start, map[netip.AddrPort]bool{}
+	for range 40 {
+		now = now.Add(b.o.Near)
+		for n := 3; n < 35; n += 2 {
+			b.Handle(now, address(n), beat(n, 1, uint64(now.Sub(start))))
+		}
+		for _, out := range b.Tick(now, Own{}) {
+			heard[out.To] = true
+		}
+	}
+	for n := 3; n < 35; n += 2 {
+		qt.Assert(t, heard[address(n)], qt.IsTrue, qt.Commentf("VM %d", n))
+	}
+}
+
+// Guards against answers to new peers that fill the link of a seed.
+func TestAnswersToNewPeersAreBounded(t *testing.T) {
+	b := newBoard(1)
+	answered := 0
+	for n := 3; n < 600; n += 2 {
+		b.Handle(start, address(n), beat(n, 1, 1))
+		for _, out := range b.AnswerNewPeers(start, ownWithRequests(10)) {
+			answered++
+			qt.Assert(t, out.Message.Heartbeat.Loads, qt.HasLen, 0)
+		}
+	}
+	qt.Assert(t, answered, qt.Equals, answerBurst)
+	qt.Assert(t, len(b.newPeers) <= maxNewPeers, qt.IsTrue)
+}
--- a/core/heartbeat/message.go
+++ b/core/heartbeat/message.go
@@ -69,6 +69,17 @@
 	// HeldEvacuations is what Held would say of Evacuations; a version 0 is that
 	// of a sender that knows nothing of that kind.
 	HeldEvacuations Held `cbor:"10,keyasint,omitzero"`
+	// TurnMS is the time in milliseconds in which the sender sends one heartbeat to each
+	// VM of its data centre or, for a receiver elsewhere, of all others; 0 if not set.
+	TurnMS uint32 `cbor:"11,keyasint,omitempty"`
+}
+
+// maxTurn is the longest turn that is accepted; longer ones are reduced to it.
+const maxTurn = 2 * time.Minute
+
+// turn returns TurnMS as a duration of at most maxTurn.
+func (h *Heartbeat) turn() time.Duration {
+	return min(time.Duration(h.TurnMS)*time.Millisecond, maxTurn)
 }
 
 // HeldOf returns what the sender says of a kind.
--- a/core/heartbeat/view.go
+++ b/core/heartbeat/view.go
@@ -32,6 +32,32 @@
 	return b.view
 }
 
+// startupTime is the time after its start in which a VM may know few of the others.
+const startupTime = 5 * time.Second
+
+// KnowsOthers tells whether the VM can be taken to know the others well enough to find its
+// rank among them: it started a while ago, or has met the others of its data centre,
+// and none for the first time lately.
+func (b *Board) KnowsOthers(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if now.Sub(b.started) >= startupTime {
+		return true
+	}
+	if now.Sub(b.metAt) < settleTime {
+		return false
+	}
+	if len(b.unseen) == 0 {
+		return true
+	}
+	for _, p := range b.peers {
+		if b.live(now, p) {
+			return true
+		}
+	}
+	return false
+}
+
 // near returns all other VMs of the own data centre that are remembered, sorted.
 func (b *Board) near() (list []baobabstep.VMID) {
 	for _, p := range b.peers {
--- a/core/heartbeat/view_test.go
+++ b/core/heartbeat/view_test.go
@@ -201,3 +201,23 @@
 		})
 	}
 }
+
+// Guards against fleets that start in which most VMs take themselves for the first by rank.
+func TestKnowsOthers(t *testing.T) {
+	t.Run("alone with seeds", func(t *testing.T) {
+		b := newBoard(1, 3)
+		qt.Assert(t, b.KnowsOthers(start.Add(startupTime-1)), qt.IsFalse)
+		qt.Assert(t, b.KnowsOthers(start.Add(startupTime)), qt.IsTrue)
+	})
+	t.Run("alone", func(t *testing.T) {
+		b := newBoard(1, 1)
+		qt.Assert(t, b.KnowsOthers(start.Add(settleTime-1)), qt.IsFalse)
+		qt.Assert(t, b.KnowsOthers(start.Add(settleTime)), qt.IsTrue)
+	})
+	t.Run("another one just heard", func(t *testing.T) {
+		b := newBoard(1, 3)
+		b.Handle(start.Add(time.Second), address(3), beat(3, 1, 1))
+		qt.Assert(t, b.KnowsOthers(start.Add(time.Second+settleTime-1)), qt.IsFalse)
+		qt.Assert(t, b.KnowsOthers(start.Add(time.Second+settleTime)), qt.IsTrue)
+	})
+}
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -167,6 +167,9 @@
 // due returns when something has to be read again.
 func (f *follower) due(now time.Time, r *reading) time.Time {
 	age := dueAge(f.node.rank(now))
+	if !f.node.board.KnowsOthers(now) {
+		age = max(age, nearAge) // in a fleet that starts most VMs hear none with a lower rank at first
+	}
 	first := f.dueOf(r, r.kind(), age)
 	for _, kind := range r.kinds[1:] {
 		if due := f.dueOf(r, kind, age); due.Before(first) {
@@ -242,7 +245,7 @@
 
 // watches tells whether this VM holds the fleet's watches.
 func (f *follower) watches(now time.Time) bool {
-	return f.node.rank(now).First() && now.Sub(f.node.started) >= settleTime
+	return f.node.rank(now).First() && now.Sub(f.node.started) >= settleTime && f.node.board.KnowsOthers(now)
 }
 
 // follow reads a kind whenever it is due, until ctx ends.
@@ -314,7 +317,7 @@
 	switch {
 	case absent && now.Sub(f.node.started) < settleTime:
 		return settleTime + time.Duration(f.expSpread*float64(absentSpread)) // until it knows who is the first
-	case absent && rank.First():
+	case absent && rank.First() && f.node.board.KnowsOthers(now):
 		return absentRetry
 	case absent:
 		return 2 * absentRetry
--- a/entry/share.go
+++ b/entry/share.go
@@ -179,6 +179,9 @@
 	for _, kind := range compareOrder {
 		n.compare(now, kind, h)
 	}
+	if n.board.HasNewPeers() {
+		n.sendAll(n.board.AnswerNewPeers(now, heartbeat.Own{Leaving: n.stopping.Load(), Blind: n.isBlind(), Held: n.beliefs.told(now)}))
+	}
 }
 
 // compare looks at what the sender holds of one kind: it vouches for the same
--- a/io/datagram/datagram.go
+++ b/io/datagram/datagram.go
@@ -21,6 +21,10 @@
 // maxBytes is the largest datagram taken, in bytes.
 const maxBytes = 1400
 
+// readBufferBytes is the size of the receive buffer. When a fleet starts, all VMs send
+// heartbeats to the same seeds at once.
+const readBufferBytes = 1 << 20
+
 // label keeps the codes of these datagrams apart from others made with
 // the same secret.
 const label = "baobabstep heartbeat 1\x00"
@@ -49,6 +53,7 @@
 	if err != nil {
 		return nil, baobabstep.Errorf(baobabstep.CodeSettings, "datagram.listen", "listen at %v: %w", address, err)
 	}
+	_ = socket.SetReadBuffer(readBufferBytes) // best effort: a smaller buffer only loses more datagrams
 	return &Conn{socket: socket}, nil
 }
 
