--- a/core/heartbeat/fragment.go
+++ b/core/heartbeat/fragment.go
@@ -11,8 +11,10 @@
 	// fragmentBytes is the payload size of a fragment. With its encoding overhead, a
 	// fragment stays below MaxMessage.
 	fragmentBytes = 1200
-	// maxFragments limits a fragmented message to about 300 KB.
-	maxFragments = 256
+	// maxFragments limits a fragmented message to 24 KB. Losing one fragment loses the
+	// message, and a longer burst can overflow the queue of a slow link. Larger changes
+	// are sent as sections.
+	maxFragments = 20
 	// maxUnfinishedMessages limits the messages in reassembly. Those older than
 	// fragmentTimeout are dropped when a new one starts.
 	maxUnfinishedMessages = 16
--- a/entry/belief.go
+++ b/entry/belief.go
@@ -43,6 +43,9 @@
 	// lastSectionAt is when targets were last changed by a section or by the first page
 	// of the store.
 	lastSectionAt time.Time
+	// sectionsMissing is set while targets have been changed by sections but do not yet
+	// equal those of the sender.
+	sectionsMissing bool
 	// inForce are the data centres that get no flow, which differ from evacuated
 	// while merge is set.
 	inForce []string
@@ -210,7 +213,7 @@
 	if !first {
 		change = heartbeat.TargetsChange(d, oldSum, held.told(now))
 	}
-	b.unapplied = heartbeat.Difference{}
+	b.unapplied, b.sectionsMissing = heartbeat.Difference{}, false
 	b.router.SetRegistrations(now, list)
 	b.logTargets(from)
 	return true, change, nil
@@ -319,6 +322,7 @@
 		return 0, err
 	}
 	b.applySections(now)
+	b.sectionsMissing = false
 	b.history.Add(b.held[heartbeat.Targets].revision, revision, d)
 	oldSum = b.replace(now, heartbeat.Targets, b.targets.Sum(), revision, from)
 	b.router.ChangeRegistrations(now, d.Put, d.Gone)
--- a/entry/hand.go
+++ b/entry/hand.go
@@ -17,6 +17,9 @@
 		n.sendEvacuations(now, from)
 		return
 	}
+	if !n.canServe(now, from) {
+		return // the requester asks another VM, or this one again; preparing the content costs more than the request
+	}
 	if w.Kind == heartbeat.Targets && (w.Sum != 0 && n.sendChange(now, from, w) || n.sendSections(now, from, w)) {
 		return
 	}
@@ -25,7 +28,7 @@
 		n.log.WithError(err).Error("cannot hand on what is held")
 		return
 	}
-	if !n.mayServe(now, len(held.content)) {
+	if !n.mayServe(now, from, len(held.content)) {
 		return // it asks another VM, or this one again, at the next heartbeat
 	}
 	pieces, err := heartbeat.Split(w.Kind, held.told(now), held.content)
@@ -50,7 +53,7 @@
 	if err != nil {
 		return false
 	}
-	if n.mayServe(now, totalSize(datagrams)) {
+	if n.mayServe(now, to, totalSize(datagrams)) {
 		n.sendDatagrams(datagrams, to)
 	}
 	return true
@@ -91,7 +94,7 @@
 	if len(datagrams) == 0 {
 		return false
 	}
-	if n.mayServe(now, totalSize(datagrams)) {
+	if n.mayServe(now, to, totalSize(datagrams)) {
 		n.sendDatagrams(datagrams, to)
 	}
 	return true
@@ -122,17 +125,40 @@
 	return origin{source: sourcePeer, confirmed: now.Add(-held.Age()), recent: held.Age() >= within}
 }
 
-// mayServe tells whether the whole may be sent now, and if so counts its bytes.
-func (n *Node) mayServe(now time.Time, size int) bool {
-	n.sharing.mu.Lock()
-	defer n.sharing.mu.Unlock()
-	if now.Before(n.sharing.serveAt) {
+// mayServe tells whether size bytes may be sent to a requester now, and if so counts them
+// against the rate limit.
+//
+// The last requester keeps priority until it has sent no request for servePriority after
+// the limit allows one. If many VMs that lack the same content were served in turn, all of
+// them would complete it late, and none could relay it in the meantime.
+func (n *Node) mayServe(now time.Time, to netip.AddrPort, size int) bool {
+	s := &n.sharing
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.canServe(now, to) {
 		return false
 	}
-	n.sharing.serveAt = now.Add(time.Duration(float64(size) / n.serveRate() * float64(time.Second)))
+	s.lastServed = to
+	s.serveAt = now.Add(time.Duration(float64(size) / n.serveRate() * float64(time.Second)))
 	return true
 }
 
+// canServe tells whether mayServe allows a requester anything now.
+func (n *Node) canServe(now time.Time, to netip.AddrPort) bool {
+	n.sharing.mu.Lock()
+	defer n.sharing.mu.Unlock()
+	return n.sharing.canServe(now, to)
+}
+
+// canServe is as that of Node. The caller holds s.mu.
+func (s *sharing) canServe(now time.Time, to netip.AddrPort) bool {
+	earliest := s.serveAt
+	if to != s.lastServed {
+		earliest = earliest.Add(servePriority)
+	}
+	return s.serveAt.IsZero() || !now.Before(earliest)
+}
+
 // handlePiece takes over what a peer holds once it is whole.
 func (n *Node) handlePiece(now time.Time, p *heartbeat.Piece) {
 	n.sharing.mu.Lock()
--- a/entry/relay_test.go
+++ b/entry/relay_test.go
@@ -48,7 +48,7 @@
 func (f *dataCentreFleet) newNode(i int) *Node {
 	at := peerAddress(3 * i)
 	return New(Options{
-		Settings:  &setting.Settings{Name: fmt.Sprintf("vm-%d", i), Region: "r", DataCentre: "dc-0", PeerAddress: at},
+		Settings:  &setting.Settings{Name: fmt.Sprintf("vm-%d", i), Region: "r", DataCentre: "dc-0", PeerAddress: at, Token: setting.TokenSettings{DrainMS: 8000}},
 		LogLimits: noLines{}, Logger: &log.Logger{Handler: discard.New(), Level: log.ErrorLevel},
 		Messages: &fleetMessages{fleet: f, from: at}, Rand: rand.New(rand.NewPCG(1, uint64(i))), Clock: f,
 	})
@@ -211,3 +211,22 @@
 	qt.Assert(t, f.outdated(), qt.Equals, 0)
 	qt.Assert(t, f.kinds["section"] > 0, qt.IsTrue)
 }
+
+// Guards against resending a large change indefinitely when a slow link drops some of its datagrams.
+func TestLargeChangeOverSlowLinks(t *testing.T) {
+	const targets, vms = 3000, 20
+	f := newDataCentreFleet(t, vms, targets)
+	burst := map[[2]netip.AddrPort]int{}
+	f.drop = func(x modelMessage) bool { // each link delivers at most 48 KB per sender and tick
+		path := [2]netip.AddrPort{x.from, x.to}
+		burst[path] += len(x.raw)
+		return burst[path] > 48_000
+	}
+	f.drain(2, benchRegistrations(targets)[:1500])
+	f.deliver()
+	for range 100 {
+		clear(burst)
+		f.run(1)
+	}
+	qt.Assert(t, f.outdated(), qt.Equals, 0)
+}
--- a/entry/section.go
+++ b/entry/section.go
@@ -53,8 +53,10 @@
 		if held.isHeld() {
 			held.sum = b.targets.Sum()
 		}
+		b.sectionsMissing = true
 		return true, false, nil
 	}
+	b.sectionsMissing = false
 	b.replace(now, heartbeat.Targets, s.Held.Sum, revision, from)
 	b.applySections(now)
 	b.logTargets(from)
@@ -101,3 +103,24 @@
 	defer b.mu.Unlock()
 	return b.lastSectionAt, !b.held[heartbeat.Targets].isHeld() && !b.lastSectionAt.IsZero()
 }
+
+// needsMoreSections tells whether sections are missing and the last one was received
+// within sectionRequestTimeout.
+func (b *beliefs) needsMoreSections(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.sectionsMissing && now.Sub(b.lastSectionAt) < sectionRequestTimeout
+}
+
+// sectionRequestTimeout is how long after the last section a VM continues to request the
+// missing ones without receiving a heartbeat that announces a newer revision.
+const sectionRequestTimeout = 2 * time.Second
+
+// requestMissingSections requests the sections that are still missing. It does not wait
+// for a heartbeat of a VM that holds them, as heartbeats can be infrequent.
+func (n *Node) requestMissingSections(now time.Time) {
+	held := n.beliefs.get(heartbeat.Targets).revision
+	if n.beliefs.needsMoreSections(now) && n.mayWant(now, heartbeat.Targets, held) {
+		n.sendWant(now, heartbeat.Targets)
+	}
+}
--- a/entry/share.go
+++ b/entry/share.go
@@ -23,10 +23,13 @@
 	// linkShare is the share of the VM's link that may be used to send content to other
 	// VMs; the rest is left to callers' segments, which would be lost on a full link.
 	// Receivers forward the content, so it reaches all VMs after a few rounds.
-	linkShare = 1.0 / 6
+	linkShare = 1.0 / 4
 	// maxAnswerBytes limits the sections in one response. The receiver requests further
 	// ones, possibly from another VM.
-	maxAnswerBytes = 32e3
+	maxAnswerBytes = 64e3
+	// servePriority is how long the VM that received the last response has priority over
+	// other requesters, so that it can request the remaining content.
+	servePriority = 250 * time.Millisecond
 )
 
 // Messages carries what VMs tell each other.
@@ -56,6 +59,8 @@
 	wantWhole bool
 	// serveAt is when this VM may next send the whole of something.
 	serveAt time.Time
+	// lastServed is the VM that received the last response.
+	lastServed netip.AddrPort
 }
 
 // keepSecret finds the fleet's secret, and again after each restore of the store.
@@ -260,6 +265,7 @@
 	if n.board.Due(now) {
 		n.sendAll(n.board.Tick(now, n.own(now)))
 	}
+	n.requestMissingSections(now)
 	live := n.board.Live(now)
 	n.board.Repeat(n.router.Appeared())
 	n.router.SetOthers(now, n.board.Loads(now), live)
