--- a/entry/section_test.go
+++ b/entry/section_test.go
@@ -19,11 +19,10 @@
 	qt.Assert(f.t, n.beliefs.holdIncomplete(f.now, list), qt.IsNil)
 }
 
-// run advances the clock by up to the given number of tenths of a second, until no VM is
-// outdated. It returns the number of tenths that passed.
-func (f *dataCentreFleet) run(tenths int) (elapsed int) {
-	for elapsed < tenths && f.outdated() > 0 {
-		elapsed++
+// run plays time in steps of 100 ms until no VM is outdated, or the given number of
+// steps has passed.
+func (f *dataCentreFleet) run(tenths int) {
+	for elapsed := 0; elapsed < tenths && f.outdated() > 0; elapsed++ {
 		f.now = f.now.Add(100 * time.Millisecond)
 		for _, n := range f.nodes {
 			n.beat(f.now)
@@ -31,7 +30,6 @@
 		}
 		f.deliver()
 	}
-	return elapsed
 }
 
 // Guards against VMs that start with incomplete targets and do not complete them from peers, also under datagram loss, or that transfer the whole list in pieces.
