--- a/core/heartbeat/doc.go
+++ b/core/heartbeat/doc.go
@@ -18,6 +18,32 @@
 // died, it froze, the store refuses it, or the path to it is cut. No election
 // is held and nothing depends on there being exactly one.
 //
+// # Distribution of content
+//
+//   - A [Change] is the difference between two versions of the routing table or
+//     the registrations. The VM that reads it from the store sends it to one VM
+//     of each other data centre, and within a data centre it is relayed along a
+//     tree ([Board.RelayPeers]). One that exceeds MaxMessage is sent in
+//     fragments ([EncodeDatagrams]); one too large for that is only announced
+//     by heartbeats.
+//   - A VM that learns of a newer version from a heartbeat requests it from a VM
+//     that holds it ([Want]). For registrations the response is the changes
+//     since the requester's revision if the [History] reaches back that far and
+//     they fit the limit on fragments.
+//   - Otherwise the response is a limited number of sections ([Section]) of the
+//     buckets whose digests differ from those in the request. The requester asks
+//     for the remaining ones, possibly from another VM.
+//   - A requested routing table is sent whole, in pieces ([Split], [Assembly]).
+//     So are registrations if sections cannot be used.
+//   - The list of evacuated data centres is sent whole, in one message
+//     ([EvacuationList]).
+//
+// # Frequency of heartbeats
+//
+// If there are more VMs than the fan-out, a VM sends heartbeats to them in turns.
+// In a large data centre the fan-out depends on the recent requests of the VM,
+// except for the first VMs by rank and those that have just started (fanout.go).
+//
 // # What must hold
 //
 //   - A VM never takes over an older version than it holds. Of what the store
