--- a/core/heartbeat/beat.go
+++ b/core/heartbeat/beat.go
@@ -149,9 +149,7 @@
 	defer b.mu.Unlock()
 	to := b.neighbours(now)
 	if far {
-		for _, p := range b.firsts(now) {
-			to = append(to, p.address)
-		}
+		to = append(to, b.farPeers(now)...)
 	}
 	return to
 }
@@ -191,9 +189,13 @@
 }
 
 // FarPeers returns one VM of each other data centre.
-func (b *Board) FarPeers(now time.Time) (to []netip.AddrPort) {
+func (b *Board) FarPeers(now time.Time) []netip.AddrPort {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	return b.farPeers(now)
+}
+
+func (b *Board) farPeers(now time.Time) (to []netip.AddrPort) {
 	for _, p := range b.firsts(now) {
 		to = append(to, p.address)
 	}
--- a/core/heartbeat/board.go
+++ b/core/heartbeat/board.go
@@ -140,19 +140,9 @@
 
 // meet takes in addresses of VMs that this one does not know yet.
 func (b *Board) meet(now time.Time, addresses []netip.AddrPort) {
-	unknown := 0
-	for _, p := range b.peers {
-		if p.last == nil {
-			unknown++
-		}
-	}
 	for _, a := range addresses {
-		if unknown >= maxUnknownPeers {
-			return
-		}
-		if a.IsValid() && a != b.o.Address && b.peers[a] == nil {
+		if a.IsValid() && a != b.o.Address && b.peers[a] == nil && len(b.unknown()) < maxUnknownPeers {
 			b.peers[a] = &peer{address: a, heard: now}
-			unknown++
 		}
 	}
 }
