core/link: a meter of a VM's own link

A segment that waits 150 ms on a link arrives on one that was busy as long, so the bytes received in a window tell a VM whether its own link may have delayed a segment until its retransmission; what it sent beyond the rate tells the same of the way out. Nothing uses it yet. go test ./core/link passes.

--- /dev/null
+++ b/core/link/meter.go
@@ -0,0 +1,159 @@
+// Package link measures the load of a VM's own link.
+//
+// # The model
+//
+// A link is a queue in each direction that drains at the link's rate. A VM sees neither
+// queue, but both show in what it can count:
+//
+//	callers -> [queue] -> VM -> [queue] -> targets
+//
+// A datagram that waited for a time W on the way in arrives on a link that was busy for at
+// least W, so the bytes received in that time are what the link carries in it. On the way
+// out, the queue is what was sent and has not drained yet.
+//
+// While datagrams wait, callers retransmit segments that nothing is wrong with. What a VM
+// concludes from retransmissions is valid only if its link was not congested meanwhile.
+package link
+
+import (
+	"sync"
+	"time"
+
+	"baobabstep"
+)
+
+const (
+	// bucketWidth is the resolution of the received bytes, and bucketCount the number of
+	// buckets that make up a window. A segment that waited for less than the window cannot
+	// have been retransmitted on account of the wait, as callers retransmit after 200 ms.
+	bucketWidth = 10 * time.Millisecond
+	bucketCount = 15
+	window      = bucketCount * bucketWidth
+	// congestedShare is the share of the link's rate from which the link counts as busy.
+	// The rest is for frames and control traffic that the VM does not count.
+	congestedShare = 0.85
+	// congestedBacklog is the backlog of sent datagrams from which the link counts as
+	// congested.
+	congestedBacklog = 100 * time.Millisecond
+	// DatagramOverhead is the size in bytes of the IP and UDP headers of a datagram.
+	DatagramOverhead = 28
+)
+
+// Meter measures one link. The zero value is the meter of a link of unknown rate, which is
+// never congested.
+type Meter struct {
+	rate float64
+
+	mu sync.Mutex
+	// received are the bytes received in each of the last buckets; newest is the number of
+	// the latest bucket.
+	received [bucketCount]int
+	newest   int64
+	// backlog is what was sent and had not drained at sentAt, in bytes; sent are the bytes
+	// sent in each of the last buckets.
+	backlog float64
+	sentAt  time.Time
+	sent    [bucketCount]int
+	// congestedUntil is when the link was last congested, or will be by its backlog.
+	congestedUntil time.Time
+}
+
+var _ baobabstep.LinkMeter = (*Meter)(nil)
+
+// New returns the meter of a link that carries bytesPerSecond in each direction, 0 if that
+// is unknown.
+func New(bytesPerSecond float64) *Meter { return &Meter{rate: bytesPerSecond} }
+
+// BytesPerSecond implements [baobabstep.LinkMeter].
+func (m *Meter) BytesPerSecond() float64 { return m.rate }
+
+// Received counts datagrams with the given total size, headers included.
+func (m *Meter) Received(now time.Time, bytes int) {
+	if m.rate <= 0 {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.advance(now)
+	m.received[m.newest%bucketCount] += bytes
+	if m.share(&m.received) >= congestedShare {
+		m.extend(now)
+	}
+}
+
+// Sent counts datagrams with the given total size, headers included.
+func (m *Meter) Sent(now time.Time, bytes int) {
+	if m.rate <= 0 {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.advance(now)
+	m.sent[m.newest%bucketCount] += bytes
+	m.drain(now)
+	m.backlog += float64(bytes)
+	if over := m.backlogTime() - congestedBacklog; over >= 0 {
+		m.extend(now.Add(over))
+	}
+}
+
+// Load implements [baobabstep.LinkMeter].
+func (m *Meter) Load(now time.Time) baobabstep.LinkLoad {
+	if m.rate <= 0 {
+		return baobabstep.LinkLoad{}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.advance(now)
+	m.drain(now)
+	return baobabstep.LinkLoad{Received: m.share(&m.received), Sent: m.share(&m.sent), Backlog: m.backlogTime()}
+}
+
+// CongestedSince implements [baobabstep.LinkMeter].
+func (m *Meter) CongestedSince(since time.Time) bool {
+	if m.rate <= 0 {
+		return false
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.congestedUntil.IsZero() && !m.congestedUntil.Before(since)
+}
+
+func (m *Meter) extend(until time.Time) {
+	if until.After(m.congestedUntil) {
+		m.congestedUntil = until
+	}
+}
+
+// advance empties the buckets between the latest one and that of now.
+func (m *Meter) advance(now time.Time) {
+	number := now.UnixNano() / int64(bucketWidth)
+	if number-m.newest >= bucketCount {
+		m.received, m.sent = [bucketCount]int{}, [bucketCount]int{}
+		m.newest = number
+	}
+	for m.newest < number {
+		m.newest++
+		m.received[m.newest%bucketCount], m.sent[m.newest%bucketCount] = 0, 0
+	}
+}
+
+func (m *Meter) drain(now time.Time) {
+	if elapsed := now.Sub(m.sentAt).Seconds(); elapsed > 0 {
+		m.backlog = max(0, m.backlog-elapsed*m.rate)
+		m.sentAt = now
+	}
+}
+
+func (m *Meter) backlogTime() time.Duration {
+	return time.Duration(m.backlog / m.rate * float64(time.Second))
+}
+
+// share returns the bytes of all buckets as a share of what the link carries in a window.
+func (m *Meter) share(buckets *[bucketCount]int) float64 {
+	sum := 0
+	for _, bytes := range buckets {
+		sum += bytes
+	}
+	return float64(sum) / (m.rate * window.Seconds())
+}
--- /dev/null
+++ b/core/link/meter_test.go
@@ -0,0 +1,69 @@
+package link_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"baobabstep/core/link"
+)
+
+const (
+	rate = 1.25e6 // 10 Mbit/s
+	step = 10 * time.Millisecond
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// receive feeds a meter with a share of the rate for a time and returns the time after it.
+func receive(m *link.Meter, from time.Time, share float64, duration time.Duration) time.Time {
+	for at := from; at.Before(from.Add(duration)); at = at.Add(step) {
+		m.Received(at, int(share*rate*step.Seconds()))
+	}
+	return from.Add(duration)
+}
+
+// A link on which segments wait is busy for as long as they wait; a shorter or a smaller
+// load cannot have delayed a segment until its retransmission.
+func TestCongestedSince(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		rate     float64
+		share    float64
+		duration time.Duration
+		want     bool
+	}{
+		{"idle", rate, 0, time.Second, false},
+		{"one long upload", rate, 1, 100 * time.Millisecond, false},
+		{"three quarters busy", rate, 0.75, time.Second, false},
+		{"full", rate, 1, 200 * time.Millisecond, true},
+		{"rate unknown", 0, 10, time.Second, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			m := link.New(test.rate)
+			receive(m, start, test.share, test.duration)
+			qt.Assert(t, m.CongestedSince(start), qt.Equals, test.want)
+		})
+	}
+}
+
+// Congestion that is over explains no later retransmission.
+func TestCongestionEnds(t *testing.T) {
+	m := link.New(rate)
+	end := receive(m, start, 1, 300*time.Millisecond)
+	receive(m, end, 0.1, time.Second)
+	qt.Assert(t, m.CongestedSince(end.Add(200*time.Millisecond)), qt.IsFalse)
+	qt.Assert(t, m.CongestedSince(start), qt.IsTrue)
+}
+
+// What is sent beyond the rate waits, and drains at the rate.
+func TestBacklog(t *testing.T) {
+	m := link.New(rate)
+	m.Sent(start, rate/4)
+	qt.Assert(t, m.Load(start).Backlog, qt.Equals, 250*time.Millisecond)
+	qt.Assert(t, m.CongestedSince(start.Add(149*time.Millisecond)), qt.IsTrue)
+	later := start.Add(200 * time.Millisecond)
+	qt.Assert(t, m.Load(later).Backlog, qt.Equals, 50*time.Millisecond)
+	qt.Assert(t, m.CongestedSince(start.Add(151*time.Millisecond)), qt.IsFalse)
+}
--- a/link.go
+++ b/link.go
@@ -18,7 +18,7 @@
 	// Load returns the present use of the link.
 	Load(now time.Time) LinkLoad
 	// CongestedSince reports whether segments may have waited on the link at any moment
-	// from since to now, so that the delay of an answer in that time says nothing about
+	// from since on, so that the delay of an answer in that time says nothing about
 	// the target. It is false where the rate is unknown.
-	CongestedSince(now, since time.Time) bool
+	CongestedSince(since time.Time) bool
 }
