--- a/cmd/baobabstep/docs_test.go
+++ b/cmd/baobabstep/docs_test.go
@@ -30,7 +30,7 @@
 )
 
 // testedPages are the pages whose blocks are run, from the repository's root.
-var testedPages = []string{"README.md", "docs/*.md", "docs/operators/*.md"}
+var testedPages = []string{"README.md", "docs/*.md", "docs/design/*.md", "docs/operators/*.md"}
 
 // A flag was renamed, or a settings file no longer passes: whoever types what a
 // page says gets an error. Each line of a tested block is run by a shell in a
--- a/cmd/baobabstep/experiment.go
+++ b/cmd/baobabstep/experiment.go
@@ -11,12 +11,14 @@
 	"github.com/apex/log"
 
 	"baobabstep/experiment"
+	"baobabstep/experiment/bound"
 )
 
 // experimentCommands play days of a fleet without one.
 type experimentCommands struct {
 	Run     experimentRun     `cmd:"" help:"Play the days of an experiment under each of its arms, and compare them."`
 	Explain experimentExplain `cmd:"" help:"Where one day of an experiment lost worth, and why."`
+	Bound   experimentBound   `cmd:"" help:"The most value that callers can get from given targets and links, whatever is decided."`
 }
 
 type experimentRun struct {
@@ -99,3 +101,27 @@
 	}
 	return f.Explain(os.Stdout, arm, c.Seed)
 }
+
+type experimentBound struct {
+	File string `arg:"" help:"Offered requests, targets and links by span (JSON); docs/design/emulator.md lists the fields." type:"existingfile"`
+}
+
+// Run implements the command.
+func (c experimentBound) Run() error {
+	d, err := bound.Read(c.File)
+	if err != nil {
+		return err
+	}
+	fmt.Println(d.Name)
+	for _, order := range d.Orders() {
+		plan, err := d.Solve(order)
+		if err != nil {
+			return err
+		}
+		fmt.Println()
+		if err := plan.WriteTable(os.Stdout); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/experiment/bound/generate.go
@@ -0,0 +1,3 @@
+package bound
+
+//go:generate stringer -type=Order -linecomment -output=order_string.go
