summary: who pays for refused and reset flows, by cause, rule, data centre and caller

Cause: totals by message don't tell whether one class, one data centre or a few callers pay.

Change: report counts each flow once a minute, spreads dropped lines over those of the same message, VM and second, and compares callers of ten flows or more with their worst tenth. The expected output of TestMake grows by the new tables.

--- a/report/report.go
+++ b/report/report.go
@@ -4,7 +4,8 @@
 // it when they placed flows, the decisions a second of each kind, and the age
 // of what the VMs believed. Lines that a VM left out count by the lines that
 // say so. Time is cut into spans of equal length, at most MaxSpans, so that a
-// day's logs make plots as small as a minute's.
+// day's logs make plots as small as a minute's. Beside the curves it tells whose
+// flows were refused or reset: by cause, rule, data centre and caller.
 package report
 
 import (
@@ -60,6 +61,8 @@
 	Load, Decisions, Ages []Curve
 	// Totals are sorted by message.
 	Totals []Total
+	// Refusals tell whose flows were refused or reset.
+	Refusals *Refusals
 }
 
 // Make sums up lines, which may come in any order. Errors: CodeNotFound without
@@ -74,7 +77,9 @@
 	for i := range lines {
 		m.add(&lines[i])
 	}
-	return m.report(len(lines)), nil
+	r := m.report(len(lines))
+	r.Refusals = countRefusals(lines)
+	return r, nil
 }
 
 func bounds(lines []logs.Line) (from, to time.Time, ok bool) {
@@ -222,7 +227,7 @@
 	return list
 }
 
-// Print writes the totals as a table.
+// Print writes the totals and the refusals as tables.
 func (r *Report) Print(w io.Writer) error {
 	if _, err := fmt.Fprintf(w, "%d lines from %s, flows placed on %d targets\n%-28s %10s %10s\n",
 		r.Lines, r.From.UTC().Format(time.RFC3339), r.Targets, "message", "written", "dropped"); err != nil {
@@ -233,5 +238,5 @@
 			return err
 		}
 	}
-	return nil
+	return r.Refusals.Print(w)
 }
--- a/report/report_test.go
+++ b/report/report_test.go
@@ -61,6 +61,18 @@
 flow_placed                           4          7
 flow_unrouted                         1          0
 rank changed                          1          0
+
+flows refused or reset; 7 lines on flows were dropped, 0 of them are added to the lines of the same message, VM and second, so counts are estimates
+cause                             flows    dropped
+flow_unrouted                         1          0
+
+rule                             placed    refused      reset      share
+-                                     1          1          0      0.500
+
+data centre                      placed    refused      reset      share
+-                                     1          1          0      0.500
+
+callers: 1, none with 10 flows or more
 `)
 }
 
