token: what a VM observes while its own link is congested does not count

Cause: callers that press fill links of 10 Mbit/s. Segments wait for over 200 ms, callers repeat them, and the VM took that for silence of its targets; four such VMs ended flows of targets that live.

Change: the VM meters its link (core/link). Flows that stay unanswered while it was congested, from shortly before their segment was sent, count neither as silence nor as an outcome. Heartbeats and alarms tell when the sender's link was last congested; reports whose segment falls into that weigh nothing. A congested VM ends flows only on reports of two VMs that were not. Besides, flows end only 50 ms after the verdict, so that a VM that hears from the target can contradict, which it now does at once; and where all targets of another data centre are silent while its VMs are heard, the path counts as slow for up to a second.

Each of the new tests fails with its part of the change taken out.

--- a/core/heartbeat/alarm.go
+++ b/core/heartbeat/alarm.go
@@ -33,6 +33,8 @@
 	Sequence    uint64 `cbor:"3,keyasint"`
 	// Loads contain only the details about silence.
 	Loads Loads `cbor:"4,keyasint"`
+	// CongestedMS is as in Heartbeat.
+	CongestedMS uint32 `cbor:"5,keyasint,omitempty"`
 }
 
 // silenceReport is what a VM reports about the silence of one target.
@@ -71,10 +73,12 @@
 	return r
 }
 
-// addTo adds the report to the combined load of the target.
-func (r *silenceReport) addTo(sum *baobabstep.TargetLoad) {
+// addTo adds the report of a peer to the combined load of the target.
+func (r *silenceReport) addTo(sum *baobabstep.TargetLoad, p *peer) {
 	if r.silence.Unanswered > 0 {
-		sum.SilenceReports = append(sum.SilenceReports, r.silence)
+		silence := r.silence
+		silence.CongestedAt = p.congestedAt
+		sum.SilenceReports = append(sum.SilenceReports, silence)
 	}
 	if r.lastHeard.After(sum.HeardAt) {
 		sum.HeardAt = r.lastHeard
@@ -95,7 +99,7 @@
 		return nil
 	}
 	t.sequence++
-	m := &Message{Alarm: &Alarm{From: t.options.Self, Incarnation: t.options.Incarnation, Sequence: t.sequence, Loads: loads}}
+	m := &Message{Alarm: &Alarm{From: t.options.Self, Incarnation: t.options.Incarnation, Sequence: t.sequence, Loads: loads, CongestedMS: t.congestedMS(now)}}
 	outs := make([]Outgoing, 0, len(recipients))
 	for _, address := range recipients {
 		outs = append(outs, Outgoing{To: address, Message: m})
@@ -132,7 +136,7 @@
 	case a.From != p.last.From || a.Incarnation != p.last.Incarnation || a.Sequence <= max(p.alarmSequence, p.last.Sequence):
 		return nil
 	}
-	p.alarmSequence = a.Sequence
+	p.alarmSequence, p.congestedAt = a.Sequence, congestedAt(now, a.CongestedMS)
 	if p.reports == nil {
 		p.reports = make(map[baobabstep.TargetID]silenceReport)
 	}
@@ -150,7 +154,7 @@
 func (t *PeerTable) combinedSilence(now time.Time, id baobabstep.TargetID) (sum baobabstep.TargetLoad) {
 	for _, p := range t.peers {
 		if r, ok := p.reports[id]; ok && t.isLive(now, p) && p.last.DataCentre == t.options.DataCentre {
-			r.addTo(&sum)
+			r.addTo(&sum, p)
 		}
 	}
 	return sum
--- a/core/heartbeat/load.go
+++ b/core/heartbeat/load.go
@@ -171,7 +171,7 @@
 		}
 		for id, r := range p.reports {
 			if sum, changed := loads[id]; changed {
-				r.addTo(&sum)
+				r.addTo(&sum, p)
 				loads[id] = sum
 			}
 		}
--- a/core/heartbeat/message.go
+++ b/core/heartbeat/message.go
@@ -72,6 +72,9 @@
 	// TurnMS is the time in milliseconds in which the sender sends one heartbeat to each
 	// VM of its data centre or, for a receiver elsewhere, of all others; 0 if not set.
 	TurnMS uint32 `cbor:"11,keyasint,omitempty"`
+	// CongestedMS is 1 plus the time in milliseconds since the sender's own link was last
+	// congested; 0 if it was not lately.
+	CongestedMS uint32 `cbor:"12,keyasint,omitempty"`
 }
 
 // maxTurn is the longest turn that is accepted; longer ones are reduced to it.
--- a/core/heartbeat/outgoing.go
+++ b/core/heartbeat/outgoing.go
@@ -287,7 +287,7 @@
 	h := &Heartbeat{
 		From: t.options.Self, DataCentre: t.options.DataCentre, Incarnation: t.options.Incarnation, Sequence: t.sequence,
 		Leaving: own.Leaving, StoreUnreadable: own.StoreUnreadable, Versions: [chunkedKinds]VersionInfo(own.Versions[:chunkedKinds]), EvacuationsVersion: own.Versions[Evacuations], Loads: MakeLoads(now, own.Loads, o.loadLimit), Peers: t.samplePeers(now),
-		TurnMS: uint32(o.turn.Milliseconds()),
+		TurnMS: uint32(o.turn.Milliseconds()), CongestedMS: t.congestedMS(now),
 	}
 	m := &Message{Heartbeat: h}
 	for _, p := range to {
--- a/core/heartbeat/peers.go
+++ b/core/heartbeat/peers.go
@@ -80,6 +80,8 @@
 	// alarmSequence is the number of its latest alarm.
 	reports       map[baobabstep.TargetID]silenceReport
 	alarmSequence uint64
+	// congestedAt is when its link was last congested, by the latest of its messages.
+	congestedAt time.Time
 }
 
 // PeerTable contains the other VMs and their latest heartbeats. It is safe for concurrent
@@ -120,6 +122,8 @@
 	// this nor another VM has heard since.
 	started     time.Time
 	unseenSeeds map[netip.AddrPort]bool
+	// congestedAt is when this VM's own link was last congested.
+	congestedAt time.Time
 }
 
 // New returns a table that contains the seeds.
@@ -272,7 +276,7 @@
 	}
 	if newIncarnation || h.Sequence > p.alarmSequence {
 		t.markReportsChanged(p)
-		p.reports = makeSilenceReports(now, h.Loads)
+		p.reports, p.congestedAt = makeSilenceReports(now, h.Loads), congestedAt(now, h.CongestedMS)
 	}
 	p.last, p.lastHeard = h, now
 	t.setLoadsCounted(p, true)
--- a/core/link/meter.go
+++ b/core/link/meter.go
@@ -119,6 +119,14 @@
 	return !m.congestedUntil.IsZero() && !m.congestedUntil.Before(since)
 }
 
+// CongestedAt returns when the link was last congested, zero if it never was. The time is in
+// the future while a backlog drains.
+func (m *Meter) CongestedAt() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.congestedUntil
+}
+
 func (m *Meter) extend(until time.Time) {
 	if until.After(m.congestedUntil) {
 		m.congestedUntil = until
--- a/core/token/alarm.go
+++ b/core/token/alarm.go
@@ -56,6 +56,10 @@
 				r.noteHeardAgain(now, t)
 			}
 			r.avoidIfRefusing(now, t)
+			t.load.updateVerdict(now, r.vmCount() == 1)
+			if t.load.contradictsReports(now) {
+				r.alarms.add(id)
+			}
 		}
 	}
 }
--- a/core/token/answers.go
+++ b/core/token/answers.go
@@ -174,6 +174,9 @@
 // countOutcome records the outcome of a request.
 func (r *Router) countOutcome(now time.Time, f *flow, outcome answer.Outcome) {
 	r.counts.outcomes[outcome].Add(1)
+	if r.congestedSince(f.requestSentAt) {
+		return // the time and the completeness of the answer depend on the link
+	}
 	if f.target.load.addOutcome(now, outcome, callerHash(f.key), f.latency) {
 		f.target.service.addOutcome(now, outcome, f.latency, now.Before(f.target.coldUntil))
 	}
--- /dev/null
+++ b/core/token/congestion_test.go
@@ -0,0 +1,379 @@
+package token
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"baobabstep"
+)
+
+// testLink is a link that is congested until a given time.
+type testLink struct{ congestedUntil time.Time }
+
+func (*testLink) BytesPerSecond() float64            { return 1.25e6 }
+func (*testLink) Load(time.Time) baobabstep.LinkLoad { return baobabstep.LinkLoad{} }
+func (l *testLink) CongestedSince(since time.Time) bool {
+	return !l.congestedUntil.IsZero() && !l.congestedUntil.Before(since)
+}
+
+// testFleet are the VMs of data centre a, with the silence reports that each of them last
+// sent. Targets 1 to 4 are in a, targets 11 and 12 in b, all of service fixtures.
+type testFleet struct {
+	t       testing.TB
+	routers []*Router
+	links   []*testLink
+	reports []map[baobabstep.TargetID]baobabstep.TargetLoad
+	port    uint16
+}
+
+func newTestFleet(t testing.TB, vms int, disabled ...Mechanism) *testFleet {
+	var set Mechanisms
+	for _, m := range disabled {
+		set = set.With(m)
+	}
+	f := &testFleet{t: t}
+	for vm := range vms {
+		link := new(testLink)
+		r := New(Options{DataCentre: "a", Rand: rand.New(rand.NewPCG(uint64(vm), 2)), Link: link, Disabled: set})
+		r.SetTable(start, table(1, singleRule(fixtures, "fixtures")))
+		r.SetRegistrations(start, append(manyTargets(4), registration(11, "fixtures", "b"), registration(12, "fixtures", "b")))
+		f.routers, f.links, f.reports = append(f.routers, r), append(f.links, link), append(f.reports, map[baobabstep.TargetID]baobabstep.TargetLoad{})
+	}
+	f.setHeard(map[string]int{"a": vms - 1, "b": 1})
+	return f
+}
+
+// setHeard sets the number of VMs that each VM hears in each data centre.
+func (f *testFleet) setHeard(vms map[string]int) {
+	for _, r := range f.routers {
+		r.SetPeerLoads(start, nil, vms)
+	}
+}
+
+// congest makes the links of the VMs from one number to another congested until a time.
+func (f *testFleet) congest(from, to int, until time.Time) {
+	for _, l := range f.links[from:to] {
+		l.congestedUntil = until
+	}
+}
+
+// exchange delivers the alarms of all VMs until none are left.
+func (f *testFleet) exchange(now time.Time) {
+	for range 3 {
+		changed := map[baobabstep.TargetID]bool{}
+		for vm, r := range f.routers {
+			for _, l := range r.TakeAlarms(now) {
+				f.reports[vm][l.Target] = l
+				changed[l.Target] = true
+			}
+		}
+		for vm, r := range f.routers {
+			received := map[baobabstep.TargetID]baobabstep.TargetLoad{}
+			for id := range changed {
+				received[id] = f.combined(vm, id)
+			}
+			r.SetSilenceReports(now, received)
+		}
+	}
+}
+
+// combined returns what the other VMs reported about a target.
+func (f *testFleet) combined(receiver int, id baobabstep.TargetID) (sum baobabstep.TargetLoad) {
+	for vm, reports := range f.reports {
+		l, ok := reports[id]
+		if vm == receiver || !ok {
+			continue
+		}
+		if l.Unanswered > 0 {
+			sum.SilenceReports = append(sum.SilenceReports, baobabstep.SilenceReport{
+				Unanswered: l.Unanswered, UnansweredOpens: l.UnansweredOpens, NotRetransmitted: l.NotRetransmitted,
+				LastUnansweredAt: l.LastUnansweredAt, CongestedAt: f.links[vm].congestedUntil,
+			})
+		}
+		if l.ReportedSilent && l.HeardAt.After(sum.HeardAt) {
+			sum.HeardAt = l.HeardAt
+		}
+	}
+	return sum
+}
+
+// nextKey returns a flow that is not in use.
+func (f *testFleet) nextKey() baobabstep.FlowKey {
+	f.port++
+	return flowFrom(f.port, fixtures)
+}
+
+// openAt opens flows through a VM until one is placed on the given target, and returns it. The
+// flows at other targets are accepted.
+func (f *testFleet) openAt(now time.Time, vm int, target baobabstep.TargetID) baobabstep.FlowKey {
+	f.t.Helper()
+	for range 500 {
+		key := f.nextKey()
+		at, token := open(f.t, f.routers[vm], now, key)
+		if at == target {
+			return key
+		}
+		handle(f.routers[vm], now, data(key, token))
+	}
+	f.t.Fatalf("VM %d places no flow on target %d", vm, target)
+	return baobabstep.FlowKey{}
+}
+
+// leaveUnanswered opens flows through some VMs at a target and repeats their first segments
+// 200 ms later. It returns the time after that; alarms are delivered.
+func (f *testFleet) leaveUnanswered(now time.Time, target baobabstep.TargetID, flows int, vms ...int) time.Time {
+	f.t.Helper()
+	keys := make([][]baobabstep.FlowKey, len(f.routers))
+	for _, vm := range vms {
+		for range flows {
+			keys[vm] = append(keys[vm], f.openAt(now, vm, target))
+		}
+	}
+	later := now.Add(callerRetransmissionDelay)
+	for vm, list := range keys {
+		for _, key := range list {
+			handle(f.routers[vm], later, baobabstep.Segment{Kind: baobabstep.KindOpen, Flow: key, Seq: firstSeq, Acked: 1})
+		}
+	}
+	f.exchange(later)
+	return later
+}
+
+// established returns the next request of a flow that another VM opened at a target, and makes
+// a VM hear from all targets but this one.
+func (f *testFleet) established(now time.Time, vm int, target baobabstep.TargetID) baobabstep.Segment {
+	f.t.Helper()
+	for _, other := range []baobabstep.TargetID{1, 2, 3, 4} {
+		if other != target {
+			f.hear(now, vm, other)
+		}
+	}
+	key := f.nextKey()
+	return data(key, tokenFor(hashFlow(key), target))
+}
+
+// hear makes a VM see that a caller received an answer of a target on an open flow.
+func (f *testFleet) hear(now time.Time, vm int, target baobabstep.TargetID) {
+	f.t.Helper()
+	key := f.nextKey()
+	s := data(key, tokenFor(hashFlow(key), target))
+	handle(f.routers[vm], now.Add(-time.Millisecond), s)
+	s.Seq, s.Acked, s.Size = s.Seq+uint32(s.Size), s.Acked+600, 0
+	handle(f.routers[vm], now, s)
+}
+
+// Failure: segments wait on the link of one VM, their callers retransmit them, and the VM takes
+// that for silence of a live target, of which another VM lost a datagram.
+func TestCongestedVMFindsNoTargetSilent(t *testing.T) {
+	run := func(disabled ...Mechanism) (*testFleet, time.Time) {
+		f := newTestFleet(t, 2, disabled...)
+		now := start.Add(newIncarnationGrace)
+		f.congest(0, 1, now.Add(time.Second))
+		f.leaveUnanswered(now, 1, 1, 1)
+		now = f.leaveUnanswered(now.Add(time.Millisecond), 1, 2, 0)
+		return f, now.Add(contradictionDelay)
+	}
+	f, now := run()
+	assertPassed(t, f.routers[0], now, f.established(now, 0, 1), 1)
+	flows, _ := f.routers[0].current.Load().targets[1].load.unansweredCounts()
+	qt.Assert(t, flows, qt.Equals, 0)
+	qt.Assert(t, f.reports[0], qt.HasLen, 0)
+
+	t.Run("it does without the mechanism", func(t *testing.T) {
+		f, now := run(MechanismCongestion)
+		assertReset(t, f.routers[0], now, f.established(now, 0, 1))
+	})
+}
+
+// Failure: a retransmitted first segment that waited on the VM's link goes to a second target
+// while the first has accepted the flow.
+func TestCongestedVMMovesNoFlow(t *testing.T) {
+	f := newTestFleet(t, 2)
+	f.congest(0, 1, start.Add(time.Second))
+	keys := []baobabstep.FlowKey{f.openAt(start, 0, 1), f.openAt(start, 0, 1), f.openAt(start, 0, 1)}
+	for _, key := range keys {
+		qt.Assert(t, retransmit(t, f.routers[0], start.Add(callerRetransmissionDelay), key), qt.Equals, baobabstep.TargetID(1))
+	}
+}
+
+// Failure: answers that wait on the VM's link make live targets count as failing or slow.
+func TestCongestedVMCountsNoOutcome(t *testing.T) {
+	f := newTestFleet(t, 1)
+	f.congest(0, 1, start.Add(time.Second))
+	key := f.openAt(start, 0, 1)
+	handle(f.routers[0], start, data(key, tokenFor(hashFlow(key), 1)))
+	f.routers[0].Tick(start.Add(600*time.Millisecond), new([]baobabstep.OutgoingDatagram))
+	sample := f.routers[0].current.Load().targets[1].load.ownAnswers(start.Add(600 * time.Millisecond))
+	qt.Assert(t, sample.Answers, qt.Equals, 0.0)
+}
+
+// Failure: a burst congests three VMs at once, and their reports end the flows of a live target
+// at a fourth VM.
+func TestReportsOfCongestedVMsWeighNothing(t *testing.T) {
+	reports := func(congestedAt time.Time) map[baobabstep.TargetID]baobabstep.TargetLoad {
+		list := silenceReports(3, 2, start.Add(time.Second))
+		for i := range list {
+			list[i].CongestedAt = congestedAt
+		}
+		return map[baobabstep.TargetID]baobabstep.TargetLoad{1: {SilenceReports: list}}
+	}
+	for _, test := range []struct {
+		name        string
+		congestedAt time.Time
+		reset       bool
+	}{
+		{"congested when they reported", start.Add(time.Second), false},
+		{"congested when the segment was sent", start.Add(time.Second - callerRetransmissionDelay), false},
+		{"congested long before", start.Add(time.Second - 3*callerRetransmissionDelay), true},
+		{"not congested", time.Time{}, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newTestFleet(t, 4)
+			now := start.Add(newIncarnationGrace)
+			f.routers[0].SetSilenceReports(now, reports(test.congestedAt))
+			now = now.Add(contradictionDelay)
+			next := f.established(now, 0, 1)
+			if test.reset {
+				assertReset(t, f.routers[0], now, next)
+			} else {
+				assertPassed(t, f.routers[0], now, next, 1)
+			}
+		})
+	}
+	t.Run("and are not sent", func(t *testing.T) {
+		f := newTestFleet(t, 4)
+		f.congest(1, 4, start.Add(5*time.Second))
+		now := f.leaveUnanswered(start.Add(newIncarnationGrace), 1, 2, 1, 2, 3)
+		assertPassed(t, f.routers[0], now.Add(contradictionDelay), f.established(now, 0, 1), 1)
+		qt.Assert(t, f.combined(0, 1).SilenceReports, qt.HasLen, 0)
+	})
+}
+
+// Failure: the path to another data centre is slow, so that all its targets seem silent to all
+// VMs here at once, and their flows are reset although they live.
+func TestSlowPathResetsNoFlow(t *testing.T) {
+	run := func(silent ...baobabstep.TargetID) (f *testFleet, now time.Time) {
+		f = newTestFleet(t, 4)
+		now = start.Add(newIncarnationGrace)
+		for vm := range f.routers {
+			f.hear(now, vm, 11)
+			f.hear(now, vm, 12)
+		}
+		for _, id := range silent {
+			for vm := range f.routers {
+				f.findSilent(now.Add(time.Millisecond), vm, id)
+			}
+		}
+		now = now.Add(callerRetransmissionDelay + time.Millisecond)
+		f.exchange(now)
+		return f, now.Add(contradictionDelay)
+	}
+	t.Run("all targets there are silent", func(t *testing.T) {
+		f, now := run(11, 12)
+		assertPassed(t, f.routers[0], now, f.established(now, 0, 11), 11)
+	})
+	t.Run("for longer than a path delays", func(t *testing.T) {
+		f, now := run(11, 12)
+		for range 4 {
+			f.renewSilence(now, 11, 12)
+			now = now.Add(callerRetransmissionDelay)
+		}
+		assertReset(t, f.routers[0], now, f.established(now, 0, 11))
+	})
+	t.Run("its VMs are not heard either", func(t *testing.T) {
+		f, now := run(11, 12)
+		f.setHeard(map[string]int{"a": 3})
+		assertReset(t, f.routers[0], now, f.established(now, 0, 11))
+	})
+	t.Run("one of two targets there is silent", func(t *testing.T) {
+		f, now := run(11)
+		f.hear(now, 0, 12)
+		assertReset(t, f.routers[0], now, f.established(now, 0, 11))
+	})
+}
+
+// findSilent makes a VM find two flows at a target unanswered from their first segments. New
+// flows go to other data centres only where the own one is busy, so the flows are placed there.
+func (f *testFleet) findSilent(sentAt time.Time, vm int, id baobabstep.TargetID) {
+	r := f.routers[vm]
+	t := r.current.Load().targets[id]
+	for range 2 {
+		flow := &flow{key: f.nextKey(), target: t, rule: r.current.Load().rules[fixtures], opening: true, requestSentAt: sentAt}
+		r.noteUnanswered(sentAt.Add(callerRetransmissionDelay), flow, openRepeated)
+	}
+}
+
+// renewSilence makes all VMs find targets silent once more.
+func (f *testFleet) renewSilence(sentAt time.Time, ids ...baobabstep.TargetID) {
+	for _, id := range ids {
+		for vm := range f.routers {
+			f.findSilent(sentAt, vm, id)
+		}
+	}
+	f.exchange(sentAt.Add(callerRetransmissionDelay))
+}
+
+// Failure: a target that is full says nothing to new flows but answers on its open ones, and
+// these are reset because three VMs find it silent at the same moment.
+func TestFullTargetKeepsItsFlows(t *testing.T) {
+	f := newTestFleet(t, 5)
+	now := start.Add(newIncarnationGrace)
+	f.hear(now.Add(100*time.Millisecond), 4, 1) // after the first segments were sent
+	for vm := range 3 {
+		f.findSilent(now, vm, 1)
+	}
+	now = now.Add(callerRetransmissionDelay)
+	t.Run("not before a VM that hears from it can say so", func(t *testing.T) {
+		first := f.routers[0].TakeAlarms(now)
+		qt.Assert(t, first, qt.HasLen, 1)
+		f.reports[0][1] = first[0]
+		for _, vm := range []int{1, 2} {
+			f.reports[vm][1] = f.routers[vm].TakeAlarms(now)[0]
+		}
+		f.routers[0].SetSilenceReports(now, map[baobabstep.TargetID]baobabstep.TargetLoad{1: f.combined(0, 1)})
+		assertPassed(t, f.routers[0], now.Add(contradictionDelay-time.Millisecond), f.established(now, 0, 1), 1)
+	})
+	t.Run("nor after it did", func(t *testing.T) {
+		f.routers[4].SetSilenceReports(now, map[baobabstep.TargetID]baobabstep.TargetLoad{1: f.combined(4, 1)})
+		f.exchange(now)
+		later := now.Add(2 * contradictionDelay)
+		assertPassed(t, f.routers[0], later, f.established(later, 0, 1), 1)
+	})
+}
+
+// Failure: a target dies while some VMs are congested, and its flows are never reset because
+// these VMs see no evidence of their own.
+func TestDeadTargetIsFoundDuringCongestion(t *testing.T) {
+	for _, test := range []struct {
+		name           string
+		vms, congested int
+	}{
+		{"one VM is congested", 3, 1},
+		{"a burst congests six of eight VMs", 8, 6},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newTestFleet(t, test.vms)
+			f.congest(0, test.congested, start.Add(10*time.Second))
+			now := start.Add(newIncarnationGrace)
+			all := make([]int, test.vms)
+			for vm := range all {
+				all[vm] = vm
+			}
+			found := f.leaveUnanswered(now, 1, 2, all...).Add(contradictionDelay)
+			qt.Assert(t, found.Sub(now) < 2*time.Second, qt.IsTrue)
+			for vm := range f.routers {
+				assertReset(t, f.routers[vm], found, f.established(found, vm, 1))
+				live := data(f.nextKey(), 0)
+				live.Token = tokenFor(hashFlow(live.Flow), 2)
+				assertPassed(t, f.routers[vm], found, live, 2)
+				for range 50 {
+					target, _ := open(t, f.routers[vm], found, f.nextKey())
+					qt.Assert(t, target, qt.Not(qt.Equals), baobabstep.TargetID(1))
+				}
+			}
+		})
+	}
+}
--- a/core/token/event.go
+++ b/core/token/event.go
@@ -45,6 +45,9 @@
 	EventOnTrial // target_on_trial
 	// EventTrusted: a target that failed has passed its trial.
 	EventTrusted // target_trusted
+	// EventSilenceIgnored: a flow was left unanswered while this VM's own link was congested,
+	// which is no evidence against its target.
+	EventSilenceIgnored // silence_ignored
 	numEvents
 )
 
--- a/core/token/event_string.go
+++ b/core/token/event_string.go
@@ -23,12 +23,13 @@
 	_ = x[EventFailing-12]
 	_ = x[EventOnTrial-13]
 	_ = x[EventTrusted-14]
-	_ = x[numEvents-15]
+	_ = x[EventSilenceIgnored-15]
+	_ = x[numEvents-16]
 }
 
-const _EventKind_name = "flow_placedflow_repeatedflow_movedflow_refusedflow_no_roomflow_unroutedflow_endedtoken_unknownsegment_unreadytarget_silenttarget_heardtarget_avoidedtarget_failingtarget_on_trialtarget_trustednumEvents"
+const _EventKind_name = "flow_placedflow_repeatedflow_movedflow_refusedflow_no_roomflow_unroutedflow_endedtoken_unknownsegment_unreadytarget_silenttarget_heardtarget_avoidedtarget_failingtarget_on_trialtarget_trustedsilence_ignorednumEvents"
 
-var _EventKind_index = [...]uint8{0, 11, 24, 34, 46, 58, 71, 81, 94, 109, 122, 134, 148, 162, 177, 191, 200}
+var _EventKind_index = [...]uint8{0, 11, 24, 34, 46, 58, 71, 81, 94, 109, 122, 134, 148, 162, 177, 191, 206, 215}
 
 func (i EventKind) String() string {
 	idx := int(i) - 0
--- a/core/token/flow_tracking.go
+++ b/core/token/flow_tracking.go
@@ -1,6 +1,7 @@
 package token
 
 import (
+	"slices"
 	"time"
 
 	"baobabstep"
@@ -45,6 +46,10 @@
 // the target's health is not affected.
 func (r *Router) noteUnanswered(now time.Time, f *flow, kind silenceKind) {
 	t := f.target
+	if r.congestedSince(f.requestSentAt) {
+		r.record(now, EventSilenceIgnored, r.current.Load(), nil, t, nil)
+		return
+	}
 	if kind != requestRepeated {
 		r.countOutcome(now, f, answer.Refused)
 	}
@@ -54,6 +59,7 @@
 	t.load.noteUnanswered(now, kind)
 	r.record(now, EventSilent, r.current.Load(), nil, t, nil)
 	r.avoidIfRefusing(now, t)
+	t.load.updateVerdict(now, r.vmCount() == 1)
 	r.alarms.add(t.id)
 }
 
@@ -61,23 +67,64 @@
 // this VM to rule out that its own link is broken.
 const maxHearingAge = 500 * time.Millisecond
 
+// contradictionDelay is how long a target is found unreachable before its flows are reset, so
+// that a VM that hears from it can say so: an alarm waits for minAlarmInterval of its sender
+// and then takes milliseconds.
+const contradictionDelay = 50 * time.Millisecond
+
 // confirmedUnreachable reports whether the flows of a target should be reset, so that their
 // callers retry elsewhere early. Otherwise the callers wait for an answer until their
 // timeouts.
 //
 // The target, and not this VM's own link, is at fault if another target of the service was
-// heard from within maxHearingAge.
+// heard from within maxHearingAge. While the link is congested, the reports of other VMs
+// decide.
 func (r *Router) confirmedUnreachable(now time.Time, s *snapshot, t *target) bool {
 	alone := r.vmCount() == 1
-	if !t.load.unreachable(now, alone) {
+	v := t.load.updateVerdict(now, alone)
+	unreachable := v.unreachable
+	if v.settled && r.congestedSince(now) {
+		unreachable = v.reported
+	}
+	if !v.settled || !unreachable {
 		return false
 	}
-	for _, other := range s.pools[t.registration.Service].targets {
-		if other != t && !other.load.unreachable(now, alone) && now.Sub(lastHeardLocally(other)) < maxHearingAge {
-			return true
+	targets := s.pools[t.registration.Service].targets
+	return !r.pathMayBeSlow(now, targets, t) && slices.ContainsFunc(targets, func(other *target) bool {
+		return other != t && now.Sub(lastHeardLocally(other)) < maxHearingAge && !other.load.unreachable(now, alone)
+	})
+}
+
+// maxPathDelay is the silence of all targets of another data centre from which they count as
+// unreachable although VMs of that data centre are heard.
+const maxPathDelay = time.Second
+
+// pathMayBeSlow reports whether the path to another data centre explains the silence of a
+// target: others there are silent as well, none is heard from, and the VMs there are alive.
+// If the data centre is cut off, its VMs are soon not heard any more.
+func (r *Router) pathMayBeSlow(now time.Time, targets []*target, t *target) bool {
+	name := t.registration.DataCentre
+	if name == r.options.DataCentre || (*r.vmsHeard.Load())[name] == 0 || now.Sub(laterOf(t.load.lastHeard())) >= maxPathDelay {
+		return false
+	}
+	othersSilent := false
+	for _, other := range targets {
+		if other == t || other.registration.DataCentre != name {
+			continue
+		}
+		if now.Sub(laterOf(other.load.lastHeard())) < callerRetransmissionDelay {
+			return false
 		}
+		othersSilent = othersSilent || other.load.foundSilent(now)
+	}
+	return othersSilent
+}
+
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
-	return false
+	return b
 }
 
 // endStrandedFlow resets a flow whose request is at a target that has become unreachable,
--- a/core/token/health.go
+++ b/core/token/health.go
@@ -74,6 +74,8 @@
 	// until the next trial.
 	trialAt    time.Time
 	trialPause time.Duration
+	// unreachableSince is since when the target is found unreachable; zero while it is not.
+	unreachableSince time.Time
 	avoidance
 }
 
@@ -141,6 +143,26 @@
 	vms, unanswered, opens, vanished int
 }
 
+// firstSent returns when the last segment of a report was first sent, and whether the report
+// is usable: it is fresh, and the link of its sender was not congested since.
+func firstSent(now time.Time, r baobabstep.SilenceReport) (sentAt time.Time, usable bool) {
+	sentAt = r.LastUnansweredAt.Add(-callerRetransmissionDelay)
+	congested := !r.CongestedAt.IsZero() && !r.CongestedAt.Before(sentAt.Add(-congestionMargin))
+	return sentAt, !congested && now.Sub(r.LastUnansweredAt) < evidenceLifetime
+}
+
+// contradictsReports reports whether the usable reports of other VMs make the target suspect
+// although this VM heard from it since, which no VM has reported.
+func (h *health) contradictsReports(now time.Time) bool {
+	unanswered := 0
+	for _, r := range h.reports {
+		if sentAt, usable := firstSent(now, r); usable && h.heardAt.After(sentAt) && !h.othersHeardAt.After(sentAt) {
+			unanswered += min(r.Unanswered, maxCountPerVM)
+		}
+	}
+	return unanswered >= suspectThreshold
+}
+
 // summariseReports returns the sum of the other VMs' fresh reports, without those that are
 // older than the latest sign of life from the target.
 func (h *health) summariseReports(now time.Time) (sum silenceSummary) {
@@ -148,8 +170,8 @@
 		return silenceSummary{}
 	}
 	for _, r := range h.reports {
-		sentAt := r.LastUnansweredAt.Add(-callerRetransmissionDelay)
-		if now.Sub(r.LastUnansweredAt) >= evidenceLifetime || h.heardAt.After(sentAt) || h.othersHeardAt.After(sentAt) {
+		sentAt, usable := firstSent(now, r)
+		if !usable || h.heardAt.After(sentAt) || h.othersHeardAt.After(sentAt) {
 			continue
 		}
 		sum.vms++
@@ -192,11 +214,45 @@
 	return s.vms >= conclusiveVMs && s.opens > 0 && s.unanswered+s.opens >= unreachableThreshold
 }
 
+// isCorroborated reports whether the reports of other VMs suffice for a VM whose own link is
+// congested. Like own evidence and the report of another VM, they are those of two VMs whose
+// links are not.
+func (s silenceSummary) isCorroborated() bool {
+	return s.vms >= corroboratingVMs && s.opens > 0 && s.unanswered+s.opens >= unreachableThreshold
+}
+
+// verdict is whether a target is found unreachable.
+type verdict struct {
+	// unreachable is as in health, reported the same by the reports of other VMs alone.
+	unreachable, reported bool
+	// settled is set once a VM that hears from the target would have said so.
+	settled bool
+}
+
+// updateVerdict returns the verdict on the target and records since when it is found
+// unreachable.
+func (h *health) updateVerdict(now time.Time, alone bool) verdict {
+	others := h.summariseReports(now)
+	v := verdict{unreachable: h.unreachableWith(now, alone, others), reported: others.isCorroborated()}
+	switch {
+	case !v.unreachable && !v.reported:
+		h.unreachableSince = time.Time{}
+		return v
+	case h.unreachableSince.IsZero():
+		h.unreachableSince = now
+	}
+	v.settled = alone || now.Sub(h.unreachableSince) >= contradictionDelay
+	return v
+}
+
 // unreachable reports whether the target is gone or unreachable. A VM that is not alone in
 // its data centre needs the agreement of another VM: if its own link is full or broken,
 // every target seems silent to it.
 func (h *health) unreachable(now time.Time, alone bool) bool {
-	others := h.summariseReports(now)
+	return h.unreachableWith(now, alone, h.summariseReports(now))
+}
+
+func (h *health) unreachableWith(now time.Time, alone bool, others silenceSummary) bool {
 	switch {
 	case others.isConclusive():
 		return true
--- a/core/token/load.go
+++ b/core/token/load.go
@@ -182,6 +182,28 @@
 	return l.health.unreachable(now, alone)
 }
 
+// updateVerdict returns the present verdict on the target.
+func (l *load) updateVerdict(now time.Time, alone bool) verdict {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.health.updateVerdict(now, alone)
+}
+
+// contradictsReports reports whether other VMs find the target silent, this VM has heard from
+// it, and none has said so.
+func (l *load) contradictsReports(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.health.contradictsReports(now)
+}
+
+// foundSilent reports whether there is fresh evidence that the target is silent.
+func (l *load) foundSilent(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.health.unanswered > 0 && now.Sub(l.health.unansweredAt) < evidenceLifetime || l.health.summariseReports(now).vms > 0
+}
+
 // lastHeard returns when the target was last heard from by this VM, and by other VMs of the
 // data centre according to their reports.
 func (l *load) lastHeard() (here, elsewhere time.Time) {
--- a/core/token/mechanism.go
+++ b/core/token/mechanism.go
@@ -46,6 +46,9 @@
 	MechanismAvoidance // avoidance
 	// MechanismColdLimits: the new flows of all VMs to a cold target are limited.
 	MechanismColdLimits // cold_limits
+	// MechanismCongestion: what VMs observe of targets while their own links are congested
+	// does not count.
+	MechanismCongestion // congestion
 	numMechanisms
 )
 
--- a/core/token/router.go
+++ b/core/token/router.go
@@ -30,6 +30,8 @@
 	ColdOvershoot, ColdSlack float64
 	// Disabled is the set of disabled mechanisms (none).
 	Disabled Mechanisms
+	// Link measures the VM's own link; nil if its congestion is unknown.
+	Link baobabstep.LinkMeter
 	// ObserveRequestTime, if set, is called with the latency of each request whose
 	// answer this VM saw acknowledged.
 	ObserveRequestTime func(took time.Duration)
@@ -211,6 +213,11 @@
 	if !r.enabled(MechanismSharedAnswers) {
 		load.Answers, load.Failed, load.MeanLatency, load.Callers = 0, 0, 0, 0
 	}
+	if !r.enabled(MechanismCongestion) {
+		for i := range load.SilenceReports {
+			load.SilenceReports[i].CongestedAt = time.Time{}
+		}
+	}
 	return load
 }
 
--- a/directory.go
+++ b/directory.go
@@ -204,4 +204,7 @@
 type SilenceReport struct {
 	Unanswered, UnansweredOpens, NotRetransmitted int
 	LastUnansweredAt                              time.Time
+	// CongestedAt is when that VM's own link was last congested; zero if it was not
+	// lately.
+	CongestedAt time.Time
 }
--- /dev/null
+++ b/entry/congestion.go
@@ -0,0 +1,90 @@
+package entry
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/apex/log"
+
+	"baobabstep"
+	"baobabstep/core/link"
+	"baobabstep/core/token"
+)
+
+const (
+	// messageOverhead is the size in bytes that a message to another VM has on the link in
+	// addition to its encoded size: the authentication code and the headers.
+	messageOverhead = 16 + link.DatagramOverhead
+	// congestionLogPause is how long the link must be free of congestion for the congestion
+	// to count as over in the log.
+	congestionLogPause = time.Second
+	// congestionLogClass is the class of the log lines about congestion in LogLimiter.
+	congestionLogClass = "link_congestion"
+)
+
+// meterReceived counts received segments at the meter of the link.
+func (n *Node) meterReceived(now time.Time, batch []baobabstep.Segment) {
+	size := 0
+	for i := range batch {
+		size += len(batch[i].Raw) + link.DatagramOverhead
+	}
+	n.meter.Received(now, size)
+}
+
+// meterSent counts segments that are about to be sent at the meter of the link.
+func (n *Node) meterSent(now time.Time, out []baobabstep.OutgoingDatagram) {
+	size := 0
+	for i := range out {
+		size += len(out[i].Raw) + link.DatagramOverhead
+	}
+	n.meter.Sent(now, size)
+}
+
+// sendRaw sends an encoded message to another VM.
+func (n *Node) sendRaw(to netip.AddrPort, raw []byte) {
+	n.meter.Sent(n.clock.Now(), len(raw)+messageOverhead)
+	n.options.Messages.Send(to, raw)
+}
+
+// announceCongestion sets what the following messages tell other VMs of the congestion of this
+// VM's link.
+func (n *Node) announceCongestion() {
+	if !n.options.Settings.Token.Mechanisms().Has(token.MechanismCongestion) {
+		n.peerTable.SetCongestedAt(n.meter.CongestedAt())
+	}
+}
+
+// congestionLog is what the log lines about congestion refer to.
+type congestionLog struct {
+	// since is when the logged congestion began; zero while there is none. last is when the
+	// link was last found congested.
+	since, last time.Time
+}
+
+// logCongestion logs when congestion of the link begins and ends.
+func (n *Node) logCongestion(now time.Time) {
+	c := &n.congestion
+	congested := n.meter.CongestedSince(now.Add(-tickInterval))
+	switch {
+	case congested && c.since.IsZero():
+		c.since, c.last = now, now
+		n.logLink(now, "link congested", log.Fields{})
+	case congested:
+		c.last = now
+	case !c.since.IsZero() && now.Sub(c.last) >= congestionLogPause:
+		n.logLink(now, "link congestion over", log.Fields{"congested_ms": c.last.Sub(c.since).Milliseconds()})
+		c.since = time.Time{}
+	}
+}
+
+// logLink logs a change of the link's congestion with the present load of the link.
+func (n *Node) logLink(now time.Time, message string, fields log.Fields) {
+	if !n.options.LogLimiter.Wanted(now, congestionLogClass) {
+		return
+	}
+	load := n.meter.Load(now)
+	fields["link_mbps"] = n.options.Settings.Token.LinkMbps
+	fields["received_percent"], fields["sent_percent"] = int(100*load.Received), int(100*load.Sent)
+	fields["backlog_ms"], fields["vms_congested"] = load.Backlog.Milliseconds(), n.peerTable.CongestedCount(now)
+	n.log.WithFields(fields).Info(message)
+}
--- a/entry/distribution.go
+++ b/entry/distribution.go
@@ -62,7 +62,7 @@
 func (n *Node) sendDatagrams(datagrams [][]byte, to ...netip.AddrPort) {
 	for _, address := range to {
 		for _, raw := range datagrams {
-			n.options.Messages.Send(address, raw)
+			n.sendRaw(address, raw)
 		}
 	}
 }
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"baobabstep"
 	"baobabstep/core/heartbeat"
 	"baobabstep/io/metric"
 )
@@ -89,10 +90,16 @@
 		{Name: "token_changes_left_total", Help: "Changes of other VMs that did not apply here; the whole is asked for instead.", Read: value(func() float64 { return float64(n.counters.conflictingChanges.Load()) })},
 		{Name: "token_passed_over_total", Help: "News that was older than what the VM held, by where it came from.", Label: "source", Read: n.cache.outdatedCounts},
 		{Name: "token_directory_counts", Help: "Calls to the platform's store, those that failed, what could not be read, and its era.", Label: "event", Gauge: true, Read: n.readDirectory},
+		{Name: "token_link_received_share", Help: "Received bytes of the last moments as a share of what the VM's link carries; 0 if its rate is unknown.", Gauge: true, Read: value(func() float64 { return n.linkLoad().Received })},
+		{Name: "token_link_sent_share", Help: "Sent bytes of the last moments as a share of what the VM's link carries; 0 if its rate is unknown.", Gauge: true, Read: value(func() float64 { return n.linkLoad().Sent })},
+		{Name: "token_link_backlog_seconds", Help: "Time that a datagram waits on the VM's link behind those sent before it.", Gauge: true, Read: value(func() float64 { return n.linkLoad().Backlog.Seconds() })},
+		{Name: "token_peers_congested", Help: "VMs of the own data centre that report congestion of their own links.", Gauge: true, Read: value(func() float64 { return float64(n.peerTable.CongestedCount(n.clock.Now())) })},
 		{Name: "token_log_lines_dropped_total", Help: "Log lines left out, by bounds or because nobody read them.", Read: value(func() float64 { return float64(n.counters.linesDropped.Load()) })},
 	}
 }
 
+func (n *Node) linkLoad() baobabstep.LinkLoad { return n.meter.Load(n.clock.Now()) }
+
 func (n *Node) readEvents() map[string]float64 {
 	events := make(map[string]float64)
 	for name, count := range n.router.Stats().Events {
--- a/entry/node.go
+++ b/entry/node.go
@@ -28,6 +28,7 @@
 
 	"baobabstep"
 	"baobabstep/core/heartbeat"
+	"baobabstep/core/link"
 	"baobabstep/core/token"
 	"baobabstep/io/process"
 	"baobabstep/io/setting"
@@ -77,6 +78,7 @@
 	router    *token.Router
 	cache     *stateCache
 	peerTable *heartbeat.PeerTable
+	meter     *link.Meter
 	exchange  peerExchange
 	syncer    *storeSyncer
 	counters  counters
@@ -94,6 +96,7 @@
 	malformedReported                      float64
 	liveDataCentres                        map[string]int
 	isFirstRank                            bool
+	congestion                             congestionLog
 }
 
 // New returns a VM; Run starts it.
@@ -103,6 +106,7 @@
 		log:       o.Logger.WithFields(log.Fields{"vm": o.Settings.Name, "data_centre": o.Settings.DataCentre}),
 		clock:     o.Clock,
 		startedAt: o.Clock.Now(),
+		meter:     link.New(o.Settings.Token.KnownLinkBytesPerSecond()),
 		done:      make(chan struct{}),
 	}
 	n.router = token.New(token.Options{
@@ -111,6 +115,7 @@
 		MaxFlowDuration: o.Settings.Token.FlowMax(),
 		ColdOvershoot:   o.Settings.Token.ColdOvershoot, ColdSlack: o.Settings.Token.ColdSlack,
 		Disabled:           o.Settings.Token.Mechanisms(),
+		Link:               n.meter,
 		ObserveRequestTime: n.observeRequest,
 		Record:             n.logEvent,
 		EventEnabled:       n.wantsEvent,
@@ -230,9 +235,11 @@
 		now := n.clock.Now()
 		n.lastPacket.Store(int64(now.Sub(n.startedAt)))
 		out = out[:0]
+		n.meterReceived(now, batch[:count])
 		for i := range batch[:count] {
 			n.router.Handle(now, &batch[i], &out)
 		}
+		n.meterSent(now, out)
 		if err := segments.Send(out); err != nil && ctx.Err() == nil {
 			return err
 		}
@@ -271,6 +278,7 @@
 			n.tickHeartbeats(now)
 			n.reportDroppedLines(now)
 			n.reportMalformed(now)
+			n.logCongestion(now)
 		}
 	}
 }
@@ -282,6 +290,7 @@
 	if len(ended) == 0 {
 		return nil
 	}
+	n.meterSent(now, ended)
 	return n.options.Segments[0].Send(ended)
 }
 
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -122,7 +122,11 @@
 
 // receiveMessages handles messages of peers until ctx ends.
 func (n *Node) receiveMessages(ctx context.Context) error {
-	return n.options.Messages.Receive(ctx, func(from netip.AddrPort, raw []byte) { n.receive(n.clock.Now(), from, raw) })
+	return n.options.Messages.Receive(ctx, func(from netip.AddrPort, raw []byte) {
+		now := n.clock.Now()
+		n.meter.Received(now, len(raw)+messageOverhead)
+		n.receive(now, from, raw)
+	})
 }
 
 // receive decodes and handles one message.
@@ -267,6 +271,7 @@
 // tickHeartbeats sends the heartbeats that are due, and passes the loads that peers announced
 // to the router.
 func (n *Node) tickHeartbeats(now time.Time) {
+	n.announceCongestion()
 	if n.peerTable.HeartbeatsDue(now) {
 		n.sendAll(n.peerTable.Tick(now, n.ownState(now)))
 	}
@@ -283,6 +288,7 @@
 
 // sendAlarm sends an alarm about silent targets to the VMs of the own data centre.
 func (n *Node) sendAlarm(now time.Time) {
+	n.announceCongestion()
 	n.sendAll(n.peerTable.MakeAlarms(now, n.router.TakeAlarms(now)))
 }
 
@@ -305,7 +311,7 @@
 			}
 			last = o.Message
 		}
-		n.options.Messages.Send(o.To, raw)
+		n.sendRaw(o.To, raw)
 	}
 }
 
@@ -315,5 +321,5 @@
 		n.log.WithError(err).Error("cannot send to a peer")
 		return
 	}
-	n.options.Messages.Send(to, raw)
+	n.sendRaw(to, raw)
 }
