--- a/core/heartbeat/transfer_test.go
+++ b/core/heartbeat/transfer_test.go
@@ -153,8 +153,18 @@
 	raw, err := Encode(&Message{Heartbeat: newHeartbeat(1, 1, 1)})
 	qt.Assert(f, err, qt.IsNil)
 	f.Add(raw)
+	congested := newHeartbeat(1, 1, 1)
+	congested.CongestedMS = 1
+	for _, m := range []*Message{{Heartbeat: congested}, {Alarm: &Alarm{From: 1, CongestedMS: 1}}} {
+		raw, err := Encode(m)
+		qt.Assert(f, err, qt.IsNil)
+		f.Add(raw)
+	}
 	f.Fuzz(func(_ *testing.T, raw []byte) {
 		m, err := Decode(raw)
+		if err == nil && m.Heartbeat != nil {
+			_ = congestedAt(start, m.Heartbeat.CongestedMS)
+		}
 		if err == nil && m.Chunk != nil {
 			var a ChunkAssembly
 			a.Add(start, m.Chunk)
