core/link: steps of the time of day don't count as congestion

Buckets were numbered by the time of day. After a step back by seconds all that was received until the clock had caught up fell into one bucket, so that the VM counted as congested meanwhile.

--- a/core/link/meter.go
+++ b/core/link/meter.go
@@ -45,6 +45,9 @@
 	rate float64
 
 	mu sync.Mutex
+	// startedAt is when the first datagram was counted. Buckets are numbered from it, because
+	// differences of times are not affected by steps of the time of day.
+	startedAt time.Time
 	// received are the bytes received in each of the last buckets; newest is the number of
 	// the latest bucket.
 	received [bucketCount]int
@@ -133,9 +136,17 @@
 	}
 }
 
-// advance empties the buckets between the latest one and that of now.
+// advance empties the buckets between the latest one and that of now. If the time is earlier
+// by more than a window, the buckets are of no use.
 func (m *Meter) advance(now time.Time) {
-	number := now.UnixNano() / int64(bucketWidth)
+	if m.startedAt.IsZero() {
+		m.startedAt, m.sentAt = now, now
+	}
+	number := int64(now.Sub(m.startedAt) / bucketWidth)
+	if number <= m.newest-bucketCount {
+		m.startedAt, m.sentAt, m.congestedUntil = now, now, time.Time{}
+		number, m.newest = 0, -bucketCount
+	}
 	if number-m.newest >= bucketCount {
 		m.received, m.sent = [bucketCount]int{}, [bucketCount]int{}
 		m.newest = number
--- a/core/link/meter_test.go
+++ b/core/link/meter_test.go
@@ -67,3 +67,14 @@
 	qt.Assert(t, m.Load(later).Backlog, qt.Equals, 50*time.Millisecond)
 	qt.Assert(t, m.CongestedSince(start.Add(151*time.Millisecond)), qt.IsFalse)
 }
+
+// Failure: the time goes back by seconds, and what is received until it has caught up counts
+// as received in one window.
+func TestTimeGoesBack(t *testing.T) {
+	m := link.New(rate)
+	receive(m, start, 0.1, time.Second)
+	earlier := start.Add(-10 * time.Second)
+	receive(m, earlier, 0.5, time.Second)
+	qt.Assert(t, m.CongestedSince(earlier), qt.IsFalse)
+	qt.Assert(t, m.Load(earlier.Add(time.Second)).Received <= 0.5, qt.IsTrue)
+}
