--- a/core/token/congestion_test.go
+++ b/core/token/congestion_test.go
@@ -106,30 +106,30 @@
 	return flowFrom(f.port, fixtures)
 }
 
-// openAt opens flows through a VM until one is placed on the given target, and returns it. The
+// openAtFirst opens flows through a VM until one is placed on target 1, and returns it. The
 // flows at other targets are accepted.
-func (f *testFleet) openAt(now time.Time, vm int, target baobabstep.TargetID) baobabstep.FlowKey {
+func (f *testFleet) openAtFirst(now time.Time, vm int) baobabstep.FlowKey {
 	f.t.Helper()
 	for range 500 {
 		key := f.nextKey()
 		at, token := open(f.t, f.routers[vm], now, key)
-		if at == target {
+		if at == 1 {
 			return key
 		}
 		handle(f.routers[vm], now, data(key, token))
 	}
-	f.t.Fatalf("VM %d places no flow on target %d", vm, target)
+	f.t.Fatalf("VM %d places no flow on target 1", vm)
 	return baobabstep.FlowKey{}
 }
 
-// leaveUnanswered opens flows through some VMs at a target and repeats their first segments
+// leaveUnanswered opens flows through some VMs at target 1 and repeats their first segments
 // 200 ms later. It returns the time after that; alarms are delivered.
-func (f *testFleet) leaveUnanswered(now time.Time, target baobabstep.TargetID, flows int, vms ...int) time.Time {
+func (f *testFleet) leaveUnanswered(now time.Time, flows int, vms ...int) time.Time {
 	f.t.Helper()
 	keys := make([][]baobabstep.FlowKey, len(f.routers))
 	for _, vm := range vms {
 		for range flows {
-			keys[vm] = append(keys[vm], f.openAt(now, vm, target))
+			keys[vm] = append(keys[vm], f.openAtFirst(now, vm))
 		}
 	}
 	later := now.Add(callerRetransmissionDelay)
@@ -172,8 +172,8 @@
 		f := newTestFleet(t, 2, disabled...)
 		now := start.Add(newIncarnationGrace)
 		f.congest(0, 1, now.Add(time.Second))
-		f.leaveUnanswered(now, 1, 1, 1)
-		now = f.leaveUnanswered(now.Add(time.Millisecond), 1, 2, 0)
+		f.leaveUnanswered(now, 1, 1)
+		now = f.leaveUnanswered(now.Add(time.Millisecond), 2, 0)
 		return f, now.Add(contradictionDelay)
 	}
 	f, now := run()
@@ -193,7 +193,7 @@
 func TestCongestedVMMovesNoFlow(t *testing.T) {
 	f := newTestFleet(t, 2)
 	f.congest(0, 1, start.Add(time.Second))
-	keys := []baobabstep.FlowKey{f.openAt(start, 0, 1), f.openAt(start, 0, 1), f.openAt(start, 0, 1)}
+	keys := []baobabstep.FlowKey{f.openAtFirst(start, 0), f.openAtFirst(start, 0), f.openAtFirst(start, 0)}
 	for _, key := range keys {
 		qt.Assert(t, retransmit(t, f.routers[0], start.Add(callerRetransmissionDelay), key), qt.Equals, baobabstep.TargetID(1))
 	}
@@ -203,7 +203,7 @@
 func TestCongestedVMCountsNoOutcome(t *testing.T) {
 	f := newTestFleet(t, 1)
 	f.congest(0, 1, start.Add(time.Second))
-	key := f.openAt(start, 0, 1)
+	key := f.openAtFirst(start, 0)
 	handle(f.routers[0], start, data(key, tokenFor(hashFlow(key), 1)))
 	f.routers[0].Tick(start.Add(600*time.Millisecond), new([]baobabstep.OutgoingDatagram))
 	sample := f.routers[0].current.Load().targets[1].load.ownAnswers(start.Add(600 * time.Millisecond))
@@ -246,7 +246,7 @@
 	t.Run("and are not sent", func(t *testing.T) {
 		f := newTestFleet(t, 4)
 		f.congest(1, 4, start.Add(5*time.Second))
-		now := f.leaveUnanswered(start.Add(newIncarnationGrace), 1, 2, 1, 2, 3)
+		now := f.leaveUnanswered(start.Add(newIncarnationGrace), 2, 1, 2, 3)
 		assertPassed(t, f.routers[0], now.Add(contradictionDelay), f.established(now, 0, 1), 1)
 		qt.Assert(t, f.combined(0, 1).SilenceReports, qt.HasLen, 0)
 	})
@@ -362,7 +362,7 @@
 			for vm := range all {
 				all[vm] = vm
 			}
-			found := f.leaveUnanswered(now, 1, 2, all...).Add(contradictionDelay)
+			found := f.leaveUnanswered(now, 2, all...).Add(contradictionDelay)
 			qt.Assert(t, found.Sub(now) < 2*time.Second, qt.IsTrue)
 			for vm := range f.routers {
 				assertReset(t, f.routers[vm], found, f.established(found, vm, 1))
