token: vanished flows renew no evidence; unanswered requests settle a verdict at once

The fleet model now congests links: segments wait there and callers repeat what was answered. It found that two old repeated first segments and a flow that went on through another VM reset the flows of a live target where a VM is alone: only repetitions renew evidence now.

--- a/core/token/congestion_test.go
+++ b/core/token/congestion_test.go
@@ -377,3 +377,38 @@
 		})
 	}
 }
+
+// Failure: a VM found a target silent for a moment. Seconds later the fabric sends the further
+// segments of new flows to other VMs, and open flows at the live target are reset.
+func TestVanishedFlowsRenewNoEvidence(t *testing.T) {
+	var h health
+	h.noteUnanswered(start, openRepeated)
+	h.noteUnanswered(start, openRepeated)
+	qt.Assert(t, h.unreachable(start, true), qt.IsTrue)
+	later := start.Add(evidenceLifetime)
+	h.noteUnanswered(later, openVanished)
+	qt.Assert(t, h.unreachable(later, true), qt.IsFalse)
+}
+
+// Failure: flows of a dead target wait for a contradiction that cannot come, as their own
+// requests are unanswered too.
+func TestUnansweredRequestsSettleTheVerdict(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		kind    silenceKind
+		settled bool
+	}{
+		{"first segments only", openRepeated, false},
+		{"a request as well", requestRepeated, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := health{reports: silenceReports(1, 2, start)}
+			h.noteUnanswered(start, openRepeated)
+			h.noteUnanswered(start, test.kind)
+			v := h.updateVerdict(start, false)
+			qt.Assert(t, v.unreachable, qt.IsTrue)
+			qt.Assert(t, v.settled, qt.Equals, test.settled)
+			qt.Assert(t, h.updateVerdict(start.Add(contradictionDelay), false).settled, qt.IsTrue)
+		})
+	}
+}
--- a/core/token/fleet_model_test.go
+++ b/core/token/fleet_model_test.go
@@ -18,6 +18,9 @@
 	t       *rapid.T
 	now     time.Time
 	routers []*Router
+	// links are the links of the VMs. On a congested link segments wait, so that a caller often
+	// repeats what was answered.
+	links   []*testLink
 	random  *rand.Rand
 	version uint64
 	// routed are the services that each address was ever routed to, routes the present
@@ -63,15 +66,16 @@
 		m.join()
 	}
 	for range 3 {
-		m.routers = append(m.routers, m.newRouter())
+		m.links = append(m.links, new(testLink))
+		m.routers = append(m.routers, m.newRouter(len(m.routers)))
 	}
 	m.putRoutes()
 	m.register()
 	return m
 }
 
-func (m *fleetModel) newRouter() *Router {
-	return New(Options{DataCentre: "a", Rand: rand.New(rand.NewPCG(m.random.Uint64(), 2))})
+func (m *fleetModel) newRouter(vm int) *Router {
+	return New(Options{DataCentre: "a", Rand: rand.New(rand.NewPCG(m.random.Uint64(), 2)), Link: m.links[vm]})
 }
 
 func (m *fleetModel) join() {
@@ -114,16 +118,19 @@
 	}
 }
 
-// send passes a segment to a random VM and returns what that VM sends.
-func (m *fleetModel) send(f *modelFlow, s baobabstep.Segment) *baobabstep.OutgoingDatagram {
+// send passes a segment to a random VM and returns what that VM sends. late is set if the
+// segment waits on the VM's link for longer than its caller does.
+func (m *fleetModel) send(f *modelFlow, s baobabstep.Segment) (sent *baobabstep.OutgoingDatagram, late bool) {
 	s.Flow = f.key
 	var out []baobabstep.OutgoingDatagram
-	m.routers[m.random.IntN(len(m.routers))].Handle(m.now, &s, &out)
+	vm := m.random.IntN(len(m.routers))
+	m.routers[vm].Handle(m.now, &s, &out)
+	late = m.links[vm].CongestedSince(m.now)
 	if len(out) > 1 {
 		m.t.Fatalf("one segment became %d", len(out))
 	}
 	if len(out) == 0 {
-		return nil
+		return nil, late
 	}
 	if id := out[0].Target; id != 0 {
 		service := m.targets[id].registration.Service
@@ -131,7 +138,7 @@
 			m.t.Fatalf("a segment to %s went to %s, which it was never routed to", f.address, service)
 		}
 	}
-	return &out[0]
+	return &out[0], late
 }
 
 // open opens a flow as a caller does.
@@ -140,7 +147,7 @@
 	name := []string{"a", "b"}[m.random.IntN(2)]
 	f := &modelFlow{key: flowFrom(m.port, modelAddresses[name].Service), seq: m.random.Uint32(), address: name}
 	for retransmissions := range uint32(3) {
-		out := m.send(f, baobabstep.Segment{Kind: baobabstep.KindOpen, Seq: f.seq, Acked: retransmissions})
+		out, late := m.send(f, baobabstep.Segment{Kind: baobabstep.KindOpen, Seq: f.seq, Acked: retransmissions})
 		if out == nil || out.Target == 0 {
 			return
 		}
@@ -148,7 +155,7 @@
 		if retransmissions == 0 && t.registration.Draining && t.registered {
 			m.t.Fatalf("a new flow went to target %d, which drains", out.Target)
 		}
-		if !t.silent {
+		if !t.silent && !late {
 			f.target, f.token, f.acked = t, out.Token, 1
 			f.seq++
 			m.flows = append(m.flows, f)
@@ -163,7 +170,7 @@
 // answer.
 func (m *fleetModel) request(f *modelFlow) {
 	for range 2 {
-		out := m.send(f, baobabstep.Segment{Kind: baobabstep.KindData, Token: f.token, Seq: f.seq, Acked: f.acked, Size: 100})
+		out, late := m.send(f, baobabstep.Segment{Kind: baobabstep.KindData, Token: f.token, Seq: f.seq, Acked: f.acked, Size: 100})
 		switch {
 		case out == nil:
 		case out.Target == 0:
@@ -172,7 +179,7 @@
 			return
 		case m.targets[out.Target] != f.target:
 			m.t.Fatalf("a segment of a flow at target %d went to %d", f.target.registration.ID, out.Target)
-		case !f.target.silent:
+		case !f.target.silent && !late:
 			f.seq += 100
 			f.acked += 600
 			m.send(f, baobabstep.Segment{Kind: baobabstep.KindData, Token: f.token, Seq: f.seq, Acked: f.acked})
@@ -275,8 +282,12 @@
 					}
 				}
 			},
+			"a VM's link is congested": func(*rapid.T) {
+				m.links[m.random.IntN(len(m.links))].congestedUntil = m.now.Add(time.Second)
+			},
 			"a VM restarts": func(*rapid.T) {
-				m.routers[m.random.IntN(len(m.routers))] = m.newRouter()
+				vm := m.random.IntN(len(m.routers))
+				m.routers[vm] = m.newRouter(vm)
 				for _, r := range m.routers {
 					r.SetTable(m.now, m.table())
 				}
--- a/core/token/health.go
+++ b/core/token/health.go
@@ -68,6 +68,8 @@
 	// heardAt is when this VM last heard from the target, unansweredAt when the target last
 	// left a flow unanswered.
 	heardAt, unansweredAt time.Time
+	// repeatedAt is when a caller of the target last repeated a segment.
+	repeatedAt time.Time
 	// knownSince is when this incarnation of the target was registered.
 	knownSince time.Time
 	// trialAt is when a suspect target may get one flow, trialPause the time from then
@@ -99,6 +101,9 @@
 func (h *health) noteUnanswered(now time.Time, kind silenceKind) {
 	h.unanswered++
 	h.unansweredAt = now
+	if kind != openVanished {
+		h.repeatedAt = now
+	}
 	switch kind {
 	case openRepeated:
 		h.opens++
@@ -225,7 +230,8 @@
 type verdict struct {
 	// unreachable is as in health, reported the same by the reports of other VMs alone.
 	unreachable, reported bool
-	// settled is set once a VM that hears from the target would have said so.
+	// settled is set once a VM that hears from the target would have said so, or if this VM
+	// found that the target does not answer on an open flow either.
 	settled bool
 }
 
@@ -241,7 +247,7 @@
 	case h.unreachableSince.IsZero():
 		h.unreachableSince = now
 	}
-	v.settled = alone || now.Sub(h.unreachableSince) >= contradictionDelay
+	v.settled = alone || h.unanswered > h.opens+h.vanished || now.Sub(h.unreachableSince) >= contradictionDelay
 	return v
 }
 
@@ -258,8 +264,8 @@
 		return true
 	case h.unanswered == 0 || h.opens+others.opens == 0:
 		return false
-	case now.Sub(h.unansweredAt) >= evidenceLifetime:
-		return false
+	case now.Sub(h.repeatedAt) >= evidenceLifetime:
+		return false // flows that vanished may go on through other VMs
 	case h.othersHeardAt.After(h.unansweredAt.Add(-minRetransmissionDelay)):
 		return false // the target answered another VM while it seemed silent here
 	case others.vms == 0 && !alone:
