core/bulk: bulk flows wait for the VM's own link

Uploads keep 16 segments in flight each. On links of 10 Mbit/s a few of them lose segments, callers repeat these, and all flows of the VM suffer. A VM now lets two bulk flows send at once on such a link, holds the first segments of others, and refuses those that would wait for more than 0.6 s.

--- a/core/token/event.go
+++ b/core/token/event.go
@@ -45,6 +45,13 @@
 	EventOnTrial // target_on_trial
 	// EventTrusted: a target that failed has passed its trial.
 	EventTrusted // target_trusted
+	// EventLinkHeld: the first segment of a bulk flow waits for the VM's own link.
+	EventLinkHeld // flow_link_held
+	// EventLinkReleased: a first segment that waited goes on.
+	EventLinkReleased // flow_link_released
+	// EventLinkRefused: a bulk flow would wait too long for the VM's own link; the caller
+	// was reset.
+	EventLinkRefused // flow_link_refused
 	numEvents
 )
 
@@ -82,6 +89,11 @@
 	// FailedCallers is a lower bound on the number of callers whose requests failed.
 	Answers, Failed, PeerFailureRate float64
 	FailedCallers                    int
+	// LinkCause is the cause of a refusal by the VM's own link, LinkWaiting the number of
+	// first segments that wait for it, and LinkWaited how long this one did.
+	LinkCause   string
+	LinkWaiting int
+	LinkWaited  time.Duration
 }
 
 // FlowName returns the name of a flow in logs: its caller and the service address.
--- a/core/token/flow.go
+++ b/core/token/flow.go
@@ -51,8 +51,9 @@
 	// acknowledging more starts a new request, while the further segments of a long request
 	// acknowledge nothing new.
 	acked, requestAcked uint32
-	// sentEnd is the end of what the caller has sent.
-	sentEnd uint32
+	// sentEnd is the end of what the caller has sent, and requestStart where its latest
+	// request begins.
+	sentEnd, requestStart uint32
 }
 
 // shard is a part of the flow table with its own lock.
--- a/core/token/flow_tracking.go
+++ b/core/token/flow_tracking.go
@@ -119,15 +119,17 @@
 	default:
 		r.updateFlow(now, f, p)
 	}
+	f = shard.flows[p.Flow]
+	r.trackUpload(now, f, p)
 	if p.Kind == baobabstep.KindReset || p.Kind == baobabstep.KindClose {
-		shard.flows[p.Flow].close()
+		f.close()
 	}
 }
 
 // newAdoptedFlow returns the record of a flow that this VM did not place.
 func newAdoptedFlow(now time.Time, t *target, route *rule, p *baobabstep.Segment) *flow {
 	return &flow{
-		key: p.Flow, target: t, rule: route, lastPacketAt: now, requestSentAt: now, acked: p.Acked, requestAcked: p.Acked, sentEnd: p.Seq + uint32(p.Size),
+		key: p.Flow, target: t, rule: route, lastPacketAt: now, requestSentAt: now, acked: p.Acked, requestAcked: p.Acked, requestStart: p.Seq, sentEnd: p.Seq + uint32(p.Size),
 	}
 }
 
@@ -139,6 +141,9 @@
 		f.countedUnanswered = false
 		r.noteAnswer(now, f.target)
 	}
+	if progress && !f.opening && f.answerPending {
+		f.rule.requestSizes.Add(f.sentEnd - f.requestStart)
+	}
 	if progress && !f.opening && f.timingPending && p.Size == 0 {
 		f.timingPending = false
 		f.latency = now.Sub(f.requestSentAt)
@@ -150,7 +155,7 @@
 		r.openingFlows.remove(p.Flow.Caller.Addr(), f)
 		// The first segment was counted as the start of the first request.
 		f.opening, f.acked, f.requestAcked = false, p.Acked, p.Acked
-		f.sentEnd = p.Seq
+		f.sentEnd, f.requestStart = p.Seq, p.Seq
 		f.beginRequest(now)
 	}
 	if end := p.Seq + uint32(p.Size); seqAfter(end, f.sentEnd) {
@@ -159,7 +164,7 @@
 		// it is past the end of the payload, but starts no request.
 		if p.Size > 0 && p.Acked != f.requestAcked {
 			r.settleRequest(now, f, p.Acked)
-			f.requestAcked = p.Acked
+			f.requestAcked, f.requestStart = p.Acked, p.Seq
 			f.beginRequest(now)
 			f.target.load.countRequest(now)
 		}
--- a/core/token/mechanism.go
+++ b/core/token/mechanism.go
@@ -46,6 +46,9 @@
 	MechanismAvoidance // avoidance
 	// MechanismColdLimits: the new flows of all VMs to a cold target are limited.
 	MechanismColdLimits // cold_limits
+	// MechanismLinkAdmission: new bulk flows wait, or are refused, where the VM's own link
+	// is full of bulk flows.
+	MechanismLinkAdmission // link_admission
 	numMechanisms
 )
 
--- a/core/token/router.go
+++ b/core/token/router.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"baobabstep"
+	"baobabstep/core/bulk"
 	"baobabstep/core/quota"
 )
 
@@ -28,6 +29,9 @@
 	// ColdOvershoot and ColdSlack bound the new flows that a cold target gets in any second
 	// to its limit times ColdOvershoot, plus ColdSlack (1, 0).
 	ColdOvershoot, ColdSlack float64
+	// Link measures the VM's own link. It is nil if the link is not measured; then nothing
+	// is held on its account.
+	Link baobabstep.LinkMeter
 	// Disabled is the set of disabled mechanisms (none).
 	Disabled Mechanisms
 	// ObserveRequestTime, if set, is called with the latency of each request whose
@@ -54,6 +58,8 @@
 	flows        *flowTable
 	openingFlows *openingFlows
 	counts       counts
+	// bulkGate admits bulk flows to the VM's own link.
+	bulkGate *bulk.Gate
 	// pendingReviews are the targets whose answer health the next Tick reviews.
 	pendingReviews targetSet
 	// vmsHeard is the number of other VMs heard from in each data centre.
@@ -82,6 +88,7 @@
 	r := &Router{options: o, flows: newFlowTable(), openingFlows: newOpeningFlows(), alarms: newAlarmQueue(), readyChan: make(chan struct{})}
 	r.current.Store(newSnapshot(&r.options))
 	r.vmsHeard.Store(&map[string]int{})
+	r.bulkGate = newBulkGate(&r.options)
 	return r
 }
 
@@ -291,10 +298,7 @@
 	shard.mu.Lock()
 	defer shard.mu.Unlock()
 	f := shard.flows[p.Flow]
-	var previous *target
-	if r.enabled(MechanismNextTry) {
-		previous = r.openingFlows.lastTried(now, p.Flow.Caller.Addr())
-	}
+	previous := r.lastTried(now, p)
 	if f != nil && f.seq == p.Seq && f.opening {
 		f.retransmitted = true
 		previous = nil
@@ -306,7 +310,15 @@
 			return
 		}
 		r.record(now, EventMoved, s, route, f.target, p)
+	} else if !r.admitsToLink(now, s, route, p, out) {
+		return
 	}
+	r.placeFlow(now, s, route, h, previous, p, out)
+}
+
+// placeFlow chooses a target for a new flow and sends it the first segment. The caller
+// holds the lock of the flow's shard.
+func (r *Router) placeFlow(now time.Time, s *snapshot, route *rule, h flowHash, previous *target, p *baobabstep.Segment, out *[]baobabstep.OutgoingDatagram) {
 	t, admitted := r.chooseTarget(now, s, route, h, previous)
 	if !admitted {
 		kind := EventRefused
@@ -314,11 +326,12 @@
 			kind = EventNoRoom
 		}
 		r.record(now, kind, s, route, t, p)
+		r.bulkGate.Cancel(p.Flow)
 		appendReset(p, out)
 		return
 	}
-	f = &flow{key: p.Flow, target: t, rule: route, opening: true, lastPacketAt: now, requestSentAt: now, seq: p.Seq}
-	shard.add(p.Flow, f)
+	f := &flow{key: p.Flow, target: t, rule: route, opening: true, lastPacketAt: now, requestSentAt: now, seq: p.Seq}
+	r.flows.shard(h).add(p.Flow, f)
 	r.openingFlows.add(now, p.Flow.Caller.Addr(), f)
 	t.load.countNewFlow(now, r.trialInterval())
 	r.consumeColdShare(now, s, t)
@@ -326,10 +339,19 @@
 	appendForward(t, h, p, out)
 }
 
+// lastTried returns the target of the caller's previous try, or nil.
+func (r *Router) lastTried(now time.Time, p *baobabstep.Segment) *target {
+	if !r.enabled(MechanismNextTry) {
+		return nil
+	}
+	return r.openingFlows.lastTried(now, p.Flow.Caller.Addr())
+}
+
 // forwardEstablished sends a later packet to the target that its token names.
 func (r *Router) forwardEstablished(now time.Time, s *snapshot, route *rule, h flowHash, p *baobabstep.Segment, out *[]baobabstep.OutgoingDatagram) {
 	t := s.find(now, route, h, p.Token)
 	if t == nil {
+		r.dropHeld(p)
 		r.record(now, EventUnknownToken, s, route, nil, p)
 		return
 	}
--- a/core/token/snapshot.go
+++ b/core/token/snapshot.go
@@ -9,6 +9,7 @@
 
 	"baobabstep"
 	"baobabstep/core/answer"
+	"baobabstep/core/bulk"
 )
 
 // snapshot holds the routes and targets that a decision uses. It is immutable.
@@ -53,8 +54,10 @@
 	latencyObjective time.Duration
 	// answerSizes learns the usual sizes of the answers to the rule's requests.
 	answerSizes *answer.SizeHistogram
-	shares      []baobabstep.Share
-	totalWeight uint32
+	// requestSizes learns the usual size of the rule's requests.
+	requestSizes *bulk.RequestSizes
+	shares       []baobabstep.Share
+	totalWeight  uint32
 	// services are the services at which flows of the address may be, with the time until
 	// which they may: noExpiry for present services, a time for former ones.
 	services map[string]time.Time
@@ -89,7 +92,7 @@
 }
 
 func newRule(from *baobabstep.Rule) *rule {
-	r := &rule{name: from.Name, repeatable: from.Repeatable, latencyObjective: from.LatencyObjective, answerSizes: new(answer.SizeHistogram), shares: from.Shares, services: make(map[string]time.Time, len(from.Shares))}
+	r := &rule{name: from.Name, repeatable: from.Repeatable, latencyObjective: from.LatencyObjective, answerSizes: new(answer.SizeHistogram), requestSizes: new(bulk.RequestSizes), shares: from.Shares, services: make(map[string]time.Time, len(from.Shares))}
 	for _, share := range from.Shares {
 		r.totalWeight += share.Weight
 		r.services[share.Service] = noExpiry
@@ -103,7 +106,7 @@
 	if old == nil {
 		return
 	}
-	r.answerSizes = old.answerSizes
+	r.answerSizes, r.requestSizes = old.answerSizes, old.requestSizes
 	for service, until := range old.services {
 		if until.Equal(noExpiry) {
 			until = now.Add(maxFlowDuration)
--- a/core/token/stats.go
+++ b/core/token/stats.go
@@ -30,6 +30,10 @@
 	Targets, Silent, Failing int
 	// Evacuated is the number of data centres that get no new flows.
 	Evacuated int
+	// LinkHeld is the number of first segments that wait for the VM's own link, and
+	// LinkRefusals counts the flows that it refused, by cause.
+	LinkHeld     int
+	LinkRefusals map[string]uint64
 }
 
 // Stats returns the present counts.
@@ -38,6 +42,7 @@
 	stats := Stats{
 		Events: make(map[string]uint64, numEvents), Outcomes: make(map[string]uint64, answer.NumOutcomes), Passed: r.counts.forwarded.Load(),
 		Flows: r.flows.count(), Version: s.version, Targets: len(s.targets), Evacuated: len(s.evacuated),
+		LinkHeld: r.bulkGate.Waiting(), LinkRefusals: r.bulkGate.Refusals(),
 	}
 	for kind := range numEvents {
 		stats.Events[kind.String()] = r.counts.events[kind].Load()
--- /dev/null
+++ b/core/token/upload.go
@@ -0,0 +1,111 @@
+package token
+
+import (
+	"time"
+
+	"baobabstep"
+	"baobabstep/core/bulk"
+)
+
+func newBulkGate(o *Options) *bulk.Gate {
+	if o.Link == nil || o.Disabled.Has(MechanismLinkAdmission) {
+		return bulk.New(bulk.Options{})
+	}
+	return bulk.New(bulk.Options{BytesPerSecond: o.Link.BytesPerSecond()})
+}
+
+// admitsToLink reports whether the first segment of a new flow goes on now, as far as the
+// VM's own link is concerned. Otherwise the segment was held, dropped as a copy of one that
+// is held, or the caller was reset.
+func (r *Router) admitsToLink(now time.Time, s *snapshot, route *rule, p *baobabstep.Segment, out *[]baobabstep.OutgoingDatagram) bool {
+	if !r.bulkGate.Active() || !route.requestSizes.Bulk() {
+		return true
+	}
+	switch d := r.bulkGate.Offer(now, p, route.requestSizes.Mean(), r.options.Link.Load(now)); {
+	case d == bulk.Admitted:
+		return true
+	case d == bulk.Held:
+		r.recordLink(now, EventLinkHeld, s, route, p, bulk.Released{})
+	case d.Refused():
+		r.recordLink(now, EventLinkRefused, s, route, p, bulk.Released{Decision: d})
+		appendReset(p, out)
+	}
+	return false
+}
+
+// ReleaseHeld sends on the first segments for which the VM's own link has room again, and
+// refuses those that waited too long.
+func (r *Router) ReleaseHeld(now time.Time, out *[]baobabstep.OutgoingDatagram) {
+	if r.bulkGate.Waiting() == 0 {
+		return
+	}
+	s := r.current.Load()
+	for _, released := range r.bulkGate.Release(now, r.options.Link.Load(now)) {
+		r.release(now, s, released, out)
+	}
+}
+
+func (r *Router) release(now time.Time, s *snapshot, released bulk.Released, out *[]baobabstep.OutgoingDatagram) {
+	p := &released.Segment
+	h, route := hashFlow(p.Flow), s.rules[p.Flow.Service]
+	switch {
+	case route == nil:
+		r.bulkGate.Cancel(p.Flow)
+		r.resetUnrouted(now, s, h, p, out)
+	case released.Decision.Refused():
+		r.recordLink(now, EventLinkRefused, s, route, p, released)
+		appendReset(p, out)
+	default:
+		r.recordLink(now, EventLinkReleased, s, route, p, released)
+		shard := r.flows.shard(h)
+		shard.mu.Lock()
+		defer shard.mu.Unlock()
+		r.placeFlow(now, s, route, h, r.lastTried(now, p), p, out)
+	}
+}
+
+// HeldPending returns a channel that holds a value if first segments may be held.
+func (r *Router) HeldPending() <-chan struct{} { return r.bulkGate.Pending() }
+
+// HeldCount returns the number of first segments that are held.
+func (r *Router) HeldCount() int { return r.bulkGate.Waiting() }
+
+// StopHolding makes the router hold no first segments from now on. The next ReleaseHeld
+// refuses those that are held, so that their callers try again through other VMs.
+func (r *Router) StopHolding() { r.bulkGate.Stop() }
+
+// dropHeld forgets the held first segment of a flow that its caller resets.
+func (r *Router) dropHeld(p *baobabstep.Segment) {
+	if p.Kind == baobabstep.KindReset && r.bulkGate.Waiting() > 0 {
+		r.bulkGate.Cancel(p.Flow)
+	}
+}
+
+// trackUpload records whether a bulk flow sends, from a later segment. A flow sends until
+// the answer to its request begins.
+func (r *Router) trackUpload(now time.Time, f *flow, p *baobabstep.Segment) {
+	if !r.bulkGate.Active() || !f.rule.requestSizes.Bulk() {
+		return
+	}
+	switch ended := p.Kind == baobabstep.KindReset || p.Kind == baobabstep.KindClose; {
+	case ended || p.Size == 0 && p.Acked != f.requestAcked:
+		r.bulkGate.Complete(now, f.key)
+	case p.Size > 0 && p.Acked == f.requestAcked && !f.closed:
+		r.bulkGate.Payload(now, f.key)
+	}
+}
+
+// recordLink records what became of a first segment for which the VM's own link had no
+// room.
+func (r *Router) recordLink(now time.Time, kind EventKind, s *snapshot, route *rule, p *baobabstep.Segment, released bulk.Released) {
+	r.counts.events[kind].Add(1)
+	if r.options.Record == nil || !r.options.EventEnabled(now, kind) {
+		return
+	}
+	e := r.newEvent(now, kind, s, route, nil, p)
+	e.LinkWaiting, e.LinkWaited = r.bulkGate.Waiting(), released.Waited
+	if released.Decision.Refused() {
+		e.LinkCause = released.Decision.String()
+	}
+	r.options.Record(now, e)
+}
--- a/entry/logging.go
+++ b/entry/logging.go
@@ -55,6 +55,12 @@
 	if e.Unanswered > 0 || e.OthersUnanswered > 0 {
 		fields["unanswered"], fields["opens_unanswered"], fields["others_unanswered"] = e.Unanswered, e.Opens, e.OthersUnanswered
 	}
+	if e.LinkCause != "" {
+		fields["cause"] = e.LinkCause
+	}
+	if e.Kind == token.EventLinkHeld || e.Kind == token.EventLinkReleased || e.Kind == token.EventLinkRefused {
+		fields["link_waiting"], fields["link_waited_ms"] = e.LinkWaiting, e.LinkWaited.Milliseconds()
+	}
 	if e.LatencyObjective > 0 {
 		fields["took_ms"], fields["aim_ms"] = e.Latency.Milliseconds(), e.LatencyObjective.Milliseconds()
 	}
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -89,6 +89,8 @@
 		{Name: "token_changes_left_total", Help: "Changes of other VMs that did not apply here; the whole is asked for instead.", Read: value(func() float64 { return float64(n.counters.conflictingChanges.Load()) })},
 		{Name: "token_passed_over_total", Help: "News that was older than what the VM held, by where it came from.", Label: "source", Read: n.cache.outdatedCounts},
 		{Name: "token_directory_counts", Help: "Calls to the platform's store, those that failed, what could not be read, and its era.", Label: "event", Gauge: true, Read: n.readDirectory},
+		{Name: "token_link_held", Help: "First segments of bulk flows that wait for the VM's own link.", Gauge: true, Read: value(func() float64 { return float64(n.router.HeldCount()) })},
+		{Name: "token_link_refused_total", Help: "Bulk flows refused because they would wait too long for the VM's own link.", Label: "cause", Read: n.readLinkRefusals},
 		{Name: "token_log_lines_dropped_total", Help: "Log lines left out, by bounds or because nobody read them.", Read: value(func() float64 { return float64(n.counters.linesDropped.Load()) })},
 	}
 }
@@ -101,6 +103,14 @@
 	return events
 }
 
+func (n *Node) readLinkRefusals() map[string]float64 {
+	refusals := make(map[string]float64)
+	for cause, count := range n.router.Stats().LinkRefusals {
+		refusals[cause] = float64(count)
+	}
+	return refusals
+}
+
 func (n *Node) readOutcomes() map[string]float64 {
 	outcomes := make(map[string]float64)
 	for name, count := range n.router.Stats().Outcomes {
--- a/entry/node.go
+++ b/entry/node.go
@@ -28,6 +28,7 @@
 
 	"baobabstep"
 	"baobabstep/core/heartbeat"
+	"baobabstep/core/link"
 	"baobabstep/core/token"
 	"baobabstep/io/process"
 	"baobabstep/io/setting"
@@ -47,6 +48,9 @@
 	// segment would open a second target whose token the caller adopts, and an old request
 	// would arrive after the next one.
 	maxStartupWait = 180 * time.Millisecond
+	// releaseInterval is the interval at which held first segments are reviewed while there
+	// are any.
+	releaseInterval = 10 * time.Millisecond
 	// headerTimeout is the time limit for reading the headers of a readiness check.
 	headerTimeout = 2 * time.Second
 )
@@ -80,6 +84,8 @@
 	exchange  peerExchange
 	syncer    *storeSyncer
 	counters  counters
+	// link measures the VM's own link.
+	link      *link.Meter
 	startedAt time.Time
 	stopping  atomic.Bool
 	// storeUnreadable is set for a kind while the store cannot be read.
@@ -103,6 +109,7 @@
 		log:       o.Logger.WithFields(log.Fields{"vm": o.Settings.Name, "data_centre": o.Settings.DataCentre}),
 		clock:     o.Clock,
 		startedAt: o.Clock.Now(),
+		link:      link.New(o.Settings.Token.KnownLinkBytesPerSecond()),
 		done:      make(chan struct{}),
 	}
 	n.router = token.New(token.Options{
@@ -110,6 +117,7 @@
 		Rand:            rand.New(rand.NewPCG(o.Rand.Uint64(), o.Rand.Uint64())),
 		MaxFlowDuration: o.Settings.Token.FlowMax(),
 		ColdOvershoot:   o.Settings.Token.ColdOvershoot, ColdSlack: o.Settings.Token.ColdSlack,
+		Link:               n.link,
 		Disabled:           o.Settings.Token.Mechanisms(),
 		ObserveRequestTime: n.observeRequest,
 		Record:             n.logEvent,
@@ -198,6 +206,7 @@
 		func() error { return n.receiveMessages(ctx) },
 		func() error { return n.serveReady(ctx, listener) },
 		func() error { return n.tickLoop(ctx) },
+		func() error { return n.releaseLoop(ctx) },
 		func() error { return n.syncer.watchLoop(ctx, desired) },
 		func() error { return n.syncer.watchLoop(ctx, targets) },
 		func() error { return n.serveMetrics(ctx) },
@@ -229,10 +238,13 @@
 		}
 		now := n.clock.Now()
 		n.lastPacket.Store(int64(now.Sub(n.startedAt)))
+		n.link.Received(now, segmentBytes(batch[:count]))
 		out = out[:0]
 		for i := range batch[:count] {
 			n.router.Handle(now, &batch[i], &out)
 		}
+		n.router.ReleaseHeld(now, &out)
+		n.link.Sent(now, datagramBytes(out))
 		if err := segments.Send(out); err != nil && ctx.Err() == nil {
 			return err
 		}
@@ -275,6 +287,52 @@
 	}
 }
 
+// releaseLoop sends on held first segments, or refuses them, while there are any and no
+// other segments arrive.
+func (n *Node) releaseLoop(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-n.router.HeldPending():
+		}
+		for n.router.HeldCount() > 0 && ctx.Err() == nil {
+			sleep(ctx, releaseInterval, nil)
+			if err := n.releaseHeld(); err != nil && ctx.Err() == nil {
+				return err
+			}
+		}
+	}
+}
+
+// releaseHeld sends on the held first segments for which the link has room again.
+func (n *Node) releaseHeld() error {
+	now := n.clock.Now()
+	var out []baobabstep.OutgoingDatagram
+	n.router.ReleaseHeld(now, &out)
+	if len(out) == 0 {
+		return nil
+	}
+	n.link.Sent(now, datagramBytes(out))
+	return n.options.Segments[0].Send(out)
+}
+
+// segmentBytes returns the size of received segments on the link.
+func segmentBytes(batch []baobabstep.Segment) (sum int) {
+	for i := range batch {
+		sum += len(batch[i].Raw) + link.DatagramOverhead
+	}
+	return sum
+}
+
+// datagramBytes returns the size of sent datagrams on the link.
+func datagramBytes(batch []baobabstep.OutgoingDatagram) (sum int) {
+	for i := range batch {
+		sum += len(batch[i].Raw) + link.DatagramOverhead
+	}
+	return sum
+}
+
 // tickRouter runs the router's timers and sends the resets that they produce.
 func (n *Node) tickRouter(now time.Time) error {
 	var ended []baobabstep.OutgoingDatagram
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -23,6 +23,10 @@
 	start := n.clock.Now()
 	n.log.Info("planned stop begins")
 	n.announce(true)
+	n.router.StopHolding()
+	if err := n.releaseHeld(); err != nil {
+		n.log.WithError(err).Warn("cannot refuse held flows")
+	}
 	ticker := time.NewTicker(stopPollInterval)
 	defer ticker.Stop()
 	for !n.canExit(start, n.clock.Now()) {
