--- /dev/null
+++ b/core/bulk/gate_test.go
@@ -0,0 +1,197 @@
+package bulk
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"baobabstep"
+)
+
+var (
+	start = time.Unix(1_800_000_000, 0)
+	full  = baobabstep.LinkLoad{Received: 1}
+)
+
+const testSize = 40_000
+
+func offer(g *Gate, now time.Time, key baobabstep.FlowKey, copies uint32) Decision {
+	return g.Offer(now, &baobabstep.Segment{Flow: key, Seq: 1, Acked: copies, Raw: make([]byte, 31)}, testSize, full)
+}
+
+// fullGate returns a gate of a link of 10 Mbit/s with as many flows that send as it allows.
+func fullGate(t *testing.T) *Gate {
+	t.Helper()
+	g := New(Options{BytesPerSecond: modelRate})
+	for i := range g.limit() {
+		qt.Assert(t, offer(g, start, flowOf(1, i), 0), qt.Equals, Admitted)
+	}
+	return g
+}
+
+// assertReleased checks the flows and the decision of what goes on at a time.
+func assertReleased(t *testing.T, g *Gate, now time.Time, want Decision, keys ...baobabstep.FlowKey) {
+	t.Helper()
+	list := g.Release(now, full)
+	qt.Assert(t, list, qt.HasLen, len(keys))
+	for i, r := range list {
+		qt.Check(t, r.Decision, qt.Equals, want)
+		qt.Check(t, r.Segment.Flow, qt.Equals, keys[i])
+	}
+}
+
+// complete ends all flows that send.
+func complete(g *Gate, now time.Time) {
+	for key := range g.sending {
+		g.Complete(now, key)
+	}
+}
+
+func TestGate(t *testing.T) {
+	later := start.Add(50 * time.Millisecond)
+	waiting := flowOf(2, 1)
+
+	// Guards against a flow that is held although a slot is free again.
+	t.Run("a held flow goes on when another completes", func(t *testing.T) {
+		g := fullGate(t)
+		qt.Assert(t, offer(g, start, waiting, 0), qt.Equals, Held)
+		assertReleased(t, g, later, Admitted)
+		g.Complete(later, flowOf(1, 0))
+		assertReleased(t, g, later, Admitted, waiting)
+		qt.Check(t, g.Waiting(), qt.Equals, 0)
+	})
+	// Guards against two first segments of one flow, which open it at two targets.
+	t.Run("copies of a held segment are dropped", func(t *testing.T) {
+		g := fullGate(t)
+		qt.Assert(t, offer(g, start, waiting, 0), qt.Equals, Held)
+		qt.Check(t, offer(g, start.Add(200*time.Millisecond), waiting, 1), qt.Equals, AlreadyHeld)
+		qt.Check(t, g.Waiting(), qt.Equals, 1)
+	})
+	// Guards against a flow that is opened although its caller has given up.
+	t.Run("nothing goes on after its deadline", func(t *testing.T) {
+		g := fullGate(t)
+		qt.Assert(t, offer(g, start, waiting, 0), qt.Equals, Held)
+		late := start.Add(tryDuration - openingTime)
+		complete(g, late)
+		assertReleased(t, g, late, Expired, waiting)
+		qt.Check(t, g.Refusals()["expired"], qt.Equals, uint64(1))
+	})
+	t.Run("a further copy has less time", func(t *testing.T) {
+		g := fullGate(t)
+		qt.Assert(t, offer(g, start, waiting, 2), qt.Equals, Held)
+		assertReleased(t, g, start.Add(tryDuration-openingTime-600*time.Millisecond), Expired, waiting)
+	})
+	t.Run("what would wait too long is refused at once", func(t *testing.T) {
+		g := fullGate(t)
+		counts := make(map[Decision]int)
+		for i := range 100 {
+			counts[offer(g, start, flowOf(2, i), 0)]++
+		}
+		// At half of the link, 15 uploads of 40 kB complete in a second.
+		qt.Check(t, counts[Held], qt.Equals, int(maxExpectedWait.Seconds()*minBulkShare*modelRate/testSize))
+		qt.Check(t, counts[Held]+counts[TooLate], qt.Equals, 100)
+	})
+	// Guards against a caller whose many flows push out all others.
+	t.Run("callers take turns", func(t *testing.T) {
+		g := fullGate(t)
+		for i := range 100 {
+			offer(g, start, flowOf(2, i), 0)
+		}
+		qt.Assert(t, offer(g, start, flowOf(3, 1), 0), qt.Equals, Held)
+		complete(g, later)
+		assertReleased(t, g, later, Admitted, flowOf(2, 0), flowOf(3, 1))
+	})
+	t.Run("a full queue makes room for other callers", func(t *testing.T) {
+		g := New(Options{BytesPerSecond: modelRate, MaxHeld: 4})
+		for i := range g.limit() {
+			offer(g, start, flowOf(1, i), 0)
+		}
+		for i := range 4 {
+			qt.Assert(t, offer(g, start, flowOf(2, i), 0), qt.Equals, Held)
+		}
+		qt.Check(t, offer(g, start, flowOf(2, 9), 0), qt.Equals, NoRoom)
+		qt.Check(t, offer(g, start, flowOf(3, 1), 0), qt.Equals, Held)
+		assertReleased(t, g, start, Displaced, flowOf(2, 3))
+	})
+	// Guards against a VM that stops with a queue, whose callers wait for their time limits.
+	t.Run("a stop refuses what is held", func(t *testing.T) {
+		g := fullGate(t)
+		qt.Assert(t, offer(g, start, waiting, 0), qt.Equals, Held)
+		g.Stop()
+		assertReleased(t, g, start, Stopping, waiting)
+		qt.Check(t, offer(g, start, waiting, 0), qt.Equals, Stopping)
+	})
+	t.Run("a flow that pauses does not count", func(t *testing.T) {
+		g := fullGate(t)
+		g.Payload(start.Add(200*time.Millisecond), flowOf(1, 0))
+		qt.Check(t, offer(g, start.Add(maxSendingPause), flowOf(2, 1), 0), qt.Equals, Admitted)
+		qt.Check(t, offer(g, start.Add(maxSendingPause), flowOf(2, 2), 0), qt.Equals, Held)
+	})
+}
+
+// Guards against flows that are held although the VM's link has room for them.
+func TestGateHoldsNothing(t *testing.T) {
+	t.Run("with an unknown rate", func(t *testing.T) {
+		qt.Check(t, New(Options{}).Active(), qt.IsFalse)
+	})
+	t.Run("on a link that is far from full", func(t *testing.T) {
+		g := fullGate(t)
+		now := start.Add(loadDelay)
+		for i := range 100 {
+			now = now.Add(loadDelay)
+			for key := range g.sending {
+				g.Payload(now, key)
+			}
+			d := g.Offer(now, &baobabstep.Segment{Flow: flowOf(2, i), Raw: make([]byte, 31)}, testSize, baobabstep.LinkLoad{Received: 0.4})
+			qt.Check(t, d, qt.Equals, Admitted)
+		}
+	})
+	t.Run("on a link of 1,000 Mbit/s", func(t *testing.T) {
+		g := New(Options{BytesPerSecond: 125e6})
+		for i := range 200 {
+			qt.Check(t, offer(g, start, flowOf(1, i), 0), qt.Equals, Admitted)
+		}
+	})
+}
+
+// Guards against memory that grows with the first segments that callers send.
+func TestGateMemoryIsBounded(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		callers int
+	}{{"one caller", 1}, {"many callers", 50_000}} {
+		t.Run(test.name, func(t *testing.T) {
+			g := New(Options{BytesPerSecond: modelRate})
+			for i := range 100_000 {
+				g.Offer(start, &baobabstep.Segment{Flow: flowOf(i%test.callers, i/test.callers%65536), Seq: uint32(i), Raw: make([]byte, 1231)}, 1, full)
+				if g.queue.bytes > g.options.MaxHeldBytes || g.Waiting() > g.options.MaxHeld+maxDisplaced {
+					t.Fatalf("%d segments and %d bytes held", g.Waiting(), g.queue.bytes)
+				}
+			}
+			qt.Check(t, len(g.queue.flows), qt.Equals, g.queue.count)
+			qt.Check(t, len(g.sending), qt.Equals, g.limit())
+		})
+	}
+}
+
+func TestRequestSizes(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		sizes []uint32
+		want  bool
+	}{
+		{"none", nil, false},
+		{"too few", []uint32{40_000, 40_000}, false},
+		{"uploads", []uint32{40_000, 20_000, 60_000}, true},
+		{"small requests", []uint32{900, 900, 5_400}, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var r RequestSizes
+			for _, size := range test.sizes {
+				r.Add(size)
+			}
+			qt.Check(t, r.Bulk(), qt.Equals, test.want)
+		})
+	}
+}
--- /dev/null
+++ b/core/bulk/model_test.go
@@ -0,0 +1,259 @@
+package bulk
+
+import (
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"baobabstep"
+)
+
+// The model has one VM whose link drops what does not fit into its buffer, and callers that
+// retransmit as they do in operation.
+const (
+	modelRate    = 1.25e6
+	modelBuffer  = 64 << 10
+	modelStep    = time.Millisecond
+	roundTrip    = 7 * time.Millisecond
+	segmentBytes = 1270
+	uploadLength = 34
+	objective    = 1200 * time.Millisecond
+)
+
+type modelPacket struct {
+	caller *modelCaller
+	// number is that of a data segment, or one of those below.
+	number, bytes int
+}
+
+const (
+	firstPacket = -1
+	closePacket = -2
+)
+
+// modelCaller sends one request of a number of segments.
+type modelCaller struct {
+	key                baobabstep.FlowKey
+	length             int
+	startedAt, endedAt time.Time
+	openedAt           time.Time
+	copies             int
+	refused, opened    bool
+	retransmission     time.Duration
+	sentAt, ackedAt    []time.Time
+	next, acked        int
+}
+
+type model struct {
+	now     time.Time
+	gate    *Gate
+	useGate bool
+	queue   []modelPacket
+	queued  int
+	credit  float64
+	load    baobabstep.LinkLoad
+	callers []*modelCaller
+}
+
+func newModel(useGate bool) *model {
+	return &model{now: start, gate: New(Options{BytesPerSecond: modelRate}), useGate: useGate}
+}
+
+func (m *model) begin(length int) {
+	key := flowOf(len(m.callers), 1)
+	m.callers = append(m.callers, &modelCaller{
+		key: key, length: length, startedAt: m.now, retransmission: 200 * time.Millisecond,
+		sentAt: make([]time.Time, length), ackedAt: make([]time.Time, length),
+	})
+}
+
+func (m *model) send(c *modelCaller, number, bytes int) {
+	if m.queued+bytes > modelBuffer {
+		return
+	}
+	m.queued += bytes
+	m.queue = append(m.queue, modelPacket{c, number, bytes})
+}
+
+// step advances the model by modelStep.
+func (m *model) step() {
+	m.now = m.now.Add(modelStep)
+	for _, c := range m.callers {
+		if c.endedAt.IsZero() && !c.refused {
+			m.act(c)
+		}
+	}
+	m.credit = min(m.credit+modelRate*modelStep.Seconds(), segmentBytes+modelRate*modelStep.Seconds())
+	received := 0
+	for len(m.queue) > 0 && m.credit >= float64(m.queue[0].bytes) {
+		p := m.queue[0]
+		m.queue = m.queue[1:]
+		m.credit -= float64(p.bytes)
+		m.queued -= p.bytes
+		received += p.bytes
+		m.receive(p)
+	}
+	share := modelStep.Seconds() / loadDelay.Seconds()
+	m.load.Received += share * (float64(received)/(modelRate*modelStep.Seconds()) - m.load.Received)
+	for _, r := range m.gate.Release(m.now, m.load) {
+		m.open(m.find(r.Segment.Flow), r.Decision)
+	}
+}
+
+func (m *model) find(key baobabstep.FlowKey) *modelCaller {
+	return m.callers[slices.IndexFunc(m.callers, func(c *modelCaller) bool { return c.key == key })]
+}
+
+// act sends what a caller has to send now.
+func (m *model) act(c *modelCaller) {
+	if !c.opened || m.now.Before(c.openedAt) {
+		switch waited := m.now.Sub(c.startedAt); {
+		case waited >= tryDuration && !c.opened:
+			c.refused = true
+		case c.copies < len(retransmittedAfter) && waited >= retransmittedAfter[c.copies]:
+			c.copies++
+			m.send(c, firstPacket, 70)
+		}
+		return
+	}
+	inFlight := 0
+	for i := range c.next {
+		switch {
+		case !c.ackedAt[i].IsZero() && !m.now.Before(c.ackedAt[i]):
+			continue
+		case m.now.Sub(c.sentAt[i]) >= c.retransmission:
+			c.retransmission = min(2*c.retransmission, 1600*time.Millisecond)
+			c.sentAt[i] = m.now
+			m.send(c, i, segmentBytes)
+		}
+		inFlight++
+	}
+	for ; inFlight < 16 && c.next < c.length; inFlight++ {
+		c.sentAt[c.next] = m.now
+		m.send(c, c.next, segmentBytes)
+		c.next++
+	}
+}
+
+// receive handles a packet at the VM.
+func (m *model) receive(p modelPacket) {
+	c := p.caller
+	bulk := m.useGate && c.length > 1
+	switch {
+	case p.number == closePacket:
+		m.gate.Complete(m.now, c.key)
+	case p.number == firstPacket && !c.opened && bulk:
+		segment := &baobabstep.Segment{Flow: c.key, Seq: 1, Acked: uint32(c.copies - 1), Raw: make([]byte, 31)}
+		m.open(c, m.gate.Offer(m.now, segment, uploadLength*1200, m.load))
+	case p.number == firstPacket && !c.opened:
+		m.open(c, Admitted)
+	case p.number >= 0:
+		m.receiveData(c, p.number, bulk)
+	}
+}
+
+func (m *model) open(c *modelCaller, d Decision) {
+	switch {
+	case d == Admitted:
+		c.opened, c.openedAt = true, m.now.Add(roundTrip)
+	case d.Refused():
+		c.refused = true
+	}
+}
+
+func (m *model) receiveData(c *modelCaller, number int, bulk bool) {
+	if bulk && c.endedAt.IsZero() {
+		m.gate.Payload(m.now, c.key)
+	}
+	if !c.ackedAt[number].IsZero() {
+		return
+	}
+	c.ackedAt[number] = m.now.Add(roundTrip)
+	if c.acked++; c.acked == c.length {
+		c.endedAt = m.now
+		m.send(c, closePacket, 70)
+	}
+}
+
+// summary is what the callers with requests of one length got.
+type summary struct {
+	asked, served int
+	// inTime counts those that took no longer than objective.
+	inTime int
+	// slow is the duration that one in a hundred served requests exceeds.
+	slow time.Duration
+}
+
+func (m *model) summarise(length int) (s summary) {
+	var took []time.Duration
+	for _, c := range m.callers {
+		if c.length != length {
+			continue
+		}
+		s.asked++
+		if !c.endedAt.IsZero() {
+			took = append(took, c.endedAt.Sub(c.startedAt))
+		}
+	}
+	slices.Sort(took)
+	s.served = len(took)
+	s.inTime, _ = slices.BinarySearch(took, objective)
+	s.slow = took[len(took)*99/100]
+	return s
+}
+
+// play plays a table of arrivals.
+func (m *model) play() {
+	for _, row := range []struct {
+		duration time.Duration
+		// uploadEvery and smallEvery are the times between two arrivals.
+		uploadEvery, smallEvery time.Duration
+	}{
+		{time.Second, 400 * time.Millisecond, 10 * time.Millisecond},
+		{4 * time.Second, 24 * time.Millisecond, 8 * time.Millisecond},
+		{3 * time.Second, 400 * time.Millisecond, 10 * time.Millisecond},
+	} {
+		for t := time.Duration(0); t < row.duration; t += modelStep {
+			if t%row.uploadEvery == 0 {
+				m.begin(uploadLength)
+			}
+			if t%row.smallEvery == 0 {
+				m.begin(1)
+			}
+			m.step()
+		}
+	}
+}
+
+// Guards against uploads that fill the VM's link: segments are lost, the link carries
+// repetitions, and small requests wait for seconds.
+func TestCallersOfAFullLink(t *testing.T) {
+	before, after := newModel(false), newModel(true)
+	before.play()
+	after.play()
+	t.Run("without a gate", func(t *testing.T) {
+		small := before.summarise(1)
+		qt.Check(t, small.slow > time.Second, qt.IsTrue)
+	})
+	t.Run("small requests", func(t *testing.T) {
+		small := after.summarise(1)
+		qt.Check(t, small.served, qt.Equals, small.asked)
+		qt.Check(t, small.slow < 200*time.Millisecond, qt.IsTrue, qt.Commentf("%v", small.slow))
+	})
+	t.Run("uploads", func(t *testing.T) {
+		uploads, worse := after.summarise(uploadLength), before.summarise(uploadLength)
+		qt.Check(t, uploads.slow < objective, qt.IsTrue, qt.Commentf("%v", uploads.slow))
+		// The link carries 28 uploads a second at most, beside the small requests.
+		const bound = modelRate * 4 * 9 / 10 / (uploadLength * segmentBytes)
+		qt.Check(t, float64(uploads.inTime) >= 0.8*bound, qt.IsTrue, qt.Commentf("%d of at most %v", uploads.inTime, bound))
+		qt.Check(t, uploads.inTime > 2*worse.inTime, qt.IsTrue, qt.Commentf("%d, %d without a gate", uploads.inTime, worse.inTime))
+	})
+}
+
+func flowOf(caller, port int) baobabstep.FlowKey {
+	address := netip.AddrFrom4([4]byte{100, 64, byte(caller >> 8), byte(caller)})
+	return baobabstep.FlowKey{Caller: netip.AddrPortFrom(address, uint16(port)), Service: netip.MustParseAddrPort("198.18.0.2:443")}
+}
--- /dev/null
+++ b/core/token/upload_test.go
@@ -0,0 +1,152 @@
+package token
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"baobabstep"
+)
+
+// fullLink is the meter of a link of 10 Mbit/s that is full.
+type fullLink struct{}
+
+func (fullLink) BytesPerSecond() float64             { return 1.25e6 }
+func (fullLink) Load(time.Time) baobabstep.LinkLoad  { return baobabstep.LinkLoad{Received: 1} }
+func (fullLink) CongestedSince(since time.Time) bool { return true }
+
+func releaseHeld(r *Router, now time.Time) (out []baobabstep.OutgoingDatagram) {
+	r.ReleaseHeld(now, &out)
+	return out
+}
+
+// newUploadRouter returns a router on a full link that has seen three requests of 40 kB on
+// the route of fixtures, and two flows that send there: as many as the link allows. Ports
+// up to 10 are taken.
+func newUploadRouter(t *testing.T, disabled Mechanisms) *Router {
+	t.Helper()
+	r := New(Options{DataCentre: "a", Rand: rand.New(rand.NewPCG(1, 2)), Link: fullLink{}, Disabled: disabled})
+	r.SetTable(start, table(1, singleRule(fixtures, "fixtures"), singleRule(results, "results")))
+	r.SetRegistrations(start, threeTargets())
+	r.SetPeerLoads(start, nil, map[string]int{"b": 1})
+	for port := range uint16(3) {
+		upload(t, r, port, 34)
+	}
+	for port := range uint16(2) {
+		open(t, r, start, flowFrom(4+port, fixtures))
+	}
+	return r
+}
+
+// upload plays a flow with one request of a number of segments.
+func upload(t *testing.T, r *Router, port uint16, segments int) {
+	t.Helper()
+	key := flowFrom(port, fixtures)
+	_, token := open(t, r, start, key)
+	s := data(key, token)
+	for range segments {
+		s.Size = 1200
+		handle(r, start, s)
+		s.Seq += 1200
+	}
+	s.Size, s.Acked = 0, s.Acked+300
+	handle(r, start, s)
+	s.Kind = baobabstep.KindClose
+	handle(r, start, s)
+}
+
+// tokenOf returns the token of an open flow.
+func tokenOf(r *Router, key baobabstep.FlowKey) uint32 {
+	h := hashFlow(key)
+	return tokenFor(h, r.flows.shard(h).flows[key].target.id)
+}
+
+func heldSegment() baobabstep.Segment {
+	return baobabstep.Segment{Kind: baobabstep.KindOpen, Flow: flowFrom(20, fixtures), Seq: firstSeq, Raw: []byte{20}}
+}
+
+func TestUploadsWaitForTheLink(t *testing.T) {
+	later := start.Add(250 * time.Millisecond)
+
+	// Guards against a caller whose copies open its flow twice while it is held.
+	t.Run("a first segment and its copies are held", func(t *testing.T) {
+		r := newUploadRouter(t, 0)
+		s := heldSegment()
+		assertDropped(t, r, start, s)
+		s.Acked = 1
+		assertDropped(t, r, start.Add(200*time.Millisecond), s)
+		qt.Check(t, r.HeldCount(), qt.Equals, 1)
+		out := releaseHeld(r, later)
+		qt.Assert(t, out, qt.HasLen, 1)
+		qt.Check(t, out[0].Raw, qt.DeepEquals, []byte{20})
+		qt.Check(t, out[0].Target, qt.Not(qt.Equals), baobabstep.TargetID(0))
+		s.Acked = 2
+		repeated := handle(r, later, s)
+		qt.Assert(t, repeated, qt.HasLen, 1)
+		qt.Check(t, repeated[0].Target, qt.Equals, out[0].Target)
+	})
+	t.Run("a flow that is answered makes room", func(t *testing.T) {
+		r := newUploadRouter(t, 0)
+		assertDropped(t, r, start, heldSegment())
+		qt.Check(t, releaseHeld(r, start), qt.HasLen, 0)
+		handle(r, start, baobabstep.Segment{Kind: baobabstep.KindClose, Flow: flowFrom(4, fixtures), Token: tokenOf(r, flowFrom(4, fixtures)), Seq: firstSeq + 1, Acked: 77})
+		qt.Check(t, releaseHeld(r, start), qt.HasLen, 1)
+	})
+	// Guards against targets that count as silent on account of a segment that the VM held.
+	t.Run("no target is blamed for the wait", func(t *testing.T) {
+		r := newUploadRouter(t, 0)
+		assertDropped(t, r, start, heldSegment())
+		r.Tick(start.Add(400*time.Millisecond), new([]baobabstep.OutgoingDatagram))
+		qt.Check(t, r.Stats().Events[EventSilent.String()], qt.Equals, uint64(2)) // the two flows that were opened
+	})
+	t.Run("a stop resets the callers", func(t *testing.T) {
+		r := newUploadRouter(t, 0)
+		assertDropped(t, r, start, heldSegment())
+		r.StopHolding()
+		out := releaseHeld(r, start)
+		qt.Assert(t, out, qt.HasLen, 1)
+		qt.Check(t, out[0].Target, qt.Equals, baobabstep.TargetID(0))
+		qt.Check(t, out[0].Flow, qt.Equals, flowFrom(20, fixtures))
+		qt.Check(t, r.Stats().LinkRefusals["stopping"], qt.Equals, uint64(1))
+	})
+	t.Run("a route that is removed resets the callers", func(t *testing.T) {
+		r := newUploadRouter(t, 0)
+		assertDropped(t, r, start, heldSegment())
+		r.SetTable(start, table(2, singleRule(results, "results")))
+		out := releaseHeld(r, later)
+		qt.Assert(t, out, qt.HasLen, 1)
+		qt.Check(t, out[0].Target, qt.Equals, baobabstep.TargetID(0))
+	})
+	t.Run("a caller that leaves is forgotten", func(t *testing.T) {
+		r := newUploadRouter(t, 0)
+		s := heldSegment()
+		assertDropped(t, r, start, s)
+		s.Kind = baobabstep.KindReset
+		assertDropped(t, r, start, s)
+		qt.Check(t, r.HeldCount(), qt.Equals, 0)
+	})
+	t.Run("flows of other routes pass", func(t *testing.T) {
+		r := newUploadRouter(t, 0)
+		open(t, r, start, flowFrom(20, results))
+	})
+	t.Run("the mechanism can be disabled", func(t *testing.T) {
+		r := newUploadRouter(t, Mechanisms(0).With(MechanismLinkAdmission))
+		open(t, r, start, flowFrom(20, fixtures))
+	})
+}
+
+// Guards against connections with many small requests that count as bulk flows.
+func TestManySmallRequestsAreNoUpload(t *testing.T) {
+	r := newRouter(t)
+	key := flowFrom(1, results)
+	_, token := open(t, r, start, key)
+	s := data(key, token)
+	for range 1000 {
+		handle(r, start, s)
+		s.Seq, s.Acked = s.Seq+100, s.Acked+2000
+	}
+	sizes := r.current.Load().rules[results].requestSizes
+	qt.Check(t, sizes.Mean(), qt.Equals, 100.0)
+}
