--- a/core/token/flow.go
+++ b/core/token/flow.go
@@ -54,6 +54,9 @@
 	// sentEnd is the end of what the caller has sent, and requestStart where its latest
 	// request begins.
 	sentEnd, requestStart uint32
+	// segmentSize is the payload of the latest segment of a bulk flow that was not the last
+	// of its request.
+	segmentSize uint16
 }
 
 // shard is a part of the flow table with its own lock.
--- a/core/token/upload.go
+++ b/core/token/upload.go
@@ -82,7 +82,8 @@
 }
 
 // trackUpload records whether a bulk flow sends, from a later segment. A flow sends until
-// the answer to its request begins.
+// a segment is shorter than those before it, which is the last of its request, or the
+// answer begins.
 func (r *Router) trackUpload(now time.Time, f *flow, p *baobabstep.Segment) {
 	if !r.bulkGate.Active() || !f.rule.requestSizes.Bulk() {
 		return
@@ -90,7 +91,11 @@
 	switch ended := p.Kind == baobabstep.KindReset || p.Kind == baobabstep.KindClose; {
 	case ended || p.Size == 0 && p.Acked != f.requestAcked:
 		r.bulkGate.Complete(now, f.key)
-	case p.Size > 0 && p.Acked == f.requestAcked && !f.closed:
+	case p.Size == 0 || p.Acked != f.requestAcked || f.closed:
+	case p.Size < f.segmentSize && p.Seq+uint32(p.Size) == f.sentEnd:
+		r.bulkGate.Complete(now, f.key)
+	default:
+		f.segmentSize = p.Size
 		r.bulkGate.Payload(now, f.key)
 	}
 }
