--- a/core/bulk/size.go
+++ b/core/bulk/size.go
@@ -9,10 +9,8 @@
 	// minBulkSize is the mean size of a route's requests in bytes from which its flows are
 	// bulk: they fill half of a caller's window.
 	minBulkSize = 8 * 1200
-	// sizeWeight is the weight of a new size in the mean, once enough are known.
+	// sizeWeight is the weight of a new size in the mean, once some are known.
 	sizeWeight = 1.0 / 16
-	// minSizes is the number of requests from which the mean counts.
-	minSizes = 3
 )
 
 // RequestSizes is the mean size of the requests of one route, in which older requests have
@@ -30,8 +28,17 @@
 	r.mean.Store(math.Float64bits(mean + weight*(float64(bytes)-mean)))
 }
 
+// AddUnfinished takes note of a request of which so many bytes were sent so far. Where no
+// request has finished yet, the first large one shows that the route's flows are bulk: on a
+// full link, none may finish for seconds.
+func (r *RequestSizes) AddUnfinished(bytes uint32) {
+	if bytes >= minBulkSize && r.count.Load() == 0 {
+		r.Add(bytes)
+	}
+}
+
 // Mean returns the mean size in bytes, 0 if none is known.
 func (r *RequestSizes) Mean() float64 { return math.Float64frombits(r.mean.Load()) }
 
 // Bulk reports whether the flows of the route are bulk flows.
-func (r *RequestSizes) Bulk() bool { return r.Mean() >= minBulkSize && r.count.Load() >= minSizes }
+func (r *RequestSizes) Bulk() bool { return r.Mean() >= minBulkSize }
--- a/core/token/upload.go
+++ b/core/token/upload.go
@@ -85,7 +85,13 @@
 // a segment is shorter than those before it, which is the last of its request, or the
 // answer begins.
 func (r *Router) trackUpload(now time.Time, f *flow, p *baobabstep.Segment) {
-	if !r.bulkGate.Active() || !f.rule.requestSizes.Bulk() {
+	if !r.bulkGate.Active() {
+		return
+	}
+	if p.Size > 0 {
+		f.rule.requestSizes.AddUnfinished(f.sentEnd - f.requestStart)
+	}
+	if !f.rule.requestSizes.Bulk() {
 		return
 	}
 	switch ended := p.Kind == baobabstep.KindReset || p.Kind == baobabstep.KindClose; {
