core/bulk: the expected wait is measured by admissions

Completions were counted twice for flows that retransmit, so the wait was taken for two thirds of what it was, and first segments waited for up to 1.1 s.

--- a/core/bulk/gate.go
+++ b/core/bulk/gate.go
@@ -53,8 +53,8 @@
 	tryDuration = 1400 * time.Millisecond
 	openingTime = 250 * time.Millisecond
 	// maxExpectedWait is the longest expected wait for which a flow is held.
-	maxExpectedWait = 600 * time.Millisecond
-	// rateWindow is the window over which completed flows are counted.
+	maxExpectedWait = 800 * time.Millisecond
+	// rateWindow is the window over which admissions are counted.
 	rateWindow = time.Second
 	// minBulkShare is the least share of the link that bulk flows are expected to get.
 	minBulkShare = 0.5
@@ -91,9 +91,9 @@
 	admitted []time.Time
 	oldest   int
 	queue    *queue
-	// completed is the decayed number of completed flows at completedAt.
-	completed   float64
-	completedAt time.Time
+	// admissions is the decayed number of admissions at lastAdmission.
+	admissions    float64
+	lastAdmission time.Time
 	stopped     bool
 }
 
@@ -177,13 +177,16 @@
 
 func (g *Gate) admit(now time.Time, key baobabstep.FlowKey) {
 	g.sending[key] = now
+	g.admissions = 1 + g.admissions*decay.Factor(now.Sub(g.lastAdmission), rateWindow)
+	g.lastAdmission = now
 	g.admitted[g.oldest] = now
 	g.oldest = (g.oldest + 1) % len(g.admitted)
 }
 
-// expectedWait returns how long a new flow would wait for those before it.
+// expectedWait returns how long a new flow would wait for those before it. While flows
+// wait, as many are admitted as complete.
 func (g *Gate) expectedWait(now time.Time, p *baobabstep.Segment, size float64) time.Duration {
-	perSecond := max(g.completed*decay.Factor(now.Sub(g.completedAt), rateWindow)/rateWindow.Seconds(), minBulkShare*g.options.BytesPerSecond/max(size, callerWindow))
+	perSecond := max(g.admissions*decay.Factor(now.Sub(g.lastAdmission), rateWindow)/rateWindow.Seconds(), minBulkShare*g.options.BytesPerSecond/max(size, callerWindow))
 	return time.Duration(float64(g.queue.ahead(p.Flow.Caller.Addr())+1) / perSecond * float64(time.Second))
 }
 
@@ -215,15 +218,10 @@
 }
 
 // Complete records that a bulk flow has sent its request, or has ended.
-func (g *Gate) Complete(now time.Time, key baobabstep.FlowKey) {
+func (g *Gate) Complete(key baobabstep.FlowKey) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if _, known := g.sending[key]; !known {
-		return
-	}
 	delete(g.sending, key)
-	g.completed = 1 + g.completed*decay.Factor(now.Sub(g.completedAt), rateWindow)
-	g.completedAt = now
 }
 
 // Cancel forgets a flow that was admitted or held and will not be opened.
--- a/core/token/upload.go
+++ b/core/token/upload.go
@@ -96,10 +96,10 @@
 	}
 	switch ended := p.Kind == baobabstep.KindReset || p.Kind == baobabstep.KindClose; {
 	case ended || p.Size == 0 && p.Acked != f.requestAcked:
-		r.bulkGate.Complete(now, f.key)
+		r.bulkGate.Complete(f.key)
 	case p.Size == 0 || p.Acked != f.requestAcked || f.closed:
 	case p.Size < f.segmentSize && p.Seq+uint32(p.Size) == f.sentEnd:
-		r.bulkGate.Complete(now, f.key)
+		r.bulkGate.Complete(f.key)
 	default:
 		f.segmentSize = p.Size
 		r.bulkGate.Payload(now, f.key)
