--- a/core/bulk/gate.go
+++ b/core/bulk/gate.go
@@ -94,7 +94,7 @@
 	// admissions is the decayed number of admissions at lastAdmission.
 	admissions    float64
 	lastAdmission time.Time
-	stopped     bool
+	stopped       bool
 }
 
 // New returns a gate that holds nothing.
--- a/core/token/flow.go
+++ b/core/token/flow.go
@@ -19,6 +19,9 @@
 	// closed is set once the caller closed or reset the flow. The record is kept for
 	// closedRetention, so that late packets do not count as another flow.
 	closed bool
+	// segmentSize is the payload of the latest segment of a bulk flow that was not the last
+	// of its request.
+	segmentSize uint16
 	// lastPacketAt is when the last packet arrived.
 	lastPacketAt time.Time
 	// requestSentAt is when the first segment, or the latest request after it, went to the
@@ -54,9 +57,6 @@
 	// sentEnd is the end of what the caller has sent, and requestStart where its latest
 	// request begins.
 	sentEnd, requestStart uint32
-	// segmentSize is the payload of the latest segment of a bulk flow that was not the last
-	// of its request.
-	segmentSize uint16
 }
 
 // shard is a part of the flow table with its own lock.
--- a/core/token/flow_tracking.go
+++ b/core/token/flow_tracking.go
@@ -141,7 +141,7 @@
 		f.countedUnanswered = false
 		r.noteAnswer(now, f.target)
 	}
-	if progress && !f.opening && f.answerPending {
+	if progress && !f.opening && f.answerPending && r.bulkGate.Active() {
 		f.rule.requestSizes.Add(f.sentEnd - f.requestStart)
 	}
 	if progress && !f.opening && f.timingPending && p.Size == 0 {
