--- a/core/token/event_string.go
+++ b/core/token/event_string.go
@@ -24,12 +24,15 @@
 	_ = x[EventOnTrial-13]
 	_ = x[EventTrusted-14]
 	_ = x[EventSilenceIgnored-15]
-	_ = x[numEvents-16]
+	_ = x[EventLinkHeld-16]
+	_ = x[EventLinkReleased-17]
+	_ = x[EventLinkRefused-18]
+	_ = x[numEvents-19]
 }
 
-const _EventKind_name = "flow_placedflow_repeatedflow_movedflow_refusedflow_no_roomflow_unroutedflow_endedtoken_unknownsegment_unreadytarget_silenttarget_heardtarget_avoidedtarget_failingtarget_on_trialtarget_trustedsilence_ignorednumEvents"
+const _EventKind_name = "flow_placedflow_repeatedflow_movedflow_refusedflow_no_roomflow_unroutedflow_endedtoken_unknownsegment_unreadytarget_silenttarget_heardtarget_avoidedtarget_failingtarget_on_trialtarget_trustedsilence_ignoredflow_link_heldflow_link_releasedflow_link_refusednumEvents"
 
-var _EventKind_index = [...]uint8{0, 11, 24, 34, 46, 58, 71, 81, 94, 109, 122, 134, 148, 162, 177, 191, 206, 215}
+var _EventKind_index = [...]uint16{0, 11, 24, 34, 46, 58, 71, 81, 94, 109, 122, 134, 148, 162, 177, 191, 206, 220, 238, 255, 264}
 
 func (i EventKind) String() string {
 	idx := int(i) - 0
--- a/core/token/mechanism.go
+++ b/core/token/mechanism.go
@@ -49,6 +49,9 @@
 	// MechanismCongestion: what VMs observe of targets while their own links are congested
 	// does not count.
 	MechanismCongestion // congestion
+	// MechanismLinkAdmission: new bulk flows wait, or are refused, where the VM's own link
+	// is full of bulk flows.
+	MechanismLinkAdmission // link_admission
 	numMechanisms
 )
 
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -94,6 +94,8 @@
 		{Name: "token_link_sent_share", Help: "Sent bytes of the last moments as a share of what the VM's link carries; 0 if its rate is unknown.", Gauge: true, Read: value(func() float64 { return n.linkLoad().Sent })},
 		{Name: "token_link_backlog_seconds", Help: "Time that a datagram waits on the VM's link behind those sent before it.", Gauge: true, Read: value(func() float64 { return n.linkLoad().Backlog.Seconds() })},
 		{Name: "token_peers_congested", Help: "VMs of the own data centre that report congestion of their own links.", Gauge: true, Read: value(func() float64 { return float64(n.peerTable.CongestedCount(n.clock.Now())) })},
+		{Name: "token_link_held", Help: "First segments of bulk flows that wait for the VM's own link.", Gauge: true, Read: value(func() float64 { return float64(n.router.HeldCount()) })},
+		{Name: "token_link_refused_total", Help: "Bulk flows refused because they would wait too long for the VM's own link.", Label: "cause", Read: n.readLinkRefusals},
 		{Name: "token_log_lines_dropped_total", Help: "Log lines left out, by bounds or because nobody read them.", Read: value(func() float64 { return float64(n.counters.linesDropped.Load()) })},
 	}
 }
@@ -108,6 +110,14 @@
 	return events
 }
 
+func (n *Node) readLinkRefusals() map[string]float64 {
+	refusals := make(map[string]float64)
+	for cause, count := range n.router.Stats().LinkRefusals {
+		refusals[cause] = float64(count)
+	}
+	return refusals
+}
+
 func (n *Node) readOutcomes() map[string]float64 {
 	outcomes := make(map[string]float64)
 	for name, count := range n.router.Stats().Outcomes {
--- a/entry/node.go
+++ b/entry/node.go
@@ -48,6 +48,9 @@
 	// segment would open a second target whose token the caller adopts, and an old request
 	// would arrive after the next one.
 	maxStartupWait = 180 * time.Millisecond
+	// releaseInterval is the interval at which held first segments are reviewed while there
+	// are any.
+	releaseInterval = 10 * time.Millisecond
 	// headerTimeout is the time limit for reading the headers of a readiness check.
 	headerTimeout = 2 * time.Second
 )
@@ -203,6 +206,7 @@
 		func() error { return n.receiveMessages(ctx) },
 		func() error { return n.serveReady(ctx, listener) },
 		func() error { return n.tickLoop(ctx) },
+		func() error { return n.releaseLoop(ctx) },
 		func() error { return n.syncer.watchLoop(ctx, desired) },
 		func() error { return n.syncer.watchLoop(ctx, targets) },
 		func() error { return n.serveMetrics(ctx) },
@@ -239,6 +243,7 @@
 		for i := range batch[:count] {
 			n.router.Handle(now, &batch[i], &out)
 		}
+		n.router.ReleaseHeld(now, &out)
 		n.meterSent(now, out)
 		if err := segments.Send(out); err != nil && ctx.Err() == nil {
 			return err
@@ -283,6 +288,36 @@
 	}
 }
 
+// releaseLoop sends on held first segments, or refuses them, while there are any and no
+// other segments arrive.
+func (n *Node) releaseLoop(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-n.router.HeldPending():
+		}
+		for n.router.HeldCount() > 0 && ctx.Err() == nil {
+			sleep(ctx, releaseInterval, nil)
+			if err := n.releaseHeld(); err != nil && ctx.Err() == nil {
+				return err
+			}
+		}
+	}
+}
+
+// releaseHeld sends on the held first segments for which the link has room again.
+func (n *Node) releaseHeld() error {
+	now := n.clock.Now()
+	var out []baobabstep.OutgoingDatagram
+	n.router.ReleaseHeld(now, &out)
+	if len(out) == 0 {
+		return nil
+	}
+	n.meterSent(now, out)
+	return n.options.Segments[0].Send(out)
+}
+
 // tickRouter runs the router's timers and sends the resets that they produce.
 func (n *Node) tickRouter(now time.Time) error {
 	var ended []baobabstep.OutgoingDatagram
