--- a/core/token/health.go
+++ b/core/token/health.go
@@ -156,16 +156,17 @@
 	return sentAt, !congested && now.Sub(r.LastUnansweredAt) < evidenceLifetime
 }
 
-// contradictsReports reports whether the usable reports of other VMs make the target suspect
-// although this VM heard from it since, which no VM has reported.
+// contradictsReports reports whether the usable reports of other VMs may end flows of the
+// target although this VM heard from it since, which no VM has reported.
 func (h *health) contradictsReports(now time.Time) bool {
-	unanswered := 0
+	unanswered, opens := 0, 0
 	for _, r := range h.reports {
 		if sentAt, usable := firstSent(now, r); usable && h.heardAt.After(sentAt) && !h.othersHeardAt.After(sentAt) {
 			unanswered += min(r.Unanswered, maxCountPerVM)
+			opens += min(r.UnansweredOpens, maxCountPerVM)
 		}
 	}
-	return unanswered >= suspectThreshold
+	return opens > 0 && unanswered+opens >= unreachableThreshold
 }
 
 // summariseReports returns the sum of the other VMs' fresh reports, without those that are
