--- a/core/answer/sizes.go
+++ b/core/answer/sizes.go
@@ -27,6 +27,10 @@
 	// On three routes, errors take 150 to 199 bytes, and the shortest other answers 470,
 	// 750 and 800.
 	shortRatio = 0.5
+	// shortWeight is the weight of a short answer. In an overload, half of all answers may
+	// be errors for seconds; with full weight these became the typical size within a second
+	// or two, and were noticed no more.
+	shortWeight = 0.1
 	// refreshInterval is the number of answers after which the typical size is recomputed,
 	// which takes 137 additions.
 	refreshInterval = 16
@@ -48,8 +52,13 @@
 func (s *SizeHistogram) Add(bytes uint32) (short bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.counts[bucketIndex(bytes)]++
-	s.total++
+	short = s.added >= minSizeSamples && float64(bytes) < shortRatio*s.typical
+	weight := float32(1)
+	if short {
+		weight = shortWeight
+	}
+	s.counts[bucketIndex(bytes)] += weight
+	s.total += weight
 	s.added++
 	if s.total >= maxSizeWeight {
 		s.halveWeights()
@@ -58,7 +67,7 @@
 		s.sinceRefresh = 0
 		s.typical = s.quantile(typicalQuantile)
 	}
-	return s.added >= minSizeSamples && float64(bytes) < shortRatio*s.typical
+	return short
 }
 
 func (s *SizeHistogram) halveWeights() {
--- /dev/null
+++ b/core/room/gate.go
@@ -0,0 +1,198 @@
+package room
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"baobabstep"
+	"baobabstep/core/decay"
+)
+
+const (
+	// window is the time constant with which outcomes decay. It is about the time that a
+	// request spends in a full queue: an earlier reaction would be to less than is known.
+	window = 400 * time.Millisecond
+	// targetRejectedShare is the share of rejected requests at which the admitted share
+	// stays as it is. An urgent request with three tries fails once in many thousands.
+	targetRejectedShare = 0.06
+	// targetLatencyRatio is the ratio of the latency to the unloaded latency at which the
+	// admitted share stays as it is. Half of a queue of eight before two slots is full.
+	targetLatencyRatio = 3.0
+	// The admitted share falls at most by closeRate*maxExcess and rises at most by openRate,
+	// as the change of its logarithm in a second.
+	closeRate = 1.5
+	maxExcess = 3.0
+	openRate  = 2.0
+	// minAdmitted is the least admitted share. The admitted flows show when the overload
+	// has ended.
+	minAdmitted = 0.02
+	// The gate closes at a share of rejected requests of closeRejectedShare, seen in at
+	// least minRejections rejections from distinctRejecters of them or half of the
+	// targets, and at a latency of closeLatencyRatio times the unloaded one.
+	closeRejectedShare = 0.15
+	closeLatencyRatio  = 1.5
+	minRejections      = 6
+	distinctShare      = 0.5
+	// maxRejections is the number of remembered rejections, and rejectionLifetime how long
+	// they count.
+	maxRejections     = 16
+	rejectionLifetime = time.Second
+	// maxStep is the longest time between two updates that counts.
+	maxStep = 200 * time.Millisecond
+)
+
+// rejection is a request that a target rejected.
+type rejection struct {
+	target baobabstep.TargetID
+	at     time.Time
+}
+
+// Gate is the admission of new ordinary flows of one service. It is safe for concurrent
+// use. The zero value admits all flows.
+type Gate struct {
+	mu sync.Mutex
+	// answered and rejected are the weights of recent requests, and logLatency the sum of
+	// the logarithms of the latencies of those answered, all as of decayedAt.
+	answered, rejected, logLatency float64
+	decayedAt                      time.Time
+	rejections                     [maxRejections]rejection
+	nextRejection                  int
+	// closed is set while the share of ordinary flows that are admitted, admitted, is
+	// less than 1.
+	closed    bool
+	admitted  float64
+	updatedAt time.Time
+	state     State
+}
+
+// State is the state of a gate at its last update.
+type State struct {
+	// Closed is set while only a part of the ordinary flows is admitted.
+	Closed bool
+	// Admitted is the share of ordinary flows that are admitted.
+	Admitted float64
+	// Rejected is the share of recent requests that targets rejected, and LatencyRatio the
+	// ratio of the latency of the others to the unloaded latency.
+	Rejected, LatencyRatio float64
+}
+
+// AddAnswered counts a request that was answered.
+func (g *Gate) AddAnswered(now time.Time, took time.Duration) {
+	if took <= 0 {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.decayTo(now)
+	g.answered++
+	g.logLatency += math.Log(took.Seconds())
+}
+
+// AddRejected counts a request that a target rejected.
+func (g *Gate) AddRejected(now time.Time, target baobabstep.TargetID) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.decayTo(now)
+	g.rejected++
+	g.rejections[g.nextRejection] = rejection{target, now}
+	g.nextRejection = (g.nextRejection + 1) % maxRejections
+}
+
+func (g *Gate) decayTo(now time.Time) {
+	factor := decay.Factor(now.Sub(g.decayedAt), window)
+	g.answered *= factor
+	g.rejected *= factor
+	g.logLatency *= factor
+	if now.After(g.decayedAt) {
+		g.decayedAt = now
+	}
+}
+
+// Update recomputes the admitted share. unloaded is the latency of the service under light
+// load, 0 if unknown, and targets the number of its targets. changed is set if the gate
+// has closed or opened.
+func (g *Gate) Update(now time.Time, unloaded time.Duration, targets int) (s State, changed bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.decayTo(now)
+	step := min(now.Sub(g.updatedAt), maxStep)
+	g.updatedAt = now
+	before := g.closed
+	g.state.Rejected, g.state.LatencyRatio = g.measure(unloaded)
+	if !g.closed && g.overloaded(now, targets) {
+		g.closed, g.admitted = true, 1
+	}
+	if g.closed {
+		g.adjust(step)
+	}
+	g.state.Closed, g.state.Admitted = g.closed, 1
+	if g.closed {
+		g.state.Admitted = g.admitted
+	}
+	return g.state, g.closed != before
+}
+
+// measure returns the share of rejected requests, and the ratio of the latency of the
+// others to the unloaded latency.
+func (g *Gate) measure(unloaded time.Duration) (rejected, latencyRatio float64) {
+	if all := g.answered + g.rejected; all > 0 {
+		rejected = g.rejected / (all + 1) // one more, so that the last few requests decide less
+	}
+	latencyRatio = 1
+	if g.answered > 0.1 && unloaded > 0 {
+		latencyRatio = math.Exp(g.logLatency/g.answered) / unloaded.Seconds()
+	}
+	return rejected, latencyRatio
+}
+
+// overloaded reports whether an open gate has to close.
+func (g *Gate) overloaded(now time.Time, targets int) bool {
+	if g.state.Rejected < closeRejectedShare || g.state.LatencyRatio < closeLatencyRatio {
+		return false
+	}
+	var recent, distinct int
+	for i, r := range g.rejections {
+		if r.at.IsZero() || now.Sub(r.at) >= rejectionLifetime {
+			continue
+		}
+		recent++
+		first := true
+		for _, other := range g.rejections[:i] {
+			if other.target == r.target && now.Sub(other.at) < rejectionLifetime {
+				first = false
+			}
+		}
+		if first {
+			distinct++
+		}
+	}
+	return recent >= minRejections && float64(distinct) >= distinctShare*float64(min(recent, targets))
+}
+
+// adjust changes the admitted share of a closed gate by the pressure.
+func (g *Gate) adjust(step time.Duration) {
+	pressure := max(g.state.Rejected/targetRejectedShare, g.state.LatencyRatio/targetLatencyRatio)
+	rate := openRate * (1 - pressure)
+	if pressure > 1 {
+		rate = -closeRate * min(pressure-1, maxExcess)
+	}
+	g.admitted = max(minAdmitted, g.admitted*math.Exp(rate*step.Seconds()))
+	if g.admitted >= 1 {
+		g.closed, g.admitted = false, 1
+	}
+}
+
+// Admits reports whether to admit a new ordinary flow; draw is a random number.
+func (g *Gate) Admits(draw uint64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !g.closed || float64(draw)/math.MaxUint64 < g.admitted
+}
+
+// State returns the state at the last update.
+func (g *Gate) State() State {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.state
+}
--- a/core/token/answers.go
+++ b/core/token/answers.go
@@ -9,6 +9,7 @@
 
 	"baobabstep"
 	"baobabstep/core/answer"
+	"baobabstep/core/room"
 )
 
 const (
@@ -35,6 +36,8 @@
 	// load, and coldSlowdown the ratio of the latency of cold targets to that of warm ones.
 	mean, unloaded time.Duration
 	coldSlowdown   float64
+	// gate admits new ordinary flows.
+	gate room.Gate
 	// lastUrgentAt is when the last flow came that is not ordinary.
 	lastUrgentAt time.Time
 }
@@ -177,6 +180,7 @@
 	if f.target.load.addOutcome(now, outcome, callerHash(f.key), f.latency) {
 		f.target.service.addOutcome(now, outcome, f.latency, now.Before(f.target.coldUntil))
 	}
+	f.target.countRoom(now, outcome, f.latency)
 	if outcome != answer.Answered {
 		r.scheduleReview(f.target)
 	}
--- a/core/token/event.go
+++ b/core/token/event.go
@@ -6,6 +6,7 @@
 
 	"baobabstep"
 	"baobabstep/core/answer"
+	"baobabstep/core/room"
 )
 
 // EventKind is the kind of a decision.
@@ -45,6 +46,14 @@
 	EventOnTrial // target_on_trial
 	// EventTrusted: a target that failed has passed its trial.
 	EventTrusted // target_trusted
+	// EventYielded: an ordinary new flow was refused, because the targets reject requests
+	// for lack of room; the caller was reset.
+	EventYielded // flow_yielded
+	// EventRoomShort: the targets of a service reject requests for lack of room, and
+	// ordinary new flows are refused in part.
+	EventRoomShort // room_short
+	// EventRoomBack: all new flows to a service are admitted again.
+	EventRoomBack // room_back
 	numEvents
 )
 
@@ -82,6 +91,8 @@
 	// FailedCallers is a lower bound on the number of callers whose requests failed.
 	Answers, Failed, PeerFailureRate float64
 	FailedCallers                    int
+	// Room is the state of the service's admission, for changes of it.
+	Room room.State
 }
 
 // FlowName returns the name of a flow in logs: its caller and the service address.
--- a/core/token/event_string.go
+++ b/core/token/event_string.go
@@ -23,12 +23,15 @@
 	_ = x[EventFailing-12]
 	_ = x[EventOnTrial-13]
 	_ = x[EventTrusted-14]
-	_ = x[numEvents-15]
+	_ = x[EventYielded-15]
+	_ = x[EventRoomShort-16]
+	_ = x[EventRoomBack-17]
+	_ = x[numEvents-18]
 }
 
-const _EventKind_name = "flow_placedflow_repeatedflow_movedflow_refusedflow_no_roomflow_unroutedflow_endedtoken_unknownsegment_unreadytarget_silenttarget_heardtarget_avoidedtarget_failingtarget_on_trialtarget_trustednumEvents"
+const _EventKind_name = "flow_placedflow_repeatedflow_movedflow_refusedflow_no_roomflow_unroutedflow_endedtoken_unknownsegment_unreadytarget_silenttarget_heardtarget_avoidedtarget_failingtarget_on_trialtarget_trustedflow_yieldedroom_shortroom_backnumEvents"
 
-var _EventKind_index = [...]uint8{0, 11, 24, 34, 46, 58, 71, 81, 94, 109, 122, 134, 148, 162, 177, 191, 200}
+var _EventKind_index = [...]uint8{0, 11, 24, 34, 46, 58, 71, 81, 94, 109, 122, 134, 148, 162, 177, 191, 203, 213, 222, 231}
 
 func (i EventKind) String() string {
 	idx := int(i) - 0
--- a/core/token/mechanism.go
+++ b/core/token/mechanism.go
@@ -46,6 +46,9 @@
 	MechanismAvoidance // avoidance
 	// MechanismColdLimits: the new flows of all VMs to a cold target are limited.
 	MechanismColdLimits // cold_limits
+	// MechanismRoom: ordinary flows are refused where targets have room for urgent ones
+	// only.
+	MechanismRoom // room
 	numMechanisms
 )
 
--- a/core/token/mechanism_string.go
+++ b/core/token/mechanism_string.go
@@ -26,12 +26,13 @@
 	_ = x[MechanismAlarms-15]
 	_ = x[MechanismAvoidance-16]
 	_ = x[MechanismColdLimits-17]
-	_ = x[numMechanisms-18]
+	_ = x[MechanismRoom-18]
+	_ = x[numMechanisms-19]
 }
 
-const _Mechanism_name = "other_loadsown_loadstimescoldnearfewnext_trybegin_loadsilenceend_flowswitnessesanswersshared_answerstrialsadmissionalarmsavoidancecold_limitsnumMechanisms"
+const _Mechanism_name = "other_loadsown_loadstimescoldnearfewnext_trybegin_loadsilenceend_flowswitnessesanswersshared_answerstrialsadmissionalarmsavoidancecold_limitsroomnumMechanisms"
 
-var _Mechanism_index = [...]uint8{0, 11, 20, 25, 29, 33, 36, 44, 54, 61, 70, 79, 86, 100, 106, 115, 121, 130, 141, 154}
+var _Mechanism_index = [...]uint8{0, 11, 20, 25, 29, 33, 36, 44, 54, 61, 70, 79, 86, 100, 106, 115, 121, 130, 141, 145, 158}
 
 func (i Mechanism) String() string {
 	idx := int(i) - 0
--- /dev/null
+++ b/core/token/room.go
@@ -0,0 +1,73 @@
+package token
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"baobabstep/core/answer"
+	"baobabstep/core/room"
+)
+
+// countRoom counts the outcome of a request for the admission to the target's service.
+// Targets that fail more than their peers say nothing about the room of the service.
+func (t *target) countRoom(now time.Time, outcome answer.Outcome, took time.Duration) {
+	if outcome != answer.Answered && outcome != answer.Short || t.load.currentAnswerHealth().State != answer.Trusted {
+		return
+	}
+	if outcome == answer.Short {
+		t.service.gate.AddRejected(now, t.id)
+	} else {
+		t.service.gate.AddAnswered(now, took)
+	}
+}
+
+// hasRoom reports whether to admit a new flow of a rule: an ordinary flow is refused if one
+// of its services has no room for it.
+func (r *Router) hasRoom(s *snapshot, route *rule) bool {
+	if !route.ordinary || !r.enabled(MechanismRoom) {
+		return true
+	}
+	for _, share := range route.shares {
+		p := s.pools[share.Service]
+		if p == nil || len(p.targets) == 0 {
+			continue
+		}
+		if gate := &p.targets[0].service.gate; gate.State().Closed && !gate.Admits(r.randomUint64()) {
+			return false
+		}
+	}
+	return true
+}
+
+// updateRoom updates the admission of all services.
+func (r *Router) updateRoom(now time.Time, s *snapshot) {
+	if !r.enabled(MechanismRoom) {
+		return
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.pools)) {
+		p := s.pools[name]
+		if len(p.targets) == 0 {
+			continue
+		}
+		service := p.targets[0].service
+		if state, changed := service.gate.Update(now, service.unloadedLatency(), len(p.targets)); changed {
+			r.recordRoom(now, s, name, state)
+		}
+	}
+}
+
+// recordRoom records that the admission to a service has become limited, or is no longer.
+func (r *Router) recordRoom(now time.Time, s *snapshot, service string, state room.State) {
+	kind := EventRoomBack
+	if state.Closed {
+		kind = EventRoomShort
+	}
+	r.counts.events[kind].Add(1)
+	if r.options.Record == nil || !r.options.EventEnabled(now, kind) {
+		return
+	}
+	e := r.newEvent(now, kind, s, nil, nil, nil)
+	e.Service, e.Room = service, state
+	r.options.Record(now, e)
+}
--- a/core/token/router.go
+++ b/core/token/router.go
@@ -307,6 +307,12 @@
 		}
 		r.record(now, EventMoved, s, route, f.target, p)
 	}
+	// The caller of a retransmitted segment may have opened its flow meanwhile.
+	if retransmitted := f != nil && f.seq == p.Seq && f.opening; !retransmitted && !r.hasRoom(s, route) {
+		r.record(now, EventYielded, s, route, nil, p)
+		appendReset(p, out)
+		return
+	}
 	t, admitted := r.chooseTarget(now, s, route, h, previous)
 	if !admitted {
 		kind := EventRefused
@@ -372,4 +378,5 @@
 	}
 	r.openingFlows.expire(now)
 	r.reviewAnswerHealth(now, s)
+	r.updateRoom(now, s)
 }
--- a/entry/logging.go
+++ b/entry/logging.go
@@ -62,6 +62,10 @@
 		fields["answers"], fields["failed"], fields["callers_failed"] = roundToTenth(e.Answers), roundToTenth(e.Failed), e.FailedCallers
 		fields["peers_failed_share"] = roundToTenth(100*e.PeerFailureRate) / 100
 	}
+	if e.Kind == token.EventRoomShort || e.Kind == token.EventRoomBack {
+		fields["service"], fields["admitted_share"] = e.Service, roundToTenth(100*e.Room.Admitted)/100
+		fields["rejected_share"], fields["latency_ratio"] = roundToTenth(100*e.Room.Rejected)/100, roundToTenth(e.Room.LatencyRatio)
+	}
 	n.log.WithFields(fields).Info(e.Kind.String())
 }
 
