--- a/core/answer/health.go
+++ b/core/answer/health.go
@@ -20,6 +20,9 @@
 	// and overload the others in turn.
 	peerRateFactor = 1.5
 	peerRateMargin = 0.05
+	// overloadedPeerRate is the least failure rate that is assumed of the peers in an
+	// overload. The slowest targets reject several times as many requests as the others.
+	overloadedPeerRate = 0.4
 	// minFailedCallers is the number of different callers whose requests must have failed.
 	minFailedCallers = 3
 	// penaltyGain is the penalty, in slots, of a target that fails all its requests. A
@@ -89,6 +92,9 @@
 	PeerFailureRate float64
 	// FailedCallers are the callers whose requests failed at the target.
 	FailedCallers CallerSet
+	// Overloaded is set while the targets of the service reject requests for lack of room.
+	// A full target is not a failing one: only targets that fail nearly all requests are.
+	Overloaded bool
 }
 
 // Update updates the state and the penalty. It reports whether the state changed.
@@ -110,7 +116,7 @@
 	case OnTrial:
 		old := h.failedAtTrialStart * decay.Factor(now.Sub(h.trialStart), window)
 		switch {
-		case e.Target.Failed-old >= trialFailureLimit:
+		case e.Target.Failed-old >= trialFailureLimit && (!e.Overloaded || e.excessFailureRate() > 0):
 			h.markFailing(now, e.excessFailureRate())
 		case !now.Before(h.Deadline):
 			h.State, h.Penalty, h.recoveredAt = Trusted, 0, now
@@ -133,7 +139,11 @@
 // excessFailureRate returns the part of the target's failure rate that neither its peers
 // nor random variation explain. It is 0 or negative for a healthy target.
 func (o *Observations) excessFailureRate() float64 {
-	return failureRateLowerBound(o.Target) - peerRateFactor*o.PeerFailureRate - peerRateMargin
+	peers := o.PeerFailureRate
+	if o.Overloaded {
+		peers = max(peers, overloadedPeerRate)
+	}
+	return failureRateLowerBound(o.Target) - peerRateFactor*peers - peerRateMargin
 }
 
 const (
--- a/core/token/answers.go
+++ b/core/token/answers.go
@@ -230,7 +230,7 @@
 		if _, known := peers[name]; !known {
 			peers[name] = r.peerFailureRate(now, s.pools[name])
 		}
-		changed, health, e := t.load.updateAnswerHealth(now, peers[name], r.enabled(MechanismTrials))
+		changed, health, e := t.load.updateAnswerHealth(now, peers[name], t.service.gate.State().Closed, r.enabled(MechanismTrials))
 		if changed {
 			r.recordAnswerHealth(now, s, t, health.State, e)
 		}
@@ -282,12 +282,13 @@
 }
 
 // updateAnswerHealth updates the health of the target by its answers; peers is the usual
-// failure rate in its service.
-func (l *load) updateAnswerHealth(now time.Time, peers float64, trials bool) (changed bool, health answer.Health, e answer.Observations) {
+// failure rate in its service, and overloaded is set while the service has too little room.
+func (l *load) updateAnswerHealth(now time.Time, peers float64, overloaded, trials bool) (changed bool, health answer.Health, e answer.Observations) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e = answer.Observations{
 		Target: l.outcomes.Sample(now).Merge(l.otherAnswers), PeerFailureRate: peers, FailedCallers: l.outcomes.FailedCallers(now) | l.otherCallers,
+		Overloaded: overloaded,
 	}
 	changed = l.answerHealth.Update(now, e)
 	if !trials && l.answerHealth.State == answer.OnTrial {
--- a/core/token/choose.go
+++ b/core/token/choose.go
@@ -37,9 +37,12 @@
 		limit = s.coldLimits[p.targets[0].registration.Service]
 	}
 	start := int(r.randomUint64() % uint64(len(p.targets)))
-	best, latency := r.bestCandidate(now, route, p.window(start, maxScannedTargets, limit), previous)
+	window := p.window(start, maxScannedTargets, limit)
+	window.anyLocal = s.evacuated[r.options.DataCentre]
+	best, latency := r.bestCandidate(now, route, window, previous)
 	if best == nil && len(p.targets) > maxScannedTargets {
-		best, latency = r.bestCandidate(now, route, p.window(start, len(p.targets), limit), previous)
+		window.count = len(p.targets)
+		best, latency = r.bestCandidate(now, route, window, previous)
 	}
 	if best == nil || p.find(h, tokenFor(h, best.id)) == nil {
 		return nil, false // two targets have the same token; the caller's next try uses another port
@@ -53,6 +56,9 @@
 	targets      []*target
 	start, count int
 	limit        *coldLimit
+	// anyLocal is set if targets of all data centres count as local, because the local ones
+	// are evacuated. Otherwise all VMs of the data centre would choose among all targets.
+	anyLocal bool
 }
 
 // window returns a window of at most the given number of targets. Identifiers are random,
@@ -186,7 +192,7 @@
 			reachable:   dc == r.options.DataCentre || heard[dc] > 0,
 			previousTry: previous != nil && t.id == previous.id,
 		})
-		if dc == r.options.DataCentre && list[len(list)-1].meets(criteriaAll) {
+		if (window.anyLocal || dc == r.options.DataCentre) && list[len(list)-1].meets(criteriaAll) {
 			local++
 		}
 		if local == enoughLocalCandidates && r.enabled(MechanismFew) {
