core/token: a new target starts with most of the load that others have on all VMs; the gate opens sooner

In a large fleet a VM's own load of a target is a small part. New targets of a release got a hundred flows in 0.3 s.

--- a/core/room/gate.go
+++ b/core/room/gate.go
@@ -24,15 +24,19 @@
 	closeRate = 1.5
 	maxExcess = 3.0
 	openRate  = 2.0
+	// Below a pressure of endPressure the overload has ended: then the share rises by
+	// endRate. A controlled overload has no such pressure.
+	endPressure = 0.5
+	endRate     = 6.0
 	// minAdmitted is the least admitted share. The admitted flows show when the overload
 	// has ended.
-	minAdmitted = 0.02
+	minAdmitted = 0.03
 	// The gate closes at a share of rejected requests of closeRejectedShare, seen in at
 	// least minRejections rejections from distinctRejecters of them or half of the
 	// targets, and at a latency of closeLatencyRatio times the unloaded one.
-	closeRejectedShare = 0.15
+	closeRejectedShare = 0.1
 	closeLatencyRatio  = 1.5
-	minRejections      = 6
+	minRejections      = 4
 	distinctShare      = 0.5
 	// maxRejections is the number of remembered rejections, and rejectionLifetime how long
 	// they count.
@@ -174,7 +178,10 @@
 func (g *Gate) adjust(step time.Duration) {
 	pressure := max(g.state.Rejected/targetRejectedShare, g.state.LatencyRatio/targetLatencyRatio)
 	rate := openRate * (1 - pressure)
-	if pressure > 1 {
+	switch {
+	case pressure < endPressure:
+		rate = endRate
+	case pressure > 1:
 		rate = -closeRate * min(pressure-1, maxExcess)
 	}
 	g.admitted = max(minAdmitted, g.admitted*math.Exp(rate*step.Seconds()))
--- a/core/token/load.go
+++ b/core/token/load.go
@@ -31,7 +31,10 @@
 	ownRequests decayingCounter
 	// otherRequests are the recent requests of other VMs, by their latest loads.
 	otherRequests float64
-	health        health
+	// inheritedRequests is what a new target is assumed to get from other VMs, until their
+	// reports show it.
+	inheritedRequests decayingCounter
+	health            health
 	// outcomes counts the outcomes of requests that this VM sent; otherAnswers and
 	// otherCallers are those in the loads of other VMs of the data centre.
 	outcomes     answer.TargetCounter
@@ -95,7 +98,7 @@
 	suspect, needsProbe := l.health.status(now)
 	return assessment{
 		suspect: suspect, needsProbe: needsProbe,
-		ownRequests: l.ownRequests.read(now), otherRequests: l.otherRequests,
+		ownRequests: l.ownRequests.read(now), otherRequests: max(l.otherRequests, l.inheritedRequests.read(now)),
 		latency: answers.Latency.Seconds(), answers: answers.Answers - answers.Failed,
 		penalty: l.answerHealth.Penalty, onTrial: onTrial, trialDue: onTrial && !now.Before(l.nextTrial),
 	}
@@ -302,11 +305,18 @@
 	return l.health.unanswered, l.health.opens, l.health.summariseReports(now).unanswered, heard
 }
 
+// inheritedShare is the part of the mean load of other VMs that a new target is assumed to
+// have. It is less than 1, since the target is idle at first.
+const inheritedShare = 0.8
+
 // setInitialRequests gives a new target the load that the others have. With no load it
-// would get every new flow of every VM until it had caught up, many times its capacity.
-func (l *load) setInitialRequests(now time.Time, own float64) {
+// would get every new flow of every VM until it had caught up, many times its capacity. In a
+// large fleet nearly all load is that of the other VMs; it counts until their reports, which
+// arrive one by one, show as much.
+func (l *load) setInitialRequests(now time.Time, own, others float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.markActive()
 	l.ownRequests = decayingCounter{value: own, at: now}
+	l.inheritedRequests = decayingCounter{value: inheritedShare * others, at: now}
 }
--- a/core/token/snapshot.go
+++ b/core/token/snapshot.go
@@ -270,12 +270,13 @@
 	if !slices.ContainsFunc(p.targets, isNew) {
 		return
 	}
-	var known, sum float64
+	var known, sum, sumAll float64
 	for _, t := range p.targets {
 		if !isNew(t) && t.acceptsNewFlows(now) {
-			own, _ := t.load.requests(now)
+			own, all := t.load.requests(now)
 			known++
 			sum += own
+			sumAll += all
 		}
 	}
 	if known == 0 {
@@ -283,7 +284,7 @@
 	}
 	for _, t := range p.targets {
 		if isNew(t) {
-			t.load.setInitialRequests(now, sum/known)
+			t.load.setInitialRequests(now, sum/known, (sumAll-sum)/known)
 		}
 	}
 }
