--- a/core/answer/answer_test.go
+++ b/core/answer/answer_test.go
@@ -53,6 +53,19 @@
 		}
 		qt.Assert(t, s.Add(700), qt.IsFalse)
 	})
+	t.Run("errors are short throughout an overload", func(t *testing.T) {
+		var s SizeHistogram
+		for range 150 {
+			s.Add(2000)
+		}
+		for i := range 1500 {
+			if i%5 < 2 {
+				s.Add(2000)
+			} else {
+				qt.Assert(t, s.Add(160), qt.IsTrue, qt.Commentf("answer %d", i))
+			}
+		}
+	})
 	t.Run("sizes out of range have a bucket", func(t *testing.T) {
 		for _, size := range []uint32{0, 1, minBucketSize, 1<<32 - 1} {
 			b := bucketIndex(size)
@@ -258,3 +271,24 @@
 		counter.Add(now, Outcome(i%8/7), i%40, 30*time.Millisecond)
 	}
 }
+
+// Guards against full targets that are marked as failing. In an overload the slowest targets
+// reject most of their requests, and each mark sends their load to the others.
+func TestFullTargetsAreNotFailing(t *testing.T) {
+	for _, test := range []struct {
+		name       string
+		overloaded bool
+		failed     float64
+		want       State
+	}{
+		{"half rejected in an overload", true, 20, Trusted},
+		{"half failed otherwise", false, 20, Failing},
+		{"all failed in an overload", true, 40, Failing},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var h Health
+			h.Update(start, Observations{Target: Sample{Answers: 40, Failed: test.failed}, PeerFailureRate: 0.05, FailedCallers: 0xff, Overloaded: test.overloaded})
+			qt.Assert(t, h.State, qt.Equals, test.want)
+		})
+	}
+}
--- a/core/room/gate.go
+++ b/core/room/gate.go
@@ -12,32 +12,34 @@
 const (
 	// window is the time constant with which outcomes decay. It is about the time that a
 	// request spends in a full queue: an earlier reaction would be to less than is known.
-	window = 400 * time.Millisecond
+	window = 300 * time.Millisecond
 	// targetRejectedShare is the share of rejected requests at which the admitted share
 	// stays as it is. An urgent request with three tries fails once in many thousands.
-	targetRejectedShare = 0.06
+	targetRejectedShare = 0.04
 	// targetLatencyRatio is the ratio of the latency to the unloaded latency at which the
 	// admitted share stays as it is. Half of a queue of eight before two slots is full.
-	targetLatencyRatio = 3.0
+	targetLatencyRatio = 2.5
 	// The admitted share falls at most by closeRate*maxExcess and rises at most by openRate,
 	// as the change of its logarithm in a second.
 	closeRate = 1.5
 	maxExcess = 3.0
 	openRate  = 2.0
-	// Below a pressure of endPressure the overload has ended: then the share rises by
-	// endRate. A controlled overload has no such pressure.
-	endPressure = 0.5
-	endRate     = 6.0
+	// With fewer rejections than endRejectedShare and at a latency below endLatencyRatio
+	// times the unloaded one, the overload has ended: then the share rises by endRate. In an
+	// overload that is under control, queues are longer.
+	endRejectedShare = targetRejectedShare
+	endLatencyRatio  = 1.8
+	endRate          = 8.0
 	// minAdmitted is the least admitted share. The admitted flows show when the overload
 	// has ended.
-	minAdmitted = 0.03
+	minAdmitted = 0.04
 	// The gate closes at a share of rejected requests of closeRejectedShare, seen in at
-	// least minRejections rejections from distinctRejecters of them or half of the
-	// targets, and at a latency of closeLatencyRatio times the unloaded one.
+	// least minRejections rejections, of as many targets as distinctShare of the rejections
+	// or of all targets, and at a latency of closeLatencyRatio times the unloaded one.
 	closeRejectedShare = 0.1
 	closeLatencyRatio  = 1.5
-	minRejections      = 4
-	distinctShare      = 0.5
+	minRejections      = 8
+	distinctShare      = 0.6
 	// maxRejections is the number of remembered rejections, and rejectionLifetime how long
 	// they count.
 	maxRejections     = 16
@@ -179,7 +181,7 @@
 	pressure := max(g.state.Rejected/targetRejectedShare, g.state.LatencyRatio/targetLatencyRatio)
 	rate := openRate * (1 - pressure)
 	switch {
-	case pressure < endPressure:
+	case g.state.Rejected < endRejectedShare && g.state.LatencyRatio < endLatencyRatio:
 		rate = endRate
 	case pressure > 1:
 		rate = -closeRate * min(pressure-1, maxExcess)
@@ -201,5 +203,8 @@
 func (g *Gate) State() State {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.updatedAt.IsZero() {
+		return State{Admitted: 1, LatencyRatio: 1}
+	}
 	return g.state
 }
--- /dev/null
+++ b/core/room/gate_test.go
@@ -0,0 +1,131 @@
+package room_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"baobabstep"
+	"baobabstep/core/room"
+)
+
+const (
+	vms, targets, callers = 8, 20, 900
+	peak                  = 1.7 // times the slots; the urgent third takes 0.67 of them
+)
+
+// Guards against urgent requests that are served as badly as ordinary ones where targets
+// are full, and against targets that reject nearly half of what they get: without gates
+// both happen, with them the slots stay as busy.
+func TestUrgentFirstInAPeak(t *testing.T) {
+	before := newModel(1, vms, targets, callers)
+	clear(before.gates)
+	before.run(2*time.Second, 0.3)
+	before.run(time.Second, peak)
+	_, rejectedBefore := before.measure(5*time.Second, peak)
+	qt.Assert(t, before.urgent.share() < 0.9, qt.IsTrue, qt.Commentf("%v", before.urgent.share()))
+
+	m := newModel(1, vms, targets, callers)
+	m.run(2*time.Second, 0.3)
+	m.run(time.Second, peak)
+	busy, rejected := m.measure(5*time.Second, peak)
+	t.Logf("urgent %.3f, ordinary %.3f, busy %.3f, rejected %d; before %.3f, %.3f, %d", m.urgent.share(), m.ordinary.share(), busy, rejected, before.urgent.share(), before.ordinary.share(), rejectedBefore)
+	qt.Assert(t, m.urgent.share() >= 0.98, qt.IsTrue, qt.Commentf("%v", m.urgent.share()))
+	qt.Assert(t, busy >= 0.95, qt.IsTrue, qt.Commentf("%v", busy))
+	qt.Assert(t, rejected < rejectedBefore/5, qt.IsTrue, qt.Commentf("%d, before %d", rejected, rejectedBefore))
+}
+
+// Guards against a fleet that needs all its VMs to act: while it is upgraded half of them
+// have no gates, and a VM that starts in a peak knows nothing of it.
+func TestOtherVMsWithoutAGate(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		change func(m *model)
+		want   float64
+	}{
+		{"half of the VMs without", func(m *model) { clear(m.gates[:vms/2]) }, 0.65},
+		{"a VM starts in the peak", func(m *model) { m.gates[0] = new(room.Gate) }, 0.97},
+		{"half of the VMs go", func(m *model) { m.leave(vms / 2) }, 0.97},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			m := newModel(2, vms, targets, callers)
+			m.run(2*time.Second, 0.3)
+			m.run(time.Second, peak)
+			test.change(m)
+			m.run(500*time.Millisecond, peak)
+			m.measure(4*time.Second, peak)
+			qt.Assert(t, m.urgent.share() >= test.want, qt.IsTrue, qt.Commentf("%v", m.urgent.share()))
+		})
+	}
+}
+
+// Guards against refusals that go on when the peak has passed.
+func TestGateOpensAfterThePeak(t *testing.T) {
+	m := newModel(3, vms, targets, callers)
+	m.run(2*time.Second, 0.3)
+	m.run(4*time.Second, peak)
+	qt.Assert(t, m.closed(), qt.Equals, vms)
+	m.run(1500*time.Millisecond, 0.4)
+	qt.Assert(t, m.closed(), qt.Equals, 0)
+	m.measure(2*time.Second, 0.4)
+	qt.Assert(t, m.ordinary.share() > 0.999, qt.IsTrue, qt.Commentf("%v", m.ordinary.share()))
+}
+
+// Guards against targets that fail while there is room: refusing flows helps nobody.
+func TestFailuresCloseNoGate(t *testing.T) {
+	for _, test := range []struct {
+		name          string
+		failing       int
+		rate, offered float64
+	}{
+		{"a fifth of the targets fails nine of ten requests", targets / 5, 0.9, 0.5},
+		{"a fifth of the targets fails nearly all", targets / 5, 0.97, 0.5},
+		{"all targets fail a third", targets, 0.33, 0.4},
+		{"high load, nothing fails", 0, 0, 0.9},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			m := newModel(4, vms, targets, callers)
+			for i := range test.failing {
+				m.targets[i].failing = test.rate
+			}
+			for range 60 {
+				m.run(100*time.Millisecond, test.offered)
+				qt.Assert(t, m.closed(), qt.Equals, 0)
+			}
+		})
+	}
+}
+
+// Guards against a gate that admits nothing, so that the end of a peak is never seen, and
+// against one that stays closed in a calm service, whatever it saw before.
+func TestGateAlwaysOpensAgain(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := new(room.Gate)
+		now := start
+		for range rapid.IntRange(1, 60).Draw(t, "ticks") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "step")) * time.Millisecond)
+			for range rapid.IntRange(0, 40).Draw(t, "rejected") {
+				g.AddRejected(now, baobabstep.TargetID(rapid.IntRange(1, 20).Draw(t, "target")))
+			}
+			for range rapid.IntRange(0, 40).Draw(t, "answered") {
+				g.AddAnswered(now, time.Duration(rapid.IntRange(1, 2000).Draw(t, "took"))*time.Millisecond)
+			}
+			s, _ := g.Update(now, unloaded, 20)
+			if s.Admitted <= 0 || s.Admitted > 1 || s.Closed != (s.Admitted < 1) || !s.Closed && !g.Admits(1<<64-1) {
+				t.Fatalf("state %+v", s)
+			}
+		}
+		for range 45 {
+			now = now.Add(100 * time.Millisecond)
+			for range 3 {
+				g.AddAnswered(now, unloaded)
+			}
+			g.Update(now, unloaded, 20)
+		}
+		if s := g.State(); s.Closed {
+			t.Fatalf("still closed: %+v", s)
+		}
+	})
+}
--- /dev/null
+++ b/core/token/room_test.go
@@ -0,0 +1,136 @@
+package token
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"baobabstep"
+	"baobabstep/core/answer"
+)
+
+// newRoomRouter returns a router whose service has an urgent rule, at the address results,
+// and an ordinary one, at the address fixtures.
+func newRoomRouter(disabled Mechanisms) *Router {
+	r := New(Options{DataCentre: "a", Rand: rand.New(rand.NewPCG(1, 2)), Disabled: disabled})
+	ordinary, urgent := singleRule(fixtures, "fixtures"), singleRule(results, "fixtures")
+	ordinary.Repeatable, ordinary.Priority, urgent.Priority = true, 2, 1
+	r.SetTable(start, table(1, ordinary, urgent))
+	r.SetRegistrations(start, manyTargets(20))
+	return r
+}
+
+// fill lets targets answer calmly for a second, and then reject every second request for a
+// second while the others take long. It returns the time after it.
+func fill(r *Router) time.Time {
+	targets := r.current.Load().pools["fixtures"].targets
+	now := start
+	count := func(t *target, outcome answer.Outcome, took time.Duration) {
+		f := &flow{key: flowFrom(uint16(r.randomUint64()), fixtures), target: t, rule: r.current.Load().rules[fixtures], latency: took}
+		f.key.Caller = netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(r.randomUint64()), 7}), 1)
+		r.countOutcome(now, f, outcome)
+	}
+	for tick := range 20 {
+		for i, t := range targets {
+			if tick >= 10 && (i+tick)%2 == 0 {
+				count(t, answer.Short, 0)
+			} else {
+				count(t, answer.Answered, map[bool]time.Duration{false: 30, true: 120}[tick >= 10]*time.Millisecond)
+			}
+		}
+		now = now.Add(100 * time.Millisecond)
+		r.Tick(now, new([]baobabstep.OutgoingDatagram))
+	}
+	return now
+}
+
+// refusals opens flows of an address and returns the share that is refused.
+func refusals(r *Router, now time.Time, address netip.AddrPort) float64 {
+	const n = 200
+	refused := 0
+	for i := range n {
+		out := handle(r, now, baobabstep.Segment{Kind: baobabstep.KindOpen, Flow: flowFrom(uint16(2000+i), address), Seq: firstSeq})
+		if len(out) == 1 && out[0].Target == 0 {
+			refused++
+		}
+	}
+	return float64(refused) / n
+}
+
+// Guards against ordinary flows that take the room of urgent ones at full targets, and
+// against urgent flows that are refused for it.
+func TestOrdinaryFlowsYieldAtFullTargets(t *testing.T) {
+	r := newRoomRouter(0)
+	now := fill(r)
+	qt.Assert(t, refusals(r, now, fixtures) > 0.5, qt.IsTrue)
+	qt.Assert(t, refusals(r, now, results), qt.Equals, 0.0)
+	stats := r.Stats()
+	qt.Assert(t, stats.Events["room_short"], qt.Equals, uint64(1))
+	qt.Assert(t, stats.Events["flow_yielded"] > 100, qt.IsTrue)
+	qt.Assert(t, stats.Rooms["fixtures"].Admitted < 0.5, qt.IsTrue)
+	qt.Assert(t, stats.Failing, qt.Equals, 0, qt.Commentf("full targets count as failing"))
+}
+
+// Without the mechanism nothing yields.
+func TestRoomDisabled(t *testing.T) {
+	r := newRoomRouter(Mechanisms(0).With(MechanismRoom).With(MechanismAdmission))
+	qt.Assert(t, refusals(r, fill(r), fixtures), qt.Equals, 0.0)
+}
+
+// Guards against the reset of a flow that its target may have accepted: the retransmission
+// of a first segment goes to the same target, also if the service has become full since.
+func TestRetransmittedFlowDoesNotYield(t *testing.T) {
+	r := newRoomRouter(0)
+	var placed []baobabstep.FlowKey
+	for port := range uint16(100) {
+		placed = append(placed, flowFrom(20_000+port, fixtures))
+		open(t, r, start, placed[port])
+	}
+	now := fill(r)
+	for _, key := range placed {
+		open(t, r, now, key)
+	}
+}
+
+// Guards against a herd on one target. The targets of the VMs' own data centre are
+// evacuated, so that all of its VMs chose among all other targets, and each the one that
+// seemed idle.
+func TestNoHerdFromAnEvacuatedDataCentre(t *testing.T) {
+	got := 0
+	for vm := range 15 {
+		r := New(Options{DataCentre: "b", Rand: rand.New(rand.NewPCG(uint64(vm), 2))})
+		r.SetTable(start, table(1, singleRule(fixtures, "fixtures")))
+		r.SetRegistrations(start, append(manyTargets(60), registration(100, "fixtures", "b")))
+		loads := map[baobabstep.TargetID]baobabstep.TargetLoad{}
+		for id := range baobabstep.TargetID(60) {
+			loads[id+1] = baobabstep.TargetLoad{Requests: 50}
+		}
+		loads[7] = baobabstep.TargetLoad{Requests: 5}
+		r.SetPeerLoads(start, loads, map[string]int{"a": 3})
+		r.SetEvacuations(start, []string{"b"})
+		got += openMany(t, r, start, 1, 4)[7]
+	}
+	qt.Assert(t, got <= 20, qt.IsTrue, qt.Commentf("got %d of 60", got))
+}
+
+// Guards against a new target that is flooded while the VMs report their requests to it one
+// by one: the first report is of one VM only.
+func TestFirstReportsOnANewTarget(t *testing.T) {
+	const targets = 41
+	loads := map[baobabstep.TargetID]baobabstep.TargetLoad{}
+	for id := range baobabstep.TargetID(targets - 1) {
+		loads[id+1] = baobabstep.TargetLoad{Requests: 50}
+	}
+	r := New(Options{DataCentre: "a", Rand: rand.New(rand.NewPCG(1, 2))})
+	r.SetTable(start, table(1, singleRule(fixtures, "fixtures")))
+	r.SetRegistrations(start, manyTargets(targets-1))
+	r.SetPeerLoads(start, loads, nil)
+	joined := start.Add(time.Second)
+	r.ChangeRegistrations(joined, manyTargets(targets)[targets-1:], nil)
+	r.SetPeerLoads(joined, map[baobabstep.TargetID]baobabstep.TargetLoad{targets: {Requests: 2}}, nil)
+	got := openMany(t, r, joined, 1000, 30)[targets]
+	qt.Assert(t, got <= 8, qt.IsTrue, qt.Commentf("got %d of 30", got))
+}
--- a/core/token/stats.go
+++ b/core/token/stats.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 
 	"baobabstep/core/answer"
+	"baobabstep/core/room"
 )
 
 type counts struct {
@@ -30,6 +31,8 @@
 	Targets, Silent, Failing int
 	// Evacuated is the number of data centres that get no new flows.
 	Evacuated int
+	// Rooms holds the admission to each service that has targets.
+	Rooms map[string]room.State
 }
 
 // Stats returns the present counts.
@@ -53,5 +56,11 @@
 			stats.Silent++
 		}
 	}
+	stats.Rooms = make(map[string]room.State, len(s.pools))
+	for name, p := range s.pools {
+		if len(p.targets) > 0 {
+			stats.Rooms[name] = p.targets[0].service.gate.State()
+		}
+	}
 	return stats
 }
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"baobabstep/core/heartbeat"
+	"baobabstep/core/room"
 	"baobabstep/io/metric"
 )
 
@@ -76,6 +77,9 @@
 		{Name: "token_targets", Help: "Targets known, those that have gone lately included.", Gauge: true, Read: value(func() float64 { return float64(n.router.Stats().Targets) })},
 		{Name: "token_targets_silent", Help: "Targets that left flows unanswered and get no new ones.", Gauge: true, Read: value(func() float64 { return float64(n.router.Stats().Silent) })},
 		{Name: "token_targets_failing", Help: "Targets that fail more than the others of their service and get few flows.", Gauge: true, Read: value(func() float64 { return float64(n.router.Stats().Failing) })},
+		{Name: "token_room_admitted", Help: "Share of ordinary new flows that are admitted, by service: 1 unless its targets reject requests for lack of room.", Label: "service", Gauge: true, Read: n.readRooms(func(s room.State) float64 { return s.Admitted })},
+		{Name: "token_room_rejected", Help: "Share of recent requests that targets rejected, by service.", Label: "service", Gauge: true, Read: n.readRooms(func(s room.State) float64 { return s.Rejected })},
+		{Name: "token_room_latency_ratio", Help: "Latency of recent requests as a multiple of that under light load, by service.", Label: "service", Gauge: true, Read: n.readRooms(func(s room.State) float64 { return s.LatencyRatio })},
 		{Name: "token_outcomes_total", Help: "Requests by what became of them, as far as their callers' segments tell.", Label: "outcome", Read: n.readOutcomes},
 		{Name: "token_routes_version", Help: "Version of the routing table in force.", Gauge: true, Read: value(func() float64 { return float64(n.router.Version()) })},
 		{Name: "token_routes_age_seconds", Help: "Time since the store was known to hold no newer routing table.", Gauge: true, Read: age(heartbeat.Routes)},
@@ -101,6 +105,17 @@
 	return events
 }
 
+// readRooms returns a function that reads one figure of the admission to each service.
+func (n *Node) readRooms(figure func(room.State) float64) func() map[string]float64 {
+	return func() map[string]float64 {
+		figures := make(map[string]float64)
+		for service, state := range n.router.Stats().Rooms {
+			figures[service] = figure(state)
+		}
+		return figures
+	}
+}
+
 func (n *Node) readOutcomes() map[string]float64 {
 	outcomes := make(map[string]float64)
 	for name, count := range n.router.Stats().Outcomes {
