--- a/core/room/doc.go
+++ b/core/room/doc.go
@@ -11,16 +11,18 @@
 //
 // When more work is offered than the slots can do, a rejection hits urgent and ordinary
 // requests alike, each costs a target a connection, and the queues of all targets are full.
-// A VM can not reject a request on an open flow, but it can refuse to open one. Each
+// A VM cannot reject a request on an open flow, but it can refuse to open one. Each
 // rejected request ends its flow, so the flows that remain are soon those that the VMs
 // admit.
 //
 // A [Gate] is the state of one service in one VM. It watches the share of requests that
 // targets reject and the latency of the others, and admits such a share of new ordinary
-// flows that queues are used but hardly overflow. Urgent flows are always admitted. The
-// share falls while the pressure exceeds its target value and rises while it is below, at a
-// rate in proportion to the distance, and the gate opens altogether when the share
-// reaches 1.
+// flows that queues are used but seldom overflow. Urgent flows are always admitted. The
+// share follows the rejected share: a few rejections are harmless, beyond them the admitted
+// share falls exponentially. There is no integral of the past in it: a share that fell step
+// by step while rejections lasted went far too low in a mild overload, and slots were idle
+// until it had risen again. When rejections are rare and the latency is normal, the gate
+// opens.
 //
 // A gate does not close on account of failing targets:
 //
--- a/core/room/gate.go
+++ b/core/room/gate.go
@@ -13,21 +13,17 @@
 	// window is the time constant with which outcomes decay. It is about the time that a
 	// request spends in a full queue: an earlier reaction would be to less than is known.
 	window = 300 * time.Millisecond
-	// targetRejectedShare is the share of rejected requests at which the admitted share
-	// stays as it is. An urgent request with three tries fails once in many thousands.
-	targetRejectedShare = 0.04
-	// targetLatencyRatio is the ratio of the latency to the unloaded latency at which the
-	// admitted share stays as it is. Half of a queue of eight before two slots is full.
-	targetLatencyRatio = 2.5
-	// The admitted share falls at most by closeRate*maxExcess and rises at most by openRate,
-	// as the change of its logarithm in a second.
-	closeRate = 1.5
-	maxExcess = 3.0
-	openRate  = 2.0
+	// Up to a rejected share of harmlessShare all flows are admitted: queues that never
+	// overflow leave slots idle at times, and callers try again. Beyond it, the admitted
+	// share falls by a factor of e with each yieldScale. In a peak of twice the slots a
+	// tenth to a sixth of the requests is then rejected, and an urgent request with three
+	// tries fails a few times in a thousand.
+	harmlessShare = 0.05
+	yieldScale    = 0.04
 	// With fewer rejections than endRejectedShare and at a latency below endLatencyRatio
 	// times the unloaded one, the overload has ended: then the share rises by endRate. In an
 	// overload that is under control, queues are longer.
-	endRejectedShare = targetRejectedShare
+	endRejectedShare = harmlessShare
 	endLatencyRatio  = 1.8
 	endRate          = 8.0
 	// minAdmitted is the least admitted share. The admitted flows show when the overload
@@ -176,18 +172,15 @@
 	return recent >= minRejections && float64(distinct) >= distinctShare*float64(min(recent, targets))
 }
 
-// adjust changes the admitted share of a closed gate by the pressure.
+// adjust changes the admitted share of a closed gate.
 func (g *Gate) adjust(step time.Duration) {
-	pressure := max(g.state.Rejected/targetRejectedShare, g.state.LatencyRatio/targetLatencyRatio)
-	rate := openRate * (1 - pressure)
-	switch {
-	case g.state.Rejected < endRejectedShare && g.state.LatencyRatio < endLatencyRatio:
-		rate = endRate
-	case pressure > 1:
-		rate = -closeRate * min(pressure-1, maxExcess)
+	if g.state.Rejected < endRejectedShare && g.state.LatencyRatio < endLatencyRatio {
+		g.admitted *= math.Exp(endRate * step.Seconds())
+	} else {
+		g.admitted = math.Exp(min(0, harmlessShare-g.state.Rejected) / yieldScale)
 	}
-	g.admitted = max(minAdmitted, g.admitted*math.Exp(rate*step.Seconds()))
-	if g.admitted >= 1 {
+	g.admitted = min(1, max(minAdmitted, g.admitted))
+	if g.admitted >= 1 && g.state.LatencyRatio < closeLatencyRatio {
 		g.closed, g.admitted = false, 1
 	}
 }
