core/room, core/token: ordinary flows are admitted to idle targets

Refused flows do not fill the targets that have become idle by chance, as the tries at full targets did.

--- a/core/answer/answer_test.go
+++ b/core/answer/answer_test.go
@@ -292,3 +292,12 @@
 		})
 	}
 }
+
+// Guards against a target on trial that is put out again because it is full.
+func TestTrialInAnOverload(t *testing.T) {
+	for _, overloaded := range []bool{false, true} {
+		h := Health{State: OnTrial, Deadline: start.Add(trialDuration), trialStart: start}
+		h.Update(start.Add(time.Second), Observations{Target: Sample{Answers: 10, Failed: 3}, PeerFailureRate: 0.05, Overloaded: overloaded})
+		qt.Check(t, h.State, qt.Equals, map[bool]State{false: Failing, true: OnTrial}[overloaded])
+	}
+}
--- a/core/token/choose.go
+++ b/core/token/choose.go
@@ -27,10 +27,12 @@
 // chooseTarget returns the target of a new flow, nil if there is none. admitted is false if
 // the flow has to be refused, even if there is a target. previous is the target of the
 // caller's previous try; it is chosen only if there is no other.
-func (r *Router) chooseTarget(now time.Time, s *snapshot, route *rule, h flowHash, previous *target) (t *target, admitted bool) {
+//
+// busy is the estimated share of the target's slots that is busy.
+func (r *Router) chooseTarget(now time.Time, s *snapshot, route *rule, h flowHash, previous *target) (t *target, busy float64, admitted bool) {
 	p := s.pools[route.pickService(r.randomUint64())]
 	if p == nil || len(p.targets) == 0 {
-		return nil, false
+		return nil, 0, false
 	}
 	var limit *coldLimit
 	if r.enabled(MechanismColdLimits) {
@@ -39,15 +41,15 @@
 	start := int(r.randomUint64() % uint64(len(p.targets)))
 	window := p.window(start, maxScannedTargets, limit)
 	window.anyLocal = s.evacuated[r.options.DataCentre]
-	best, latency := r.bestCandidate(now, route, window, previous)
+	best, busy, latency := r.bestCandidate(now, route, window, previous)
 	if best == nil && len(p.targets) > maxScannedTargets {
 		window.count = len(p.targets)
-		best, latency = r.bestCandidate(now, route, window, previous)
+		best, busy, latency = r.bestCandidate(now, route, window, previous)
 	}
 	if best == nil || p.find(h, tokenFor(h, best.id)) == nil {
-		return nil, false // two targets have the same token; the caller's next try uses another port
+		return nil, 0, false // two targets have the same token; the caller's next try uses another port
 	}
-	return best, !r.enabled(MechanismAdmission) || route.admits(latency, best.service.unloadedLatency(), r.randomUint64())
+	return best, busy, !r.enabled(MechanismAdmission) || route.admits(latency, best.service.unloadedLatency(), r.randomUint64())
 }
 
 // poolWindow is a part of a pool: count targets from index start, wrapping around at the
@@ -87,23 +89,25 @@
 
 // bestCandidate returns the target of a window that a new flow should go to: one that is
 // not suspect, in a reachable data centre and not the previous try; if there is none, it
-// drops these criteria one by one. latency is the estimated latency at the target.
-func (r *Router) bestCandidate(now time.Time, route *rule, window poolWindow, previous *target) (best *target, latency time.Duration) {
+// drops these criteria one by one. busy is the estimated share of the target's slots that is
+// busy, latency the estimated latency at the target.
+func (r *Router) bestCandidate(now time.Time, route *rule, window poolWindow, previous *target) (best *target, busy float64, latency time.Duration) {
 	var space [maxScannedTargets]candidate
 	list := r.collectCandidates(now, window, previous, space[:0])
 	if window.limit != nil && len(list) > 0 {
 		list[0].target.service.noteUrgentFlow(now, route)
 		if r.yieldsToUrgent(now, route, list) {
-			return nil, 0
+			return nil, 0, 0
 		}
 	}
 	params := r.newScoreParams(route, list)
 	for required := criteriaAll; required <= criteriaNone; required++ {
 		if at := r.leastLoaded(now, params, list, required); at >= 0 {
-			return list[at].target, time.Duration(list[at].assessment.serviceTime(params.meanTime) * float64(time.Second))
+			c := &list[at]
+			return c.target, params.busyShare(c, c.assessment.serviceTime(params.meanTime)), time.Duration(c.assessment.serviceTime(params.meanTime) * float64(time.Second))
 		}
 	}
-	return nil, 0
+	return nil, 0, 0
 }
 
 // scoreParams are the inputs that are the same for all candidates of a flow.
@@ -149,6 +153,12 @@
 	return p.ownWeight*a.ownRequests*p.vmCount + (1-p.ownWeight)*(a.ownRequests+a.otherRequests)
 }
 
+// busyShare returns the estimated share of a candidate's slots that is busy, for a service
+// time in seconds.
+func (p *scoreParams) busyShare(c *candidate, serviceTime float64) float64 {
+	return p.estimateRequests(&c.assessment) / loadWindow.Seconds() / float64(c.target.registration.Slots) * serviceTime
+}
+
 // criteria are requirements on the target of a new flow. Each value drops one requirement
 // of the value before.
 type criteria uint8
@@ -236,7 +246,7 @@
 	if now.Before(c.target.coldUntil) && r.enabled(MechanismCold) {
 		serviceTime *= params.coldSlowdown
 	}
-	score := params.estimateRequests(&c.assessment) / loadWindow.Seconds() / float64(c.target.registration.Slots) * serviceTime
+	score := params.busyShare(c, serviceTime)
 	if c.target.registration.DataCentre != r.options.DataCentre && r.enabled(MechanismNear) {
 		score += remotePenalty
 	}
--- a/core/token/doc.go
+++ b/core/token/doc.go
@@ -28,7 +28,9 @@
 // (health.go, alarm.go), and are retried by one VM at a time (avoid.go). Targets that
 // answer but fail more often than their peers are scored as busier (answers.go; package
 // answer computes their health). When even the best target answers too late, ordinary flows
-// are refused (admission.go). Each of these is a [Mechanism] that can be disabled.
+// are refused (admission.go). When targets reject requests for lack of room, ordinary flows
+// are refused in part, except at targets that are idle (room.go; package room). Each of
+// these is a [Mechanism] that can be disabled.
 //
 // # Invariants
 //
--- a/core/token/room.go
+++ b/core/token/room.go
@@ -22,22 +22,19 @@
 	}
 }
 
-// hasRoom reports whether to admit a new flow of a rule: an ordinary flow is refused if one
-// of its services has no room for it.
-func (r *Router) hasRoom(s *snapshot, route *rule) bool {
+// idleBusyShare is the busy share of a target up to which it has room for ordinary flows,
+// whatever the others have. Flows differ in their requests, so that some targets are full
+// while others are idle; without the refused flows nothing else would fill these.
+const idleBusyShare = 0.8
+
+// hasRoom reports whether to admit a new flow of a rule to a target with an estimated busy
+// share: an ordinary flow is refused if the service has no room for it.
+func (r *Router) hasRoom(t *target, route *rule, busy float64) bool {
 	if !route.ordinary || !r.enabled(MechanismRoom) {
 		return true
 	}
-	for _, share := range route.shares {
-		p := s.pools[share.Service]
-		if p == nil || len(p.targets) == 0 {
-			continue
-		}
-		if gate := &p.targets[0].service.gate; gate.State().Closed && !gate.Admits(r.randomUint64()) {
-			return false
-		}
-	}
-	return true
+	gate := &t.service.gate
+	return !gate.State().Closed || busy < idleBusyShare || gate.Admits(r.randomUint64())
 }
 
 // updateRoom updates the admission of all services.
--- a/core/token/router.go
+++ b/core/token/router.go
@@ -307,13 +307,13 @@
 		}
 		r.record(now, EventMoved, s, route, f.target, p)
 	}
+	t, busy, admitted := r.chooseTarget(now, s, route, h, previous)
 	// The caller of a retransmitted segment may have opened its flow meanwhile.
-	if retransmitted := f != nil && f.seq == p.Seq && f.opening; !retransmitted && !r.hasRoom(s, route) {
-		r.record(now, EventYielded, s, route, nil, p)
+	if retransmitted := f != nil && f.seq == p.Seq && f.opening; t != nil && !retransmitted && !r.hasRoom(t, route, busy) {
+		r.record(now, EventYielded, s, route, t, p)
 		appendReset(p, out)
 		return
 	}
-	t, admitted := r.chooseTarget(now, s, route, h, previous)
 	if !admitted {
 		kind := EventRefused
 		if t != nil {
