--- a/core/token/room.go
+++ b/core/token/room.go
@@ -27,6 +27,10 @@
 // while others are idle; without the refused flows nothing else would fill these.
 const idleBusyShare = 0.8
 
+// maxRejectedForIdle is the share of rejected requests from which no target counts as idle.
+// When a peak begins, the load estimates lag behind, and all targets seem idle.
+const maxRejectedForIdle = 0.15
+
 // hasRoom reports whether to admit a new flow of a rule to a target with an estimated busy
 // share: an ordinary flow is refused if the service has no room for it.
 func (r *Router) hasRoom(t *target, route *rule, busy float64) bool {
@@ -34,7 +38,9 @@
 		return true
 	}
 	gate := &t.service.gate
-	return !gate.State().Closed || busy < idleBusyShare || gate.Admits(r.randomUint64())
+	state := gate.State()
+	idle := busy < idleBusyShare && state.Rejected < maxRejectedForIdle
+	return !state.Closed || idle || gate.Admits(r.randomUint64())
 }
 
 // updateRoom updates the admission of all services.
--- a/core/token/room_test.go
+++ b/core/token/room_test.go
@@ -82,6 +82,14 @@
 func TestIdleTargetGetsOrdinaryFlows(t *testing.T) {
 	r := newRoomRouter(0)
 	now := fill(r)
+	for range 4 { // the targets still answer, and reject few requests
+		now = now.Add(100 * time.Millisecond)
+		for _, t := range r.current.Load().pools["fixtures"].targets {
+			t.service.gate.AddAnswered(now, 120*time.Millisecond)
+		}
+		r.Tick(now, new([]baobabstep.OutgoingDatagram))
+	}
+	qt.Assert(t, r.Stats().Rooms["fixtures"].Closed, qt.IsTrue)
 	for _, t := range r.current.Load().pools["fixtures"].targets {
 		t.load.ownRequests = decayingCounter{}
 	}
