--- a/core/token/event.go
+++ b/core/token/event.go
@@ -6,6 +6,7 @@
 
 	"baobabstep"
 	"baobabstep/core/answer"
+	"baobabstep/core/room"
 )
 
 // EventKind is the kind of a decision.
@@ -55,6 +56,14 @@
 	// EventLinkRefused: a bulk flow would wait too long for the VM's own link; the caller
 	// was reset.
 	EventLinkRefused // flow_link_refused
+	// EventYielded: an ordinary new flow was refused, because the targets reject requests
+	// for lack of room; the caller was reset.
+	EventYielded // flow_yielded
+	// EventRoomShort: the targets of a service reject requests for lack of room, and
+	// ordinary new flows are refused in part.
+	EventRoomShort // room_short
+	// EventRoomBack: all new flows to a service are admitted again.
+	EventRoomBack // room_back
 	numEvents
 )
 
@@ -97,6 +106,8 @@
 	LinkCause   string
 	LinkWaiting int
 	LinkWaited  time.Duration
+	// Room is the state of the service's admission, for changes of it.
+	Room room.State
 }
 
 // FlowName returns the name of a flow in logs: its caller and the service address.
--- a/core/token/event_string.go
+++ b/core/token/event_string.go
@@ -27,12 +27,15 @@
 	_ = x[EventLinkHeld-16]
 	_ = x[EventLinkReleased-17]
 	_ = x[EventLinkRefused-18]
-	_ = x[numEvents-19]
+	_ = x[EventYielded-19]
+	_ = x[EventRoomShort-20]
+	_ = x[EventRoomBack-21]
+	_ = x[numEvents-22]
 }
 
-const _EventKind_name = "flow_placedflow_repeatedflow_movedflow_refusedflow_no_roomflow_unroutedflow_endedtoken_unknownsegment_unreadytarget_silenttarget_heardtarget_avoidedtarget_failingtarget_on_trialtarget_trustedsilence_ignoredflow_link_heldflow_link_releasedflow_link_refusednumEvents"
+const _EventKind_name = "flow_placedflow_repeatedflow_movedflow_refusedflow_no_roomflow_unroutedflow_endedtoken_unknownsegment_unreadytarget_silenttarget_heardtarget_avoidedtarget_failingtarget_on_trialtarget_trustedsilence_ignoredflow_link_heldflow_link_releasedflow_link_refusedflow_yieldedroom_shortroom_backnumEvents"
 
-var _EventKind_index = [...]uint16{0, 11, 24, 34, 46, 58, 71, 81, 94, 109, 122, 134, 148, 162, 177, 191, 206, 220, 238, 255, 264}
+var _EventKind_index = [...]uint16{0, 11, 24, 34, 46, 58, 71, 81, 94, 109, 122, 134, 148, 162, 177, 191, 206, 220, 238, 255, 267, 277, 286, 295}
 
 func (i EventKind) String() string {
 	idx := int(i) - 0
--- a/core/token/mechanism.go
+++ b/core/token/mechanism.go
@@ -52,6 +52,9 @@
 	// MechanismLinkAdmission: new bulk flows wait, or are refused, where the VM's own link
 	// is full of bulk flows.
 	MechanismLinkAdmission // link_admission
+	// MechanismRoom: ordinary flows are refused where targets have room for urgent ones
+	// only.
+	MechanismRoom // room
 	numMechanisms
 )
 
--- a/core/token/router.go
+++ b/core/token/router.go
@@ -324,7 +324,13 @@
 // placeFlow chooses a target for a new flow and sends it the first segment. The caller
 // holds the lock of the flow's shard.
 func (r *Router) placeFlow(now time.Time, s *snapshot, route *rule, h flowHash, previous *target, p *baobabstep.Segment, out *[]baobabstep.OutgoingDatagram) {
-	t, admitted := r.chooseTarget(now, s, route, h, previous)
+	t, busy, admitted := r.chooseTarget(now, s, route, h, previous)
+	if t != nil && !r.isRetransmitted(h, p) && !r.hasRoom(t, route, busy) {
+		r.record(now, EventYielded, s, route, t, p)
+		r.bulkGate.Cancel(p.Flow)
+		appendReset(p, out)
+		return
+	}
 	if !admitted {
 		kind := EventRefused
 		if t != nil {
@@ -344,6 +350,13 @@
 	appendForward(t, h, p, out)
 }
 
+// isRetransmitted reports whether a first segment was sent to a target before, so that its
+// caller may have opened the flow meanwhile. The caller holds the lock of the flow's shard.
+func (r *Router) isRetransmitted(h flowHash, p *baobabstep.Segment) bool {
+	f := r.flows.shard(h).flows[p.Flow]
+	return f != nil && f.seq == p.Seq && f.opening
+}
+
 // lastTried returns the target of the caller's previous try, or nil.
 func (r *Router) lastTried(now time.Time, p *baobabstep.Segment) *target {
 	if !r.enabled(MechanismNextTry) {
@@ -399,4 +412,5 @@
 	}
 	r.openingFlows.expire(now)
 	r.reviewAnswerHealth(now, s)
+	r.updateRoom(now, s)
 }
--- a/core/token/stats.go
+++ b/core/token/stats.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 
 	"baobabstep/core/answer"
+	"baobabstep/core/room"
 )
 
 type counts struct {
@@ -34,6 +35,8 @@
 	// LinkRefusals counts the flows that it refused, by cause.
 	LinkHeld     int
 	LinkRefusals map[string]uint64
+	// Rooms holds the admission to each service that has targets.
+	Rooms map[string]room.State
 }
 
 // Stats returns the present counts.
@@ -58,5 +61,11 @@
 			stats.Silent++
 		}
 	}
+	stats.Rooms = make(map[string]room.State, len(s.pools))
+	for name, p := range s.pools {
+		if len(p.targets) > 0 {
+			stats.Rooms[name] = p.targets[0].service.gate.State()
+		}
+	}
 	return stats
 }
