--- a/entry/congestion.go
+++ b/entry/congestion.go
@@ -68,23 +68,24 @@
 	switch {
 	case congested && c.since.IsZero():
 		c.since, c.last = now, now
-		n.logLink(now, "link congested", log.Fields{})
+		if n.options.LogLimiter.Wanted(now, congestionLogClass) {
+			n.log.WithFields(n.linkFields(now)).Info("link congested")
+		}
 	case congested:
 		c.last = now
 	case !c.since.IsZero() && now.Sub(c.last) >= congestionLogPause:
-		n.logLink(now, "link congestion over", log.Fields{"congested_ms": c.last.Sub(c.since).Milliseconds()})
+		if n.options.LogLimiter.Wanted(now, congestionLogClass) {
+			n.log.WithFields(n.linkFields(now)).WithField("congested_ms", c.last.Sub(c.since).Milliseconds()).Info("link congestion over")
+		}
 		c.since = time.Time{}
 	}
 }
 
-// logLink logs a change of the link's congestion with the present load of the link.
-func (n *Node) logLink(now time.Time, message string, fields log.Fields) {
-	if !n.options.LogLimiter.Wanted(now, congestionLogClass) {
-		return
-	}
+// linkFields returns the present load of the link for a log line.
+func (n *Node) linkFields(now time.Time) log.Fields {
 	load := n.meter.Load(now)
-	fields["link_mbps"] = n.options.Settings.Token.LinkMbps
-	fields["received_percent"], fields["sent_percent"] = int(100*load.Received), int(100*load.Sent)
-	fields["backlog_ms"], fields["vms_congested"] = load.Backlog.Milliseconds(), n.peerTable.CongestedCount(now)
-	n.log.WithFields(fields).Info(message)
+	return log.Fields{
+		"link_mbps": n.options.Settings.Token.LinkMbps, "received_percent": int(100 * load.Received), "sent_percent": int(100 * load.Sent),
+		"backlog_ms": load.Backlog.Milliseconds(), "vms_congested": n.peerTable.CongestedCount(now),
+	}
 }
