--- a/report/refusals.go
+++ b/report/refusals.go
@@ -73,7 +73,7 @@
 	switch message {
 	case token.EventPlaced.String():
 		return func(c *FlowCounts) *float64 { return &c.Placed }
-	case token.EventRefused.String(), token.EventNoRoom.String(), token.EventUnrouted.String():
+	case token.EventRefused.String(), token.EventNoRoom.String(), token.EventUnrouted.String(), token.EventLinkRefused.String(), token.EventYielded.String():
 		return func(c *FlowCounts) *float64 { return &c.Refused }
 	case token.EventEnded.String():
 		return func(c *FlowCounts) *float64 { return &c.Reset }
