--- a/core/token/upload_test.go
+++ b/core/token/upload_test.go
@@ -13,9 +13,9 @@
 // fullLink is the meter of a link of 10 Mbit/s that is full.
 type fullLink struct{}
 
-func (fullLink) BytesPerSecond() float64             { return 1.25e6 }
-func (fullLink) Load(time.Time) baobabstep.LinkLoad  { return baobabstep.LinkLoad{Received: 1} }
-func (fullLink) CongestedSince(time.Time) bool       { return false }
+func (fullLink) BytesPerSecond() float64            { return 1.25e6 }
+func (fullLink) Load(time.Time) baobabstep.LinkLoad { return baobabstep.LinkLoad{Received: 1} }
+func (fullLink) CongestedSince(time.Time) bool      { return false }
 
 func releaseHeld(r *Router, now time.Time) (out []baobabstep.OutgoingDatagram) {
 	r.ReleaseHeld(now, &out)
