experiment/bound, report: plain wording for the value bound and refusals by cause

Rewords comments, errors and help text, and renames identifiers after linear programming terms (variable, constraint, capacity, usage).

--- a/cmd/baobabstep/experiment.go
+++ b/cmd/baobabstep/experiment.go
@@ -18,7 +18,7 @@
 type experimentCommands struct {
 	Run     experimentRun     `cmd:"" help:"Play the days of an experiment under each of its arms, and compare them."`
 	Explain experimentExplain `cmd:"" help:"Where one day of an experiment lost worth, and why."`
-	Bound   experimentBound   `cmd:"" help:"The most value that callers can get from given targets and links, whatever is decided."`
+	Bound   experimentBound   `cmd:"" help:"Compute an upper bound on the value that callers can get from given targets and links."`
 }
 
 type experimentRun struct {
@@ -103,7 +103,7 @@
 }
 
 type experimentBound struct {
-	File string `arg:"" help:"Offered requests, targets and links by span (JSON); docs/design/emulator.md lists the fields." type:"existingfile"`
+	File string `arg:"" help:"Day file (JSON): offered requests, targets and links by span; docs/design/emulator.md lists the fields." type:"existingfile"`
 }
 
 // Run implements the command.
--- a/experiment/bound/day.go
+++ b/experiment/bound/day.go
@@ -8,7 +8,7 @@
 	"baobabstep"
 )
 
-// Day is the input: what is offered, and what is left to serve it.
+// Day is the input: the offered requests and the available capacity.
 type Day struct {
 	Name    string  `json:"name"`
 	Classes []Class `json:"classes"`
@@ -21,40 +21,41 @@
 	// Service is the service whose targets serve the class. It may be empty if the day has
 	// only one service.
 	Service string `json:"service,omitempty"`
-	// WorkMS is the time that a request takes from a slot of speed 1.
+	// WorkMS is the service time of a request on a slot of speed 1.
 	WorkMS float64 `json:"work_ms"`
-	// Bytes is what a request takes from the links of the VMs.
+	// Bytes is the number of bytes that a request transfers over the VM links.
 	Bytes float64 `json:"bytes,omitempty"`
-	// Value is earned by an answer within ObjectiveMS, LateValue by one within LimitMS.
+	// Value is earned by an answer within ObjectiveMS, LateValue by a later one within
+	// LimitMS.
 	Value       float64 `json:"value"`
 	LateValue   float64 `json:"late_value,omitempty"`
 	ObjectiveMS float64 `json:"objective_ms,omitempty"`
 	LimitMS     float64 `json:"limit_ms,omitempty"`
-	// Urgent is set for classes that are served before all others.
+	// Urgent is set for classes that OrderUrgent serves before all others.
 	Urgent bool `json:"urgent,omitempty"`
 }
 
-// Span is a part of a day with constant rates.
+// Span is a period of constant arrival rates and capacity.
 type Span struct {
 	Name    string  `json:"name"`
 	Seconds float64 `json:"seconds"`
-	// Offered is the number of requests a second by class.
+	// Offered is the arrival rate of each class in requests per second.
 	Offered map[string]float64 `json:"offered"`
-	Targets []Targets          `json:"targets"`
-	// LinkMbps is the sum of the links of all VMs, 0 if they are no limit.
+	Targets []TargetGroup      `json:"targets"`
+	// LinkMbps is the total link capacity of all VMs, 0 for unlimited.
 	LinkMbps float64 `json:"link_mbps,omitempty"`
 }
 
-// Targets is a number of equal targets of a service.
-type Targets struct {
+// TargetGroup is a group of identical targets of a service.
+type TargetGroup struct {
 	Service string `json:"service,omitempty"`
 	Count   int    `json:"count"`
 	Slots   int    `json:"slots"`
-	// Speed is 1 for a target that takes the time of a class's work.
+	// Speed divides the service time: a target of speed 0.5 takes twice WorkMS.
 	Speed float64 `json:"speed"`
 }
 
-// Most of each that a day may have; the time to solve grows with their product.
+// Limits on the size of a day. The time to solve grows with the product of both.
 const (
 	maxClasses = 8
 	maxSpans   = 8
@@ -87,7 +88,7 @@
 	for i := range d.Classes {
 		c := &d.Classes[i]
 		if c.Name == "" || names[c.Name] {
-			return invalid("classes: got name %q, want one for each, all different", c.Name)
+			return invalid("classes: got name %q, want a unique, non-empty name", c.Name)
 		}
 		names[c.Name] = true
 		if err := c.validate(); err != nil {
@@ -98,7 +99,7 @@
 	for i := range d.Spans {
 		s := &d.Spans[i]
 		if s.Name == "" || spans[s.Name] {
-			return invalid("spans: got name %q, want one for each, all different", s.Name)
+			return invalid("spans: got name %q, want a unique, non-empty name", s.Name)
 		}
 		spans[s.Name] = true
 		if err := s.validate(d); err != nil {
@@ -111,32 +112,32 @@
 func (c *Class) validate() error {
 	switch {
 	case c.WorkMS <= 0:
-		return invalid("class %q: got work_ms %v, want it above 0", c.Name, c.WorkMS)
+		return invalid("class %q: got work_ms %v, want more than 0", c.Name, c.WorkMS)
 	case c.Value <= 0 || c.LateValue < 0 || c.LateValue > c.Value:
-		return invalid("class %q: got value %v and late_value %v, want a value above 0 and 0 to value", c.Name, c.Value, c.LateValue)
+		return invalid("class %q: got value %v and late_value %v, want value above 0 and late_value from 0 to value", c.Name, c.Value, c.LateValue)
 	case c.Bytes < 0 || c.ObjectiveMS < 0:
-		return invalid("class %q: got bytes %v and objective_ms %v, want none below 0", c.Name, c.Bytes, c.ObjectiveMS)
+		return invalid("class %q: got bytes %v and objective_ms %v, want 0 or more", c.Name, c.Bytes, c.ObjectiveMS)
 	case c.LateValue > 0 && c.LimitMS < c.ObjectiveMS:
-		return invalid("class %q: got limit_ms %v, want objective_ms or more with a late_value", c.Name, c.LimitMS)
+		return invalid("class %q: got limit_ms %v, want at least objective_ms if late_value is set", c.Name, c.LimitMS)
 	}
 	return nil
 }
 
 func (s *Span) validate(d *Day) error {
 	if s.Seconds <= 0 || s.LinkMbps < 0 {
-		return invalid("span %q: got seconds %v and link_mbps %v, want seconds above 0 and no negative link", s.Name, s.Seconds, s.LinkMbps)
+		return invalid("span %q: got seconds %v and link_mbps %v, want seconds above 0 and link_mbps of 0 or more", s.Name, s.Seconds, s.LinkMbps)
 	}
 	for name, rate := range s.Offered {
 		if d.class(name) == nil || rate < 0 {
-			return invalid("span %q: offered: got %q %v, want a class of the day and no negative rate", s.Name, name, rate)
+			return invalid("span %q: offered: got %q %v, want a declared class and a rate of 0 or more", s.Name, name, rate)
 		}
 	}
 	for _, t := range s.Targets {
 		if t.Count < 0 || t.Slots < 0 || t.Speed < 0 {
-			return invalid("span %q: targets: got count %d, slots %d, speed %v, want none below 0", s.Name, t.Count, t.Slots, t.Speed)
+			return invalid("span %q: targets: got count %d, slots %d, speed %v, want 0 or more", s.Name, t.Count, t.Slots, t.Speed)
 		}
 		if !d.hasService(t.Service) {
-			return invalid("span %q: targets: got service %q, want the service of a class", s.Name, t.Service)
+			return invalid("span %q: targets: got service %q, want the service of a declared class", s.Name, t.Service)
 		}
 	}
 	return nil
@@ -160,7 +161,7 @@
 	return false
 }
 
-// slots returns the slots of a service, counted as slots of speed 1.
+// slots returns the capacity of a service in slots of speed 1.
 func (s *Span) slots(service string) (sum float64) {
 	for _, t := range s.Targets {
 		if t.Service == service {
@@ -173,7 +174,7 @@
 // requests returns the number of requests of a class that arrive in the span.
 func (s *Span) requests(class string) float64 { return s.Offered[class] * s.Seconds }
 
-// linkBytes returns what the links carry in the span, 0 if they are no limit.
+// linkBytes returns the link capacity in the span in bytes, 0 for unlimited.
 func (s *Span) linkBytes() float64 { return s.LinkMbps * 1e6 / 8 * s.Seconds }
 
 func invalid(format string, args ...any) error {
--- a/experiment/bound/doc.go
+++ b/experiment/bound/doc.go
@@ -1,30 +1,33 @@
-// Package bound computes the most that the callers of a day can get, whatever a load
-// balancer decides.
+// Package bound computes an upper bound on the value that any load balancer can achieve for
+// a given day of requests.
 //
 // # The model
 //
-// A day is a list of spans. In each span callers offer requests of some classes at a
-// constant rate, and services have slots: targets times slots each times their speed. A
-// request takes the time of its work from one slot of its service, and its bytes from the
-// links of the VMs. It earns its value if it is answered within its objective, its late
-// value within its time limit, and nothing otherwise.
+// A day is a list of spans. In each span, each class of requests arrives at a constant rate,
+// and the capacity of a service is the sum over its targets of slots times speed. A request
+// occupies one slot of its service for its service time and uses its bytes of the VM links.
+// It earns its value if it is answered within its objective, its late value if it is
+// answered within its time limit, and nothing otherwise.
 //
-//	requests offered          slots and links
+//	arrival                   service
 //	span 1  ------------->    span 1
-//	        \------------>    span 2   (the part that can wait so long)
+//	        \------------>    span 2   (requests whose time limit allows it)
 //	span 2  ------------->    span 2
 //
-// Which part of the requests of which span is answered in which span is a linear program:
-// the value is maximised, the slots of each service and the bytes of the links are limited
-// in each span. With one span and slots only, its solution serves the classes in the order
-// of value by slot-second until the slots are used up.
+// A linear program assigns the requests that arrive in each span to the spans that serve
+// them. It maximises the total value, subject to the slot capacity of each service and the
+// link capacity in each span. With a single span and no link limit, the solution serves
+// classes in descending order of value per slot-second until the slots are used up.
 //
-// # What makes it a bound
+// # Relaxations
 //
-// Requests are divisible, any slot can serve any request of its service, and the whole day
-// is known in advance: no slot waits for a request that is on its way, no caller is sent to
-// a full target, and refusals and further tries cost nothing. A request that arrives
-// anywhere in a span can be served anywhere in it. So a real fleet gets less; a day's
-// result that comes near the bound leaves little for better decisions. What the last span
-// leaves unserved is lost: append a calm span if callers can wait for one.
+// The result is an upper bound because the model relaxes the real problem:
+//
+//   - requests are divisible, and any slot can serve any request of its service,
+//   - all arrivals are known in advance,
+//   - network delay, full targets, refusals and retries cost nothing,
+//   - a request can be served at any time of the span in which it arrives.
+//
+// Requests that are not served by the end of the last span earn nothing. If they could be
+// served later, append a span with low load.
 package bound
--- a/experiment/bound/solve.go
+++ b/experiment/bound/solve.go
@@ -9,18 +9,19 @@
 	"baobabstep"
 )
 
-// Order is the order in which classes are served.
+// Order is the priority order of classes.
 type Order uint8
 
-// Orders. The line comment of each is its name in tables.
+// Orders; the trailing comment of each is its name for stringer.
 const (
-	// OrderValue: whatever gives the greatest value.
+	// OrderValue maximises the total value.
 	OrderValue Order = iota // most_value
-	// OrderUrgent: urgent classes before all others, then the greatest value.
+	// OrderUrgent serves urgent classes first, then maximises the value of the others.
 	OrderUrgent // urgent_first
 )
 
-// Orders returns the orders that differ for the classes of the day.
+// Orders returns the orders that apply to the day: OrderUrgent only if it has an urgent
+// class.
 func (d *Day) Orders() []Order {
 	if slices.ContainsFunc(d.Classes, func(c Class) bool { return c.Urgent }) {
 		return []Order{OrderValue, OrderUrgent}
@@ -28,17 +29,17 @@
 	return []Order{OrderValue}
 }
 
-// tolerance is the relative error of a solution.
+// tolerance is the tolerance of the simplex solver.
 const tolerance = 1e-9
 
-// Solve returns the bound of the day. Errors: CodeInvalid if the day is invalid,
-// CodeInternal if the program has no solution for numeric reasons.
+// Solve returns the optimal plan of the day. Errors: CodeInvalid if the day is invalid,
+// CodeInternal if the solver fails numerically.
 func (d *Day) Solve(order Order) (*Plan, error) {
 	if err := d.Validate(); err != nil {
 		return nil, err
 	}
 	p := newProgram(d, order)
-	if len(p.flows) > 0 {
+	if len(p.variables) > 0 {
 		if err := p.solve(); err != nil {
 			return nil, baobabstep.Errorf(baobabstep.CodeInternal, "bound", "solve: %v", err)
 		}
@@ -46,30 +47,30 @@
 	return p.plan(order), nil
 }
 
-// flow is a variable of the linear program: the share of the requests of a class that
-// arrive in one span and are answered in the same or a later one.
-type flow struct {
+// variable is a variable of the linear program: the share of the requests of a class
+// arriving in span from that are answered in span at.
+type variable struct {
 	class, from, at int
 	late            bool
-	// requests is the number of requests of the class in span from, value what all of them
-	// would earn, share the part of them in the solution.
+	// requests is the number of requests of the class arriving in span from, value their
+	// total value if answered in span at, and share the solution.
 	requests, value, share float64
 }
 
-// program is the linear program: the value of the flows is maximised, and the sum of
-// coefficients of each limit is at most 1.
+// program is the linear program: it maximises the weighted value, and the left side of each
+// constraint is at most 1.
 type program struct {
-	day     *Day
-	starts  []float64
-	weights []float64
-	flows   []flow
-	limits  [][]coefficient
+	day         *Day
+	starts      []float64 // of spans, in seconds
+	weights     []float64 // by class
+	variables   []variable
+	constraints [][]coefficient
 }
 
-// coefficient is what one flow takes from a limit if its share is 1.
+// coefficient is the coefficient of a variable in a constraint.
 type coefficient struct {
-	flow int
-	of   float64
+	variable int
+	value    float64
 }
 
 func newProgram(d *Day, order Order) *program {
@@ -83,75 +84,75 @@
 		}
 	}
 	for at := range d.Spans {
-		p.limitSpan(at)
+		p.addCapacityConstraints(at)
 	}
 	return p
 }
 
-// weights returns the factor of each class's value. That of urgent classes makes a
-// slot-second of theirs worth more than one of any other class.
+// weights returns the factor of each class in the objective function. For OrderUrgent, it
+// makes the value per slot-second of urgent classes greater than that of all others.
 func (d *Day) weights(order Order) []float64 {
 	weights := make([]float64, len(d.Classes))
-	mostOrdinary, leastUrgent := 0.0, 0.0
+	maxOrdinary, minUrgent := 0.0, 0.0
 	for i := range d.Classes {
 		c := &d.Classes[i]
 		weights[i] = 1
 		rate := c.Value / c.WorkMS
 		switch {
 		case !c.Urgent:
-			mostOrdinary = max(mostOrdinary, rate)
+			maxOrdinary = max(maxOrdinary, rate)
 		case c.LateValue > 0:
-			leastUrgent = leastPositive(leastUrgent, c.LateValue/c.WorkMS)
+			minUrgent = minPositive(minUrgent, c.LateValue/c.WorkMS)
 		default:
-			leastUrgent = leastPositive(leastUrgent, rate)
+			minUrgent = minPositive(minUrgent, rate)
 		}
 	}
-	if order != OrderUrgent || leastUrgent == 0 {
+	if order != OrderUrgent || minUrgent == 0 {
 		return weights
 	}
 	const margin = 100
 	for i := range d.Classes {
 		if d.Classes[i].Urgent {
-			weights[i] = max(1, margin*mostOrdinary/leastUrgent)
+			weights[i] = max(1, margin*maxOrdinary/minUrgent)
 		}
 	}
 	return weights
 }
 
-func leastPositive(a, b float64) float64 {
+func minPositive(a, b float64) float64 {
 	if a == 0 {
 		return b
 	}
 	return min(a, b)
 }
 
-// addArrivals adds the flows of the requests of a class that arrive in one span, and the
-// limits on how many of them can wait for each later span.
+// addArrivals adds the variables of the requests of a class that arrive in one span, and
+// their arrival constraints.
 func (p *program) addArrivals(class, from int) {
 	c, span := &p.day.Classes[class], &p.day.Spans[from]
 	requests := span.requests(c.Name)
 	if requests == 0 {
 		return
 	}
-	first := len(p.flows)
+	first := len(p.variables)
 	for at := from; at < len(p.day.Spans); at++ {
-		inTime, inLimit := p.waitShare(from, at, c.ObjectiveMS), p.waitShare(from, at, c.LimitMS)
+		withinObjective, withinLimit := p.eligibleShare(from, at, c.ObjectiveMS), p.eligibleShare(from, at, c.LimitMS)
 		if p.day.Spans[at].slots(c.Service) == 0 {
 			continue
 		}
-		if inTime > 0 {
-			p.flows = append(p.flows, flow{class: class, from: from, at: at, requests: requests, value: requests * c.Value})
+		if withinObjective > 0 {
+			p.variables = append(p.variables, variable{class: class, from: from, at: at, requests: requests, value: requests * c.Value})
 		}
-		if at > from && inLimit > 0 && c.LateValue > 0 {
-			p.flows = append(p.flows, flow{class: class, from: from, at: at, late: true, requests: requests, value: requests * c.LateValue})
+		if at > from && withinLimit > 0 && c.LateValue > 0 {
+			p.variables = append(p.variables, variable{class: class, from: from, at: at, late: true, requests: requests, value: requests * c.LateValue})
 		}
 	}
-	p.limitWait(first, class, from)
+	p.addArrivalConstraints(first, class, from)
 }
 
-// waitShare returns the part of the requests of one span that can be answered in another
-// within a time.
-func (p *program) waitShare(from, at int, withinMS float64) float64 {
+// eligibleShare returns the share of the requests arriving in span from that can be answered
+// in span at within the given latency.
+func (p *program) eligibleShare(from, at int, withinMS float64) float64 {
 	if at == from {
 		return 1
 	}
@@ -160,60 +161,62 @@
 	return min(max(0, withinMS/1000-wait), length) / length
 }
 
-// limitWait limits the flows from index first on: those into a span and all later ones are
-// at most the part of the requests that can wait for that span.
-func (p *program) limitWait(first, class, from int) {
+// addArrivalConstraints limits the variables from index first on: the sum of those for span
+// at and all later spans is at most the share of requests that can still be answered in span
+// at.
+func (p *program) addArrivalConstraints(first, class, from int) {
 	c := &p.day.Classes[class]
 	for at := from; at < len(p.day.Spans); at++ {
-		inTime, inLimit := p.waitShare(from, at, c.ObjectiveMS), p.waitShare(from, at, max(c.ObjectiveMS, c.LimitMS))
-		if inLimit > 0 && (at == from || inLimit < 1) {
-			p.addLimit(p.intoSpan(first, at, inLimit, true))
+		withinObjective, withinLimit := p.eligibleShare(from, at, c.ObjectiveMS), p.eligibleShare(from, at, max(c.ObjectiveMS, c.LimitMS))
+		if withinLimit > 0 && (at == from || withinLimit < 1) {
+			p.addConstraint(p.arrivalCoefficients(first, at, withinLimit, true))
 		}
-		if inTime > 0 && inTime < inLimit {
-			p.addLimit(p.intoSpan(first, at, inTime, false))
+		if withinObjective > 0 && withinObjective < withinLimit {
+			p.addConstraint(p.arrivalCoefficients(first, at, withinObjective, false))
 		}
 	}
 }
 
-// intoSpan returns the coefficients of the flows from index first on into a span and all
-// later ones, which may be share together.
-func (p *program) intoSpan(first, at int, share float64, withLate bool) (list []coefficient) {
-	for i := first; i < len(p.flows); i++ {
-		if f := &p.flows[i]; f.at >= at && (withLate || !f.late) {
+// arrivalCoefficients returns the coefficients that limit the sum of the variables from index
+// first on, for span at and all later spans, to share.
+func (p *program) arrivalCoefficients(first, at int, share float64, withLate bool) (list []coefficient) {
+	for i := first; i < len(p.variables); i++ {
+		if v := &p.variables[i]; v.at >= at && (withLate || !v.late) {
 			list = append(list, coefficient{i, 1 / share})
 		}
 	}
 	return list
 }
 
-// limitSpan limits the slots of each service and the bytes of the links in a span.
-func (p *program) limitSpan(at int) {
+// addCapacityConstraints limits the slots of each service and the bytes on the links in a
+// span.
+func (p *program) addCapacityConstraints(at int) {
 	span := &p.day.Spans[at]
-	links := make([]coefficient, 0, len(p.flows))
+	links := make([]coefficient, 0, len(p.variables))
 	services := make(map[string][]coefficient)
-	for i, f := range p.flows {
-		if f.at != at {
+	for i, v := range p.variables {
+		if v.at != at {
 			continue
 		}
-		c := &p.day.Classes[f.class]
-		services[c.Service] = append(services[c.Service], coefficient{i, f.requests * c.WorkMS / 1000 / (span.slots(c.Service) * span.Seconds)})
+		c := &p.day.Classes[v.class]
+		services[c.Service] = append(services[c.Service], coefficient{i, v.requests * c.WorkMS / 1000 / (span.slots(c.Service) * span.Seconds)})
 		if span.LinkMbps > 0 && c.Bytes > 0 {
-			links = append(links, coefficient{i, f.requests * c.Bytes / span.linkBytes()})
+			links = append(links, coefficient{i, v.requests * c.Bytes / span.linkBytes()})
 		}
 	}
 	for _, service := range p.day.services() {
-		p.addLimit(services[service])
+		p.addConstraint(services[service])
 	}
-	p.addLimit(links)
+	p.addConstraint(links)
 }
 
-func (p *program) addLimit(l []coefficient) {
-	if len(l) > 0 {
-		p.limits = append(p.limits, l)
+func (p *program) addConstraint(list []coefficient) {
+	if len(list) > 0 {
+		p.constraints = append(p.constraints, list)
 	}
 }
 
-// services returns the names of the services in order.
+// services returns the sorted names of the services.
 func (d *Day) services() (list []string) {
 	for i := range d.Classes {
 		list = append(list, d.Classes[i].Service)
@@ -222,24 +225,24 @@
 	return slices.Compact(list)
 }
 
-// solve sets the share of each flow. Each limit gets a slack variable, and all shares 0 are
-// the first solution.
+// solve sets the share of each variable. Each constraint gets a slack variable; these form
+// the initial feasible basis, in which all shares are 0.
 func (p *program) solve() error {
-	rows, columns := len(p.limits), len(p.flows)+len(p.limits)
+	rows, columns := len(p.constraints), len(p.variables)+len(p.constraints)
 	a, b, cost := mat.NewDense(rows, columns, nil), make([]float64, rows), make([]float64, columns)
 	basis := make([]int, rows)
-	greatest := 0.0
-	for i := range p.flows {
-		greatest = max(greatest, p.flows[i].value*p.weights[p.flows[i].class])
+	maxValue := 0.0
+	for i := range p.variables {
+		maxValue = max(maxValue, p.variables[i].value*p.weights[p.variables[i].class])
 	}
-	for i := range p.flows {
-		cost[i] = -p.flows[i].value * p.weights[p.flows[i].class] / greatest
+	for i := range p.variables {
+		cost[i] = -p.variables[i].value * p.weights[p.variables[i].class] / maxValue
 	}
-	for row, limit := range p.limits {
-		for _, c := range limit {
-			a.Set(row, c.flow, c.of)
+	for row, constraint := range p.constraints {
+		for _, c := range constraint {
+			a.Set(row, c.variable, c.value)
 		}
-		slack := len(p.flows) + row
+		slack := len(p.variables) + row
 		a.Set(row, slack, 1)
 		b[row], basis[row] = 1, slack
 	}
@@ -247,8 +250,8 @@
 	if err != nil {
 		return err
 	}
-	for i := range p.flows {
-		p.flows[i].share = min(max(0, shares[i]), 1)
+	for i := range p.variables {
+		p.variables[i].share = min(max(0, shares[i]), 1)
 	}
 	return nil
 }
--- a/report/refusals.go
+++ b/report/refusals.go
@@ -16,33 +16,34 @@
 )
 
 const (
-	// flowMemory is how long further lines of the same message about a flow count as the
-	// same decision: a reset is repeated for each segment that arrives after it, and a moved
-	// flow is placed again. Callers use a port again only later.
-	flowMemory = time.Minute
-	// dropInterval is what one line about dropped lines covers: VMs write it once a second.
+	// duplicateWindow is the time within which repeated lines of the same message about a
+	// flow count as one decision: a reset is repeated for each segment that arrives after it,
+	// and a moved flow is placed again. It is shorter than the time until callers reuse a
+	// port.
+	duplicateWindow = time.Minute
+	// dropInterval is the time that one line about dropped lines covers. VMs write it once a
+	// second.
 	dropInterval = 1100 * time.Millisecond
-	// minCallerFlows is the number of flows from which a caller is compared with others. The
-	// share of a caller with fewer is mostly chance.
+	// minCallerFlows is the minimum number of flows of a caller for its share to be compared
+	// with others. With fewer flows, the share is mostly noise.
 	minCallerFlows = 10
-	// maxWorstCallers bounds the callers that are named.
+	// maxWorstCallers limits the number of callers listed by Print.
 	maxWorstCallers = 5
-	// unknownName stands for a rule that a line does not name.
+	// unknownName is used for lines without a rule or data centre.
 	unknownName = "-"
 )
 
-// FlowCounts are decisions on new flows, and resets of open ones. A line stands for itself
-// and for its part of the lines of its class that its VM dropped in the same second, so the
-// counts are estimates where lines were dropped.
+// FlowCounts counts placed, refused and reset flows. Lines that a VM dropped are distributed
+// over the lines of the same message that it wrote in the same second, so the counts are
+// estimates where lines were dropped.
 type FlowCounts struct {
 	Name string
-	// Placed, Refused and Reset count flows: those sent to a target, those refused at their
-	// first segment, and those reset later.
+	// Placed counts flows sent to a target, Refused those refused at their first segment, and
+	// Reset those reset later.
 	Placed, Refused, Reset float64
 }
 
-// Share returns the share of flows that were refused or reset among those placed and
-// refused.
+// Share returns the ratio of refused and reset flows to placed and refused flows, at most 1.
 func (c *FlowCounts) Share() float64 {
 	if c.Placed+c.Refused == 0 {
 		return math.Min(1, c.Reset)
@@ -50,25 +51,27 @@
 	return math.Min(1, (c.Refused+c.Reset)/(c.Placed+c.Refused))
 }
 
-// Refusals tell whose flows were refused or reset, and why.
+// Refusals counts refused and reset flows by cause, rule, data centre and caller.
 type Refusals struct {
-	// Causes are counted by message: the flows, and the dropped lines of the message.
+	// Causes are sorted by message.
 	Causes []Cause
-	// Rules, DataCentres and Callers are sorted by name. A data centre is that of the VM.
+	// Rules, DataCentres and Callers are sorted by name. DataCentres are those of the VMs.
 	Rules, DataCentres, Callers []FlowCounts
-	// Dropped are the lines on placed, refused and reset flows that VMs dropped; of these,
-	// NotSpread could not be spread over lines that were written.
-	Dropped, NotSpread int
+	// Dropped is the number of dropped lines about placed, refused and reset flows, and
+	// Undistributed the number of those without a written line to distribute them over.
+	Dropped, Undistributed int
 }
 
-// Cause is a message about refused or reset flows.
+// Cause has the counts of one message about refused or reset flows.
 type Cause struct {
 	Message string
 	Flows   float64
+	// Dropped is the number of dropped lines of the message.
 	Dropped int
 }
 
-// outcome returns what a message says of a flow, nil if it says nothing of it.
+// outcome returns the accessor of the count that a message adds to, nil if the message is not
+// about placed, refused or reset flows.
 func outcome(message string) func(*FlowCounts) *float64 {
 	switch message {
 	case token.EventPlaced.String():
@@ -81,37 +84,38 @@
 	return nil
 }
 
-// decision is one line about a flow, with the number of flows that it stands for.
+// decision is a line about a flow, weighted by the estimated number of flows it represents.
 type decision struct {
 	*logs.Line
 	weight float64
 }
 
-// class identifies lines that are bounded together: those of one message of one VM.
-type class struct{ vm, message string }
+// lineClass identifies lines that share a rate limit: those of one message of one VM.
+type lineClass struct{ vm, message string }
 
-// refusalCounter gathers what Refusals are made of, from lines in the order of time.
+// refusalCounter computes Refusals from lines in chronological order.
 type refusalCounter struct {
 	decisions []*decision
-	// recent are the decisions of each class since its last line about dropped lines.
-	recent map[class][]*decision
-	// seenAt is when each message was last written about each flow.
+	// recent has the decisions of each class since its last line about dropped lines.
+	recent map[lineClass][]*decision
+	// seenAt is the time of the last line by message and flow.
 	seenAt  map[string]time.Time
 	dropped map[string]int
 	result  Refusals
 }
 
-// countRefusals counts the refused and reset flows.
+// countRefusals counts refused and reset flows. Lines may come in any order; those without a
+// timestamp are skipped.
 func countRefusals(lines []logs.Line) *Refusals {
-	order := make([]*logs.Line, 0, len(lines))
+	sorted := make([]*logs.Line, 0, len(lines))
 	for i := range lines {
 		if !lines[i].Timestamp.IsZero() {
-			order = append(order, &lines[i])
+			sorted = append(sorted, &lines[i])
 		}
 	}
-	slices.SortStableFunc(order, func(a, b *logs.Line) int { return a.Timestamp.Compare(b.Timestamp) })
-	c := refusalCounter{recent: make(map[class][]*decision), seenAt: make(map[string]time.Time), dropped: make(map[string]int)}
-	for _, l := range order {
+	slices.SortStableFunc(sorted, func(a, b *logs.Line) int { return a.Timestamp.Compare(b.Timestamp) })
+	c := refusalCounter{recent: make(map[lineClass][]*decision), seenAt: make(map[string]time.Time), dropped: make(map[string]int)}
+	for _, l := range sorted {
 		c.add(l)
 	}
 	return c.finish()
@@ -121,7 +125,7 @@
 	if l.Message == droppedMessage {
 		for message := range l.Fields {
 			if count, ok := number(l, message); ok && outcome(message) != nil {
-				c.spread(l, message, count)
+				c.distributeDropped(l, message, count)
 			}
 		}
 		return
@@ -130,18 +134,19 @@
 		return
 	}
 	d := &decision{Line: l, weight: 1}
-	class := class{l.Field("vm"), l.Message}
+	class := lineClass{l.Field("vm"), l.Message}
 	c.recent[class] = append(c.recent[class], d)
 	key := l.Message + l.Field("flow")
-	if last, ok := c.seenAt[key]; !ok || l.Timestamp.Sub(last) > flowMemory {
+	if last, ok := c.seenAt[key]; !ok || l.Timestamp.Sub(last) > duplicateWindow {
 		c.decisions = append(c.decisions, d)
 	}
 	c.seenAt[key] = l.Timestamp
 }
 
-// spread adds dropped lines to those of the same class that were written in the same second.
-func (c *refusalCounter) spread(l *logs.Line, message string, count float64) {
-	class := class{l.Field("vm"), message}
+// distributeDropped adds the weight of dropped lines to the lines of the same class that were
+// written within dropInterval.
+func (c *refusalCounter) distributeDropped(l *logs.Line, message string, count float64) {
+	class := lineClass{l.Field("vm"), message}
 	written := c.recent[class]
 	delete(c.recent, class)
 	for len(written) > 0 && l.Timestamp.Sub(written[0].Timestamp) > dropInterval {
@@ -150,7 +155,7 @@
 	c.dropped[message] += int(count)
 	c.result.Dropped += int(count)
 	if len(written) == 0 {
-		c.result.NotSpread += int(count)
+		c.result.Undistributed += int(count)
 	}
 	for _, d := range written {
 		d.weight += count / float64(len(written))
@@ -202,7 +207,7 @@
 	return list
 }
 
-// Sum returns the sum of counts.
+// Sum returns the sum of the counts, without a name.
 func Sum(list []FlowCounts) (sum FlowCounts) {
 	for i := range list {
 		sum.Placed, sum.Refused, sum.Reset = sum.Placed+list[i].Placed, sum.Refused+list[i].Refused, sum.Reset+list[i].Reset
@@ -210,8 +215,8 @@
 	return sum
 }
 
-// WorstCallers returns the callers with enough flows to be compared, and the tenth of them
-// with the greatest shares, the worst first.
+// WorstCallers returns the callers with at least minCallerFlows flows, and the tenth of them
+// with the highest shares in descending order.
 func (r *Refusals) WorstCallers() (compared, worst []FlowCounts) {
 	for _, c := range r.Callers {
 		if c.Placed+c.Refused >= minCallerFlows {
@@ -222,7 +227,7 @@
 	return compared, worst[:(len(worst)+9)/10]
 }
 
-// Print writes the refusals as tables, nothing if no flow was refused or reset.
+// Print writes the refusals as tables. It writes nothing if no flow was refused or reset.
 func (r *Refusals) Print(w io.Writer) error {
 	if len(r.Causes) == 0 {
 		return nil
@@ -230,7 +235,7 @@
 	var out strings.Builder
 	fmt.Fprintf(&out, "\nflows refused or reset; %d lines on flows were dropped", r.Dropped)
 	if r.Dropped > 0 {
-		fmt.Fprintf(&out, ", %d of them are added to the lines of the same message, VM and second, so counts are estimates", r.Dropped-r.NotSpread)
+		fmt.Fprintf(&out, ", %d of them are added to the lines of the same message, VM and second, so counts are estimates", r.Dropped-r.Undistributed)
 	}
 	fmt.Fprintf(&out, "\n%-28s %10s %10s\n", "cause", "flows", "dropped")
 	for _, c := range r.Causes {
@@ -257,8 +262,8 @@
 		fmt.Fprintf(out, "\ncallers: %d, none with %d flows or more\n", len(r.Callers), minCallerFlows)
 		return
 	}
-	all, most := Sum(compared), Sum(worst)
+	allCounts, worstCounts := Sum(compared), Sum(worst)
 	fmt.Fprintf(out, "\ncallers: %d, of which %d with %d flows or more: share %.3f, of the worst tenth %.3f\n",
-		len(r.Callers), len(compared), minCallerFlows, all.Share(), most.Share())
+		len(r.Callers), len(compared), minCallerFlows, allCounts.Share(), worstCounts.Share())
 	writeCounts(out, "worst callers", worst[:min(len(worst), maxWorstCallers)])
 }
--- a/report/refusals_test.go
+++ b/report/refusals_test.go
@@ -11,8 +11,8 @@
 	"baobabstep/io/logs"
 )
 
-// decided returns a line of a VM in its data centre about a flow of a caller.
-func decided(at time.Duration, vm, message, rule string, caller, port int) logs.Line {
+// flowLine returns a line of a VM about a flow of a caller.
+func flowLine(at time.Duration, vm, message, rule string, caller, port int) logs.Line {
 	return line(at, message, map[string]any{
 		"vm": vm, "data_centre": "dc of " + vm, "rule": rule, "flow": fmt.Sprintf("10.0.0.%d:%d/2.2.2.2:80", caller, port),
 	})
@@ -25,15 +25,16 @@
 	return r.Refusals
 }
 
-// An operator asks who paid in a peak: which rule, which data centre, and for which reason.
+// Each refused or reset flow counts for its cause, rule, data centre and caller; lines that are
+// not about flows count for none.
 func TestRefusalsByCauseRuleAndDataCentre(t *testing.T) {
 	r := refusals(t,
-		decided(0, "vm-1", "flow_placed", "urgent", 1, 1),
-		decided(0, "vm-1", "flow_placed", "ordinary", 1, 2),
-		decided(0, "vm-1", "flow_no_room", "ordinary", 2, 1),
-		decided(0, "vm-2", "flow_refused", "ordinary", 2, 2),
-		decided(0, "vm-2", "flow_placed", "ordinary", 2, 3),
-		decided(time.Second, "vm-2", "flow_ended", "urgent", 1, 1),
+		flowLine(0, "vm-1", "flow_placed", "urgent", 1, 1),
+		flowLine(0, "vm-1", "flow_placed", "ordinary", 1, 2),
+		flowLine(0, "vm-1", "flow_no_room", "ordinary", 2, 1),
+		flowLine(0, "vm-2", "flow_refused", "ordinary", 2, 2),
+		flowLine(0, "vm-2", "flow_placed", "ordinary", 2, 3),
+		flowLine(time.Second, "vm-2", "flow_ended", "urgent", 1, 1),
 		line(time.Second, "flow_unrouted", map[string]any{"vm": "vm-2", "data_centre": "dc of vm-2", "flow": "10.0.0.3:9/3.3.3.3:80"}),
 		line(time.Second, "target_silent", map[string]any{"vm": "vm-2", "target": "0a"}),
 	)
@@ -44,39 +45,39 @@
 	qt.Check(t, r.Rules[1].Share(), qt.Equals, 0.5)
 }
 
-// A reset is sent again for each later segment of the flow, and a moved flow is placed twice:
-// one flow must not count as many. A caller that uses the port again has another flow.
-func TestAFlowCountsOnce(t *testing.T) {
+// Repeated resets and a second placement of a moved flow must not count as further flows. A
+// later flow on a reused port does.
+func TestRefusalsCountEachFlowOnce(t *testing.T) {
 	r := refusals(t,
-		decided(0, "vm-1", "flow_placed", "r", 1, 1),
-		decided(200*time.Millisecond, "vm-1", "flow_placed", "r", 1, 1),
-		decided(time.Second, "vm-1", "flow_ended", "r", 1, 1),
-		decided(1100*time.Millisecond, "vm-2", "flow_ended", "r", 1, 1),
-		decided(2*time.Hour, "vm-1", "flow_placed", "r", 1, 1),
+		flowLine(0, "vm-1", "flow_placed", "r", 1, 1),
+		flowLine(200*time.Millisecond, "vm-1", "flow_placed", "r", 1, 1),
+		flowLine(time.Second, "vm-1", "flow_ended", "r", 1, 1),
+		flowLine(1100*time.Millisecond, "vm-2", "flow_ended", "r", 1, 1),
+		flowLine(2*time.Hour, "vm-1", "flow_placed", "r", 1, 1),
 	)
 	qt.Check(t, r.Rules, qt.DeepEquals, []FlowCounts{{"r", 2, 0, 1}})
 }
 
-// Under load a VM writes few of the lines about placed flows and all about refused ones.
-// Without the dropped lines, far too many flows would seem refused.
-func TestDroppedLinesAreSpread(t *testing.T) {
+// Under load a VM drops most lines about placed flows and none about refused ones. If dropped
+// lines were ignored, the share of refused flows would be far too high.
+func TestRefusalsDistributeDroppedLines(t *testing.T) {
 	r := refusals(t,
-		decided(0, "vm-1", "flow_placed", "calm", 1, 1),
-		decided(10*time.Second, "vm-1", "flow_placed", "a", 1, 2),
-		decided(10*time.Second, "vm-1", "flow_placed", "b", 1, 3),
-		decided(10*time.Second, "vm-1", "flow_no_room", "b", 1, 4),
-		decided(10*time.Second, "vm-2", "flow_placed", "b", 1, 5),
+		flowLine(0, "vm-1", "flow_placed", "calm", 1, 1),
+		flowLine(10*time.Second, "vm-1", "flow_placed", "a", 1, 2),
+		flowLine(10*time.Second, "vm-1", "flow_placed", "b", 1, 3),
+		flowLine(10*time.Second, "vm-1", "flow_no_room", "b", 1, 4),
+		flowLine(10*time.Second, "vm-2", "flow_placed", "b", 1, 5),
 		line(10500*time.Millisecond, "log lines dropped", map[string]any{"vm": "vm-1", "flow_placed": 18.0, "target_silent": 5.0}),
 		line(10500*time.Millisecond, "log lines dropped", map[string]any{"vm": "vm-3", "flow_refused": 4.0}),
 	)
 	qt.Check(t, r.Rules, qt.DeepEquals, []FlowCounts{{"a", 10, 0, 0}, {"b", 11, 1, 0}, {"calm", 1, 0, 0}})
 	qt.Check(t, r.Dropped, qt.Equals, 22)
-	qt.Check(t, r.NotSpread, qt.Equals, 4)
+	qt.Check(t, r.Undistributed, qt.Equals, 4)
 	qt.Check(t, r.Causes, qt.DeepEquals, []Cause{{"flow_no_room", 1, 0}, {"flow_refused", 0, 4}})
 }
 
-// One of 20 callers pays more than the others: it must stand out. A caller with a single
-// flow that was refused must not.
+// A caller with more refusals than the other 19 is listed first. A caller with a single,
+// refused flow is not compared.
 func TestWorstCallers(t *testing.T) {
 	var lines []logs.Line
 	for caller := 1; caller <= 20; caller++ {
@@ -89,10 +90,10 @@
 			if port < refused {
 				message = "flow_no_room"
 			}
-			lines = append(lines, decided(0, "vm-1", message, "r", caller, port))
+			lines = append(lines, flowLine(0, "vm-1", message, "r", caller, port))
 		}
 	}
-	lines = append(lines, decided(0, "vm-1", "flow_no_room", "r", 99, 1))
+	lines = append(lines, flowLine(0, "vm-1", "flow_no_room", "r", 99, 1))
 	r := refusals(t, lines...)
 	compared, worst := r.WorstCallers()
 	qt.Check(t, compared, qt.HasLen, 20)
@@ -104,8 +105,8 @@
 	qt.Check(t, out.String(), qt.Contains, "10.0.0.7                              4          6          0      0.600\n")
 }
 
-func TestNothingIsPrintedWithoutRefusals(t *testing.T) {
+func TestPrintWithoutRefusals(t *testing.T) {
 	var out strings.Builder
-	qt.Assert(t, refusals(t, decided(0, "vm-1", "flow_placed", "r", 1, 1)).Print(&out), qt.IsNil)
+	qt.Assert(t, refusals(t, flowLine(0, "vm-1", "flow_placed", "r", 1, 1)).Print(&out), qt.IsNil)
 	qt.Check(t, out.String(), qt.Equals, "")
 }
--- a/report/report.go
+++ b/report/report.go
@@ -4,8 +4,8 @@
 // it when they placed flows, the decisions a second of each kind, and the age
 // of what the VMs believed. Lines that a VM left out count by the lines that
 // say so. Time is cut into spans of equal length, at most MaxSpans, so that a
-// day's logs make plots as small as a minute's. Beside the curves it tells whose
-// flows were refused or reset: by cause, rule, data centre and caller.
+// day's logs make plots as small as a minute's. A report also counts refused and
+// reset flows by cause, rule, data centre and caller.
 package report
 
 import (
@@ -61,7 +61,7 @@
 	Load, Decisions, Ages []Curve
 	// Totals are sorted by message.
 	Totals []Total
-	// Refusals tell whose flows were refused or reset.
+	// Refusals counts refused and reset flows.
 	Refusals *Refusals
 }
 
