core/bulk: a held first segment goes on only while no other VM can have its next copy

The gate remembers the latest copy of a held segment. From 50 ms before the next copy is due the segment does not go on, and 50 ms after it is dropped without a reset (overdue); so are segments that expire, are displaced or meet a stop in that time. The router withdraws a held segment for data of its flow and where the route is no longer bulk, and looks at the flow record under the shard's lock before it places a released segment.

A further copy also brings the deadline forward to its own.

TestGate "nothing goes on after its deadline" now sends the copies that a caller sends; without them the segment is dropped before its deadline.

--- a/core/bulk/decision.go
+++ b/core/bulk/decision.go
@@ -24,6 +24,9 @@
 	Expired // expired
 	// Stopping: the VM stops, and the flow is refused.
 	Stopping // stopping
+	// Overdue: the caller's next copy did not arrive, since another VM got it or the caller
+	// has an answer. The segment is dropped without a reset, which might end an open flow.
+	Overdue // overdue
 	numDecisions
 )
 
--- a/core/bulk/decision_string.go
+++ b/core/bulk/decision_string.go
@@ -16,12 +16,13 @@
 	_ = x[Displaced-5]
 	_ = x[Expired-6]
 	_ = x[Stopping-7]
-	_ = x[numDecisions-8]
+	_ = x[Overdue-8]
+	_ = x[numDecisions-9]
 }
 
-const _Decision_name = "admittedheldalready_heldtoo_lateno_roomdisplacedexpiredstoppingnumDecisions"
+const _Decision_name = "admittedheldalready_heldtoo_lateno_roomdisplacedexpiredstoppingoverduenumDecisions"
 
-var _Decision_index = [...]uint8{0, 8, 12, 24, 32, 39, 48, 55, 63, 75}
+var _Decision_index = [...]uint8{0, 8, 12, 24, 32, 39, 48, 55, 63, 70, 82}
 
 func (i Decision) String() string {
 	idx := int(i) - 0
--- a/core/bulk/gate.go
+++ b/core/bulk/gate.go
@@ -52,6 +52,9 @@
 	// openingTime what the rest of the opening takes once the segment goes on.
 	tryDuration = 1400 * time.Millisecond
 	openingTime = 250 * time.Millisecond
+	// copyTolerance is how much earlier or later than expected a copy may arrive: by the wait
+	// before a link, and the time until an answer reaches the caller.
+	copyTolerance = targetWait + 10*time.Millisecond
 	// maxExpectedWait is the longest expected wait for which a flow is held.
 	maxExpectedWait = 800 * time.Millisecond
 	// rateWindow is the window over which admissions are counted.
@@ -129,8 +132,11 @@
 }
 
 func (g *Gate) decide(now time.Time, p *baobabstep.Segment, size float64, load baobabstep.LinkLoad) Decision {
+	deadline := now.Add(tryDuration - openingTime - retransmittedAfter[min(p.Acked, uint32(len(retransmittedAfter)-1))])
 	if h := g.queue.find(p.Flow); h != nil {
 		if h.segment.Seq == p.Seq {
+			h.repeat(now, p.Acked, deadline)
+			g.queue.noteEnd(h)
 			return AlreadyHeld
 		}
 		g.queue.remove(h) // the caller reuses its port
@@ -139,7 +145,6 @@
 		g.admit(now, p.Flow)
 		return Admitted
 	}
-	deadline := now.Add(tryDuration - openingTime - retransmittedAfter[min(p.Acked, uint32(len(retransmittedAfter)-1))])
 	wait := g.expectedWait(now, p, size)
 	switch {
 	case g.stopped:
@@ -224,6 +229,20 @@
 	delete(g.sending, key)
 }
 
+// Withdraw forgets the first segment of a flow if it is held, because the flow was opened
+// otherwise.
+func (g *Gate) Withdraw(key baobabstep.FlowKey) {
+	if g.Waiting() == 0 {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if h := g.queue.find(key); h != nil {
+		g.queue.remove(h)
+	}
+	g.setWaiting()
+}
+
 // Cancel forgets a flow that was admitted or held and will not be opened.
 func (g *Gate) Cancel(key baobabstep.FlowKey) {
 	g.mu.Lock()
@@ -244,7 +263,7 @@
 	Waited time.Duration
 }
 
-// Release returns the first segments that go on now or are refused.
+// Release returns the first segments that go on now, are refused, or are dropped.
 func (g *Gate) Release(now time.Time, load baobabstep.LinkLoad) (list []Released) {
 	if g.Waiting() == 0 {
 		return nil
@@ -256,26 +275,31 @@
 	}
 	g.queue.displaced = nil
 	for _, h := range g.queue.expire(now) {
-		list = append(list, g.release(now, h, Expired))
+		_, cause := h.end()
+		list = append(list, g.release(now, h, cause))
 	}
-	for g.queue.count > 0 {
-		switch {
-		case g.stopped:
-			list = append(list, g.release(now, g.queue.next(), Stopping))
-		case !g.isFull(now, load):
-			h := g.queue.next()
-			g.admit(now, h.segment.Flow)
-			list = append(list, g.release(now, h, Admitted))
-		default:
-			g.setWaiting()
-			return list
+	if g.stopped {
+		for _, h := range g.queue.clear() {
+			list = append(list, g.release(now, h, Stopping))
+		}
+	}
+	for g.queue.count > 0 && !g.isFull(now, load) {
+		h := g.queue.next(now)
+		if h == nil {
+			break
 		}
+		g.admit(now, h.segment.Flow)
+		list = append(list, g.release(now, h, Admitted))
 	}
 	g.setWaiting()
 	return list
 }
 
+// release returns what becomes of a segment that was removed from the queue.
 func (g *Gate) release(now time.Time, h *held, d Decision) Released {
+	if !h.isCurrent(now) {
+		d = Overdue
+	}
 	g.countRefusal(d)
 	return Released{Decision: d, Segment: h.segment, Waited: now.Sub(h.since)}
 }
--- a/core/bulk/gate_test.go
+++ b/core/bulk/gate_test.go
@@ -72,11 +72,44 @@
 	t.Run("nothing goes on after its deadline", func(t *testing.T) {
 		g := fullGate(t)
 		qt.Assert(t, offer(g, start, waiting, 0), qt.Equals, Held)
+		for i, after := range retransmittedAfter[1:] {
+			qt.Assert(t, offer(g, start.Add(after), waiting, uint32(i+1)), qt.Equals, AlreadyHeld)
+		}
 		late := start.Add(tryDuration - openingTime)
 		complete(g)
 		assertReleased(t, g, late, Expired, waiting)
 		qt.Check(t, g.Refusals()["expired"], qt.Equals, uint64(1))
 	})
+	// Guards against a flow that goes on or is reset although another VM got the next copy and
+	// may have opened it.
+	t.Run("nothing goes on while the next copy may be elsewhere", func(t *testing.T) {
+		g := fullGate(t)
+		qt.Assert(t, offer(g, start, waiting, 0), qt.Equals, Held)
+		complete(g)
+		assertReleased(t, g, start.Add(200*time.Millisecond-copyTolerance), Admitted)
+		qt.Check(t, g.Waiting(), qt.Equals, 1)
+		qt.Assert(t, offer(g, start.Add(200*time.Millisecond), waiting, 1), qt.Equals, AlreadyHeld)
+		assertReleased(t, g, start.Add(200*time.Millisecond), Admitted, waiting)
+	})
+	t.Run("what lacks its next copy is dropped", func(t *testing.T) {
+		for i, due := range []time.Duration{200 * time.Millisecond, 400 * time.Millisecond} {
+			g := fullGate(t)
+			qt.Assert(t, offer(g, start, waiting, uint32(i)), qt.Equals, Held)
+			assertReleased(t, g, start.Add(due+copyTolerance), Overdue, waiting)
+		}
+	})
+	t.Run("a repeated copy is not the next one", func(t *testing.T) {
+		g := fullGate(t)
+		qt.Assert(t, offer(g, start, waiting, 0), qt.Equals, Held)
+		qt.Assert(t, offer(g, start.Add(100*time.Millisecond), waiting, 0), qt.Equals, AlreadyHeld)
+		assertReleased(t, g, start.Add(200*time.Millisecond+copyTolerance), Overdue, waiting)
+	})
+	t.Run("a copy sets an earlier deadline", func(t *testing.T) {
+		g := fullGate(t)
+		qt.Assert(t, offer(g, start, waiting, 0), qt.Equals, Held)
+		qt.Assert(t, offer(g, start.Add(100*time.Millisecond), waiting, 2), qt.Equals, AlreadyHeld)
+		assertReleased(t, g, start.Add(tryDuration-openingTime-500*time.Millisecond), Expired, waiting)
+	})
 	t.Run("a further copy has less time", func(t *testing.T) {
 		g := fullGate(t)
 		qt.Assert(t, offer(g, start, waiting, 2), qt.Equals, Held)
--- a/core/bulk/queue.go
+++ b/core/bulk/queue.go
@@ -12,6 +12,44 @@
 type held struct {
 	segment         baobabstep.Segment
 	since, deadline time.Time
+	// copies is the number of the latest copy of the segment, and copiedAt when it arrived.
+	copies   uint32
+	copiedAt time.Time
+}
+
+// nextCopyAt returns when the caller's next copy is expected, or the zero time if none is.
+func (h *held) nextCopyAt() time.Time {
+	next := int(min(h.copies, uint32(len(retransmittedAfter)))) + 1
+	if next >= len(retransmittedAfter) {
+		return time.Time{}
+	}
+	return h.copiedAt.Add(retransmittedAfter[next] - retransmittedAfter[next-1])
+}
+
+// isCurrent reports whether no other VM can have got a later copy. Only then may the
+// segment go on or its caller be reset: the other VM may have opened the flow.
+func (h *held) isCurrent(now time.Time) bool {
+	next := h.nextCopyAt()
+	return next.IsZero() || now.Before(next.Add(-copyTolerance))
+}
+
+// end returns when the segment is no longer held, and the cause.
+func (h *held) end() (time.Time, Decision) {
+	if next := h.nextCopyAt(); !next.IsZero() && next.Add(copyTolerance).Before(h.deadline) {
+		return next.Add(copyTolerance), Overdue
+	}
+	return h.deadline, Expired
+}
+
+// repeat records a copy of the segment, which arrived late if it has an earlier deadline.
+func (h *held) repeat(now time.Time, copies uint32, deadline time.Time) {
+	if copies <= h.copies {
+		return
+	}
+	h.copies, h.copiedAt = copies, now
+	if deadline.Before(h.deadline) {
+		h.deadline = deadline
+	}
 }
 
 // callerQueue holds the first segments of one caller in the order of their arrival.
@@ -30,8 +68,8 @@
 	count, bytes int
 	// displaced were removed to make room, and have to be refused.
 	displaced []*held
-	// nextDeadline is not after the earliest deadline.
-	nextDeadline time.Time
+	// nextEnd is not after the earliest end of a waiting segment.
+	nextEnd time.Time
 }
 
 func newQueue() *queue {
@@ -42,7 +80,7 @@
 
 // add appends a copy of a segment to the queue of its caller.
 func (q *queue) add(now time.Time, p *baobabstep.Segment, deadline time.Time) {
-	h := &held{segment: *p, since: now, deadline: deadline}
+	h := &held{segment: *p, since: now, deadline: deadline, copies: p.Acked, copiedAt: now}
 	h.segment.Raw = slices.Clone(p.Raw)
 	q.flows[p.Flow] = h
 	caller := p.Flow.Caller.Addr()
@@ -55,8 +93,12 @@
 	c.held = append(c.held, h)
 	q.count++
 	q.bytes += len(h.segment.Raw)
-	if q.count == 1 || deadline.Before(q.nextDeadline) {
-		q.nextDeadline = deadline
+	q.noteEnd(h)
+}
+
+func (q *queue) noteEnd(h *held) {
+	if end, _ := h.end(); q.count == 1 || end.Before(q.nextEnd) {
+		q.nextEnd = end
 	}
 }
 
@@ -73,17 +115,31 @@
 	q.bytes -= len(h.segment.Raw)
 }
 
-// next removes and returns the first segment of the caller whose turn it is, or nil if
-// nothing waits.
-func (q *queue) next() *held {
-	if len(q.turns) == 0 {
-		return nil
+// next removes and returns the first current segment of the caller whose turn it is, or nil
+// if there is none. Callers without one keep their turns.
+func (q *queue) next(now time.Time) *held {
+	for i, c := range q.turns {
+		j := slices.IndexFunc(c.held, func(h *held) bool { return h.isCurrent(now) })
+		if j < 0 {
+			continue
+		}
+		q.turns = append(slices.Delete(q.turns, i, i+1), c)
+		h := c.held[j]
+		q.remove(h)
+		return h
+	}
+	return nil
+}
+
+// clear removes and returns all segments, in the order of the callers' turns.
+func (q *queue) clear() (all []*held) {
+	for _, c := range q.turns {
+		all = append(all, c.held...)
+	}
+	for _, h := range all {
+		q.remove(h)
 	}
-	c := q.turns[0]
-	q.turns = append(q.turns[1:], c)
-	h := c.held[0]
-	q.remove(h)
-	return h
+	return all
 }
 
 // ahead returns how many waiting segments go on before a new one of the caller.
@@ -115,20 +171,20 @@
 	return longest
 }
 
-// expire removes and returns the segments whose deadlines have passed, in the order of the
+// expire removes and returns the segments that are no longer held, in the order of the
 // callers' turns.
 func (q *queue) expire(now time.Time) (expired []*held) {
-	if q.count == 0 || now.Before(q.nextDeadline) {
+	if q.count == 0 || now.Before(q.nextEnd) {
 		return nil
 	}
-	q.nextDeadline = time.Time{}
+	q.nextEnd = time.Time{}
 	for _, c := range q.turns {
 		for _, h := range c.held {
-			switch {
-			case !now.Before(h.deadline):
+			switch end, _ := h.end(); {
+			case !now.Before(end):
 				expired = append(expired, h)
-			case q.nextDeadline.IsZero() || h.deadline.Before(q.nextDeadline):
-				q.nextDeadline = h.deadline
+			case q.nextEnd.IsZero() || end.Before(q.nextEnd):
+				q.nextEnd = end
 			}
 		}
 	}
--- a/core/token/flow_tracking.go
+++ b/core/token/flow_tracking.go
@@ -167,6 +167,7 @@
 		r.updateFlow(now, f, p)
 	}
 	f = shard.flows[p.Flow]
+	r.bulkGate.Withdraw(p.Flow) // another VM opened the flow
 	r.trackUpload(now, f, p)
 	if p.Kind == baobabstep.KindReset || p.Kind == baobabstep.KindClose {
 		f.close()
--- a/core/token/upload.go
+++ b/core/token/upload.go
@@ -18,7 +18,11 @@
 // VM's own link is concerned. Otherwise the segment was held, dropped as a copy of one that
 // is held, or the caller was reset.
 func (r *Router) admitsToLink(now time.Time, s *snapshot, route *rule, p *baobabstep.Segment, out *[]baobabstep.OutgoingDatagram) bool {
-	if !r.bulkGate.Active() || !route.requestSizes.Bulk() {
+	if !r.bulkGate.Active() {
+		return true
+	}
+	if !route.requestSizes.Bulk() {
+		r.bulkGate.Withdraw(p.Flow) // the route was bulk when an earlier copy arrived
 		return true
 	}
 	switch d := r.bulkGate.Offer(now, p, route.requestSizes.Mean(), r.options.Link.Load(now)); {
@@ -48,22 +52,35 @@
 func (r *Router) release(now time.Time, s *snapshot, released bulk.Released, out *[]baobabstep.OutgoingDatagram) {
 	p := &released.Segment
 	h, route := hashFlow(p.Flow), s.rules[p.Flow.Service]
+	shard := r.flows.shard(h)
+	if route != nil {
+		shard.mu.Lock()
+		defer shard.mu.Unlock()
+	}
 	switch {
 	case route == nil:
 		r.bulkGate.Cancel(p.Flow)
 		r.resetUnrouted(now, s, h, p, out)
+	case openedWhileHeld(shard.flows[p.Flow], now.Add(-released.Waited), p):
+		r.bulkGate.Withdraw(p.Flow)
 	case released.Decision.Refused():
 		r.recordLink(now, EventLinkRefused, s, route, p, released)
-		appendReset(p, out)
+		if released.Decision != bulk.Overdue {
+			appendReset(p, out)
+		}
 	default:
 		r.recordLink(now, EventLinkReleased, s, route, p, released)
-		shard := r.flows.shard(h)
-		shard.mu.Lock()
-		defer shard.mu.Unlock()
+		r.bulkGate.Withdraw(p.Flow) // a copy that arrived since the gate released the segment
 		r.placeFlow(now, s, route, h, r.lastTried(now, p), p, out)
 	}
 }
 
+// openedWhileHeld reports whether a flow was opened although its first segment was held
+// since a time: a copy was placed, or went through another VM and the caller sent more.
+func openedWhileHeld(f *flow, since time.Time, p *baobabstep.Segment) bool {
+	return f != nil && (f.seq == p.Seq || f.lastPacketAt.After(since))
+}
+
 // HeldPending returns a channel that holds a value if first segments may be held.
 func (r *Router) HeldPending() <-chan struct{} { return r.bulkGate.Pending() }
 
--- a/core/token/upload_test.go
+++ b/core/token/upload_test.go
@@ -13,9 +13,9 @@
 // fullLink is the meter of a link of 10 Mbit/s that is full.
 type fullLink struct{}
 
-func (fullLink) BytesPerSecond() float64             { return 1.25e6 }
-func (fullLink) Load(time.Time) baobabstep.LinkLoad  { return baobabstep.LinkLoad{Received: 1} }
-func (fullLink) CongestedSince(time.Time) bool       { return false }
+func (fullLink) BytesPerSecond() float64            { return 1.25e6 }
+func (fullLink) Load(time.Time) baobabstep.LinkLoad { return baobabstep.LinkLoad{Received: 1} }
+func (fullLink) CongestedSince(time.Time) bool      { return false }
 
 func releaseHeld(r *Router, now time.Time) (out []baobabstep.OutgoingDatagram) {
 	r.ReleaseHeld(now, &out)
@@ -137,6 +137,52 @@
 	})
 }
 
+// Guards against two targets that both get the first segment of a flow, because it was opened
+// otherwise while the VM held its first segment.
+func TestHeldFlowIsOpenedOnce(t *testing.T) {
+	copied := start.Add(200 * time.Millisecond)
+	later := start.Add(260 * time.Millisecond)
+	second := heldSegment()
+	second.Acked = 1
+
+	for _, test := range []struct {
+		name string
+		open func(t *testing.T, r *Router)
+	}{
+		{"a copy goes through another VM", func(*testing.T, *Router) {}},
+		{"a stop after the next copy was due", func(_ *testing.T, r *Router) { r.StopHolding() }},
+		{"data of the flow arrives", func(t *testing.T, r *Router) {
+			handle(r, copied, second)
+			assertPassed(t, r, copied, data(second.Flow, tokenFor(hashFlow(second.Flow), 1)), 1)
+		}},
+		{"a copy is placed since the route is not bulk any more", func(t *testing.T, r *Router) {
+			for sizes := r.current.Load().rules[fixtures].requestSizes; sizes.Bulk(); {
+				sizes.Add(500)
+			}
+			qt.Assert(t, handle(r, copied, second), qt.HasLen, 1)
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := newUploadRouter(t, 0)
+			assertDropped(t, r, start, heldSegment())
+			test.open(t, r)
+			qt.Check(t, releaseHeld(r, later), qt.HasLen, 0)
+			qt.Check(t, r.HeldCount(), qt.Equals, 0)
+		})
+	}
+	t.Run("a copy arrives between the decision and the placement", func(t *testing.T) {
+		r := newUploadRouter(t, 0)
+		assertDropped(t, r, start, heldSegment())
+		handle(r, copied, second)
+		list := r.bulkGate.Release(later, baobabstep.LinkLoad{Received: 1})
+		qt.Assert(t, list, qt.HasLen, 1)
+		out := handle(r, later, second)
+		r.release(later, r.current.Load(), list[0], &out)
+		qt.Check(t, out, qt.HasLen, 1)
+		qt.Check(t, r.HeldCount(), qt.Equals, 0)
+	})
+}
+
 // Guards against connections with many small requests that count as bulk flows.
 func TestManySmallRequestsAreNoUpload(t *testing.T) {
 	r := newUploadRouter(t, 0)
