core/bulk: payload alone keeps no flow; a repeated segment makes no flow send

Only isFull swept the flows that paused, so a VM that saw payload but no first segments kept one entry a flow (50,000 in the test).

A segment repeated after the last one of its request counted its flow among those that send until the answer began, and kept others waiting.

--- a/core/bulk/gate.go
+++ b/core/bulk/gate.go
@@ -219,6 +219,7 @@
 func (g *Gate) Payload(now time.Time, key baobabstep.FlowKey) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.sweep(now)
 	g.sending[key] = now
 }
 
--- a/core/bulk/gate_test.go
+++ b/core/bulk/gate_test.go
@@ -208,6 +208,15 @@
 	}
 }
 
+// Guards against memory that grows with flows of which only payload is seen.
+func TestGateForgetsFlowsThatPaused(t *testing.T) {
+	g := New(Options{BytesPerSecond: modelRate})
+	for i := range 50_000 {
+		g.Payload(start.Add(time.Duration(i)*time.Millisecond), flowOf(i%250, i/250))
+	}
+	qt.Check(t, len(g.sending) <= int((maxSendingPause+sweepInterval)/time.Millisecond), qt.IsTrue, qt.Commentf("%d", len(g.sending)))
+}
+
 func TestRequestSizes(t *testing.T) {
 	for _, test := range []struct {
 		name  string
--- a/core/token/flow.go
+++ b/core/token/flow.go
@@ -22,6 +22,8 @@
 	// segmentSize is the payload of the latest segment of a bulk flow that was not the last
 	// of its request.
 	segmentSize uint16
+	// requestSent is set while the last segment of a bulk flow was the last of its request.
+	requestSent bool
 	// lastPacketAt is when the last packet arrived.
 	lastPacketAt time.Time
 	// requestSentAt is when the first segment, or the latest request after it, went to the
--- a/core/token/upload.go
+++ b/core/token/upload.go
@@ -116,9 +116,11 @@
 		r.bulkGate.Complete(f.key)
 	case p.Size == 0 || p.Acked != f.requestAcked || f.closed:
 	case p.Size < f.segmentSize && p.Seq+uint32(p.Size) == f.sentEnd:
+		f.requestSent = true
 		r.bulkGate.Complete(f.key)
+	case f.requestSent && p.Seq+uint32(p.Size) != f.sentEnd: // repeated
 	default:
-		f.segmentSize = p.Size
+		f.segmentSize, f.requestSent = p.Size, false
 		r.bulkGate.Payload(now, f.key)
 	}
 }
--- a/core/token/upload_test.go
+++ b/core/token/upload_test.go
@@ -94,6 +94,20 @@
 		handle(r, start, baobabstep.Segment{Kind: baobabstep.KindClose, Flow: flowFrom(4, fixtures), Token: tokenOf(r, flowFrom(4, fixtures)), Seq: firstSeq + 1, Acked: 77})
 		qt.Check(t, releaseHeld(r, start), qt.HasLen, 1)
 	})
+	// Guards against a flow that counts as one that sends since a segment was repeated after
+	// the last one of its request.
+	t.Run("repeated segments of a sent request make no flow wait", func(t *testing.T) {
+		r := newUploadRouter(t, 0)
+		s := data(flowFrom(4, fixtures), tokenOf(r, flowFrom(4, fixtures)))
+		first := s
+		for _, s.Size = range []uint16{1200, 1200, 400} {
+			first.Size = 1200
+			handle(r, start, s)
+			s.Seq += uint32(s.Size)
+		}
+		handle(r, start, first)
+		open(t, r, start, flowFrom(20, fixtures))
+	})
 	// Guards against targets that count as silent on account of a segment that the VM held.
 	t.Run("no target is blamed for the wait", func(t *testing.T) {
 		r := newUploadRouter(t, 0)
