core/bulk: the objective of a route bounds how long its flows are expected to wait

A flow was held for up to 0.8 s whatever its route's objective; one of 400 ms would have been missed for sure. The longest expected wait is half of the objective and 0.8 s at most; as before where the objective is unknown.

--- a/core/bulk/gate.go
+++ b/core/bulk/gate.go
@@ -55,7 +55,7 @@
 	// copyTolerance is how much earlier or later than expected a copy may arrive: by the wait
 	// before a link, and the time until an answer reaches the caller.
 	copyTolerance = targetWait + 10*time.Millisecond
-	// maxExpectedWait is the longest expected wait for which a flow is held.
+	// maxExpectedWait is the longest expected wait for which any flow is held.
 	maxExpectedWait = 800 * time.Millisecond
 	// rateWindow is the window over which admissions are counted.
 	rateWindow = time.Second
@@ -119,19 +119,35 @@
 	return max(1, int(targetWait.Seconds()*g.options.BytesPerSecond/callerWindow))
 }
 
-// Offer decides on the first segment of a new bulk flow. size is the usual size of the
-// requests on its route, load the present use of the link. The gate keeps a copy of a
-// segment that it holds.
-func (g *Gate) Offer(now time.Time, p *baobabstep.Segment, size float64, load baobabstep.LinkLoad) Decision {
+// Route is what the gate needs to know of a flow's route.
+type Route struct {
+	// MeanSize is the mean size of its requests in bytes.
+	MeanSize float64
+	// Objective is the time within which its requests should be answered, 0 if unknown.
+	Objective time.Duration
+}
+
+// maxWait returns the longest expected wait for which a flow is held. What waits longer
+// leaves too little of the objective for the request itself.
+func (r Route) maxWait() time.Duration {
+	if r.Objective <= 0 {
+		return maxExpectedWait
+	}
+	return min(maxExpectedWait, r.Objective/2)
+}
+
+// Offer decides on the first segment of a new bulk flow. load is the present use of the
+// link. The gate keeps a copy of a segment that it holds.
+func (g *Gate) Offer(now time.Time, p *baobabstep.Segment, route Route, load baobabstep.LinkLoad) Decision {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	d := g.decide(now, p, size, load)
+	d := g.decide(now, p, route, load)
 	g.countRefusal(d)
 	g.setWaiting()
 	return d
 }
 
-func (g *Gate) decide(now time.Time, p *baobabstep.Segment, size float64, load baobabstep.LinkLoad) Decision {
+func (g *Gate) decide(now time.Time, p *baobabstep.Segment, route Route, load baobabstep.LinkLoad) Decision {
 	deadline := now.Add(tryDuration - openingTime - retransmittedAfter[min(p.Acked, uint32(len(retransmittedAfter)-1))])
 	if h := g.queue.find(p.Flow); h != nil {
 		if h.segment.Seq == p.Seq {
@@ -145,11 +161,11 @@
 		g.admit(now, p.Flow)
 		return Admitted
 	}
-	wait := g.expectedWait(now, p, size)
+	wait := g.expectedWait(now, p, route.MeanSize)
 	switch {
 	case g.stopped:
 		return Stopping
-	case wait > maxExpectedWait || now.Add(wait).After(deadline):
+	case wait > route.maxWait() || now.Add(wait).After(deadline):
 		return TooLate
 	case !g.makeRoom(p):
 		return NoRoom
--- a/core/bulk/gate_test.go
+++ b/core/bulk/gate_test.go
@@ -17,7 +17,11 @@
 const testSize = 40_000
 
 func offer(g *Gate, now time.Time, key baobabstep.FlowKey, copies uint32) Decision {
-	return g.Offer(now, &baobabstep.Segment{Flow: key, Seq: 1, Acked: copies, Raw: make([]byte, 31)}, testSize, full)
+	return g.Offer(now, firstSegment(key, copies), Route{MeanSize: testSize}, full)
+}
+
+func firstSegment(key baobabstep.FlowKey, copies uint32) *baobabstep.Segment {
+	return &baobabstep.Segment{Flow: key, Seq: 1, Acked: copies, Raw: make([]byte, 31)}
 }
 
 // fullGate returns a gate of a link of 10 Mbit/s with as many flows that send as it allows.
@@ -125,6 +129,18 @@
 		qt.Check(t, counts[Held], qt.Equals, int(maxExpectedWait.Seconds()*minBulkShare*modelRate/testSize))
 		qt.Check(t, counts[Held]+counts[TooLate], qt.Equals, 100)
 	})
+	// Guards against flows that are held although they would miss their objective.
+	t.Run("the objective bounds the expected wait", func(t *testing.T) {
+		for _, test := range []struct{ objective, want time.Duration }{
+			{0, maxExpectedWait}, {400 * time.Millisecond, 200 * time.Millisecond}, {time.Minute, maxExpectedWait},
+		} {
+			g := fullGate(t)
+			for i := range 100 {
+				g.Offer(start, firstSegment(flowOf(2, i), 0), Route{MeanSize: testSize, Objective: test.objective}, full)
+			}
+			qt.Check(t, g.Waiting(), qt.Equals, int(test.want.Seconds()*minBulkShare*modelRate/testSize))
+		}
+	})
 	// Guards against a caller whose many flows push out all others.
 	t.Run("callers take turns", func(t *testing.T) {
 		g := fullGate(t)
@@ -176,7 +192,7 @@
 			for key := range g.sending {
 				g.Payload(now, key)
 			}
-			d := g.Offer(now, &baobabstep.Segment{Flow: flowOf(2, i), Raw: make([]byte, 31)}, testSize, baobabstep.LinkLoad{Received: 0.4})
+			d := g.Offer(now, firstSegment(flowOf(2, i), 0), Route{MeanSize: testSize}, baobabstep.LinkLoad{Received: 0.4})
 			qt.Check(t, d, qt.Equals, Admitted)
 		}
 	})
@@ -197,7 +213,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			g := New(Options{BytesPerSecond: modelRate})
 			for i := range 100_000 {
-				g.Offer(start, &baobabstep.Segment{Flow: flowOf(i%test.callers, i/test.callers%65536), Seq: uint32(i), Raw: make([]byte, 1231)}, 1, full)
+				g.Offer(start, &baobabstep.Segment{Flow: flowOf(i%test.callers, i/test.callers%65536), Seq: uint32(i), Raw: make([]byte, 1231)}, Route{MeanSize: 1}, full)
 				if g.queue.bytes > g.options.MaxHeldBytes || g.Waiting() > g.options.MaxHeld+maxDisplaced {
 					t.Fatalf("%d segments and %d bytes held", g.Waiting(), g.queue.bytes)
 				}
--- a/core/bulk/model_test.go
+++ b/core/bulk/model_test.go
@@ -147,7 +147,7 @@
 		m.gate.Complete(c.key)
 	case p.number == firstPacket && !c.opened && bulk:
 		segment := &baobabstep.Segment{Flow: c.key, Seq: 1, Acked: uint32(c.copies - 1), Raw: make([]byte, 31)}
-		m.open(c, m.gate.Offer(m.now, segment, uploadLength*1200, m.load))
+		m.open(c, m.gate.Offer(m.now, segment, Route{MeanSize: uploadLength * 1200}, m.load))
 	case p.number == firstPacket && !c.opened:
 		m.open(c, Admitted)
 	case p.number >= 0:
--- a/core/token/upload.go
+++ b/core/token/upload.go
@@ -25,7 +25,7 @@
 		r.bulkGate.Withdraw(p.Flow) // the route was bulk when an earlier copy arrived
 		return true
 	}
-	switch d := r.bulkGate.Offer(now, p, route.requestSizes.Mean(), r.options.Link.Load(now)); {
+	switch d := r.bulkGate.Offer(now, p, bulk.Route{MeanSize: route.requestSizes.Mean(), Objective: route.latencyObjective}, r.options.Link.Load(now)); {
 	case d == bulk.Admitted:
 		return true
 	case d == bulk.Held:
