core/bulk, core/token: tests of the slots of the link

Mutants that passed the tests before: no copy of the segment, no unfinished sizes, no payload, closed flows and answered requests that count, no Cancel where no target accepts, sizes not inherited by a new table, any segment as a copy, no lag of the load, admissions not counted, new flows before those that wait.

--- a/core/bulk/gate_test.go
+++ b/core/bulk/gate_test.go
@@ -171,6 +171,46 @@
 		assertReleased(t, g, start, Stopping, waiting)
 		qt.Check(t, offer(g, start, waiting, 0), qt.Equals, Stopping)
 	})
+	// Guards against new flows that pass those that wait.
+	t.Run("a new flow waits behind those that wait", func(t *testing.T) {
+		g := fullGate(t)
+		qt.Assert(t, offer(g, start, waiting, 0), qt.Equals, Held)
+		g.Complete(flowOf(1, 0))
+		qt.Check(t, offer(g, start, flowOf(2, 2), 0), qt.Equals, Held)
+	})
+	t.Run("a caller that reuses its port is no copy", func(t *testing.T) {
+		g := fullGate(t)
+		qt.Assert(t, offer(g, start, waiting, 0), qt.Equals, Held)
+		p := firstSegment(waiting, 0)
+		p.Seq++
+		qt.Check(t, g.Offer(start, p, Route{MeanSize: testSize}, full), qt.Equals, Held)
+		complete(g)
+		list := g.Release(later, full)
+		qt.Assert(t, list, qt.HasLen, 1)
+		qt.Check(t, list[0].Segment.Seq, qt.Equals, p.Seq)
+	})
+	// Guards against many flows at one moment, before they show in the load of the link.
+	t.Run("the load lags behind admissions", func(t *testing.T) {
+		g := fullGate(t)
+		idle := baobabstep.LinkLoad{}
+		qt.Check(t, g.Offer(later, firstSegment(waiting, 0), Route{MeanSize: testSize}, idle), qt.Equals, Held)
+		qt.Check(t, g.Release(start.Add(loadDelay-1), idle), qt.HasLen, 0)
+		qt.Check(t, g.Release(start.Add(loadDelay), idle), qt.HasLen, 1)
+	})
+	// Guards against refusals on a link that finishes more flows than the least expected.
+	t.Run("admissions in the last second shorten the expected wait", func(t *testing.T) {
+		g := New(Options{BytesPerSecond: modelRate})
+		for i := range 40 {
+			qt.Assert(t, offer(g, start, flowOf(1, i), 0), qt.Equals, Admitted)
+			if i < 40-g.limit() {
+				g.Complete(flowOf(1, i))
+			}
+		}
+		for i := range 100 {
+			offer(g, start, flowOf(2, i), 0)
+		}
+		qt.Check(t, g.Waiting(), qt.Equals, int(40*maxExpectedWait.Seconds()))
+	})
 	t.Run("a flow that pauses does not count", func(t *testing.T) {
 		g := fullGate(t)
 		g.Payload(start.Add(200*time.Millisecond), flowOf(1, 0))
--- a/core/token/upload_test.go
+++ b/core/token/upload_test.go
@@ -75,6 +75,7 @@
 		r := newUploadRouter(t, 0)
 		s := heldSegment()
 		assertDropped(t, r, start, s)
+		s.Raw[0] = 99 // the buffer of a batch is used again
 		s.Acked = 1
 		assertDropped(t, r, start.Add(200*time.Millisecond), s)
 		qt.Check(t, r.HeldCount(), qt.Equals, 1)
@@ -151,6 +152,74 @@
 	})
 }
 
+// Guards against slots of the link that are taken by flows that do not send, and against
+// flows that send without one.
+func TestSlotsOfTheLink(t *testing.T) {
+	key := flowFrom(4, fixtures)
+	for _, test := range []struct {
+		name string
+		play func(t *testing.T, r *Router, s baobabstep.Segment)
+		at   time.Duration
+		held int
+	}{
+		{"a flow sends payload", func(_ *testing.T, r *Router, s baobabstep.Segment) {
+			handle(r, start.Add(200*time.Millisecond), s)
+			s.Flow = flowFrom(5, fixtures)
+			s.Token = tokenOf(r, s.Flow)
+			handle(r, start.Add(200*time.Millisecond), s)
+		}, 300 * time.Millisecond, 1},
+		{"a segment is repeated after the close", func(_ *testing.T, r *Router, s baobabstep.Segment) {
+			end := s
+			end.Kind, end.Size, end.Seq = baobabstep.KindClose, 0, s.Seq+1200
+			handle(r, start, s)
+			handle(r, start, end)
+			handle(r, start, s)
+		}, 0, 0},
+		{"a segment is repeated after the answer began", func(_ *testing.T, r *Router, s baobabstep.Segment) {
+			handle(r, start, s)
+			s.Acked += 300
+			ack := s
+			ack.Size, ack.Seq = 0, s.Seq+1200
+			handle(r, start, ack)
+			handle(r, start, s)
+		}, 0, 0},
+		{"no target accepts a flow", func(t *testing.T, r *Router, s baobabstep.Segment) {
+			s.Kind = baobabstep.KindReset
+			handle(r, start, s)
+			r.SetRegistrations(start, nil)
+			refused := heldSegment()
+			refused.Flow = flowFrom(21, fixtures)
+			assertReset(t, r, start, refused)
+			r.SetRegistrations(start, threeTargets())
+		}, 0, 0},
+		{"the route is changed", func(_ *testing.T, r *Router, s baobabstep.Segment) {
+			r.SetTable(start, table(2, singleRule(fixtures, "fixtures"), singleRule(results, "results")))
+		}, 0, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := newUploadRouter(t, 0)
+			s := data(key, tokenOf(r, key))
+			s.Size = 1200
+			test.play(t, r, s)
+			handle(r, start.Add(test.at), heldSegment())
+			qt.Check(t, r.HeldCount(), qt.Equals, test.held)
+		})
+	}
+	t.Run("no upload has finished yet", func(t *testing.T) {
+		r := New(Options{DataCentre: "a", Rand: rand.New(rand.NewPCG(1, 2)), Link: fullLink{}})
+		r.SetTable(start, table(1, singleRule(fixtures, "fixtures")))
+		r.SetRegistrations(start, threeTargets())
+		for port := range uint16(2) {
+			_, token := open(t, r, start, flowFrom(port, fixtures))
+			s := data(flowFrom(port, fixtures), token)
+			for s.Size = 1200; s.Seq < firstSeq+12_000; s.Seq += 1200 {
+				handle(r, start, s)
+			}
+		}
+		assertDropped(t, r, start, heldSegment())
+	})
+}
+
 // Guards against two targets that both get the first segment of a flow, because it was opened
 // otherwise while the VM held its first segment.
 func TestHeldFlowIsOpenedOnce(t *testing.T) {
