core/bulk: the queue is larger on a large link

Of 1,000 bulk flows at one moment on an idle link of 1,000 Mbit/s, 246 went on, 256 were held and 498 refused, since the queue held 256 whatever the link. It now holds four times as many as may send at once where that is more; no flow of the 1,000 is refused.

The package comments of entry and core/token name the release of held first segments and admission by the link.

--- a/core/bulk/gate.go
+++ b/core/bulk/gate.go
@@ -74,7 +74,8 @@
 	// BytesPerSecond is the rate of the link. If it is 0, the rate is unknown and every
 	// flow is admitted.
 	BytesPerSecond float64
-	// MaxHeld and MaxHeldBytes bound the first segments that are held (256, 64 KiB).
+	// MaxHeld and MaxHeldBytes bound the first segments that are held (256, or four times as
+	// many as may send at once on a large link; 256 bytes each).
 	MaxHeld, MaxHeldBytes int
 }
 
@@ -102,8 +103,8 @@
 
 // New returns a gate that holds nothing.
 func New(o Options) *Gate {
-	o.MaxHeld = cmp.Or(o.MaxHeld, 256)
-	o.MaxHeldBytes = cmp.Or(o.MaxHeldBytes, 64<<10)
+	o.MaxHeld = cmp.Or(o.MaxHeld, max(256, 4*o.limit()))
+	o.MaxHeldBytes = cmp.Or(o.MaxHeldBytes, 256*o.MaxHeld)
 	g := &Gate{options: o, pending: make(chan struct{}, 1), sending: make(map[baobabstep.FlowKey]time.Time), queue: newQueue()}
 	if g.Active() {
 		g.admitted = make([]time.Time, g.limit())
@@ -115,8 +116,10 @@
 func (g *Gate) Active() bool { return g.options.BytesPerSecond > 0 }
 
 // limit returns the number of flows that may send at once while the link is busy.
-func (g *Gate) limit() int {
-	return max(1, int(targetWait.Seconds()*g.options.BytesPerSecond/callerWindow))
+func (g *Gate) limit() int { return g.options.limit() }
+
+func (o *Options) limit() int {
+	return max(1, int(targetWait.Seconds()*o.BytesPerSecond/callerWindow))
 }
 
 // Route is what the gate needs to know of a flow's route.
--- a/core/bulk/gate_test.go
+++ b/core/bulk/gate_test.go
@@ -238,12 +238,33 @@
 	})
 	t.Run("on a link of 1,000 Mbit/s", func(t *testing.T) {
 		g := New(Options{BytesPerSecond: 125e6})
-		for i := range 200 {
+		for i := range g.limit() { // 246 at one moment; see TestManyFlowsAtOneMoment
 			qt.Check(t, offer(g, start, flowOf(1, i), 0), qt.Equals, Admitted)
 		}
 	})
 }
 
+// Guards against a large link whose VM refuses flows that the link would carry in time.
+func TestManyFlowsAtOneMoment(t *testing.T) {
+	g := New(Options{BytesPerSecond: 125e6})
+	load := baobabstep.LinkLoad{}
+	admitted := 0
+	for i := range 1000 {
+		d := g.Offer(start, firstSegment(flowOf(1, i), 0), Route{MeanSize: testSize}, load)
+		qt.Assert(t, d.Refused(), qt.IsFalse, qt.Commentf("flow %d: %v", i, d))
+		if d == Admitted {
+			admitted++
+		}
+	}
+	qt.Check(t, admitted, qt.Equals, g.limit())
+	complete(g)
+	for _, r := range g.Release(start.Add(20*time.Millisecond), load) {
+		qt.Check(t, r.Decision, qt.Equals, Admitted)
+		admitted++
+	}
+	qt.Check(t, admitted, qt.Equals, 2*g.limit())
+}
+
 // Guards against memory that grows with the first segments that callers send.
 func TestGateMemoryIsBounded(t *testing.T) {
 	for _, test := range []struct {
--- a/core/token/doc.go
+++ b/core/token/doc.go
@@ -28,7 +28,8 @@
 // (health.go, alarm.go), and are retried by one VM at a time (avoid.go). Targets that
 // answer but fail more often than their peers are scored as busier (answers.go; package
 // answer computes their health). When even the best target answers too late, ordinary flows
-// are refused (admission.go). What a VM observes while its own link is congested counts in
+// are refused (admission.go). Where a VM's own link is full, new flows with large requests
+// wait until it has room, or are refused (upload.go; package bulk decides). What a VM observes while its own link is congested counts in
 // none of these (congestion.go). Each of these is a [Mechanism] that can be disabled.
 //
 // # Invariants
--- a/entry/node.go
+++ b/entry/node.go
@@ -10,8 +10,9 @@
 // directory (storeSyncer) and from messages of other VMs, to which it passes changes on.
 //
 // Goroutines: one for each packet socket, two for each query of the directory (reads and
-// watches), one each for peers' messages, the fleet's secret, timers and metrics, and one for
-// the readiness check's HTTP listener. Each reports its end to Run.
+// watches), one each for peers' messages, the fleet's secret, timers, metrics and the release
+// of held first segments, and one for the readiness check's HTTP listener. Each reports its
+// end to Run.
 package entry
 
 import (
