--- a/core/bulk/gate_test.go
+++ b/core/bulk/gate_test.go
@@ -102,6 +102,13 @@
 			assertReleased(t, g, start.Add(due+copyTolerance), Overdue, waiting)
 		}
 	})
+	// Guards against a reset that ends a flow which another VM has opened.
+	t.Run("a stop while the next copy may be elsewhere resets nothing", func(t *testing.T) {
+		g := fullGate(t)
+		qt.Assert(t, offer(g, start, waiting, 0), qt.Equals, Held)
+		g.Stop()
+		assertReleased(t, g, start.Add(200*time.Millisecond), Overdue, waiting)
+	})
 	t.Run("a repeated copy is not the next one", func(t *testing.T) {
 		g := fullGate(t)
 		qt.Assert(t, offer(g, start, waiting, 0), qt.Equals, Held)
