--- a/core/bulk/gate.go
+++ b/core/bulk/gate.go
@@ -52,7 +52,10 @@
 	// openingTime what the rest of the opening takes once the segment goes on.
 	tryDuration = 1400 * time.Millisecond
 	openingTime = 250 * time.Millisecond
-	// maxExpectedWait is the longest expected wait for which a flow is held.
+	// copyTolerance is how much earlier or later than expected a copy may arrive: by the wait
+	// before a link, and the time until an answer reaches the caller.
+	copyTolerance = targetWait + 10*time.Millisecond
+	// maxExpectedWait is the longest expected wait for which any flow is held.
 	maxExpectedWait = 800 * time.Millisecond
 	// rateWindow is the window over which admissions are counted.
 	rateWindow = time.Second
@@ -71,7 +74,8 @@
 	// BytesPerSecond is the rate of the link. If it is 0, the rate is unknown and every
 	// flow is admitted.
 	BytesPerSecond float64
-	// MaxHeld and MaxHeldBytes bound the first segments that are held (256, 64 KiB).
+	// MaxHeld and MaxHeldBytes bound the first segments that are held (256, or four times as
+	// many as may send at once on a large link; 256 bytes each).
 	MaxHeld, MaxHeldBytes int
 }
 
@@ -99,8 +103,8 @@
 
 // New returns a gate that holds nothing.
 func New(o Options) *Gate {
-	o.MaxHeld = cmp.Or(o.MaxHeld, 256)
-	o.MaxHeldBytes = cmp.Or(o.MaxHeldBytes, 64<<10)
+	o.MaxHeld = cmp.Or(o.MaxHeld, max(256, 4*o.limit()))
+	o.MaxHeldBytes = cmp.Or(o.MaxHeldBytes, 256*o.MaxHeld)
 	g := &Gate{options: o, pending: make(chan struct{}, 1), sending: make(map[baobabstep.FlowKey]time.Time), queue: newQueue()}
 	if g.Active() {
 		g.admitted = make([]time.Time, g.limit())
@@ -112,25 +116,46 @@
 func (g *Gate) Active() bool { return g.options.BytesPerSecond > 0 }
 
 // limit returns the number of flows that may send at once while the link is busy.
-func (g *Gate) limit() int {
-	return max(1, int(targetWait.Seconds()*g.options.BytesPerSecond/callerWindow))
+func (g *Gate) limit() int { return g.options.limit() }
+
+func (o *Options) limit() int {
+	return max(1, int(targetWait.Seconds()*o.BytesPerSecond/callerWindow))
+}
+
+// Route is what the gate needs to know of a flow's route.
+type Route struct {
+	// MeanSize is the mean size of its requests in bytes.
+	MeanSize float64
+	// Objective is the time within which its requests should be answered, 0 if unknown.
+	Objective time.Duration
+}
+
+// maxWait returns the longest expected wait for which a flow is held. What waits longer
+// leaves too little of the objective for the request itself.
+func (r Route) maxWait() time.Duration {
+	if r.Objective <= 0 {
+		return maxExpectedWait
+	}
+	return min(maxExpectedWait, r.Objective/2)
 }
 
-// Offer decides on the first segment of a new bulk flow. size is the usual size of the
-// requests on its route, load the present use of the link. The gate keeps a copy of a
-// segment that it holds.
-func (g *Gate) Offer(now time.Time, p *baobabstep.Segment, size float64, load baobabstep.LinkLoad) Decision {
+// Offer decides on the first segment of a new bulk flow. load is the present use of the
+// link. The gate keeps a copy of a segment that it holds.
+func (g *Gate) Offer(now time.Time, p *baobabstep.Segment, route Route, load baobabstep.LinkLoad) Decision {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	d := g.decide(now, p, size, load)
+	d := g.decide(now, p, route, load)
 	g.countRefusal(d)
 	g.setWaiting()
 	return d
 }
 
-func (g *Gate) decide(now time.Time, p *baobabstep.Segment, size float64, load baobabstep.LinkLoad) Decision {
+func (g *Gate) decide(now time.Time, p *baobabstep.Segment, route Route, load baobabstep.LinkLoad) Decision {
+	deadline := now.Add(tryDuration - openingTime - retransmittedAfter[min(p.Acked, uint32(len(retransmittedAfter)-1))])
 	if h := g.queue.find(p.Flow); h != nil {
 		if h.segment.Seq == p.Seq {
+			h.repeat(now, p.Acked, deadline)
+			g.queue.noteEnd(h)
 			return AlreadyHeld
 		}
 		g.queue.remove(h) // the caller reuses its port
@@ -139,12 +164,11 @@
 		g.admit(now, p.Flow)
 		return Admitted
 	}
-	deadline := now.Add(tryDuration - openingTime - retransmittedAfter[min(p.Acked, uint32(len(retransmittedAfter)-1))])
-	wait := g.expectedWait(now, p, size)
+	wait := g.expectedWait(now, p, route.MeanSize)
 	switch {
 	case g.stopped:
 		return Stopping
-	case wait > maxExpectedWait || now.Add(wait).After(deadline):
+	case wait > route.maxWait() || now.Add(wait).After(deadline):
 		return TooLate
 	case !g.makeRoom(p):
 		return NoRoom
@@ -214,6 +238,7 @@
 func (g *Gate) Payload(now time.Time, key baobabstep.FlowKey) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.sweep(now)
 	g.sending[key] = now
 }
 
@@ -224,6 +249,20 @@
 	delete(g.sending, key)
 }
 
+// Withdraw forgets the first segment of a flow if it is held, because the flow was opened
+// otherwise.
+func (g *Gate) Withdraw(key baobabstep.FlowKey) {
+	if g.Waiting() == 0 {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if h := g.queue.find(key); h != nil {
+		g.queue.remove(h)
+	}
+	g.setWaiting()
+}
+
 // Cancel forgets a flow that was admitted or held and will not be opened.
 func (g *Gate) Cancel(key baobabstep.FlowKey) {
 	g.mu.Lock()
@@ -244,7 +283,7 @@
 	Waited time.Duration
 }
 
-// Release returns the first segments that go on now or are refused.
+// Release returns the first segments that go on now, are refused, or are dropped.
 func (g *Gate) Release(now time.Time, load baobabstep.LinkLoad) (list []Released) {
 	if g.Waiting() == 0 {
 		return nil
@@ -256,26 +295,31 @@
 	}
 	g.queue.displaced = nil
 	for _, h := range g.queue.expire(now) {
-		list = append(list, g.release(now, h, Expired))
+		_, cause := h.end()
+		list = append(list, g.release(now, h, cause))
 	}
-	for g.queue.count > 0 {
-		switch {
-		case g.stopped:
-			list = append(list, g.release(now, g.queue.next(), Stopping))
-		case !g.isFull(now, load):
-			h := g.queue.next()
-			g.admit(now, h.segment.Flow)
-			list = append(list, g.release(now, h, Admitted))
-		default:
-			g.setWaiting()
-			return list
+	if g.stopped {
+		for _, h := range g.queue.clear() {
+			list = append(list, g.release(now, h, Stopping))
 		}
 	}
+	for g.queue.count > 0 && !g.isFull(now, load) {
+		h := g.queue.next(now)
+		if h == nil {
+			break
+		}
+		g.admit(now, h.segment.Flow)
+		list = append(list, g.release(now, h, Admitted))
+	}
 	g.setWaiting()
 	return list
 }
 
+// release returns what becomes of a segment that was removed from the queue.
 func (g *Gate) release(now time.Time, h *held, d Decision) Released {
+	if !h.isCurrent(now) {
+		d = Overdue
+	}
 	g.countRefusal(d)
 	return Released{Decision: d, Segment: h.segment, Waited: now.Sub(h.since)}
 }
--- a/core/bulk/gate_test.go
+++ b/core/bulk/gate_test.go
@@ -17,7 +17,11 @@
 const testSize = 40_000
 
 func offer(g *Gate, now time.Time, key baobabstep.FlowKey, copies uint32) Decision {
-	return g.Offer(now, &baobabstep.Segment{Flow: key, Seq: 1, Acked: copies, Raw: make([]byte, 31)}, testSize, full)
+	return g.Offer(now, firstSegment(key, copies), Route{MeanSize: testSize}, full)
+}
+
+func firstSegment(key baobabstep.FlowKey, copies uint32) *baobabstep.Segment {
+	return &baobabstep.Segment{Flow: key, Seq: 1, Acked: copies, Raw: make([]byte, 31)}
 }
 
 // fullGate returns a gate of a link of 10 Mbit/s with as many flows that send as it allows.
@@ -72,11 +76,51 @@
 	t.Run("nothing goes on after its deadline", func(t *testing.T) {
 		g := fullGate(t)
 		qt.Assert(t, offer(g, start, waiting, 0), qt.Equals, Held)
+		for i, after := range retransmittedAfter[1:] {
+			qt.Assert(t, offer(g, start.Add(after), waiting, uint32(i+1)), qt.Equals, AlreadyHeld)
+		}
 		late := start.Add(tryDuration - openingTime)
 		complete(g)
 		assertReleased(t, g, late, Expired, waiting)
 		qt.Check(t, g.Refusals()["expired"], qt.Equals, uint64(1))
 	})
+	// Guards against a flow that goes on or is reset although another VM got the next copy and
+	// may have opened it.
+	t.Run("nothing goes on while the next copy may be elsewhere", func(t *testing.T) {
+		g := fullGate(t)
+		qt.Assert(t, offer(g, start, waiting, 0), qt.Equals, Held)
+		complete(g)
+		assertReleased(t, g, start.Add(200*time.Millisecond-copyTolerance), Admitted)
+		qt.Check(t, g.Waiting(), qt.Equals, 1)
+		qt.Assert(t, offer(g, start.Add(200*time.Millisecond), waiting, 1), qt.Equals, AlreadyHeld)
+		assertReleased(t, g, start.Add(200*time.Millisecond), Admitted, waiting)
+	})
+	t.Run("what lacks its next copy is dropped", func(t *testing.T) {
+		for i, due := range []time.Duration{200 * time.Millisecond, 400 * time.Millisecond} {
+			g := fullGate(t)
+			qt.Assert(t, offer(g, start, waiting, uint32(i)), qt.Equals, Held)
+			assertReleased(t, g, start.Add(due+copyTolerance), Overdue, waiting)
+		}
+	})
+	// Guards against a reset that ends a flow which another VM has opened.
+	t.Run("a stop while the next copy may be elsewhere resets nothing", func(t *testing.T) {
+		g := fullGate(t)
+		qt.Assert(t, offer(g, start, waiting, 0), qt.Equals, Held)
+		g.Stop()
+		assertReleased(t, g, start.Add(200*time.Millisecond), Overdue, waiting)
+	})
+	t.Run("a repeated copy is not the next one", func(t *testing.T) {
+		g := fullGate(t)
+		qt.Assert(t, offer(g, start, waiting, 0), qt.Equals, Held)
+		qt.Assert(t, offer(g, start.Add(100*time.Millisecond), waiting, 0), qt.Equals, AlreadyHeld)
+		assertReleased(t, g, start.Add(200*time.Millisecond+copyTolerance), Overdue, waiting)
+	})
+	t.Run("a copy sets an earlier deadline", func(t *testing.T) {
+		g := fullGate(t)
+		qt.Assert(t, offer(g, start, waiting, 0), qt.Equals, Held)
+		qt.Assert(t, offer(g, start.Add(100*time.Millisecond), waiting, 2), qt.Equals, AlreadyHeld)
+		assertReleased(t, g, start.Add(tryDuration-openingTime-500*time.Millisecond), Expired, waiting)
+	})
 	t.Run("a further copy has less time", func(t *testing.T) {
 		g := fullGate(t)
 		qt.Assert(t, offer(g, start, waiting, 2), qt.Equals, Held)
@@ -92,6 +136,18 @@
 		qt.Check(t, counts[Held], qt.Equals, int(maxExpectedWait.Seconds()*minBulkShare*modelRate/testSize))
 		qt.Check(t, counts[Held]+counts[TooLate], qt.Equals, 100)
 	})
+	// Guards against flows that are held although they would miss their objective.
+	t.Run("the objective bounds the expected wait", func(t *testing.T) {
+		for _, test := range []struct{ objective, want time.Duration }{
+			{0, maxExpectedWait}, {400 * time.Millisecond, 200 * time.Millisecond}, {time.Minute, maxExpectedWait},
+		} {
+			g := fullGate(t)
+			for i := range 100 {
+				g.Offer(start, firstSegment(flowOf(2, i), 0), Route{MeanSize: testSize, Objective: test.objective}, full)
+			}
+			qt.Check(t, g.Waiting(), qt.Equals, int(test.want.Seconds()*minBulkShare*modelRate/testSize))
+		}
+	})
 	// Guards against a caller whose many flows push out all others.
 	t.Run("callers take turns", func(t *testing.T) {
 		g := fullGate(t)
@@ -122,6 +178,46 @@
 		assertReleased(t, g, start, Stopping, waiting)
 		qt.Check(t, offer(g, start, waiting, 0), qt.Equals, Stopping)
 	})
+	// Guards against new flows that pass those that wait.
+	t.Run("a new flow waits behind those that wait", func(t *testing.T) {
+		g := fullGate(t)
+		qt.Assert(t, offer(g, start, waiting, 0), qt.Equals, Held)
+		g.Complete(flowOf(1, 0))
+		qt.Check(t, offer(g, start, flowOf(2, 2), 0), qt.Equals, Held)
+	})
+	t.Run("a caller that reuses its port is no copy", func(t *testing.T) {
+		g := fullGate(t)
+		qt.Assert(t, offer(g, start, waiting, 0), qt.Equals, Held)
+		p := firstSegment(waiting, 0)
+		p.Seq++
+		qt.Check(t, g.Offer(start, p, Route{MeanSize: testSize}, full), qt.Equals, Held)
+		complete(g)
+		list := g.Release(later, full)
+		qt.Assert(t, list, qt.HasLen, 1)
+		qt.Check(t, list[0].Segment.Seq, qt.Equals, p.Seq)
+	})
+	// Guards against many flows at one moment, before they show in the load of the link.
+	t.Run("the load lags behind admissions", func(t *testing.T) {
+		g := fullGate(t)
+		idle := baobabstep.LinkLoad{}
+		qt.Check(t, g.Offer(later, firstSegment(waiting, 0), Route{MeanSize: testSize}, idle), qt.Equals, Held)
+		qt.Check(t, g.Release(start.Add(loadDelay-1), idle), qt.HasLen, 0)
+		qt.Check(t, g.Release(start.Add(loadDelay), idle), qt.HasLen, 1)
+	})
+	// Guards against refusals on a link that finishes more flows than the least expected.
+	t.Run("admissions in the last second shorten the expected wait", func(t *testing.T) {
+		g := New(Options{BytesPerSecond: modelRate})
+		for i := range 40 {
+			qt.Assert(t, offer(g, start, flowOf(1, i), 0), qt.Equals, Admitted)
+			if i < 40-g.limit() {
+				g.Complete(flowOf(1, i))
+			}
+		}
+		for i := range 100 {
+			offer(g, start, flowOf(2, i), 0)
+		}
+		qt.Check(t, g.Waiting(), qt.Equals, int(40*maxExpectedWait.Seconds()))
+	})
 	t.Run("a flow that pauses does not count", func(t *testing.T) {
 		g := fullGate(t)
 		g.Payload(start.Add(200*time.Millisecond), flowOf(1, 0))
@@ -143,18 +239,39 @@
 			for key := range g.sending {
 				g.Payload(now, key)
 			}
-			d := g.Offer(now, &baobabstep.Segment{Flow: flowOf(2, i), Raw: make([]byte, 31)}, testSize, baobabstep.LinkLoad{Received: 0.4})
+			d := g.Offer(now, firstSegment(flowOf(2, i), 0), Route{MeanSize: testSize}, baobabstep.LinkLoad{Received: 0.4})
 			qt.Check(t, d, qt.Equals, Admitted)
 		}
 	})
 	t.Run("on a link of 1,000 Mbit/s", func(t *testing.T) {
 		g := New(Options{BytesPerSecond: 125e6})
-		for i := range 200 {
+		for i := range g.limit() { // 246 at one moment; see TestManyFlowsAtOneMoment
 			qt.Check(t, offer(g, start, flowOf(1, i), 0), qt.Equals, Admitted)
 		}
 	})
 }
 
+// Guards against a large link whose VM refuses flows that the link would carry in time.
+func TestManyFlowsAtOneMoment(t *testing.T) {
+	g := New(Options{BytesPerSecond: 125e6})
+	load := baobabstep.LinkLoad{}
+	admitted := 0
+	for i := range 1000 {
+		d := g.Offer(start, firstSegment(flowOf(1, i), 0), Route{MeanSize: testSize}, load)
+		qt.Assert(t, d.Refused(), qt.IsFalse, qt.Commentf("flow %d: %v", i, d))
+		if d == Admitted {
+			admitted++
+		}
+	}
+	qt.Check(t, admitted, qt.Equals, g.limit())
+	complete(g)
+	for _, r := range g.Release(start.Add(20*time.Millisecond), load) {
+		qt.Check(t, r.Decision, qt.Equals, Admitted)
+		admitted++
+	}
+	qt.Check(t, admitted, qt.Equals, 2*g.limit())
+}
+
 // Guards against memory that grows with the first segments that callers send.
 func TestGateMemoryIsBounded(t *testing.T) {
 	for _, test := range []struct {
@@ -164,7 +281,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			g := New(Options{BytesPerSecond: modelRate})
 			for i := range 100_000 {
-				g.Offer(start, &baobabstep.Segment{Flow: flowOf(i%test.callers, i/test.callers%65536), Seq: uint32(i), Raw: make([]byte, 1231)}, 1, full)
+				g.Offer(start, &baobabstep.Segment{Flow: flowOf(i%test.callers, i/test.callers%65536), Seq: uint32(i), Raw: make([]byte, 1231)}, Route{MeanSize: 1}, full)
 				if g.queue.bytes > g.options.MaxHeldBytes || g.Waiting() > g.options.MaxHeld+maxDisplaced {
 					t.Fatalf("%d segments and %d bytes held", g.Waiting(), g.queue.bytes)
 				}
@@ -175,6 +292,15 @@
 	}
 }
 
+// Guards against memory that grows with flows of which only payload is seen.
+func TestGateForgetsFlowsThatPaused(t *testing.T) {
+	g := New(Options{BytesPerSecond: modelRate})
+	for i := range 50_000 {
+		g.Payload(start.Add(time.Duration(i)*time.Millisecond), flowOf(i%250, i/250))
+	}
+	qt.Check(t, len(g.sending) <= int((maxSendingPause+sweepInterval)/time.Millisecond), qt.IsTrue, qt.Commentf("%d", len(g.sending)))
+}
+
 func TestRequestSizes(t *testing.T) {
 	for _, test := range []struct {
 		name  string
