core/pace: a VM holds what its own link would lose

Cause: a VM's outgoing link loses every datagram that is sent on 50 ms of backlog or more, callers repeat these after 200 ms, and the incoming side shows no such limit. The window of one caller is 81 ms on 2 Mbit/s.

Change: core/pace.Queue lets a datagram go while the backlog of core/link.Meter is short, and holds a copy of it otherwise: large datagrams from 42 ms, small ones from 46 ms, small ones first, order within a flow kept also while released ones are being sent, 110 ms and 512 KiB of each size class at most, large ones for 130 ms at most. entry sends all segments through it, one loop with a timer runs while anything is held, and a planned stop sends the rest. What is held counts in the backlog and as congestion for the router, messages and logs. Off where the rate is unknown or with the mechanism pacing; no allocation then, and none while the backlog is short. OutgoingDatagram.Flow is set for all datagrams.

Values: 42, 46 and 50 ms leave room for one datagram on 2 Mbit/s; 130 ms, 47 ms of link and a round trip are less than 200 ms.

Tests: entry/congestion_test.go builds the pacer of its node on the meter that it replaces; no assertion changed. The tests of core/pace and entry/pace_test.go were each seen to fail with the line that they guard taken out, except that for an unknown rate.

--- a/core/token/mechanism.go
+++ b/core/token/mechanism.go
@@ -52,6 +52,9 @@
 	// MechanismLinkAdmission: new bulk flows wait, or are refused, where the VM's own link
 	// is full of bulk flows.
 	MechanismLinkAdmission // link_admission
+	// MechanismPacing: what a VM sends waits, small datagrams first, where its own link
+	// would lose it.
+	MechanismPacing // pacing
 	numMechanisms
 )
 
--- a/core/token/mechanism_string.go
+++ b/core/token/mechanism_string.go
@@ -28,12 +28,13 @@
 	_ = x[MechanismColdLimits-17]
 	_ = x[MechanismCongestion-18]
 	_ = x[MechanismLinkAdmission-19]
-	_ = x[numMechanisms-20]
+	_ = x[MechanismPacing-20]
+	_ = x[numMechanisms-21]
 }
 
-const _Mechanism_name = "other_loadsown_loadstimescoldnearfewnext_trybegin_loadsilenceend_flowswitnessesanswersshared_answerstrialsadmissionalarmsavoidancecold_limitscongestionlink_admissionnumMechanisms"
+const _Mechanism_name = "other_loadsown_loadstimescoldnearfewnext_trybegin_loadsilenceend_flowswitnessesanswersshared_answerstrialsadmissionalarmsavoidancecold_limitscongestionlink_admissionpacingnumMechanisms"
 
-var _Mechanism_index = [...]uint8{0, 11, 20, 25, 29, 33, 36, 44, 54, 61, 70, 79, 86, 100, 106, 115, 121, 130, 141, 151, 165, 178}
+var _Mechanism_index = [...]uint8{0, 11, 20, 25, 29, 33, 36, 44, 54, 61, 70, 79, 86, 100, 106, 115, 121, 130, 141, 151, 165, 171, 184}
 
 func (i Mechanism) String() string {
 	idx := int(i) - 0
--- a/core/token/router.go
+++ b/core/token/router.go
@@ -375,7 +375,7 @@
 
 func appendForward(t *target, h flowHash, p *baobabstep.Segment, out *[]baobabstep.OutgoingDatagram) {
 	*out = append(*out, baobabstep.OutgoingDatagram{
-		Target: t.id, Address: t.registration.Address, Token: tokenFor(h, t.id), Raw: p.Raw,
+		Target: t.id, Address: t.registration.Address, Token: tokenFor(h, t.id), Raw: p.Raw, Flow: p.Flow,
 	})
 }
 
--- a/entry/congestion.go
+++ b/entry/congestion.go
@@ -50,7 +50,7 @@
 // VM's link.
 func (n *Node) announceCongestion() {
 	if !n.options.Settings.Token.Mechanisms().Has(token.MechanismCongestion) {
-		n.peerTable.SetCongestedAt(n.meter.CongestedAt())
+		n.peerTable.SetCongestedAt(n.pacer.CongestedAt())
 	}
 }
 
@@ -64,7 +64,7 @@
 // logCongestion logs when congestion of the link begins and ends.
 func (n *Node) logCongestion(now time.Time) {
 	c := &n.congestion
-	congested := n.meter.CongestedSince(now.Add(-tickInterval))
+	congested := n.pacer.CongestedSince(now.Add(-tickInterval))
 	switch {
 	case congested && c.since.IsZero():
 		c.since, c.last = now, now
@@ -83,7 +83,7 @@
 
 // linkEntry returns a log entry with the present load of the link.
 func (n *Node) linkEntry(now time.Time) *log.Entry {
-	load := n.meter.Load(now)
+	load := n.pacer.Load(now)
 	return n.log.WithFields(log.Fields{
 		"link_mbps":        n.options.Settings.Token.LinkMbps,
 		"received_percent": int(100 * load.Received), "sent_percent": int(100 * load.Sent),
--- a/entry/congestion_test.go
+++ b/entry/congestion_test.go
@@ -16,6 +16,7 @@
 	"baobabstep"
 	"baobabstep/core/heartbeat"
 	"baobabstep/core/link"
+	"baobabstep/core/pace"
 )
 
 const testLinkRate = 1.25e6
@@ -25,6 +26,7 @@
 	lines := memory.New()
 	n := newTestNode(new(countingMessages), &log.Logger{Handler: lines, Level: log.InfoLevel}, limits)
 	n.meter = link.New(testLinkRate)
+	n.pacer = pace.New(n.meter)
 	for at := range duration / time.Millisecond {
 		size := int(testLinkRate*time.Millisecond.Seconds()) - link.DatagramOverhead
 		n.meterReceived(benchEpoch.Add(at*time.Millisecond), []baobabstep.Segment{{Raw: make([]byte, size)}})
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -96,11 +96,13 @@
 		{Name: "token_peers_congested", Help: "VMs of the own data centre that report congestion of their own links.", Gauge: true, Read: value(func() float64 { return float64(n.peerTable.CongestedCount(n.clock.Now())) })},
 		{Name: "token_link_held", Help: "First segments of bulk flows that wait for the VM's own link.", Gauge: true, Read: value(func() float64 { return float64(n.router.HeldCount()) })},
 		{Name: "token_link_refused_total", Help: "Bulk flows refused because they would wait too long for the VM's own link.", Label: "cause", Read: n.readLinkRefusals},
+		{Name: "token_link_paced", Help: "Datagrams that wait in the VM because its own link would lose them.", Gauge: true, Read: value(func() float64 { return float64(n.pacer.Held()) })},
+		{Name: "token_link_paced_dropped_total", Help: "Datagrams dropped because they would wait too long for the VM's own link.", Read: value(func() float64 { return float64(n.pacer.Dropped()) })},
 		{Name: "token_log_lines_dropped_total", Help: "Log lines left out, by bounds or because nobody read them.", Read: value(func() float64 { return float64(n.counters.linesDropped.Load()) })},
 	}
 }
 
-func (n *Node) linkLoad() baobabstep.LinkLoad { return n.meter.Load(n.clock.Now()) }
+func (n *Node) linkLoad() baobabstep.LinkLoad { return n.pacer.Load(n.clock.Now()) }
 
 func (n *Node) readEvents() map[string]float64 {
 	events := make(map[string]float64)
--- a/entry/node.go
+++ b/entry/node.go
@@ -10,8 +10,8 @@
 // directory (storeSyncer) and from messages of other VMs, to which it passes changes on.
 //
 // Goroutines: one for each packet socket, two for each query of the directory (reads and
-// watches), one each for peers' messages, the fleet's secret, timers and metrics, and one for
-// the readiness check's HTTP listener. Each reports its end to Run.
+// watches), one each for peers' messages, the fleet's secret, timers, held segments and metrics,
+// and one for the readiness check's HTTP listener. Each reports its end to Run.
 package entry
 
 import (
@@ -21,6 +21,7 @@
 	"net"
 	"net/http"
 	"reflect"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -29,6 +30,7 @@
 	"baobabstep"
 	"baobabstep/core/heartbeat"
 	"baobabstep/core/link"
+	"baobabstep/core/pace"
 	"baobabstep/core/token"
 	"baobabstep/io/process"
 	"baobabstep/io/setting"
@@ -82,6 +84,10 @@
 	cache     *stateCache
 	peerTable *heartbeat.PeerTable
 	meter     *link.Meter
+	pacer     *pace.Queue
+	// paced says whether segments wait in the pacer for the link.
+	paced     bool
+	releasing sync.Mutex // held while segments of the pacer are sent
 	exchange  peerExchange
 	syncer    *storeSyncer
 	counters  counters
@@ -110,15 +116,17 @@
 		clock:     o.Clock,
 		startedAt: o.Clock.Now(),
 		meter:     link.New(o.Settings.Token.KnownLinkBytesPerSecond()),
+		paced:     !o.Settings.Token.Mechanisms().Has(token.MechanismPacing),
 		done:      make(chan struct{}),
 	}
+	n.pacer = pace.New(n.meter)
 	n.router = token.New(token.Options{
 		DataCentre:      o.Settings.DataCentre,
 		Rand:            rand.New(rand.NewPCG(o.Rand.Uint64(), o.Rand.Uint64())),
 		MaxFlowDuration: o.Settings.Token.FlowMax(),
 		ColdOvershoot:   o.Settings.Token.ColdOvershoot, ColdSlack: o.Settings.Token.ColdSlack,
 		Disabled:           o.Settings.Token.Mechanisms(),
-		Link:               n.meter,
+		Link:               n.pacer,
 		ObserveRequestTime: n.observeRequest,
 		Record:             n.logEvent,
 		EventEnabled:       n.wantsEvent,
@@ -244,8 +252,7 @@
 			n.router.Handle(now, &batch[i], &out)
 		}
 		n.router.ReleaseHeld(now, &out)
-		n.meterSent(now, out)
-		if err := segments.Send(out); err != nil && ctx.Err() == nil {
+		if err := n.send(now, segments, out); err != nil && ctx.Err() == nil {
 			return err
 		}
 		n.observeBatch(n.clock.Now().Sub(now))
@@ -288,36 +295,6 @@
 	}
 }
 
-// releaseLoop sends on held first segments, or refuses them, while there are any and no
-// other segments arrive.
-func (n *Node) releaseLoop(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-n.router.HeldPending():
-		}
-		for n.router.HeldCount() > 0 && ctx.Err() == nil {
-			sleep(ctx, releaseInterval, nil)
-			if err := n.releaseHeld(); err != nil && ctx.Err() == nil {
-				return err
-			}
-		}
-	}
-}
-
-// releaseHeld sends on the held first segments for which the link has room again.
-func (n *Node) releaseHeld() error {
-	now := n.clock.Now()
-	var out []baobabstep.OutgoingDatagram
-	n.router.ReleaseHeld(now, &out)
-	if len(out) == 0 {
-		return nil
-	}
-	n.meterSent(now, out)
-	return n.options.Segments[0].Send(out)
-}
-
 // tickRouter runs the router's timers and sends the resets that they produce.
 func (n *Node) tickRouter(now time.Time) error {
 	var ended []baobabstep.OutgoingDatagram
@@ -325,8 +302,7 @@
 	if len(ended) == 0 {
 		return nil
 	}
-	n.meterSent(now, ended)
-	return n.options.Segments[0].Send(ended)
+	return n.send(now, n.options.Segments[0], ended)
 }
 
 func (n *Node) closeSockets() {
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -27,6 +27,7 @@
 	if err := n.releaseHeld(); err != nil {
 		n.log.WithError(err).Warn("cannot refuse held flows")
 	}
+	defer n.flushPaced()
 	ticker := time.NewTicker(stopPollInterval)
 	defer ticker.Stop()
 	for !n.canExit(start, n.clock.Now()) {
@@ -38,6 +39,13 @@
 	}
 }
 
+// flushPaced sends the segments that still wait for the link.
+func (n *Node) flushPaced() {
+	if err := n.releasePaced(n.clock.Now(), n.pacer.Flush); err != nil {
+		n.log.WithError(err).Warn("cannot send held segments")
+	}
+}
+
 // canExit reports whether a VM whose planned stop began at start may exit.
 func (n *Node) canExit(start, now time.Time) bool {
 	last := n.startedAt.Add(time.Duration(n.lastPacket.Load()))
--- a/segment.go
+++ b/segment.go
@@ -38,10 +38,11 @@
 	Target  TargetID
 	Address netip.AddrPort
 	Token   uint32
-	Raw     []byte
-	// Flow and Seq are set for a reset only.
+	// Raw is valid as long as that of the segment.
+	Raw  []byte
 	Flow FlowKey
-	Seq  uint32
+	// Seq is set for a reset only.
+	Seq uint32
 }
 
 // Segments exchanges segments with callers and targets.
