--- a/core/token/mechanism.go
+++ b/core/token/mechanism.go
@@ -55,6 +55,9 @@
 	// MechanismRoom: ordinary flows are refused where targets have room for urgent ones
 	// only.
 	MechanismRoom // room
+	// MechanismPacing: what a VM sends waits, small datagrams first, where its own link
+	// would lose it.
+	MechanismPacing // pacing
 	numMechanisms
 )
 
