token: dead targets are found with fewer than two calm VMs

Evidence under congestion was thrown away and a calm VM needed a witness, so a data centre with fewer than two calm VMs never ended flows of a dead target and went on to place new ones there. Silence seen under congestion now keeps new flows away, and ends open ones after 2 s without a sign of life; a calm VM whose peers are all congested decides alone, 200 ms later.

A congested VM needs three reports, or two and own unanswered segments; two alone were less than a calm VM needs.

The backlog of link.Meter is capped at 500 ms: after a minute at twice the rate a VM counted as congested for a minute more.

--- a/core/link/meter.go
+++ b/core/link/meter.go
@@ -37,6 +37,8 @@
 	// also a small one of another flow. One caller that sends 16 segments at once on a link of
 	// 2 Mbit/s suffices for that, without a window that is busy.
 	congestedBacklog = 45 * time.Millisecond
+	// maxBacklog bounds the backlog: a real queue drops what exceeds it.
+	maxBacklog = 500 * time.Millisecond
 	// DatagramOverhead is the size in bytes of the IP and UDP headers of a datagram.
 	DatagramOverhead = 28
 )
@@ -96,7 +98,7 @@
 	m.advance(now)
 	m.sent[m.newest%bucketCount] += bytes
 	m.drain(now)
-	m.backlog += float64(bytes)
+	m.backlog = min(m.backlog+float64(bytes), m.rate*maxBacklog.Seconds())
 	if over := m.backlogTime() - congestedBacklog; over >= 0 {
 		m.extend(now.Add(over))
 	}
--- a/core/link/meter_test.go
+++ b/core/link/meter_test.go
@@ -96,3 +96,15 @@
 	qt.Assert(t, m.CongestedSince(first), qt.IsTrue)
 	qt.Assert(t, m.CongestedSince(start.Add(50*time.Millisecond)), qt.IsFalse)
 }
+
+// Failure: a VM sends twice the rate for a minute and counts as congested for a minute more,
+// although a queue of that length exists nowhere.
+func TestBacklogIsBounded(t *testing.T) {
+	m := link.New(rate)
+	at := start
+	for ; at.Before(start.Add(time.Minute)); at = at.Add(step) {
+		m.Sent(at, int(2*rate*step.Seconds()))
+	}
+	qt.Assert(t, m.CongestedSince(at), qt.IsTrue)
+	qt.Assert(t, m.CongestedSince(at.Add(time.Second)), qt.IsFalse)
+}
--- a/core/token/alarm.go
+++ b/core/token/alarm.go
@@ -56,7 +56,7 @@
 				r.noteHeardAgain(now, t)
 			}
 			r.avoidIfRefusing(now, t)
-			t.load.updateVerdict(now, r.vmCount() == 1)
+			t.load.updateVerdict(now, r.alone())
 			if t.load.contradictsReports(now) {
 				r.alarms.add(id)
 			}
--- a/core/token/congestion.go
+++ b/core/token/congestion.go
@@ -2,6 +2,67 @@
 
 import "time"
 
+// maxQueueDelay exceeds what datagrams may wait on a full link. A target of which nothing was
+// heard for longer is not silent on account of the wait alone.
+const maxQueueDelay = 2 * time.Second
+
+// delayedSilence counts the segments that a target left unanswered, since it was last heard
+// from, while this VM's own link was congested. They keep new flows away, since a caller that
+// is sent elsewhere loses nothing. They are not told to other VMs.
+type delayedSilence struct {
+	flows, opens int
+	// since and at are when the first and the latest of them was counted, trialAt when the
+	// target may get a new flow.
+	since, at, trialAt time.Time
+}
+
+func (d *delayedSilence) note(now time.Time, kind silenceKind) {
+	if kind == openVanished {
+		return // the first segment or its answer may be lost on the link
+	}
+	if d.flows == 0 {
+		d.since = now
+	}
+	d.flows++
+	if kind == openRepeated {
+		d.opens++
+	}
+	d.at, d.trialAt = now, now.Add(minTrialPause)
+}
+
+// seemsSilent reports whether new flows should avoid the target while the link is congested.
+func (h *health) seemsSilent(now time.Time) bool {
+	d := &h.delayed
+	return d.flows >= suspectThreshold && d.opens > 0 && now.Before(d.trialAt) && !h.othersHeardAt.After(d.at.Add(-minRetransmissionDelay))
+}
+
+// leftUnanswered reports whether this VM has fresh evidence of its own, from whatever link.
+func (h *health) leftUnanswered(now time.Time) bool {
+	return h.unanswered > 0 && now.Sub(h.unansweredAt) < evidenceLifetime || h.delayed.flows > 0 && now.Sub(h.delayed.at) < maxQueueDelay
+}
+
+// outlastsQueues reports whether the target was silent for longer than the wait on a congested
+// link explains, and no VM heard from it meanwhile.
+func (h *health) outlastsQueues(now time.Time) bool {
+	d := &h.delayed
+	spread := d.at.Sub(d.since) >= minTrialPause && now.Sub(d.at) < maxQueueDelay
+	silent := now.Sub(laterOf(d.since, h.othersHeardAt)) >= maxQueueDelay
+	return d.opens > 0 && d.flows+d.opens >= unreachableThreshold && spread && silent
+}
+
+// SetCongestedVMs sets the number of other live VMs of the data centre whose links are
+// congested. They give no evidence.
+func (r *Router) SetCongestedVMs(count int) { r.vmsCongested.Store(int32(count)) }
+
+// alone reports whether no other VM of the data centre can give evidence.
+func (r *Router) alone() bool {
+	congested := 0
+	if r.enabled(MechanismCongestion) {
+		congested = int(r.vmsCongested.Load())
+	}
+	return r.vmCount()-congested <= 1
+}
+
 // congestionMargin is the time before a segment was sent to its target from which congestion
 // of this VM's own link counts. The segment may have waited on the link before it arrived
 // here, and the caller retransmits it after callerRetransmissionDelay from its own sending.
--- a/core/token/congestion_test.go
+++ b/core/token/congestion_test.go
@@ -1,6 +1,7 @@
 package token
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -412,3 +413,95 @@
 		})
 	}
 }
+
+// surroundSilence plays three seconds in which target 1 answers nothing and the others are
+// heard by all VMs. It returns the VMs that reset a flow at target 1, and how many of the later new
+// flows went there.
+func (f *testFleet) surroundSilence(now time.Time, congested int) (resetBy map[int]bool, atDead, placed int) {
+	resetBy = map[int]bool{}
+	f.congest(0, congested, now.Add(10*time.Second))
+	for vm, r := range f.routers {
+		calmSelf := 1
+		if vm < congested {
+			calmSelf = 0
+		}
+		r.SetCongestedVMs(congested - 1 + calmSelf)
+	}
+	opened := map[baobabstep.FlowKey]int{}
+	begin := now
+	for ; now.Before(begin.Add(3 * time.Second)); now = now.Add(callerRetransmissionDelay) {
+		for key, vm := range opened {
+			handle(f.routers[vm], now, baobabstep.Segment{Kind: baobabstep.KindOpen, Flow: key, Seq: firstSeq, Acked: 1})
+		}
+		f.exchange(now)
+		clear(opened)
+		for vm, r := range f.routers {
+			later := now.Add(2 * contradictionDelay)
+			if out := handle(r, later, f.established(later, vm, 1)); out[0].Target == 0 {
+				resetBy[vm] = true
+			}
+			for range 10 {
+				key := f.nextKey()
+				target, token := open(f.t, r, now.Add(time.Millisecond), key)
+				if target == 1 {
+					opened[key] = vm
+				} else {
+					handle(r, now.Add(2*time.Millisecond), data(key, token))
+				}
+				if now.Sub(begin) >= 2*callerRetransmissionDelay {
+					placed++
+					if target == 1 {
+						atDead++
+					}
+				}
+			}
+		}
+	}
+	return resetBy, atDead, placed
+}
+
+// Failure: while fewer than two VMs of a data centre are calm, the flows of a dead target are
+// never reset, and new ones go on being placed there.
+func TestDeadTargetIsFoundWithFewCalmVMs(t *testing.T) {
+	for _, test := range []struct{ vms, congested int }{{1, 1}, {2, 1}, {2, 2}, {3, 2}, {4, 3}, {4, 4}} {
+		t.Run(fmt.Sprintf("%d of %d VMs are congested", test.congested, test.vms), func(t *testing.T) {
+			f := newTestFleet(t, test.vms)
+			resetBy, atDead, placed := f.surroundSilence(start.Add(newIncarnationGrace), test.congested)
+			qt.Check(t, atDead*20 < placed, qt.IsTrue, qt.Commentf("%d of %d flows went to the dead target", atDead, placed))
+			qt.Assert(t, resetBy, qt.HasLen, test.vms)
+		})
+	}
+}
+
+// Failure: a congested VM ends flows on the report of a single other VM, or of two without any
+// evidence of its own, while a calm VM needs three.
+func TestCongestedVMNeedsMoreThanOneReport(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		reports int
+		own     bool
+		reset   bool
+	}{
+		{"one and own evidence", 1, true, false},
+		{"two", 2, false, false},
+		{"two and own evidence", 2, true, true},
+		{"three", 3, false, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newTestFleet(t, 5)
+			now := start.Add(newIncarnationGrace)
+			f.congest(0, 1, now.Add(time.Second))
+			if test.own {
+				f.findSilent(now, 0, 1)
+			}
+			now = now.Add(callerRetransmissionDelay)
+			f.routers[0].SetSilenceReports(now, map[baobabstep.TargetID]baobabstep.TargetLoad{1: {SilenceReports: silenceReports(test.reports, 2, now)}})
+			now = now.Add(contradictionDelay)
+			if next := f.established(now, 0, 1); test.reset {
+				assertReset(t, f.routers[0], now, next)
+			} else {
+				assertPassed(t, f.routers[0], now, next, 1)
+			}
+		})
+	}
+}
--- a/core/token/flow_tracking.go
+++ b/core/token/flow_tracking.go
@@ -47,6 +47,7 @@
 func (r *Router) noteUnanswered(now time.Time, f *flow, kind silenceKind) {
 	t := f.target
 	if r.congestedSince(f.requestSentAt) {
+		t.load.noteDelayed(now, f.requestSentAt, kind, r.alone())
 		r.record(now, EventSilenceIgnored, r.current.Load(), nil, t, nil)
 		return
 	}
@@ -59,7 +60,7 @@
 	t.load.noteUnanswered(now, kind)
 	r.record(now, EventSilent, r.current.Load(), nil, t, nil)
 	r.avoidIfRefusing(now, t)
-	t.load.updateVerdict(now, r.vmCount() == 1)
+	t.load.updateVerdict(now, r.alone())
 	r.alarms.add(t.id)
 }
 
@@ -78,13 +79,18 @@
 //
 // The target, and not this VM's own link, is at fault if another target of the service was
 // heard from within maxHearingAge. While the link is congested, the reports of other VMs
-// decide.
+// decide, or a silence that no congestion explains.
 func (r *Router) confirmedUnreachable(now time.Time, s *snapshot, t *target) bool {
-	alone := r.vmCount() == 1
+	alone := r.alone()
 	v := t.load.updateVerdict(now, alone)
 	unreachable := v.unreachable
-	if v.settled && r.congestedSince(now) {
-		unreachable = v.reported
+	switch {
+	case r.congestedSince(now):
+		unreachable = v.settled && v.reported || t.load.outlastsQueues(now)
+		v.settled = true
+	case alone && r.vmCount() > 1:
+		// The contradiction of a VM waits on its congested link.
+		v.settled = now.Sub(v.since) >= callerRetransmissionDelay
 	}
 	if !v.settled || !unreachable {
 		return false
--- a/core/token/health.go
+++ b/core/token/health.go
@@ -78,6 +78,8 @@
 	trialPause time.Duration
 	// unreachableSince is since when the target is found unreachable; zero while it is not.
 	unreachableSince time.Time
+	// delayed is what seemed silence while this VM's own link was congested.
+	delayed delayedSilence
 	avoidance
 }
 
@@ -220,17 +222,18 @@
 	return s.vms >= conclusiveVMs && s.opens > 0 && s.unanswered+s.opens >= unreachableThreshold
 }
 
-// isCorroborated reports whether the reports of other VMs suffice for a VM whose own link is
-// congested. Like own evidence and the report of another VM, they are those of two VMs whose
-// links are not.
+// isCorroborated reports whether the reports of other VMs suffice together with own evidence
+// from a congested link, which says less than that from a calm one.
 func (s silenceSummary) isCorroborated() bool {
 	return s.vms >= corroboratingVMs && s.opens > 0 && s.unanswered+s.opens >= unreachableThreshold
 }
 
 // verdict is whether a target is found unreachable.
 type verdict struct {
-	// unreachable is as in health, reported the same by the reports of other VMs alone.
+	// unreachable is as in health, reported the same for a VM whose own link is congested.
 	unreachable, reported bool
+	// since is since when one of them is set.
+	since time.Time
 	// settled is set once a VM that hears from the target would have said so, or if this VM
 	// found that the target does not answer on an open flow either.
 	settled bool
@@ -240,7 +243,7 @@
 // unreachable.
 func (h *health) updateVerdict(now time.Time, alone bool) verdict {
 	others := h.summariseReports(now)
-	v := verdict{unreachable: h.unreachableWith(now, alone, others), reported: others.isCorroborated()}
+	v := verdict{unreachable: h.unreachableWith(now, alone, others), reported: others.isConclusive() || others.isCorroborated() && h.leftUnanswered(now)}
 	switch {
 	case !v.unreachable && !v.reported:
 		h.unreachableSince = time.Time{}
@@ -248,6 +251,7 @@
 	case h.unreachableSince.IsZero():
 		h.unreachableSince = now
 	}
+	v.since = h.unreachableSince
 	v.settled = alone || h.unanswered > h.opens+h.vanished || now.Sub(h.unreachableSince) >= contradictionDelay
 	return v
 }
--- a/core/token/load.go
+++ b/core/token/load.go
@@ -93,6 +93,9 @@
 	answers := l.outcomes.Sample(now).Merge(l.otherAnswers)
 	onTrial := l.answerHealth.State == answer.OnTrial
 	suspect, needsProbe := l.health.status(now)
+	if l.health.seemsSilent(now) {
+		suspect, needsProbe = true, false
+	}
 	return assessment{
 		suspect: suspect, needsProbe: needsProbe,
 		ownRequests: l.ownRequests.read(now), otherRequests: l.otherRequests,
@@ -160,6 +163,25 @@
 	l.health.noteUnanswered(now, kind)
 }
 
+// noteDelayed records a flow that the target left unanswered while this VM's own link was
+// congested.
+func (l *load) noteDelayed(now, sentAt time.Time, kind silenceKind, alone bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.health.heardAt.After(sentAt) || l.health.othersHeardAt.After(sentAt) {
+		return
+	}
+	l.health.delayed.note(now, kind)
+	l.health.updateVerdict(now, alone)
+}
+
+// outlastsQueues reports whether the target was silent for longer than congestion explains.
+func (l *load) outlastsQueues(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.health.outlastsQueues(now)
+}
+
 // suspect reports whether new flows should avoid the target.
 func (l *load) suspect(now time.Time) bool {
 	l.mu.Lock()
@@ -270,6 +292,7 @@
 	l.markActive()
 	l.ownRequests.add(now, 1)
 	l.health.noteTrial(now)
+	l.health.delayed.trialAt = now.Add(minTrialPause)
 	l.nextTrial = now.Add(trialInterval)
 }
 
--- a/core/token/router.go
+++ b/core/token/router.go
@@ -64,6 +64,8 @@
 	pendingReviews targetSet
 	// vmsHeard is the number of other VMs heard from in each data centre.
 	vmsHeard atomic.Pointer[map[string]int]
+	// vmsCongested is the number of those in the own data centre whose links are congested.
+	vmsCongested atomic.Int32
 
 	// view lists the VMs of the data centre; nil until SetView is called.
 	view atomic.Pointer[quota.View]
--- a/emulator/vm.go
+++ b/emulator/vm.go
@@ -177,6 +177,7 @@
 
 func (v *vm) takeOthers(now time.Time) {
 	v.peerTable.MarkLoadsChanged(v.router.TakeNewTargets())
+	v.router.SetCongestedVMs(v.peerTable.CongestedCount(now))
 	v.router.SetPeerLoads(now, v.peerTable.Loads(now), v.peerTable.LiveCounts(now))
 	v.router.SetView(v.peerTable.View(now))
 }
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -278,6 +278,7 @@
 	n.requestMissingSections(now)
 	live := n.peerTable.LiveCounts(now)
 	n.peerTable.MarkLoadsChanged(n.router.TakeNewTargets())
+	n.router.SetCongestedVMs(n.peerTable.CongestedCount(now))
 	n.router.SetPeerLoads(now, n.peerTable.Loads(now), live)
 	if n.router.HasColdLimits() {
 		n.router.SetView(n.peerTable.View(now))
