--- a/core/token/alarm.go
+++ b/core/token/alarm.go
@@ -57,7 +57,7 @@
 			}
 			r.avoidIfRefusing(now, t)
 			t.load.updateVerdict(now, r.alone())
-			if t.load.contradictsReports(now) {
+			if r.enabled(MechanismCongestion) && t.load.contradictsReports(now) {
 				r.alarms.add(id)
 			}
 		}
--- a/core/token/answers.go
+++ b/core/token/answers.go
@@ -37,6 +37,10 @@
 	coldSlowdown   float64
 	// lastUrgentAt is when the last flow came that is not ordinary.
 	lastUrgentAt time.Time
+
+	// paths are the states of the paths to the targets in each data centre.
+	pathsLock sync.Mutex
+	paths     map[string]pathState
 }
 
 const (
--- a/core/token/congestion.go
+++ b/core/token/congestion.go
@@ -2,27 +2,20 @@
 
 import "time"
 
-// maxQueueDelay exceeds what datagrams may wait on a full link. A target of which nothing was
-// heard for longer is not silent on account of the wait alone.
-const maxQueueDelay = 2 * time.Second
-
 // delayedSilence counts the segments that a target left unanswered, since it was last heard
 // from, while this VM's own link was congested. They keep new flows away, since a caller that
-// is sent elsewhere loses nothing. They are not told to other VMs.
+// is sent elsewhere loses nothing. They are not told to other VMs,
+// and do not end open flows: a full link may lose all segments of a target for seconds.
 type delayedSilence struct {
 	flows, opens int
-	// since and at are when the first and the latest of them was counted, trialAt when the
-	// target may get a new flow.
-	since, at, trialAt time.Time
+	// at is when the latest of them was counted, trialAt when the target may get a new flow.
+	at, trialAt time.Time
 }
 
 func (d *delayedSilence) note(now time.Time, kind silenceKind) {
 	if kind == openVanished {
 		return // the first segment or its answer may be lost on the link
 	}
-	if d.flows == 0 {
-		d.since = now
-	}
 	d.flows++
 	if kind == openRepeated {
 		d.opens++
@@ -38,16 +31,7 @@
 
 // leftUnanswered reports whether this VM has fresh evidence of its own, from whatever link.
 func (h *health) leftUnanswered(now time.Time) bool {
-	return h.unanswered > 0 && now.Sub(h.unansweredAt) < evidenceLifetime || h.delayed.flows > 0 && now.Sub(h.delayed.at) < maxQueueDelay
-}
-
-// outlastsQueues reports whether the target was silent for longer than the wait on a congested
-// link explains, and no VM heard from it meanwhile.
-func (h *health) outlastsQueues(now time.Time) bool {
-	d := &h.delayed
-	spread := d.at.Sub(d.since) >= minTrialPause && now.Sub(d.at) < maxQueueDelay
-	silent := now.Sub(laterOf(d.since, h.othersHeardAt)) >= maxQueueDelay
-	return d.opens > 0 && d.flows+d.opens >= unreachableThreshold && spread && silent
+	return h.unanswered > 0 && now.Sub(h.unansweredAt) < evidenceLifetime || h.delayed.flows > 0 && now.Sub(h.delayed.at) < evidenceLifetime
 }
 
 // SetCongestedVMs sets the number of other live VMs of the data centre whose links are
--- a/core/token/flow.go
+++ b/core/token/flow.go
@@ -34,6 +34,8 @@
 	// countedUnanswered is set once the flow was counted against its target, so that it
 	// counts once until the target is heard from on it.
 	countedUnanswered bool
+	// repeatedAt is when a segment of the flow was last repeated after it was counted.
+	repeatedAt time.Time
 	// seq is the sequence number of the first packet: a caller that reuses its port starts
 	// with another one.
 	seq uint32
--- a/core/token/flow_tracking.go
+++ b/core/token/flow_tracking.go
@@ -79,15 +79,16 @@
 //
 // The target, and not this VM's own link, is at fault if another target of the service was
 // heard from within maxHearingAge. While the link is congested, the reports of other VMs
-// decide, or a silence that no congestion explains.
+// decide.
 func (r *Router) confirmedUnreachable(now time.Time, s *snapshot, t *target) bool {
 	alone := r.alone()
 	v := t.load.updateVerdict(now, alone)
 	unreachable := v.unreachable
 	switch {
-	case r.congestedSince(now):
-		unreachable = v.settled && v.reported || t.load.outlastsQueues(now)
+	case !r.enabled(MechanismCongestion):
 		v.settled = true
+	case r.congestedSince(now):
+		unreachable = v.reported
 	case alone && r.vmCount() > 1:
 		// The contradiction of a VM waits on its congested link.
 		v.settled = now.Sub(v.since) >= callerRetransmissionDelay
@@ -105,25 +106,57 @@
 // unreachable although VMs of that data centre are heard.
 const maxPathDelay = time.Second
 
+// pathReviewInterval is how long the state of a path is kept: all targets of a service are read
+// for it.
+const pathReviewInterval = 20 * time.Millisecond
+
+// pathState is whether all targets of a service in one data centre seem silent at once.
+type pathState struct {
+	at     time.Time
+	silent bool
+}
+
 // pathMayBeSlow reports whether the path to another data centre explains the silence of a
 // target: others there are silent as well, none is heard from, and the VMs there are alive.
 // If the data centre is cut off, its VMs are soon not heard any more.
 func (r *Router) pathMayBeSlow(now time.Time, targets []*target, t *target) bool {
 	name := t.registration.DataCentre
-	if name == r.options.DataCentre || (*r.vmsHeard.Load())[name] == 0 || now.Sub(laterOf(t.load.lastHeard())) >= maxPathDelay {
+	if !r.enabled(MechanismCongestion) || name == r.options.DataCentre || (*r.vmsHeard.Load())[name] == 0 {
 		return false
 	}
-	othersSilent := false
-	for _, other := range targets {
-		if other == t || other.registration.DataCentre != name {
+	return now.Sub(laterOf(t.load.lastHeard())) < maxPathDelay && t.service.pathSilent(now, name, targets)
+}
+
+// pathSilent reports whether several targets of the service in a data centre seem silent, and
+// none there was heard from lately.
+func (s *serviceStats) pathSilent(now time.Time, dataCentre string, targets []*target) bool {
+	s.pathsLock.Lock()
+	defer s.pathsLock.Unlock()
+	state, ok := s.paths[dataCentre]
+	if age := now.Sub(state.at); !ok || age < 0 || age >= pathReviewInterval {
+		state = pathState{at: now, silent: severalSilent(now, dataCentre, targets)}
+		if s.paths == nil {
+			s.paths = make(map[string]pathState)
+		}
+		s.paths[dataCentre] = state
+	}
+	return state.silent
+}
+
+func severalSilent(now time.Time, dataCentre string, targets []*target) bool {
+	silent := 0
+	for _, t := range targets {
+		if t.registration.DataCentre != dataCentre {
 			continue
 		}
-		if now.Sub(laterOf(other.load.lastHeard())) < callerRetransmissionDelay {
+		if now.Sub(laterOf(t.load.lastHeard())) < callerRetransmissionDelay {
 			return false
 		}
-		othersSilent = othersSilent || other.load.foundSilent(now)
+		if t.load.foundSilent(now) {
+			silent++
+		}
 	}
-	return othersSilent
+	return silent > 1
 }
 
 func laterOf(a, b time.Time) time.Time {
@@ -221,9 +254,8 @@
 			f.beginRequest(now)
 			f.target.load.countRequest(now)
 		}
-	} else if p.Size > 0 && !progress && !f.countedUnanswered && now.Sub(f.requestSentAt) >= minRetransmissionDelay {
-		f.countedUnanswered = true
-		r.noteUnanswered(now, f, requestRepeated)
+	} else if p.Size > 0 && !progress {
+		r.noteRepetition(now, f)
 	}
 	f.lastPacketAt = now
 	if progress {
@@ -238,6 +270,24 @@
 	}
 }
 
+// noteRepetition counts a flow whose request is repeated. Further repetitions renew the evidence.
+func (r *Router) noteRepetition(now time.Time, f *flow) {
+	switch {
+	case !f.countedUnanswered:
+		if now.Sub(f.requestSentAt) < minRetransmissionDelay {
+			return
+		}
+		f.countedUnanswered = true
+		r.noteUnanswered(now, f, requestRepeated)
+	case now.Sub(f.repeatedAt) < minRetransmissionDelay:
+		return // another segment of the same repetition
+	case !r.congestedSince(f.repeatedAt) && f.target.load.renewUnanswered(now, f.repeatedAt):
+		f.target.load.updateVerdict(now, r.alone())
+		r.alarms.add(f.target.id)
+	}
+	f.repeatedAt = now
+}
+
 // beginRequest records the start of a request.
 func (f *flow) beginRequest(now time.Time) {
 	f.requestSentAt, f.timingPending, f.outcomePending, f.answerPending, f.latency = now, true, true, true, 0
--- a/core/token/health.go
+++ b/core/token/health.go
@@ -151,10 +151,10 @@
 }
 
 // firstSent returns when the last segment of a report was first sent, and whether the report
-// is usable: it is fresh, and the link of its sender was not congested since.
+// is usable: it is fresh, and the link of its sender was not congested while the evidence arose.
 func firstSent(now time.Time, r baobabstep.SilenceReport) (sentAt time.Time, usable bool) {
 	sentAt = r.LastUnansweredAt.Add(-callerRetransmissionDelay)
-	congested := !r.CongestedAt.IsZero() && !r.CongestedAt.Before(sentAt.Add(-congestionMargin))
+	congested := !r.CongestedAt.IsZero() && !r.CongestedAt.Before(sentAt.Add(-congestionMargin)) && !r.CongestedAt.After(r.LastUnansweredAt)
 	return sentAt, !congested && now.Sub(r.LastUnansweredAt) < evidenceLifetime
 }
 
--- a/core/token/load.go
+++ b/core/token/load.go
@@ -163,6 +163,19 @@
 	l.health.noteUnanswered(now, kind)
 }
 
+// renewUnanswered renews the evidence against the target after a further repetition of a
+// counted segment, and reports whether it did. sentAt is when the segment was sent before.
+func (l *load) renewUnanswered(now, sentAt time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.health.unanswered == 0 || l.health.heardAt.After(sentAt) || l.health.othersHeardAt.After(sentAt) {
+		return false
+	}
+	l.markActive()
+	l.health.unansweredAt, l.health.repeatedAt = now, now
+	return true
+}
+
 // noteDelayed records a flow that the target left unanswered while this VM's own link was
 // congested.
 func (l *load) noteDelayed(now, sentAt time.Time, kind silenceKind, alone bool) {
@@ -175,13 +188,6 @@
 	l.health.updateVerdict(now, alone)
 }
 
-// outlastsQueues reports whether the target was silent for longer than congestion explains.
-func (l *load) outlastsQueues(now time.Time) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.health.outlastsQueues(now)
-}
-
 // suspect reports whether new flows should avoid the target.
 func (l *load) suspect(now time.Time) bool {
 	l.mu.Lock()
@@ -313,8 +319,8 @@
 }
 
 // setPeerLoad sets the target's load on other VMs, and reports whether that ended an
-// avoidance.
-func (l *load) setPeerLoad(peers baobabstep.TargetLoad) (resumed bool) {
+// avoidance. alone is as in updateVerdict.
+func (l *load) setPeerLoad(now time.Time, peers baobabstep.TargetLoad, alone bool) (resumed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(peers.SilenceReports) > 0 {
@@ -323,7 +329,9 @@
 	l.otherRequests = peers.Requests
 	l.otherAnswers = answer.Sample{Answers: peers.Answers, Failed: peers.Failed, Latency: peers.MeanLatency}
 	l.otherCallers = answer.CallerSet(peers.Callers)
-	return l.health.setSilence(peers)
+	resumed = l.health.setSilence(peers)
+	l.health.updateVerdict(now, alone)
+	return resumed
 }
 
 // unansweredCounts returns the number of consecutive flows that were left unanswered, and
--- a/core/token/mechanism.go
+++ b/core/token/mechanism.go
@@ -47,7 +47,7 @@
 	// MechanismColdLimits: the new flows of all VMs to a cold target are limited.
 	MechanismColdLimits // cold_limits
 	// MechanismCongestion: what VMs observe of targets while their own links are congested
-	// does not count.
+	// does not count, and verdicts wait for contradictions and for slow paths.
 	MechanismCongestion // congestion
 	// MechanismLinkAdmission: new bulk flows wait, or are refused, where the VM's own link
 	// is full of bulk flows.
--- a/core/token/router.go
+++ b/core/token/router.go
@@ -186,14 +186,14 @@
 // to them would be lost.
 func (r *Router) SetPeerLoads(now time.Time, loads map[baobabstep.TargetID]baobabstep.TargetLoad, heard map[string]int) {
 	r.vmsHeard.Store(&heard)
-	targets := r.current.Load().targets
+	targets, alone := r.current.Load().targets, r.alone()
 	for _, id := range slices.Sorted(maps.Keys(loads)) { // sorted, so that events are recorded in a deterministic order
 		t := targets[id]
 		if t == nil {
 			continue
 		}
 		load := r.applicableLoad(loads[id])
-		if t.load.setPeerLoad(load) {
+		if t.load.setPeerLoad(now, load, alone) {
 			r.noteHeardAgain(now, t)
 		}
 		if load.Failed > 0 {
