--- a/core/token/alarm.go
+++ b/core/token/alarm.go
@@ -56,8 +56,8 @@
 				r.noteHeardAgain(now, t)
 			}
 			r.avoidIfRefusing(now, t)
-			t.load.updateVerdict(now, r.vmCount() == 1)
-			if t.load.contradictsReports(now) {
+			t.load.updateVerdict(now, r.alone())
+			if r.enabled(MechanismCongestion) && t.load.contradictsReports(now) {
 				r.alarms.add(id)
 			}
 		}
--- a/core/token/answers.go
+++ b/core/token/answers.go
@@ -40,6 +40,10 @@
 	gate room.Gate
 	// lastUrgentAt is when the last flow came that is not ordinary.
 	lastUrgentAt time.Time
+
+	// paths are the states of the paths to the targets in each data centre.
+	pathsLock sync.Mutex
+	paths     map[string]pathState
 }
 
 const (
