--- a/core/bulk/decision.go
+++ b/core/bulk/decision.go
@@ -2,30 +2,31 @@
 
 //go:generate stringer -type=Decision -linecomment -output=decision_string.go
 
-// Decision is what becomes of a new bulk flow.
+// Decision is the outcome of the admission of a new bulk flow.
 type Decision uint8
 
 // Decisions. The line comment of each is its name in metrics.
 const (
-	// Admitted: the first segment goes on.
+	// Admitted: the first segment is forwarded.
 	Admitted Decision = iota // admitted
-	// Held: the first segment waits.
+	// Held: the first segment is queued.
 	Held // held
-	// AlreadyHeld: the segment is a copy of one that waits, and is dropped.
+	// AlreadyHeld: the segment is a retransmission of one that is held, and is dropped.
 	AlreadyHeld // already_held
 	// TooLate: the flow would not be admitted in time, and is refused.
 	TooLate // too_late
 	// NoRoom: the queue is full, and the flow is refused.
 	NoRoom // no_room
-	// Displaced: the flow lost its place to a caller with fewer waiting flows, and is
-	// refused.
+	// Displaced: the queue is full, and the flow made room for a caller with fewer held flows.
+	// It is refused.
 	Displaced // displaced
 	// Expired: the flow was not admitted in time, and is refused.
 	Expired // expired
-	// Stopping: the VM stops, and the flow is refused.
+	// Stopping: the VM is shutting down, and the flow is refused.
 	Stopping // stopping
-	// Overdue: the caller's next copy did not arrive, since another VM got it or the caller
-	// has an answer. The segment is dropped without a reset, which might end an open flow.
+	// Overdue: the caller's next retransmission did not arrive, because another VM received
+	// it or the caller has an answer. The segment is dropped without a reset, which could end
+	// an open flow.
 	Overdue // overdue
 	numDecisions
 )
--- a/core/bulk/gate.go
+++ b/core/bulk/gate.go
@@ -1,24 +1,25 @@
-// Package bulk decides when a VM lets a new bulk flow onto its own link.
+// Package bulk implements admission control for bulk flows on a VM's own link.
 //
 // # The model
 //
-// A bulk flow sends a request of many segments and keeps a whole window of them in flight,
-// however many other flows there are. Each flow that sends therefore adds a window to the
-// queue before the VM's link:
+// A bulk flow sends a request of many segments and keeps a full window in flight, regardless
+// of the number of other flows. Each sending flow therefore adds a window to the queue before
+// the VM's link:
 //
-//	wait = flows that send x window / rate of the link
+//	queueing delay = sending flows x window / link rate
 //
-// From a wait of 200 ms on, callers retransmit segments that are still queued, and the link
-// carries everything twice. One flow that sends is already enough to fill the link, so
-// fewer flows at a time finish just as many in a second, and small requests pass quickly.
+// At a queueing delay of 200 ms or more, callers retransmit segments that are still queued,
+// and the link carries everything twice. A single sending flow can fill the link, so limiting
+// the number of concurrent flows does not reduce throughput, and keeps the latency of small
+// requests low.
 //
-// A [Gate] admits a bulk flow if few enough send, and otherwise holds its first segment in
-// a queue. Nothing has run for a flow that is held: its caller waits, or opens another flow
-// through another VM. The gate refuses what would not be admitted in time, since a caller
-// that is refused at once tries again elsewhere.
+// A [Gate] admits a bulk flow if the number of sending flows is below a limit, and otherwise
+// holds its first segment in a queue. No request has been started for a held flow: its caller
+// waits, or opens another flow through another VM. The gate refuses flows that would not be
+// admitted in time, since a caller that is refused immediately retries through another VM.
 //
-// Callers take turns in the queue. A caller with many flows waits for its own flows, and a
-// caller with one flow waits for one flow of each of the others.
+// The queue is served round-robin by caller: a caller with many flows waits for its own
+// flows, and a caller with one flow waits for one flow of each of the others.
 //
 // A Gate starts no goroutines, and takes the current time as an argument.
 package bulk
@@ -34,48 +35,50 @@
 )
 
 const (
-	// callerWindow is how many bytes a caller keeps in flight, headers included.
+	// callerWindow is a caller's window in bytes, including headers.
 	callerWindow = 16 * 1270
-	// targetWait is the wait that the flows that send may cause.
-	targetWait = 40 * time.Millisecond
-	// busyShare is the share of the link's rate from which flows that send are the cause of
-	// a queue. Below it, they are slow for other reasons.
-	busyShare = 0.5
-	// loadDelay is how long the load of a link lags behind the flows that were admitted.
+	// targetQueueDelay is the maximum queueing delay that sending flows may cause.
+	targetQueueDelay = 40 * time.Millisecond
+	// congestedUtilization is the link utilization at or above which a queue is attributed to
+	// the sending flows. Below it, other causes limit their rate.
+	congestedUtilization = 0.5
+	// loadDelay is the time until admitted flows are reflected in the load of the link.
 	loadDelay = 150 * time.Millisecond
-	// maxSendingPause is the time without payload after which a flow no longer counts as
-	// one that sends. Callers retransmit after 200 ms.
-	maxSendingPause = 250 * time.Millisecond
-	// sweepInterval is the time between two searches for flows that paused.
+	// sendingIdleTimeout is the time without payload after which a flow no longer counts as
+	// sending. It exceeds the 200 ms after which callers retransmit.
+	sendingIdleTimeout = 250 * time.Millisecond
+	// sweepInterval is the minimum interval between sweeps for idle flows.
 	sweepInterval = 25 * time.Millisecond
-	// tryDuration is how long a caller waits for the answer to its first segment, and
-	// openingTime what the rest of the opening takes once the segment goes on.
-	tryDuration = 1400 * time.Millisecond
-	openingTime = 250 * time.Millisecond
-	// copyTolerance is how much earlier or later than expected a copy may arrive: by the wait
-	// before a link, and the time until an answer reaches the caller.
-	copyTolerance = targetWait + 10*time.Millisecond
-	// maxExpectedWait is the longest expected wait for which any flow is held.
+	// openingTimeout is how long a caller waits for the answer to its first segment, and
+	// remainingOpeningTime the time that the opening takes once the segment is forwarded.
+	openingTimeout       = 1400 * time.Millisecond
+	remainingOpeningTime = 250 * time.Millisecond
+	// retransmissionTolerance is how much earlier or later than expected a retransmission may
+	// arrive. It covers the queueing delay before a link and the time until an answer reaches
+	// the caller.
+	retransmissionTolerance = targetQueueDelay + 10*time.Millisecond
+	// maxExpectedWait is the upper bound on the expected wait of a held flow.
 	maxExpectedWait = 800 * time.Millisecond
 	// rateWindow is the window over which admissions are counted.
 	rateWindow = time.Second
-	// minBulkShare is the least share of the link that bulk flows are expected to get.
+	// minBulkShare is the minimum share of the link that bulk flows are assumed to get.
 	minBulkShare = 0.5
-	// maxDisplaced bounds the displaced segments that Release has not returned yet.
+	// maxDisplaced limits the displaced segments that Release has not returned yet.
 	maxDisplaced = 64
 )
 
-// retransmittedAfter is how long after the first copy of a first segment each further copy
-// is sent.
-var retransmittedAfter = [...]time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond}
+// retransmissionOffsets are the times at which a caller sends a first segment and its
+// retransmissions, relative to the first transmission.
+var retransmissionOffsets = [...]time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond}
 
-// Options configures a [Gate]. Zero values select the defaults given with each field.
+// Options configures a [Gate]. The zero value of a field selects its default.
 type Options struct {
 	// BytesPerSecond is the rate of the link. If it is 0, the rate is unknown and every
 	// flow is admitted.
 	BytesPerSecond float64
-	// MaxHeld and MaxHeldBytes bound the first segments that are held (256, or four times as
-	// many as may send at once on a large link; 256 bytes each).
+	// MaxHeld and MaxHeldBytes limit the number and the total size of held first segments. The
+	// defaults are 256 segments, or four times the limit of sending flows if that is more, and
+	// 256 bytes per segment.
 	MaxHeld, MaxHeldBytes int
 }
 
@@ -87,11 +90,11 @@
 	refused [numDecisions]atomic.Uint64
 
 	mu sync.Mutex
-	// sending are the admitted bulk flows that send, by the time of their last payload.
+	// sending maps the bulk flows that send to the time of their last payload.
 	sending map[baobabstep.FlowKey]time.Time
 	sweptAt time.Time
-	// admitted are the times of the latest admissions in a ring; oldest is the index of the
-	// oldest one.
+	// admitted is a ring buffer of the times of the latest admissions; oldest is the index of
+	// the oldest one.
 	admitted []time.Time
 	oldest   int
 	queue    *queue
@@ -101,7 +104,7 @@
 	stopped       bool
 }
 
-// New returns a gate that holds nothing.
+// New returns a gate with an empty queue.
 func New(o Options) *Gate {
 	o.MaxHeld = cmp.Or(o.MaxHeld, max(256, 4*o.limit()))
 	o.MaxHeldBytes = cmp.Or(o.MaxHeldBytes, 256*o.MaxHeld)
@@ -115,14 +118,14 @@
 // Active reports whether the gate may hold flows.
 func (g *Gate) Active() bool { return g.options.BytesPerSecond > 0 }
 
-// limit returns the number of flows that may send at once while the link is busy.
+// limit returns the maximum number of concurrently sending flows while the link is congested.
 func (g *Gate) limit() int { return g.options.limit() }
 
 func (o *Options) limit() int {
-	return max(1, int(targetWait.Seconds()*o.BytesPerSecond/callerWindow))
+	return max(1, int(targetQueueDelay.Seconds()*o.BytesPerSecond/callerWindow))
 }
 
-// Route is what the gate needs to know of a flow's route.
+// Route holds the properties of a flow's route that admission depends on.
 type Route struct {
 	// MeanSize is the mean size of its requests in bytes.
 	MeanSize float64
@@ -130,8 +133,8 @@
 	Objective time.Duration
 }
 
-// maxWait returns the longest expected wait for which a flow is held. What waits longer
-// leaves too little of the objective for the request itself.
+// maxWait returns the longest expected wait for which a flow is held. A longer wait leaves too
+// little of the objective for the request itself.
 func (r Route) maxWait() time.Duration {
 	if r.Objective <= 0 {
 		return maxExpectedWait
@@ -139,8 +142,8 @@
 	return min(maxExpectedWait, r.Objective/2)
 }
 
-// Offer decides on the first segment of a new bulk flow. load is the present use of the
-// link. The gate keeps a copy of a segment that it holds.
+// Offer decides on the first segment of a new bulk flow. load is the current load of the link.
+// The gate copies the segments that it holds.
 func (g *Gate) Offer(now time.Time, p *baobabstep.Segment, route Route, load baobabstep.LinkLoad) Decision {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -151,16 +154,16 @@
 }
 
 func (g *Gate) decide(now time.Time, p *baobabstep.Segment, route Route, load baobabstep.LinkLoad) Decision {
-	deadline := now.Add(tryDuration - openingTime - retransmittedAfter[min(p.Acked, uint32(len(retransmittedAfter)-1))])
+	deadline := now.Add(openingTimeout - remainingOpeningTime - retransmissionOffsets[min(p.Acked, uint32(len(retransmissionOffsets)-1))])
 	if h := g.queue.find(p.Flow); h != nil {
 		if h.segment.Seq == p.Seq {
-			h.repeat(now, p.Acked, deadline)
-			g.queue.noteEnd(h)
+			h.recordRetransmission(now, p.Acked, deadline)
+			g.queue.updateNextEnd(h)
 			return AlreadyHeld
 		}
 		g.queue.remove(h) // the caller reuses its port
 	}
-	if g.queue.count == 0 && !g.isFull(now, load) {
+	if g.queue.count == 0 && !g.isLinkFull(now, load) {
 		g.admit(now, p.Flow)
 		return Admitted
 	}
@@ -177,23 +180,23 @@
 	return Held
 }
 
-// isFull reports whether one more flow would make the queue before the link too long.
-func (g *Gate) isFull(now time.Time, load baobabstep.LinkLoad) bool {
+// isLinkFull reports whether another sending flow would exceed the limit of queueing delay.
+func (g *Gate) isLinkFull(now time.Time, load baobabstep.LinkLoad) bool {
 	g.sweep(now)
 	if len(g.sending) < g.limit() {
 		return false
 	}
-	return max(load.Received, load.Sent) >= busyShare || now.Sub(g.admitted[g.oldest]) < loadDelay
+	return max(load.Received, load.Sent) >= congestedUtilization || now.Sub(g.admitted[g.oldest]) < loadDelay
 }
 
-// sweep removes flows that paused.
+// sweep removes idle flows.
 func (g *Gate) sweep(now time.Time) {
 	if now.Sub(g.sweptAt) < sweepInterval {
 		return
 	}
 	g.sweptAt = now
 	for key, last := range g.sending {
-		if now.Sub(last) >= maxSendingPause {
+		if now.Sub(last) >= sendingIdleTimeout {
 			delete(g.sending, key)
 		}
 	}
@@ -207,15 +210,15 @@
 	g.oldest = (g.oldest + 1) % len(g.admitted)
 }
 
-// expectedWait returns how long a new flow would wait for those before it. While flows
-// wait, as many are admitted as complete.
+// expectedWait returns how long a new flow would wait for those ahead of it. The rate of
+// admissions estimates that of completions, as the two are equal while flows are held.
 func (g *Gate) expectedWait(now time.Time, p *baobabstep.Segment, size float64) time.Duration {
 	perSecond := max(g.admissions*decay.Factor(now.Sub(g.lastAdmission), rateWindow)/rateWindow.Seconds(), minBulkShare*g.options.BytesPerSecond/max(size, callerWindow))
 	return time.Duration(float64(g.queue.ahead(p.Flow.Caller.Addr())+1) / perSecond * float64(time.Second))
 }
 
-// makeRoom reports whether the queue has room for one more segment. If it is full, the
-// caller with the most waiting flows loses its latest one to a caller with fewer.
+// makeRoom reports whether the queue has room for another segment. If it is full, the latest
+// flow of the caller with the most held flows is displaced in favour of a caller with fewer.
 func (g *Gate) makeRoom(p *baobabstep.Segment) bool {
 	hasRoom := func() bool {
 		return g.queue.count < g.options.MaxHeld && g.queue.bytes+len(p.Raw) <= g.options.MaxHeldBytes
@@ -234,7 +237,7 @@
 	return true
 }
 
-// Payload records that a bulk flow sent payload of a request that is not answered yet.
+// Payload records that a bulk flow sent payload of a request that is still unanswered.
 func (g *Gate) Payload(now time.Time, key baobabstep.FlowKey) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -249,8 +252,8 @@
 	delete(g.sending, key)
 }
 
-// Withdraw forgets the first segment of a flow if it is held, because the flow was opened
-// otherwise.
+// Withdraw removes the first segment of a flow if it is held, because the flow was opened by
+// other means.
 func (g *Gate) Withdraw(key baobabstep.FlowKey) {
 	if g.Waiting() == 0 {
 		return
@@ -263,7 +266,7 @@
 	g.setWaiting()
 }
 
-// Cancel forgets a flow that was admitted or held and will not be opened.
+// Cancel removes a flow that was admitted or held and will not be opened.
 func (g *Gate) Cancel(key baobabstep.FlowKey) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -274,7 +277,7 @@
 	g.setWaiting()
 }
 
-// Released is a first segment that is held no longer.
+// Released is a first segment that is no longer held.
 type Released struct {
 	// Decision is Admitted or the cause of the refusal.
 	Decision Decision
@@ -283,7 +286,7 @@
 	Waited time.Duration
 }
 
-// Release returns the first segments that go on now, are refused, or are dropped.
+// Release returns the first segments that are to be forwarded, refused or dropped now.
 func (g *Gate) Release(now time.Time, load baobabstep.LinkLoad) (list []Released) {
 	if g.Waiting() == 0 {
 		return nil
@@ -303,7 +306,7 @@
 			list = append(list, g.release(now, h, Stopping))
 		}
 	}
-	for g.queue.count > 0 && !g.isFull(now, load) {
+	for g.queue.count > 0 && !g.isLinkFull(now, load) {
 		h := g.queue.next(now)
 		if h == nil {
 			break
@@ -315,16 +318,16 @@
 	return list
 }
 
-// release returns what becomes of a segment that was removed from the queue.
+// release returns the result for a segment that was removed from the queue.
 func (g *Gate) release(now time.Time, h *held, d Decision) Released {
-	if !h.isCurrent(now) {
+	if !h.isLatestCopy(now) {
 		d = Overdue
 	}
 	g.countRefusal(d)
 	return Released{Decision: d, Segment: h.segment, Waited: now.Sub(h.since)}
 }
 
-// Stop makes the gate hold nothing from now on. The next Release refuses all that waits.
+// Stop makes the gate hold no further flows. The next Release refuses all held flows.
 func (g *Gate) Stop() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -334,7 +337,7 @@
 // Waiting returns the number of first segments that are held.
 func (g *Gate) Waiting() int { return int(g.waiting.Load()) }
 
-// Pending returns a channel that holds a value if first segments may be held.
+// Pending returns a channel that is readable if first segments may be held.
 func (g *Gate) Pending() <-chan struct{} { return g.pending }
 
 func (g *Gate) setWaiting() {
--- a/core/bulk/gate_test.go
+++ b/core/bulk/gate_test.go
@@ -16,15 +16,15 @@
 
 const testSize = 40_000
 
-func offer(g *Gate, now time.Time, key baobabstep.FlowKey, copies uint32) Decision {
-	return g.Offer(now, firstSegment(key, copies), Route{MeanSize: testSize}, full)
+func offer(g *Gate, now time.Time, key baobabstep.FlowKey, retransmissions uint32) Decision {
+	return g.Offer(now, firstSegment(key, retransmissions), Route{MeanSize: testSize}, full)
 }
 
-func firstSegment(key baobabstep.FlowKey, copies uint32) *baobabstep.Segment {
-	return &baobabstep.Segment{Flow: key, Seq: 1, Acked: copies, Raw: make([]byte, 31)}
+func firstSegment(key baobabstep.FlowKey, retransmissions uint32) *baobabstep.Segment {
+	return &baobabstep.Segment{Flow: key, Seq: 1, Acked: retransmissions, Raw: make([]byte, 31)}
 }
 
-// fullGate returns a gate of a link of 10 Mbit/s with as many flows that send as it allows.
+// fullGate returns a gate for a link of 10 Mbit/s on which the limit of sending flows is reached.
 func fullGate(t *testing.T) *Gate {
 	t.Helper()
 	g := New(Options{BytesPerSecond: modelRate})
@@ -34,7 +34,7 @@
 	return g
 }
 
-// assertReleased checks the flows and the decision of what goes on at a time.
+// assertReleased checks the decision and the flows of the segments released at a time.
 func assertReleased(t *testing.T, g *Gate, now time.Time, want Decision, keys ...baobabstep.FlowKey) {
 	t.Helper()
 	list := g.Release(now, full)
@@ -45,7 +45,7 @@
 	}
 }
 
-// complete ends all flows that send.
+// complete completes all sending flows.
 func complete(g *Gate) {
 	for key := range g.sending {
 		g.Complete(key)
@@ -56,8 +56,8 @@
 	later := start.Add(50 * time.Millisecond)
 	waiting := flowOf(2, 1)
 
-	// Guards against a flow that is held although a slot is free again.
-	t.Run("a held flow goes on when another completes", func(t *testing.T) {
+	// Guards against a flow that stays held after a slot is free again.
+	t.Run("a held flow is admitted when another completes", func(t *testing.T) {
 		g := fullGate(t)
 		qt.Assert(t, offer(g, start, waiting, 0), qt.Equals, Held)
 		assertReleased(t, g, later, Admitted)
@@ -65,78 +65,78 @@
 		assertReleased(t, g, later, Admitted, waiting)
 		qt.Check(t, g.Waiting(), qt.Equals, 0)
 	})
-	// Guards against two first segments of one flow, which open it at two targets.
-	t.Run("copies of a held segment are dropped", func(t *testing.T) {
+	// Guards against forwarding two first segments of one flow, which opens it at two targets.
+	t.Run("retransmissions of a held segment are dropped", func(t *testing.T) {
 		g := fullGate(t)
 		qt.Assert(t, offer(g, start, waiting, 0), qt.Equals, Held)
 		qt.Check(t, offer(g, start.Add(200*time.Millisecond), waiting, 1), qt.Equals, AlreadyHeld)
 		qt.Check(t, g.Waiting(), qt.Equals, 1)
 	})
-	// Guards against a flow that is opened although its caller has given up.
-	t.Run("nothing goes on after its deadline", func(t *testing.T) {
+	// Guards against opening a flow after its caller has given up.
+	t.Run("nothing is forwarded after its deadline", func(t *testing.T) {
 		g := fullGate(t)
 		qt.Assert(t, offer(g, start, waiting, 0), qt.Equals, Held)
-		for i, after := range retransmittedAfter[1:] {
+		for i, after := range retransmissionOffsets[1:] {
 			qt.Assert(t, offer(g, start.Add(after), waiting, uint32(i+1)), qt.Equals, AlreadyHeld)
 		}
-		late := start.Add(tryDuration - openingTime)
+		late := start.Add(openingTimeout - remainingOpeningTime)
 		complete(g)
 		assertReleased(t, g, late, Expired, waiting)
 		qt.Check(t, g.Refusals()["expired"], qt.Equals, uint64(1))
 	})
-	// Guards against a flow that goes on or is reset although another VM got the next copy and
-	// may have opened it.
-	t.Run("nothing goes on while the next copy may be elsewhere", func(t *testing.T) {
+	// Guards against forwarding or resetting a flow that another VM may have opened with the
+	// next retransmission.
+	t.Run("nothing is forwarded while another VM may have the next retransmission", func(t *testing.T) {
 		g := fullGate(t)
 		qt.Assert(t, offer(g, start, waiting, 0), qt.Equals, Held)
 		complete(g)
-		assertReleased(t, g, start.Add(200*time.Millisecond-copyTolerance), Admitted)
+		assertReleased(t, g, start.Add(200*time.Millisecond-retransmissionTolerance), Admitted)
 		qt.Check(t, g.Waiting(), qt.Equals, 1)
 		qt.Assert(t, offer(g, start.Add(200*time.Millisecond), waiting, 1), qt.Equals, AlreadyHeld)
 		assertReleased(t, g, start.Add(200*time.Millisecond), Admitted, waiting)
 	})
-	t.Run("what lacks its next copy is dropped", func(t *testing.T) {
+	t.Run("a segment without its next retransmission is dropped", func(t *testing.T) {
 		for i, due := range []time.Duration{200 * time.Millisecond, 400 * time.Millisecond} {
 			g := fullGate(t)
 			qt.Assert(t, offer(g, start, waiting, uint32(i)), qt.Equals, Held)
-			assertReleased(t, g, start.Add(due+copyTolerance), Overdue, waiting)
+			assertReleased(t, g, start.Add(due+retransmissionTolerance), Overdue, waiting)
 		}
 	})
-	// Guards against a reset that ends a flow which another VM has opened.
-	t.Run("a stop while the next copy may be elsewhere resets nothing", func(t *testing.T) {
+	// Guards against a reset that ends a flow opened by another VM.
+	t.Run("a stop while another VM may have the next retransmission resets nothing", func(t *testing.T) {
 		g := fullGate(t)
 		qt.Assert(t, offer(g, start, waiting, 0), qt.Equals, Held)
 		g.Stop()
 		assertReleased(t, g, start.Add(200*time.Millisecond), Overdue, waiting)
 	})
-	t.Run("a repeated copy is not the next one", func(t *testing.T) {
+	t.Run("a duplicate does not count as the next retransmission", func(t *testing.T) {
 		g := fullGate(t)
 		qt.Assert(t, offer(g, start, waiting, 0), qt.Equals, Held)
 		qt.Assert(t, offer(g, start.Add(100*time.Millisecond), waiting, 0), qt.Equals, AlreadyHeld)
-		assertReleased(t, g, start.Add(200*time.Millisecond+copyTolerance), Overdue, waiting)
+		assertReleased(t, g, start.Add(200*time.Millisecond+retransmissionTolerance), Overdue, waiting)
 	})
-	t.Run("a copy sets an earlier deadline", func(t *testing.T) {
+	t.Run("a delayed retransmission sets an earlier deadline", func(t *testing.T) {
 		g := fullGate(t)
 		qt.Assert(t, offer(g, start, waiting, 0), qt.Equals, Held)
 		qt.Assert(t, offer(g, start.Add(100*time.Millisecond), waiting, 2), qt.Equals, AlreadyHeld)
-		assertReleased(t, g, start.Add(tryDuration-openingTime-500*time.Millisecond), Expired, waiting)
+		assertReleased(t, g, start.Add(openingTimeout-remainingOpeningTime-500*time.Millisecond), Expired, waiting)
 	})
-	t.Run("a further copy has less time", func(t *testing.T) {
+	t.Run("a later retransmission has an earlier deadline", func(t *testing.T) {
 		g := fullGate(t)
 		qt.Assert(t, offer(g, start, waiting, 2), qt.Equals, Held)
-		assertReleased(t, g, start.Add(tryDuration-openingTime-600*time.Millisecond), Expired, waiting)
+		assertReleased(t, g, start.Add(openingTimeout-remainingOpeningTime-600*time.Millisecond), Expired, waiting)
 	})
-	t.Run("what would wait too long is refused at once", func(t *testing.T) {
+	t.Run("a flow with too long an expected wait is refused immediately", func(t *testing.T) {
 		g := fullGate(t)
 		counts := make(map[Decision]int)
 		for i := range 100 {
 			counts[offer(g, start, flowOf(2, i), 0)]++
 		}
-		// At half of the link, 15 uploads of 40 kB complete in a second.
+		// Half of the link's rate completes 15 uploads of 40 kB per second.
 		qt.Check(t, counts[Held], qt.Equals, int(maxExpectedWait.Seconds()*minBulkShare*modelRate/testSize))
 		qt.Check(t, counts[Held]+counts[TooLate], qt.Equals, 100)
 	})
-	// Guards against flows that are held although they would miss their objective.
+	// Guards against holding flows that would miss their objective.
 	t.Run("the objective bounds the expected wait", func(t *testing.T) {
 		for _, test := range []struct{ objective, want time.Duration }{
 			{0, maxExpectedWait}, {400 * time.Millisecond, 200 * time.Millisecond}, {time.Minute, maxExpectedWait},
@@ -148,8 +148,8 @@
 			qt.Check(t, g.Waiting(), qt.Equals, int(test.want.Seconds()*minBulkShare*modelRate/testSize))
 		}
 	})
-	// Guards against a caller whose many flows push out all others.
-	t.Run("callers take turns", func(t *testing.T) {
+	// Guards against a caller with many flows that starves the others.
+	t.Run("callers are served round-robin", func(t *testing.T) {
 		g := fullGate(t)
 		for i := range 100 {
 			offer(g, start, flowOf(2, i), 0)
@@ -170,7 +170,7 @@
 		qt.Check(t, offer(g, start, flowOf(3, 1), 0), qt.Equals, Held)
 		assertReleased(t, g, start, Displaced, flowOf(2, 3))
 	})
-	// Guards against a VM that stops with a queue, whose callers wait for their time limits.
+	// Guards against callers of held flows that wait for their timeout when the VM stops.
 	t.Run("a stop refuses what is held", func(t *testing.T) {
 		g := fullGate(t)
 		qt.Assert(t, offer(g, start, waiting, 0), qt.Equals, Held)
@@ -178,14 +178,14 @@
 		assertReleased(t, g, start, Stopping, waiting)
 		qt.Check(t, offer(g, start, waiting, 0), qt.Equals, Stopping)
 	})
-	// Guards against new flows that pass those that wait.
-	t.Run("a new flow waits behind those that wait", func(t *testing.T) {
+	// Guards against new flows that overtake held ones.
+	t.Run("a new flow waits behind held flows", func(t *testing.T) {
 		g := fullGate(t)
 		qt.Assert(t, offer(g, start, waiting, 0), qt.Equals, Held)
 		g.Complete(flowOf(1, 0))
 		qt.Check(t, offer(g, start, flowOf(2, 2), 0), qt.Equals, Held)
 	})
-	t.Run("a caller that reuses its port is no copy", func(t *testing.T) {
+	t.Run("a flow that reuses a port is not a retransmission", func(t *testing.T) {
 		g := fullGate(t)
 		qt.Assert(t, offer(g, start, waiting, 0), qt.Equals, Held)
 		p := firstSegment(waiting, 0)
@@ -196,7 +196,7 @@
 		qt.Assert(t, list, qt.HasLen, 1)
 		qt.Check(t, list[0].Segment.Seq, qt.Equals, p.Seq)
 	})
-	// Guards against many flows at one moment, before they show in the load of the link.
+	// Guards against admitting a burst of flows before the load of the link reflects it.
 	t.Run("the load lags behind admissions", func(t *testing.T) {
 		g := fullGate(t)
 		idle := baobabstep.LinkLoad{}
@@ -204,7 +204,7 @@
 		qt.Check(t, g.Release(start.Add(loadDelay-1), idle), qt.HasLen, 0)
 		qt.Check(t, g.Release(start.Add(loadDelay), idle), qt.HasLen, 1)
 	})
-	// Guards against refusals on a link that finishes more flows than the least expected.
+	// Guards against refusals on a link that completes more flows than minBulkShare implies.
 	t.Run("admissions in the last second shorten the expected wait", func(t *testing.T) {
 		g := New(Options{BytesPerSecond: modelRate})
 		for i := range 40 {
@@ -218,16 +218,16 @@
 		}
 		qt.Check(t, g.Waiting(), qt.Equals, int(40*maxExpectedWait.Seconds()))
 	})
-	t.Run("a flow that pauses does not count", func(t *testing.T) {
+	t.Run("an idle flow does not count as sending", func(t *testing.T) {
 		g := fullGate(t)
 		g.Payload(start.Add(200*time.Millisecond), flowOf(1, 0))
-		qt.Check(t, offer(g, start.Add(maxSendingPause), flowOf(2, 1), 0), qt.Equals, Admitted)
-		qt.Check(t, offer(g, start.Add(maxSendingPause), flowOf(2, 2), 0), qt.Equals, Held)
+		qt.Check(t, offer(g, start.Add(sendingIdleTimeout), flowOf(2, 1), 0), qt.Equals, Admitted)
+		qt.Check(t, offer(g, start.Add(sendingIdleTimeout), flowOf(2, 2), 0), qt.Equals, Held)
 	})
 }
 
-// Guards against flows that are held although the VM's link has room for them.
-func TestGateHoldsNothing(t *testing.T) {
+// Guards against holding flows for which the VM's link has room.
+func TestGateAdmitsWithinCapacity(t *testing.T) {
 	t.Run("with an unknown rate", func(t *testing.T) {
 		qt.Check(t, New(Options{}).Active(), qt.IsFalse)
 	})
@@ -245,14 +245,14 @@
 	})
 	t.Run("on a link of 1,000 Mbit/s", func(t *testing.T) {
 		g := New(Options{BytesPerSecond: 125e6})
-		for i := range g.limit() { // 246 at one moment; see TestManyFlowsAtOneMoment
+		for i := range g.limit() { // 246 flows
 			qt.Check(t, offer(g, start, flowOf(1, i), 0), qt.Equals, Admitted)
 		}
 	})
 }
 
-// Guards against a large link whose VM refuses flows that the link would carry in time.
-func TestManyFlowsAtOneMoment(t *testing.T) {
+// Guards against refusing flows on a large link that would carry them in time.
+func TestBurstOnLargeLink(t *testing.T) {
 	g := New(Options{BytesPerSecond: 125e6})
 	load := baobabstep.LinkLoad{}
 	admitted := 0
@@ -272,7 +272,7 @@
 	qt.Check(t, admitted, qt.Equals, 2*g.limit())
 }
 
-// Guards against memory that grows with the first segments that callers send.
+// Guards against unbounded memory use by held first segments.
 func TestGateMemoryIsBounded(t *testing.T) {
 	for _, test := range []struct {
 		name    string
@@ -292,13 +292,13 @@
 	}
 }
 
-// Guards against memory that grows with flows of which only payload is seen.
-func TestGateForgetsFlowsThatPaused(t *testing.T) {
+// Guards against unbounded memory use by flows of which only payload is seen.
+func TestGateRemovesIdleFlows(t *testing.T) {
 	g := New(Options{BytesPerSecond: modelRate})
 	for i := range 50_000 {
 		g.Payload(start.Add(time.Duration(i)*time.Millisecond), flowOf(i%250, i/250))
 	}
-	qt.Check(t, len(g.sending) <= int((maxSendingPause+sweepInterval)/time.Millisecond), qt.IsTrue, qt.Commentf("%d", len(g.sending)))
+	qt.Check(t, len(g.sending) <= int((sendingIdleTimeout+sweepInterval)/time.Millisecond), qt.IsTrue, qt.Commentf("%d", len(g.sending)))
 }
 
 func TestRequestSizes(t *testing.T) {
@@ -319,7 +319,7 @@
 			qt.Check(t, r.Bulk(), qt.Equals, test.want)
 		})
 	}
-	// Guards against uploads that fill the link before the first of them finishes.
+	// Guards against uploads that fill the link before the first of them is complete.
 	t.Run("an unfinished upload", func(t *testing.T) {
 		var r RequestSizes
 		r.AddUnfinished(5_000)
--- a/core/bulk/model_test.go
+++ b/core/bulk/model_test.go
@@ -11,8 +11,8 @@
 	"baobabstep"
 )
 
-// The model has one VM whose link drops what does not fit into its buffer, and callers that
-// retransmit as they do in operation.
+// The model has one VM, whose link drops packets that do not fit into its buffer, and callers
+// with the retransmission timing of real callers.
 const (
 	modelRate    = 1.25e6
 	modelBuffer  = 64 << 10
@@ -25,7 +25,7 @@
 
 type modelPacket struct {
 	caller *modelCaller
-	// number is that of a data segment, or one of those below.
+	// number is the number of a data segment, or firstPacket or closePacket.
 	number, bytes int
 }
 
@@ -34,13 +34,13 @@
 	closePacket = -2
 )
 
-// modelCaller sends one request of a number of segments.
+// modelCaller sends one request of length segments.
 type modelCaller struct {
 	key                baobabstep.FlowKey
 	length             int
 	startedAt, endedAt time.Time
 	openedAt           time.Time
-	copies             int
+	transmissions      int
 	refused, opened    bool
 	retransmission     time.Duration
 	sentAt, ackedAt    []time.Time
@@ -62,7 +62,7 @@
 	return &model{now: start, gate: New(Options{BytesPerSecond: modelRate}), useGate: useGate}
 }
 
-func (m *model) begin(length int) {
+func (m *model) startCaller(length int) {
 	key := flowOf(len(m.callers), 1)
 	m.callers = append(m.callers, &modelCaller{
 		key: key, length: length, startedAt: m.now, retransmission: 200 * time.Millisecond,
@@ -83,7 +83,7 @@
 	m.now = m.now.Add(modelStep)
 	for _, c := range m.callers {
 		if c.endedAt.IsZero() && !c.refused {
-			m.act(c)
+			m.transmit(c)
 		}
 	}
 	m.credit = min(m.credit+modelRate*modelStep.Seconds(), segmentBytes+modelRate*modelStep.Seconds())
@@ -107,14 +107,14 @@
 	return m.callers[slices.IndexFunc(m.callers, func(c *modelCaller) bool { return c.key == key })]
 }
 
-// act sends what a caller has to send now.
-func (m *model) act(c *modelCaller) {
+// transmit sends the packets that are due at a caller.
+func (m *model) transmit(c *modelCaller) {
 	if !c.opened || m.now.Before(c.openedAt) {
 		switch waited := m.now.Sub(c.startedAt); {
-		case waited >= tryDuration && !c.opened:
+		case waited >= openingTimeout && !c.opened:
 			c.refused = true
-		case c.copies < len(retransmittedAfter) && waited >= retransmittedAfter[c.copies]:
-			c.copies++
+		case c.transmissions < len(retransmissionOffsets) && waited >= retransmissionOffsets[c.transmissions]:
+			c.transmissions++
 			m.send(c, firstPacket, 70)
 		}
 		return
@@ -146,7 +146,7 @@
 	case p.number == closePacket:
 		m.gate.Complete(c.key)
 	case p.number == firstPacket && !c.opened && bulk:
-		segment := &baobabstep.Segment{Flow: c.key, Seq: 1, Acked: uint32(c.copies - 1), Raw: make([]byte, 31)}
+		segment := &baobabstep.Segment{Flow: c.key, Seq: 1, Acked: uint32(c.transmissions - 1), Raw: make([]byte, 31)}
 		m.open(c, m.gate.Offer(m.now, segment, Route{MeanSize: uploadLength * 1200}, m.load))
 	case p.number == firstPacket && !c.opened:
 		m.open(c, Admitted)
@@ -178,38 +178,38 @@
 	}
 }
 
-// summary is what the callers with requests of one length got.
+// summary holds the results of the requests of one length.
 type summary struct {
-	asked, served int
-	// inTime counts those that took no longer than objective.
+	requests, served int
+	// inTime is the number of requests served within objective.
 	inTime int
-	// slow is the duration that one in a hundred served requests exceeds.
-	slow time.Duration
+	// p99 is the 99th percentile of the durations of served requests.
+	p99 time.Duration
 }
 
 func (m *model) summarise(length int) (s summary) {
-	var took []time.Duration
+	var durations []time.Duration
 	for _, c := range m.callers {
 		if c.length != length {
 			continue
 		}
-		s.asked++
+		s.requests++
 		if !c.endedAt.IsZero() {
-			took = append(took, c.endedAt.Sub(c.startedAt))
+			durations = append(durations, c.endedAt.Sub(c.startedAt))
 		}
 	}
-	slices.Sort(took)
-	s.served = len(took)
-	s.inTime, _ = slices.BinarySearch(took, objective)
-	s.slow = took[len(took)*99/100]
+	slices.Sort(durations)
+	s.served = len(durations)
+	s.inTime, _ = slices.BinarySearch(durations, objective)
+	s.p99 = durations[len(durations)*99/100]
 	return s
 }
 
-// play plays a table of arrivals.
-func (m *model) play() {
+// run simulates a fixed schedule of arrivals.
+func (m *model) run() {
 	for _, row := range []struct {
 		duration time.Duration
-		// uploadEvery and smallEvery are the times between two arrivals.
+		// uploadEvery and smallEvery are the intervals between arrivals.
 		uploadEvery, smallEvery time.Duration
 	}{
 		{time.Second, 400 * time.Millisecond, 10 * time.Millisecond},
@@ -218,35 +218,35 @@
 	} {
 		for t := time.Duration(0); t < row.duration; t += modelStep {
 			if t%row.uploadEvery == 0 {
-				m.begin(uploadLength)
+				m.startCaller(uploadLength)
 			}
 			if t%row.smallEvery == 0 {
-				m.begin(1)
+				m.startCaller(1)
 			}
 			m.step()
 		}
 	}
 }
 
-// Guards against uploads that fill the VM's link: segments are lost, the link carries
-// repetitions, and small requests wait for seconds.
-func TestCallersOfAFullLink(t *testing.T) {
-	before, after := newModel(false), newModel(true)
-	before.play()
-	after.play()
+// Guards against uploads that congest the VM's link, so that segments are lost, the link
+// carries retransmissions, and small requests wait for seconds.
+func TestFullLink(t *testing.T) {
+	ungated, gated := newModel(false), newModel(true)
+	ungated.run()
+	gated.run()
 	t.Run("without a gate", func(t *testing.T) {
-		small := before.summarise(1)
-		qt.Check(t, small.slow > time.Second, qt.IsTrue)
+		small := ungated.summarise(1)
+		qt.Check(t, small.p99 > time.Second, qt.IsTrue)
 	})
 	t.Run("small requests", func(t *testing.T) {
-		small := after.summarise(1)
-		qt.Check(t, small.served, qt.Equals, small.asked)
-		qt.Check(t, small.slow < 200*time.Millisecond, qt.IsTrue, qt.Commentf("%v", small.slow))
+		small := gated.summarise(1)
+		qt.Check(t, small.served, qt.Equals, small.requests)
+		qt.Check(t, small.p99 < 200*time.Millisecond, qt.IsTrue, qt.Commentf("%v", small.p99))
 	})
 	t.Run("uploads", func(t *testing.T) {
-		uploads, worse := after.summarise(uploadLength), before.summarise(uploadLength)
-		qt.Check(t, uploads.slow < objective, qt.IsTrue, qt.Commentf("%v", uploads.slow))
-		// The link carries 28 uploads a second at most, beside the small requests.
+		uploads, worse := gated.summarise(uploadLength), ungated.summarise(uploadLength)
+		qt.Check(t, uploads.p99 < objective, qt.IsTrue, qt.Commentf("%v", uploads.p99))
+		// The link carries at most 28 uploads per second in addition to the small requests.
 		const bound = modelRate * 4 * 9 / 10 / (uploadLength * segmentBytes)
 		qt.Check(t, float64(uploads.inTime) >= 0.8*bound, qt.IsTrue, qt.Commentf("%d of at most %v", uploads.inTime, bound))
 		qt.Check(t, uploads.inTime > 2*worse.inTime, qt.IsTrue, qt.Commentf("%d, %d without a gate", uploads.inTime, worse.inTime))
--- a/core/bulk/queue.go
+++ b/core/bulk/queue.go
@@ -8,45 +8,48 @@
 	"baobabstep"
 )
 
-// held is a first segment that waits.
+// held is a queued first segment.
 type held struct {
 	segment         baobabstep.Segment
 	since, deadline time.Time
-	// copies is the number of the latest copy of the segment, and copiedAt when it arrived.
-	copies   uint32
-	copiedAt time.Time
+	// retransmissions is the retransmission count of the latest copy of the segment, and
+	// receivedAt when that copy arrived.
+	retransmissions uint32
+	receivedAt      time.Time
 }
 
-// nextCopyAt returns when the caller's next copy is expected, or the zero time if none is.
-func (h *held) nextCopyAt() time.Time {
-	next := int(min(h.copies, uint32(len(retransmittedAfter)))) + 1
-	if next >= len(retransmittedAfter) {
+// nextRetransmissionAt returns when the caller's next retransmission is expected, or the zero
+// time if none is.
+func (h *held) nextRetransmissionAt() time.Time {
+	next := int(min(h.retransmissions, uint32(len(retransmissionOffsets)))) + 1
+	if next >= len(retransmissionOffsets) {
 		return time.Time{}
 	}
-	return h.copiedAt.Add(retransmittedAfter[next] - retransmittedAfter[next-1])
+	return h.receivedAt.Add(retransmissionOffsets[next] - retransmissionOffsets[next-1])
 }
 
-// isCurrent reports whether no other VM can have got a later copy. Only then may the
-// segment go on or its caller be reset: the other VM may have opened the flow.
-func (h *held) isCurrent(now time.Time) bool {
-	next := h.nextCopyAt()
-	return next.IsZero() || now.Before(next.Add(-copyTolerance))
+// isLatestCopy reports whether no other VM can have received a later copy of the segment. If one
+// can, it may have opened the flow, and the segment must neither be forwarded nor refused.
+func (h *held) isLatestCopy(now time.Time) bool {
+	next := h.nextRetransmissionAt()
+	return next.IsZero() || now.Before(next.Add(-retransmissionTolerance))
 }
 
-// end returns when the segment is no longer held, and the cause.
+// end returns when the segment leaves the queue at the latest, and the cause.
 func (h *held) end() (time.Time, Decision) {
-	if next := h.nextCopyAt(); !next.IsZero() && next.Add(copyTolerance).Before(h.deadline) {
-		return next.Add(copyTolerance), Overdue
+	if next := h.nextRetransmissionAt(); !next.IsZero() && next.Add(retransmissionTolerance).Before(h.deadline) {
+		return next.Add(retransmissionTolerance), Overdue
 	}
 	return h.deadline, Expired
 }
 
-// repeat records a copy of the segment, which arrived late if it has an earlier deadline.
-func (h *held) repeat(now time.Time, copies uint32, deadline time.Time) {
-	if copies <= h.copies {
+// recordRetransmission records a copy of the segment. A copy with an earlier deadline was
+// delayed, and its deadline applies.
+func (h *held) recordRetransmission(now time.Time, retransmissions uint32, deadline time.Time) {
+	if retransmissions <= h.retransmissions {
 		return
 	}
-	h.copies, h.copiedAt = copies, now
+	h.retransmissions, h.receivedAt = retransmissions, now
 	if deadline.Before(h.deadline) {
 		h.deadline = deadline
 	}
@@ -58,17 +61,17 @@
 	held   []*held
 }
 
-// queue holds first segments. Callers take turns.
+// queue holds first segments. It is served round-robin by caller.
 type queue struct {
 	flows   map[baobabstep.FlowKey]*held
 	callers map[netip.Addr]*callerQueue
-	// turns are the callers in the order of their turns.
-	turns []*callerQueue
-	// count and bytes are the number of waiting segments and their size.
+	// rotation is the order in which callers are served next.
+	rotation []*callerQueue
+	// count and bytes are the number and the total size of the held segments.
 	count, bytes int
-	// displaced were removed to make room, and have to be refused.
+	// displaced are the segments that were removed to make room and are yet to be refused.
 	displaced []*held
-	// nextEnd is not after the earliest end of a waiting segment.
+	// nextEnd is a lower bound of the earliest end of a held segment.
 	nextEnd time.Time
 }
 
@@ -80,7 +83,7 @@
 
 // add appends a copy of a segment to the queue of its caller.
 func (q *queue) add(now time.Time, p *baobabstep.Segment, deadline time.Time) {
-	h := &held{segment: *p, since: now, deadline: deadline, copies: p.Acked, copiedAt: now}
+	h := &held{segment: *p, since: now, deadline: deadline, retransmissions: p.Acked, receivedAt: now}
 	h.segment.Raw = slices.Clone(p.Raw)
 	q.flows[p.Flow] = h
 	caller := p.Flow.Caller.Addr()
@@ -88,15 +91,15 @@
 	if c == nil {
 		c = &callerQueue{caller: caller}
 		q.callers[caller] = c
-		q.turns = append(q.turns, c)
+		q.rotation = append(q.rotation, c)
 	}
 	c.held = append(c.held, h)
 	q.count++
 	q.bytes += len(h.segment.Raw)
-	q.noteEnd(h)
+	q.updateNextEnd(h)
 }
 
-func (q *queue) noteEnd(h *held) {
+func (q *queue) updateNextEnd(h *held) {
 	if end, _ := h.end(); q.count == 1 || end.Before(q.nextEnd) {
 		q.nextEnd = end
 	}
@@ -108,22 +111,23 @@
 	c.held = slices.DeleteFunc(c.held, func(other *held) bool { return other == h })
 	if len(c.held) == 0 {
 		delete(q.callers, c.caller)
-		q.turns = slices.DeleteFunc(q.turns, func(other *callerQueue) bool { return other == c })
+		q.rotation = slices.DeleteFunc(q.rotation, func(other *callerQueue) bool { return other == c })
 	}
 	delete(q.flows, key)
 	q.count--
 	q.bytes -= len(h.segment.Raw)
 }
 
-// next removes and returns the first current segment of the caller whose turn it is, or nil
-// if there is none. Callers without one keep their turns.
+// next removes and returns the first eligible segment in the order of rotation, or nil if
+// there is none. A segment is eligible if isLatestCopy reports so. Callers without an eligible
+// segment keep their position.
 func (q *queue) next(now time.Time) *held {
-	for i, c := range q.turns {
-		j := slices.IndexFunc(c.held, func(h *held) bool { return h.isCurrent(now) })
+	for i, c := range q.rotation {
+		j := slices.IndexFunc(c.held, func(h *held) bool { return h.isLatestCopy(now) })
 		if j < 0 {
 			continue
 		}
-		q.turns = append(slices.Delete(q.turns, i, i+1), c)
+		q.rotation = append(slices.Delete(q.rotation, i, i+1), c)
 		h := c.held[j]
 		q.remove(h)
 		return h
@@ -131,9 +135,9 @@
 	return nil
 }
 
-// clear removes and returns all segments, in the order of the callers' turns.
+// clear removes and returns all segments, in the order of rotation.
 func (q *queue) clear() (all []*held) {
-	for _, c := range q.turns {
+	for _, c := range q.rotation {
 		all = append(all, c.held...)
 	}
 	for _, h := range all {
@@ -142,11 +146,11 @@
 	return all
 }
 
-// ahead returns how many waiting segments go on before a new one of the caller.
+// ahead returns the number of held segments that are served before a new one of the caller.
 func (q *queue) ahead(caller netip.Addr) int {
 	own := q.heldBy(caller)
 	n := own
-	for _, c := range q.turns {
+	for _, c := range q.rotation {
 		if c.caller != caller {
 			n += min(len(c.held), own+1)
 		}
@@ -161,9 +165,9 @@
 	return 0
 }
 
-// longest returns the caller with the most waiting segments, or nil if nothing waits.
+// longest returns the caller queue with the most segments, or nil if the queue is empty.
 func (q *queue) longest() (longest *callerQueue) {
-	for _, c := range q.turns {
+	for _, c := range q.rotation {
 		if longest == nil || len(c.held) > len(longest.held) {
 			longest = c
 		}
@@ -171,14 +175,13 @@
 	return longest
 }
 
-// expire removes and returns the segments that are no longer held, in the order of the
-// callers' turns.
+// expire removes and returns the segments whose end has passed, in the order of rotation.
 func (q *queue) expire(now time.Time) (expired []*held) {
 	if q.count == 0 || now.Before(q.nextEnd) {
 		return nil
 	}
 	q.nextEnd = time.Time{}
-	for _, c := range q.turns {
+	for _, c := range q.rotation {
 		for _, h := range c.held {
 			switch end, _ := h.end(); {
 			case !now.Before(end):
--- a/core/bulk/size.go
+++ b/core/bulk/size.go
@@ -6,38 +6,39 @@
 )
 
 const (
-	// minBulkSize is the mean size of a route's requests in bytes from which its flows are
-	// bulk: they fill half of a caller's window.
+	// minBulkSize is the minimum mean request size in bytes of a route with bulk flows. It is
+	// half of a caller's window.
 	minBulkSize = 8 * 1200
-	// sizeWeight is the weight of a new size in the mean, once some are known.
+	// sizeWeight is the minimum weight of a new size in the mean.
 	sizeWeight = 1.0 / 16
 )
 
-// RequestSizes is the mean size of the requests of one route, in which older requests have
-// less weight. It is safe for concurrent use; the zero value knows no size.
+// RequestSizes keeps an exponentially weighted mean of the request sizes of one route. It is
+// safe for concurrent use. The zero value has no samples.
 type RequestSizes struct {
-	// mean holds the bits of the mean.
+	// mean holds the mean as IEEE 754 bits.
 	mean  atomic.Uint64
 	count atomic.Uint64
 }
 
-// Add adds the size of a request in bytes. Of two concurrent calls, one may be lost.
+// Add adds the size of a request in bytes. The size of one of two concurrent
+// calls may be lost.
 func (r *RequestSizes) Add(bytes uint32) {
 	weight := max(1/float64(r.count.Add(1)), sizeWeight)
 	mean := math.Float64frombits(r.mean.Load())
 	r.mean.Store(math.Float64bits(mean + weight*(float64(bytes)-mean)))
 }
 
-// AddUnfinished takes note of a request of which so many bytes were sent so far. Where no
-// request has finished yet, the first large one shows that the route's flows are bulk: on a
-// full link, none may finish for seconds.
+// AddUnfinished records a request of which the given number of bytes was sent so far. If no
+// request has finished yet, the first large one marks the route as bulk, since on a full link
+// no request may finish for seconds.
 func (r *RequestSizes) AddUnfinished(bytes uint32) {
 	if bytes >= minBulkSize && r.count.Load() == 0 {
 		r.Add(bytes)
 	}
 }
 
-// Mean returns the mean size in bytes, 0 if none is known.
+// Mean returns the mean size in bytes, or 0 without samples.
 func (r *RequestSizes) Mean() float64 { return math.Float64frombits(r.mean.Load()) }
 
 // Bulk reports whether the flows of the route are bulk flows.
--- a/core/pace/queue.go
+++ b/core/pace/queue.go
@@ -1,24 +1,26 @@
-// Package pace spaces out what a VM sends, so that the queue of its own link does not overflow.
+// Package pace paces the datagrams that a VM sends, so that the queue of its own link does not
+// overflow.
 //
 // # The model
 //
-// The outgoing side of a VM's link is a queue that drains at the link's rate and loses what
-// would wait in it for too long:
+// The sending side of a VM's link is a queue that drains at the link's rate and drops datagrams
+// that would wait in it for too long:
 //
 //	VM -> [Queue] -> [link: at most 50 ms] -> targets
 //
-// A burst of one caller exceeds that on a small link. What the link loses, the caller repeats
-// after 200 ms, and the repetition takes the link's time again. A [Queue] keeps the backlog of
-// the link below its limit and holds the rest for a moment.
+// On a small link, a burst of one caller exceeds that limit. The caller retransmits a lost
+// datagram after 200 ms, and the retransmission uses the link's capacity again. A [Queue] keeps
+// the backlog of the link below its limit and briefly holds the excess.
 //
-//   - A small datagram goes before a large one, since it delays the large one by little.
-//   - A reset goes at once.
-//   - The datagrams of one flow keep their order.
-//   - A datagram is not held for so long that its caller has repeated it. A large one that
-//     finds the Queue full, or waited too long, is dropped, as the link would have done.
+//   - Small datagrams take precedence over large ones, which they delay only slightly.
+//   - Resets are sent immediately.
+//   - The datagrams of a flow stay in order.
+//   - No datagram is held until its caller has retransmitted it. A datagram that finds the
+//     Queue full and a large one that has waited too long are dropped, as the link would have
+//     done.
 //
-// The backlog is that of [link.Meter], which counts a datagram when it is sent. What waits in
-// the Queue counts as waiting on the link for all who ask for the link's load.
+// The backlog is that of [link.Meter], which counts a datagram when it is sent. The load that
+// the Queue reports includes held datagrams as part of the link's backlog.
 package pace
 
 import (
@@ -30,54 +32,56 @@
 )
 
 const (
-	// largeBacklog and smallBacklog are the backlogs of the link from which large and small
-	// datagrams wait.
-	largeBacklog = 42 * time.Millisecond
-	smallBacklog = 46 * time.Millisecond
-	// maxSmall is the size in bytes of the largest small datagram.
-	maxSmall = 300
-	// maxHeldTime bounds the bytes that are held, by the time that the link takes for them;
-	// maxHeldBytes bounds them on a fast link. Each applies to small and to large datagrams.
+	// largeBacklogLimit and smallBacklogLimit are the backlogs of the link at which large and
+	// small datagrams are held.
+	largeBacklogLimit = 42 * time.Millisecond
+	smallBacklogLimit = 46 * time.Millisecond
+	// maxSmallBytes is the maximum size of a small datagram.
+	maxSmallBytes = 300
+	// maxHeldTime limits the held bytes by their transmission time on the link, and
+	// maxHeldBytes limits them on a fast link. Both apply separately to small and large
+	// datagrams.
 	maxHeldTime  = 110 * time.Millisecond
 	maxHeldBytes = 512 << 10
-	// maxWait is the longest time that a large datagram is held. With the time on the link and
-	// the way of the answer it is less than the 200 ms after which callers retransmit.
+	// maxWait is the maximum time that a large datagram is held. Together with the time on the
+	// link and the transit time of the answer, it is below the 200 ms after which callers retransmit.
 	maxWait = 130 * time.Millisecond
 )
 
 // Queue decides which datagrams a VM sends now and holds the others. It is safe for concurrent
-// use. It counts what it sends at the meter.
+// use. It records the datagrams to send at the meter.
 type Queue struct {
 	meter *link.Meter
-	// pending holds a value if datagrams may be held.
+	// pending is readable if datagrams may be held.
 	pending chan struct{}
 
 	mu           sync.Mutex
-	small, large waiting
-	// flows are the flows with datagrams that are held or were released and are not sent yet.
-	// Later datagrams of these flows wait behind them. released are the flows of the latter.
-	flows    map[baobabstep.FlowKey]counts
+	small, large datagramQueue
+	// flows counts the datagrams of each flow that are held, or released and not sent yet. Later
+	// datagrams of these flows are held behind them. released lists the flow of each datagram
+	// that is released and not sent yet.
+	flows    map[baobabstep.FlowKey]flowCounts
 	released []baobabstep.FlowKey
-	// heldAt is when a datagram was last held; zero if none ever was.
-	heldAt  time.Time
-	dropped uint64
+	// lastHeldAt is when a datagram was last held, or zero if none ever was.
+	lastHeldAt time.Time
+	dropped    uint64
 }
 
-// counts are the numbers of datagrams of one flow, and how many of them are or were in the
-// list of large datagrams.
-type counts struct{ all, large int }
+// flowCounts holds the number of datagrams of one flow, and how many of them are or were in
+// the queue of large datagrams.
+type flowCounts struct{ all, large int }
 
 var _ baobabstep.LinkMeter = (*Queue)(nil)
 
-// New returns the queue before the link that the meter measures. It holds nothing if the rate
+// New returns an empty queue for the link that the meter measures. It holds nothing if the rate
 // of the link is unknown.
 func New(meter *link.Meter) *Queue {
-	return &Queue{meter: meter, pending: make(chan struct{}, 1), flows: make(map[baobabstep.FlowKey]counts)}
+	return &Queue{meter: meter, pending: make(chan struct{}, 1), flows: make(map[baobabstep.FlowKey]flowCounts)}
 }
 
-// Pass decides about datagrams that are ready to be sent. It returns those to send now, in the
-// array of out, and counts them at the meter. It copies those that it holds.
-func (q *Queue) Pass(now time.Time, out []baobabstep.OutgoingDatagram) []baobabstep.OutgoingDatagram {
+// Admit returns the datagrams of out that are to be sent now, in the array of out, and records
+// them at the meter. It holds copies of the others.
+func (q *Queue) Admit(now time.Time, out []baobabstep.OutgoingDatagram) []baobabstep.OutgoingDatagram {
 	rate := q.meter.BytesPerSecond()
 	if rate <= 0 || len(out) == 0 {
 		return out
@@ -87,7 +91,7 @@
 	batch := q.newBatch(now)
 	send := out[:0]
 	for i := range out {
-		if q.passes(&batch, &out[i]) {
+		if q.canSend(&batch, &out[i]) {
 			batch.add(&out[i])
 			send = append(send, out[i])
 		} else {
@@ -98,21 +102,21 @@
 	return send
 }
 
-// passes reports whether a datagram may be sent now.
-func (q *Queue) passes(b *batch, d *baobabstep.OutgoingDatagram) bool {
+// canSend reports whether a datagram may be sent now.
+func (q *Queue) canSend(b *batch, d *baobabstep.OutgoingDatagram) bool {
 	switch {
 	case d.Target == 0:
 		return true
 	case q.flows[d.Flow].all > 0:
 		return false
 	case isSmall(d):
-		return q.small.empty() && b.backlog < smallBacklog
+		return q.small.empty() && b.backlog < smallBacklogLimit
 	}
-	return q.small.empty() && q.large.empty() && b.backlog < largeBacklog
+	return q.small.empty() && q.large.empty() && b.backlog < largeBacklogLimit
 }
 
 func (q *Queue) hold(now time.Time, rate float64, d *baobabstep.OutgoingDatagram) {
-	q.heldAt = now
+	q.lastHeldAt = now
 	limit := min(int(rate*maxHeldTime.Seconds()), maxHeldBytes)
 	flow, list := q.flows[d.Flow], &q.small
 	if !isSmall(d) || flow.large > 0 {
@@ -134,14 +138,15 @@
 	}
 }
 
-// Release appends the held datagrams for which the link has room again to out, and counts them
-// at the meter. The caller sends them and then calls Sent, and calls Release from one
-// goroutine at a time.
+// Release appends the held datagrams for which the link has room again to out, and records them
+// at the meter. The caller must send them and then call ConfirmSent, and must not call Release
+// concurrently.
 func (q *Queue) Release(now time.Time, out *[]baobabstep.OutgoingDatagram) {
-	q.release(now, out, smallBacklog, largeBacklog)
+	q.release(now, out, smallBacklogLimit, largeBacklogLimit)
 }
 
-// Flush appends all held datagrams to out, for a VM that stops.
+// Flush releases all held datagrams except those that have waited too long, for a VM that
+// stops.
 func (q *Queue) Flush(now time.Time, out *[]baobabstep.OutgoingDatagram) {
 	const unlimited = 1 << 62
 	q.release(now, out, unlimited, unlimited)
@@ -153,7 +158,7 @@
 	if q.small.empty() && q.large.empty() {
 		return
 	}
-	q.heldAt = now
+	q.lastHeldAt = now
 	batch := q.newBatch(now)
 	for !q.small.empty() && batch.backlog < smallLimit {
 		h := q.small.take()
@@ -172,15 +177,15 @@
 	q.meter.Sent(now, batch.bytes)
 }
 
-// Sent says that all that was released has been sent. Only then may later datagrams of the same
-// flows pass.
-func (q *Queue) Sent() {
+// ConfirmSent records that all released datagrams have been sent, so that later datagrams of
+// the same flows may be sent.
+func (q *Queue) ConfirmSent() {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, key := range q.released {
 		flow := q.flows[key]
 		flow.all--
-		// All that is released of a flow's small datagrams is released before its large ones.
+		// The small datagrams of a flow are released before its large ones.
 		flow.large = min(flow.large, flow.all)
 		if flow.all == 0 {
 			delete(q.flows, key)
@@ -192,7 +197,7 @@
 	q.released = q.released[:0]
 }
 
-// Pending returns a channel that holds a value if datagrams may be held.
+// Pending returns a channel that is readable if datagrams may be held.
 func (q *Queue) Pending() <-chan struct{} { return q.pending }
 
 // Held returns the number of datagrams that are held.
@@ -212,7 +217,7 @@
 // BytesPerSecond implements [baobabstep.LinkMeter].
 func (q *Queue) BytesPerSecond() float64 { return q.meter.BytesPerSecond() }
 
-// Load implements [baobabstep.LinkMeter]. The backlog includes what is held.
+// Load implements [baobabstep.LinkMeter]. The backlog includes held datagrams.
 func (q *Queue) Load(now time.Time) baobabstep.LinkLoad {
 	load := q.meter.Load(now)
 	if rate := q.meter.BytesPerSecond(); rate > 0 {
@@ -231,17 +236,17 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return !q.heldAt.IsZero() && !q.heldAt.Before(since)
+	return !q.lastHeldAt.IsZero() && !q.lastHeldAt.Before(since)
 }
 
-// CongestedAt returns when the link was last congested, zero if it never was. The time is in
+// CongestedAt returns when the link was last congested, or zero if it never was. The time is in
 // the future while a backlog drains.
 func (q *Queue) CongestedAt() time.Time {
 	at := q.meter.CongestedAt()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.heldAt.After(at) {
-		return q.heldAt
+	if q.lastHeldAt.After(at) {
+		return q.lastHeldAt
 	}
 	return at
 }
--- a/core/token/upload.go
+++ b/core/token/upload.go
@@ -14,31 +14,31 @@
 	return bulk.New(bulk.Options{BytesPerSecond: o.Link.BytesPerSecond()})
 }
 
-// admitsToLink reports whether the first segment of a new flow goes on now, as far as the
-// VM's own link is concerned. Otherwise the segment was held, dropped as a copy of one that
-// is held, or the caller was reset.
+// admitsToLink reports whether a new flow may be forwarded now as far as the VM's own link is
+// concerned. Otherwise the first segment was held, dropped as a retransmission of a held one,
+// or the caller was reset.
 func (r *Router) admitsToLink(now time.Time, s *snapshot, route *rule, p *baobabstep.Segment, out *[]baobabstep.OutgoingDatagram) bool {
 	if !r.bulkGate.Active() {
 		return true
 	}
 	if !route.requestSizes.Bulk() {
-		r.bulkGate.Withdraw(p.Flow) // the route was bulk when an earlier copy arrived
+		r.bulkGate.Withdraw(p.Flow) // held earlier, when the route was bulk
 		return true
 	}
 	switch d := r.bulkGate.Offer(now, p, bulk.Route{MeanSize: route.requestSizes.Mean(), Objective: route.latencyObjective}, r.options.Link.Load(now)); {
 	case d == bulk.Admitted:
 		return true
 	case d == bulk.Held:
-		r.recordLink(now, EventLinkHeld, s, route, p, bulk.Released{})
+		r.recordLinkAdmission(now, EventLinkHeld, s, route, p, bulk.Released{})
 	case d.Refused():
-		r.recordLink(now, EventLinkRefused, s, route, p, bulk.Released{Decision: d})
+		r.recordLinkAdmission(now, EventLinkRefused, s, route, p, bulk.Released{Decision: d})
 		appendReset(p, out)
 	}
 	return false
 }
 
-// ReleaseHeld sends on the first segments for which the VM's own link has room again, and
-// refuses those that waited too long.
+// ReleaseHeld forwards the held first segments for which the VM's own link has room again, and
+// refuses or drops those that waited too long.
 func (r *Router) ReleaseHeld(now time.Time, out *[]baobabstep.OutgoingDatagram) {
 	if r.bulkGate.Waiting() == 0 {
 		return
@@ -64,43 +64,43 @@
 	case openedWhileHeld(shard.flows[p.Flow], now.Add(-released.Waited), p):
 		r.bulkGate.Withdraw(p.Flow)
 	case released.Decision.Refused():
-		r.recordLink(now, EventLinkRefused, s, route, p, released)
+		r.recordLinkAdmission(now, EventLinkRefused, s, route, p, released)
 		if released.Decision != bulk.Overdue {
 			appendReset(p, out)
 		}
 	default:
-		r.recordLink(now, EventLinkReleased, s, route, p, released)
-		r.bulkGate.Withdraw(p.Flow) // a copy that arrived since the gate released the segment
+		r.recordLinkAdmission(now, EventLinkReleased, s, route, p, released)
+		r.bulkGate.Withdraw(p.Flow) // a copy may have been held since the gate released the segment
 		r.placeFlow(now, s, route, h, r.lastTried(now, p), p, out)
 	}
 }
 
-// openedWhileHeld reports whether a flow was opened although its first segment was held
-// since a time: a copy was placed, or went through another VM and the caller sent more.
+// openedWhileHeld reports whether a flow was opened while its first segment was held since the
+// given time: this VM forwarded a copy, or another VM did and later segments arrived here.
 func openedWhileHeld(f *flow, since time.Time, p *baobabstep.Segment) bool {
 	return f != nil && (f.seq == p.Seq || f.lastPacketAt.After(since))
 }
 
-// HeldPending returns a channel that holds a value if first segments may be held.
+// HeldPending returns a channel that is readable if first segments may be held.
 func (r *Router) HeldPending() <-chan struct{} { return r.bulkGate.Pending() }
 
 // HeldCount returns the number of first segments that are held.
 func (r *Router) HeldCount() int { return r.bulkGate.Waiting() }
 
-// StopHolding makes the router hold no first segments from now on. The next ReleaseHeld
-// refuses those that are held, so that their callers try again through other VMs.
+// StopHolding makes the router hold no further first segments. The next ReleaseHeld refuses
+// held ones, so that their callers retry through other VMs.
 func (r *Router) StopHolding() { r.bulkGate.Stop() }
 
-// dropHeld forgets the held first segment of a flow that its caller resets.
+// dropHeld removes the held first segment of a flow that its caller resets.
 func (r *Router) dropHeld(p *baobabstep.Segment) {
 	if p.Kind == baobabstep.KindReset && r.bulkGate.Waiting() > 0 {
 		r.bulkGate.Cancel(p.Flow)
 	}
 }
 
-// trackUpload records whether a bulk flow sends, from a later segment. A flow sends until
-// a segment is shorter than those before it, which is the last of its request, or the
-// answer begins.
+// trackUpload records from a later segment whether a bulk flow is sending. A flow stops sending
+// with a segment that is shorter than those before it, which is the last of its request, or
+// when the answer begins.
 func (r *Router) trackUpload(now time.Time, f *flow, p *baobabstep.Segment) {
 	if !r.bulkGate.Active() {
 		return
@@ -118,16 +118,16 @@
 	case p.Size < f.segmentSize && p.Seq+uint32(p.Size) == f.sentEnd:
 		f.requestSent = true
 		r.bulkGate.Complete(f.key)
-	case f.requestSent && p.Seq+uint32(p.Size) != f.sentEnd: // repeated
+	case f.requestSent && p.Seq+uint32(p.Size) != f.sentEnd: // retransmission
 	default:
 		f.segmentSize, f.requestSent = p.Size, false
 		r.bulkGate.Payload(now, f.key)
 	}
 }
 
-// recordLink records what became of a first segment for which the VM's own link had no
-// room.
-func (r *Router) recordLink(now time.Time, kind EventKind, s *snapshot, route *rule, p *baobabstep.Segment, released bulk.Released) {
+// recordLinkAdmission records the outcome for a first segment for which the VM's own link had
+// no room.
+func (r *Router) recordLinkAdmission(now time.Time, kind EventKind, s *snapshot, route *rule, p *baobabstep.Segment, released bulk.Released) {
 	r.counts.events[kind].Add(1)
 	if r.options.Record == nil || !r.options.EventEnabled(now, kind) {
 		return
--- a/core/token/upload_test.go
+++ b/core/token/upload_test.go
@@ -10,7 +10,7 @@
 	"baobabstep"
 )
 
-// fullLink is the meter of a link of 10 Mbit/s that is full.
+// fullLink is the meter of a fully utilized link of 10 Mbit/s.
 type fullLink struct{}
 
 func (fullLink) BytesPerSecond() float64            { return 1.25e6 }
@@ -22,9 +22,9 @@
 	return out
 }
 
-// newUploadRouter returns a router on a full link that has seen three requests of 40 kB on
-// the route of fixtures, and two flows that send there: as many as the link allows. Ports
-// up to 10 are taken.
+// newUploadRouter returns a router on a full link that has seen three requests of 40 kB on the
+// route of fixtures and has two sending flows there, which is the limit of the link. Ports up
+// to 10 are in use.
 func newUploadRouter(t *testing.T, disabled Mechanisms) *Router {
 	t.Helper()
 	r := New(Options{DataCentre: "a", Rand: rand.New(rand.NewPCG(1, 2)), Link: fullLink{}, Disabled: disabled})
@@ -40,7 +40,7 @@
 	return r
 }
 
-// upload plays a flow with one request of a number of segments.
+// upload simulates a flow with one request of the given number of segments.
 func upload(t *testing.T, r *Router, port uint16, segments int) {
 	t.Helper()
 	key := flowFrom(port, fixtures)
@@ -67,15 +67,15 @@
 	return baobabstep.Segment{Kind: baobabstep.KindOpen, Flow: flowFrom(20, fixtures), Seq: firstSeq, Raw: []byte{20}}
 }
 
-func TestUploadsWaitForTheLink(t *testing.T) {
+func TestUploadAdmission(t *testing.T) {
 	later := start.Add(250 * time.Millisecond)
 
-	// Guards against a caller whose copies open its flow twice while it is held.
-	t.Run("a first segment and its copies are held", func(t *testing.T) {
+	// Guards against retransmissions that open a held flow twice.
+	t.Run("a first segment and its retransmissions are held", func(t *testing.T) {
 		r := newUploadRouter(t, 0)
 		s := heldSegment()
 		assertDropped(t, r, start, s)
-		s.Raw[0] = 99 // the buffer of a batch is used again
+		s.Raw[0] = 99 // the read buffer is reused
 		s.Acked = 1
 		assertDropped(t, r, start.Add(200*time.Millisecond), s)
 		qt.Check(t, r.HeldCount(), qt.Equals, 1)
@@ -88,16 +88,16 @@
 		qt.Assert(t, repeated, qt.HasLen, 1)
 		qt.Check(t, repeated[0].Target, qt.Equals, out[0].Target)
 	})
-	t.Run("a flow that is answered makes room", func(t *testing.T) {
+	t.Run("an answered flow frees its slot", func(t *testing.T) {
 		r := newUploadRouter(t, 0)
 		assertDropped(t, r, start, heldSegment())
 		qt.Check(t, releaseHeld(r, start), qt.HasLen, 0)
 		handle(r, start, baobabstep.Segment{Kind: baobabstep.KindClose, Flow: flowFrom(4, fixtures), Token: tokenOf(r, flowFrom(4, fixtures)), Seq: firstSeq + 1, Acked: 77})
 		qt.Check(t, releaseHeld(r, start), qt.HasLen, 1)
 	})
-	// Guards against a flow that counts as one that sends since a segment was repeated after
+	// Guards against a flow that counts as sending because a segment was retransmitted after
 	// the last one of its request.
-	t.Run("repeated segments of a sent request make no flow wait", func(t *testing.T) {
+	t.Run("retransmissions of a sent request take no slot", func(t *testing.T) {
 		r := newUploadRouter(t, 0)
 		s := data(flowFrom(4, fixtures), tokenOf(r, flowFrom(4, fixtures)))
 		first := s
@@ -109,8 +109,8 @@
 		handle(r, start, first)
 		open(t, r, start, flowFrom(20, fixtures))
 	})
-	// Guards against targets that count as silent on account of a segment that the VM held.
-	t.Run("no target is blamed for the wait", func(t *testing.T) {
+	// Guards against targets that count as silent because of a segment that the VM held.
+	t.Run("holding does not count against targets", func(t *testing.T) {
 		r := newUploadRouter(t, 0)
 		assertDropped(t, r, start, heldSegment())
 		r.Tick(start.Add(400*time.Millisecond), new([]baobabstep.OutgoingDatagram))
@@ -134,7 +134,7 @@
 		qt.Assert(t, out, qt.HasLen, 1)
 		qt.Check(t, out[0].Target, qt.Equals, baobabstep.TargetID(0))
 	})
-	t.Run("a caller that leaves is forgotten", func(t *testing.T) {
+	t.Run("a reset by the caller removes its held segment", func(t *testing.T) {
 		r := newUploadRouter(t, 0)
 		s := heldSegment()
 		assertDropped(t, r, start, s)
@@ -142,7 +142,7 @@
 		assertDropped(t, r, start, s)
 		qt.Check(t, r.HeldCount(), qt.Equals, 0)
 	})
-	t.Run("flows of other routes pass", func(t *testing.T) {
+	t.Run("flows of other routes are not held", func(t *testing.T) {
 		r := newUploadRouter(t, 0)
 		open(t, r, start, flowFrom(20, results))
 	})
@@ -152,13 +152,13 @@
 	})
 }
 
-// Guards against slots of the link that are taken by flows that do not send, and against
-// flows that send without one.
-func TestSlotsOfTheLink(t *testing.T) {
+// Guards against slots of the link that are occupied by flows that do not send, and against
+// sending flows without a slot.
+func TestUploadSlots(t *testing.T) {
 	key := flowFrom(4, fixtures)
 	for _, test := range []struct {
 		name string
-		play func(t *testing.T, r *Router, s baobabstep.Segment)
+		run  func(t *testing.T, r *Router, s baobabstep.Segment)
 		at   time.Duration
 		held int
 	}{
@@ -168,14 +168,14 @@
 			s.Token = tokenOf(r, s.Flow)
 			handle(r, start.Add(200*time.Millisecond), s)
 		}, 300 * time.Millisecond, 1},
-		{"a segment is repeated after the close", func(_ *testing.T, r *Router, s baobabstep.Segment) {
+		{"a segment is retransmitted after the close", func(_ *testing.T, r *Router, s baobabstep.Segment) {
 			end := s
 			end.Kind, end.Size, end.Seq = baobabstep.KindClose, 0, s.Seq+1200
 			handle(r, start, s)
 			handle(r, start, end)
 			handle(r, start, s)
 		}, 0, 0},
-		{"a segment is repeated after the answer began", func(_ *testing.T, r *Router, s baobabstep.Segment) {
+		{"a segment is retransmitted after the answer began", func(_ *testing.T, r *Router, s baobabstep.Segment) {
 			handle(r, start, s)
 			s.Acked += 300
 			ack := s
@@ -200,7 +200,7 @@
 			r := newUploadRouter(t, 0)
 			s := data(key, tokenOf(r, key))
 			s.Size = 1200
-			test.play(t, r, s)
+			test.run(t, r, s)
 			handle(r, start.Add(test.at), heldSegment())
 			qt.Check(t, r.HeldCount(), qt.Equals, test.held)
 		})
@@ -220,8 +220,8 @@
 	})
 }
 
-// Guards against two targets that both get the first segment of a flow, because it was opened
-// otherwise while the VM held its first segment.
+// Guards against forwarding a held first segment to a second target after the flow was opened
+// by other means.
 func TestHeldFlowIsOpenedOnce(t *testing.T) {
 	copied := start.Add(200 * time.Millisecond)
 	later := start.Add(260 * time.Millisecond)
@@ -232,13 +232,13 @@
 		name string
 		open func(t *testing.T, r *Router)
 	}{
-		{"a copy goes through another VM", func(*testing.T, *Router) {}},
-		{"a stop after the next copy was due", func(_ *testing.T, r *Router) { r.StopHolding() }},
+		{"a retransmission goes through another VM", func(*testing.T, *Router) {}},
+		{"a stop after the next retransmission was due", func(_ *testing.T, r *Router) { r.StopHolding() }},
 		{"data of the flow arrives", func(t *testing.T, r *Router) {
 			handle(r, copied, second)
 			assertPassed(t, r, copied, data(second.Flow, tokenFor(hashFlow(second.Flow), 1)), 1)
 		}},
-		{"a copy is placed since the route is not bulk any more", func(t *testing.T, r *Router) {
+		{"a retransmission is forwarded since the route is no longer bulk", func(t *testing.T, r *Router) {
 			for sizes := r.current.Load().rules[fixtures].requestSizes; sizes.Bulk(); {
 				sizes.Add(500)
 			}
@@ -253,7 +253,7 @@
 			qt.Check(t, r.HeldCount(), qt.Equals, 0)
 		})
 	}
-	t.Run("a copy arrives between the decision and the placement", func(t *testing.T) {
+	t.Run("a retransmission arrives between release and forwarding", func(t *testing.T) {
 		r := newUploadRouter(t, 0)
 		assertDropped(t, r, start, heldSegment())
 		handle(r, copied, second)
@@ -266,8 +266,8 @@
 	})
 }
 
-// Guards against connections with many small requests that count as bulk flows.
-func TestManySmallRequestsAreNoUpload(t *testing.T) {
+// Guards against classifying connections with many small requests as bulk flows.
+func TestManySmallRequestsAreNotBulk(t *testing.T) {
 	r := newUploadRouter(t, 0)
 	key := flowFrom(1, results)
 	_, token := open(t, r, start, key)
--- a/entry/pace.go
+++ b/entry/pace.go
@@ -7,23 +7,23 @@
 	"baobabstep"
 )
 
-// paceInterval is the interval at which datagrams that wait for the link are reviewed while
-// there are any. It is a fraction of the backlog that the link then has.
+// paceInterval is the interval at which datagrams are released while any are held by the pacer.
+// It is shorter than the time in which the backlog of the link drains at that point.
 const paceInterval = 4 * time.Millisecond
 
-// send sends the segments that the link has room for and counts them at the meter of the link.
-// The others are sent by releaseLoop.
+// send sends the segments for which the link has room and records them at the link's meter.
+// releaseLoop sends the others.
 func (n *Node) send(now time.Time, segments baobabstep.Segments, out []baobabstep.OutgoingDatagram) error {
 	if n.paced {
-		out = n.pacer.Pass(now, out)
+		out = n.pacer.Admit(now, out)
 	} else {
 		n.meterSent(now, out)
 	}
 	return segments.Send(out)
 }
 
-// releaseLoop sends on what is held, while anything is: first segments of bulk flows, which may
-// be refused instead, and segments that wait for the link.
+// releaseLoop releases held segments until ctx is cancelled: first segments of bulk flows, which
+// are forwarded or refused, and segments that the pacer holds.
 func (n *Node) releaseLoop(ctx context.Context) error {
 	for {
 		select {
@@ -48,7 +48,8 @@
 	return releaseInterval
 }
 
-// releaseHeld sends on what is held and has room on the link again.
+// releaseHeld sends the held segments for which the link has room again, and resets the callers
+// of refused flows.
 func (n *Node) releaseHeld() error {
 	now := n.clock.Now()
 	if err := n.releasePaced(now, n.pacer.Release); err != nil {
@@ -62,11 +63,11 @@
 	return n.send(now, n.options.Segments[0], out)
 }
 
-// releasePaced sends the segments that release takes from the pacer.
+// releasePaced sends the segments that the given method of the pacer releases.
 func (n *Node) releasePaced(now time.Time, release func(time.Time, *[]baobabstep.OutgoingDatagram)) error {
 	n.releasing.Lock()
 	defer n.releasing.Unlock()
-	defer n.pacer.Sent()
+	defer n.pacer.ConfirmSent()
 	var out []baobabstep.OutgoingDatagram
 	release(now, &out)
 	if len(out) == 0 {
--- a/entry/pace_test.go
+++ b/entry/pace_test.go
@@ -20,8 +20,8 @@
 
 func (syncClock) Now() time.Time { return time.Now() }
 
-// newPacedNode returns a VM with a link of 2 Mbit/s that was given 15 segments to send, six of
-// which have no room on the link.
+// newPacedNode returns a VM with a link of 2 Mbit/s after a send of 15 segments, six of which
+// exceed the backlog limit.
 func newPacedNode(t testing.TB, clock baobabstep.Clock, without ...string) (*Node, *waitingSegments) {
 	segments := new(waitingSegments)
 	n := New(Options{
@@ -49,8 +49,8 @@
 	}
 }
 
-// Failure: the last segments of a burst wait until other segments arrive.
-func TestHeldSegmentsAreSentOn(t *testing.T) {
+// Guards against held segments that are released only when other segments arrive.
+func TestHeldSegmentsAreReleased(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n, segments := newPacedNode(t, syncClock{})
 		assertSent(t, segments, 9)
@@ -67,7 +67,7 @@
 	})
 }
 
-// Failure: a VM that stops loses the segments that wait for its link.
+// Guards against a VM that loses held segments when it stops.
 func TestStopSendsHeldSegments(t *testing.T) {
 	n, segments := newPacedNode(t, fixedClock{})
 	stopped, cancel := context.WithCancel(context.Background())
@@ -77,8 +77,8 @@
 	qt.Check(t, n.meter.Load(benchEpoch).Backlog > 70*time.Millisecond, qt.IsTrue)
 }
 
-// Failure: segments are held where operators switched pacing off, or not counted at the meter.
-func TestPacingCanBeSwitchedOff(t *testing.T) {
+// Guards against segments that are held, or not recorded at the meter, when pacing is disabled.
+func TestPacingDisabled(t *testing.T) {
 	n, segments := newPacedNode(t, fixedClock{}, "pacing")
 	assertSent(t, segments, 15)
 	qt.Check(t, n.pacer.Held(), qt.Equals, 0)
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -14,8 +14,7 @@
 	"baobabstep/io/setting"
 )
 
-// Guards against a VM that stops with held first segments, whose callers would wait until
-// their tries end.
+// Guards against callers of held flows that wait for their timeout when the VM stops.
 func TestStopRefusesHeldFlows(t *testing.T) {
 	segments := new(waitingSegments)
 	n := New(Options{
@@ -44,8 +43,8 @@
 	}
 }
 
-// sendUpload plays a flow with one large request. The first three are answered, from which
-// the VM learns that the route's requests are large.
+// sendUpload simulates a flow with one large request. The first three requests are answered, so
+// that the VM classifies the route's flows as bulk.
 func sendUpload(n *Node, port uint16, out *[]baobabstep.OutgoingDatagram) {
 	flow := baobabstep.FlowKey{Caller: netip.AddrPortFrom(peerAddress(9).Addr(), port), Service: benchService}
 	before := len(*out)
