core/room, core/answer: a closed gate opens at normal latency, and does not hide failing targets

A gate closed by a peak stayed closed while more than a tenth of the answers were short, also at normal latency, and while it was closed failing targets were not marked and kept it closed. The share now rises at normal latency whatever is rejected. Targets' health and the usual answer sizes assume an overload only while flows are refused and latency is 1.5 times the usual; before, answers of a calm route that became short stayed short for ever.

Tests: SizeHistogram.Add got an argument, false in the former tests except the one of an overload. Three new ones fail without the change.

--- a/core/answer/answer_test.go
+++ b/core/answer/answer_test.go
@@ -28,44 +28,55 @@
 		t.Run(test.name, func(t *testing.T) {
 			var s SizeHistogram
 			for i := range 200 {
-				s.Add(test.usual[i%len(test.usual)])
+				s.Add(test.usual[i%len(test.usual)], false)
 			}
-			qt.Assert(t, s.Add(test.size), qt.Equals, test.short)
+			qt.Assert(t, s.Add(test.size, false), qt.Equals, test.short)
 		})
 	}
 	t.Run("no answer is short before minSizeSamples", func(t *testing.T) {
 		var s SizeHistogram
 		for range minSizeSamples - 2 {
-			s.Add(770)
+			s.Add(770, false)
 		}
-		qt.Assert(t, s.Add(160), qt.IsFalse)
-		s.Add(770)
-		qt.Assert(t, s.Add(160), qt.IsTrue)
+		qt.Assert(t, s.Add(160, false), qt.IsFalse)
+		s.Add(770, false)
+		qt.Assert(t, s.Add(160, false), qt.IsTrue)
 	})
 	t.Run("the typical size follows a change of the answers", func(t *testing.T) {
 		var s SizeHistogram
 		for range 2000 {
-			s.Add(8000)
+			s.Add(8000, false)
 		}
-		qt.Assert(t, s.Add(700), qt.IsTrue)
+		qt.Assert(t, s.Add(700, false), qt.IsTrue)
 		for range 2000 {
-			s.Add(700)
+			s.Add(700, false)
 		}
-		qt.Assert(t, s.Add(700), qt.IsFalse)
+		qt.Assert(t, s.Add(700, false), qt.IsFalse)
 	})
 	t.Run("errors are short throughout an overload", func(t *testing.T) {
 		var s SizeHistogram
 		for range 150 {
-			s.Add(2000)
+			s.Add(2000, true)
 		}
 		for i := range 1500 {
 			if i%5 < 2 {
-				s.Add(2000)
+				s.Add(2000, true)
 			} else {
-				qt.Assert(t, s.Add(160), qt.IsTrue, qt.Commentf("answer %d", i))
+				qt.Assert(t, s.Add(160, true), qt.IsTrue, qt.Commentf("answer %d", i))
 			}
 		}
 	})
+	t.Run("half of the answers become short without an overload", func(t *testing.T) {
+		var s SizeHistogram
+		for range 5000 {
+			s.Add(2000, false)
+		}
+		for range 2000 {
+			s.Add(2000, false)
+			s.Add(160, false)
+		}
+		qt.Assert(t, s.Add(160, false), qt.IsFalse)
+	})
 	t.Run("sizes out of range have a bucket", func(t *testing.T) {
 		for _, size := range []uint32{0, 1, minBucketSize, 1<<32 - 1} {
 			b := bucketIndex(size)
@@ -259,7 +270,7 @@
 func BenchmarkSizeHistogram(b *testing.B) {
 	var s SizeHistogram
 	for i := uint32(0); b.Loop(); i++ {
-		s.Add(600 + i%2000)
+		s.Add(600+i%2000, false)
 	}
 }
 
--- a/core/answer/sizes.go
+++ b/core/answer/sizes.go
@@ -27,10 +27,10 @@
 	// On three routes, errors take 150 to 199 bytes, and the shortest other answers 470,
 	// 750 and 800.
 	shortRatio = 0.5
-	// shortWeight is the weight of a short answer. In an overload, half of all answers may
-	// be errors for seconds; with full weight these became the typical size within a second
-	// or two, and were noticed no more.
-	shortWeight = 0.1
+	// overloadedShortWeight is the weight of a short answer in an overload. Half of all
+	// answers may then be errors for seconds; with full weight these became the typical
+	// size within a second or two, and were noticed no more.
+	overloadedShortWeight = 0.1
 	// refreshInterval is the number of answers after which the typical size is recomputed,
 	// which takes 137 additions.
 	refreshInterval = 16
@@ -48,14 +48,14 @@
 }
 
 // Add adds the size of an answer in bytes. It reports whether the answer is much shorter
-// than the typical one.
-func (s *SizeHistogram) Add(bytes uint32) (short bool) {
+// than the typical one. overloaded is set while targets reject requests for lack of room.
+func (s *SizeHistogram) Add(bytes uint32, overloaded bool) (short bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	short = s.added >= minSizeSamples && float64(bytes) < shortRatio*s.typical
 	weight := float32(1)
-	if short {
-		weight = shortWeight
+	if short && overloaded {
+		weight = overloadedShortWeight
 	}
 	s.counts[bucketIndex(bytes)] += weight
 	s.total += weight
--- a/core/room/gate.go
+++ b/core/room/gate.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"baobabstep"
@@ -26,6 +27,9 @@
 	endRejectedShare = harmlessShare
 	endLatencyRatio  = 1.8
 	endRate          = 8.0
+	// Below normalLatencyRatio times the unloaded latency there are no queues, so the share
+	// rises whatever is rejected: the rejections are failures, and refusals do not help.
+	normalLatencyRatio = 1.2
 	// minAdmitted is the least admitted share. The admitted flows show when the overload
 	// has ended.
 	minAdmitted = 0.04
@@ -66,6 +70,9 @@
 	admitted  float64
 	updatedAt time.Time
 	state     State
+	// overloaded is what Overloaded returns, outside of mu because it is read for each
+	// answer.
+	overloaded atomic.Bool
 }
 
 // State is the state of a gate at its last update.
@@ -122,7 +129,7 @@
 	g.updatedAt = now
 	before := g.closed
 	g.state.Rejected, g.state.LatencyRatio = g.measure(unloaded)
-	if !g.closed && g.overloaded(now, targets) {
+	if !g.closed && g.mustClose(now, targets) {
 		g.closed, g.admitted = true, 1
 	}
 	if g.closed {
@@ -132,6 +139,7 @@
 	if g.closed {
 		g.state.Admitted = g.admitted
 	}
+	g.overloaded.Store(g.state.Admitted < 1 && g.state.LatencyRatio >= closeLatencyRatio)
 	return g.state, g.closed != before
 }
 
@@ -148,8 +156,8 @@
 	return rejected, latencyRatio
 }
 
-// overloaded reports whether an open gate has to close.
-func (g *Gate) overloaded(now time.Time, targets int) bool {
+// mustClose reports whether an open gate has to close.
+func (g *Gate) mustClose(now time.Time, targets int) bool {
 	if g.state.Rejected < closeRejectedShare || g.state.LatencyRatio < closeLatencyRatio {
 		return false
 	}
@@ -174,7 +182,9 @@
 
 // adjust changes the admitted share of a closed gate.
 func (g *Gate) adjust(step time.Duration) {
-	if g.state.Rejected < endRejectedShare && g.state.LatencyRatio < endLatencyRatio {
+	ended := g.state.Rejected < endRejectedShare && g.state.LatencyRatio < endLatencyRatio
+	noQueues := g.answered >= 1 && g.state.LatencyRatio < normalLatencyRatio // without answers the ratio is 1
+	if ended || noQueues {
 		g.admitted *= math.Exp(endRate * step.Seconds())
 	} else {
 		g.admitted = math.Exp(min(0, harmlessShare-g.state.Rejected) / yieldScale)
@@ -192,6 +202,10 @@
 	return !g.closed || float64(draw)/math.MaxUint64 < g.admitted
 }
 
+// Overloaded reports whether flows were refused at the last update while queues were long.
+// At other times the targets have room, and one that rejects requests fails them.
+func (g *Gate) Overloaded() bool { return g.overloaded.Load() }
+
 // State returns the state at the last update.
 func (g *Gate) State() State {
 	g.mu.Lock()
--- a/core/room/gate_test.go
+++ b/core/room/gate_test.go
@@ -73,6 +73,23 @@
 	qt.Assert(t, m.ordinary.share() > 0.999, qt.IsTrue, qt.Commentf("%v", m.ordinary.share()))
 }
 
+// Guards against a gate that stays closed after a peak because targets fail a part of their
+// requests: at normal latency there is room, and refusals help nobody.
+func TestGateOpensDespiteFailures(t *testing.T) {
+	m := newModel(6)
+	m.run(2*time.Second, 0.3)
+	m.run(3*time.Second, peak)
+	qt.Assert(t, m.closed(), qt.Equals, vms)
+	for _, target := range m.targets {
+		target.failing = 0.2
+	}
+	m.run(3*time.Second, 0.4)
+	qt.Assert(t, m.closed(), qt.Equals, 0)
+	m.measure(3*time.Second, 0.4)
+	qt.Assert(t, m.closed(), qt.Equals, 0)
+	qt.Assert(t, m.ordinary.share() > 0.97, qt.IsTrue, qt.Commentf("%v", m.ordinary.share()))
+}
+
 // Guards against targets that fail while there is room: refusing flows helps nobody.
 func TestFailuresCloseNoGate(t *testing.T) {
 	for _, test := range []struct {
--- a/core/token/answers.go
+++ b/core/token/answers.go
@@ -147,7 +147,7 @@
 	}
 	f.outcomePending = false
 	outcome := answer.Answered
-	if f.rule.answerSizes.Add(acked - f.requestAcked) {
+	if f.rule.answerSizes.Add(acked-f.requestAcked, f.target.service.gate.Overloaded()) {
 		outcome = answer.Short
 	}
 	if outcome == answer.Answered && f.latency == 0 {
@@ -233,7 +233,7 @@
 		if _, known := peers[name]; !known {
 			peers[name] = r.peerFailureRate(now, s.pools[name])
 		}
-		changed, health, e := t.load.updateAnswerHealth(now, peers[name], t.service.gate.State().Closed, r.enabled(MechanismTrials))
+		changed, health, e := t.load.updateAnswerHealth(now, peers[name], t.service.gate.Overloaded(), r.enabled(MechanismTrials))
 		if changed {
 			r.recordAnswerHealth(now, s, t, health.State, e)
 		}
--- a/core/token/room_test.go
+++ b/core/token/room_test.go
@@ -28,20 +28,15 @@
 func fill(r *Router) time.Time {
 	targets := r.current.Load().pools["fixtures"].targets
 	now := start
-	count := func(t *target, outcome answer.Outcome, took time.Duration) {
-		f := &flow{key: flowFrom(uint16(r.randomUint64()), fixtures), target: t, rule: r.current.Load().rules[fixtures], latency: took}
-		f.key.Caller = netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(r.randomUint64()), 7}), 1)
-		r.countOutcome(now, f, outcome)
-	}
 	for tick := range 20 {
 		for i, t := range targets {
 			for range map[bool]int{true: 6}[tick >= 10] {
 				t.load.countRequest(now)
 			}
 			if tick >= 10 && (i+tick)%2 == 0 {
-				count(t, answer.Short, 0)
+				countAnswer(r, now, t, answer.Short, 0)
 			} else {
-				count(t, answer.Answered, map[bool]time.Duration{false: 30, true: 120}[tick >= 10]*time.Millisecond)
+				countAnswer(r, now, t, answer.Answered, map[bool]time.Duration{false: 30, true: 120}[tick >= 10]*time.Millisecond)
 			}
 		}
 		now = now.Add(100 * time.Millisecond)
@@ -97,6 +92,43 @@
 	qt.Assert(t, out[0].Target, qt.Not(qt.Equals), baobabstep.TargetID(0))
 }
 
+// Guards against a gate that was closed by a peak and then hides failing targets, which keep
+// it closed.
+func TestFailingTargetsAreMarkedAfterAPeak(t *testing.T) {
+	r := newRoomRouter(0)
+	now := fill(r)
+	qt.Assert(t, r.Stats().Rooms["fixtures"].Closed, qt.IsTrue)
+	for tick := range 50 {
+		answerOnce(r, now, tick, 8)
+		now = now.Add(100 * time.Millisecond)
+		r.Tick(now, new([]baobabstep.OutgoingDatagram))
+	}
+	stats := r.Stats()
+	qt.Assert(t, stats.Rooms["fixtures"].Closed, qt.IsFalse)
+	qt.Assert(t, stats.Failing >= 5, qt.IsTrue, qt.Commentf("%d of 8", stats.Failing))
+}
+
+// answerOnce counts three answers of normal latency of each target, of which the first
+// failing targets fail half.
+func answerOnce(r *Router, now time.Time, tick, failing int) {
+	for i, t := range r.current.Load().pools["fixtures"].targets {
+		for n := range 3 {
+			if i < failing && (tick+n)%2 == 0 {
+				countAnswer(r, now, t, answer.Short, 0)
+			} else {
+				countAnswer(r, now, t, answer.Answered, 30*time.Millisecond)
+			}
+		}
+	}
+}
+
+// countAnswer counts an outcome of a random caller's request.
+func countAnswer(r *Router, now time.Time, t *target, outcome answer.Outcome, took time.Duration) {
+	f := &flow{key: flowFrom(uint16(r.randomUint64()), fixtures), target: t, rule: r.current.Load().rules[fixtures], latency: took}
+	f.key.Caller = netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(r.randomUint64()), 7}), 1)
+	r.countOutcome(now, f, outcome)
+}
+
 // Without the mechanism nothing yields.
 func TestRoomDisabled(t *testing.T) {
 	r := newRoomRouter(Mechanisms(0).With(MechanismRoom).With(MechanismAdmission))
