core/room, core/token: the gate acts for urgent rules only, and counts all answers

Where all rules of a service are ordinary, 95 % of new flows were refused although nobody gained: the gate is now open there. Answered requests of unknown latency were dropped while rejected ones counted, so the rejected share read too high: they count. Evacuated, draining and missing targets counted among those that must reject: the gate of a small service could not close while a data centre was evacuated.

TestNothingYieldsToNobody, TestEvacuatedTargetsDoNotHoldTheGate and TestAnswersOfUnknownLatencyCountForRoom fail without the change.

--- a/core/room/doc.go
+++ b/core/room/doc.go
@@ -33,8 +33,8 @@
 //
 // Each VM has its own gate and uses only what it saw itself. Refused callers try again
 // through other VMs, so the gates of a fleet act together as one with their mean share: a
-// VM that has just started admits all flows until it has seen rejections, and the others
-// make up for it.
+// VM that has started in a peak admits all flows, since it does not know the usual latency,
+// and the others make up for it.
 //
 // The present time is an argument; no goroutine, no I/O.
 package room
--- a/core/room/gate.go
+++ b/core/room/gate.go
@@ -58,12 +58,13 @@
 // use. The zero value admits all flows.
 type Gate struct {
 	mu sync.Mutex
-	// answered and rejected are the weights of recent requests, and logLatency the sum of
-	// the logarithms of the latencies of those answered, all as of decayedAt.
-	answered, rejected, logLatency float64
-	decayedAt                      time.Time
-	rejections                     [maxRejections]rejection
-	nextRejection                  int
+	// answered and rejected are the weights of recent requests, timed that of the answered
+	// ones whose latency is known, and logLatency the sum of the logarithms of these
+	// latencies, all as of decayedAt.
+	answered, rejected, timed, logLatency float64
+	decayedAt                             time.Time
+	rejections                            [maxRejections]rejection
+	nextRejection                         int
 	// closed is set while the share of ordinary flows that are admitted, admitted, is
 	// less than 1.
 	closed    bool
@@ -86,15 +87,16 @@
 	Rejected, LatencyRatio float64
 }
 
-// AddAnswered counts a request that was answered.
+// AddAnswered counts a request that was answered; took is 0 if its latency is unknown.
 func (g *Gate) AddAnswered(now time.Time, took time.Duration) {
-	if took <= 0 {
-		return
-	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.decayTo(now)
 	g.answered++
+	if took <= 0 {
+		return
+	}
+	g.timed++
 	g.logLatency += math.Log(took.Seconds())
 }
 
@@ -112,6 +114,7 @@
 	factor := decay.Factor(now.Sub(g.decayedAt), window)
 	g.answered *= factor
 	g.rejected *= factor
+	g.timed *= factor
 	g.logLatency *= factor
 	if now.After(g.decayedAt) {
 		g.decayedAt = now
@@ -119,7 +122,8 @@
 }
 
 // Update recomputes the admitted share. unloaded is the latency of the service under light
-// load, 0 if unknown, and targets the number of its targets. changed is set if the gate
+// load, 0 if unknown, and targets the number of its targets that may get new
+// flows. changed is set if the gate
 // has closed or opened.
 func (g *Gate) Update(now time.Time, unloaded time.Duration, targets int) (s State, changed bool) {
 	g.mu.Lock()
@@ -143,6 +147,18 @@
 	return g.state, g.closed != before
 }
 
+// Open opens the gate, for a service where no flow can gain by the refusal of others. changed
+// is set if the gate was closed.
+func (g *Gate) Open() (s State, changed bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	changed = g.closed
+	g.closed = false
+	g.state.Closed, g.state.Admitted = false, 1
+	g.overloaded.Store(false)
+	return g.state, changed
+}
+
 // measure returns the share of rejected requests, and the ratio of the latency of the
 // others to the unloaded latency.
 func (g *Gate) measure(unloaded time.Duration) (rejected, latencyRatio float64) {
@@ -150,8 +166,8 @@
 		rejected = g.rejected / (all + 1) // one more, so that the last few requests decide less
 	}
 	latencyRatio = 1
-	if g.answered > 0.1 && unloaded > 0 {
-		latencyRatio = math.Exp(g.logLatency/g.answered) / unloaded.Seconds()
+	if g.timed > 0.1 && unloaded > 0 {
+		latencyRatio = math.Exp(g.logLatency/g.timed) / unloaded.Seconds()
 	}
 	return rejected, latencyRatio
 }
@@ -183,7 +199,7 @@
 // adjust changes the admitted share of a closed gate.
 func (g *Gate) adjust(step time.Duration) {
 	ended := g.state.Rejected < endRejectedShare && g.state.LatencyRatio < endLatencyRatio
-	noQueues := g.answered >= 1 && g.state.LatencyRatio < normalLatencyRatio // without answers the ratio is 1
+	noQueues := g.timed >= 1 && g.state.LatencyRatio < normalLatencyRatio // without latencies the ratio is 1
 	if ended || noQueues {
 		g.admitted *= math.Exp(endRate * step.Seconds())
 	} else {
--- a/core/token/answers.go
+++ b/core/token/answers.go
@@ -151,7 +151,11 @@
 		outcome = answer.Short
 	}
 	if outcome == answer.Answered && f.latency == 0 {
-		return // acknowledged together with the next request, so the latency is unknown
+		// Acknowledged together with the next request, so the latency is unknown.
+		if !r.congestedSince(f.requestSentAt) {
+			f.target.countRoom(now, outcome, 0)
+		}
+		return
 	}
 	r.countOutcome(now, f, outcome)
 }
--- a/core/token/room.go
+++ b/core/token/room.go
@@ -43,7 +43,8 @@
 	return !state.Closed || idle || gate.Admits(r.randomUint64())
 }
 
-// updateRoom updates the admission of all services.
+// updateRoom updates the admission of all services. Where all flows are ordinary, nobody
+// gains by refusals, and the admission stays unlimited.
 func (r *Router) updateRoom(now time.Time, s *snapshot) {
 	if !r.enabled(MechanismRoom) {
 		return
@@ -54,12 +55,28 @@
 			continue
 		}
 		service := p.targets[0].service
-		if state, changed := service.gate.Update(now, service.unloadedLatency(), len(p.targets)); changed {
+		update := service.gate.Open
+		if s.urgentServices[name] {
+			update = func() (room.State, bool) {
+				return service.gate.Update(now, service.unloadedLatency(), p.countAccepting(now))
+			}
+		}
+		if state, changed := update(); changed {
 			r.recordRoom(now, s, name, state)
 		}
 	}
 }
 
+// countAccepting returns the number of targets that may get new flows.
+func (p *pool) countAccepting(now time.Time) (n int) {
+	for _, t := range p.targets {
+		if t.acceptsNewFlows(now) {
+			n++
+		}
+	}
+	return n
+}
+
 // recordRoom records that the admission to a service has become limited, or is no longer.
 func (r *Router) recordRoom(now time.Time, s *snapshot, service string, state room.State) {
 	kind := EventRoomBack
--- a/core/token/snapshot.go
+++ b/core/token/snapshot.go
@@ -31,6 +31,8 @@
 	// newTargets are the targets that Router.TakeNewTargets returns next; all snapshots of
 	// a router share the set.
 	newTargets *targetSet
+	// urgentServices names the services of the rules that are not ordinary.
+	urgentServices map[string]bool
 	// evacuated names the data centres whose targets get no new flows.
 	evacuated map[string]bool
 	// coldLimits are the limits on cold targets, by service.
@@ -81,11 +83,17 @@
 	next := *s
 	next.version, next.idleTimeout, next.haveTable = table.Version, table.IdleTimeout, true
 	next.rules = make(map[netip.AddrPort]*rule, len(table.Rules))
+	next.urgentServices = make(map[string]bool)
 	least := lowestPriorities(table)
 	for i := range table.Rules {
 		r := newRule(&table.Rules[i])
 		r.inheritServices(now, s.rules[table.Rules[i].Address], s.maxFlowDuration)
 		r.ordinary = isOrdinary(&table.Rules[i], least)
+		if !r.ordinary {
+			for _, share := range r.shares {
+				next.urgentServices[share.Service] = true
+			}
+		}
 		next.rules[table.Rules[i].Address] = r
 	}
 	return &next
