--- a/core/token/room_test.go
+++ b/core/token/room_test.go
@@ -238,7 +238,7 @@
 	const targets, vms = 41, 30
 	loads := map[baobabstep.TargetID]baobabstep.TargetLoad{}
 	for id := range baobabstep.TargetID(targets - 1) {
-		loads[id+1] = baobabstep.TargetLoad{Requests: 50}
+		loads[id+1] = baobabstep.TargetLoad{Requests: 30 + float64(id)}
 	}
 	joined := start.Add(time.Second)
 	got := 0
@@ -251,7 +251,7 @@
 		r.SetPeerLoads(joined, map[baobabstep.TargetID]baobabstep.TargetLoad{targets: {Requests: 2}}, nil)
 		got += openMany(t, r, joined, 1000, 2)[targets]
 	}
-	qt.Assert(t, got < 2*vms/3, qt.IsTrue, qt.Commentf("got %d of %d", got, 2*vms))
+	qt.Assert(t, got <= 2*vms/10, qt.IsTrue, qt.Commentf("got %d of %d", got, 2*vms))
 }
 
 // Guards against a gate that closes for failing targets. What a target answers that fails
