--- a/core/room/gate.go
+++ b/core/room/gate.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"baobabstep"
@@ -26,6 +27,9 @@
 	endRejectedShare = harmlessShare
 	endLatencyRatio  = 1.8
 	endRate          = 8.0
+	// Below normalLatencyRatio times the unloaded latency there are no queues, so the share
+	// rises whatever is rejected: the rejections are failures, and refusals do not help.
+	normalLatencyRatio = 1.2
 	// minAdmitted is the least admitted share. The admitted flows show when the overload
 	// has ended.
 	minAdmitted = 0.04
@@ -54,18 +58,22 @@
 // use. The zero value admits all flows.
 type Gate struct {
 	mu sync.Mutex
-	// answered and rejected are the weights of recent requests, and logLatency the sum of
-	// the logarithms of the latencies of those answered, all as of decayedAt.
-	answered, rejected, logLatency float64
-	decayedAt                      time.Time
-	rejections                     [maxRejections]rejection
-	nextRejection                  int
+	// answered and rejected are the weights of recent requests, timed that of the answered
+	// ones whose latency is known, and logLatency the sum of the logarithms of these
+	// latencies, all as of decayedAt.
+	answered, rejected, timed, logLatency float64
+	decayedAt                             time.Time
+	rejections                            [maxRejections]rejection
+	nextRejection                         int
 	// closed is set while the share of ordinary flows that are admitted, admitted, is
 	// less than 1.
 	closed    bool
 	admitted  float64
 	updatedAt time.Time
 	state     State
+	// overloaded is what Overloaded returns, outside of mu because it is read for each
+	// answer.
+	overloaded atomic.Bool
 }
 
 // State is the state of a gate at its last update.
@@ -79,15 +87,16 @@
 	Rejected, LatencyRatio float64
 }
 
-// AddAnswered counts a request that was answered.
+// AddAnswered counts a request that was answered; took is 0 if its latency is unknown.
 func (g *Gate) AddAnswered(now time.Time, took time.Duration) {
-	if took <= 0 {
-		return
-	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.decayTo(now)
 	g.answered++
+	if took <= 0 {
+		return
+	}
+	g.timed++
 	g.logLatency += math.Log(took.Seconds())
 }
 
@@ -105,6 +114,7 @@
 	factor := decay.Factor(now.Sub(g.decayedAt), window)
 	g.answered *= factor
 	g.rejected *= factor
+	g.timed *= factor
 	g.logLatency *= factor
 	if now.After(g.decayedAt) {
 		g.decayedAt = now
@@ -112,7 +122,8 @@
 }
 
 // Update recomputes the admitted share. unloaded is the latency of the service under light
-// load, 0 if unknown, and targets the number of its targets. changed is set if the gate
+// load, 0 if unknown, and targets the number of its targets that may get new
+// flows. changed is set if the gate
 // has closed or opened.
 func (g *Gate) Update(now time.Time, unloaded time.Duration, targets int) (s State, changed bool) {
 	g.mu.Lock()
@@ -122,7 +133,7 @@
 	g.updatedAt = now
 	before := g.closed
 	g.state.Rejected, g.state.LatencyRatio = g.measure(unloaded)
-	if !g.closed && g.overloaded(now, targets) {
+	if !g.closed && g.mustClose(now, targets) {
 		g.closed, g.admitted = true, 1
 	}
 	if g.closed {
@@ -132,9 +143,22 @@
 	if g.closed {
 		g.state.Admitted = g.admitted
 	}
+	g.overloaded.Store(g.state.Admitted < 1 && g.state.LatencyRatio >= closeLatencyRatio)
 	return g.state, g.closed != before
 }
 
+// Open opens the gate, for a service where no flow can gain by the refusal of others. changed
+// is set if the gate was closed.
+func (g *Gate) Open() (s State, changed bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	changed = g.closed
+	g.closed = false
+	g.state.Closed, g.state.Admitted = false, 1
+	g.overloaded.Store(false)
+	return g.state, changed
+}
+
 // measure returns the share of rejected requests, and the ratio of the latency of the
 // others to the unloaded latency.
 func (g *Gate) measure(unloaded time.Duration) (rejected, latencyRatio float64) {
@@ -142,14 +166,14 @@
 		rejected = g.rejected / (all + 1) // one more, so that the last few requests decide less
 	}
 	latencyRatio = 1
-	if g.answered > 0.1 && unloaded > 0 {
-		latencyRatio = math.Exp(g.logLatency/g.answered) / unloaded.Seconds()
+	if g.timed > 0.1 && unloaded > 0 {
+		latencyRatio = math.Exp(g.logLatency/g.timed) / unloaded.Seconds()
 	}
 	return rejected, latencyRatio
 }
 
-// overloaded reports whether an open gate has to close.
-func (g *Gate) overloaded(now time.Time, targets int) bool {
+// mustClose reports whether an open gate has to close.
+func (g *Gate) mustClose(now time.Time, targets int) bool {
 	if g.state.Rejected < closeRejectedShare || g.state.LatencyRatio < closeLatencyRatio {
 		return false
 	}
@@ -174,7 +198,9 @@
 
 // adjust changes the admitted share of a closed gate.
 func (g *Gate) adjust(step time.Duration) {
-	if g.state.Rejected < endRejectedShare && g.state.LatencyRatio < endLatencyRatio {
+	ended := g.state.Rejected < endRejectedShare && g.state.LatencyRatio < endLatencyRatio
+	noQueues := g.timed >= 1 && g.state.LatencyRatio < normalLatencyRatio // without latencies the ratio is 1
+	if ended || noQueues {
 		g.admitted *= math.Exp(endRate * step.Seconds())
 	} else {
 		g.admitted = math.Exp(min(0, harmlessShare-g.state.Rejected) / yieldScale)
@@ -186,12 +212,17 @@
 }
 
 // Admits reports whether to admit a new ordinary flow; draw is a random number.
-func (g *Gate) Admits(draw uint64) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return !g.closed || float64(draw)/math.MaxUint64 < g.admitted
+func (s State) Admits(draw uint64) bool {
+	return !s.Closed || float64(draw)/math.MaxUint64 < s.Admitted
 }
 
+// Admits is [State.Admits] of the state at the last update.
+func (g *Gate) Admits(draw uint64) bool { return g.State().Admits(draw) }
+
+// Overloaded reports whether flows were refused at the last update while queues were long.
+// At other times the targets have room, and one that rejects requests fails them.
+func (g *Gate) Overloaded() bool { return g.overloaded.Load() }
+
 // State returns the state at the last update.
 func (g *Gate) State() State {
 	g.mu.Lock()
--- a/core/token/room_test.go
+++ b/core/token/room_test.go
@@ -15,11 +15,15 @@
 // newRoomRouter returns a router whose service has an urgent rule, at the address results,
 // and an ordinary one, at the address fixtures.
 func newRoomRouter(disabled Mechanisms) *Router {
+	return newRoomRouterOf(disabled, manyTargets(20))
+}
+
+func newRoomRouterOf(disabled Mechanisms, targets []baobabstep.Registration) *Router {
 	r := New(Options{DataCentre: "a", Rand: rand.New(rand.NewPCG(1, 2)), Disabled: disabled})
 	ordinary, urgent := singleRule(fixtures, "fixtures"), singleRule(results, "fixtures")
 	ordinary.Repeatable, ordinary.Priority, urgent.Priority = true, 2, 1
 	r.SetTable(start, table(1, ordinary, urgent))
-	r.SetRegistrations(start, manyTargets(20))
+	r.SetRegistrations(start, targets)
 	return r
 }
 
@@ -28,20 +32,18 @@
 func fill(r *Router) time.Time {
 	targets := r.current.Load().pools["fixtures"].targets
 	now := start
-	count := func(t *target, outcome answer.Outcome, took time.Duration) {
-		f := &flow{key: flowFrom(uint16(r.randomUint64()), fixtures), target: t, rule: r.current.Load().rules[fixtures], latency: took}
-		f.key.Caller = netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(r.randomUint64()), 7}), 1)
-		r.countOutcome(now, f, outcome)
-	}
 	for tick := range 20 {
 		for i, t := range targets {
+			if !t.acceptsNewFlows(now) {
+				continue
+			}
 			for range map[bool]int{true: 6}[tick >= 10] {
 				t.load.countRequest(now)
 			}
 			if tick >= 10 && (i+tick)%2 == 0 {
-				count(t, answer.Short, 0)
+				countAnswer(r, now, t, answer.Short, 0)
 			} else {
-				count(t, answer.Answered, map[bool]time.Duration{false: 30, true: 120}[tick >= 10]*time.Millisecond)
+				countAnswer(r, now, t, answer.Answered, map[bool]time.Duration{false: 30, true: 120}[tick >= 10]*time.Millisecond)
 			}
 		}
 		now = now.Add(100 * time.Millisecond)
@@ -97,6 +99,97 @@
 	qt.Assert(t, out[0].Target, qt.Not(qt.Equals), baobabstep.TargetID(0))
 }
 
+// Guards against a gate that was closed by a peak and then hides failing targets, which keep
+// it closed.
+func TestFailingTargetsAreMarkedAfterAPeak(t *testing.T) {
+	r := newRoomRouter(0)
+	now := fill(r)
+	qt.Assert(t, r.Stats().Rooms["fixtures"].Closed, qt.IsTrue)
+	for tick := range 50 {
+		answerOnce(r, now, tick, 8)
+		now = now.Add(100 * time.Millisecond)
+		r.Tick(now, new([]baobabstep.OutgoingDatagram))
+	}
+	stats := r.Stats()
+	qt.Assert(t, stats.Rooms["fixtures"].Closed, qt.IsFalse)
+	qt.Assert(t, stats.Failing >= 5, qt.IsTrue, qt.Commentf("%d of 8", stats.Failing))
+}
+
+// answerOnce counts three answers of normal latency of each target, of which the first
+// failing targets fail half.
+func answerOnce(r *Router, now time.Time, tick, failing int) {
+	for i, t := range r.current.Load().pools["fixtures"].targets {
+		for n := range 3 {
+			if i < failing && (tick+n)%2 == 0 {
+				countAnswer(r, now, t, answer.Short, 0)
+			} else {
+				countAnswer(r, now, t, answer.Answered, 30*time.Millisecond)
+			}
+		}
+	}
+}
+
+// countAnswer counts an outcome of a random caller's request.
+func countAnswer(r *Router, now time.Time, t *target, outcome answer.Outcome, took time.Duration) {
+	f := &flow{key: flowFrom(uint16(r.randomUint64()), fixtures), target: t, rule: r.current.Load().rules[fixtures], latency: took}
+	f.key.Caller = netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(r.randomUint64()), 7}), 1)
+	r.countOutcome(now, f, outcome)
+}
+
+// Guards against refusals that help nobody: all flows of the service are ordinary.
+func TestNothingYieldsToNobody(t *testing.T) {
+	r := newRoomRouter(Mechanisms(0).With(MechanismAdmission))
+	ordinary := singleRule(fixtures, "fixtures")
+	ordinary.Repeatable, ordinary.Priority = true, 2
+	now := fill(r)
+	r.SetTable(now, table(2, ordinary)) // the gate is closed at this time
+	r.Tick(now, new([]baobabstep.OutgoingDatagram))
+	qt.Assert(t, refusals(r, now, fixtures), qt.Equals, 0.0)
+	qt.Assert(t, r.Stats().Rooms["fixtures"].Closed, qt.IsFalse)
+}
+
+// Guards against a gate that cannot close while a data centre is evacuated: its targets get
+// no flows, and reject none.
+func TestEvacuatedTargetsDoNotHoldTheGate(t *testing.T) {
+	list := manyTargets(3)
+	for id := range baobabstep.TargetID(10) {
+		list = append(list, registration(100+id, "fixtures", "b"))
+	}
+	r := newRoomRouterOf(0, list)
+	r.SetEvacuations(start, []string{"b"})
+	fill(r)
+	qt.Assert(t, r.Stats().Rooms["fixtures"].Closed, qt.IsTrue)
+}
+
+// Guards against a rejected share that counts only the answers of known latency: many
+// callers acknowledge an answer with their next request.
+func TestAnswersOfUnknownLatencyCountForRoom(t *testing.T) {
+	r := newRoomRouter(0)
+	for i := range 200 {
+		target := r.current.Load().pools["fixtures"].targets[i%20]
+		if i%20 == 0 {
+			countAnswer(r, start, target, answer.Short, 0)
+			continue
+		}
+		f := &flow{key: flowFrom(uint16(i), fixtures), target: target, rule: r.current.Load().rules[fixtures], outcomePending: true}
+		r.settleRequest(start, f, 2000)
+	}
+	r.updateRoom(start, r.current.Load())
+	rejected := r.Stats().Rooms["fixtures"].Rejected
+	qt.Assert(t, rejected > 0.03 && rejected < 0.07, qt.IsTrue, qt.Commentf("%v", rejected))
+}
+
+// Guards against a trial without flows while the gate is closed: the target passes it,
+// although nothing shows that it has recovered.
+func TestTrialFlowDoesNotYield(t *testing.T) {
+	r := newRoomRouterOf(Mechanisms(0).With(MechanismAdmission), manyTargets(6))
+	now := fill(r)
+	onTrial := r.current.Load().pools["fixtures"].targets[0]
+	onTrial.load.answerHealth = answer.Health{State: answer.OnTrial, Deadline: now.Add(2 * time.Second)}
+	out := handle(r, now, baobabstep.Segment{Kind: baobabstep.KindOpen, Flow: flowFrom(9, fixtures), Seq: firstSeq})
+	qt.Assert(t, out[0].Target, qt.Equals, onTrial.id)
+}
+
 // Without the mechanism nothing yields.
 func TestRoomDisabled(t *testing.T) {
 	r := newRoomRouter(Mechanisms(0).With(MechanismRoom).With(MechanismAdmission))
@@ -145,7 +238,7 @@
 	const targets, vms = 41, 30
 	loads := map[baobabstep.TargetID]baobabstep.TargetLoad{}
 	for id := range baobabstep.TargetID(targets - 1) {
-		loads[id+1] = baobabstep.TargetLoad{Requests: 50}
+		loads[id+1] = baobabstep.TargetLoad{Requests: 30 + float64(id)}
 	}
 	joined := start.Add(time.Second)
 	got := 0
@@ -158,7 +251,7 @@
 		r.SetPeerLoads(joined, map[baobabstep.TargetID]baobabstep.TargetLoad{targets: {Requests: 2}}, nil)
 		got += openMany(t, r, joined, 1000, 2)[targets]
 	}
-	qt.Assert(t, got < 2*vms/3, qt.IsTrue, qt.Commentf("got %d of %d", got, 2*vms))
+	qt.Assert(t, got <= 2*vms/10, qt.IsTrue, qt.Commentf("got %d of %d", got, 2*vms))
 }
 
 // Guards against a gate that closes for failing targets. What a target answers that fails
