core/room: wording of admission control for a service

Describe the admission of ordinary flows in the usual terms: admission control, offered load, capacity, overload, utilization. Rename unexported identifiers to match, among them harmlessShare to toleratedRejectedShare, yieldScale to rejectedShareScale and mustClose to shouldClose, and rename tests after what they check.

Correct comments that were incomplete: the latency ratio uses the geometric mean, the required number of distinct targets is a share of the rejections or of all targets, whichever is smaller, and the admitted share grows exponentially by recoveryRate per second.

--- a/core/room/gate.go
+++ b/core/room/gate.go
@@ -11,41 +11,46 @@
 )
 
 const (
-	// window is the time constant with which outcomes decay. It is about the time that a
-	// request spends in a full queue: an earlier reaction would be to less than is known.
+	// window is the decay time constant of outcome counts. It is about the time that a
+	// request spends in a full queue: with a shorter one, the gate would react before the
+	// outcomes are known.
 	window = 300 * time.Millisecond
-	// Up to a rejected share of harmlessShare all flows are admitted: queues that never
-	// overflow leave slots idle at times, and callers try again. Beyond it, the admitted
-	// share falls by a factor of e with each yieldScale. In a peak of twice the slots a
-	// tenth to a sixth of the requests is then rejected, and an urgent request with three
-	// tries fails a few times in a thousand.
-	harmlessShare = 0.05
-	yieldScale    = 0.04
-	// With fewer rejections than endRejectedShare and at a latency below endLatencyRatio
-	// times the unloaded one, the overload has ended: then the share rises by endRate. In an
-	// overload that is under control, queues are longer.
-	endRejectedShare = harmlessShare
-	endLatencyRatio  = 1.8
-	endRate          = 8.0
-	// Below normalLatencyRatio times the unloaded latency there are no queues, so the share
-	// rises whatever is rejected: the rejections are failures, and refusals do not help.
+	// toleratedRejectedShare is the rejected share up to which all flows are admitted: queues
+	// that never overflow leave slots idle at times, and callers retry. Beyond it, the
+	// admitted share falls by a factor of e per rejectedShareScale. At an offered load of
+	// twice the capacity, a tenth to a sixth of the requests is then rejected, and an urgent
+	// request with three tries fails a few times in a thousand.
+	toleratedRejectedShare = 0.05
+	rejectedShareScale     = 0.04
+	// The overload has ended when the rejected share is below recoveryRejectedShare and the
+	// latency below recoveryLatencyRatio times the unloaded latency. The admitted share then
+	// grows exponentially by recoveryRate per second. While the gate limits an overload,
+	// queues are longer than that.
+	recoveryRejectedShare = toleratedRejectedShare
+	recoveryLatencyRatio  = 1.8
+	recoveryRate          = 8.0
+	// Below normalLatencyRatio times the unloaded latency there are no queues, so the admitted
+	// share grows regardless of the rejected share: the rejections are failures, which
+	// refusing flows does not reduce.
 	normalLatencyRatio = 1.2
-	// minAdmitted is the least admitted share. The admitted flows show when the overload
-	// has ended.
+	// minAdmitted is the minimum admitted share. The outcomes of the admitted flows show when
+	// the overload has ended.
 	minAdmitted = 0.04
-	// The gate closes at a share of rejected requests of closeRejectedShare, seen in at
-	// least minRejections rejections, of as many targets as distinctShare of the rejections
-	// or of all targets, and at a latency of closeLatencyRatio times the unloaded one.
+	// The gate closes when the rejected share is at least closeRejectedShare and the latency
+	// at least closeLatencyRatio times the unloaded latency. It requires at least
+	// minRejections recent rejections, and the number of distinct targets among them must be
+	// at least minDistinctShare of the number of rejections or of all targets, whichever is
+	// smaller.
 	closeRejectedShare = 0.1
 	closeLatencyRatio  = 1.5
 	minRejections      = 8
-	distinctShare      = 0.6
-	// maxRejections is the number of remembered rejections, and rejectionLifetime how long
-	// they count.
+	minDistinctShare   = 0.6
+	// maxRejections is the number of rejections that are stored, and rejectionLifetime the
+	// time after which they are ignored.
 	maxRejections     = 16
 	rejectionLifetime = time.Second
-	// maxStep is the longest time between two updates that counts.
-	maxStep = 200 * time.Millisecond
+	// maxElapsed limits the time between two updates for which the admitted share grows.
+	maxElapsed = 200 * time.Millisecond
 )
 
 // rejection is a request that a target rejected.
@@ -54,50 +59,50 @@
 	at     time.Time
 }
 
-// Gate is the admission of new ordinary flows of one service. It is safe for concurrent
-// use. The zero value admits all flows.
+// Gate controls the admission of new ordinary flows to one service. It is safe for
+// concurrent use. The zero value admits all flows.
 type Gate struct {
 	mu sync.Mutex
-	// answered and rejected are the weights of recent requests, timed that of the answered
-	// ones whose latency is known, and logLatency the sum of the logarithms of these
-	// latencies, all as of decayedAt.
+	// answered and rejected are decayed counts of requests, timed is the decayed count of
+	// answered requests of known latency, and logLatency the decayed sum of the logarithms
+	// of their latencies, all as of decayedAt.
 	answered, rejected, timed, logLatency float64
 	decayedAt                             time.Time
 	rejections                            [maxRejections]rejection
 	nextRejection                         int
-	// closed is set while the share of ordinary flows that are admitted, admitted, is
-	// less than 1.
+	// closed is set while the admission of ordinary flows is limited, and admitted is the
+	// share of them that is admitted meanwhile.
 	closed    bool
 	admitted  float64
 	updatedAt time.Time
 	state     State
-	// overloaded is what Overloaded returns, outside of mu because it is read for each
-	// answer.
+	// overloaded is the result of Overloaded. It is not protected by mu because it is read
+	// for each answer.
 	overloaded atomic.Bool
 }
 
-// State is the state of a gate at its last update.
+// State is the state of a gate as of its last update.
 type State struct {
-	// Closed is set while only a part of the ordinary flows is admitted.
+	// Closed is set while the admission of ordinary flows is limited.
 	Closed bool
-	// Admitted is the share of ordinary flows that are admitted.
+	// Admitted is the share of new ordinary flows that is admitted.
 	Admitted float64
 	// Rejected is the share of recent requests that targets rejected, and LatencyRatio the
 	// ratio of the latency of the others to the unloaded latency.
 	Rejected, LatencyRatio float64
 }
 
-// AddAnswered counts a request that was answered; took is 0 if its latency is unknown.
-func (g *Gate) AddAnswered(now time.Time, took time.Duration) {
+// AddAnswered counts an answered request; latency is 0 if unknown.
+func (g *Gate) AddAnswered(now time.Time, latency time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.decayTo(now)
 	g.answered++
-	if took <= 0 {
+	if latency <= 0 {
 		return
 	}
 	g.timed++
-	g.logLatency += math.Log(took.Seconds())
+	g.logLatency += math.Log(latency.Seconds())
 }
 
 // AddRejected counts a request that a target rejected.
@@ -122,33 +127,32 @@
 }
 
 // Update recomputes the admitted share. unloaded is the latency of the service under light
-// load, 0 if unknown, and targets the number of its targets that may get new
-// flows. changed is set if the gate
-// has closed or opened.
+// load, 0 if unknown, and targets the number of its targets that accept new flows. changed
+// is set if the gate has closed or opened.
 func (g *Gate) Update(now time.Time, unloaded time.Duration, targets int) (s State, changed bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.decayTo(now)
-	step := min(now.Sub(g.updatedAt), maxStep)
+	elapsed := min(now.Sub(g.updatedAt), maxElapsed)
 	g.updatedAt = now
-	before := g.closed
+	wasClosed := g.closed
 	g.state.Rejected, g.state.LatencyRatio = g.measure(unloaded)
-	if !g.closed && g.mustClose(now, targets) {
+	if !g.closed && g.shouldClose(now, targets) {
 		g.closed, g.admitted = true, 1
 	}
 	if g.closed {
-		g.adjust(step)
+		g.adjust(elapsed)
 	}
 	g.state.Closed, g.state.Admitted = g.closed, 1
 	if g.closed {
 		g.state.Admitted = g.admitted
 	}
 	g.overloaded.Store(g.state.Admitted < 1 && g.state.LatencyRatio >= closeLatencyRatio)
-	return g.state, g.closed != before
+	return g.state, g.closed != wasClosed
 }
 
-// Open opens the gate, for a service where no flow can gain by the refusal of others. changed
-// is set if the gate was closed.
+// Open opens the gate. It is for a service without urgent flows, where refusing flows has no
+// benefit. changed is set if the gate was closed.
 func (g *Gate) Open() (s State, changed bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -159,11 +163,11 @@
 	return g.state, changed
 }
 
-// measure returns the share of rejected requests, and the ratio of the latency of the
-// others to the unloaded latency.
+// measure returns the share of rejected requests and the ratio of the geometric mean latency
+// of the others to the unloaded latency.
 func (g *Gate) measure(unloaded time.Duration) (rejected, latencyRatio float64) {
 	if all := g.answered + g.rejected; all > 0 {
-		rejected = g.rejected / (all + 1) // one more, so that the last few requests decide less
+		rejected = g.rejected / (all + 1) // the added 1 lowers the share when there are few requests
 	}
 	latencyRatio = 1
 	if g.timed > 0.1 && unloaded > 0 {
@@ -172,8 +176,8 @@
 	return rejected, latencyRatio
 }
 
-// mustClose reports whether an open gate has to close.
-func (g *Gate) mustClose(now time.Time, targets int) bool {
+// shouldClose reports whether an open gate meets the conditions for closing.
+func (g *Gate) shouldClose(now time.Time, targets int) bool {
 	if g.state.Rejected < closeRejectedShare || g.state.LatencyRatio < closeLatencyRatio {
 		return false
 	}
@@ -193,17 +197,18 @@
 			distinct++
 		}
 	}
-	return recent >= minRejections && float64(distinct) >= distinctShare*float64(min(recent, targets))
+	return recent >= minRejections && float64(distinct) >= minDistinctShare*float64(min(recent, targets))
 }
 
-// adjust changes the admitted share of a closed gate.
-func (g *Gate) adjust(step time.Duration) {
-	ended := g.state.Rejected < endRejectedShare && g.state.LatencyRatio < endLatencyRatio
-	noQueues := g.timed >= 1 && g.state.LatencyRatio < normalLatencyRatio // without latencies the ratio is 1
-	if ended || noQueues {
-		g.admitted *= math.Exp(endRate * step.Seconds())
+// adjust updates the admitted share of a closed gate, and opens the gate when the share has
+// reached 1 and the latency is below the closing threshold.
+func (g *Gate) adjust(elapsed time.Duration) {
+	recovered := g.state.Rejected < recoveryRejectedShare && g.state.LatencyRatio < recoveryLatencyRatio
+	noQueues := g.timed >= 1 && g.state.LatencyRatio < normalLatencyRatio // without known latencies the ratio is 1
+	if recovered || noQueues {
+		g.admitted *= math.Exp(recoveryRate * elapsed.Seconds())
 	} else {
-		g.admitted = math.Exp(min(0, harmlessShare-g.state.Rejected) / yieldScale)
+		g.admitted = math.Exp(min(0, toleratedRejectedShare-g.state.Rejected) / rejectedShareScale)
 	}
 	g.admitted = min(1, max(minAdmitted, g.admitted))
 	if g.admitted >= 1 && g.state.LatencyRatio < closeLatencyRatio {
@@ -211,19 +216,21 @@
 	}
 }
 
-// Admits reports whether to admit a new ordinary flow; draw is a random number.
-func (s State) Admits(draw uint64) bool {
-	return !s.Closed || float64(draw)/math.MaxUint64 < s.Admitted
+// Admits reports whether to admit a new ordinary flow. random is a uniformly distributed
+// random number.
+func (s State) Admits(random uint64) bool {
+	return !s.Closed || float64(random)/math.MaxUint64 < s.Admitted
 }
 
-// Admits is [State.Admits] of the state at the last update.
-func (g *Gate) Admits(draw uint64) bool { return g.State().Admits(draw) }
+// Admits calls [State.Admits] on the state as of the last update.
+func (g *Gate) Admits(random uint64) bool { return g.State().Admits(random) }
 
-// Overloaded reports whether flows were refused at the last update while queues were long.
-// At other times the targets have room, and one that rejects requests fails them.
+// Overloaded reports whether, as of the last update, the gate refused flows and the latency
+// was elevated. Otherwise targets have free capacity, and a rejected request is a failure of
+// the target.
 func (g *Gate) Overloaded() bool { return g.overloaded.Load() }
 
-// State returns the state at the last update.
+// State returns the state as of the last update.
 func (g *Gate) State() State {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/core/room/gate_test.go
+++ b/core/room/gate_test.go
@@ -13,59 +13,61 @@
 
 const (
 	vms, targets, callers = 8, 20, 900
-	peak                  = 1.7 // times the slots; the urgent third takes 0.67 of them
+	// overload is an offered load relative to the capacity of the slots. Urgent requests, a
+	// third of all, use 0.67 of the capacity.
+	overload = 1.7
 )
 
-// Guards against urgent requests that are served as badly as ordinary ones where targets
-// are full, and against targets that reject nearly half of what they get: without gates
-// both happen, with them the slots stay as busy.
-func TestUrgentFirstInAPeak(t *testing.T) {
-	before := newModel(1)
-	clear(before.gates)
-	before.run(2*time.Second, 0.3)
-	before.run(time.Second, peak)
-	_, rejectedBefore := before.measure(5*time.Second, peak)
-	qt.Assert(t, before.urgent.share() < 0.9, qt.IsTrue, qt.Commentf("%v", before.urgent.share()))
+// Guards against an overload in which urgent requests fail as often as ordinary ones, and in
+// which targets reject nearly half of their requests. Both happen without gates. Gates must
+// not lower the utilization of the slots.
+func TestUrgentRequestsSucceedInOverload(t *testing.T) {
+	withoutGates := newModel(1)
+	clear(withoutGates.gates)
+	withoutGates.run(2*time.Second, 0.3)
+	withoutGates.run(time.Second, overload)
+	_, rejectedWithoutGates := withoutGates.measure(5*time.Second, overload)
+	qt.Assert(t, withoutGates.urgent.share() < 0.9, qt.IsTrue, qt.Commentf("%v", withoutGates.urgent.share()))
 
 	m := newModel(1)
 	m.run(2*time.Second, 0.3)
-	m.run(time.Second, peak)
-	busy, rejected := m.measure(5*time.Second, peak)
-	t.Logf("urgent %.3f, ordinary %.3f, busy %.3f, rejected %d; before %.3f, %.3f, %d", m.urgent.share(), m.ordinary.share(), busy, rejected, before.urgent.share(), before.ordinary.share(), rejectedBefore)
+	m.run(time.Second, overload)
+	busy, rejected := m.measure(5*time.Second, overload)
+	t.Logf("urgent %.3f, ordinary %.3f, busy %.3f, rejected %d; without gates %.3f, %.3f, %d", m.urgent.share(), m.ordinary.share(), busy, rejected, withoutGates.urgent.share(), withoutGates.ordinary.share(), rejectedWithoutGates)
 	qt.Assert(t, m.urgent.share() >= 0.98, qt.IsTrue, qt.Commentf("%v", m.urgent.share()))
 	qt.Assert(t, busy >= 0.95, qt.IsTrue, qt.Commentf("%v", busy))
-	qt.Assert(t, rejected < rejectedBefore/5, qt.IsTrue, qt.Commentf("%d, before %d", rejected, rejectedBefore))
+	qt.Assert(t, rejected < rejectedWithoutGates/5, qt.IsTrue, qt.Commentf("%d, without gates %d", rejected, rejectedWithoutGates))
 }
 
-// Guards against a fleet that needs all its VMs to act: while it is upgraded half of them
-// have no gates, and a VM that starts in a peak knows nothing of it.
-func TestOtherVMsWithoutAGate(t *testing.T) {
+// Guards against admission control that only works if all VMs take part: during an upgrade
+// half of them have no gates, and a VM that starts during an overload has no observations.
+func TestPartialDeploymentOfGates(t *testing.T) {
 	for _, test := range []struct {
 		name   string
 		change func(m *model)
 		want   float64
 	}{
 		{"half of the VMs without", func(m *model) { clear(m.gates[:vms/2]) }, 0.65},
-		{"a VM starts in the peak", func(m *model) { m.gates[0] = new(room.Gate) }, 0.97},
-		{"half of the VMs go", func(m *model) { m.leave(vms / 2) }, 0.97},
+		{"a VM starts during the overload", func(m *model) { m.gates[0] = new(room.Gate) }, 0.97},
+		{"half of the VMs leave", func(m *model) { m.leave(vms / 2) }, 0.97},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			m := newModel(2)
 			m.run(2*time.Second, 0.3)
-			m.run(time.Second, peak)
+			m.run(time.Second, overload)
 			test.change(m)
-			m.run(500*time.Millisecond, peak)
-			m.measure(4*time.Second, peak)
+			m.run(500*time.Millisecond, overload)
+			m.measure(4*time.Second, overload)
 			qt.Assert(t, m.urgent.share() >= test.want, qt.IsTrue, qt.Commentf("%v", m.urgent.share()))
 		})
 	}
 }
 
-// Guards against refusals that go on when the peak has passed.
-func TestGateOpensAfterThePeak(t *testing.T) {
+// Guards against a gate that keeps refusing flows after the overload has ended.
+func TestGateOpensAfterOverload(t *testing.T) {
 	m := newModel(3)
 	m.run(2*time.Second, 0.3)
-	m.run(4*time.Second, peak)
+	m.run(4*time.Second, overload)
 	qt.Assert(t, m.closed(), qt.Equals, vms)
 	m.run(1500*time.Millisecond, 0.4)
 	qt.Assert(t, m.closed(), qt.Equals, 0)
@@ -73,12 +75,12 @@
 	qt.Assert(t, m.ordinary.share() > 0.999, qt.IsTrue, qt.Commentf("%v", m.ordinary.share()))
 }
 
-// Guards against a gate that stays closed after a peak because targets fail a part of their
-// requests: at normal latency there is room, and refusals help nobody.
+// Guards against a gate that stays closed after an overload because targets fail some of
+// their requests: at normal latency there is free capacity, and refusing flows has no benefit.
 func TestGateOpensDespiteFailures(t *testing.T) {
 	m := newModel(6)
 	m.run(2*time.Second, 0.3)
-	m.run(3*time.Second, peak)
+	m.run(3*time.Second, overload)
 	qt.Assert(t, m.closed(), qt.Equals, vms)
 	for _, target := range m.targets {
 		target.failing = 0.2
@@ -90,8 +92,9 @@
 	qt.Assert(t, m.ordinary.share() > 0.97, qt.IsTrue, qt.Commentf("%v", m.ordinary.share()))
 }
 
-// Guards against targets that fail while there is room: refusing flows helps nobody.
-func TestFailuresCloseNoGate(t *testing.T) {
+// Guards against a gate that closes because targets fail requests while there is free
+// capacity.
+func TestFailuresDoNotCloseGate(t *testing.T) {
 	for _, test := range []struct {
 		name          string
 		failing       int
@@ -115,9 +118,9 @@
 	}
 }
 
-// Guards against a gate that admits nothing, so that the end of a peak is never seen, and
-// against one that stays closed in a calm service, whatever it saw before.
-func TestGateAlwaysOpensAgain(t *testing.T) {
+// Guards against a gate that admits no flows and so cannot detect the end of an overload, and
+// against one that stays closed under light load after any sequence of outcomes.
+func TestGateReopensUnderLightLoad(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		g := new(room.Gate)
 		now := start
@@ -147,8 +150,8 @@
 	})
 }
 
-// Guards against slots that idle because too many flows are refused where a little more is
-// asked than the slots can do.
+// Guards against idle slots because too many flows are refused when the offered load slightly
+// exceeds the capacity.
 func TestSlotsStayBusy(t *testing.T) {
 	for _, offered := range []float64{1.05, 1.1, 1.3} {
 		served := func(gates bool) float64 {
@@ -159,7 +162,7 @@
 			m.run(2*time.Second, 0.3)
 			m.run(time.Second, offered)
 			m.measure(6*time.Second, offered)
-			return float64(2*m.urgent.inTime+m.ordinary.inTime) / float64(2*m.urgent.asked+m.ordinary.asked)
+			return float64(2*m.urgent.inTime+m.ordinary.inTime) / float64(2*m.urgent.requested+m.ordinary.requested)
 		}
 		with, without := served(true), served(false)
 		t.Logf("offered %v: %.3f, without gates %.3f", offered, with, without)
--- a/core/room/model_test.go
+++ b/core/room/model_test.go
@@ -9,23 +9,23 @@
 	"baobabstep/core/room"
 )
 
-// model plays callers that keep flows open for several requests, the gates of several VMs,
-// and targets with slots and a queue, in steps of a millisecond.
+// model simulates callers that keep flows open for several requests, the gates of several
+// VMs, and targets with slots and a queue, in steps of a millisecond.
 type model struct {
 	random  *rand.Rand
 	now     time.Time
-	gates   []*room.Gate // nil for a VM without the mechanism
+	gates   []*room.Gate // nil for a VM without a gate
 	targets []*modelTarget
 	callers []*caller
-	// ordinary and urgent count the requests of the interval that is measured.
-	ordinary, urgent       tally
+	// ordinary and urgent count the requests of the measured interval.
+	ordinary, urgent       requestCounts
 	measured               bool
 	rejections, slotMillis int
 }
 
-type tally struct{ asked, inTime int }
+type requestCounts struct{ requested, inTime int }
 
-func (t *tally) share() float64 { return float64(t.inTime) / float64(max(1, t.asked)) }
+func (c *requestCounts) share() float64 { return float64(c.inTime) / float64(max(1, c.requested)) }
 
 const (
 	slots, queue  = 2, 8
@@ -37,23 +37,23 @@
 
 type modelTarget struct {
 	working, waiting []*request
-	// failing is the share of requests that it answers with an error at once.
+	// failing is the share of requests that the target rejects regardless of its load.
 	failing float64
 }
 
 type caller struct {
 	urgent bool
-	// target and vm are those of the caller's flow; target is nil if it has none.
+	// target and vm are those of the caller's flow. target is nil if no flow is open.
 	target *modelTarget
 	vm     int
 }
 
 type request struct {
-	caller      *caller
-	asked, sent time.Time
-	done        time.Time
-	tries       int
-	counted     bool
+	caller          *caller
+	requested, sent time.Time
+	done            time.Time
+	tries           int
+	counted         bool
 }
 
 var start = time.Unix(1_800_000_000, 0)
@@ -72,19 +72,20 @@
 	return m
 }
 
-// run plays some time in which the callers together ask work for a multiple of the slots.
+// run simulates an interval. offered is the offered load relative to the capacity of the
+// slots.
 func (m *model) run(d time.Duration, offered float64) {
 	const meanSeconds = 0.033
 	perMilli := offered * float64(slots*len(m.targets)) / meanSeconds / 1000
 	for end := m.now.Add(d); m.now.Before(end); m.now = m.now.Add(time.Millisecond) {
 		for _, t := range m.targets {
-			m.work(t)
+			m.process(t)
 		}
 		for n := m.poisson(perMilli); n > 0; n-- {
 			c := m.callers[m.random.IntN(len(m.callers))]
-			r := &request{caller: c, asked: m.now, counted: m.measured}
+			r := &request{caller: c, requested: m.now, counted: m.measured}
 			if m.measured {
-				m.tallyOf(c).asked++
+				m.countsOf(c).requested++
 			}
 			m.try(r)
 		}
@@ -109,15 +110,14 @@
 	return n
 }
 
-func (m *model) tallyOf(c *caller) *tally {
+func (m *model) countsOf(c *caller) *requestCounts {
 	if c.urgent {
 		return &m.urgent
 	}
 	return &m.ordinary
 }
 
-// try sends a request on the caller's flow or on a new one; the caller gives up after
-// maxTries.
+// try sends a request on the caller's flow or on a new one, with up to maxTries tries.
 func (m *model) try(r *request) {
 	c := r.caller
 	for ; r.tries < maxTries; r.tries++ {
@@ -147,7 +147,8 @@
 	return 0
 }
 
-// open opens a flow through a random VM to the least busy of three targets.
+// open opens a flow through a random VM to the target with the shortest queue of three
+// random ones. It reports whether the flow was admitted.
 func (m *model) open(c *caller) bool {
 	c.vm = m.random.IntN(len(m.gates))
 	if gate := m.gates[c.vm]; gate != nil && !c.urgent && !gate.Admits(m.random.Uint64()) {
@@ -162,7 +163,7 @@
 	return true
 }
 
-func (m *model) work(t *modelTarget) {
+func (m *model) process(t *modelTarget) {
 	rest := t.working[:0]
 	for _, r := range t.working {
 		if m.now.Before(r.done) {
@@ -191,23 +192,23 @@
 	if gate := m.gates[r.caller.vm]; gate != nil {
 		gate.AddAnswered(m.now, m.now.Sub(r.sent))
 	}
-	if r.counted && m.now.Sub(r.asked) <= objective {
-		m.tallyOf(r.caller).inTime++
+	if r.counted && m.now.Sub(r.requested) <= objective {
+		m.countsOf(r.caller).inTime++
 	}
 	if m.random.Float64() < flowEndChance {
 		r.caller.target = nil
 	}
 }
 
-// measure plays an interval and returns the share of the slots that was busy, and the
-// number of rejections.
+// measure simulates an interval and returns the utilization of the slots and the number of
+// rejections.
 func (m *model) measure(d time.Duration, offered float64) (busy float64, rejections int) {
-	m.ordinary, m.urgent, m.slotMillis, m.rejections = tally{}, tally{}, 0, 0
+	m.ordinary, m.urgent, m.slotMillis, m.rejections = requestCounts{}, requestCounts{}, 0, 0
 	m.measured = true
 	m.run(d, offered)
 	m.measured = false
 	rejections = m.rejections
-	m.run(objective, offered) // for the answers
+	m.run(objective, offered) // completes the counted requests
 	return float64(m.slotMillis) / float64(slots*len(m.targets)) / float64(d/time.Millisecond), rejections
 }
 
@@ -220,7 +221,7 @@
 	return n
 }
 
-// leave takes VMs away; their callers' flows go on through the others.
+// leave removes n VMs. The flows through them continue through the remaining VMs.
 func (m *model) leave(n int) {
 	m.gates = m.gates[n:]
 	for _, c := range m.callers {
--- a/core/token/room.go
+++ b/core/token/room.go
@@ -9,31 +9,33 @@
 	"baobabstep/core/room"
 )
 
-// countRoom counts the outcome of a request for the admission to the target's service.
-// Targets that fail more than their peers say nothing about the room of the service.
-func (t *target) countRoom(now time.Time, outcome answer.Outcome, took time.Duration) {
+// countRoom counts the outcome of a request in the gate of the target's service. Targets that
+// fail more than their peers are ignored: their outcomes do not reflect the load of the
+// service.
+func (t *target) countRoom(now time.Time, outcome answer.Outcome, latency time.Duration) {
 	if outcome != answer.Answered && outcome != answer.Short || t.load.currentAnswerHealth().State != answer.Trusted {
 		return
 	}
 	if outcome == answer.Short {
 		t.service.gate.AddRejected(now, t.id)
 	} else {
-		t.service.gate.AddAnswered(now, took)
+		t.service.gate.AddAnswered(now, latency)
 	}
 }
 
-// idleBusyShare is the busy share of a target up to which it has room for ordinary flows,
-// whatever the others have. Flows differ in their requests, so that some targets are full
-// while others are idle; without the refused flows nothing else would fill these.
+// idleBusyShare is the busy share below which a target accepts ordinary flows even if the gate
+// of the service is closed. Flows differ in their load, so some targets are full while others
+// have idle slots, which would stay idle if ordinary flows were refused.
 const idleBusyShare = 0.8
 
-// maxRejectedForIdle is the share of rejected requests from which no target counts as idle.
-// When a peak begins, the load estimates lag behind, and all targets seem idle.
+// maxRejectedForIdle is the share of rejected requests at or above which no target counts as
+// idle. At the start of an overload the load estimates lag behind, and all targets seem idle.
 const maxRejectedForIdle = 0.15
 
-// hasRoom reports whether to admit a new flow of a rule to a target with an estimated busy
-// share: an ordinary flow is refused if the service has no room for it. The few flows of a
-// target on trial are admitted, since without them the trial shows nothing.
+// hasRoom reports whether to admit a new flow of a rule to a target with the given estimated
+// busy share. An ordinary flow is refused if neither the target is idle nor the gate of the
+// service admits it. Flows to a target on trial are always admitted: they are few, and the
+// trial depends on their outcomes.
 func (r *Router) hasRoom(t *target, route *rule, busy float64) bool {
 	if !route.ordinary || !r.enabled(MechanismRoom) {
 		return true
@@ -43,8 +45,8 @@
 	return idle || state.Admits(r.randomUint64()) || t.load.currentAnswerHealth().State == answer.OnTrial
 }
 
-// updateRoom updates the admission of all services. Where all flows are ordinary, nobody
-// gains by refusals, and the admission stays unlimited.
+// updateRoom updates the gates of all services. The gate of a service without urgent flows
+// stays open, since refusing flows has no benefit there.
 func (r *Router) updateRoom(now time.Time, s *snapshot) {
 	if !r.enabled(MechanismRoom) {
 		return
@@ -67,7 +69,7 @@
 	}
 }
 
-// countAccepting returns the number of targets that may get new flows.
+// countAccepting returns the number of targets that accept new flows.
 func (p *pool) countAccepting(now time.Time) (n int) {
 	for _, t := range p.targets {
 		if t.acceptsNewFlows(now) {
@@ -77,7 +79,7 @@
 	return n
 }
 
-// recordRoom records that the admission to a service has become limited, or is no longer.
+// recordRoom records that the gate of a service has closed or opened.
 func (r *Router) recordRoom(now time.Time, s *snapshot, service string, state room.State) {
 	kind := EventRoomBack
 	if state.Closed {
--- a/core/token/room_test.go
+++ b/core/token/room_test.go
@@ -15,10 +15,10 @@
 // newRoomRouter returns a router whose service has an urgent rule, at the address results,
 // and an ordinary one, at the address fixtures.
 func newRoomRouter(disabled Mechanisms) *Router {
-	return newRoomRouterOf(disabled, manyTargets(20))
+	return newRoomRouterWithTargets(disabled, manyTargets(20))
 }
 
-func newRoomRouterOf(disabled Mechanisms, targets []baobabstep.Registration) *Router {
+func newRoomRouterWithTargets(disabled Mechanisms, targets []baobabstep.Registration) *Router {
 	r := New(Options{DataCentre: "a", Rand: rand.New(rand.NewPCG(1, 2)), Disabled: disabled})
 	ordinary, urgent := singleRule(fixtures, "fixtures"), singleRule(results, "fixtures")
 	ordinary.Repeatable, ordinary.Priority, urgent.Priority = true, 2, 1
@@ -27,9 +27,9 @@
 	return r
 }
 
-// fill lets targets answer calmly for a second, and then reject every second request for a
-// second while the others take long. It returns the time after it.
-func fill(r *Router) time.Time {
+// overload simulates a second of normal answers, and a second in which targets reject every
+// second request and answer the others with high latency. It returns the time at the end.
+func overload(r *Router) time.Time {
 	targets := r.current.Load().pools["fixtures"].targets
 	now := start
 	for tick := range 20 {
@@ -52,8 +52,8 @@
 	return now
 }
 
-// refusals opens flows of an address and returns the share that is refused.
-func refusals(r *Router, now time.Time, address netip.AddrPort) float64 {
+// refusedShare opens flows to an address and returns the share that is refused.
+func refusedShare(r *Router, now time.Time, address netip.AddrPort) float64 {
 	const n = 200
 	refused := 0
 	for i := range n {
@@ -65,13 +65,13 @@
 	return float64(refused) / n
 }
 
-// Guards against ordinary flows that take the room of urgent ones at full targets, and
-// against urgent flows that are refused for it.
-func TestOrdinaryFlowsYieldAtFullTargets(t *testing.T) {
+// Guards against ordinary flows that are admitted at full targets at the expense of urgent
+// ones, and against refused urgent flows.
+func TestOrdinaryFlowsRefusedAtFullTargets(t *testing.T) {
 	r := newRoomRouter(0)
-	now := fill(r)
-	qt.Assert(t, refusals(r, now, fixtures) > 0.5, qt.IsTrue)
-	qt.Assert(t, refusals(r, now, results), qt.Equals, 0.0)
+	now := overload(r)
+	qt.Assert(t, refusedShare(r, now, fixtures) > 0.5, qt.IsTrue)
+	qt.Assert(t, refusedShare(r, now, results), qt.Equals, 0.0)
 	stats := r.Stats()
 	qt.Assert(t, stats.Events["room_short"], qt.Equals, uint64(1))
 	qt.Assert(t, stats.Events["flow_yielded"] > 100, qt.IsTrue)
@@ -79,11 +79,11 @@
 	qt.Assert(t, stats.Failing, qt.Equals, 0, qt.Commentf("full targets count as failing"))
 }
 
-// Guards against slots that stay idle while ordinary flows are refused: flows differ in
-// their requests, and a target that has become idle gets ordinary flows too.
+// Guards against slots that stay idle while ordinary flows are refused: an idle target must
+// receive ordinary flows even if the gate is closed.
 func TestIdleTargetGetsOrdinaryFlows(t *testing.T) {
 	r := newRoomRouter(0)
-	now := fill(r)
+	now := overload(r)
 	for range 4 { // the targets still answer, and reject few requests
 		now = now.Add(100 * time.Millisecond)
 		for _, t := range r.current.Load().pools["fixtures"].targets {
@@ -99,14 +99,14 @@
 	qt.Assert(t, out[0].Target, qt.Not(qt.Equals), baobabstep.TargetID(0))
 }
 
-// Guards against a gate that was closed by a peak and then hides failing targets, which keep
-// it closed.
-func TestFailingTargetsAreMarkedAfterAPeak(t *testing.T) {
+// Guards against a gate that closed in an overload and prevents the detection of failing
+// targets, whose rejections keep it closed.
+func TestFailingTargetsDetectedAfterOverload(t *testing.T) {
 	r := newRoomRouter(0)
-	now := fill(r)
+	now := overload(r)
 	qt.Assert(t, r.Stats().Rooms["fixtures"].Closed, qt.IsTrue)
 	for tick := range 50 {
-		answerOnce(r, now, tick, 8)
+		countAnswers(r, now, tick, 8)
 		now = now.Add(100 * time.Millisecond)
 		r.Tick(now, new([]baobabstep.OutgoingDatagram))
 	}
@@ -115,9 +115,9 @@
 	qt.Assert(t, stats.Failing >= 5, qt.IsTrue, qt.Commentf("%d of 8", stats.Failing))
 }
 
-// answerOnce counts three answers of normal latency of each target, of which the first
-// failing targets fail half.
-func answerOnce(r *Router, now time.Time, tick, failing int) {
+// countAnswers counts three requests per target. The first failing targets reject half of
+// theirs, and all others are answered with normal latency.
+func countAnswers(r *Router, now time.Time, tick, failing int) {
 	for i, t := range r.current.Load().pools["fixtures"].targets {
 		for n := range 3 {
 			if i < failing && (tick+n)%2 == 0 {
@@ -129,40 +129,41 @@
 	}
 }
 
-// countAnswer counts an outcome of a random caller's request.
-func countAnswer(r *Router, now time.Time, t *target, outcome answer.Outcome, took time.Duration) {
-	f := &flow{key: flowFrom(uint16(r.randomUint64()), fixtures), target: t, rule: r.current.Load().rules[fixtures], latency: took}
+// countAnswer counts the outcome of a request of a random caller.
+func countAnswer(r *Router, now time.Time, t *target, outcome answer.Outcome, latency time.Duration) {
+	f := &flow{key: flowFrom(uint16(r.randomUint64()), fixtures), target: t, rule: r.current.Load().rules[fixtures], latency: latency}
 	f.key.Caller = netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(r.randomUint64()), 7}), 1)
 	r.countOutcome(now, f, outcome)
 }
 
-// Guards against refusals that help nobody: all flows of the service are ordinary.
-func TestNothingYieldsToNobody(t *testing.T) {
+// Guards against refusing flows of a service without urgent flows, where it has no
+// benefit.
+func TestNoRefusalsWithoutUrgentFlows(t *testing.T) {
 	r := newRoomRouter(Mechanisms(0).With(MechanismAdmission))
 	ordinary := singleRule(fixtures, "fixtures")
 	ordinary.Repeatable, ordinary.Priority = true, 2
-	now := fill(r)
-	r.SetTable(now, table(2, ordinary)) // the gate is closed at this time
+	now := overload(r)
+	r.SetTable(now, table(2, ordinary)) // removes the urgent rule while the gate is closed
 	r.Tick(now, new([]baobabstep.OutgoingDatagram))
-	qt.Assert(t, refusals(r, now, fixtures), qt.Equals, 0.0)
+	qt.Assert(t, refusedShare(r, now, fixtures), qt.Equals, 0.0)
 	qt.Assert(t, r.Stats().Rooms["fixtures"].Closed, qt.IsFalse)
 }
 
-// Guards against a gate that cannot close while a data centre is evacuated: its targets get
-// no flows, and reject none.
-func TestEvacuatedTargetsDoNotHoldTheGate(t *testing.T) {
+// Guards against a gate that cannot close while a data centre is evacuated, because targets
+// there receive no flows and so reject none.
+func TestEvacuatedTargetsDoNotKeepGateOpen(t *testing.T) {
 	list := manyTargets(3)
 	for id := range baobabstep.TargetID(10) {
 		list = append(list, registration(100+id, "fixtures", "b"))
 	}
-	r := newRoomRouterOf(0, list)
+	r := newRoomRouterWithTargets(0, list)
 	r.SetEvacuations(start, []string{"b"})
-	fill(r)
+	overload(r)
 	qt.Assert(t, r.Stats().Rooms["fixtures"].Closed, qt.IsTrue)
 }
 
-// Guards against a rejected share that counts only the answers of known latency: many
-// callers acknowledge an answer with their next request.
+// Guards against a rejected share that ignores answers of unknown latency: many callers
+// acknowledge an answer only with their next request.
 func TestAnswersOfUnknownLatencyCountForRoom(t *testing.T) {
 	r := newRoomRouter(0)
 	for i := range 200 {
@@ -179,42 +180,42 @@
 	qt.Assert(t, rejected > 0.03 && rejected < 0.07, qt.IsTrue, qt.Commentf("%v", rejected))
 }
 
-// Guards against a trial without flows while the gate is closed: the target passes it,
-// although nothing shows that it has recovered.
-func TestTrialFlowDoesNotYield(t *testing.T) {
-	r := newRoomRouterOf(Mechanisms(0).With(MechanismAdmission), manyTargets(6))
-	now := fill(r)
+// Guards against a target that passes its trial without any flow, because the closed gate
+// refused them all.
+func TestTrialFlowIsAdmitted(t *testing.T) {
+	r := newRoomRouterWithTargets(Mechanisms(0).With(MechanismAdmission), manyTargets(6))
+	now := overload(r)
 	onTrial := r.current.Load().pools["fixtures"].targets[0]
 	onTrial.load.answerHealth = answer.Health{State: answer.OnTrial, Deadline: now.Add(2 * time.Second)}
 	out := handle(r, now, baobabstep.Segment{Kind: baobabstep.KindOpen, Flow: flowFrom(9, fixtures), Seq: firstSeq})
 	qt.Assert(t, out[0].Target, qt.Equals, onTrial.id)
 }
 
-// Without the mechanism nothing yields.
+// Guards against refused flows while the mechanism is disabled.
 func TestRoomDisabled(t *testing.T) {
 	r := newRoomRouter(Mechanisms(0).With(MechanismRoom).With(MechanismAdmission))
-	qt.Assert(t, refusals(r, fill(r), fixtures), qt.Equals, 0.0)
+	qt.Assert(t, refusedShare(r, overload(r), fixtures), qt.Equals, 0.0)
 }
 
-// Guards against the reset of a flow that its target may have accepted: the retransmission
-// of a first segment goes to the same target, also if the service has become full since.
-func TestRetransmittedFlowDoesNotYield(t *testing.T) {
+// Guards against the reset of a flow that its target may have accepted: a retransmitted first
+// segment must go to the same target even if the gate has closed since.
+func TestRetransmittedFlowIsNotRefused(t *testing.T) {
 	r := newRoomRouter(0)
 	var placed []baobabstep.FlowKey
 	for port := range uint16(100) {
 		placed = append(placed, flowFrom(20_000+port, fixtures))
 		open(t, r, start, placed[port])
 	}
-	now := fill(r)
+	now := overload(r)
 	for _, key := range placed {
 		open(t, r, now, key)
 	}
 }
 
-// Guards against a herd on one target. The targets of the VMs' own data centre are
-// evacuated, so that all of its VMs chose among all other targets, and each the one that
-// seemed idle.
-func TestNoHerdFromAnEvacuatedDataCentre(t *testing.T) {
+// Guards against a thundering herd on one target: with the VMs' own data centre evacuated, all
+// of its VMs choose among all other targets, and must not all choose the one with the lowest
+// reported load.
+func TestNoThunderingHerdFromEvacuatedDataCentre(t *testing.T) {
 	got := 0
 	for vm := range 15 {
 		r := New(Options{DataCentre: "b", Rand: rand.New(rand.NewPCG(uint64(vm), 2))})
@@ -232,9 +233,9 @@
 	qt.Assert(t, got <= 20, qt.IsTrue, qt.Commentf("got %d of 60", got))
 }
 
-// Guards against a new target that is flooded while the VMs report their requests to it one
-// by one: the first reports are of few VMs.
-func TestFirstReportsOnANewTarget(t *testing.T) {
+// Guards against overloading a new target because the first load reports on it cover only a
+// few VMs.
+func TestNewTargetIsNotOverloaded(t *testing.T) {
 	const targets, vms = 41, 30
 	loads := map[baobabstep.TargetID]baobabstep.TargetLoad{}
 	for id := range baobabstep.TargetID(targets - 1) {
@@ -254,8 +255,8 @@
 	qt.Assert(t, got <= 2*vms/10, qt.IsTrue, qt.Commentf("got %d of %d", got, 2*vms))
 }
 
-// Guards against a gate that closes for failing targets. What a target answers that fails
-// more than its peers says nothing of the room.
+// Guards against a gate that closes because of failing targets. Outcomes of targets that fail
+// more than their peers do not reflect the load of the service.
 func TestFailingTargetsDoNotCountForRoom(t *testing.T) {
 	r := newRoomRouter(0)
 	targets := r.current.Load().pools["fixtures"].targets
