core/link, core/token: wording of congestion of a VM's own link

Rewrites the comments on congestion of a VM's own link in core/link, core/token, core/heartbeat, entry and link.go in standard networking terms. In core/token, renames leftUnanswered to hasOwnEvidence, severalSilent to multipleTargetsSilent, firstSent to evaluateReport and noteRepetition to noteRetransmission.

--- a/core/heartbeat/congestion.go
+++ b/core/heartbeat/congestion.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// maxCongestionAge is the age of a VM's last congestion from which it is not reported. It
+// maxCongestionAge is the age from which a VM's last congestion is no longer reported. It
 // exceeds the age of the evidence in a silence report.
 const maxCongestionAge = 2 * time.Second
 
@@ -16,7 +16,7 @@
 	t.congestedAt = at
 }
 
-// congestedMS returns CongestedMS for a message.
+// congestedMS returns the value of CongestedMS in a message.
 func (t *PeerTable) congestedMS(now time.Time) uint32 {
 	if t.congestedAt.IsZero() || now.Sub(t.congestedAt) >= maxCongestionAge {
 		return 0
@@ -25,7 +25,7 @@
 }
 
 // congestedAt returns when the link of a message's sender was last congested, zero if it was
-// not lately.
+// not recently.
 func congestedAt(now time.Time, congestedMS uint32) time.Time {
 	if congestedMS == 0 {
 		return time.Time{}
@@ -33,7 +33,7 @@
 	return now.Add(-time.Duration(min(congestedMS, math.MaxInt32)-1) * time.Millisecond)
 }
 
-// CongestedCount returns the number of live VMs of the own data centre, without this one,
+// CongestedCount returns the number of live VMs of the own data centre, excluding this one,
 // whose link was congested when they last sent a message.
 func (t *PeerTable) CongestedCount(now time.Time) (count int) {
 	t.mu.Lock()
--- a/core/heartbeat/congestion_test.go
+++ b/core/heartbeat/congestion_test.go
@@ -20,8 +20,8 @@
 	return received
 }
 
-// Failure: a VM whose link was congested reports silent targets, and its receivers cannot tell
-// that it was.
+// Failure: a VM whose link was congested reports silent targets, and the congestion is not
+// passed to the receivers.
 func TestCongestionIsReported(t *testing.T) {
 	for _, test := range []struct {
 		name     string
@@ -31,7 +31,7 @@
 		{"now", start, start},
 		{"a while ago", start.Add(-300 * time.Millisecond), start.Add(-300 * time.Millisecond)},
 		{"until later, by the backlog", start.Add(time.Second), start},
-		{"too long ago to matter", start.Add(-maxCongestionAge), time.Time{}},
+		{"older than maxCongestionAge", start.Add(-maxCongestionAge), time.Time{}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			sender, receiver := newPeerTable(1), newPeerTable(3)
@@ -59,7 +59,7 @@
 }
 
 // Failure: a value out of range in a message of another VM becomes a time in the future, and
-// its reports weigh nothing for ever.
+// its reports are ignored indefinitely.
 func TestCongestionAgeOutOfRange(t *testing.T) {
 	for _, ms := range []uint32{1, 2, math.MaxInt32, math.MaxUint32} {
 		qt.Check(t, congestedAt(start, ms).After(start), qt.IsFalse, qt.Commentf("%d", ms))
--- a/core/link/meter.go
+++ b/core/link/meter.go
@@ -3,16 +3,16 @@
 // # The model
 //
 // A link is a queue in each direction that drains at the link's rate. A VM sees neither
-// queue, but both show in what it can count:
+// queue, but can infer both from the bytes that it counts:
 //
 //	callers -> [queue] -> VM -> [queue] -> targets
 //
-// A datagram that waited for a time W on the way in arrives on a link that was busy for at
-// least W, so the bytes received in that time are what the link carries in it. On the way
-// out, the queue is what was sent and has not drained yet.
+// A datagram with a queueing delay W on the way in arrives on a link that was busy for at
+// least W, so the bytes received in that time equal the link's capacity. On the way out, the
+// queue is what was sent and has not drained yet.
 //
-// While datagrams wait, callers retransmit segments that nothing is wrong with. What a VM
-// concludes from retransmissions is valid only if its link was not congested meanwhile.
+// While datagrams are queued, callers retransmit segments that were not lost. Conclusions from
+// retransmissions are therefore valid only if the VM's link was not congested meanwhile.
 package link
 
 import (
@@ -24,20 +24,20 @@
 
 const (
 	// bucketWidth is the resolution of the received bytes, and bucketCount the number of
-	// buckets that make up a window. A segment that waited for less than the window cannot
-	// have been retransmitted on account of the wait, as callers retransmit after 200 ms.
+	// buckets in a window. A queueing delay shorter than the window cannot cause a
+	// retransmission, as callers retransmit after 200 ms.
 	bucketWidth = 10 * time.Millisecond
 	bucketCount = 15
 	window      = bucketCount * bucketWidth
 	// congestedShare is the share of the link's rate from which the link counts as busy.
-	// The rest is for frames and control traffic that the VM does not count.
+	// The rest allows for framing and control traffic that the VM does not count.
 	congestedShare = 0.85
 	// congestedBacklog is the backlog of sent datagrams from which the link counts as
-	// congested. Queues that hold 50 ms lose every datagram that is sent on a longer backlog,
-	// also a small one of another flow. One caller that sends 16 segments at once on a link of
-	// 2 Mbit/s suffices for that, without a window that is busy.
+	// congested. A queue that holds 50 ms drops every datagram that exceeds it, including
+	// small datagrams of other flows. A burst of 16 segments from one caller on a link of
+	// 2 Mbit/s is sufficient to overflow it, without filling a window.
 	congestedBacklog = 45 * time.Millisecond
-	// maxBacklog bounds the backlog: a real queue drops what exceeds it.
+	// maxBacklog bounds the estimated backlog, as a real queue drops the excess.
 	maxBacklog = 500 * time.Millisecond
 	// DatagramOverhead is the size in bytes of the IP and UDP headers of a datagram.
 	DatagramOverhead = 28
@@ -50,13 +50,13 @@
 
 	mu sync.Mutex
 	// startedAt is when the first datagram was counted. Buckets are numbered from it, because
-	// differences of times are not affected by steps of the time of day.
+	// time differences are not affected by wall-clock steps.
 	startedAt time.Time
 	// received are the bytes received in each of the last buckets; newest is the number of
 	// the latest bucket.
 	received [bucketCount]int
 	newest   int64
-	// backlog is what was sent and had not drained at sentAt, in bytes; sent are the bytes
+	// backlog is the number of bytes sent that had not drained at sentAt; sent are the bytes
 	// sent in each of the last buckets.
 	backlog float64
 	sentAt  time.Time
@@ -140,8 +140,8 @@
 	}
 }
 
-// advance empties the buckets between the latest one and that of now. If the time is earlier
-// by more than a window, the buckets are of no use.
+// advance empties the buckets between the latest one and that of now. It resets the meter
+// if now is earlier than the latest bucket by a window or more.
 func (m *Meter) advance(now time.Time) {
 	if m.startedAt.IsZero() {
 		m.startedAt, m.sentAt = now, now
--- a/core/link/meter_test.go
+++ b/core/link/meter_test.go
@@ -24,8 +24,8 @@
 	return from.Add(duration)
 }
 
-// A link on which segments wait is busy for as long as they wait; a shorter or a smaller
-// load cannot have delayed a segment until its retransmission.
+// Failure: a load too short or too small to delay a segment until its retransmission counts
+// as congestion, or a full link does not.
 func TestCongestedSince(t *testing.T) {
 	for _, test := range []struct {
 		name     string
@@ -48,7 +48,7 @@
 	}
 }
 
-// Congestion that is over explains no later retransmission.
+// Failure: past congestion is taken as the cause of a later retransmission.
 func TestCongestionEnds(t *testing.T) {
 	m := link.New(rate)
 	end := receive(m, start, 1, 300*time.Millisecond)
@@ -57,7 +57,8 @@
 	qt.Assert(t, m.CongestedSince(start), qt.IsTrue)
 }
 
-// What is sent beyond the rate waits, and drains at the rate.
+// Failure: bytes sent in excess of the rate are not counted as backlog, or do not drain at
+// the rate.
 func TestBacklog(t *testing.T) {
 	m := link.New(rate)
 	m.Sent(start, rate/4)
@@ -68,9 +69,9 @@
 	qt.Assert(t, m.CongestedSince(start.Add(206*time.Millisecond)), qt.IsFalse)
 }
 
-// Failure: the time goes back by seconds, and what is received until it has caught up counts
-// as received in one window.
-func TestTimeGoesBack(t *testing.T) {
+// Failure: the clock steps back by seconds, and all bytes received until it catches up are
+// counted in one window.
+func TestClockStepsBack(t *testing.T) {
 	m := link.New(rate)
 	receive(m, start, 0.1, time.Second)
 	earlier := start.Add(-10 * time.Second)
@@ -79,11 +80,10 @@
 	qt.Assert(t, m.Load(earlier.Add(time.Second)).Received <= 0.5, qt.IsTrue)
 }
 
-// Failure: one caller sends its 16 segments at once through a link of 2 Mbit/s, on which they
-// need 81 ms. The link loses the last of them, and first segments of other callers that are
-// sent meanwhile. Their copies seemed evidence against the targets, and two such VMs reset
-// flows of a target that serves.
-func TestOneCallerOverflowsASmallLink(t *testing.T) {
+// Failure: a burst of 16 segments takes 81 ms on a link of 2 Mbit/s and overflows its queue,
+// which also drops first segments of other callers. Their retransmissions count as evidence
+// against the targets, and two such VMs reset flows of a live target.
+func TestBurstOverflowsSlowLink(t *testing.T) {
 	const slow = 2e6 / 8
 	m := link.New(slow)
 	for range 16 {
@@ -97,8 +97,8 @@
 	qt.Assert(t, m.CongestedSince(start.Add(50*time.Millisecond)), qt.IsFalse)
 }
 
-// Failure: a VM sends twice the rate for a minute and counts as congested for a minute more,
-// although a queue of that length exists nowhere.
+// Failure: after a minute of sending at twice the rate, a VM counts as congested for another
+// minute, although no real queue is that long.
 func TestBacklogIsBounded(t *testing.T) {
 	m := link.New(rate)
 	at := start
--- a/core/token/congestion_test.go
+++ b/core/token/congestion_test.go
@@ -156,7 +156,7 @@
 	return data(key, tokenFor(hashFlow(key), target))
 }
 
-// hear makes a VM see that a caller received an answer of a target on an open flow.
+// hear makes a VM receive an acknowledgement of a target's answer on an open flow.
 func (f *testFleet) hear(now time.Time, vm int, target baobabstep.TargetID) {
 	f.t.Helper()
 	key := f.nextKey()
@@ -166,8 +166,8 @@
 	handle(f.routers[vm], now, s)
 }
 
-// Failure: segments wait on the link of one VM, their callers retransmit them, and the VM takes
-// that for silence of a live target, of which another VM lost a datagram.
+// Failure: segments wait on the link of one VM, their callers retransmit them, and the VM
+// counts this as silence of a live target of which another VM lost a datagram.
 func TestCongestedVMFindsNoTargetSilent(t *testing.T) {
 	run := func(disabled ...Mechanism) (*testFleet, time.Time) {
 		f := newTestFleet(t, 2, disabled...)
@@ -183,14 +183,14 @@
 	qt.Assert(t, flows, qt.Equals, 0)
 	qt.Assert(t, f.reports[0], qt.HasLen, 0)
 
-	t.Run("it does without the mechanism", func(t *testing.T) {
+	t.Run("mechanism disabled", func(t *testing.T) {
 		f, now := run(MechanismCongestion)
 		assertReset(t, f.routers[0], now, f.established(now, 0, 1))
 	})
 }
 
-// Failure: a retransmitted first segment that waited on the VM's link goes to a second target
-// while the first has accepted the flow.
+// Failure: a first segment that is retransmitted because of queueing on the VM's link goes to a
+// second target although the first has accepted the flow.
 func TestCongestedVMMovesNoFlow(t *testing.T) {
 	f := newTestFleet(t, 2)
 	f.congest(0, 1, start.Add(time.Second))
@@ -200,7 +200,7 @@
 	}
 }
 
-// Failure: answers that wait on the VM's link make live targets count as failing or slow.
+// Failure: live targets count as failing or slow because answers are queued on the VM's link.
 func TestCongestedVMCountsNoOutcome(t *testing.T) {
 	f := newTestFleet(t, 1)
 	f.congest(0, 1, start.Add(time.Second))
@@ -211,9 +211,9 @@
 	qt.Assert(t, sample.Answers, qt.Equals, 0.0)
 }
 
-// Failure: a burst congests three VMs at once, and their reports end the flows of a live target
-// at a fourth VM.
-func TestReportsOfCongestedVMsWeighNothing(t *testing.T) {
+// Failure: a burst congests three VMs at once, and their reports reset the flows of a live
+// target at a fourth VM.
+func TestReportsOfCongestedVMsAreIgnored(t *testing.T) {
 	reports := func(congestedAt time.Time) map[baobabstep.TargetID]baobabstep.TargetLoad {
 		list := silenceReports(3, 2, start.Add(time.Second))
 		for i := range list {
@@ -244,7 +244,7 @@
 			}
 		})
 	}
-	t.Run("and are not sent", func(t *testing.T) {
+	t.Run("reports are not sent", func(t *testing.T) {
 		f := newTestFleet(t, 4)
 		f.congest(1, 4, start.Add(5*time.Second))
 		now := f.leaveUnanswered(start.Add(newIncarnationGrace), 2, 1, 2, 3)
@@ -253,8 +253,8 @@
 	})
 }
 
-// Failure: the path to another data centre is slow, so that all its targets seem silent to all
-// VMs here at once, and their flows are reset although they live.
+// Failure: the path to another data centre is slow, all its targets seem silent to all local VMs at
+// once, and their flows are reset although the targets are live.
 func TestSlowPathResetsNoFlow(t *testing.T) {
 	run := func(silent ...baobabstep.TargetID) (f *testFleet, now time.Time) {
 		f = newTestFleet(t, 4)
@@ -276,7 +276,7 @@
 		f, now := run(11, 12)
 		assertPassed(t, f.routers[0], now, f.established(now, 0, 11), 11)
 	})
-	t.Run("for longer than a path delays", func(t *testing.T) {
+	t.Run("for longer than maxPathDelay", func(t *testing.T) {
 		f, now := run(11, 12)
 		for range 4 {
 			f.renewSilence(now, 11, 12)
@@ -317,8 +317,8 @@
 	f.exchange(sentAt.Add(callerRetransmissionDelay))
 }
 
-// Failure: a target that is full says nothing to new flows but answers on its open ones, and
-// these are reset because three VMs find it silent at the same moment.
+// Failure: a full target does not answer new flows but answers on open ones, which are reset
+// because three VMs find it silent at the same time.
 func TestFullTargetKeepsItsFlows(t *testing.T) {
 	f := newTestFleet(t, 5)
 	now := start.Add(newIncarnationGrace)
@@ -327,7 +327,7 @@
 		f.findSilent(now, vm, 1)
 	}
 	now = now.Add(callerRetransmissionDelay)
-	t.Run("not before a VM that hears from it can say so", func(t *testing.T) {
+	t.Run("before a contradiction", func(t *testing.T) {
 		first := f.routers[0].TakeAlarms(now)
 		qt.Assert(t, first, qt.HasLen, 1)
 		f.reports[0][1] = first[0]
@@ -337,7 +337,7 @@
 		f.routers[0].SetSilenceReports(now, map[baobabstep.TargetID]baobabstep.TargetLoad{1: f.combined(0, 1)})
 		assertPassed(t, f.routers[0], now.Add(contradictionDelay-time.Millisecond), f.established(now, 0, 1), 1)
 	})
-	t.Run("nor after it did", func(t *testing.T) {
+	t.Run("after a contradiction", func(t *testing.T) {
 		f.routers[4].SetSilenceReports(now, map[baobabstep.TargetID]baobabstep.TargetLoad{1: f.combined(4, 1)})
 		f.exchange(now)
 		later := now.Add(2 * contradictionDelay)
@@ -414,18 +414,18 @@
 	}
 }
 
-// surroundSilence plays three seconds in which target 1 answers nothing and the others are
-// heard by all VMs. It returns the VMs that reset a flow at target 1, and how many of the later new
-// flows went there.
-func (f *testFleet) surroundSilence(now time.Time, congested int) (resetBy map[int]bool, atDead, placed int) {
+// simulateSilentTarget simulates three seconds in which target 1 does not answer and all VMs hear
+// from the others. It returns the VMs that reset a flow at target 1, and the number of later new
+// flows that were placed there and in total.
+func (f *testFleet) simulateSilentTarget(now time.Time, congested int) (resetBy map[int]bool, atDead, placed int) {
 	resetBy = map[int]bool{}
 	f.congest(0, congested, now.Add(10*time.Second))
 	for vm, r := range f.routers {
-		calmSelf := 1
+		uncongestedSelf := 1
 		if vm < congested {
-			calmSelf = 0
+			uncongestedSelf = 0
 		}
-		r.SetCongestedVMs(congested - 1 + calmSelf)
+		r.SetCongestedVMs(congested - 1 + uncongestedSelf)
 	}
 	opened := map[baobabstep.FlowKey]int{}
 	begin := now
@@ -460,13 +460,13 @@
 	return resetBy, atDead, placed
 }
 
-// Failure: while fewer than two VMs of a data centre are calm, the flows of a dead target are
-// not even reset by a calm VM, and new ones go on being placed there.
-func TestDeadTargetIsFoundWithFewCalmVMs(t *testing.T) {
+// Failure: while fewer than two VMs of a data centre are uncongested, not even an uncongested
+// VM resets the flows of a dead target, and new flows are still placed there.
+func TestDeadTargetIsFoundWithFewUncongestedVMs(t *testing.T) {
 	for _, test := range []struct{ vms, congested int }{{1, 1}, {2, 1}, {2, 2}, {3, 2}, {4, 3}, {4, 4}} {
 		t.Run(fmt.Sprintf("%d of %d VMs are congested", test.congested, test.vms), func(t *testing.T) {
 			f := newTestFleet(t, test.vms)
-			resetBy, atDead, placed := f.surroundSilence(start.Add(newIncarnationGrace), test.congested)
+			resetBy, atDead, placed := f.simulateSilentTarget(start.Add(newIncarnationGrace), test.congested)
 			qt.Check(t, atDead*20 < placed, qt.IsTrue, qt.Commentf("%d of %d flows went to the dead target", atDead, placed))
 			for vm := test.congested; vm < test.vms; vm++ {
 				qt.Assert(t, resetBy[vm], qt.IsTrue)
@@ -475,8 +475,8 @@
 	}
 }
 
-// Failure: a congested VM ends flows on the report of a single other VM, or of two without any
-// evidence of its own, while a calm VM needs three.
+// Failure: a congested VM resets flows on the report of a single other VM, or of two without
+// evidence of its own, while an uncongested VM needs three.
 func TestCongestedVMNeedsMoreThanOneReport(t *testing.T) {
 	for _, test := range []struct {
 		name    string
@@ -508,8 +508,8 @@
 	}
 }
 
-// Failure: each packet and each pending flow of a silent target looks at all targets of its
-// service, 0.4 ms each time where there are 10,000.
+// Failure: each packet and each pending flow of a silent target scans all targets of its
+// service, which takes 0.4 ms with 10,000 targets.
 func TestPathIsReviewedOncePerInterval(t *testing.T) {
 	f := newTestFleet(t, 1)
 	r := f.routers[0]
@@ -527,8 +527,8 @@
 	qt.Assert(t, slow(now.Add(pathReviewInterval)), qt.IsFalse)
 }
 
-// Failure: a verdict that ended by a heartbeat leaves its beginning behind, and the next one
-// resets flows before a VM that hears from the target can say so.
+// Failure: a heartbeat that ends a verdict does not clear its start time, and the next verdict
+// resets flows before a VM that hears from the target can contradict.
 func TestHeartbeatEndsVerdict(t *testing.T) {
 	f := newTestFleet(t, 4)
 	r, now := f.routers[0], start.Add(newIncarnationGrace)
@@ -543,7 +543,7 @@
 	now = now.Add(contradictionDelay)
 	assertReset(t, r, now, f.established(now, 0, 1))
 
-	t.Run("and begins one", func(t *testing.T) {
+	t.Run("heartbeat starts a verdict", func(t *testing.T) {
 		f := newTestFleet(t, 4)
 		r, now := f.routers[0], start.Add(newIncarnationGrace)
 		r.SetPeerLoads(now, report(now, time.Time{}), map[string]int{"a": 3})
@@ -552,8 +552,8 @@
 	})
 }
 
-// Failure: three VMs find a target dead in calm, are congested a moment later, and what they
-// found weighs nothing any more.
+// Failure: three uncongested VMs find a target dead, become congested shortly after, and their
+// reports are ignored.
 func TestLaterCongestionOfTheSenderKeepsItsReport(t *testing.T) {
 	f := newTestFleet(t, 4)
 	now := start.Add(newIncarnationGrace)
@@ -567,8 +567,8 @@
 	assertReset(t, f.routers[0], now, f.established(now, 0, 1))
 }
 
-// Failure: the guards against false verdicts can't be switched off.
-func TestGuardsBelongToCongestion(t *testing.T) {
+// Failure: disabling MechanismCongestion does not disable its checks against false verdicts.
+func TestDisabledCongestionMechanism(t *testing.T) {
 	f := newTestFleet(t, 4, MechanismCongestion)
 	now := start.Add(newIncarnationGrace)
 	for vm := range f.routers {
@@ -581,7 +581,7 @@
 	f.exchange(now)
 	assertReset(t, f.routers[0], now, f.established(now, 0, 11))
 
-	t.Run("and contradictions", func(t *testing.T) {
+	t.Run("contradictions", func(t *testing.T) {
 		f := newTestFleet(t, 4, MechanismCongestion)
 		f.hear(now, 0, 1)
 		f.routers[0].SetSilenceReports(now, map[baobabstep.TargetID]baobabstep.TargetLoad{1: {SilenceReports: silenceReports(2, 2, now)}})
@@ -590,8 +590,8 @@
 }
 
 // Failure: another VM receives a delayed acknowledgement of a target just after it died. All
-// evidence is older, and as a request counts once, none follows while its caller repeats it.
-func TestFurtherRepetitionsRenewTheEvidence(t *testing.T) {
+// evidence is older, and as a request counts once, none follows while its caller retransmits it.
+func TestFurtherRetransmissionsRenewEvidence(t *testing.T) {
 	f := newTestFleet(t, 4)
 	died := start.Add(newIncarnationGrace)
 	requests := make([]baobabstep.Segment, 3)
@@ -625,16 +625,16 @@
 	})
 }
 
-// Failure: the link congests just before a segment is sent to its target, the segment has waited
-// there, and its repetition counts.
+// Failure: the link is congested just before a segment is sent to its target, the segment was
+// queued on it, and its retransmission counts as evidence.
 func TestCongestionBeforeTheSegmentCounts(t *testing.T) {
 	for _, test := range []struct {
 		name    string
 		before  time.Duration
 		counted int
 	}{
-		{"in the time that a caller waits", callerRetransmissionDelay - time.Millisecond, 0},
-		{"before it", callerRetransmissionDelay + time.Millisecond, 2},
+		{"within the retransmission delay", callerRetransmissionDelay - time.Millisecond, 0},
+		{"before the retransmission delay", callerRetransmissionDelay + time.Millisecond, 2},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			f := newTestFleet(t, 2)
@@ -647,14 +647,14 @@
 		t.Run(test.name+", at the sender of a report", func(t *testing.T) {
 			list := silenceReports(1, 2, start)
 			list[0].CongestedAt = start.Add(-callerRetransmissionDelay - test.before)
-			_, usable := firstSent(start, list[0])
+			_, usable := evaluateReport(start, list[0])
 			qt.Assert(t, usable, qt.Equals, test.counted > 0)
 		})
 	}
 }
 
-// Failure: the verdict on a target that gets no packets begins only with the next packet, and
-// its flows wait 50 ms longer.
+// Failure: the verdict on a target without traffic starts only with the next packet, and its
+// flows are reset 50 ms late.
 func TestOwnEvidenceBeginsTheVerdict(t *testing.T) {
 	f := newTestFleet(t, 1)
 	now := start.Add(newIncarnationGrace)
@@ -666,9 +666,9 @@
 	assertReset(t, f.routers[0], later, f.established(later, 0, 1))
 }
 
-// Failure: one target of another data centre was heard a moment ago, others are dead, and the
-// path counts as slow.
-func TestPathWithAHeardTargetIsNotSlow(t *testing.T) {
+// Failure: one target of another data centre was heard recently, others are dead, and the path
+// counts as slow.
+func TestPathWithReachableTargetIsNotSlow(t *testing.T) {
 	f := newTestFleet(t, 1)
 	r := f.routers[0]
 	now := start.Add(newIncarnationGrace)
@@ -676,15 +676,15 @@
 	f.findSilent(now.Add(-time.Millisecond), 0, 12)
 	later := now.Add(callerRetransmissionDelay - time.Millisecond)
 	targets := r.current.Load().pools["fixtures"].targets
-	qt.Assert(t, severalSilent(later, "b", targets), qt.IsTrue)
+	qt.Assert(t, multipleTargetsSilent(later, "b", targets), qt.IsTrue)
 	// Another VM heard from a target at a time that leaves the evidence of this one fresh.
 	r.SetSilenceReports(later, map[baobabstep.TargetID]baobabstep.TargetLoad{12: {HeardAt: now}})
-	qt.Assert(t, severalSilent(later, "b", targets), qt.IsFalse)
+	qt.Assert(t, multipleTargetsSilent(later, "b", targets), qt.IsFalse)
 }
 
-// Failure: a VM whose peers are all congested resets flows before a contradiction, which waits
-// on the link of the peer, arrives.
-func TestLoneCalmVMWaitsForCongestedOnes(t *testing.T) {
+// Failure: a VM whose peers are all congested resets flows before a contradiction that is queued
+// on the link of a peer arrives.
+func TestSingleUncongestedVMWaitsForContradiction(t *testing.T) {
 	f := newTestFleet(t, 2)
 	f.routers[0].SetCongestedVMs(1)
 	now := start.Add(newIncarnationGrace)
--- a/core/token/flow_tracking.go
+++ b/core/token/flow_tracking.go
@@ -68,9 +68,9 @@
 // this VM to rule out that its own link is broken.
 const maxHearingAge = 500 * time.Millisecond
 
-// contradictionDelay is how long a target is found unreachable before its flows are reset, so
-// that a VM that hears from it can say so: an alarm waits for minAlarmInterval of its sender
-// and then takes milliseconds.
+// contradictionDelay is the time between finding a target unreachable and resetting its flows,
+// in which a VM that hears from the target can contradict: an alarm is held back for up to
+// minAlarmInterval by its sender and then takes milliseconds.
 const contradictionDelay = 50 * time.Millisecond
 
 // confirmedUnreachable reports whether the flows of a target should be reset, so that their
@@ -90,7 +90,7 @@
 	case r.congestedSince(now):
 		unreachable = v.reported
 	case alone && r.vmCount() > 1:
-		// The contradiction of a VM waits on its congested link.
+		// A contradiction may be queued on the congested link of its sender.
 		v.settled = now.Sub(v.since) >= callerRetransmissionDelay
 	}
 	if !v.settled || !unreachable {
@@ -106,19 +106,19 @@
 // unreachable although VMs of that data centre are heard.
 const maxPathDelay = time.Second
 
-// pathReviewInterval is how long the state of a path is kept: all targets of a service are read
-// for it.
+// pathReviewInterval is how long the state of a path is cached, as computing it reads all
+// targets of a service.
 const pathReviewInterval = 20 * time.Millisecond
 
-// pathState is whether all targets of a service in one data centre seem silent at once.
+// pathState is the cached result of pathSilent for one data centre.
 type pathState struct {
 	at     time.Time
 	silent bool
 }
 
-// pathMayBeSlow reports whether the path to another data centre explains the silence of a
-// target: others there are silent as well, none is heard from, and the VMs there are alive.
-// If the data centre is cut off, its VMs are soon not heard any more.
+// pathMayBeSlow reports whether the path to another data centre may explain the silence of
+// a target: others there are silent as well, none is heard from, and the VMs there are alive.
+// If the data centre is disconnected, its VMs are soon no longer heard.
 func (r *Router) pathMayBeSlow(now time.Time, targets []*target, t *target) bool {
 	name := t.registration.DataCentre
 	if !r.enabled(MechanismCongestion) || name == r.options.DataCentre || (*r.vmsHeard.Load())[name] == 0 {
@@ -128,13 +128,13 @@
 }
 
 // pathSilent reports whether several targets of the service in a data centre seem silent, and
-// none there was heard from lately.
+// none there was heard from recently.
 func (s *serviceStats) pathSilent(now time.Time, dataCentre string, targets []*target) bool {
 	s.pathsLock.Lock()
 	defer s.pathsLock.Unlock()
 	state, ok := s.paths[dataCentre]
 	if age := now.Sub(state.at); !ok || age < 0 || age >= pathReviewInterval {
-		state = pathState{at: now, silent: severalSilent(now, dataCentre, targets)}
+		state = pathState{at: now, silent: multipleTargetsSilent(now, dataCentre, targets)}
 		if s.paths == nil {
 			s.paths = make(map[string]pathState)
 		}
@@ -143,7 +143,7 @@
 	return state.silent
 }
 
-func severalSilent(now time.Time, dataCentre string, targets []*target) bool {
+func multipleTargetsSilent(now time.Time, dataCentre string, targets []*target) bool {
 	silent := 0
 	for _, t := range targets {
 		if t.registration.DataCentre != dataCentre {
@@ -256,7 +256,7 @@
 			f.target.load.countRequest(now)
 		}
 	} else if p.Size > 0 && !progress {
-		r.noteRepetition(now, f)
+		r.noteRetransmission(now, f)
 	}
 	f.lastPacketAt = now
 	if progress {
@@ -271,8 +271,9 @@
 	}
 }
 
-// noteRepetition counts a flow whose request is repeated. Further repetitions renew the evidence.
-func (r *Router) noteRepetition(now time.Time, f *flow) {
+// noteRetransmission counts a flow whose request is retransmitted. Further retransmissions renew the
+// evidence.
+func (r *Router) noteRetransmission(now time.Time, f *flow) {
 	switch {
 	case !f.countedUnanswered:
 		if now.Sub(f.requestSentAt) < minRetransmissionDelay {
@@ -281,7 +282,7 @@
 		f.countedUnanswered = true
 		r.noteUnanswered(now, f, requestRepeated)
 	case now.Sub(f.repeatedAt) < minRetransmissionDelay:
-		return // another segment of the same repetition
+		return // another segment of the same retransmission
 	case !r.congestedSince(f.repeatedAt) && f.target.load.renewUnanswered(now, f.repeatedAt):
 		f.target.load.updateVerdict(now, r.alone())
 		r.alarms.add(f.target.id)
--- a/core/token/health.go
+++ b/core/token/health.go
@@ -68,7 +68,7 @@
 	// heardAt is when this VM last heard from the target, unansweredAt when the target last
 	// left a flow unanswered.
 	heardAt, unansweredAt time.Time
-	// repeatedAt is when a caller of the target last repeated a segment.
+	// repeatedAt is when a caller of the target last retransmitted a segment.
 	repeatedAt time.Time
 	// knownSince is when this incarnation of the target was registered.
 	knownSince time.Time
@@ -76,9 +76,9 @@
 	// until the next trial.
 	trialAt    time.Time
 	trialPause time.Duration
-	// unreachableSince is since when the target is found unreachable; zero while it is not.
+	// unreachableSince is when the target was found unreachable; zero while it is not.
 	unreachableSince time.Time
-	// delayed is what seemed silence while this VM's own link was congested.
+	// delayed is the evidence of silence from while this VM's own link was congested.
 	delayed delayedSilence
 	avoidance
 }
@@ -150,20 +150,21 @@
 	vms, unanswered, opens, vanished int
 }
 
-// firstSent returns when the last segment of a report was first sent, and whether the report
-// is usable: it is fresh, and the link of its sender was not congested while the evidence arose.
-func firstSent(now time.Time, r baobabstep.SilenceReport) (sentAt time.Time, usable bool) {
+// evaluateReport returns when the last segment of a report was first sent, and whether the report
+// is usable: it is fresh, and the link of its sender was not congested when the evidence was
+// collected.
+func evaluateReport(now time.Time, r baobabstep.SilenceReport) (sentAt time.Time, usable bool) {
 	sentAt = r.LastUnansweredAt.Add(-callerRetransmissionDelay)
 	congested := !r.CongestedAt.IsZero() && !r.CongestedAt.Before(sentAt.Add(-congestionMargin)) && !r.CongestedAt.After(r.LastUnansweredAt)
 	return sentAt, !congested && now.Sub(r.LastUnansweredAt) < evidenceLifetime
 }
 
-// contradictsReports reports whether the usable reports of other VMs may end flows of the
-// target although this VM heard from it since, which no VM has reported.
+// contradictsReports reports whether the usable reports of other VMs may reset flows of
+// the target although this VM has heard from it since and no VM has reported that.
 func (h *health) contradictsReports(now time.Time) bool {
 	unanswered, opens := 0, 0
 	for _, r := range h.reports {
-		if sentAt, usable := firstSent(now, r); usable && h.heardAt.After(sentAt) && !h.othersHeardAt.After(sentAt) {
+		if sentAt, usable := evaluateReport(now, r); usable && h.heardAt.After(sentAt) && !h.othersHeardAt.After(sentAt) {
 			unanswered += min(r.Unanswered, maxCountPerVM)
 			opens += min(r.UnansweredOpens, maxCountPerVM)
 		}
@@ -178,7 +179,7 @@
 		return silenceSummary{}
 	}
 	for _, r := range h.reports {
-		sentAt, usable := firstSent(now, r)
+		sentAt, usable := evaluateReport(now, r)
 		if !usable || h.heardAt.After(sentAt) || h.othersHeardAt.After(sentAt) {
 			continue
 		}
@@ -223,27 +224,27 @@
 }
 
 // isCorroborated reports whether the reports of other VMs suffice together with own evidence
-// from a congested link, which says less than that from a calm one.
+// from a congested link, which is weaker than evidence from an uncongested one.
 func (s silenceSummary) isCorroborated() bool {
 	return s.vms >= corroboratingVMs && s.opens > 0 && s.unanswered+s.opens >= unreachableThreshold
 }
 
-// verdict is whether a target is found unreachable.
+// verdict is the result of evaluating the evidence on whether a target is unreachable.
 type verdict struct {
 	// unreachable is as in health, reported the same for a VM whose own link is congested.
 	unreachable, reported bool
-	// since is since when one of them is set.
+	// since is when the first of them was set.
 	since time.Time
-	// settled is set once a VM that hears from the target would have said so, or if this VM
-	// found that the target does not answer on an open flow either.
+	// settled is set once the time for a contradiction by another VM has passed, or if the
+	// target does not answer on an open flow of this VM either.
 	settled bool
 }
 
-// updateVerdict returns the verdict on the target and records since when it is found
+// updateVerdict returns the verdict on the target and records when it was found
 // unreachable.
 func (h *health) updateVerdict(now time.Time, alone bool) verdict {
 	others := h.summariseReports(now)
-	v := verdict{unreachable: h.unreachableWith(now, alone, others), reported: others.isConclusive() || others.isCorroborated() && h.leftUnanswered(now)}
+	v := verdict{unreachable: h.unreachableWith(now, alone, others), reported: others.isConclusive() || others.isCorroborated() && h.hasOwnEvidence(now)}
 	switch {
 	case !v.unreachable && !v.reported:
 		h.unreachableSince = time.Time{}
@@ -270,7 +271,7 @@
 	case h.unanswered == 0 || h.opens+others.opens == 0:
 		return false
 	case now.Sub(h.repeatedAt) >= evidenceLifetime:
-		return false // flows that vanished may go on through other VMs
+		return false // vanished flows may continue through other VMs
 	case h.othersHeardAt.After(h.unansweredAt.Add(-minRetransmissionDelay)):
 		return false // the target answered another VM while it seemed silent here
 	case others.vms == 0 && !alone:
--- a/entry/congestion.go
+++ b/entry/congestion.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// messageOverhead is the size in bytes that a message to another VM has on the link in
-	// addition to its encoded size: the authentication code and the headers.
+	// messageOverhead is the size in bytes that are added to an encoded message to another
+	// VM: the authentication code and the headers.
 	messageOverhead = 16 + link.DatagramOverhead
 	// congestionLogPause is how long the link must be free of congestion for the congestion
 	// to count as over in the log.
@@ -46,15 +46,15 @@
 	n.options.Messages.Send(to, raw)
 }
 
-// announceCongestion sets what the following messages tell other VMs of the congestion of this
-// VM's link.
+// announceCongestion sets the congestion of this VM's link that the following messages report to
+// other VMs.
 func (n *Node) announceCongestion() {
 	if !n.options.Settings.Token.Mechanisms().Has(token.MechanismCongestion) {
 		n.peerTable.SetCongestedAt(n.pacer.CongestedAt())
 	}
 }
 
-// congestionLog is what the log lines about congestion refer to.
+// congestionLog is the state of the logging of link congestion.
 type congestionLog struct {
 	// since is when the logged congestion began; zero while there is none. last is when the
 	// link was last found congested.
@@ -81,7 +81,7 @@
 	}
 }
 
-// linkEntry returns a log entry with the present load of the link.
+// linkEntry returns a log entry with the current load of the link.
 func (n *Node) linkEntry(now time.Time) *log.Entry {
 	load := n.pacer.Load(now)
 	return n.log.WithFields(log.Fields{
--- a/entry/congestion_test.go
+++ b/entry/congestion_test.go
@@ -21,7 +21,7 @@
 
 const testLinkRate = 1.25e6
 
-// newCongestedNode returns a test node whose link of 10 Mbit/s receives at its rate for a time.
+// newCongestedNode returns a test node whose 10 Mbit/s link receives at full rate for a duration.
 func newCongestedNode(limits LogLimiter, duration time.Duration) (*Node, *memory.Handler) {
 	lines := memory.New()
 	n := newTestNode(new(countingMessages), &log.Logger{Handler: lines, Level: log.InfoLevel}, limits)
@@ -50,7 +50,7 @@
 	qt.Check(t, slices.Sorted(maps.Keys(got)), qt.DeepEquals, want)
 }
 
-// Failure: a full link shows in no log line, or in one at each tick while the load varies.
+// Failure: congestion of the link is not logged, or is logged at every tick while the load varies.
 func TestCongestionIsLoggedOnce(t *testing.T) {
 	n, lines := newCongestedNode(keepAllLines{}, 300*time.Millisecond)
 	for tick := range 20 {
@@ -58,20 +58,20 @@
 	}
 	qt.Assert(t, lines.Entries, qt.HasLen, 2)
 	qt.Check(t, lines.Entries[0].Message, qt.Equals, "link congested")
-	qt.Check(t, lines.Entries[0].Fields["received_percent"], qt.Equals, 93) // of 150 ms, 10 are still to come
+	qt.Check(t, lines.Entries[0].Fields["received_percent"], qt.Equals, 93) // the last 10 of 150 ms are not yet received
 	assertFields(t, "link congested", lines.Entries[0].Fields)
 	qt.Check(t, lines.Entries[1].Message, qt.Equals, "link congestion over")
 	assertFields(t, "link congestion over", lines.Entries[1].Fields)
 
-	t.Run("and not beyond the limit of lines", func(t *testing.T) {
+	t.Run("limiter drops lines", func(t *testing.T) {
 		n, lines := newCongestedNode(dropAllLines{}, 300*time.Millisecond)
 		n.logCongestion(benchEpoch.Add(300 * time.Millisecond))
 		qt.Assert(t, lines.Entries, qt.HasLen, 0)
 	})
 }
 
-// Failure: congestion that the meter finds is not told to other VMs, or is told although the
-// mechanism is switched off.
+// Failure: congestion that the meter finds is not reported to other VMs, or is reported although the
+// mechanism is disabled.
 func TestCongestionIsAnnounced(t *testing.T) {
 	for _, test := range []struct {
 		name    string
@@ -93,8 +93,8 @@
 	}
 }
 
-// Failure: a VM whose settings name no rate of the link counts as congested at the rate that is
-// assumed for what it sends to others.
+// Failure: a VM without a configured link rate counts as congested at the rate that is assumed for
+// what it sends to other VMs.
 func TestUnknownRateIsNeverCongested(t *testing.T) {
 	n := newQuietNode(new(countingMessages))
 	n.meter.Received(benchEpoch, 1e9)
--- a/link.go
+++ b/link.go
@@ -2,12 +2,12 @@
 
 import "time"
 
-// LinkLoad is the use that a VM makes of its own link at one moment.
+// LinkLoad is the utilization of a VM's own link at one point in time.
 type LinkLoad struct {
-	// Received and Sent are the bytes of the last moments as shares of what the link can
-	// carry in that time, one for each direction.
+	// Received and Sent are the recent bytes in each direction as shares of the link's
+	// capacity.
 	Received, Sent float64
-	// Backlog is how long a datagram that is sent now waits behind those sent before it.
+	// Backlog is the queueing delay of a datagram that is sent now.
 	Backlog time.Duration
 }
 
@@ -15,10 +15,10 @@
 type LinkMeter interface {
 	// BytesPerSecond returns the rate of the link in each direction, 0 if it is unknown.
 	BytesPerSecond() float64
-	// Load returns the present use of the link.
+	// Load returns the current utilization of the link.
 	Load(now time.Time) LinkLoad
-	// CongestedSince reports whether segments may have waited on the link at any moment
-	// from since on, so that the delay of an answer in that time says nothing about
-	// the target. It is false where the rate is unknown.
+	// CongestedSince reports whether segments may have been queued on the link at any
+	// time from since on, in which case a delayed answer is no evidence against the
+	// target. It returns false if the rate is unknown.
 	CongestedSince(since time.Time) bool
 }
