emulator: what admission by latency and room are worth is measured one after the other

With room of a service the other decision has refused most of these flows already. The check of admission stays with its bound where room is off, and room has to gain as much beside it: each .008.

--- a/emulator/policy_test.go
+++ b/emulator/policy_test.go
@@ -11,16 +11,21 @@
 // worth returns the mean worth of some days with a trouble, with and without a
 // mechanism.
 func worth(t *testing.T, without token.Mechanism, troubles ...Trouble) (with, off float64) {
+	t.Helper()
+	return meanWorth(t, 0, troubles...), meanWorth(t, token.Mechanisms(0).With(without), troubles...)
+}
+
+// meanWorth returns the mean worth of some days with troubles and without some mechanisms.
+func meanWorth(t *testing.T, without token.Mechanisms, troubles ...Trouble) (mean float64) {
 	t.Helper()
 	const days = 4
 	d := load(t, "small")
 	d.Seconds = 24
+	policy := func(o *token.Options) { o.Disabled = without }
 	for seed := range uint64(days) {
-		with += play(t, d, Options{Seed: seed, Troubles: troubles}).Worth / days
-		policy := func(o *token.Options) { o.Disabled = token.Mechanisms(0).With(without) }
-		off += play(t, d, Options{Seed: seed, Troubles: troubles, Policy: policy}).Worth / days
+		mean += play(t, d, Options{Seed: seed, Troubles: troubles, Policy: policy}).Worth / days
 	}
-	return with, off
+	return mean
 }
 
 // Callers get errors at once from a fifth of the targets, or no answer, or are cut
@@ -87,8 +92,11 @@
 // and the urgent are answered before the ordinary.
 func TestCallersInAnOverload(t *testing.T) {
 	t.Parallel()
-	with, off := worth(t, token.MechanismAdmission, Trouble{Kind: KindBurst, AtMS: 8000, ForMS: 4000, X: 3.5})
-	qt.Check(t, with-off >= 0.008, qt.IsTrue, qt.Commentf("%.4f, without %.4f", with, off))
+	burst := Trouble{Kind: KindBurst, AtMS: 8000, ForMS: 4000, X: 3.5}
+	roomOff := token.Mechanisms(0).With(token.MechanismRoom)
+	both, byLatency, neither := meanWorth(t, 0, burst), meanWorth(t, roomOff, burst), meanWorth(t, roomOff.With(token.MechanismAdmission), burst)
+	qt.Check(t, byLatency-neither >= 0.008, qt.IsTrue, qt.Commentf("%.4f with admission by latency, without %.4f", byLatency, neither))
+	qt.Check(t, both-byLatency >= 0.008, qt.IsTrue, qt.Commentf("%.4f with room, without %.4f", both, byLatency))
 
 	d := load(t, "small")
 	d.Seconds = 24
