--- a/review/1/main.go
+++ b/review/1/main.go
@@ -97,7 +97,7 @@
 			}
 		}
 	}
-	r.PutConfig(1, routes(1), services())
+	r.PutConfig(1, r.routes(1), services())
 	time.Sleep(staleReadLag + 500*time.Millisecond)
 	if err := r.StartAll(context.Background()); err != nil {
 		return err
@@ -122,9 +122,9 @@
 func services() []map[string]any { return []map[string]any{rig.Service("fixtures", 2, 0)} }
 
 // routes returns the first count routes, all to one service.
-func routes(count int) (list []rig.Route) {
+func (r *run) routes(count int) (list []rig.Route) {
 	for n := range count {
-		list = append(list, rig.Route{Name: fmt.Sprintf("r-%d", n), Address: fmt.Sprintf("198.18.0.%d", n+1), Port: 443, Kind: "idempotent", Service: "fixtures"})
+		list = append(list, rig.Route{Name: fmt.Sprintf("r-%d", n), Address: r.Net.ServiceAddress(n + 1), Kind: "idempotent", Service: "fixtures"})
 	}
 	return list
 }
@@ -134,8 +134,8 @@
 	version := 1
 	for n := 2; ctx.Err() == nil; n++ {
 		version += 1 + n%3
-		r.PutConfig(version, routes(n), services())
-		service := netip.MustParseAddrPort(fmt.Sprintf("198.18.0.%d:443", n))
+		r.PutConfig(version, r.routes(n), services())
+		service := r.Net.ServiceAddress(n)
 		time.Sleep(applyMargin)
 		for _, client := range r.clients {
 			r.flows.Go(func() { r.useFlow(client, service) })
--- a/review/2/main.go
+++ b/review/2/main.go
@@ -73,7 +73,7 @@
 	}
 	defer fleet.Close()
 	r := &run{
-		Fleet: fleet, clients: make(map[string][]*rig.Client), service: netip.MustParseAddrPort("198.18.0.1:443"),
+		Fleet: fleet, clients: make(map[string][]*rig.Client), service: fleet.Net.ServiceAddress(1),
 		sent: make(map[string]time.Time), via: make(map[string]string),
 	}
 	if err := r.start(); err != nil {
@@ -111,7 +111,7 @@
 			time.Sleep(170 * time.Millisecond) // hosts report at different moments
 		}
 	}
-	r.PutConfig(1, []rig.Route{{Name: "r-0", Address: "198.18.0.1", Port: 443, Kind: "non_idempotent", Service: "fixtures"}},
+	r.PutConfig(1, []rig.Route{{Name: "r-0", Address: r.service, Kind: "non_idempotent", Service: "fixtures"}},
 		[]map[string]any{rig.Service("fixtures", slowStartS, rampPerS)})
 	if err := r.StartAll(context.Background()); err != nil {
 		return err
--- a/review/3/main.go
+++ b/review/3/main.go
@@ -84,7 +84,7 @@
 	}
 	defer fleet.Close()
 	r := &run{
-		Fleet: fleet, service: netip.MustParseAddrPort("198.18.0.1:443"), sent: make(map[string]time.Time),
+		Fleet: fleet, service: fleet.Net.ServiceAddress(1), sent: make(map[string]time.Time),
 		via: make(map[string]string), openings: make(map[string]opening), seen: make(map[string]time.Time),
 	}
 	if err := r.start(); err != nil {
@@ -154,7 +154,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	service := services[len(r.changes)%len(services)]
-	at := r.PutConfig(version, []rig.Route{{Name: fmt.Sprintf("r-%d", version), Address: "198.18.0.1", Port: 443, Kind: "non_idempotent", Service: service}},
+	at := r.PutConfig(version, []rig.Route{{Name: fmt.Sprintf("r-%d", version), Address: r.service, Kind: "non_idempotent", Service: service}},
 		[]map[string]any{rig.Service(services[0], 2, 0), rig.Service(services[1], 2, 0)})
 	r.Record.Logf("version %d leads to %s", version, service)
 	r.changes = append(r.changes, change{version: version, service: service, at: at})
--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -26,8 +26,12 @@
 	vmNet
 	hostNet
 	clientNet
+	serviceNet
 )
 
+// servicePort is the port of all routes.
+const servicePort = 443
+
 // Net holds the loopback addresses and ports of one run.
 type Net struct {
 	second byte
@@ -58,6 +62,9 @@
 // ClientAddress returns the address of a client.
 func (n *Net) ClientAddress(number int) netip.AddrPort { return n.At(clientNet, number, n.DataPort) }
 
+// ServiceAddress returns the address of a route, which only stands in packets.
+func (n *Net) ServiceAddress(number int) netip.AddrPort { return n.At(serviceNet, number, servicePort) }
+
 // Record writes what happens to record.txt.
 type Record struct {
 	mu    sync.Mutex
--- a/review/rig/site.go
+++ b/review/rig/site.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"time"
 )
 
@@ -27,8 +28,8 @@
 
 // Route is a route of a configuration.
 type Route struct {
-	Name, Address string
-	Port          int
+	Name          string
+	Address       netip.AddrPort
 	Kind, Service string
 }
 
@@ -37,7 +38,7 @@
 	list := []map[string]any{}
 	for _, r := range routes {
 		list = append(list, map[string]any{
-			"name": r.Name, "hostname": r.Address, "prefix": fmt.Sprintf("/%d/", r.Port), "type": r.Kind, "timeoutMs": 2000,
+			"name": r.Name, "hostname": r.Address.Addr().String(), "prefix": fmt.Sprintf("/%d/", r.Address.Port()), "type": r.Kind, "timeoutMs": 2000,
 			"targetLatencyMs": 200, "priority": 1, "service": r.Service, "maxAttempts": 2,
 		})
 	}
