entry: logs tell how long a read of the store took and which changes did not apply

Cause of this change: the lines did not distinguish the hypotheses. A read that changes nothing left no line at its end, so a read of 14 s looked like one of one second; a change that did not apply was counted, but no line said when, from whom and at which revisions.

Change: 'store read done' with took_ms, code and age_ms; 'change does not apply' with the revisions held and offered, limited like other lines.

Measured: no logic changes; no figures.

--- a/entry/distribution.go
+++ b/entry/distribution.go
@@ -4,6 +4,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/apex/log"
+
 	"baobabstep"
 	"baobabstep/core/heartbeat"
 )
@@ -202,6 +204,7 @@
 	switch {
 	case baobabstep.CodeOf(err) == baobabstep.CodeConflict:
 		n.counters.conflictingChanges.Add(1)
+		n.logConflict(now, from, c)
 		if c.Kind == heartbeat.Targets && c.BaseChecksum == n.cache.state(c.Kind).sum {
 			n.setRequestFullList(true)
 		}
@@ -222,6 +225,21 @@
 	}
 }
 
+// conflictClass is the class of log lines about changes that do not apply.
+const conflictClass = "change does not apply"
+
+// logConflict logs a change from a peer that is based on other content than the cached one.
+func (n *Node) logConflict(now time.Time, from netip.AddrPort, c *heartbeat.Change) {
+	if !n.options.LogLimiter.Wanted(now, conflictClass) {
+		return
+	}
+	cached := n.cache.state(c.Kind)
+	n.log.WithFields(log.Fields{
+		"kind": c.Kind.String(), "from": from.String(), "held": cached.revision.Number, "offered": c.Result.Number,
+		"same_base": c.BaseChecksum == cached.sum, "age_ms": now.Sub(cached.confirmedAt).Milliseconds(),
+	}).Info(conflictClass)
+}
+
 // setRequestFullList sets whether the next request for targets asks for the whole list rather
 // than for changes.
 func (n *Node) setRequestFullList(full bool) {
--- a/entry/store_sync.go
+++ b/entry/store_sync.go
@@ -287,10 +287,12 @@
 	}
 	q.attempted = true
 	s.logRead(q, freshness)
+	start := s.node.clock.Now()
 	revision, err := read(ctx, freshness)
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
+	s.logReadDone(q, start, err)
 	s.recordStoreStatus(q, err)
 	if err == nil && freshness == baobabstep.Newest {
 		q.advanceRevision(revision)
@@ -309,6 +311,15 @@
 	s.node.log.WithFields(fields).Info("store read")
 }
 
+// logReadDone logs how long a read took and how old the cached state is after it. A read that
+// takes longer than the state may be old is due again as soon as it ends.
+func (s *storeSyncer) logReadDone(q *storeQuery, start time.Time, err error) {
+	now := s.node.clock.Now()
+	fields := log.Fields{"reading": q.name, "took_ms": now.Sub(start).Milliseconds(), "code": baobabstep.CodeOf(err).String()}
+	s.node.addAge(now, fields, "age_ms", q.primaryKind())
+	s.node.log.WithFields(fields).Info("store read done")
+}
+
 // retryDelay returns how long to wait after a failed read. While the store is unavailable or
 // still empty, the first VMs by rank retry often; the others retry seldom, and receive the
 // state from them once the store responds.
