heartbeat: VMs that hear nobody are answered until they do

What callers saw: on the whole fleet (985 VMs, 10,000 targets) requests reached a target more than 8 s after it had said that it leaves.

Cause: a VM that starts sends heartbeats to its seeds, and a seed answers the first one. When 985 VMs start together, the three seeds queue 64 of them each and answer 50 a second; the others were not new any more with their next heartbeat and got none until their turn, 65 s later for VMs of data centres without a seed. Such a VM gets no news from peers, counts itself as the first by rank, watches the store and reads all registrations from it.

TestAllVMsOfStartingFleetAreAnswered fails on the code before, in both its assertions when either half of the change is taken out.

Change: a heartbeat that names no peer says that its sender hears nobody, so it is queued for an answer each time. An answer names VMs of the receiver's data centre first instead of the sender's, so that the next ones need no seed.

--- a/core/heartbeat/fanout_test.go
+++ b/core/heartbeat/fanout_test.go
@@ -151,3 +151,30 @@
 	qt.Assert(t, answered, qt.Equals, answerBurst)
 	qt.Assert(t, len(b.newPeers) <= maxNewPeers, qt.IsTrue)
 }
+
+// Guards against VMs that hear nobody for seconds because the seeds could not answer the first
+// heartbeats of all VMs of a starting fleet.
+func TestAllVMsOfStartingFleetAreAnswered(t *testing.T) {
+	const vms, seconds = 400, 10
+	b := newPeerTable(1)
+	answered := map[netip.AddrPort]bool{}
+	named := 0
+	for now := start; now.Sub(start) < seconds*time.Second; now = now.Add(b.options.NearInterval) {
+		for n := 2; n < vms+2; n++ {
+			if answered[address(n)] {
+				continue
+			}
+			b.Handle(now, address(n), newHeartbeat(n, 1, uint64(now.Sub(start))+1))
+		}
+		for _, out := range b.AnswerNewPeers(now, LocalState{}) {
+			answered[out.To] = true
+			for _, p := range out.Message.Heartbeat.Peers {
+				if b.peers[out.To].last.DataCentre != b.options.DataCentre && b.peers[p].last.DataCentre == b.peers[out.To].last.DataCentre {
+					named++
+				}
+			}
+		}
+	}
+	qt.Assert(t, answered, qt.HasLen, vms)
+	qt.Assert(t, named > vms, qt.IsTrue, qt.Commentf("the answers to %d VMs of the other data centre name %d VMs there", vms/2, named))
+}
--- a/core/heartbeat/outgoing.go
+++ b/core/heartbeat/outgoing.go
@@ -98,6 +98,7 @@
 		receiverOptions := nearHeartbeatOptions(t)
 		if p.last.DataCentre != t.options.DataCentre {
 			receiverOptions = farHeartbeatOptions(t)
+			receiverOptions.peersOf = p.last.DataCentre
 		}
 		outs = t.appendHeartbeats(outs, now, own, receiverOptions, []*peer{p})
 	}
@@ -268,14 +269,16 @@
 	// turn is the time in which this VM sends one heartbeat to each VM of the own data
 	// centre, or of all others.
 	turn time.Duration
+	// peersOf is the data centre whose VMs the heartbeat names first.
+	peersOf string
 }
 
 func nearHeartbeatOptions(t *PeerTable) heartbeatOptions {
-	return heartbeatOptions{loadLimit: maxLoads, turn: time.Duration(t.nearTurns) * t.options.NearInterval}
+	return heartbeatOptions{loadLimit: maxLoads, turn: time.Duration(t.nearTurns) * t.options.NearInterval, peersOf: t.options.DataCentre}
 }
 
 func farHeartbeatOptions(t *PeerTable) heartbeatOptions {
-	return heartbeatOptions{loadLimit: maxFarLoads, turn: time.Duration(t.farTurns) * t.options.FarInterval}
+	return heartbeatOptions{loadLimit: maxFarLoads, turn: time.Duration(t.farTurns) * t.options.FarInterval, peersOf: t.options.DataCentre}
 }
 
 // appendHeartbeats appends one heartbeat for each of the given VMs to outs.
@@ -286,7 +289,7 @@
 	t.sequence++
 	h := &Heartbeat{
 		From: t.options.Self, DataCentre: t.options.DataCentre, Incarnation: t.options.Incarnation, Sequence: t.sequence,
-		Leaving: own.Leaving, StoreUnreadable: own.StoreUnreadable, Versions: [chunkedKinds]VersionInfo(own.Versions[:chunkedKinds]), EvacuationsVersion: own.Versions[Evacuations], Loads: MakeLoads(now, own.Loads, o.loadLimit), Peers: t.samplePeers(now),
+		Leaving: own.Leaving, StoreUnreadable: own.StoreUnreadable, Versions: [chunkedKinds]VersionInfo(own.Versions[:chunkedKinds]), EvacuationsVersion: own.Versions[Evacuations], Loads: MakeLoads(now, own.Loads, o.loadLimit), Peers: t.samplePeers(now, o.peersOf),
 		TurnMS: uint32(o.turn.Milliseconds()), CongestedMS: t.congestedMS(now),
 	}
 	m := &Message{Heartbeat: h}
@@ -297,13 +300,13 @@
 }
 
 // samplePeers returns the addresses of up to maxPeers random live VMs. It prefers those of
-// the own data centre, and includes at least one of another if any is live.
-func (t *PeerTable) samplePeers(now time.Time) []netip.AddrPort {
+// a data centre, and includes at least one of another if any is live.
+func (t *PeerTable) samplePeers(now time.Time, dataCentre string) []netip.AddrPort {
 	var near, far []netip.AddrPort
 	for _, p := range t.peers {
 		switch {
 		case !t.isLive(now, p):
-		case p.last.DataCentre == t.options.DataCentre:
+		case p.last.DataCentre == dataCentre:
 			near = append(near, p.address)
 		default:
 			far = append(far, p.address)
--- a/core/heartbeat/peers.go
+++ b/core/heartbeat/peers.go
@@ -99,8 +99,8 @@
 	// nearTurns and farTurns are the numbers of rounds in which each VM of the own data
 	// centre, and each of all others, gets one heartbeat.
 	nearTurns, farTurns int
-	// newPeers are the VMs that started, or were first heard, since the last round, and
-	// have not been answered.
+	// newPeers are the VMs that started, were first heard or report that they hear no
+	// other since the last round, and have not been answered.
 	newPeers []*peer
 	// fanouts are the current numbers of VMs that get a heartbeat in a round.
 	fanouts fanouts
@@ -272,6 +272,8 @@
 	newIncarnation := p.last == nil || h.Incarnation != p.last.Incarnation
 	if newIncarnation {
 		p.alarmSequence = 0
+	}
+	if newIncarnation || len(h.Peers) == 0 { // the sender hears no VM
 		t.addNewPeer(p)
 	}
 	if newIncarnation || h.Sequence > p.alarmSequence {
@@ -292,7 +294,9 @@
 	answerRate, answerBurst = 50, 64
 )
 
-// addNewPeer queues a VM that has started, or is heard for the first time, for an answer.
+// addNewPeer queues a VM that has started, is heard for the first time or hears no other for
+// an answer. If a fleet starts, the seeds cannot answer all VMs at once; those that get no
+// answer are queued again with their next heartbeats.
 func (t *PeerTable) addNewPeer(p *peer) {
 	if len(t.newPeers) < maxNewPeers && !slices.Contains(t.newPeers, p) {
 		t.newPeers = append(t.newPeers, p)
