entry: VMs do not confirm to each other what they only know from a replica

Cause: at its start a VM holds what a replica held, which counts as old as the bound allows until a VM that knows better says so. VMs that start together hold the same, a millisecond apart, and each took the other's age for a confirmation: the state was no longer unconfirmed and at the same moment overdue, so the VM read all of it from the store.

Change: an age beyond the bound confirms nothing unconfirmed. The first of these reads is no longer delayed by a fixed part, as the VM that draws a short delay is the one that all others wait for.

--- a/entry/cache.go
+++ b/entry/cache.go
@@ -409,10 +409,14 @@
 // confirmByPeer records that another VM has the same content at a revision, and that the store
 // held nothing newer at a time.
 //
+// An unconfirmed state stays so if the other VM knows as little: at a fleet's start all VMs hold
+// what a replica held, and each would take that of another for a confirmation that is already
+// overdue.
+//
 // The cached state takes over a newer revision: the end of an evacuation restores the content
 // from before it. If that kept its earlier revision, a delayed message of a third VM about the
 // evacuation itself would replace it, as if it had been confirmed.
-func (sc *stateCache) confirmByPeer(now time.Time, kind heartbeat.Kind, revision baobabstep.Revision, at time.Time) {
+func (sc *stateCache) confirmByPeer(now time.Time, kind heartbeat.Kind, revision baobabstep.Revision, at time.Time, maxAge time.Duration) {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
 	cached := &sc.states[kind]
@@ -420,7 +424,9 @@
 		sc.setRevision(now, kind, revision)
 		cached.revisionFromReplica = false
 	}
-	cached.confirm(at)
+	if !cached.unconfirmed || now.Sub(at) < maxAge {
+		cached.confirm(at)
+	}
 }
 
 // state returns the cached state of a kind.
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -202,7 +202,7 @@
 	cached := n.cache.state(kind)
 	if age, same := h.ConfirmedAge(kind, cached.sum); same {
 		if cached.isKnown() {
-			n.cache.confirmByPeer(now, kind, h.VersionOf(kind).Revision(), now.Add(-age))
+			n.cache.confirmByPeer(now, kind, h.VersionOf(kind).Revision(), now.Add(-age), n.applyBound(kind))
 		}
 		return
 	}
@@ -215,6 +215,14 @@
 	n.sendRequest(now, kind)
 }
 
+// applyBound returns how soon a change of a kind has to be in force.
+func (n *Node) applyBound(kind heartbeat.Kind) time.Duration {
+	if kind == heartbeat.Targets {
+		return n.options.Settings.Token.Drain()
+	}
+	return n.options.Settings.Token.DesiredApply()
+}
+
 // sendRequest requests a kind from a VM that holds a newer revision of it, if there is one.
 func (n *Node) sendRequest(now time.Time, kind heartbeat.Kind) {
 	cached := n.cache.state(kind)
--- a/entry/store_sync.go
+++ b/entry/store_sync.go
@@ -188,7 +188,7 @@
 		return earlierOf(laterOf(due, since.Add(sectionTimeout)), due.Add(maxSectionWait))
 	}
 	if cached.unconfirmed {
-		wait := replicaConfirmDelay + time.Duration((min(age, backupReadAge)-firstReadAge+replicaConfirmSpread*s.expSpread)*float64(q.applyBound))
+		wait := replicaConfirmDelay + time.Duration(s.expSpread*(min(age, backupReadAge)-firstReadAge+replicaConfirmSpread)*float64(q.applyBound))
 		return s.node.startedAt.Add(min(wait, time.Duration(maxReadAge*float64(q.applyBound))))
 	}
 	return cached.confirmedAt.Add(time.Duration(age * float64(q.applyBound)))
