entry: VMs read old registrations from the store in the order of their ranks

All registrations of 10,000 targets are 3 MB, and 985 VMs need 24 s of the store's link to read them, three times the bound. All but five VMs of a data centre read at the same age. Once the ages of many had passed it, their reads took longer than the bound: what they returned was already too old, so each read was due again as soon as it ended. The reads kept the store's link full for good, and with it every watch and every read that could have ended this.

Change: a VM waits for the reads of those before it in rank, four of its data centre at a time, each as long as a read takes. The first ones send their results to all others, which then need none. Lists that one call returns are read as before, and a VM that hears nobody waits for nobody. A read whose result is already too old is followed by a pause of its own length.

--- a/core/heartbeat/peers.go
+++ b/core/heartbeat/peers.go
@@ -118,6 +118,8 @@
 	// start time, and view is the latest result of View.
 	lastNewNearPeer time.Time
 	view            *quota.View
+	// lastHeard is when a heartbeat was last received, initially the start time.
+	lastHeard time.Time
 	// started is when the table was created, and unseenSeeds are the seeds that neither
 	// this nor another VM has heard since.
 	started     time.Time
@@ -131,7 +133,7 @@
 	o.setDefaults()
 	b := &PeerTable{
 		options: o, peers: make(map[netip.AddrPort]*peer), loadSums: make(targetSums), changedTargets: make(map[baobabstep.TargetID]struct{}), alarmLimiter: rate.NewLimiter(alarmRate, alarmBurst), answerLimiter: rate.NewLimiter(answerRate, answerBurst),
-		lastNewNearPeer: now, started: now, unseenSeeds: make(map[netip.AddrPort]bool),
+		lastNewNearPeer: now, started: now, lastHeard: now, unseenSeeds: make(map[netip.AddrPort]bool),
 	}
 	for _, seed := range o.Seeds {
 		b.unseenSeeds[seed] = true
@@ -280,7 +282,7 @@
 		t.markReportsChanged(p)
 		p.reports, p.congestedAt = makeSilenceReports(now, h.Loads), congestedAt(now, h.CongestedMS)
 	}
-	p.last, p.lastHeard = h, now
+	p.last, p.lastHeard, t.lastHeard = h, now, now
 	t.setLoadsCounted(p, true)
 	t.addAddresses(now, h.Peers)
 	t.markSeedsSeen(from, h.Peers)
--- a/core/heartbeat/view.go
+++ b/core/heartbeat/view.go
@@ -59,6 +59,13 @@
 	return false
 }
 
+// SilentFor returns how long ago a heartbeat of any VM was last received.
+func (t *PeerTable) SilentFor(now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return now.Sub(t.lastHeard)
+}
+
 // nearVMIDs returns the identifiers of all other known VMs of the own data centre, sorted.
 func (t *PeerTable) nearVMIDs() (list []baobabstep.VMID) {
 	for _, p := range t.peers {
--- a/entry/section.go
+++ b/entry/section.go
@@ -105,6 +105,13 @@
 	return sc.lastSectionAt, !sc.states[heartbeat.Targets].isKnown() && !sc.lastSectionAt.IsZero()
 }
 
+// targetCount returns the number of known targets.
+func (sc *stateCache) targetCount() int {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	return sc.targets.Len()
+}
+
 // needsMoreSections reports whether sections are missing and the last one was received within
 // sectionRequestTimeout.
 func (sc *stateCache) needsMoreSections(now time.Time) bool {
--- a/entry/store_sync.go
+++ b/entry/store_sync.go
@@ -56,6 +56,18 @@
 	backupReadAge  = 0.75
 	backupReadStep = 0.02
 	maxReadAge     = 0.85
+	// parallelReads is the number of VMs of a data centre that may read all registrations at the
+	// same time because their own are too old.
+	parallelReads = 4
+	// minReadTime is the time that such a read is assumed to take if the number of registrations is
+	// not known.
+	minReadTime = 100 * time.Millisecond
+	// smallListTargets is the number of targets up to which one call reads all registrations. VMs
+	// read such lists without waiting for each other.
+	smallListTargets = 500
+	// isolationTimeout is the silence of all other VMs after which a VM does not wait for their
+	// reads.
+	isolationTimeout = 2 * time.Second
 	// rankSettleTime is how long a VM that has started waits for heartbeats of others before
 	// it acts as the first by rank.
 	rankSettleTime = 700 * time.Millisecond
@@ -73,6 +85,8 @@
 	// maxSectionWait bounds how long a VM keeps waiting for sections beyond its full read
 	// delay. Sections from peers that hold different registrations may not converge.
 	maxSectionWait = 3 * time.Second
+	// registrationBytes is the size of a registration in a response of the store.
+	registrationBytes = 300
 	// fullReadBytes is the size of a full read of the targets of a large fleet. The full read
 	// delay scales with the time that the link takes to transfer it.
 	fullReadBytes = 12e6
@@ -135,6 +149,8 @@
 	readFirstPage func(ctx context.Context, freshness baobabstep.Freshness) (baobabstep.Revision, error)
 	// attempted is set once a read was attempted. It belongs to the goroutine that reads.
 	attempted bool
+	// readTime is how long the last successful read took. It belongs to the goroutine that reads.
+	readTime time.Duration
 	// watch returns whether anything changed.
 	watch func(ctx context.Context, after baobabstep.Revision) (baobabstep.Revision, bool, error)
 	// readNow requests an immediate read.
@@ -176,7 +192,32 @@
 			first = due
 		}
 	}
-	return first
+	return first.Add(s.queueDelay(now, q))
+}
+
+// queueDelay returns how long a VM waits, beyond the age at which it reads, for the reads of those
+// before it in rank. Each of them can send its result to all others, while a store to which all
+// of a large fleet turn at the same time answers none of them in time: the results are then too
+// old when they arrive, and the next reads are due at once.
+func (s *storeSyncer) queueDelay(now time.Time, q *storeQuery) time.Duration {
+	ahead := s.node.rank(now).Near / parallelReads
+	if ahead == 0 || q.primaryKind() != heartbeat.Targets || s.node.peerTable.SilentFor(now) >= isolationTimeout {
+		return 0
+	}
+	switch {
+	case s.node.cache.state(heartbeat.Targets).unconfirmed: // there may be many more targets by now
+		return time.Duration(ahead) * max(s.fullReadTime(), minReadTime)
+	case s.node.cache.targetCount() <= smallListTargets:
+		return 0
+	default:
+		return time.Duration(ahead) * max(q.readTime, s.fullReadTime())
+	}
+}
+
+// fullReadTime estimates how long reading all registrations takes at least.
+func (s *storeSyncer) fullReadTime() time.Duration {
+	bytes := float64(s.node.cache.targetCount() * registrationBytes)
+	return time.Duration(bytes / s.node.options.Settings.Token.LinkBytesPerSecond() * float64(time.Second))
 }
 
 // kindDueAt returns when a kind has to be read again by a VM that reads at an age, given as a
@@ -272,7 +313,7 @@
 	case err != nil:
 		return s.retryDelay(now, err, delays.NextBackOff())
 	case !s.dueAt(now, q).After(now):
-		return delays.NextBackOff() // the read was outdated, and the next one may be as well
+		return max(delays.NextBackOff(), q.readTime) // the read was outdated, and the next one may be as well
 	}
 	delays.Reset()
 	return 0
@@ -293,6 +334,9 @@
 		return ctx.Err()
 	}
 	s.logReadDone(q, start, err)
+	if err == nil {
+		q.readTime = s.node.clock.Now().Sub(start)
+	}
 	s.recordStoreStatus(q, err)
 	if err == nil && freshness == baobabstep.Newest {
 		q.advanceRevision(revision)
