entry: a read of several pages gives the registrations of one revision

Cause: a read of 10,000 registrations takes 20 pages and a second, and targets register meanwhile. The list had the revision of its oldest page and parts of all later ones, which is a content that the store never held. Its checksum matched that of no peer, so nobody's age was confirmed by it, and a change made from it conflicted at every VM of the fleet. With up to 500 registrations there is one page, so no smaller fleet shows this.

TestReadIsOfOneRevision fails on the code before.

Change: Directory.Registrations returns the revisions of its oldest and its newest page, and the VM applies the changes between them, which a watch returns at once. If the store no longer has them, the list counts as of the oldest page, as before.

--- a/directory.go
+++ b/directory.go
@@ -100,6 +100,16 @@
 	WarmupLeft time.Duration
 }
 
+// RegistrationList is the result of reading all registrations. A list of several
+// pages is not that of one revision, as targets write between two pages.
+type RegistrationList struct {
+	Registrations []Registration
+	// Oldest and Newest are the revisions of the oldest and the newest page. The
+	// list has all changes up to Oldest, none after Newest and some of those
+	// between.
+	Oldest, Newest Revision
+}
+
 // RegistrationChange is one change of the registrations. After a removal only
 // the registration's ID is set.
 type RegistrationChange struct {
@@ -154,9 +164,8 @@
 	// WatchDesired waits until the desired state changes after a revision. The
 	// change is empty if nothing changed within wait.
 	WatchDesired(ctx context.Context, after Revision, wait time.Duration) (*DesiredChange, Revision, error)
-	// Registrations reads all registrations. If it reads several pages it
-	// returns the oldest revision, so that a watch from there misses no change.
-	Registrations(ctx context.Context, f Freshness) ([]Registration, Revision, error)
+	// Registrations reads all registrations.
+	Registrations(ctx context.Context, f Freshness) (*RegistrationList, error)
 	// FirstRegistrations reads the first page of registrations; complete says
 	// that there are no others.
 	FirstRegistrations(ctx context.Context, f Freshness) (list []Registration, complete bool, revision Revision, err error)
--- a/entry/large_fleet_test.go
+++ b/entry/large_fleet_test.go
@@ -393,26 +393,27 @@
 }
 
 // Registrations implements baobabstep.Directory.
-func (vm *largeVM) Registrations(ctx context.Context, f baobabstep.Freshness) (all []baobabstep.Registration, oldest baobabstep.Revision, err error) {
+func (vm *largeVM) Registrations(ctx context.Context, f baobabstep.Freshness) (*baobabstep.RegistrationList, error) {
+	read := new(baobabstep.RegistrationList)
 	for after, more := baobabstep.TargetID(0), true; more; {
 		if f == baobabstep.Newest && vm.limiter.Wait(ctx) != nil {
-			return nil, oldest, baobabstep.Errorf(baobabstep.CodePlatformUnavailable, "model", "ended")
+			return nil, baobabstep.Errorf(baobabstep.CodePlatformUnavailable, "model", "ended")
 		}
 		var page []baobabstep.Registration
-		var revision baobabstep.Revision
-		page, more, revision, err = vm.page(f, after)
+		var err error
+		page, more, read.Newest, err = vm.page(f, after)
 		if err != nil {
-			return nil, oldest, err
+			return nil, err
 		}
 		if after == 0 {
-			oldest = revision
+			read.Oldest = read.Newest
 		}
-		all = append(all, page...)
+		read.Registrations = append(read.Registrations, page...)
 		if more {
 			after = page[len(page)-1].ID
 		}
 	}
-	return all, oldest, nil
+	return read, nil
 }
 
 // WatchRegistrations implements baobabstep.Directory. A response holds at most a page of
--- a/entry/model_test.go
+++ b/entry/model_test.go
@@ -109,14 +109,14 @@
 	return &baobabstep.DesiredState{Table: &copied, Evacuated: slices.Clone(read.evacuated)}, read.revision, nil
 }
 
-func (d modelDirectory) Registrations(_ context.Context, how baobabstep.Freshness) ([]baobabstep.Registration, baobabstep.Revision, error) {
+func (d modelDirectory) Registrations(_ context.Context, how baobabstep.Freshness) (*baobabstep.RegistrationList, error) {
 	read := d.store.read(how)
-	return slices.Clone(read.targets), read.revision, d.call()
+	return &baobabstep.RegistrationList{Registrations: slices.Clone(read.targets), Oldest: read.revision, Newest: read.revision}, d.call()
 }
 
 func (d modelDirectory) FirstRegistrations(ctx context.Context, how baobabstep.Freshness) ([]baobabstep.Registration, bool, baobabstep.Revision, error) {
-	list, revision, err := d.Registrations(ctx, how)
-	return list, true, revision, err
+	list, err := d.Registrations(ctx, how)
+	return list.Registrations, true, list.Oldest, err
 }
 
 // Watches never report a change, which is the worst case.
--- a/entry/read_test.go
+++ b/entry/read_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -10,6 +11,72 @@
 	"baobabstep/core/heartbeat"
 )
 
+// pagedDirectory is a store whose registrations change while their pages are read, and whose
+// watches return a limited number of changes.
+type pagedDirectory struct {
+	baobabstep.Directory
+	read    baobabstep.RegistrationList
+	changes []baobabstep.RegistrationChange
+	limit   int
+	watches int
+}
+
+func (d *pagedDirectory) Registrations(context.Context, baobabstep.Freshness) (*baobabstep.RegistrationList, error) {
+	list := d.read
+	return &list, nil
+}
+
+func (d *pagedDirectory) WatchRegistrations(_ context.Context, after baobabstep.Revision, wait time.Duration) (list []baobabstep.RegistrationChange, next baobabstep.Revision, err error) {
+	d.watches++
+	next = after
+	for _, c := range d.changes {
+		if after.Before(c.Revision) && len(list) < d.limit {
+			list, next = append(list, c), c.Revision
+		}
+	}
+	if len(list) == 0 {
+		time.Sleep(wait)
+	}
+	return list, next, nil
+}
+
+// registrationChanges returns changes that each replace one registration, from revision first on.
+func registrationChanges(first uint64, list []baobabstep.Registration) (changes []baobabstep.RegistrationChange) {
+	for i, r := range list {
+		r.Draining = true
+		changes = append(changes, baobabstep.RegistrationChange{Registration: r, Revision: baobabstep.Revision{Number: first + uint64(i)}})
+	}
+	return changes
+}
+
+// Guards against registrations of no single revision, of which no peer can confirm or change
+// any, when targets write between two pages of a read.
+func TestReadIsOfOneRevision(t *testing.T) {
+	all := benchRegistrations(40)
+	d := &pagedDirectory{limit: 4, changes: registrationChanges(11, all[:20])}
+	d.changes = append(d.changes, baobabstep.RegistrationChange{Registration: baobabstep.Registration{ID: all[30].ID}, Removed: true, Revision: baobabstep.Revision{Number: 31}})
+	d.read = baobabstep.RegistrationList{Oldest: baobabstep.Revision{Number: 10}, Newest: baobabstep.Revision{Number: 25}}
+	for i, r := range all {
+		r.Draining = i < 15 && i%2 == 0 // the pages of the others were read before they changed
+		d.read.Registrations = append(d.read.Registrations, r)
+	}
+	n := newQuietNode(new(countingMessages))
+	n.syncer.directory = d
+	revision, err := n.syncer.readTargets(t.Context(), baobabstep.Newest)
+	qt.Assert(t, err, qt.IsNil)
+	want, err := heartbeat.NewRegistrations(all)
+	qt.Assert(t, err, qt.IsNil)
+	for _, c := range d.changes {
+		if revision.Before(c.Revision) {
+			break
+		}
+		qt.Assert(t, want.Apply(heartbeat.Difference{Put: []baobabstep.Registration{c.Registration}}), qt.IsNil)
+	}
+	qt.Assert(t, revision.Before(d.read.Newest), qt.IsFalse)
+	qt.Assert(t, n.cache.state(heartbeat.Targets).revision, qt.Equals, revision)
+	qt.Assert(t, n.cache.state(heartbeat.Targets).sum, qt.Equals, want.Checksum())
+}
+
 // Guards against fleets in which all VMs read all registrations at the same time because those
 // that they hold are old.
 func TestReadsOfOldTargetsAreStaggered(t *testing.T) {
--- a/entry/store_query.go
+++ b/entry/store_query.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"baobabstep"
@@ -63,7 +64,7 @@
 
 func (s *storeSyncer) readTargets(ctx context.Context, freshness baobabstep.Freshness) (baobabstep.Revision, error) {
 	start := s.node.clock.Now()
-	list, revision, err := s.directory.Registrations(ctx, freshness)
+	list, revision, err := s.readAllRegistrations(ctx, freshness)
 	if err != nil {
 		return baobabstep.Revision{}, err
 	}
@@ -81,3 +82,41 @@
 	}
 	return revision, true, err
 }
+
+// readAllRegistrations reads all registrations as of one revision.
+//
+// Targets write between two pages, so the pages alone give a list that the store never held. Its
+// checksum would match that of no peer, and no peer could apply a change made from it. The changes
+// since the oldest page make it that of one revision.
+func (s *storeSyncer) readAllRegistrations(ctx context.Context, freshness baobabstep.Freshness) ([]baobabstep.Registration, baobabstep.Revision, error) {
+	read, err := s.directory.Registrations(ctx, freshness)
+	if err != nil {
+		return nil, baobabstep.Revision{}, err
+	}
+	at := read.Oldest
+	var changes []baobabstep.RegistrationChange
+	for at.Before(read.Newest) {
+		more, next, err := s.directory.WatchRegistrations(ctx, at, 0)
+		if err != nil || !at.Before(next) {
+			return read.Registrations, read.Oldest, ctx.Err() // the next watch continues from the oldest page
+		}
+		changes, at = append(changes, more...), next
+	}
+	return applyChanges(read.Registrations, changes), at, nil
+}
+
+// applyChanges returns a list of registrations after changes, which are in the order in which they
+// were made.
+func applyChanges(list []baobabstep.Registration, changes []baobabstep.RegistrationChange) []baobabstep.Registration {
+	last := make(map[baobabstep.TargetID]*baobabstep.RegistrationChange, len(changes))
+	for i := range changes {
+		last[changes[i].Registration.ID] = &changes[i]
+	}
+	list = slices.DeleteFunc(list, func(r baobabstep.Registration) bool { return last[r.ID] != nil })
+	for _, c := range last {
+		if !c.Removed {
+			list = append(list, c.Registration)
+		}
+	}
+	return list
+}
