entry: a VM that missed many changes gets them in steps

Cause: a VM asks a peer for the changes since its revision. A VM that fell behind by two seconds did not catch up while targets registered.

Change: the history keeps the checksum after each change, and a response consists of consecutive changes of up to 200 registrations, each made from the result of the one before. Each brings the requester to a revision that the store had, so every response makes progress. A step that is not the newest confirms nothing.

--- a/core/heartbeat/history.go
+++ b/core/heartbeat/history.go
@@ -17,18 +17,21 @@
 	size    int
 }
 
-// historyChange is the difference between the registrations of two revisions.
+// historyChange is the difference between the registrations of two revisions. checksum is that
+// of the registrations after it.
 type historyChange struct {
 	from, to baobabstep.Revision
+	checksum uint64
 	Difference
 }
 
 func (s *historyChange) size() int { return len(s.Put) + len(s.Removed) }
 
-// Add appends the difference between two revisions. It clears the history first if from is
+// Add appends the difference between two revisions, with the checksum of the registrations after
+// it. It clears the history first if from is
 // not the latest recorded revision. It clears the history without adding anything if to
 // precedes from, which means that the store has not reached from.
-func (h *History) Add(from, to baobabstep.Revision, d Difference) {
+func (h *History) Add(from, to baobabstep.Revision, checksum uint64, d Difference) {
 	if n := len(h.changes); n > 0 && h.changes[n-1].to != from {
 		*h = History{}
 	}
@@ -36,7 +39,7 @@
 		*h = History{}
 		return
 	}
-	h.changes = append(h.changes, historyChange{from: from, to: to, Difference: d})
+	h.changes = append(h.changes, historyChange{from: from, to: to, checksum: checksum, Difference: d})
 	h.size += h.changes[len(h.changes)-1].size()
 	drop := 0
 	for h.size > maxHistory && drop < len(h.changes) {
@@ -62,15 +65,62 @@
 // ones, or false if the history does not reach back that far. The difference may
 // include targets that did not change.
 func (h *History) Since(revision baobabstep.Revision) (d Difference, ok bool) {
-	if len(h.changes) == 0 || revision.Before(h.changes[0].from) {
+	if !h.reaches(revision) {
 		return d, false
 	}
-	last := make(map[baobabstep.TargetID]*baobabstep.Registration)
-	for i := range h.changes {
-		s := &h.changes[i]
-		if !revision.Before(s.to) {
-			continue
+	return mergeChanges(h.after(revision)), true
+}
+
+// Step is the difference from one revision to the revision To, at which the registrations have
+// the checksum Checksum.
+type Step struct {
+	Difference
+	To       baobabstep.Revision
+	Checksum uint64
+}
+
+// Steps returns what Since does as consecutive steps. A step has at most maxSize registrations and
+// target IDs, unless it consists of a single recorded change. Steps that exceed maxTotal together
+// are left out, except the first. It returns false if the history does not reach back that far.
+func (h *History) Steps(revision baobabstep.Revision, maxSize, maxTotal int) (steps []Step, ok bool) {
+	if !h.reaches(revision) {
+		return nil, false
+	}
+	for rest, total := h.after(revision), 0; len(rest) > 0; {
+		count, size := 1, rest[0].size()
+		for count < len(rest) && size+rest[count].size() <= maxSize {
+			size += rest[count].size()
+			count++
 		}
+		if total += size; len(steps) > 0 && total > maxTotal {
+			break
+		}
+		last := &rest[count-1]
+		steps = append(steps, Step{Difference: mergeChanges(rest[:count]), To: last.to, Checksum: last.checksum})
+		rest = rest[count:]
+	}
+	return steps, true
+}
+
+// reaches reports whether the history has all changes since a revision.
+func (h *History) reaches(revision baobabstep.Revision) bool {
+	return len(h.changes) > 0 && !revision.Before(h.changes[0].from)
+}
+
+// after returns the changes to revisions after the given one.
+func (h *History) after(revision baobabstep.Revision) []historyChange {
+	first := slices.IndexFunc(h.changes, func(s historyChange) bool { return revision.Before(s.to) })
+	if first < 0 {
+		return nil
+	}
+	return h.changes[first:]
+}
+
+// mergeChanges returns the difference that consecutive changes make together.
+func mergeChanges(changes []historyChange) (d Difference) {
+	last := make(map[baobabstep.TargetID]*baobabstep.Registration)
+	for i := range changes {
+		s := &changes[i]
 		for j := range s.Put {
 			last[s.Put[j].ID] = &s.Put[j]
 		}
@@ -87,5 +137,5 @@
 	}
 	SortTargets(d.Put)
 	slices.Sort(d.Removed)
-	return d, true
+	return d
 }
--- a/core/heartbeat/history_test.go
+++ b/core/heartbeat/history_test.go
@@ -40,10 +40,11 @@
 			if err := current.Apply(d); err != nil {
 				t.Fatal(err)
 			}
-			h.Add(revision(len(past)-1), revision(len(past)), d)
+			h.Add(revision(len(past)-1), revision(len(past)), current.Checksum(), d)
 			past = append(past, snapshot())
 		}
 		from := rapid.IntRange(0, len(past)-1).Draw(t, "from")
+		assertSteps(t, &h, revision, past, from)
 		d, ok := h.Since(revision(from))
 		if err := past[from].Apply(d); !ok || err != nil {
 			t.Fatalf("changes since revision %d: got ok %v, error %v", from, ok, err)
@@ -54,10 +55,33 @@
 	})
 }
 
+// assertSteps checks that the steps since a past revision lead through the sender's past
+// registrations.
+func assertSteps(t *rapid.T, h *History, revision func(int) baobabstep.Revision, past []*Registrations, from int) {
+	maxSize, maxTotal := rapid.IntRange(1, 12).Draw(t, "step"), rapid.IntRange(1, 30).Draw(t, "total")
+	steps, ok := h.Steps(revision(from), maxSize, maxTotal)
+	if !ok || len(steps) == 0 != (from == len(past)-1) {
+		t.Fatalf("got %d steps from %d of %d, ok %v", len(steps), from, len(past), ok)
+	}
+	held, err := NewRegistrations(past[from].List())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range steps {
+		if err := held.Apply(steps[i].Difference); err != nil {
+			t.Fatal(err)
+		}
+		at := int(steps[i].To.Number) - 1
+		if held.Checksum() != steps[i].Checksum || held.Checksum() != past[at].Checksum() {
+			t.Fatalf("step %d to revision %v: got sum %x, want %x", i, steps[i].To, held.Checksum(), past[at].Checksum())
+		}
+	}
+}
+
 func TestHistoryIsBounded(t *testing.T) {
 	var h History
 	for i := range uint64(3 * maxHistory) {
-		h.Add(revisionOf(i+1), revisionOf(i+2), Difference{Removed: []baobabstep.TargetID{baobabstep.TargetID(i + 1)}})
+		h.Add(revisionOf(i+1), revisionOf(i+2), 0, Difference{Removed: []baobabstep.TargetID{baobabstep.TargetID(i + 1)}})
 	}
 	qt.Assert(t, len(h.changes), qt.Equals, maxHistory)
 	_, ok := h.Since(revisionOf(2 * maxHistory))
@@ -65,7 +89,7 @@
 	d, ok := h.Since(revisionOf(3*maxHistory - 1))
 	qt.Assert(t, ok, qt.IsTrue)
 	qt.Assert(t, d.Removed, qt.HasLen, 2)
-	h.Add(revisionOf(99999), revisionOf(100000), Difference{})
+	h.Add(revisionOf(99999), revisionOf(100000), 0, Difference{})
 	_, ok = h.Since(revisionOf(3 * maxHistory))
 	qt.Assert(t, ok, qt.IsFalse, qt.Commentf("gap between revisions"))
 }
@@ -78,9 +102,9 @@
 // replica of it has announced.
 func TestHistoryIsClearedWhenRevisionsGoBack(t *testing.T) {
 	var h History
-	h.Add(revisionOf(400), revisionOf(500), Difference{Removed: []baobabstep.TargetID{1}})
-	h.Add(revisionOf(500), revisionOf(450), Difference{Removed: []baobabstep.TargetID{2}})
-	h.Add(revisionOf(450), revisionOf(470), Difference{Removed: []baobabstep.TargetID{3}})
+	h.Add(revisionOf(400), revisionOf(500), 0, Difference{Removed: []baobabstep.TargetID{1}})
+	h.Add(revisionOf(500), revisionOf(450), 0, Difference{Removed: []baobabstep.TargetID{2}})
+	h.Add(revisionOf(450), revisionOf(470), 0, Difference{Removed: []baobabstep.TargetID{3}})
 	d, ok := h.Since(revisionOf(460))
 	qt.Assert(t, ok, qt.IsTrue)
 	qt.Assert(t, d.Removed, qt.DeepEquals, []baobabstep.TargetID{3})
--- a/core/heartbeat/message.go
+++ b/core/heartbeat/message.go
@@ -351,3 +351,6 @@
 
 // maxAgeMS is the largest AgeMS.
 const maxAgeMS = 1<<32 - 1
+
+// MaxAge is the age of a version of which nobody knows that it was the newest.
+const MaxAge = maxAgeMS * time.Millisecond
--- a/entry/cache.go
+++ b/entry/cache.go
@@ -216,7 +216,7 @@
 	var d heartbeat.Difference
 	if !first {
 		d = sc.targets.DiffTo(next)
-		sc.history.Add(cached.revision, revision, d)
+		sc.history.Add(cached.revision, revision, next.Checksum(), d)
 	}
 	sc.targets = next
 	oldSum := sc.setContent(now, heartbeat.Targets, next.Checksum(), revision, from)
@@ -272,7 +272,8 @@
 	sc.setRevision(now, kind, revision)
 	cached.sum, cached.content = sum, nil
 	cached.confirm(from.confirmedAt)
-	cached.unconfirmed, cached.revisionFromReplica = from.fromReplica, from.fromReplica
+	cached.unconfirmed = cached.unconfirmed || from.fromReplica
+	cached.revisionFromReplica = from.fromReplica
 	return oldSum
 }
 
@@ -333,7 +334,7 @@
 	}
 	sc.applyPendingSections(now)
 	sc.sectionsMissing = false
-	sc.history.Add(sc.states[heartbeat.Targets].revision, revision, d)
+	sc.history.Add(sc.states[heartbeat.Targets].revision, revision, sc.targets.Checksum(), d)
 	oldSum = sc.setContent(now, heartbeat.Targets, sc.targets.Checksum(), revision, from)
 	sc.router.ChangeRegistrations(now, d.Put, d.Removed)
 	sc.logTargetsChanged(from)
@@ -388,16 +389,32 @@
 	return *cached, nil
 }
 
-// targetsChangeSince returns the change from the registrations of a revision, with checksum
-// sum, to the cached ones, or nil if the history does not reach back that far.
-func (sc *stateCache) targetsChangeSince(now time.Time, revision baobabstep.Revision, sum uint64) *heartbeat.Change {
+const (
+	// maxStepTargets limits the targets in a change, so that it fits the limit on fragments.
+	maxStepTargets = 200
+	// maxResponseTargets limits the targets in the changes of one response.
+	maxResponseTargets = 600
+)
+
+// targetsChangesSince returns consecutive changes from the registrations of a revision, with
+// checksum sum, towards the cached ones, or false if the history does not reach back that far.
+func (sc *stateCache) targetsChangesSince(now time.Time, revision baobabstep.Revision, sum uint64) (changes []*heartbeat.Change, ok bool) {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
-	d, ok := sc.history.Since(revision)
+	steps, ok := sc.history.Steps(revision, maxStepTargets, maxResponseTargets)
 	if !ok {
-		return nil
+		return nil, false
+	}
+	current := sc.states[heartbeat.Targets].announced(now)
+	for i := range steps {
+		held := heartbeat.MakeVersionInfo(steps[i].To, steps[i].Checksum, heartbeat.MaxAge)
+		if steps[i].Checksum == current.Checksum {
+			held = current
+		}
+		changes = append(changes, heartbeat.NewTargetsChange(steps[i].Difference, sum, held))
+		sum = steps[i].Checksum
 	}
-	return heartbeat.NewTargetsChange(d, sum, sc.states[heartbeat.Targets].announced(now))
+	return changes, true
 }
 
 func (cs *cachedState) confirm(at time.Time) {
--- a/entry/distribution.go
+++ b/entry/distribution.go
@@ -22,7 +22,7 @@
 	if !n.canServe(now, from) {
 		return // the requester asks another VM, or this one again; preparing the content costs more than the request
 	}
-	if w.Kind == heartbeat.Targets && (w.Checksum != 0 && n.sendChange(now, from, w) || n.sendSections(now, from, w)) {
+	if w.Kind == heartbeat.Targets && (w.Checksum != 0 && n.sendChanges(now, from, w) || n.sendSections(now, from, w)) {
 		return
 	}
 	cached, err := n.cache.stateWithContent(w.Kind)
@@ -43,17 +43,21 @@
 	}
 }
 
-// sendChange answers a request with the changes since the requested revision. It returns false
-// if they are unknown or too large to send; it returns true without sending if the rate limit
-// is reached.
-func (n *Node) sendChange(now time.Time, to netip.AddrPort, w *heartbeat.Request) bool {
-	change := n.cache.targetsChangeSince(now, w.Revision(), w.Checksum)
-	if change == nil {
+// sendChanges answers a request with the changes since the requested revision, or with as many of
+// them as one response may hold. It returns false if they are unknown or too large to send; it
+// returns true without sending if the rate limit is reached.
+func (n *Node) sendChanges(now time.Time, to netip.AddrPort, w *heartbeat.Request) bool {
+	changes, ok := n.cache.targetsChangesSince(now, w.Revision(), w.Checksum)
+	if !ok || len(changes) == 0 {
 		return false
 	}
-	datagrams, err := heartbeat.EncodeDatagrams(&heartbeat.Message{Change: change})
-	if err != nil {
-		return false
+	var datagrams [][]byte
+	for _, change := range changes {
+		encoded, err := heartbeat.EncodeDatagrams(&heartbeat.Message{Change: change})
+		if err != nil {
+			return false
+		}
+		datagrams = append(datagrams, encoded...)
 	}
 	if n.reserveServe(now, to, totalSize(datagrams)) {
 		n.sendDatagrams(datagrams, to)
