entry: the watch of registrations keeps up with many changes

Cause: a watch returns at most 500 changes, and the VM paused for half a second after each. Beyond some 800 changes a second, or with a slow store, the watching VM fell further behind with each result. What a result held was sent as one change, which at over 300 registrations did not fit a message and reached peers as sections.

TestWatchKeepsUpWithManyChanges fails on the code before.

Change: a result of 100 changes or more is followed by the next watch at once; its changes are applied and sent in batches of up to 200, each of which ends at a revision of the store and fits a message.

--- a/entry/cache.go
+++ b/entry/cache.go
@@ -305,6 +305,22 @@
 	return true, heartbeat.NewTargetsChange(d, oldSum, cached.announced(now)), nil
 }
 
+// watchedBatch holds consecutive changes up to a revision.
+type watchedBatch struct {
+	changes  []baobabstep.RegistrationChange
+	revision baobabstep.Revision
+}
+
+// splitChanges divides changes that a watch reported up to a revision into batches that each fit
+// one message to peers.
+func splitChanges(changes []baobabstep.RegistrationChange, revision baobabstep.Revision) (batches []watchedBatch) {
+	for part := range slices.Chunk(changes, maxStepTargets) {
+		batches = append(batches, watchedBatch{changes: part, revision: part[len(part)-1].Revision})
+	}
+	batches[len(batches)-1].revision = revision
+	return batches
+}
+
 // netDifference returns the net effect on the cached targets of changes in the order in which
 // they were made.
 func (sc *stateCache) netDifference(changes []baobabstep.RegistrationChange) (d heartbeat.Difference) {
--- a/entry/read_test.go
+++ b/entry/read_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -77,6 +78,27 @@
 	qt.Assert(t, n.cache.state(heartbeat.Targets).sum, qt.Equals, want.Checksum())
 }
 
+// Guards against a watch that falls behind because it pauses after each of many limited results.
+func TestWatchKeepsUpWithManyChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const changes = 4000
+		list := benchRegistrations(changes)
+		d := &pagedDirectory{limit: 500, changes: registrationChanges(2, list)}
+		n := newQuietNode(new(countingMessages))
+		n.clock, n.syncer.directory = bubbleClock{}, d
+		n.startedAt = time.Now().Add(-time.Minute)
+		n.peerTable = heartbeat.New(n.startedAt, heartbeat.Options{Self: 1})
+		_, _, err := n.cache.updateTargets(time.Now(), list, baobabstep.Revision{Number: 1}, origin{source: sourceStore, confirmedAt: time.Now()})
+		qt.Assert(t, err, qt.IsNil)
+		ctx, cancel := context.WithTimeout(t.Context(), targetsBatchDelay)
+		defer cancel()
+		q := n.syncer.targetsQuery()
+		q.advanceRevision(baobabstep.Revision{Number: 1})
+		qt.Assert(t, n.syncer.watchLoop(ctx, q), qt.IsNil)
+		qt.Assert(t, n.cache.state(heartbeat.Targets).revision.Number, qt.Equals, uint64(changes+1))
+	})
+}
+
 // Guards against fleets in which all VMs read all registrations at the same time because those
 // that they hold are old.
 func TestReadsOfOldTargetsAreStaggered(t *testing.T) {
--- a/entry/store_query.go
+++ b/entry/store_query.go
@@ -32,20 +32,22 @@
 	return origin{source: sourceStore, confirmedAt: start}
 }
 
-func (s *storeSyncer) watchDesired(ctx context.Context, after baobabstep.Revision) (baobabstep.Revision, bool, error) {
+func (s *storeSyncer) watchDesired(ctx context.Context, after baobabstep.Revision) (baobabstep.Revision, int, error) {
 	change, revision, err := s.directory.WatchDesired(ctx, after, watchTimeout)
 	if err != nil || change.Empty() {
-		return revision, false, err
+		return revision, 0, err
 	}
+	changes := len(change.Evacuations)
 	if len(change.Evacuations) > 0 {
 		err = s.node.applyWatchedEvacuations(change.Evacuations)
 	}
 	if change.Table != nil {
+		changes++
 		// The table was the newest one when the watch returned, as after a read. Changes that
 		// the watch may have missed arrive with the next read.
 		err = errors.Join(err, s.node.updateRoutes(change.Table, origin{source: sourceWatch, confirmedAt: s.node.clock.Now()}))
 	}
-	return revision, true, err
+	return revision, changes, err
 }
 
 // readFirstTargetsPage reads the first page of targets. If there are more pages, the VM routes
@@ -71,16 +73,21 @@
 	return revision, s.node.updateTargets(list, revision, readOrigin(freshness, start, s.node.options.Settings.Token.Drain()))
 }
 
-func (s *storeSyncer) watchTargets(ctx context.Context, after baobabstep.Revision) (baobabstep.Revision, bool, error) {
+func (s *storeSyncer) watchTargets(ctx context.Context, after baobabstep.Revision) (baobabstep.Revision, int, error) {
 	changes, revision, err := s.directory.WatchRegistrations(ctx, after, watchTimeout)
 	if err != nil || len(changes) == 0 {
-		return revision, false, err
+		return revision, 0, err
 	}
-	changed, change, err := s.node.cache.applyTargetChanges(s.node.clock.Now(), changes, revision)
-	if changed {
-		s.node.publishChange(change, true)
+	for _, batch := range splitChanges(changes, revision) {
+		changed, change, err := s.node.cache.applyTargetChanges(s.node.clock.Now(), batch.changes, batch.revision)
+		if err != nil {
+			return revision, len(changes), err
+		}
+		if changed {
+			s.node.publishChange(change, true)
+		}
 	}
-	return revision, true, err
+	return revision, len(changes), nil
 }
 
 // readAllRegistrations reads all registrations as of one revision.
--- a/entry/store_sync.go
+++ b/entry/store_sync.go
@@ -26,6 +26,10 @@
 	// lapses, so a delay of half a second is acceptable.
 	routesBatchDelay  = 100 * time.Millisecond
 	targetsBatchDelay = 500 * time.Millisecond
+	// manyChanges is the number of changes in the result of a watch from which on the next one
+	// follows without a pause. The store limits the changes in a result, so more may be due, and a
+	// watch that pauses after each would fall behind.
+	manyChanges = 100
 	// missingTableRetry is the pause after the store reported that there is no routing table
 	// yet.
 	missingTableRetry = 500 * time.Millisecond
@@ -151,8 +155,8 @@
 	attempted bool
 	// readTime is how long the last successful read took. It belongs to the goroutine that reads.
 	readTime time.Duration
-	// watch returns whether anything changed.
-	watch func(ctx context.Context, after baobabstep.Revision) (baobabstep.Revision, bool, error)
+	// watch returns the number of changes.
+	watch func(ctx context.Context, after baobabstep.Revision) (baobabstep.Revision, int, error)
 	// readNow requests an immediate read.
 	readNow chan struct{}
 	// revision is the newest revision that this VM read from the store itself, from which a
@@ -410,15 +414,17 @@
 			sleep(ctx, pollInterval, nil)
 			continue
 		}
-		next, changed, err := q.watch(ctx, *after)
+		next, changes, err := q.watch(ctx, *after)
 		if ctx.Err() != nil {
 			break
 		}
-		interrupted := err != nil || !changed && s.node.clock.Now().Sub(now) < time.Duration(minEmptyWatchShare*float64(watchTimeout))
+		interrupted := err != nil || changes == 0 && s.node.clock.Now().Sub(now) < time.Duration(minEmptyWatchShare*float64(watchTimeout))
 		if !interrupted {
 			q.advanceRevision(next)
 			delays.Reset()
-			sleep(ctx, q.batchDelay, nil)
+			if changes < manyChanges {
+				sleep(ctx, q.batchDelay, nil)
+			}
 			continue
 		}
 		s.requestRead(q)
