entry: sections of one response and the next are of the same registrations

Cause: a VM that lacks the list gets sections in responses of 64 KB, and each response was made from the registrations of its moment. While targets register, the later sections never fitted the earlier ones, so the receiver was complete only by chance, announced nothing and sent nothing on. A responding VM also kept a quarter of a second free for the last requester after it had sent it everything.

Change: a VM sends sections of the same registrations for up to 3 s; the receiver gets what changed since then as changes. It asks the VM that sent the last section again. The priority of a requester ends with a complete response.

--- a/core/heartbeat/registrations.go
+++ b/core/heartbeat/registrations.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"baobabstep"
@@ -48,6 +49,15 @@
 	return r, r.Apply(Difference{Put: list})
 }
 
+// Clone returns a copy.
+func (r *Registrations) Clone() *Registrations {
+	c := *r
+	for i := range c.buckets {
+		c.buckets[i].registrations = maps.Clone(r.buckets[i].registrations)
+	}
+	return &c
+}
+
 // Checksum returns the checksum.
 func (r *Registrations) Checksum() uint64 { return r.checksum }
 
--- a/core/heartbeat/section.go
+++ b/core/heartbeat/section.go
@@ -60,9 +60,11 @@
 
 // Sections returns sections of the buckets whose digests differ from those in digests,
 // beginning with firstBucket and wrapping around. It stops at about maxBytes but returns
-// at least one section, or none if all digests are equal.
-func (r *Registrations) Sections(held VersionInfo, digests []byte, firstBucket, maxBytes int) (list []*Section) {
+// at least one section, or none if all digests are equal. complete reports whether the sections
+// cover all buckets that differ.
+func (r *Registrations) Sections(held VersionInfo, digests []byte, firstBucket, maxBytes int) (list []*Section, complete bool) {
 	size := 0
+	complete = true
 	for i := range NumBuckets {
 		bucket := (firstBucket + i) % NumBuckets
 		if len(digests) == NumBuckets*digestBytes && binary.BigEndian.Uint32(digests[bucket*digestBytes:]) == digest(r.buckets[bucket].checksum) {
@@ -70,6 +72,7 @@
 		}
 		for _, s := range r.sectionsOf(bucket) {
 			if size > 0 && size+s.size() > maxBytes {
+				complete = false
 				break
 			}
 			s.VersionInfo = held
@@ -77,13 +80,14 @@
 			size += s.size() + sectionOverhead
 		}
 		if size >= maxBytes {
+			complete = false
 			break
 		}
 	}
 	if len(list) > 0 {
 		list[len(list)-1].End = true
 	}
-	return list
+	return list, complete
 }
 
 // sectionsOf returns the sections of one bucket, at least one.
--- a/core/heartbeat/section_test.go
+++ b/core/heartbeat/section_test.go
@@ -34,7 +34,7 @@
 		ours, theirs := draw("ours"), draw("theirs")
 		maxBytes := rapid.IntRange(1, 20000).Draw(t, "maxBytes")
 		for round := 0; ours.Checksum() != theirs.Checksum(); round++ {
-			sections := theirs.Sections(MakeVersionInfo(revisionOf(2), theirs.Checksum(), 0), ours.Digests(), round, maxBytes)
+			sections, complete := theirs.Sections(MakeVersionInfo(revisionOf(2), theirs.Checksum(), 0), ours.Digests(), round, maxBytes)
 			if len(sections) == 0 || !sections[len(sections)-1].End {
 				t.Fatalf("round %d: got %d sections, want at least one, the last with End set", round, len(sections))
 			}
@@ -55,8 +55,11 @@
 					t.Fatal(err)
 				}
 			}
+			if complete && ours.Checksum() != theirs.Checksum() {
+				t.Fatalf("round %d: the sections do not cover all differences", round)
+			}
 		}
-		if sections := theirs.Sections(VersionInfo{}, ours.Digests(), 0, maxBytes); sections != nil {
+		if sections, complete := theirs.Sections(VersionInfo{}, ours.Digests(), 0, maxBytes); sections != nil || !complete {
 			t.Fatalf("got %d sections of equal registrations, want none", len(sections))
 		}
 	})
@@ -66,7 +69,8 @@
 func TestMalformedSection(t *testing.T) {
 	r := EmptyRegistrations()
 	qt.Assert(t, r.Apply(Difference{Put: []baobabstep.Registration{registrationOf(1), registrationOf(2)}}), qt.IsNil)
-	good := *r.Sections(VersionInfo{}, nil, bucketOf(1), 1)[0]
+	all, _ := r.Sections(VersionInfo{}, nil, bucketOf(1), 1)
+	good := *all[0]
 	for _, c := range []struct {
 		name    string
 		corrupt func(s *Section)
@@ -91,7 +95,8 @@
 func FuzzSection(f *testing.F) {
 	r := EmptyRegistrations()
 	_ = r.Apply(Difference{Put: []baobabstep.Registration{registrationOf(1)}})
-	for _, s := range r.Sections(VersionInfo{}, nil, 0, 1) {
+	all, _ := r.Sections(VersionInfo{}, nil, 0, 1)
+	for _, s := range all {
 		f.Add(s.First, s.Last, s.Rows)
 	}
 	f.Fuzz(func(_ *testing.T, first, last uint64, rows []byte) {
@@ -119,7 +124,8 @@
 		d.Put = append(d.Put, reg)
 	}
 	qt.Assert(t, r.Apply(d), qt.IsNil)
-	for _, s := range r.Sections(MakeVersionInfo(revisionOf(2), 1, 0), nil, 0, 1e9) {
+	all, _ := r.Sections(MakeVersionInfo(revisionOf(2), 1, 0), nil, 0, 1e9)
+	for _, s := range all {
 		_, err := Encode(&Message{Section: s})
 		qt.Assert(t, err, qt.IsNil)
 	}
--- a/entry/cache.go
+++ b/entry/cache.go
@@ -48,6 +48,9 @@
 	evacuated []string
 	// history holds the latest changes to targets.
 	history heartbeat.History
+	// pinned are the registrations of which sections are sent to peers, nil if none were
+	// requested yet.
+	pinned *pinnedTargets
 	// pendingSections holds the changes to targets by sections that are not yet applied to the
 	// router.
 	pendingSections heartbeat.Difference
@@ -414,23 +417,24 @@
 
 // targetsChangesSince returns consecutive changes from the registrations of a revision, with
 // checksum sum, towards the cached ones, or false if the history does not reach back that far.
-func (sc *stateCache) targetsChangesSince(now time.Time, revision baobabstep.Revision, sum uint64) (changes []*heartbeat.Change, ok bool) {
+// complete reports whether they lead to the cached ones.
+func (sc *stateCache) targetsChangesSince(now time.Time, revision baobabstep.Revision, sum uint64) (changes []*heartbeat.Change, complete, ok bool) {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
 	steps, ok := sc.history.Steps(revision, maxStepTargets, maxResponseTargets)
 	if !ok {
-		return nil, false
+		return nil, false, false
 	}
 	current := sc.states[heartbeat.Targets].announced(now)
 	for i := range steps {
 		held := heartbeat.MakeVersionInfo(steps[i].To, steps[i].Checksum, heartbeat.MaxAge)
-		if steps[i].Checksum == current.Checksum {
+		if complete = steps[i].Checksum == current.Checksum; complete {
 			held = current
 		}
 		changes = append(changes, heartbeat.NewTargetsChange(steps[i].Difference, sum, held))
 		sum = steps[i].Checksum
 	}
-	return changes, true
+	return changes, complete, true
 }
 
 func (cs *cachedState) confirm(at time.Time) {
--- a/entry/distribution.go
+++ b/entry/distribution.go
@@ -47,7 +47,7 @@
 // them as one response may hold. It returns false if they are unknown or too large to send; it
 // returns true without sending if the rate limit is reached.
 func (n *Node) sendChanges(now time.Time, to netip.AddrPort, w *heartbeat.Request) bool {
-	changes, ok := n.cache.targetsChangesSince(now, w.Revision(), w.Checksum)
+	changes, complete, ok := n.cache.targetsChangesSince(now, w.Revision(), w.Checksum)
 	if !ok || len(changes) == 0 {
 		return false
 	}
@@ -59,12 +59,22 @@
 		}
 		datagrams = append(datagrams, encoded...)
 	}
-	if n.reserveServe(now, to, totalSize(datagrams)) {
-		n.sendDatagrams(datagrams, to)
-	}
+	n.respond(now, to, datagrams, complete)
 	return true
 }
 
+// respond sends a response to a requester if the rate limit allows it. complete says that the
+// requester will need nothing more.
+func (n *Node) respond(now time.Time, to netip.AddrPort, datagrams [][]byte, complete bool) {
+	if !n.reserveServe(now, to, totalSize(datagrams)) {
+		return
+	}
+	n.sendDatagrams(datagrams, to)
+	if complete {
+		n.endPriority()
+	}
+}
+
 func (n *Node) sendDatagrams(datagrams [][]byte, to ...netip.AddrPort) {
 	for _, address := range to {
 		for _, raw := range datagrams {
@@ -88,7 +98,7 @@
 	if len(w.Digests) == 0 {
 		return false
 	}
-	sections := n.cache.differingSections(now, w.Digests, n.options.Settings.VM().ID)
+	sections, complete := n.cache.differingSections(now, w.Revision(), w.Digests, n.options.Settings.VM().ID)
 	var datagrams [][]byte
 	for _, s := range sections {
 		raw, err := heartbeat.Encode(&heartbeat.Message{Section: s})
@@ -100,9 +110,7 @@
 	if len(datagrams) == 0 {
 		return false
 	}
-	if n.reserveServe(now, to, totalSize(datagrams)) {
-		n.sendDatagrams(datagrams, to)
-	}
+	n.respond(now, to, datagrams, complete)
 	return true
 }
 
@@ -113,7 +121,7 @@
 
 // handleSection applies a section from a peer. At the end of a response it requests the
 // sections that are still missing.
-func (n *Node) handleSection(now time.Time, s *heartbeat.Section) {
+func (n *Node) handleSection(now time.Time, sender netip.AddrPort, s *heartbeat.Section) {
 	from := n.peerOrigin(now, s.VersionInfo, n.options.Settings.Token.Drain())
 	taken, complete, err := n.cache.applySection(now, s, from)
 	switch {
@@ -122,8 +130,11 @@
 	case complete:
 		n.setRequestFullList(false)
 		n.announce(false)
-	case taken && s.End:
-		n.sendRequest(now, heartbeat.Targets)
+	case taken:
+		n.setSectionSource(now, sender)
+		if s.End {
+			n.sendRequest(now, heartbeat.Targets)
+		}
 	}
 }
 
@@ -158,10 +169,17 @@
 	return n.exchange.canServe(now, to)
 }
 
+// endPriority ends the priority of the last requester.
+func (n *Node) endPriority() {
+	n.exchange.mu.Lock()
+	defer n.exchange.mu.Unlock()
+	n.exchange.lastServed = netip.AddrPort{}
+}
+
 // canServe is Node.canServe for callers that hold s.mu.
 func (s *peerExchange) canServe(now time.Time, to netip.AddrPort) bool {
 	earliest := s.nextServeAt
-	if to != s.lastServed {
+	if s.lastServed.IsValid() && to != s.lastServed {
 		earliest = earliest.Add(servePriority)
 	}
 	return s.nextServeAt.IsZero() || !now.Before(earliest)
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -58,6 +58,9 @@
 	// requestFullList is set when a change to the held targets did not give the expected
 	// checksum, to request the whole list.
 	requestFullList bool
+	// sectionSource is the VM that sent the last section, at sectionAt.
+	sectionSource netip.AddrPort
+	sectionAt     time.Time
 	// nextServeAt is when this VM may next send content to a peer.
 	nextServeAt time.Time
 	// lastServed is the VM that received the last response.
@@ -159,7 +162,7 @@
 	case m.Fragment != nil:
 		n.handleFragment(now, from, m.Fragment)
 	case m.Section != nil:
-		n.handleSection(now, m.Section)
+		n.handleSection(now, from, m.Section)
 	}
 }
 
@@ -226,7 +229,7 @@
 // sendRequest requests a kind from a VM that holds a newer revision of it, if there is one.
 func (n *Node) sendRequest(now time.Time, kind heartbeat.Kind) {
 	cached := n.cache.state(kind)
-	source, ok := n.peerTable.FindNewer(now, kind, cached.revision, cached.sum)
+	source, ok := n.sourceOf(now, kind, &cached)
 	if !ok {
 		return
 	}
@@ -240,6 +243,30 @@
 	n.sendMessage(source, &heartbeat.Message{Request: want})
 }
 
+// sectionSourceTimeout is how long a VM continues to request sections from the one that sent the
+// last one.
+const sectionSourceTimeout = 400 * time.Millisecond
+
+// sourceOf returns the VM from which to request newer content. Sections are requested from the VM
+// that sent the last one, as those of several VMs can be of different revisions and would never be
+// complete.
+func (n *Node) sourceOf(now time.Time, kind heartbeat.Kind, cached *cachedState) (source netip.AddrPort, ok bool) {
+	n.exchange.mu.Lock()
+	recent := n.exchange.sectionSource.IsValid() && now.Sub(n.exchange.sectionAt) < sectionSourceTimeout
+	source = n.exchange.sectionSource
+	n.exchange.mu.Unlock()
+	if kind == heartbeat.Targets && recent && n.cache.hasMissingSections() {
+		return source, true
+	}
+	return n.peerTable.FindNewer(now, kind, cached.revision, cached.sum)
+}
+
+func (n *Node) setSectionSource(now time.Time, source netip.AddrPort) {
+	n.exchange.mu.Lock()
+	defer n.exchange.mu.Unlock()
+	n.exchange.sectionSource, n.exchange.sectionAt = source, now
+}
+
 // wantsFullList reports whether a change of targets did not apply, so that the next request
 // must not be for changes.
 func (n *Node) wantsFullList() bool {
--- a/entry/section.go
+++ b/entry/section.go
@@ -88,13 +88,41 @@
 	return sc.targets.Digests()
 }
 
-// differingSections returns sections of the buckets that differ from digests. The first bucket
-// depends on the VM, so that responses of several VMs to one requester overlap less.
-func (sc *stateCache) differingSections(now time.Time, digests []byte, self baobabstep.VMID) []*heartbeat.Section {
+// pinDuration is how long a VM sends sections of the same registrations. While registrations
+// change, sections of the newest ones would belong to a different revision in each response, and
+// their receiver would never be complete. It gets the changes since then afterwards.
+const pinDuration = 3 * time.Second
+
+// pinnedTargets are the registrations of which a VM sends sections.
+type pinnedTargets struct {
+	registrations *heartbeat.Registrations
+	revision      baobabstep.Revision
+	confirmedAt   time.Time
+	pinnedAt      time.Time
+}
+
+// pin replaces the pinned registrations by the cached ones unless they are recent and newer than
+// those of a requester at a revision. The caller holds sc.mu.
+func (sc *stateCache) pin(now time.Time, requester baobabstep.Revision) {
+	if p := sc.pinned; p != nil && now.Sub(p.pinnedAt) < pinDuration && requester.Before(p.revision) {
+		return
+	}
+	cached := &sc.states[heartbeat.Targets]
+	sc.pinned = &pinnedTargets{
+		registrations: sc.targets.Clone(), revision: cached.announced(now).Revision(), confirmedAt: cached.confirmedAt, pinnedAt: now,
+	}
+}
+
+// differingSections returns sections of the buckets of the pinned registrations that differ from
+// digests, for a requester at a revision. complete reports whether they are all of them. The first
+// bucket depends on the VM, so that responses of several VMs to one requester overlap less.
+func (sc *stateCache) differingSections(now time.Time, requester baobabstep.Revision, digests []byte, self baobabstep.VMID) (sections []*heartbeat.Section, complete bool) {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
-	announced := sc.states[heartbeat.Targets].announced(now)
-	return sc.targets.Sections(announced, digests, int(uint64(self)%heartbeat.NumBuckets), maxResponseBytes)
+	sc.pin(now, requester)
+	p := sc.pinned
+	info := heartbeat.MakeVersionInfo(p.revision, p.registrations.Checksum(), now.Sub(p.confirmedAt))
+	return p.registrations.Sections(info, digests, int(uint64(self)%heartbeat.NumBuckets), maxResponseBytes)
 }
 
 // incompleteTargets reports whether only some of the registrations are known, and when the
@@ -112,6 +140,13 @@
 	return sc.targets.Len()
 }
 
+// hasMissingSections reports whether some sections were received and others are missing.
+func (sc *stateCache) hasMissingSections() bool {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	return sc.sectionsMissing
+}
+
 // needsMoreSections reports whether sections are missing and the last one was received within
 // sectionRequestTimeout.
 func (sc *stateCache) needsMoreSections(now time.Time) bool {
--- a/entry/section_test.go
+++ b/entry/section_test.go
@@ -120,7 +120,8 @@
 			n := newQuietNode(new(countingMessages))
 			_, _, err := n.cache.updateTargets(benchEpoch, all[:90], baobabstep.Revision{Number: 1}, origin{source: sourceStore})
 			qt.Assert(t, err, qt.IsNil)
-			for _, s := range sender.cache.differingSections(benchEpoch, n.cache.digests(), 1) {
+			sections, _ := sender.cache.differingSections(benchEpoch, baobabstep.Revision{}, n.cache.digests(), 1)
+			for _, s := range sections {
 				s.VersionInfo = heartbeat.MakeVersionInfo(baobabstep.Revision{Number: 2}, s.VersionInfo.Checksum+1, 0) // never complete
 				_, _, err := n.cache.applySection(benchEpoch, s, origin{source: sourcePeer})
 				qt.Assert(t, err, qt.IsNil)
