entry: a change reaches all VMs whether or not it applies on its way

Cause: a change applies to exactly the content it was made from, and only a VM that applied it passed it on. Changes overtake each other, as each takes the way through the relay tree that its size gives. A VM that got one too early dropped it, could apply none of the later ones and kept them from all VMs behind it in the tree.

TestChangeThatOvertookAnotherIsApplied, TestVMThatMissedChangeRelaysTheNext and TestLeavingTargetOfWaitingChange fail on the code before.

Change: a VM passes a change on when it gets it for the first time, then applies it. If it lacks the content before, the change waits for up to 2 s, and targets that it says leave get no new flows from then on. Routing tables travel the same way and are treated alike; evacuations are sent as whole lists and were not affected.

--- a/core/heartbeat/change.go
+++ b/core/heartbeat/change.go
@@ -96,6 +96,22 @@
 	return d, nil
 }
 
+// LeavingTargets returns the changed registrations of targets that plan to leave. Errors:
+// CodeMalformed.
+func (c *Change) LeavingTargets() (leaving []baobabstep.Registration, err error) {
+	for i := range c.Targets {
+		if !c.Targets[i].Draining {
+			continue
+		}
+		r, err := c.Targets[i].registration()
+		if err != nil {
+			return nil, err
+		}
+		leaving = append(leaving, r)
+	}
+	return leaving, nil
+}
+
 func conflict(text string) error {
 	return baobabstep.Errorf(baobabstep.CodeConflict, "heartbeat.change", "%s", text)
 }
--- a/entry/distribution.go
+++ b/entry/distribution.go
@@ -129,6 +129,7 @@
 		n.counters.malformed.Add(1)
 	case complete:
 		n.setRequestFullList(false)
+		n.applyWaitingChanges(now)
 		n.announce(false)
 	case taken:
 		n.setSectionSource(now, sender)
@@ -213,13 +214,36 @@
 	}
 }
 
-// handleChange applies a change from a peer. It ignores a change that is based on other
-// content: the sender's next heartbeat makes this VM request the full content.
+// handleChange passes on and applies a change from a peer. A change that is based on other content
+// waits for the changes in between. If they do not arrive, the sender's next heartbeat makes this
+// VM request them.
 func (n *Node) handleChange(now time.Time, from netip.AddrPort, c *heartbeat.Change) {
 	if !n.cache.state(c.Kind).revision.Before(c.Result.Revision()) {
 		return
 	}
-	if c.Kind == heartbeat.Targets && c.BaseChecksum == n.cache.state(c.Kind).sum {
+	if c.Origin.IsValid() && n.exchange.markRelayed(c) {
+		n.passOn(from, c)
+	}
+	if n.applyChange(now, from, c) {
+		n.applyWaitingChanges(now)
+	}
+}
+
+// passOn sends a change from a peer to the VMs that get it from this one. They get it whether or not it
+// applies here: a VM that missed a change does not keep the next ones from others.
+func (n *Node) passOn(from netip.AddrPort, c *heartbeat.Change) {
+	if n.peerTable.IsNear(from) {
+		n.relay(c)
+		return
+	}
+	passed := *c // other data centres send a change to only one VM here
+	n.distributeChange(&passed, false)
+}
+
+// applyChange applies a change from a peer and reports whether the cached content changed.
+func (n *Node) applyChange(now time.Time, from netip.AddrPort, c *heartbeat.Change) (changed bool) {
+	sameBase := c.BaseChecksum == n.cache.state(c.Kind).sum
+	if c.Kind == heartbeat.Targets && sameBase {
 		n.notifyStoreRecovery(now)
 	}
 	changed, err := n.cache.applyPeerChange(now, c, origin{source: sourcePeer, confirmedAt: now.Add(-c.Result.Age())})
@@ -227,23 +251,30 @@
 	case baobabstep.CodeOf(err) == baobabstep.CodeConflict:
 		n.counters.conflictingChanges.Add(1)
 		n.logConflict(now, from, c)
-		if c.Kind == heartbeat.Targets && c.BaseChecksum == n.cache.state(c.Kind).sum {
+		if sameBase && c.Kind == heartbeat.Targets {
 			n.setRequestFullList(true)
 		}
-		return
+		if !sameBase {
+			n.exchange.hold(now, c)
+			n.cache.markLeaving(now, c)
+		}
 	case err != nil:
 		n.counters.malformed.Add(1)
-		return
-	}
-	if c.Kind == heartbeat.Targets && changed {
+	case changed && c.Kind == heartbeat.Targets:
 		n.setRequestFullList(false)
 	}
-	switch near := n.peerTable.IsNear(from); {
-	case !changed:
-	case !near: // other data centres send a change to only one VM here
-		n.distributeChange(c, false)
-	case c.Origin.IsValid():
-		n.relay(c)
+	return changed
+}
+
+// applyWaitingChanges applies the changes that waited for the cached content.
+func (n *Node) applyWaitingChanges(now time.Time) {
+	for _, kind := range []heartbeat.Kind{heartbeat.Routes, heartbeat.Targets} {
+		for {
+			c := n.exchange.takeWaiting(now, kind, n.cache.state(kind).sum)
+			if c == nil || !n.applyChange(now, c.Origin, c) {
+				break
+			}
+		}
 	}
 }
 
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -61,6 +61,10 @@
 	// sectionSource is the VM that sent the last section, at sectionAt.
 	sectionSource netip.AddrPort
 	sectionAt     time.Time
+	// waiting are the changes that do not apply yet, in the order in which they were received, and
+	// relayed the latest ones that were passed on.
+	waiting []waitingChange
+	relayed []relayedChange
 	// nextServeAt is when this VM may next send content to a peer.
 	nextServeAt time.Time
 	// lastServed is the VM that received the last response.
--- a/entry/repair_test.go
+++ b/entry/repair_test.go
@@ -2,12 +2,84 @@
 
 import (
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"baobabstep"
 	"baobabstep/core/heartbeat"
 )
 
+// changesTo returns the changes that lead from the content of a VM through batches of leaving
+// targets, one revision each, without applying them there.
+func changesTo(t *testing.T, n *Node, now time.Time, batches ...[]baobabstep.Registration) (changes []*heartbeat.Change) {
+	t.Helper()
+	source := newQuietNode(new(countingMessages))
+	held := n.cache.state(heartbeat.Targets)
+	_, _, err := source.cache.updateTargets(now, n.cache.targets.List(), held.revision, origin{source: sourceStore, confirmedAt: now})
+	qt.Assert(t, err, qt.IsNil)
+	for i, list := range batches {
+		revision := baobabstep.Revision{Number: held.revision.Number + uint64(i) + 1}
+		_, c, err := source.cache.applyTargetChanges(now, registrationChanges(revision.Number, list), revision)
+		qt.Assert(t, err, qt.IsNil)
+		c.Origin = peerAddress(0)
+		changes = append(changes, c)
+	}
+	return changes
+}
+
+// Guards against a change that is lost, with all later ones, because it overtook another.
+func TestChangeThatOvertookAnotherIsApplied(t *testing.T) {
+	f := newDataCentreFleet(t, 3, 100)
+	list := benchRegistrations(100)
+	n := f.nodes[2]
+	changes := changesTo(t, n, f.now, list[:5], list[5:8], list[8:12])
+	for _, i := range []int{2, 1, 0} {
+		n.handleChange(f.now, f.nodes[1].options.Settings.PeerAddress, changes[i])
+	}
+	qt.Assert(t, n.cache.state(heartbeat.Targets).revision, qt.Equals, changes[2].Result.Revision())
+	qt.Assert(t, n.cache.state(heartbeat.Targets).sum, qt.Equals, changes[2].Result.Checksum)
+}
+
+// Guards against VMs that learn of no change because the one that relays it to them missed an
+// earlier one.
+func TestVMThatMissedChangeRelaysTheNext(t *testing.T) {
+	f := newDataCentreFleet(t, 40, 1000)
+	list := benchRegistrations(1000)
+	inner := f.nodes[1].options.Settings.PeerAddress // a child of the first VM with children of its own
+	f.drop = func(x modelMessage) bool { return x.to == inner }
+	f.drainTargets(2, list[:150])
+	f.deliver()
+	f.drop = nil
+	for _, n := range f.nodes[2:] { // only the inner VM lacks the first change
+		held := f.nodes[0].cache.state(heartbeat.Targets)
+		if n.cache.state(heartbeat.Targets).sum != held.sum {
+			_, _, err := n.cache.updateTargets(f.now, f.nodes[0].cache.targets.List(), held.revision, origin{source: sourceStore, confirmedAt: f.now})
+			qt.Assert(t, err, qt.IsNil)
+		}
+	}
+	qt.Assert(t, f.outdatedVMs(), qt.Equals, 1)
+	f.drainTargets(3, list[150:300])
+	f.deliver()
+	qt.Assert(t, f.outdatedVMs(), qt.Equals, 1)
+}
+
+// Guards against new flows to a target that leaves by a change that does not apply yet.
+func TestLeavingTargetOfWaitingChange(t *testing.T) {
+	f := newDataCentreFleet(t, 3, 20)
+	list := benchRegistrations(20)
+	n := f.nodes[2]
+	placement := newPlacementLog()
+	placement.SetRegistrations(f.now, list)
+	n.cache.router = placement
+	changes := changesTo(t, n, f.now, list[:5], list[5:8])
+	n.handleChange(f.now, f.nodes[1].options.Settings.PeerAddress, changes[1])
+	qt.Assert(t, n.cache.state(heartbeat.Targets).revision.Number, qt.Equals, uint64(1))
+	for i, r := range list {
+		qt.Check(t, placement.available[r.ID], qt.Equals, i < 5 || i >= 8, qt.Commentf("target %d", i))
+	}
+}
+
 // Guards against sending the whole list to a VM that missed more changes than one message holds.
 func TestManyMissedChangesAreRepairedInSteps(t *testing.T) {
 	f := newDataCentreFleet(t, 40, 3000)
