entry: changes also reach VMs whose list is incomplete and those of other data centres

A VM that has just started places flows on the targets that it knows while it collects the list.

Cause: it ignored all changes meanwhile, so a target that left in these seconds got flows until the list was complete.

Evidence: TestLeavingTargetOfIncompleteList and TestChangeRequestedElsewhereIsRelayed fail on the code before.

Change: such a change waits and takes leaving targets out like one that does not apply yet; a response of another data centre that applies is passed on here.

Measured: the tests.

--- a/entry/cache.go
+++ b/entry/cache.go
@@ -362,7 +362,7 @@
 
 // applyPeerChange applies a change sent by a peer. It returns whether the change was newer
 // than the cached state. Errors: CodeConflict if the change is based on other content;
-// CodeMalformed.
+// CodeIncomplete if only some of the targets are known; CodeMalformed.
 func (sc *stateCache) applyPeerChange(now time.Time, c *heartbeat.Change, from origin) (changed bool, err error) {
 	if c.Kind == heartbeat.Routes {
 		table, err := sc.applyRoutesChange(c)
@@ -375,8 +375,11 @@
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
 	cached := &sc.states[heartbeat.Targets]
-	if !cached.isKnown() || !cached.revision.Before(c.Result.Revision()) {
+	switch {
+	case !cached.revision.Before(c.Result.Revision()):
 		return false, nil
+	case !cached.isKnown():
+		return false, baobabstep.Errorf(baobabstep.CodeIncomplete, "entry.change", "got a change of targets of which only some are known")
 	}
 	d, err := c.Difference(sc.targets)
 	if err != nil {
--- a/entry/distribution.go
+++ b/entry/distribution.go
@@ -224,9 +224,13 @@
 	if c.Origin.IsValid() && n.exchange.markRelayed(c) {
 		n.passOn(from, c)
 	}
-	if n.applyChange(now, from, c) {
-		n.applyWaitingChanges(now)
+	if !n.applyChange(now, from, c) {
+		return
+	}
+	if !c.Origin.IsValid() && !n.peerTable.IsNear(from) {
+		n.passOn(from, c) // a response of another data centre, which the VMs here lack as well
 	}
+	n.applyWaitingChanges(now)
 }
 
 // passOn sends a change from a peer to the VMs that get it from this one. They get it whether or not it
@@ -255,9 +259,10 @@
 			n.setRequestFullList(true)
 		}
 		if !sameBase {
-			n.exchange.hold(now, c)
-			n.cache.markLeaving(now, c)
+			n.holdChange(now, c)
 		}
+	case baobabstep.CodeOf(err) == baobabstep.CodeIncomplete:
+		n.holdChange(now, c)
 	case err != nil:
 		n.counters.malformed.Add(1)
 	case changed && c.Kind == heartbeat.Targets:
@@ -266,6 +271,12 @@
 	return changed
 }
 
+// holdChange keeps a change until the content before it is known.
+func (n *Node) holdChange(now time.Time, c *heartbeat.Change) {
+	n.exchange.hold(now, c)
+	n.cache.markLeaving(now, c)
+}
+
 // applyWaitingChanges applies the changes that waited for the cached content.
 func (n *Node) applyWaitingChanges(now time.Time) {
 	for _, kind := range []heartbeat.Kind{heartbeat.Routes, heartbeat.Targets} {
--- a/entry/repair_test.go
+++ b/entry/repair_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -80,6 +81,35 @@
 	}
 }
 
+// Guards against new flows to targets that leave while a VM that has just started collects the
+// list.
+func TestLeavingTargetOfIncompleteList(t *testing.T) {
+	f := newDataCentreFleet(t, 3, 20)
+	list := benchRegistrations(20)
+	changes := changesTo(t, f.nodes[1], f.now, list[:5])
+	f.restart(2, list[:10])
+	n, placement := f.nodes[2], newPlacementLog()
+	placement.SetRegistrations(f.now, list[:10])
+	n.cache.router = placement
+	n.handleChange(f.now, f.nodes[1].options.Settings.PeerAddress, changes[0])
+	for i, r := range list[:10] {
+		qt.Check(t, placement.available[r.ID], qt.Equals, i >= 5, qt.Commentf("target %d", i))
+	}
+}
+
+// Guards against data centres in which only the VM that requested a change from another one
+// learns of it.
+func TestChangeRequestedElsewhereIsRelayed(t *testing.T) {
+	f := newDataCentreFleet(t, 12, 100)
+	changes := changesTo(t, f.nodes[0], f.now, benchRegistrations(100)[:5])
+	changes[0].Origin = netip.AddrPort{}
+	f.nodes[4].handleChange(f.now, peerAddress(1), changes[0])
+	f.deliver()
+	for i, n := range f.nodes {
+		qt.Check(t, n.cache.state(heartbeat.Targets).sum, qt.Equals, changes[0].Result.Checksum, qt.Commentf("VM %d", i))
+	}
+}
+
 // Guards against sending the whole list to a VM that missed more changes than one message holds.
 func TestManyMissedChangesAreRepairedInSteps(t *testing.T) {
 	f := newDataCentreFleet(t, 40, 3000)
