entry: pinned registrations are replaced within a share of the bound

What callers saw: nothing yet; found while reading 'sections of one response and the next are of the same registrations'.

Cause: a VM sent sections of the same registrations for 3 s, which is the whole bound of some deployments, and also after the store had been restored from a backup.

Evidence: TestPinnedTargetsAreReplaced fails on the code before in the case 'restored'.

--- a/entry/distribution.go
+++ b/entry/distribution.go
@@ -98,7 +98,8 @@
 	if len(w.Digests) == 0 {
 		return false
 	}
-	sections, complete := n.cache.differingSections(now, w.Revision(), w.Digests, n.options.Settings.VM().ID)
+	maxAge := time.Duration(pinShare * float64(n.options.Settings.Token.Drain()))
+	sections, complete := n.cache.differingSections(now, w.Revision(), w.Digests, n.options.Settings.VM().ID, maxAge)
 	var datagrams [][]byte
 	for _, s := range sections {
 		raw, err := heartbeat.Encode(&heartbeat.Message{Section: s})
--- a/entry/section.go
+++ b/entry/section.go
@@ -88,10 +88,11 @@
 	return sc.targets.Digests()
 }
 
-// pinDuration is how long a VM sends sections of the same registrations. While registrations
-// change, sections of the newest ones would belong to a different revision in each response, and
-// their receiver would never be complete. It gets the changes since then afterwards.
-const pinDuration = 3 * time.Second
+// pinShare is the share of the time in which an update has to be in force for which a VM sends
+// sections of the same registrations. While registrations change, sections of the newest ones would
+// belong to a different revision in each response, and their receiver would never be complete. It
+// gets the changes since then afterwards.
+const pinShare = 0.25
 
 // pinnedTargets are the registrations of which a VM sends sections.
 type pinnedTargets struct {
@@ -101,25 +102,26 @@
 	pinnedAt      time.Time
 }
 
-// pin replaces the pinned registrations by the cached ones unless they are recent and newer than
-// those of a requester at a revision. The caller holds sc.mu.
-func (sc *stateCache) pin(now time.Time, requester baobabstep.Revision) {
-	if p := sc.pinned; p != nil && now.Sub(p.pinnedAt) < pinDuration && requester.Before(p.revision) {
+// pin replaces the pinned registrations by the cached ones unless they are at most maxAge old, of
+// the same era and newer than those of a requester at a revision. The caller holds sc.mu.
+func (sc *stateCache) pin(now time.Time, requester baobabstep.Revision, maxAge time.Duration) {
+	cached := &sc.states[heartbeat.Targets]
+	if p := sc.pinned; p != nil && now.Sub(p.pinnedAt) < maxAge && p.revision.Era == cached.revision.Era && requester.Before(p.revision) {
 		return
 	}
-	cached := &sc.states[heartbeat.Targets]
 	sc.pinned = &pinnedTargets{
 		registrations: sc.targets.Clone(), revision: cached.announced(now).Revision(), confirmedAt: cached.confirmedAt, pinnedAt: now,
 	}
 }
 
 // differingSections returns sections of the buckets of the pinned registrations that differ from
-// digests, for a requester at a revision. complete reports whether they are all of them. The first
-// bucket depends on the VM, so that responses of several VMs to one requester overlap less.
-func (sc *stateCache) differingSections(now time.Time, requester baobabstep.Revision, digests []byte, self baobabstep.VMID) (sections []*heartbeat.Section, complete bool) {
+// digests, for a requester at a revision. The pinned registrations are at most maxAge old. complete
+// reports whether the sections are all that differ. The first bucket depends on the VM, so that
+// responses of several VMs to one requester overlap less.
+func (sc *stateCache) differingSections(now time.Time, requester baobabstep.Revision, digests []byte, self baobabstep.VMID, maxAge time.Duration) (sections []*heartbeat.Section, complete bool) {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
-	sc.pin(now, requester)
+	sc.pin(now, requester, maxAge)
 	p := sc.pinned
 	info := heartbeat.MakeVersionInfo(p.revision, p.registrations.Checksum(), now.Sub(p.confirmedAt))
 	return p.registrations.Sections(info, digests, int(uint64(self)%heartbeat.NumBuckets), maxResponseBytes)
--- a/entry/section_test.go
+++ b/entry/section_test.go
@@ -120,7 +120,7 @@
 			n := newQuietNode(new(countingMessages))
 			_, _, err := n.cache.updateTargets(benchEpoch, all[:90], baobabstep.Revision{Number: 1}, origin{source: sourceStore})
 			qt.Assert(t, err, qt.IsNil)
-			sections, _ := sender.cache.differingSections(benchEpoch, baobabstep.Revision{}, n.cache.digests(), 1)
+			sections, _ := sender.cache.differingSections(benchEpoch, baobabstep.Revision{}, n.cache.digests(), 1, time.Second)
 			for _, s := range sections {
 				s.VersionInfo = heartbeat.MakeVersionInfo(baobabstep.Revision{Number: 2}, s.VersionInfo.Checksum+1, 0) // never complete
 				_, _, err := n.cache.applySection(benchEpoch, s, origin{source: sourcePeer})
@@ -143,3 +143,32 @@
 		})
 	}
 }
+
+// Guards against sections of registrations that the store no longer holds after a restore, or that
+// are too old.
+func TestPinnedTargetsAreReplaced(t *testing.T) {
+	const maxAge = time.Second
+	n := newDataCentreFleet(t, 2, 20).nodes[0]
+	list := benchRegistrations(20)
+	revisionSent := func(now time.Time) baobabstep.Revision {
+		sections, _ := n.cache.differingSections(now, baobabstep.Revision{}, nil, 1, maxAge)
+		return sections[0].VersionInfo.Revision()
+	}
+	qt.Assert(t, revisionSent(benchEpoch).Number, qt.Equals, uint64(1))
+	for _, c := range []struct {
+		name       string
+		after      time.Duration
+		held, want baobabstep.Revision
+	}{
+		{"kept", maxAge / 2, baobabstep.Revision{Number: 2}, baobabstep.Revision{Number: 1}},
+		{"too old", maxAge, baobabstep.Revision{Number: 3}, baobabstep.Revision{Number: 3}},
+		{"restored", maxAge, baobabstep.Revision{Era: 1, Number: 1}, baobabstep.Revision{Era: 1, Number: 1}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			list[0].Slots++
+			_, _, err := n.cache.updateTargets(benchEpoch, list, c.held, origin{source: sourceStore, confirmedAt: benchEpoch})
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, revisionSent(benchEpoch.Add(c.after)), qt.Equals, c.want)
+		})
+	}
+}
