entry: targets marked as leaving follow the newest registrations again

What callers saw: nothing yet; found while reading the changes that wait.

Cause: a change that does not apply yet took leaving targets out of the router, but not those that ended, and nothing put a target back if the registrations that came next said that it stays, as after a restore of the store: they equal what the VM held, so the router was told nothing.

Evidence: TestLeavingTargetOfWaitingChange, extended by both, fails on the code before.

Change: ended targets are taken out too. Once the VM holds registrations as new as the change that marked them, the router gets those of all marked targets.

Measured: the test.

--- a/entry/cache.go
+++ b/entry/cache.go
@@ -48,6 +48,8 @@
 	evacuated []string
 	// history holds the latest changes to targets.
 	history heartbeat.History
+	// marks are the targets that leave by changes that do not apply yet.
+	marks leavingMarks
 	// pinned are the registrations of which sections are sent to peers, nil if none were
 	// requested yet.
 	pinned *pinnedTargets
@@ -228,6 +230,7 @@
 	}
 	sc.pendingSections, sc.sectionsMissing = heartbeat.Difference{}, false
 	sc.router.SetRegistrations(now, list)
+	sc.clearMarks(now)
 	sc.logTargetsChanged(from)
 	return true, change, nil
 }
@@ -356,6 +359,7 @@
 	sc.history.Add(sc.states[heartbeat.Targets].revision, revision, sc.targets.Checksum(), d)
 	oldSum = sc.setContent(now, heartbeat.Targets, sc.targets.Checksum(), revision, from)
 	sc.router.ChangeRegistrations(now, d.Put, d.Removed)
+	sc.clearMarks(now)
 	sc.logTargetsChanged(from)
 	return oldSum, nil
 }
--- a/entry/repair_test.go
+++ b/entry/repair_test.go
@@ -65,7 +65,16 @@
 	qt.Assert(t, f.outdatedVMs(), qt.Equals, 1)
 }
 
-// Guards against new flows to a target that leaves by a change that does not apply yet.
+// assertAvailable checks which targets of a list get new flows.
+func assertAvailable(t *testing.T, p *placementLog, list []baobabstep.Registration, want func(i int) bool) {
+	t.Helper()
+	for i, r := range list {
+		qt.Check(t, p.available[r.ID], qt.Equals, want(i), qt.Commentf("target %d", i))
+	}
+}
+
+// Guards against new flows to targets that leave or end by a change that does not apply yet, and
+// against targets that get none although the newest registrations say that they stay.
 func TestLeavingTargetOfWaitingChange(t *testing.T) {
 	f := newDataCentreFleet(t, 3, 20)
 	list := benchRegistrations(20)
@@ -74,11 +83,18 @@
 	placement.SetRegistrations(f.now, list)
 	n.cache.router = placement
 	changes := changesTo(t, n, f.now, list[:5], list[5:8])
+	changes[1].RemovedTargets = []baobabstep.TargetID{list[10].ID}
 	n.handleChange(f.now, f.nodes[1].options.Settings.PeerAddress, changes[1])
 	qt.Assert(t, n.cache.state(heartbeat.Targets).revision.Number, qt.Equals, uint64(1))
-	for i, r := range list {
-		qt.Check(t, placement.available[r.ID], qt.Equals, i < 5 || i >= 8, qt.Commentf("target %d", i))
-	}
+	assertAvailable(t, placement, list, func(i int) bool { return i != 10 && (i < 5 || i >= 8) })
+	n.handleChange(f.now, f.nodes[1].options.Settings.PeerAddress, changes[0])
+	assertAvailable(t, placement, list, func(i int) bool { return i != 10 && i >= 8 })
+	newer := list[15]
+	newer.Slots++
+	revision := baobabstep.Revision{Number: changes[1].Result.Number + 1}
+	_, _, err := n.cache.applyTargetChanges(f.now, []baobabstep.RegistrationChange{{Registration: newer, Revision: revision}}, revision)
+	qt.Assert(t, err, qt.IsNil)
+	assertAvailable(t, placement, list, func(i int) bool { return i >= 5 })
 }
 
 // Guards against new flows to targets that leave while a VM that has just started collects the
@@ -92,9 +108,7 @@
 	placement.SetRegistrations(f.now, list[:10])
 	n.cache.router = placement
 	n.handleChange(f.now, f.nodes[1].options.Settings.PeerAddress, changes[0])
-	for i, r := range list[:10] {
-		qt.Check(t, placement.available[r.ID], qt.Equals, i >= 5, qt.Commentf("target %d", i))
-	}
+	assertAvailable(t, placement, list[:10], func(i int) bool { return i >= 5 })
 }
 
 // Guards against data centres in which only the VM that requested a change from another one
--- a/entry/section.go
+++ b/entry/section.go
@@ -59,6 +59,7 @@
 	sc.sectionsMissing = false
 	sc.setContent(now, heartbeat.Targets, s.VersionInfo.Checksum, revision, from)
 	sc.applyPendingSections(now)
+	sc.clearMarks(now)
 	sc.logTargetsChanged(from)
 	return true, true, nil
 }
