entry: VMs that start with a long list also read it in the order of their ranks

A VM that knows one page of the list reads all of it, from a replica, between 0 and 8 s after its start, most at the end. 985 reads of 3 MB need 24 s of the store's link, which delays the reads of the first VMs by rank that would have confirmed the list for all. The first four of a data centre did not wait for each other, and after a late read nobody waited longer than that read had taken, so that 20 VMs could keep a small link full.

Change: the queue by rank also holds for incomplete lists; each VM in it waits a quarter of a read for each VM before it; the pause after a late read doubles up to eight reads, except for the first VM by rank, for which all others wait.

--- a/entry/large_fleet_test.go
+++ b/entry/large_fleet_test.go
@@ -66,12 +66,7 @@
 
 func newLargeFleet(t testing.TB, size fleetSize) *largeFleet {
 	t.Helper()
-	f := &largeFleet{size: size, store: newLargeStore(size), byPeer: make(map[netip.AddrPort]*largeVM)}
-	for i := range size.vms {
-		vm := f.newVM(i)
-		f.vms, f.byPeer[vm.peer] = append(f.vms, vm), vm
-	}
-	return f
+	return &largeFleet{size: size, store: newLargeStore(size), byPeer: make(map[netip.AddrPort]*largeVM)}
 }
 
 func (f *largeFleet) dataCentre(i int) string { return fmt.Sprintf("dc-%d", i%f.size.dataCentres) }
@@ -106,11 +101,16 @@
 
 func (bubbleClock) Now() time.Time { return time.Now() }
 
-// run starts the store and all VMs, and returns a function that ends them.
-func (f *largeFleet) run() (end func()) {
+// run starts the store and, after a while, all VMs. It returns a function that ends them.
+func (f *largeFleet) run(vmsAfter time.Duration) (end func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var loops sync.WaitGroup
 	loops.Go(func() { f.store.run(ctx) })
+	time.Sleep(vmsAfter)
+	for i := range f.size.vms {
+		vm := f.newVM(i)
+		f.vms, f.byPeer[vm.peer] = append(f.vms, vm), vm
+	}
 	for _, vm := range f.vms {
 		n := vm.node
 		desired, targets := n.syncer.desiredQuery(), n.syncer.targetsQuery()
--- a/entry/leaving_target_test.go
+++ b/entry/leaving_target_test.go
@@ -30,7 +30,7 @@
 	const checks, checkInterval, leaving, leavingPerSecond = 4, 5 * time.Second, 15, 2
 	synctest.Test(t, func(t *testing.T) {
 		f := newLargeFleet(t, largeFleetSize())
-		defer f.run()()
+		defer f.run(0)()
 		time.Sleep(f.size.drain) // the bound holds for a VM that has run as long
 		for range checks {
 			time.Sleep(checkInterval)
@@ -49,3 +49,20 @@
 		qt.Check(t, last <= f.size.drain, qt.IsTrue, qt.Commentf("last %v", last))
 	})
 }
+
+// Guards against a fleet whose VMs start together and wait for each other, or for the store, until
+// they know the targets.
+func TestAllVMsOfRestartedFleetKnowTargets(t *testing.T) {
+	const registered, recovery = 4 * time.Second, 18 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		size := largeFleetSize()
+		size.registeredAtStart = size.targets
+		f := newLargeFleet(t, size)
+		defer f.run(registered)()
+		for range 9 {
+			time.Sleep(recovery / 9)
+			t.Logf("%d of %d VMs up to date, %d hear no other; %s", f.currentVMs(f.size.drain), f.size.vms, f.isolatedVMs(), f.costs())
+		}
+		qt.Check(t, f.currentVMs(f.size.drain), qt.Equals, f.size.vms)
+	})
+}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -259,7 +259,7 @@
 	recent := n.exchange.sectionSource.IsValid() && now.Sub(n.exchange.sectionAt) < sectionSourceTimeout
 	source = n.exchange.sectionSource
 	n.exchange.mu.Unlock()
-	if kind == heartbeat.Targets && recent && n.cache.hasMissingSections() {
+	if kind == heartbeat.Targets && recent && n.cache.needsMoreSections(now) {
 		return source, true
 	}
 	return n.peerTable.FindNewer(now, kind, cached.revision, cached.sum)
--- a/entry/read_schedule.go
+++ b/entry/read_schedule.go
@@ -26,9 +26,14 @@
 	// parallelReads is the number of VMs of a data centre that may read all registrations at the
 	// same time because their own are too old.
 	parallelReads = 4
+	// maxLatePauses limits the pause after a read whose result was already too old, in multiples
+	// of the time that it took.
+	maxLatePauses = 8
 	// minReadTime is the time that such a read is assumed to take if the number of registrations is
 	// not known.
 	minReadTime = 100 * time.Millisecond
+	// incompleteListBytes is the assumed size of a list of which only some pages are known.
+	incompleteListBytes = 3e6
 	// smallListTargets is the number of targets up to which one call reads all registrations. VMs
 	// read such lists without waiting for each other.
 	smallListTargets = 500
@@ -82,23 +87,32 @@
 // of a large fleet turn at the same time answers none of them in time: the results are then too
 // old when they arrive, and the next reads are due at once.
 func (s *storeSyncer) queueDelay(now time.Time, q *storeQuery) time.Duration {
-	ahead := s.node.rank(now).Near / parallelReads
+	ahead := s.node.rank(now).Near
 	if ahead == 0 || q.primaryKind() != heartbeat.Targets || s.node.peerTable.SilentFor(now) >= isolationTimeout {
 		return 0
 	}
+	_, incomplete := s.node.cache.incompleteTargets()
+	readTime := s.fullReadTime()
 	switch {
+	case incomplete:
+		readTime = max(readTime, s.transferTime(incompleteListBytes))
 	case s.node.cache.state(heartbeat.Targets).unconfirmed: // there may be many more targets by now
-		return time.Duration(ahead) * max(s.fullReadTime(), minReadTime)
+		readTime = max(readTime, minReadTime)
 	case s.node.cache.targetCount() <= smallListTargets:
 		return 0
 	default:
-		return time.Duration(ahead) * max(q.readTime, s.fullReadTime())
+		readTime = max(readTime, q.readTime)
 	}
+	return time.Duration(ahead) * readTime / parallelReads
 }
 
 // fullReadTime estimates how long reading all registrations takes at least.
 func (s *storeSyncer) fullReadTime() time.Duration {
-	bytes := float64(s.node.cache.targetCount() * registrationBytes)
+	return s.transferTime(float64(s.node.cache.targetCount() * registrationBytes))
+}
+
+// transferTime returns how long the VM's link takes for a number of bytes.
+func (s *storeSyncer) transferTime(bytes float64) time.Duration {
 	return time.Duration(bytes / s.node.options.Settings.Token.LinkBytesPerSecond() * float64(time.Second))
 }
 
--- a/entry/section.go
+++ b/entry/section.go
@@ -143,13 +143,6 @@
 	return sc.targets.Len()
 }
 
-// hasMissingSections reports whether some sections were received and others are missing.
-func (sc *stateCache) hasMissingSections() bool {
-	sc.mu.Lock()
-	defer sc.mu.Unlock()
-	return sc.sectionsMissing
-}
-
 // needsMoreSections reports whether sections are missing and the last one was received within
 // sectionRequestTimeout.
 func (sc *stateCache) needsMoreSections(now time.Time) bool {
--- a/entry/store_sync.go
+++ b/entry/store_sync.go
@@ -101,8 +101,10 @@
 	readFirstPage func(ctx context.Context, freshness baobabstep.Freshness) (baobabstep.Revision, error)
 	// attempted is set once a read was attempted. It belongs to the goroutine that reads.
 	attempted bool
-	// readTime is how long the last successful read took. It belongs to the goroutine that reads.
-	readTime time.Duration
+	// readTime is how long the last successful read took, and latePauses the last pause after a
+	// late one in multiples of it. They belong to the goroutine that reads.
+	readTime   time.Duration
+	latePauses int
 	// watch returns the number of changes.
 	watch func(ctx context.Context, after baobabstep.Revision) (baobabstep.Revision, int, error)
 	// readNow requests an immediate read.
@@ -167,12 +169,24 @@
 	case err != nil:
 		return s.retryDelay(now, err, delays.NextBackOff())
 	case !s.dueAt(now, q).After(now):
-		return max(delays.NextBackOff(), q.readTime) // the read was outdated, and the next one may be as well
+		return max(delays.NextBackOff(), s.latePause(now, q)) // the read was outdated, and the next one may be as well
 	}
 	delays.Reset()
+	q.latePauses = 0
 	return 0
 }
 
+// latePause returns how long to wait after a read whose result was already too old. It doubles
+// each time, so that an overloaded store recovers. The first VM by rank, for which all others wait,
+// does not wait itself.
+func (s *storeSyncer) latePause(now time.Time, q *storeQuery) time.Duration {
+	if s.node.rank(now).First() {
+		return 0
+	}
+	q.latePauses = min(max(1, 2*q.latePauses), maxLatePauses)
+	return time.Duration(q.latePauses) * q.readTime
+}
+
 // readOnce reads a query once and records the result.
 func (s *storeSyncer) readOnce(ctx context.Context, q *storeQuery) error {
 	_, incomplete := s.node.cache.incompleteTargets()
