entry: VMs that miss a change ask any newer VM for changes before sections

Cause: a VM that missed a change asked one of the few VMs with the newest version. Those that had got theirs as sections hold no earlier changes and sent all sections in return, 400 KB at a quarter of their link: one and a half VMs a second each.

Change: the VM asks any of the VMs with a newer version, for 1.5 s for changes only, and goes on at the next tick while a response did not lead to the newest version. The model now loses 1 % of the datagrams.

--- a/core/heartbeat/message.go
+++ b/core/heartbeat/message.go
@@ -191,6 +191,9 @@
 	// Digests are the bucket digests of the sender's registrations. If set, they request
 	// sections of the buckets that differ.
 	Digests []byte `cbor:"5,keyasint,omitempty"`
+	// ChangesOnly is set if the sender wants no response rather than sections or the
+	// complete content.
+	ChangesOnly bool `cbor:"6,keyasint,omitempty"`
 }
 
 // MakeRequest returns a request for content that is newer than a revision.
--- a/core/heartbeat/peers_test.go
+++ b/core/heartbeat/peers_test.go
@@ -136,6 +136,29 @@
 	qt.Assert(t, requests, qt.HasLen, 4)
 }
 
+// Guards against requests for what a VM missed that all go to the few VMs with the newest version.
+func TestAnyNewerSpreadsRequests(t *testing.T) {
+	const vms = 40
+	b := newPeerTable(1)
+	for n := 3; n < 3+2*vms; n += 2 {
+		h := newHeartbeat(n, 1, 1)
+		h.Versions[Targets] = MakeVersionInfo(revisionOf(uint64(n)), uint64(n), 0)
+		b.Handle(start, address(n), h)
+	}
+	requests := map[netip.AddrPort]int{}
+	for range 2000 {
+		from, ok := b.FindAnyNewer(start, Targets, revisionOf(9), 9)
+		qt.Assert(t, ok, qt.IsTrue)
+		requests[from]++
+	}
+	for n := 3; n <= 9; n += 2 {
+		qt.Check(t, requests[address(n)], qt.Equals, 0, qt.Commentf("VM %d is not newer", n))
+	}
+	qt.Assert(t, len(requests) > vms/2, qt.IsTrue, qt.Commentf("%d VMs", len(requests)))
+	_, ok := b.FindAnyNewer(start, Targets, revisionOf(200), 9)
+	qt.Assert(t, ok, qt.IsFalse)
+}
+
 func TestNewer(t *testing.T) {
 	b := newPeerTable(1)
 	say := func(n int, number, version, sum uint64, age time.Duration) {
--- a/core/heartbeat/query.go
+++ b/core/heartbeat/query.go
@@ -150,3 +150,43 @@
 	}
 	return from, ok
 }
+
+// FindAnyNewer returns a live VM of the own data centre that holds a newer version with different
+// content, not necessarily the newest. Of two random ones it returns the one with the newer version,
+// so that requests are spread over many VMs and still make progress.
+func (t *PeerTable) FindAnyNewer(now time.Time, kind Kind, revision baobabstep.Revision, sum uint64) (from netip.AddrPort, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	newer := t.filterPeers(func(p *peer) bool {
+		if !t.isLive(now, p) || p.last.DataCentre != t.options.DataCentre {
+			return false
+		}
+		held := p.last.VersionOf(kind)
+		return revision.Before(held.Revision()) && held.Checksum != sum
+	})
+	if len(newer) == 0 {
+		return netip.AddrPort{}, false
+	}
+	a, b := newer[t.options.Rand.IntN(len(newer))], newer[t.options.Rand.IntN(len(newer))]
+	if a.last.VersionOf(kind).Revision().Before(b.last.VersionOf(kind).Revision()) {
+		a = b
+	}
+	return a.address, true
+}
+
+// HoldsNewer reports whether a live VM holds a newer version with different content that was
+// confirmed at most maxAge ago.
+func (t *PeerTable) HoldsNewer(now time.Time, kind Kind, revision baobabstep.Revision, sum uint64, maxAge time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, p := range t.peers {
+		if !t.isLive(now, p) {
+			continue
+		}
+		held := p.last.VersionOf(kind)
+		if revision.Before(held.Revision()) && held.Checksum != sum && held.Age()+now.Sub(p.lastHeard) <= maxAge {
+			return true
+		}
+	}
+	return false
+}
--- a/entry/cache.go
+++ b/entry/cache.go
@@ -424,24 +424,23 @@
 
 // targetsChangesSince returns consecutive changes from the registrations of a revision, with
 // checksum sum, towards the cached ones, or false if the history does not reach back that far.
-// complete reports whether they lead to the cached ones.
-func (sc *stateCache) targetsChangesSince(now time.Time, revision baobabstep.Revision, sum uint64) (changes []*heartbeat.Change, complete, ok bool) {
+func (sc *stateCache) targetsChangesSince(now time.Time, revision baobabstep.Revision, sum uint64) (changes []*heartbeat.Change, ok bool) {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
 	steps, ok := sc.history.Steps(revision, maxStepTargets, maxResponseTargets)
 	if !ok {
-		return nil, false, false
+		return nil, false
 	}
 	current := sc.states[heartbeat.Targets].announced(now)
 	for i := range steps {
 		held := heartbeat.MakeVersionInfo(steps[i].To, steps[i].Checksum, heartbeat.MaxAge)
-		if complete = steps[i].Checksum == current.Checksum; complete {
+		if steps[i].Checksum == current.Checksum {
 			held = current
 		}
 		changes = append(changes, heartbeat.NewTargetsChange(steps[i].Difference, sum, held))
 		sum = steps[i].Checksum
 	}
-	return changes, complete, true
+	return changes, true
 }
 
 func (cs *cachedState) confirm(at time.Time) {
--- a/entry/distribution.go
+++ b/entry/distribution.go
@@ -22,7 +22,7 @@
 	if !n.canServe(now, from) {
 		return // the requester asks another VM, or this one again; preparing the content costs more than the request
 	}
-	if w.Kind == heartbeat.Targets && (w.Checksum != 0 && n.sendChanges(now, from, w) || n.sendSections(now, from, w)) {
+	if w.Kind == heartbeat.Targets && (w.Checksum != 0 && n.sendChanges(now, from, w) || w.ChangesOnly || n.sendSections(now, from, w)) {
 		return
 	}
 	cached, err := n.cache.stateWithContent(w.Kind)
@@ -47,7 +47,7 @@
 // them as one response may hold. It returns false if they are unknown or too large to send; it
 // returns true without sending if the rate limit is reached.
 func (n *Node) sendChanges(now time.Time, to netip.AddrPort, w *heartbeat.Request) bool {
-	changes, complete, ok := n.cache.targetsChangesSince(now, w.Revision(), w.Checksum)
+	changes, ok := n.cache.targetsChangesSince(now, w.Revision(), w.Checksum)
 	if !ok || len(changes) == 0 {
 		return false
 	}
@@ -59,7 +59,7 @@
 		}
 		datagrams = append(datagrams, encoded...)
 	}
-	n.respond(now, to, datagrams, complete)
+	n.respond(now, to, datagrams, true) // other VMs have further changes as well
 	return true
 }
 
@@ -182,6 +182,9 @@
 	if !n.applyChange(now, from, c) {
 		return
 	}
+	if c.Kind == heartbeat.Targets && c.Result.Age() == heartbeat.MaxAge {
+		n.exchange.setSuperseded(c.Result.Revision())
+	}
 	if !c.Origin.IsValid() && !n.peerTable.IsNear(from) {
 		n.passOn(from, c) // a response of another data centre, which the VMs here lack as well
 	}
--- a/entry/large_fleet_test.go
+++ b/entry/large_fleet_test.go
@@ -41,6 +41,8 @@
 	// registrationsPerSecond.
 	registeredAtStart      int
 	registrationsPerSecond float64
+	// loss is the share of datagrams between VMs that the network loses.
+	loss float64
 	// storeLinkBytes is the rate of the store's link in bytes a second.
 	storeLinkBytes float64
 }
@@ -76,7 +78,7 @@
 }
 
 func (f *largeFleet) newVM(i int) *largeVM {
-	vm := &largeVM{fleet: f, peer: largeFleetAddress(f, i), inbox: make(chan modelMessage, 1<<14), core: slowCore, placement: newPlacementLog()}
+	vm := &largeVM{fleet: f, peer: largeFleetAddress(f, i), inbox: make(chan modelMessage, 1<<14), core: slowCore, placement: newPlacementLog(), random: rand.New(rand.NewPCG(4, uint64(i)))}
 	mbps := float64(slowLinkMbps)
 	if i%fastVMs == 0 {
 		mbps, vm.core = fastLinkMbps, fastCore
@@ -143,6 +145,7 @@
 	placement *placementLog
 
 	mu                       sync.Mutex
+	random                   *rand.Rand
 	egress, ingress, coreEnd reservation
 	dropped, messages        int
 }
@@ -182,7 +185,7 @@
 	}
 	size := float64(len(raw) + messageOverhead)
 	sent, ok := vm.transmit(&vm.egress, size)
-	if !ok {
+	if !ok || vm.loses() {
 		return
 	}
 	m := modelMessage{vm.peer, to, slices.Clone(raw)}
@@ -194,6 +197,13 @@
 	})
 }
 
+// loses draws whether the network loses a datagram.
+func (vm *largeVM) loses() bool {
+	vm.mu.Lock()
+	defer vm.mu.Unlock()
+	return vm.random.Float64() < vm.fleet.size.loss
+}
+
 // transmit reserves the VM's link for a datagram and returns how long its transmission takes,
 // or false if the queue of the link is full.
 func (vm *largeVM) transmit(direction *reservation, size float64) (wait time.Duration, ok bool) {
--- a/entry/leaving_target_test.go
+++ b/entry/leaving_target_test.go
@@ -20,7 +20,7 @@
 	const storeBytesPerVM = 125e6 / 985
 	return fleetSize{
 		vms: *largeFleetVMs, dataCentres: 5, targets: 10_000, drain: 8 * time.Second,
-		registeredAtStart: 2900, registrationsPerSecond: 320, storeLinkBytes: storeBytesPerVM * float64(*largeFleetVMs),
+		registeredAtStart: 2900, registrationsPerSecond: 320, loss: 0.01, storeLinkBytes: storeBytesPerVM * float64(*largeFleetVMs),
 	}
 }
 
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -61,6 +61,9 @@
 	// sectionSource is the VM that sent the last section, at sectionAt.
 	sectionSource netip.AddrPort
 	sectionAt     time.Time
+	// superseded is the revision of the last response of changes that did not lead to the newest
+	// registrations.
+	superseded baobabstep.Revision
 	// waiting are the changes that do not apply yet, in the order in which they were received, and
 	// relayed the latest ones that were passed on.
 	waiting []waitingChange
@@ -242,11 +245,26 @@
 		want.Digests = n.cache.digests()
 		if cached.isKnown() && !n.wantsFullList() {
 			want.Checksum = cached.sum
+			want.ChangesOnly = n.exchange.outdatedFor(now, kind) < changesOnlyTime
 		}
 	}
 	n.sendMessage(source, &heartbeat.Message{Request: want})
 }
 
+// changesOnlyTime is how long a VM without progress requests only changes from its peers. Not all of
+// them hold those since its revision, and sections of the others cost a hundred times as much.
+const changesOnlyTime = 1500 * time.Millisecond
+
+// outdatedFor returns for how long this VM has known of a newer revision than the one that it holds.
+func (s *peerExchange) outdatedFor(now time.Time, kind heartbeat.Kind) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.outdatedSince[kind].IsZero() {
+		return 0
+	}
+	return now.Sub(s.outdatedSince[kind])
+}
+
 // sectionSourceTimeout is how long a VM continues to request sections from the one that sent the
 // last one.
 const sectionSourceTimeout = 400 * time.Millisecond
@@ -262,6 +280,11 @@
 	if kind == heartbeat.Targets && recent && n.cache.needsMoreSections(now) {
 		return source, true
 	}
+	if kind == heartbeat.Targets && cached.isKnown() {
+		if source, ok = n.peerTable.FindAnyNewer(now, kind, cached.revision, cached.sum); ok {
+			return source, true
+		}
+	}
 	return n.peerTable.FindNewer(now, kind, cached.revision, cached.sum)
 }
 
@@ -290,7 +313,7 @@
 		s.outdated[kind], s.outdatedSince[kind] = current, now
 	}
 	initialised := current != baobabstep.Revision{}
-	if initialised && now.Sub(s.outdatedSince[kind]) < n.peerTable.RelayDelay() || now.Sub(s.lastRequestAt[kind]) < minRequestInterval {
+	if initialised && s.superseded != current && now.Sub(s.outdatedSince[kind]) < n.peerTable.RelayDelay() || now.Sub(s.lastRequestAt[kind]) < minRequestInterval {
 		return false
 	}
 	s.lastRequestAt[kind] = now
@@ -315,6 +338,7 @@
 		n.sendAll(n.peerTable.Tick(now, n.ownState(now)))
 	}
 	n.requestMissingSections(now)
+	n.requestMissingChanges(now)
 	live := n.peerTable.LiveCounts(now)
 	n.peerTable.MarkLoadsChanged(n.router.TakeNewTargets())
 	n.router.SetCongestedVMs(n.peerTable.CongestedCount(now))
--- a/entry/repair_test.go
+++ b/entry/repair_test.go
@@ -158,3 +158,21 @@
 	}
 	qt.Assert(t, complete > steps/2, qt.IsTrue, qt.Commentf("complete in %d of %d steps", complete, steps))
 }
+
+// Guards against VMs that request all sections from a peer without the changes that they lack, while
+// others hold these.
+func TestChangesAreRequestedBeforeSections(t *testing.T) {
+	f := newDataCentreFleet(t, 12, 3000)
+	list := benchRegistrations(3000)
+	lagging := f.nodes[7].options.Settings.PeerAddress
+	f.drop = func(x modelMessage) bool { return x.to == lagging }
+	f.drainTargets(2, list[:150])
+	f.deliver()
+	f.drop = nil
+	for i := 0; i < 12; i += 2 { // half of the VMs got the newest content by sections
+		f.nodes[i].cache.history = heartbeat.History{}
+	}
+	f.runUntilEqual(14)
+	qt.Assert(t, f.outdatedVMs(), qt.Equals, 0)
+	qt.Assert(t, f.kinds["section"]+f.kinds["piece"], qt.Equals, 0)
+}
--- a/entry/waiting.go
+++ b/entry/waiting.go
@@ -133,3 +133,21 @@
 	sc.marks = leavingMarks{}
 	sc.router.ChangeRegistrations(now, present, gone)
 }
+
+func (s *peerExchange) setSuperseded(revision baobabstep.Revision) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.superseded = revision
+}
+
+// requestMissingChanges requests the next changes if the last response did not lead to the newest
+// registrations. It does not wait for a heartbeat of a VM that holds them.
+func (n *Node) requestMissingChanges(now time.Time) {
+	held := n.cache.state(heartbeat.Targets).revision
+	n.exchange.mu.Lock()
+	superseded := held.Number > 0 && n.exchange.superseded == held
+	n.exchange.mu.Unlock()
+	if superseded && n.allowRequest(now, heartbeat.Targets, held) {
+		n.sendRequest(now, heartbeat.Targets)
+	}
+}
