entry: VMs get newer registrations from a peer rather than from the store

Cause: a VM whose registrations were old or unconfirmed read the store also while a peer had announced newer ones. Four VMs of each data centre could read at a time, 20 in five data centres, which a store with a smaller link does not bear.

Change: while a live VM holds newer registrations that were confirmed within the bound, others wait for half the bound longer. The order of reads is that of the whole fleet, four at a time.

--- a/entry/read_schedule.go
+++ b/entry/read_schedule.go
@@ -23,17 +23,17 @@
 	backupReadAge  = 0.75
 	backupReadStep = 0.02
 	maxReadAge     = 0.85
-	// parallelReads is the number of VMs of a data centre that may read all registrations at the
-	// same time because their own are too old.
+	// parallelReads is the number of VMs of the fleet that may read all registrations at the same
+	// time because their own are too old.
 	parallelReads = 4
+	// peerShare is the share of the apply bound for which a VM waits for the registrations of a
+	// peer that holds newer ones.
+	peerShare = 0.5
 	// maxLatePauses limits the pause after a read whose result was already too old, in multiples
 	// of the time that it took.
 	maxLatePauses = 8
-	// minReadTime is the time that such a read is assumed to take if the number of registrations is
-	// not known.
-	minReadTime = 100 * time.Millisecond
-	// incompleteListBytes is the assumed size of a list of which only some pages are known.
-	incompleteListBytes = 3e6
+	// unknownListBytes is the assumed size of a list of which a VM knows one page, or nothing.
+	unknownListBytes = 3e6
 	// smallListTargets is the number of targets up to which one call reads all registrations. VMs
 	// read such lists without waiting for each other.
 	smallListTargets = 500
@@ -86,24 +86,28 @@
 // before it in rank. Each of them can send its result to all others, while a store to which all
 // of a large fleet turn at the same time answers none of them in time: the results are then too
 // old when they arrive, and the next reads are due at once.
+//
+// While another VM holds newer registrations, the VM gets them from it sooner than from the store.
 func (s *storeSyncer) queueDelay(now time.Time, q *storeQuery) time.Duration {
-	ahead := s.node.rank(now).Near
-	if ahead == 0 || q.primaryKind() != heartbeat.Targets || s.node.peerTable.SilentFor(now) >= isolationTimeout {
+	rank := s.node.rank(now)
+	if rank.First() || q.primaryKind() != heartbeat.Targets || s.node.peerTable.SilentFor(now) >= isolationTimeout {
 		return 0
 	}
 	_, incomplete := s.node.cache.incompleteTargets()
-	readTime := s.fullReadTime()
+	cached := s.node.cache.state(heartbeat.Targets)
+	targets, readTime := s.node.cache.targetCount(), max(s.fullReadTime(), q.readTime)
 	switch {
-	case incomplete:
-		readTime = max(readTime, s.transferTime(incompleteListBytes))
-	case s.node.cache.state(heartbeat.Targets).unconfirmed: // there may be many more targets by now
-		readTime = max(readTime, minReadTime)
-	case s.node.cache.targetCount() <= smallListTargets:
+	case incomplete, cached.unconfirmed && targets == 0: // there may be many more targets
+		readTime = max(readTime, s.transferTime(unknownListBytes))
+	case !cached.unconfirmed && targets <= smallListTargets:
 		return 0
-	default:
-		readTime = max(readTime, q.readTime)
 	}
-	return time.Duration(ahead) * readTime / parallelReads
+	ahead := rank.Near*(rank.Far+1) + rank.Far // each data centre has about as many VMs before it
+	delay := time.Duration(ahead) * readTime / parallelReads
+	if s.node.peerTable.HoldsNewer(now, heartbeat.Targets, cached.revision, cached.sum, q.applyBound) {
+		delay += time.Duration(peerShare * float64(q.applyBound))
+	}
+	return delay
 }
 
 // fullReadTime estimates how long reading all registrations takes at least.
--- a/entry/read_test.go
+++ b/entry/read_test.go
@@ -128,6 +128,26 @@
 	}
 }
 
+// Guards against VMs that all read the store while a peer holds what they lack.
+func TestPeerWithNewerTargetsComesBeforeStore(t *testing.T) {
+	n := newQuietNode(new(countingMessages))
+	n.options.Settings.Token.DrainMS = 8000
+	now := benchEpoch.Add(20 * time.Second)
+	_, _, err := n.cache.updateTargets(benchEpoch, benchRegistrations(1000), baobabstep.Revision{Number: 5}, origin{source: sourceStore, confirmedAt: benchEpoch})
+	qt.Assert(t, err, qt.IsNil)
+	q := n.syncer.targetsQuery()
+	dueWith := func(revision uint64, age time.Duration) time.Time {
+		n.peerTable = heartbeat.New(benchEpoch, heartbeat.Options{Self: 1 << 40, DataCentre: "dc-0"})
+		h := &heartbeat.Heartbeat{From: 1, DataCentre: "dc-0", Incarnation: 1, Sequence: 1}
+		h.Versions[heartbeat.Targets] = heartbeat.MakeVersionInfo(baobabstep.Revision{Number: revision}, 99, age)
+		n.peerTable.Handle(now, peerAddress(1), h)
+		return n.syncer.dueAt(now, q)
+	}
+	without := dueWith(4, 0)
+	qt.Assert(t, dueWith(6, time.Second), qt.Equals, without.Add(time.Duration(peerShare*float64(q.applyBound))))
+	qt.Assert(t, dueWith(6, q.applyBound+time.Millisecond), qt.Equals, without, qt.Commentf("the peer's registrations are too old themselves"))
+}
+
 // Guards against VMs that confirm to each other what they only know from a replica, and then all
 // read the store at once.
 func TestReplicasDoNotConfirmEachOther(t *testing.T) {
