--- a/core/heartbeat/doc.go
+++ b/core/heartbeat/doc.go
@@ -24,16 +24,16 @@
 //   - A [Change] is the difference between two versions of the routing table or
 //     the registrations. The VM that reads it from the store sends it to one VM
 //     of each other data centre, and within a data centre it is relayed along a
-//     tree ([PeerTable.RelayPeers]). One that exceeds MaxMessage is sent in
-//     fragments ([EncodeDatagrams]); one too large for that is only announced
-//     by heartbeats.
+//     tree ([PeerTable.RelayPeers]), whether or not it applies on its way. One
+//     that exceeds MaxMessage is sent in fragments ([EncodeDatagrams]); one too
+//     large for that is only announced by heartbeats.
 //   - A VM that learns of a newer version from a heartbeat requests it from a VM
-//     that holds it ([Request]). For registrations the response is the changes
-//     since the requester's revision if the [History] reaches back that far and
-//     they fit the limit on fragments.
-//   - Otherwise the response is a limited number of sections ([Section]) of the
-//     buckets whose digests differ from those in the request. The requester asks
-//     for the remaining ones, possibly from another VM.
+//     that holds it ([Request]). For registrations the response is consecutive
+//     changes since the requester's revision if the [History] reaches back that
+//     far ([History.Steps]). They need not lead to the newest version.
+//   - If no VM has these, the response is a limited number of sections ([Section])
+//     of the buckets whose digests differ from those in the request. The requester
+//     asks the same VM for the remaining ones, and then for the changes since.
 //   - A requested routing table is sent completely, in chunks ([SplitChunks],
 //     [ChunkAssembly]). So are registrations if sections cannot be used.
 //   - The list of evacuated data centres is sent completely, in one message
