entry: VMs that start from a replica ask for sections at once

Cause: a VM that holds what a replica held at its start requested only changes for 1.5 s, but no peer holds those since a replica's revision.

TestReplicaIsReplacedBySections fails on the code before.

Change: such a VM requests sections from the start.

Measured: the test.

--- a/entry/peers.go
+++ b/entry/peers.go
@@ -245,14 +245,15 @@
 		want.Digests = n.cache.digests()
 		if cached.isKnown() && !n.wantsFullList() {
 			want.Checksum = cached.sum
-			want.ChangesOnly = n.exchange.outdatedFor(now, kind) < changesOnlyTime
+			want.ChangesOnly = !cached.revisionFromReplica && n.exchange.outdatedFor(now, kind) < changesOnlyTime
 		}
 	}
 	n.sendMessage(source, &heartbeat.Message{Request: want})
 }
 
 // changesOnlyTime is how long a VM without progress requests only changes from its peers. Not all of
-// them hold those since its revision, and sections of the others cost a hundred times as much.
+// them hold those since its revision, and sections of the others cost a hundred times as much. No
+// peer holds those since the revision of a replica that was read at the start.
 const changesOnlyTime = 1500 * time.Millisecond
 
 // outdatedFor returns for how long this VM has known of a newer revision than the one that it holds.
--- a/entry/repair_test.go
+++ b/entry/repair_test.go
@@ -176,3 +176,19 @@
 	qt.Assert(t, f.outdatedVMs(), qt.Equals, 0)
 	qt.Assert(t, f.kinds["section"]+f.kinds["piece"], qt.Equals, 0)
 }
+
+// Guards against VMs that start from a replica and request changes that no peer holds.
+func TestReplicaIsReplacedBySections(t *testing.T) {
+	f := newDataCentreFleet(t, 12, 1000)
+	n := f.newNode(11)
+	f.nodes[11] = n
+	_, _, err := n.cache.updateTargets(f.now, benchRegistrations(1000)[:20], baobabstep.Revision{Number: 1}, origin{source: sourceReplica, fromReplica: true, confirmedAt: f.now.Add(-8 * time.Second)})
+	qt.Assert(t, err, qt.IsNil)
+	f.drainTargets(2, benchRegistrations(1000)[:5])
+	f.deliver()
+	for _, other := range f.nodes[:11] {
+		other.cache.history = heartbeat.History{}
+	}
+	f.runUntilEqual(10)
+	qt.Assert(t, f.outdatedVMs(), qt.Equals, 0)
+}
