heartbeat: changes of registrations that overlap apply

Cause: in the first minute of a fleet of 985 VMs the first VM of one data centre may not have heard the first of another, and both watch the store. They divide the same changes in different ways, and a change applied only to exactly the content it was made from, so each of them left the VMs that followed the other behind.

Change: a change says what the registrations are after it, so it has the same result on those of any revision between its base and its result. It applies if the checksum of the result is the sender's, whatever it is applied to.

Measured: the tests.

--- a/core/heartbeat/change.go
+++ b/core/heartbeat/change.go
@@ -76,12 +76,11 @@
 	return c
 }
 
-// Difference returns the effect of the change on registrations. Errors: CodeConflict if
-// from is not the base of the change or the checksum of the result differs; CodeMalformed.
+// Difference returns the effect of the change on registrations. They need not be the base of
+// the change: applied to those of a later revision it has the same result, if that is later
+// still. VMs that read the store at different times make changes that overlap like this. Errors:
+// CodeConflict if the checksum of the result differs; CodeMalformed.
 func (c *Change) Difference(from *Registrations) (d Difference, err error) {
-	if c.BaseChecksum != from.Checksum() {
-		return d, conflict("base checksum mismatch in change of targets")
-	}
 	d.Removed = c.RemovedTargets
 	for i := range c.Targets {
 		r, err := c.Targets[i].registration()
