entry: a test of a read with more changes than a message holds, known red

Cause: while 1,000 targets a second register, the first VM's read of the whole list overtakes its watch. What lies between, 4,000 registrations there, is one change, too large to send, so all other VMs need sections of the whole list.

Evidence: 14 s after the start 893 of 985 VMs waited at one revision, 92 had all 10,000 targets. TestManyChangesOfOneReadAreSentAsChanges fails.

--- a/entry/repair_test.go
+++ b/entry/repair_test.go
@@ -177,6 +177,23 @@
 	qt.Assert(t, f.kinds["section"]+f.kinds["piece"], qt.Equals, 0)
 }
 
+// Guards against VMs that all need sections because the VM that reads the store got many changes
+// in one read, which no message holds.
+func TestManyChangesOfOneReadAreSentAsChanges(t *testing.T) {
+	const changed = 1000
+	f := newDataCentreFleet(t, 20, 3000)
+	newest := benchRegistrations(3000)
+	for i := range changed {
+		newest[i].Draining = true
+	}
+	err := f.nodes[0].updateTargets(newest, baobabstep.Revision{Number: 1 + changed}, origin{source: sourceStore, confirmedAt: f.now})
+	qt.Assert(t, err, qt.IsNil)
+	f.deliver()
+	f.runUntilEqual(40)
+	qt.Assert(t, f.outdatedVMs(), qt.Equals, 0)
+	qt.Assert(t, f.kinds["section"]+f.kinds["piece"], qt.Equals, 0)
+}
+
 // Guards against VMs that start from a replica and request changes that no peer holds.
 func TestReplicaIsReplacedBySections(t *testing.T) {
 	f := newDataCentreFleet(t, 12, 1000)
