--- a/entry/distribution.go
+++ b/entry/distribution.go
@@ -64,7 +64,7 @@
 }
 
 // respond sends a response to a requester if the rate limit allows it. complete says that the
-// requester will need nothing more.
+// requester needs nothing more from this VM.
 func (n *Node) respond(now time.Time, to netip.AddrPort, datagrams [][]byte, complete bool) {
 	if !n.reserveServe(now, to, totalSize(datagrams)) {
 		return
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -252,7 +252,7 @@
 }
 
 // changesOnlyTime is how long a VM without progress requests only changes from its peers. Not all of
-// them hold those since its revision, and sections of the others cost a hundred times as much. No
+// them hold those since its revision, and sections are sent of all registrations that differ. No
 // peer holds those since the revision of a replica that was read at the start.
 const changesOnlyTime = 1500 * time.Millisecond
 
