entry, token: an unconfirmed routing table resets no flow

Cause: a VM that starts serves by a table read from a replica of the store, which may be seconds old. The cache marks it as unconfirmed, but the router did not know, and reset the packets of flows whose route the table lacks.

Evidence: all flow_unrouted lines of restarted VMs are 25 to 100 ms after "started", with routes_age_ms above the bound, which only content of a replica has; none is of a VM that had run for longer. No message separated a confirmed table from an unconfirmed one: route_unconfirmed now does.

Change: the router is told when the store last held nothing newer than the table. A new flow is refused for lack of a route only once a table was confirmed. An established flow that this VM never routed is reset only if the store held no route after its segment arrived; otherwise it is dropped, and the caller's retransmission decides. That also covers a running VM which a change has not reached yet when a planned stop moves flows to it. Related: a table or a change of routes from a peer whose own was overdue counted as confirmed here; it does no longer.

Why it works: no reset depends on what a replica says, whatever its lag.

--- a/core/token/doc.go
+++ b/core/token/doc.go
@@ -43,6 +43,9 @@
 //     on either of them.
 //   - A new routing table changes where new flows go. It ends established flows only if
 //     their address has no route any more.
+//   - An established flow is reset for lack of a route only if the store is known to have held
+//     none since the flow was seen (unrouted.go), a new one only by a table that the store
+//     confirmed.
 //   - The version of the routing table in force never decreases.
 //   - A target that drains or is gone gets no new flows; its established flows
 //     continue.
--- a/core/token/event.go
+++ b/core/token/event.go
@@ -27,6 +27,9 @@
 	EventNoRoom // flow_no_room
 	// EventUnrouted: the address has no route; the caller was reset.
 	EventUnrouted // flow_unrouted
+	// EventRouteUnconfirmed: the address has no route in a routing table that may be outdated;
+	// the segment was dropped.
+	EventRouteUnconfirmed // route_unconfirmed
 	// EventEnded: the flow's target is unreachable; the caller was reset.
 	EventEnded // flow_ended
 	// EventUnknownToken: no target matches the flow's token; the segment was dropped.
--- a/core/token/event_string.go
+++ b/core/token/event_string.go
@@ -14,28 +14,29 @@
 	_ = x[EventRefused-3]
 	_ = x[EventNoRoom-4]
 	_ = x[EventUnrouted-5]
-	_ = x[EventEnded-6]
-	_ = x[EventUnknownToken-7]
-	_ = x[EventUnready-8]
-	_ = x[EventSilent-9]
-	_ = x[EventHeard-10]
-	_ = x[EventAvoided-11]
-	_ = x[EventFailing-12]
-	_ = x[EventOnTrial-13]
-	_ = x[EventTrusted-14]
-	_ = x[EventSilenceIgnored-15]
-	_ = x[EventLinkHeld-16]
-	_ = x[EventLinkReleased-17]
-	_ = x[EventLinkRefused-18]
-	_ = x[EventYielded-19]
-	_ = x[EventRoomShort-20]
-	_ = x[EventRoomBack-21]
-	_ = x[numEvents-22]
+	_ = x[EventRouteUnconfirmed-6]
+	_ = x[EventEnded-7]
+	_ = x[EventUnknownToken-8]
+	_ = x[EventUnready-9]
+	_ = x[EventSilent-10]
+	_ = x[EventHeard-11]
+	_ = x[EventAvoided-12]
+	_ = x[EventFailing-13]
+	_ = x[EventOnTrial-14]
+	_ = x[EventTrusted-15]
+	_ = x[EventSilenceIgnored-16]
+	_ = x[EventLinkHeld-17]
+	_ = x[EventLinkReleased-18]
+	_ = x[EventLinkRefused-19]
+	_ = x[EventYielded-20]
+	_ = x[EventRoomShort-21]
+	_ = x[EventRoomBack-22]
+	_ = x[numEvents-23]
 }
 
-const _EventKind_name = "flow_placedflow_repeatedflow_movedflow_refusedflow_no_roomflow_unroutedflow_endedtoken_unknownsegment_unreadytarget_silenttarget_heardtarget_avoidedtarget_failingtarget_on_trialtarget_trustedsilence_ignoredflow_link_heldflow_link_releasedflow_link_refusedflow_yieldedroom_shortroom_backnumEvents"
+const _EventKind_name = "flow_placedflow_repeatedflow_movedflow_refusedflow_no_roomflow_unroutedroute_unconfirmedflow_endedtoken_unknownsegment_unreadytarget_silenttarget_heardtarget_avoidedtarget_failingtarget_on_trialtarget_trustedsilence_ignoredflow_link_heldflow_link_releasedflow_link_refusedflow_yieldedroom_shortroom_backnumEvents"
 
-var _EventKind_index = [...]uint16{0, 11, 24, 34, 46, 58, 71, 81, 94, 109, 122, 134, 148, 162, 177, 191, 206, 220, 238, 255, 267, 277, 286, 295}
+var _EventKind_index = [...]uint16{0, 11, 24, 34, 46, 58, 71, 88, 98, 111, 126, 139, 151, 165, 179, 194, 208, 223, 237, 255, 272, 284, 294, 303, 312}
 
 func (i EventKind) String() string {
 	idx := int(i) - 0
--- a/core/token/flow.go
+++ b/core/token/flow.go
@@ -67,6 +67,8 @@
 type shard struct {
 	mu    sync.Mutex
 	flows map[baobabstep.FlowKey]*flow
+	// unrouted are the established flows whose addresses have no route; nil if there were none.
+	unrouted map[baobabstep.FlowKey]unroutedFlow
 }
 
 const shardCount = 16
@@ -133,6 +135,7 @@
 func (s *shard) expire(now time.Time, idle time.Duration, check func(*flow)) (vanished []*flow) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.expireUnrouted(now, idle)
 	var pending []*flow
 	for key, f := range s.flows {
 		idleTime := now.Sub(f.lastPacketAt)
--- a/core/token/helpers_test.go
+++ b/core/token/helpers_test.go
@@ -27,6 +27,7 @@
 	t.Helper()
 	r := New(Options{DataCentre: "a", Rand: rand.New(rand.NewPCG(1, 2))})
 	r.SetTable(start, table(1, singleRule(fixtures, "fixtures"), singleRule(results, "results")))
+	r.ConfirmTable(start)
 	r.SetRegistrations(start, threeTargets())
 	r.SetPeerLoads(start, nil, map[string]int{"b": 1})
 	return r
--- a/core/token/router.go
+++ b/core/token/router.go
@@ -53,11 +53,13 @@
 
 // Router decides where the packets of flows go.
 type Router struct {
-	options      Options
-	current      atomic.Pointer[snapshot]
-	flows        *flowTable
-	openingFlows *openingFlows
-	counts       counts
+	options Options
+	current atomic.Pointer[snapshot]
+	// tableConfirmedAt is when the store last held no newer routing table; nil if unknown.
+	tableConfirmedAt atomic.Pointer[time.Time]
+	flows            *flowTable
+	openingFlows     *openingFlows
+	counts           counts
 	// bulkGate admits bulk flows to the VM's own link.
 	bulkGate *bulk.Gate
 	// pendingReviews are the targets whose answer health the next Tick reviews.
@@ -273,7 +275,7 @@
 	route := s.rules[p.Flow.Service]
 	switch {
 	case route == nil:
-		r.resetUnrouted(now, s, h, p, out)
+		r.handleUnrouted(now, s, h, p, out)
 	case p.Kind == baobabstep.KindOpen:
 		r.openFlow(now, s, route, h, p, out)
 	default:
@@ -281,23 +283,6 @@
 	}
 }
 
-// resetUnrouted resets a flow whose address has no route, or no route any more.
-func (r *Router) resetUnrouted(now time.Time, s *snapshot, h flowHash, p *baobabstep.Segment, out *[]baobabstep.OutgoingDatagram) {
-	r.record(now, EventUnrouted, s, nil, nil, p)
-	shard := r.flows.shard(h)
-	shard.mu.Lock()
-	shard.remove(p.Flow)
-	shard.mu.Unlock()
-	if p.Kind != baobabstep.KindReset {
-		appendReset(p, out)
-	}
-}
-
-// appendReset appends a reset of the packet's flow to its caller.
-func appendReset(p *baobabstep.Segment, out *[]baobabstep.OutgoingDatagram) {
-	*out = append(*out, baobabstep.OutgoingDatagram{Flow: p.Flow, Seq: p.Acked})
-}
-
 // openFlow places the flow of a first packet. Its retransmission goes to the same target,
 // unless the flow has to move.
 func (r *Router) openFlow(now time.Time, s *snapshot, route *rule, h flowHash, p *baobabstep.Segment, out *[]baobabstep.OutgoingDatagram) {
--- a/core/token/upload.go
+++ b/core/token/upload.go
@@ -60,7 +60,7 @@
 	switch {
 	case route == nil:
 		r.bulkGate.Cancel(p.Flow)
-		r.resetUnrouted(now, s, h, p, out)
+		r.handleUnrouted(now, s, h, p, out)
 	case openedWhileHeld(shard.flows[p.Flow], now.Add(-released.Waited), p):
 		r.bulkGate.Withdraw(p.Flow)
 	case released.Decision.Refused():
--- a/core/token/upload_test.go
+++ b/core/token/upload_test.go
@@ -29,6 +29,7 @@
 	t.Helper()
 	r := New(Options{DataCentre: "a", Rand: rand.New(rand.NewPCG(1, 2)), Link: fullLink{}, Disabled: disabled})
 	r.SetTable(start, table(1, singleRule(fixtures, "fixtures"), singleRule(results, "results")))
+	r.ConfirmTable(start)
 	r.SetRegistrations(start, threeTargets())
 	r.SetPeerLoads(start, nil, map[string]int{"b": 1})
 	for port := range uint16(3) {
--- a/emulator/vm.go
+++ b/emulator/vm.go
@@ -98,6 +98,7 @@
 func (v *vm) know() {
 	w := v.world
 	v.router.SetTable(w.time(), w.table())
+	v.router.ConfirmTable(w.time())
 	v.router.SetEvacuations(w.time(), w.evacuatedNames())
 	v.router.SetRegistrations(w.time(), w.store.held())
 	v.release()
--- a/entry/cache.go
+++ b/entry/cache.go
@@ -16,6 +16,7 @@
 // flowRouter places flows by the state of a stateCache.
 type flowRouter interface {
 	SetTable(now time.Time, table *baobabstep.RoutingTable) bool
+	ConfirmTable(at time.Time)
 	SetRegistrations(now time.Time, list []baobabstep.Registration)
 	ChangeRegistrations(now time.Time, put []baobabstep.Registration, gone []baobabstep.TargetID)
 	SetEvacuations(now time.Time, dataCentres []string)
@@ -141,11 +142,11 @@
 	case revision.Before(cached.revision):
 		sc.recordOutdated(now, heartbeat.Routes, revision, from)
 		if from.source == sourceStore {
-			cached.confirm(from.confirmedAt) // everything in the store is older
+			sc.confirm(heartbeat.Routes, from.confirmedAt) // everything in the store is older
 		}
 		return false, nil, nil
 	case revision == cached.revision:
-		cached.confirm(from.confirmedAt)
+		sc.confirm(heartbeat.Routes, from.confirmedAt)
 		return false, nil, nil
 	}
 	heartbeat.SortTable(table)
@@ -159,6 +160,7 @@
 		change = heartbeat.NewRoutesChange(sc.table, table, cached.sum, next.announced(now))
 	}
 	sc.table, *cached = table, next
+	sc.confirmTable()
 	sc.log.WithFields(log.Fields{
 		"version": table.Version, "rules": len(table.Rules), "source": from.source, "age_ms": now.Sub(from.confirmedAt).Milliseconds(),
 	}).Info("routing table in force")
@@ -264,7 +266,7 @@
 	case cached.isKnown() && sum == cached.sum:
 		sc.setRevision(now, kind, revision)
 		cached.revisionFromReplica = from.fromReplica
-		cached.confirm(from.confirmedAt)
+		sc.confirm(kind, from.confirmedAt)
 		return false
 	}
 	return true
@@ -443,6 +445,23 @@
 	return changes, true
 }
 
+// confirm records that the store held nothing newer than the cached state of a kind at a time. The
+// caller holds sc.mu.
+func (sc *stateCache) confirm(kind heartbeat.Kind, at time.Time) {
+	sc.states[kind].confirm(at)
+	if kind == heartbeat.Routes {
+		sc.confirmTable()
+	}
+}
+
+// confirmTable passes to the router when the routing table in force was last confirmed. The caller
+// holds sc.mu.
+func (sc *stateCache) confirmTable() {
+	if cached := &sc.states[heartbeat.Routes]; cached.isKnown() && !cached.unconfirmed {
+		sc.router.ConfirmTable(cached.confirmedAt)
+	}
+}
+
 func (cs *cachedState) confirm(at time.Time) {
 	if at.After(cs.confirmedAt) {
 		cs.confirmedAt, cs.unconfirmed = at, false
@@ -468,7 +487,7 @@
 		cached.revisionFromReplica = false
 	}
 	if !cached.unconfirmed || now.Sub(at) < maxAge {
-		cached.confirm(at)
+		sc.confirm(kind, at)
 	}
 }
 
--- a/entry/distribution.go
+++ b/entry/distribution.go
@@ -150,7 +150,7 @@
 	if !complete {
 		return
 	}
-	from := origin{source: sourcePeer, confirmedAt: now.Add(-held.Age())}
+	from := n.peerOrigin(now, held, n.applyBound(p.Kind))
 	var err error
 	switch p.Kind {
 	case heartbeat.Routes:
@@ -161,7 +161,7 @@
 	case heartbeat.Targets:
 		var list []baobabstep.Registration
 		if list, err = heartbeat.DecodeTargets(content); err == nil {
-			err = n.updateTargets(list, held.Revision(), n.peerOrigin(now, held, n.options.Settings.Token.Drain()))
+			err = n.updateTargets(list, held.Revision(), from)
 		}
 	}
 	if err != nil {
@@ -203,16 +203,20 @@
 }
 
 // applyChange applies a change from a peer and reports whether the cached content changed.
-func (n *Node) applyChange(now time.Time, from netip.AddrPort, c *heartbeat.Change) (changed bool) {
+func (n *Node) applyChange(now time.Time, sender netip.AddrPort, c *heartbeat.Change) (changed bool) {
 	sameBase := c.BaseChecksum == n.cache.state(c.Kind).sum
 	if c.Kind == heartbeat.Targets && sameBase {
 		n.notifyStoreRecovery(now)
 	}
-	changed, err := n.cache.applyPeerChange(now, c, origin{source: sourcePeer, confirmedAt: now.Add(-c.Result.Age())})
+	from := origin{source: sourcePeer, confirmedAt: now.Add(-c.Result.Age())}
+	if c.Kind == heartbeat.Routes {
+		from = n.peerOrigin(now, c.Result, n.applyBound(c.Kind))
+	}
+	changed, err := n.cache.applyPeerChange(now, c, from)
 	switch {
 	case baobabstep.CodeOf(err) == baobabstep.CodeConflict:
 		n.counters.conflictingChanges.Add(1)
-		n.logConflict(now, from, c)
+		n.logConflict(now, sender, c)
 		if sameBase && c.Kind == heartbeat.Targets {
 			n.setRequestFullList(true)
 		}
--- a/entry/large_fleet_test.go
+++ b/entry/large_fleet_test.go
@@ -501,6 +501,7 @@
 
 // SetTable implements flowRouter.
 func (p *placementLog) SetTable(time.Time, *baobabstep.RoutingTable) bool { return true }
+func (p *placementLog) ConfirmTable(time.Time)                            {}
 
 // SetEvacuations implements flowRouter.
 func (p *placementLog) SetEvacuations(time.Time, []string) {}
