token: retransmitted first segments follow the rule in force

Cause: the copy of a first segment goes to the target of the flow's record, without asking whether the rule in force still leads to its service.

Evidence: of each broken flow flow_placed at version n, then flow_repeated to the same target and service with version n+2. The version rules out an old table; no flow_link_held, so nothing was held.

Change: such a copy moves to another target if the rule in force does not lead new flows to the target's service, as it does if the target drains or is gone. Open flows stay.

Test: TestRetransmittedOpenFollowsRuleInForce fails without the condition (other service and weight 0, after 200 and 600 ms).

--- a/core/token/flow_tracking.go
+++ b/core/token/flow_tracking.go
@@ -12,10 +12,11 @@
 // before. It also counts the flow against its target.
 //
 // If the first target answered after all, the caller would have a flow at one target and
-// the token of another. So a flow moves only if other flows found the target silent as
-// well, or found it silent earlier and it has not been heard from since. An answer arrives
-// within milliseconds, a retransmission 200 ms later.
-func (r *Router) shouldMove(now time.Time, s *snapshot, f *flow) bool {
+// the token of another. So a flow moves only if its target may get no new flows any more,
+// or if other flows found the target silent as well, or found it silent earlier and it has
+// not been heard from since. An answer arrives within milliseconds, a retransmission 200 ms
+// later.
+func (r *Router) shouldMove(now time.Time, s *snapshot, route *rule, f *flow) bool {
 	if now.Sub(f.requestSentAt) < minRetransmissionDelay {
 		return false
 	}
@@ -23,6 +24,9 @@
 		f.countedUnanswered = true
 		r.noteUnanswered(now, f, openRepeated)
 	}
+	if !route.leadsTo(f.target.registration.Service) {
+		return true
+	}
 	present := s.targets[f.target.id]
 	return !f.target.sameIncarnation(present) || !present.acceptsNewFlows(now) || f.target.load.suspect(now) || f.target.load.unheardSinceAvoided()
 }
--- a/core/token/router.go
+++ b/core/token/router.go
@@ -294,7 +294,7 @@
 	if f != nil && f.seq == p.Seq && f.opening {
 		f.retransmitted = true
 		previous = nil
-		if !r.shouldMove(now, s, f) {
+		if !r.shouldMove(now, s, route, f) {
 			f.lastPacketAt = now
 			r.consumeColdShare(now, s, f.target)
 			r.record(now, EventRepeated, s, route, f.target, p)
--- a/core/token/router_test.go
+++ b/core/token/router_test.go
@@ -42,6 +42,37 @@
 	}
 }
 
+// Guards against a retransmitted first segment that opens its flow at a service to which the rule
+// in force leads no more.
+func TestRetransmittedOpenFollowsRuleInForce(t *testing.T) {
+	shares := func(fixturesWeight uint32) baobabstep.Rule {
+		return baobabstep.Rule{Address: fixtures, Shares: []baobabstep.Share{{Service: "fixtures", Weight: fixturesWeight}, {Service: "results", Weight: 1}}}
+	}
+	for _, test := range []struct {
+		name  string
+		rule  baobabstep.Rule
+		moves bool
+	}{
+		{"same service", singleRule(fixtures, "fixtures"), false},
+		{"other service", singleRule(fixtures, "results"), true},
+		{"weight lowered", shares(1), false},
+		{"weight 0", shares(0), true},
+	} {
+		for _, delay := range []time.Duration{200 * time.Millisecond, 600 * time.Millisecond} {
+			t.Run(test.name+" after "+delay.String(), func(t *testing.T) {
+				r := newRouter(t)
+				key := flowFrom(1, fixtures)
+				first, _ := open(t, r, start, key)
+				r.SetTable(start.Add(100*time.Millisecond), table(2, test.rule))
+				second := retransmit(t, r, start.Add(delay), key)
+				qt.Check(t, second != first, qt.Equals, test.moves)
+				qt.Check(t, r.current.Load().targets[second].registration.Service == "results", qt.Equals, test.moves)
+				qt.Check(t, r.current.Load().targets[second].load.flows.Load(), qt.Equals, int32(1))
+			})
+		}
+	}
+}
+
 // Guards against flows that break when a VM restarts or when packets reach another VM. That
 // VM has no record of the flow; the token is sufficient.
 func TestAnyVMServesAnyFlow(t *testing.T) {
--- a/core/token/snapshot.go
+++ b/core/token/snapshot.go
@@ -141,6 +141,13 @@
 	return r.shares[len(r.shares)-1].Service
 }
 
+// leadsTo reports whether new flows of the rule may go to a service.
+func (r *rule) leadsTo(service string) bool {
+	return slices.ContainsFunc(r.shares, func(share baobabstep.Share) bool {
+		return share.Service == service && (share.Weight > 0 || r.totalWeight == 0)
+	})
+}
+
 // withEvacuations returns a copy of s in which only the targets of the given data centres
 // are evacuated.
 func (s *snapshot) withEvacuations(dataCentres []string) *snapshot {
