entry, token, heartbeat: VMs tell those that start which targets may be cold

Cause: a VM that sees an evacuation end presumes the targets of the data centre cold, as their registrations show it only seconds later. A VM that starts just after the end cannot see it and presumed nothing.

Evidence: the running VM wrote "evacuations in force" with an empty list and placed 3 flows a second. The one that started 0.2 s later wrote no such line and placed 8 to 18 flows in each 0.2 s, from its first 0.2 s on: before it may have any share of the limit, so the share is not at fault. No line said what a VM presumes; "returns learned" and cold_unknown now do.

Change: a VM presumes all targets with a limit cold until it has run for as long as a target stays cold, unless a heartbeat tells since when its sender has seen all evacuations end, and the latest ends. A claim to know all counts only if sender and receiver hold the same evacuations and the sender's are confirmed. First segments that find no target for lack of this knowledge are dropped for 1.5 s at most, so that their copies decide.

--- a/core/heartbeat/outgoing.go
+++ b/core/heartbeat/outgoing.go
@@ -15,6 +15,8 @@
 	Versions                 [NumKinds]VersionInfo
 	// Loads is the load that this VM sends to targets.
 	Loads []baobabstep.TargetLoad
+	// Returns is what this VM knows of ended evacuations, nil if that does not matter.
+	Returns *baobabstep.Returns
 }
 
 // HeartbeatsDue reports whether heartbeats are due. Callers use it to collect the content
@@ -287,11 +289,13 @@
 		return outs
 	}
 	t.sequence++
+	limit := min(o.loadLimit, loadLimit(own.Returns))
 	h := &Heartbeat{
 		From: t.options.Self, DataCentre: t.options.DataCentre, Incarnation: t.options.Incarnation, Sequence: t.sequence,
-		Leaving: own.Leaving, StoreUnreadable: own.StoreUnreadable, Versions: [chunkedKinds]VersionInfo(own.Versions[:chunkedKinds]), EvacuationsVersion: own.Versions[Evacuations], Loads: MakeLoads(now, own.Loads, o.loadLimit), Peers: t.samplePeers(now, o.peersOf),
+		Leaving: own.Leaving, StoreUnreadable: own.StoreUnreadable, Versions: [chunkedKinds]VersionInfo(own.Versions[:chunkedKinds]), EvacuationsVersion: own.Versions[Evacuations], Loads: MakeLoads(now, own.Loads, limit), Peers: t.samplePeers(now, o.peersOf),
 		TurnMS: uint32(o.turn.Milliseconds()), CongestedMS: t.congestedMS(now),
 	}
+	h.setReturns(now, own.Returns)
 	m := &Message{Heartbeat: h}
 	for _, p := range to {
 		outs = append(outs, Outgoing{To: p.address, Message: m})
--- a/core/heartbeat/peers_test.go
+++ b/core/heartbeat/peers_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"reflect"
@@ -495,24 +496,36 @@
 }
 
 func TestLargestHeartbeatFits(t *testing.T) {
-	h := &Heartbeat{From: 1<<64 - 1, DataCentre: "a-data-centre-with-a-long-name", Incarnation: 1 << 50, Sequence: 1 << 40}
-	for range maxPeers {
-		h.Peers = append(h.Peers, netip.MustParseAddrPort("255.255.255.255:65535"))
-	}
-	for kind := range h.Versions {
-		h.Versions[kind] = VersionInfo{Number: 1<<64 - 1, Checksum: 1<<64 - 1, AgeMS: maxAgeMS, Era: 1<<64 - 1}
-	}
-	h.EvacuationsVersion = h.Versions[Targets]
-	var own []baobabstep.TargetLoad
-	for id := range 200 {
-		own = append(own, baobabstep.TargetLoad{Target: baobabstep.TargetID(id) + 1<<39, Requests: 6000, Unanswered: 255, UnansweredOpens: 255, HeardAt: start.Add(-time.Minute), ReportedSilent: true, Answers: 6000, Failed: 6000, MeanLatency: time.Minute})
-	}
-	h.Loads = MakeLoads(start, own, maxLoads)
-	qt.Assert(t, h.Loads, qt.HasLen, maxLoads)
-	raw, err := Encode(&Message{Heartbeat: h})
-	qt.Assert(t, err, qt.IsNil)
-	_, err = Decode(raw)
-	qt.Assert(t, err, qt.IsNil)
+	for _, test := range []struct {
+		name  string
+		known *baobabstep.Returns
+	}{
+		{"no evacuations matter", nil},
+		{"no evacuation ended", returns(0)},
+		{"evacuations ended", returns(maxReturns)},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := &Heartbeat{From: 1<<64 - 1, DataCentre: "a-data-centre-with-a-long-name", Incarnation: 1 << 50, Sequence: 1 << 40, Leaving: true, StoreUnreadable: true, TurnMS: uint32(maxTurn.Milliseconds()), CongestedMS: math.MaxUint32}
+			for range maxPeers {
+				h.Peers = append(h.Peers, netip.MustParseAddrPort("255.255.255.255:65535"))
+			}
+			for kind := range h.Versions {
+				h.Versions[kind] = VersionInfo{Number: 1<<64 - 1, Checksum: 1<<64 - 1, AgeMS: maxAgeMS, Era: 1<<64 - 1}
+			}
+			h.EvacuationsVersion = h.Versions[Targets]
+			var own []baobabstep.TargetLoad
+			for id := range 200 {
+				own = append(own, baobabstep.TargetLoad{Target: baobabstep.TargetID(id) + 1<<39, Requests: 6000, Unanswered: 255, UnansweredOpens: 255, HeardAt: start.Add(-time.Minute), ReportedSilent: true, Answers: 6000, Failed: 6000, MeanLatency: time.Minute})
+			}
+			h.Loads = MakeLoads(start, own, loadLimit(test.known))
+			qt.Assert(t, h.Loads, qt.HasLen, loadLimit(test.known))
+			h.setReturns(start, test.known)
+			raw, err := Encode(&Message{Heartbeat: h})
+			qt.Assert(t, err, qt.IsNil)
+			_, err = Decode(raw)
+			qt.Assert(t, err, qt.IsNil)
+		})
+	}
 }
 
 // revisionOf returns a revision of a store without eras.
--- /dev/null
+++ b/core/heartbeat/returns_test.go
@@ -0,0 +1,71 @@
+package heartbeat
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"baobabstep"
+)
+
+// returns returns the ends of the evacuations of a number of data centres with long names, one a
+// second.
+func returns(count int) *baobabstep.Returns {
+	known := &baobabstep.Returns{Since: start.Add(-time.Hour), DataCentres: make(map[string]time.Time)}
+	for n := range count {
+		known.DataCentres[fmt.Sprintf("%02d-%s", n, strings.Repeat("x", 60))] = start.Add(-time.Duration(n) * time.Second)
+	}
+	return known
+}
+
+// Guards against a VM that has just started and takes what fits a heartbeat for all ends of
+// evacuations.
+func TestReturnsInHeartbeat(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		sent  *baobabstep.Returns
+		ends  int
+		since time.Time
+	}{
+		{"not relevant", nil, 0, time.Time{}},
+		{"none", returns(0), 0, start.Add(-time.Hour)},
+		{"just started", &baobabstep.Returns{Since: start}, 0, start},
+		{"since unknown", &baobabstep.Returns{DataCentres: returns(1).DataCentres}, 1, time.Time{}},
+		{"as many as fit", returns(maxReturns), maxReturns, start.Add(-time.Hour)},
+		{"too many", returns(maxReturns + 3), maxReturns, time.Time{}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			sender := newPeerTable(1)
+			sender.Handle(start, address(3), newHeartbeat(3, 1, 0))
+			loads := make([]baobabstep.TargetLoad, 2*maxLoads)
+			for i := range loads {
+				loads[i] = baobabstep.TargetLoad{Target: baobabstep.TargetID(i + 1), Requests: 1}
+			}
+			h := reencode(t, sender.Announce(start, LocalState{Loads: loads, Returns: test.sent}, false)[0].Message).Heartbeat
+			qt.Check(t, h.Loads, qt.HasLen, loadLimit(test.sent))
+			got := h.Returns(start)
+			qt.Check(t, got.Since.Equal(test.since), qt.IsTrue, qt.Commentf("got %v", got.Since))
+			qt.Check(t, got.DataCentres, qt.HasLen, test.ends)
+			for name, at := range got.DataCentres {
+				qt.Check(t, at.Equal(test.sent.DataCentres[name]), qt.IsTrue)
+			}
+		})
+	}
+	t.Run("values out of range are not in the future", func(t *testing.T) {
+		h := &Heartbeat{Returned: []Return{{"a", math.MaxUint32}}, ReturnsKnownMS: math.MaxUint32}
+		got := h.Returns(start)
+		qt.Check(t, got.Since.Before(start) && got.DataCentres["a"].Before(start), qt.IsTrue)
+	})
+	t.Run("too many are malformed", func(t *testing.T) {
+		h := newHeartbeat(3, 1, 0)
+		h.Returned = make([]Return, maxReturns+1)
+		raw, err := Encode(&Message{Heartbeat: h})
+		qt.Assert(t, err, qt.IsNil)
+		_, err = Decode(raw)
+		qt.Check(t, baobabstep.CodeOf(err), qt.Equals, baobabstep.CodeMalformed)
+	})
+}
--- a/core/token/choose.go
+++ b/core/token/choose.go
@@ -41,6 +41,7 @@
 	start := int(r.randomUint64() % uint64(len(p.targets)))
 	window := p.window(start, maxScannedTargets, limit)
 	window.anyLocal = s.evacuated[r.options.DataCentre]
+	window.snapshot = s
 	best, busy, latency := r.bestCandidate(now, route, window, previous)
 	if best == nil && len(p.targets) > maxScannedTargets {
 		window.count = len(p.targets)
@@ -61,6 +62,7 @@
 	// anyLocal is set if targets of all data centres count as local, because the local ones
 	// are evacuated. Otherwise all VMs of the data centre would choose among all targets.
 	anyLocal bool
+	snapshot *snapshot
 }
 
 // window returns a window of at most the given number of targets. Identifiers are random,
@@ -96,7 +98,7 @@
 	list := r.collectCandidates(now, window, previous, space[:0])
 	if window.limit != nil && len(list) > 0 {
 		list[0].target.service.noteUrgentFlow(now, route)
-		if r.yieldsToUrgent(now, route, list) {
+		if r.yieldsToUrgent(now, window, route, list) {
 			return nil, 0, 0
 		}
 	}
@@ -191,7 +193,7 @@
 	heard := *r.vmsHeard.Load()
 	local := 0
 	for t := range window.all() {
-		if !t.acceptsNewFlows(now) || window.limit != nil && !r.coldLimitAllows(now, t, window.limit) {
+		if !t.acceptsNewFlows(now) || window.limit != nil && !r.coldLimitAllows(now, window.snapshot, t, window.limit) {
 			continue
 		}
 		dc := t.registration.DataCentre
--- a/core/token/cold.go
+++ b/core/token/cold.go
@@ -79,8 +79,8 @@
 //
 // Only the VMs of the target's data centre share its limit: with fewer VMs, each learns of
 // the others sooner. VMs of other data centres send a cold target no flows.
-func (r *Router) coldLimitAllows(now time.Time, t *target, limit *coldLimit) bool {
-	if !t.isCold(now) {
+func (r *Router) coldLimitAllows(now time.Time, s *snapshot, t *target, limit *coldLimit) bool {
+	if !t.isCold(now) && !s.presumesCold(now, t, limit) {
 		return true
 	}
 	view := r.view.Load()
@@ -115,11 +115,15 @@
 // more flow to urgent flows. Where all targets of a service are cold, each accepts its next
 // flow at a certain moment, and ordinary flows, which are more frequent, would take nearly
 // all of these.
-func (r *Router) yieldsToUrgent(now time.Time, route *rule, list []candidate) bool {
-	if !route.ordinary || len(list) != 1 || !list[0].target.isCold(now) {
+func (r *Router) yieldsToUrgent(now time.Time, window poolWindow, route *rule, list []candidate) bool {
+	if !route.ordinary || len(list) != 1 {
 		return false
 	}
-	return list[0].target.service.expectsUrgent(now) && r.randomUint64()%ordinaryBypassInterval != 0
+	t := list[0].target
+	if !t.isCold(now) && !window.snapshot.presumesCold(now, t, window.limit) {
+		return false
+	}
+	return t.service.expectsUrgent(now) && r.randomUint64()%ordinaryBypassInterval != 0
 }
 
 // noteUrgentFlow records the time of a new flow of a rule if the rule is not ordinary.
--- a/core/token/event.go
+++ b/core/token/event.go
@@ -22,6 +22,9 @@
 	EventMoved // flow_moved
 	// EventRefused: there was no target for a new flow; the caller was reset.
 	EventRefused // flow_refused
+	// EventColdUnknown: a VM that has just started does not know yet which targets may be cold;
+	// the first segment was dropped.
+	EventColdUnknown // cold_unknown
 	// EventNoRoom: the targets are so busy that an ordinary new flow would be answered too
 	// late; the caller was reset.
 	EventNoRoom // flow_no_room
--- a/core/token/event_string.go
+++ b/core/token/event_string.go
@@ -12,31 +12,32 @@
 	_ = x[EventRepeated-1]
 	_ = x[EventMoved-2]
 	_ = x[EventRefused-3]
-	_ = x[EventNoRoom-4]
-	_ = x[EventUnrouted-5]
-	_ = x[EventRouteUnconfirmed-6]
-	_ = x[EventEnded-7]
-	_ = x[EventUnknownToken-8]
-	_ = x[EventUnready-9]
-	_ = x[EventSilent-10]
-	_ = x[EventHeard-11]
-	_ = x[EventAvoided-12]
-	_ = x[EventFailing-13]
-	_ = x[EventOnTrial-14]
-	_ = x[EventTrusted-15]
-	_ = x[EventSilenceIgnored-16]
-	_ = x[EventLinkHeld-17]
-	_ = x[EventLinkReleased-18]
-	_ = x[EventLinkRefused-19]
-	_ = x[EventYielded-20]
-	_ = x[EventRoomShort-21]
-	_ = x[EventRoomBack-22]
-	_ = x[numEvents-23]
+	_ = x[EventColdUnknown-4]
+	_ = x[EventNoRoom-5]
+	_ = x[EventUnrouted-6]
+	_ = x[EventRouteUnconfirmed-7]
+	_ = x[EventEnded-8]
+	_ = x[EventUnknownToken-9]
+	_ = x[EventUnready-10]
+	_ = x[EventSilent-11]
+	_ = x[EventHeard-12]
+	_ = x[EventAvoided-13]
+	_ = x[EventFailing-14]
+	_ = x[EventOnTrial-15]
+	_ = x[EventTrusted-16]
+	_ = x[EventSilenceIgnored-17]
+	_ = x[EventLinkHeld-18]
+	_ = x[EventLinkReleased-19]
+	_ = x[EventLinkRefused-20]
+	_ = x[EventYielded-21]
+	_ = x[EventRoomShort-22]
+	_ = x[EventRoomBack-23]
+	_ = x[numEvents-24]
 }
 
-const _EventKind_name = "flow_placedflow_repeatedflow_movedflow_refusedflow_no_roomflow_unroutedroute_unconfirmedflow_endedtoken_unknownsegment_unreadytarget_silenttarget_heardtarget_avoidedtarget_failingtarget_on_trialtarget_trustedsilence_ignoredflow_link_heldflow_link_releasedflow_link_refusedflow_yieldedroom_shortroom_backnumEvents"
+const _EventKind_name = "flow_placedflow_repeatedflow_movedflow_refusedcold_unknownflow_no_roomflow_unroutedroute_unconfirmedflow_endedtoken_unknownsegment_unreadytarget_silenttarget_heardtarget_avoidedtarget_failingtarget_on_trialtarget_trustedsilence_ignoredflow_link_heldflow_link_releasedflow_link_refusedflow_yieldedroom_shortroom_backnumEvents"
 
-var _EventKind_index = [...]uint16{0, 11, 24, 34, 46, 58, 71, 88, 98, 111, 126, 139, 151, 165, 179, 194, 208, 223, 237, 255, 272, 284, 294, 303, 312}
+var _EventKind_index = [...]uint16{0, 11, 24, 34, 46, 58, 70, 83, 100, 110, 123, 138, 151, 163, 177, 191, 206, 220, 235, 249, 267, 284, 296, 306, 315, 324}
 
 func (i EventKind) String() string {
 	idx := int(i) - 0
--- a/core/token/router.go
+++ b/core/token/router.go
@@ -127,18 +127,13 @@
 }
 
 // SetEvacuations sets the data centres whose targets get no new flows. Targets of data
-// centres that get new flows again are presumed cold: they may have cooled down while they
-// were empty, and their registrations show it only seconds later.
+// centres that get new flows again are presumed cold.
 func (r *Router) SetEvacuations(now time.Time, dataCentres []string) {
 	r.changeLock.Lock()
 	defer r.changeLock.Unlock()
 	before := r.current.Load()
 	next := before.withEvacuations(dataCentres)
-	for id, t := range before.targets {
-		if limit := next.coldLimits[t.registration.Service]; limit != nil && t.evacuated && !next.targets[id].evacuated {
-			t.load.presumeCold(now, now.Add(limit.duration))
-		}
-	}
+	next.returns = next.returnsAfter(now, before.evacuated)
 	r.install(next)
 }
 
@@ -312,6 +307,11 @@
 // holds the lock of the flow's shard.
 func (r *Router) placeFlow(now time.Time, s *snapshot, route *rule, h flowHash, previous *target, p *baobabstep.Segment, out *[]baobabstep.OutgoingDatagram) {
 	t, busy, admitted := r.chooseTarget(now, s, route, h, previous)
+	if t == nil && r.awaitsReturns(now, s, route) {
+		r.record(now, EventColdUnknown, s, route, nil, p)
+		r.bulkGate.Cancel(p.Flow)
+		return
+	}
 	if t != nil && !r.isRetransmitted(h, p) && !r.hasRoom(t, route, busy) {
 		r.record(now, EventYielded, s, route, t, p)
 		r.bulkGate.Cancel(p.Flow)
--- a/core/token/snapshot.go
+++ b/core/token/snapshot.go
@@ -37,6 +37,8 @@
 	evacuated map[string]bool
 	// coldLimits are the limits on cold targets, by service.
 	coldLimits map[string]*coldLimit
+	// returns are the known ends of evacuations.
+	returns baobabstep.Returns
 	// lapseGraceUntil is the end of the grace period for registrations that go missing.
 	lapseGraceUntil time.Time
 	// restoredAt is when the store was last restored from a backup, zero if never.
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -201,8 +201,9 @@
 	for _, kind := range compareOrder {
 		n.compareHeld(now, kind, h)
 	}
+	n.learnReturns(now, from, h)
 	if n.peerTable.HasNewPeers() {
-		n.sendAll(n.peerTable.AnswerNewPeers(now, heartbeat.LocalState{Leaving: n.stopping.Load(), StoreUnreadable: n.isStoreUnreadable(), Versions: n.cache.announcedStates(now)}))
+		n.sendAll(n.peerTable.AnswerNewPeers(now, n.ownStateWithoutLoads(now)))
 	}
 }
 
@@ -357,10 +358,17 @@
 	n.sendAll(n.peerTable.MakeAlarms(now, n.router.TakeAlarms(now)))
 }
 
+// ownState returns the state of this VM for heartbeats.
 func (n *Node) ownState(now time.Time) heartbeat.LocalState {
+	state := n.ownStateWithoutLoads(now)
+	state.Loads = n.router.Loads(now)
+	return state
+}
+
+func (n *Node) ownStateWithoutLoads(now time.Time) heartbeat.LocalState {
 	return heartbeat.LocalState{
 		Leaving: n.stopping.Load(), StoreUnreadable: n.isStoreUnreadable(),
-		Versions: n.cache.announcedStates(now), Loads: n.router.Loads(now),
+		Versions: n.cache.announcedStates(now), Returns: n.ownReturns(now),
 	}
 }
 
--- a/enum_string.go
+++ b/enum_string.go
@@ -35,6 +35,7 @@
 	}
 	return _Kind_name[_Kind_index[idx]:_Kind_index[idx+1]]
 }
+
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -54,6 +55,7 @@
 	}
 	return _Class_name[_Class_index[idx]:_Class_index[idx+1]]
 }
+
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -77,6 +79,7 @@
 	}
 	return _Purpose_name[_Purpose_index[idx]:_Purpose_index[idx+1]]
 }
+
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -98,6 +101,7 @@
 	}
 	return _Dest_name[_Dest_index[idx]:_Dest_index[idx+1]]
 }
+
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
