token, heartbeat: VMs tell those that start which targets are presumed cold after silence

Cause: a target that accepted no flows and is heard from again is presumed cold by the VMs that saw it, as it may have restarted and its registration shows that seconds later. A VM that starts meanwhile took it for warm and idle.

Evidence: the new case of TestStartingVMPresumesTargetsCold fails without the list: all flows of the starting VM go to the target.

Change: heartbeats contain up to 16 such targets beside the returned data centres, if a service has a limit on cold targets. A sender that knows of more does not claim to know all, and the receiver presumes all targets cold until it knows by itself. Loads make room for them in the heartbeat (TestLargestHeartbeatFits).

Result: the case passes; nothing is sent or kept where no service has a limit.

--- a/core/heartbeat/message.go
+++ b/core/heartbeat/message.go
@@ -75,10 +75,12 @@
 	// CongestedMS is 1 plus the time in milliseconds since the sender's own link was last
 	// congested; 0 if it was not lately.
 	CongestedMS uint32 `cbor:"12,keyasint,omitempty"`
-	// Returned are the latest ends of evacuations that the sender knows of, and ReturnsKnownMS
-	// is 1 plus the time in milliseconds for which it has known of all; 0 if not set.
-	Returned       []Return `cbor:"13,keyasint,omitempty"`
-	ReturnsKnownMS uint32   `cbor:"14,keyasint,omitempty"`
+	// DataCentreReturns and TargetReturns are the latest events by which targets may have become
+	// cold, and ReturnsKnownMS is 1 plus the time in milliseconds for which the sender has known of
+	// all; 0 if not set.
+	DataCentreReturns []DataCentreReturn `cbor:"13,keyasint,omitempty"`
+	ReturnsKnownMS    uint32             `cbor:"14,keyasint,omitempty"`
+	TargetReturns     []TargetReturn     `cbor:"15,keyasint,omitempty"`
 }
 
 // maxTurn is the longest turn that is accepted; longer ones are reduced to it.
@@ -307,7 +309,7 @@
 	parts := 0
 	if h := m.Heartbeat; h != nil {
 		parts++
-		if h.From == 0 || h.DataCentre == "" || len(h.Loads) > maxLoads || len(h.Peers) > maxPeers || len(h.Returned) > maxReturns {
+		if h.From == 0 || h.DataCentre == "" || len(h.Loads) > maxLoads || len(h.Peers) > maxPeers || len(h.DataCentreReturns) > maxDataCentreReturns || len(h.TargetReturns) > maxTargetReturns {
 			return false
 		}
 	}
--- a/core/heartbeat/peers_test.go
+++ b/core/heartbeat/peers_test.go
@@ -500,9 +500,11 @@
 		name  string
 		known *baobabstep.Returns
 	}{
-		{"no evacuations matter", nil},
-		{"no evacuation ended", returns(0)},
-		{"evacuations ended", returns(maxReturns)},
+		{"no returns matter", nil},
+		{"nothing returned", returns(0, 0)},
+		{"data centres returned", returns(maxDataCentreReturns, 0)},
+		{"targets returned", returns(0, maxTargetReturns)},
+		{"both returned", returns(maxDataCentreReturns+1, maxTargetReturns+1)},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			h := &Heartbeat{From: 1<<64 - 1, DataCentre: "a-data-centre-with-a-long-name", Incarnation: 1 << 50, Sequence: 1 << 40, Leaving: true, StoreUnreadable: true, TurnMS: uint32(maxTurn.Milliseconds()), CongestedMS: math.MaxUint32}
--- a/core/heartbeat/returns.go
+++ b/core/heartbeat/returns.go
@@ -10,58 +10,78 @@
 	"baobabstep"
 )
 
-// Return is the end of a data centre's evacuation.
-type Return struct {
+// DataCentreReturn is the end of a data centre's evacuation.
+type DataCentreReturn struct {
 	DataCentre string `cbor:"1,keyasint"`
 	// AgeMS is the time since the end, in milliseconds.
 	AgeMS uint32 `cbor:"2,keyasint,omitempty"`
 }
 
-// maxReturns limits the ends of evacuations in a heartbeat.
-const maxReturns = 4
+// TargetReturn is a target that accepted no flows and was heard from again.
+type TargetReturn struct {
+	Target baobabstep.TargetID `cbor:"1,keyasint"`
+	// AgeMS is the time since it was heard from again, in milliseconds.
+	AgeMS uint32 `cbor:"2,keyasint,omitempty"`
+}
+
+// Limits of the returns in a heartbeat, and the number of loads that one of each takes the place of.
+const (
+	maxDataCentreReturns, dataCentreReturnLoads = 4, 4
+	maxTargetReturns, targetReturnLoads         = 16, 1
+)
 
-// loadLimit returns the limit of loads in a heartbeat that contains what the sender knows of ended
-// evacuations.
+// loadLimit returns the limit of loads in a heartbeat that contains returns.
 func loadLimit(known *baobabstep.Returns) int {
-	switch {
-	case known == nil:
+	if known == nil {
 		return maxLoads
-	case len(known.DataCentres) == 0:
-		return maxLoads - 1
 	}
-	return maxLoads - 18
+	return maxLoads - 1 - dataCentreReturnLoads*min(len(known.DataCentres), maxDataCentreReturns) - targetReturnLoads*min(len(known.Targets), maxTargetReturns)
 }
 
-// setReturns sets what the sender knows of ended evacuations. A sender that knows more of them
-// than a heartbeat holds does not claim to know all.
+// setReturns sets the returns that the sender knows of. A sender that knows of more than a heartbeat
+// holds does not claim to know all.
 func (h *Heartbeat) setReturns(now time.Time, known *baobabstep.Returns) {
 	if known == nil {
 		return
 	}
-	for _, name := range slices.Sorted(maps.Keys(known.DataCentres)) {
-		h.Returned = append(h.Returned, Return{DataCentre: name, AgeMS: milliseconds(now.Sub(known.DataCentres[name]))})
+	for _, name := range latest(known.DataCentres, maxDataCentreReturns) {
+		h.DataCentreReturns = append(h.DataCentreReturns, DataCentreReturn{DataCentre: name, AgeMS: milliseconds(now.Sub(known.DataCentres[name]))})
+	}
+	for _, id := range latest(known.Targets, maxTargetReturns) {
+		h.TargetReturns = append(h.TargetReturns, TargetReturn{Target: id, AgeMS: milliseconds(now.Sub(known.Targets[id]))})
 	}
-	if len(h.Returned) > maxReturns {
-		slices.SortStableFunc(h.Returned, func(a, b Return) int { return cmp.Compare(a.AgeMS, b.AgeMS) })
-		h.Returned = h.Returned[:maxReturns]
-	} else if !known.Since.IsZero() {
+	if len(known.DataCentres) <= maxDataCentreReturns && len(known.Targets) <= maxTargetReturns && !known.Since.IsZero() {
 		h.ReturnsKnownMS = 1 + milliseconds(now.Sub(known.Since))
 	}
 }
 
-// Returns returns what the sender knows of ended evacuations. Since is zero if it does not tell
-// since when it knows all.
+// latest returns the keys with the latest times, up to a limit.
+func latest[K cmp.Ordered](times map[K]time.Time, limit int) []K {
+	keys := slices.SortedFunc(maps.Keys(times), func(a, b K) int { return cmp.Or(times[b].Compare(times[a]), cmp.Compare(a, b)) })
+	return keys[:min(len(keys), limit)]
+}
+
+// Returns returns the returns that the sender knows of. Since is zero if it does not tell since when
+// it knows all.
 func (h *Heartbeat) Returns(now time.Time) baobabstep.Returns {
-	known := baobabstep.Returns{DataCentres: make(map[string]time.Time, len(h.Returned))}
-	for _, e := range h.Returned {
+	known := baobabstep.Returns{DataCentres: make(map[string]time.Time), Targets: make(map[baobabstep.TargetID]time.Time)}
+	for _, e := range h.DataCentreReturns {
 		known.DataCentres[e.DataCentre] = now.Add(-time.Duration(e.AgeMS) * time.Millisecond)
 	}
+	for _, e := range h.TargetReturns {
+		known.Targets[e.Target] = now.Add(-time.Duration(e.AgeMS) * time.Millisecond)
+	}
 	if h.ReturnsKnownMS > 0 {
 		known.Since = now.Add(-time.Duration(h.ReturnsKnownMS-1) * time.Millisecond)
 	}
 	return known
 }
 
+// TellsReturns reports whether the heartbeat contains anything of returns.
+func (h *Heartbeat) TellsReturns() bool {
+	return h.ReturnsKnownMS > 0 || len(h.DataCentreReturns) > 0 || len(h.TargetReturns) > 0
+}
+
 func milliseconds(d time.Duration) uint32 {
 	return uint32(min(max(0, d.Milliseconds()), math.MaxInt32))
 }
--- a/core/token/cold.go
+++ b/core/token/cold.go
@@ -65,6 +65,7 @@
 func (r *Router) presumeCold(now time.Time, t *target) {
 	if limit := r.current.Load().coldLimits[t.registration.Service]; limit != nil {
 		t.load.presumeCold(now.Add(recoverySettleTime), now.Add(limit.duration))
+		r.recovered.add(now, t.id)
 	}
 }
 
--- a/core/token/returns_test.go
+++ b/core/token/returns_test.go
@@ -44,6 +44,25 @@
 		placed, _, _ := openSteadily(t, r, start.Add(3*time.Second), time.Second)
 		qt.Check(t, placed > 0, qt.IsTrue)
 	})
+	t.Run("other VMs found a target to accept flows again", func(t *testing.T) {
+		running := newColdRouter(registration(1, "fixtures", "a"), registration(2, "fixtures", "b"))
+		running.SetReturnsKnownSince(longAgo)
+		target := running.current.Load().targets[1]
+		target.load.mu.Lock()
+		target.load.health.avoidedAt, target.load.health.avoidUntil = start.Add(-time.Second), start
+		target.load.mu.Unlock()
+		running.noteAnswer(start, target)
+		known, _ := running.Returns(start.Add(time.Second))
+		qt.Assert(t, known.Targets, qt.DeepEquals, map[baobabstep.TargetID]time.Time{1: start})
+
+		r := newStartingRouter()
+		r.LearnReturns(known)
+		assertPlaced(t, r, start.Add(3900*time.Millisecond), 100, 2)
+		target1, _, _ := openSteadily(t, r, start.Add(4*time.Second), time.Second)
+		qt.Check(t, target1 > 0, qt.IsTrue)
+		known, _ = running.Returns(start.Add(4 * time.Second))
+		qt.Check(t, known.Targets, qt.HasLen, 0)
+	})
 	t.Run("nobody answers", func(t *testing.T) {
 		r := newStartingRouter()
 		assertReset(t, r, start.Add(returnsWait), openSegment(key))
@@ -76,7 +95,9 @@
 	r.SetEvacuations(start.Add(time.Second), nil)
 	own, relevant := r.Returns(start.Add(2 * time.Second))
 	qt.Assert(t, relevant, qt.IsTrue)
-	qt.Check(t, own, qt.DeepEquals, baobabstep.Returns{Since: start, DataCentres: map[string]time.Time{"b": start.Add(time.Second)}})
+	qt.Check(t, own, qt.DeepEquals, baobabstep.Returns{
+		Since: start, DataCentres: map[string]time.Time{"b": start.Add(time.Second)}, Targets: map[baobabstep.TargetID]time.Time{},
+	})
 	for _, late := range []time.Duration{-time.Hour, 0, 100 * time.Millisecond} {
 		qt.Check(t, r.LearnReturns(baobabstep.Returns{Since: start.Add(late), DataCentres: map[string]time.Time{"b": start.Add(time.Second + late)}}), qt.Equals, late < 0)
 	}
--- a/core/token/router.go
+++ b/core/token/router.go
@@ -72,6 +72,9 @@
 	// view lists the VMs of the data centre; nil until SetView is called.
 	view atomic.Pointer[quota.View]
 
+	// recovered are the targets to tell VMs that start.
+	recovered recoveredTargets
+
 	// alarms are the targets to report to other VMs without waiting for a heartbeat.
 	alarms *alarmQueue
 
--- a/entry/evacuation.go
+++ b/entry/evacuation.go
@@ -201,8 +201,8 @@
 	}
 }
 
-// ownReturns returns what this VM tells others of ended evacuations, or nil. It claims to know all
-// of them only while its evacuations are confirmed.
+// ownReturns returns what this VM tells others of returned data centres and targets, or nil. It
+// claims to know all of them only while its evacuations are confirmed.
 func (n *Node) ownReturns(now time.Time) *baobabstep.Returns {
 	known, relevant := n.router.Returns(now)
 	if !relevant {
@@ -214,10 +214,10 @@
 	return &known
 }
 
-// learnReturns learns from a heartbeat which evacuations ended before this VM started. A sender
+// learnReturns learns from a heartbeat what returned before this VM started. A sender
 // that holds other evacuations may not have seen an end yet, so its claim to know all is ignored.
 func (n *Node) learnReturns(now time.Time, from netip.AddrPort, h *heartbeat.Heartbeat) {
-	if h.ReturnsKnownMS == 0 && len(h.Returned) == 0 {
+	if !h.TellsReturns() {
 		return
 	}
 	known := h.Returns(now)
@@ -235,5 +235,8 @@
 	for name, at := range known.DataCentres {
 		fields["ended_ms_"+name] = now.Sub(at).Milliseconds()
 	}
+	if len(known.Targets) > 0 {
+		fields["targets"] = len(known.Targets)
+	}
 	n.log.WithFields(fields).Info("returns learned")
 }
--- a/returns.go
+++ b/returns.go
@@ -9,4 +9,6 @@
 	Since time.Time
 	// DataCentres are the times of the latest end of each evacuation.
 	DataCentres map[string]time.Time
+	// Targets are the times at which targets that accepted no flows were last heard from again.
+	Targets map[TargetID]time.Time
 }
