entry, token: unconfirmed registrations refuse no flow

A caller through a VM that has just started would lose one of few tries.

Cause: a VM that starts reads its registrations from a replica too. For a service whose targets registered after that, it found no target and refused new flows.

Evidence: TestUnconfirmedRegistrationsRefuseNoFlow and TestTargetsOfReplicaRefuseNoFlow fail if the router does not ask whether the registrations were ever confirmed.

A packet that finds a target takes the same path as before.

--- a/core/token/event.go
+++ b/core/token/event.go
@@ -25,6 +25,9 @@
 	// EventColdUnknown: a VM that has just started does not know yet which targets may be cold;
 	// the first segment was dropped.
 	EventColdUnknown // cold_unknown
+	// EventTargetsUnconfirmed: there is no target for a new flow in registrations that may be
+	// outdated; the first segment was dropped.
+	EventTargetsUnconfirmed // targets_unconfirmed
 	// EventNoRoom: the targets are so busy that an ordinary new flow would be answered too
 	// late; the caller was reset.
 	EventNoRoom // flow_no_room
--- a/core/token/event_string.go
+++ b/core/token/event_string.go
@@ -13,31 +13,32 @@
 	_ = x[EventMoved-2]
 	_ = x[EventRefused-3]
 	_ = x[EventColdUnknown-4]
-	_ = x[EventNoRoom-5]
-	_ = x[EventUnrouted-6]
-	_ = x[EventRouteUnconfirmed-7]
-	_ = x[EventEnded-8]
-	_ = x[EventUnknownToken-9]
-	_ = x[EventUnready-10]
-	_ = x[EventSilent-11]
-	_ = x[EventHeard-12]
-	_ = x[EventAvoided-13]
-	_ = x[EventFailing-14]
-	_ = x[EventOnTrial-15]
-	_ = x[EventTrusted-16]
-	_ = x[EventSilenceIgnored-17]
-	_ = x[EventLinkHeld-18]
-	_ = x[EventLinkReleased-19]
-	_ = x[EventLinkRefused-20]
-	_ = x[EventYielded-21]
-	_ = x[EventRoomShort-22]
-	_ = x[EventRoomBack-23]
-	_ = x[numEvents-24]
+	_ = x[EventTargetsUnconfirmed-5]
+	_ = x[EventNoRoom-6]
+	_ = x[EventUnrouted-7]
+	_ = x[EventRouteUnconfirmed-8]
+	_ = x[EventEnded-9]
+	_ = x[EventUnknownToken-10]
+	_ = x[EventUnready-11]
+	_ = x[EventSilent-12]
+	_ = x[EventHeard-13]
+	_ = x[EventAvoided-14]
+	_ = x[EventFailing-15]
+	_ = x[EventOnTrial-16]
+	_ = x[EventTrusted-17]
+	_ = x[EventSilenceIgnored-18]
+	_ = x[EventLinkHeld-19]
+	_ = x[EventLinkReleased-20]
+	_ = x[EventLinkRefused-21]
+	_ = x[EventYielded-22]
+	_ = x[EventRoomShort-23]
+	_ = x[EventRoomBack-24]
+	_ = x[numEvents-25]
 }
 
-const _EventKind_name = "flow_placedflow_repeatedflow_movedflow_refusedcold_unknownflow_no_roomflow_unroutedroute_unconfirmedflow_endedtoken_unknownsegment_unreadytarget_silenttarget_heardtarget_avoidedtarget_failingtarget_on_trialtarget_trustedsilence_ignoredflow_link_heldflow_link_releasedflow_link_refusedflow_yieldedroom_shortroom_backnumEvents"
+const _EventKind_name = "flow_placedflow_repeatedflow_movedflow_refusedcold_unknowntargets_unconfirmedflow_no_roomflow_unroutedroute_unconfirmedflow_endedtoken_unknownsegment_unreadytarget_silenttarget_heardtarget_avoidedtarget_failingtarget_on_trialtarget_trustedsilence_ignoredflow_link_heldflow_link_releasedflow_link_refusedflow_yieldedroom_shortroom_backnumEvents"
 
-var _EventKind_index = [...]uint16{0, 11, 24, 34, 46, 58, 70, 83, 100, 110, 123, 138, 151, 163, 177, 191, 206, 220, 235, 249, 267, 284, 296, 306, 315, 324}
+var _EventKind_index = [...]uint16{0, 11, 24, 34, 46, 58, 77, 89, 102, 119, 129, 142, 157, 170, 182, 196, 210, 225, 239, 254, 268, 286, 303, 315, 325, 334, 343}
 
 func (i EventKind) String() string {
 	idx := int(i) - 0
--- a/core/token/returns.go
+++ b/core/token/returns.go
@@ -155,8 +155,5 @@
 	if !now.Before(s.returns.Since.Add(returnsWait)) {
 		return false
 	}
-	return slices.ContainsFunc(route.shares, func(share baobabstep.Share) bool {
-		p := s.pools[share.Service]
-		return s.coldLimits[share.Service] != nil && p != nil && p.countAccepting(now) > 0
-	})
+	return slices.ContainsFunc(route.shares, func(share baobabstep.Share) bool { return s.coldLimits[share.Service] != nil })
 }
--- a/core/token/router.go
+++ b/core/token/router.go
@@ -57,9 +57,11 @@
 	current atomic.Pointer[snapshot]
 	// tableConfirmedAt is when the store last held no newer routing table; nil if unknown.
 	tableConfirmedAt atomic.Pointer[time.Time]
-	flows            *flowTable
-	openingFlows     *openingFlows
-	counts           counts
+	// targetsUnconfirmed is set while the registrations may be outdated since the start.
+	targetsUnconfirmed atomic.Bool
+	flows              *flowTable
+	openingFlows       *openingFlows
+	counts             counts
 	// bulkGate admits bulk flows to the VM's own link.
 	bulkGate *bulk.Gate
 	// pendingReviews are the targets whose answer health the next Tick reviews.
@@ -310,10 +312,12 @@
 // holds the lock of the flow's shard.
 func (r *Router) placeFlow(now time.Time, s *snapshot, route *rule, h flowHash, previous *target, p *baobabstep.Segment, out *[]baobabstep.OutgoingDatagram) {
 	t, busy, admitted := r.chooseTarget(now, s, route, h, previous)
-	if t == nil && r.awaitsReturns(now, s, route) {
-		r.record(now, EventColdUnknown, s, route, nil, p)
-		r.bulkGate.Cancel(p.Flow)
-		return
+	if t == nil {
+		if kind, unconfirmed := r.refusalUnconfirmed(now, s, route); unconfirmed {
+			r.record(now, kind, s, route, nil, p)
+			r.bulkGate.Cancel(p.Flow)
+			return
+		}
 	}
 	if t != nil && !r.isRetransmitted(h, p) && !r.hasRoom(t, route, busy) {
 		r.record(now, EventYielded, s, route, t, p)
--- a/core/token/unrouted_test.go
+++ b/core/token/unrouted_test.go
@@ -83,3 +83,28 @@
 		}
 	})
 }
+
+// Guards against a starting VM that refuses the flows of a service whose targets registered after
+// its outdated registrations.
+func TestUnconfirmedRegistrationsRefuseNoFlow(t *testing.T) {
+	key := flowFrom(1, fixtures)
+	newRouter := func() *Router {
+		r := New(Options{DataCentre: "a", Rand: rand.New(rand.NewPCG(1, 2))})
+		r.AwaitTargets()
+		r.SetTable(start, table(1, singleRule(fixtures, "fixtures")))
+		r.SetRegistrations(start, []baobabstep.Registration{registration(3, "results", "a")})
+		return r
+	}
+	t.Run("a target has registered since", func(t *testing.T) {
+		r := newRouter()
+		assertDropped(t, r, start, openSegment(key))
+		qt.Check(t, r.Stats().Events[EventTargetsUnconfirmed.String()], qt.Equals, uint64(1))
+		r.SetRegistrations(start, threeTargets())
+		open(t, r, start, key)
+	})
+	t.Run("there is none", func(t *testing.T) {
+		r := newRouter()
+		r.ConfirmTargets()
+		assertReset(t, r, start, openSegment(key))
+	})
+}
--- a/entry/cache.go
+++ b/entry/cache.go
@@ -17,6 +17,7 @@
 type flowRouter interface {
 	SetTable(now time.Time, table *baobabstep.RoutingTable) bool
 	ConfirmTable(at time.Time)
+	ConfirmTargets()
 	SetRegistrations(now time.Time, list []baobabstep.Registration)
 	ChangeRegistrations(now time.Time, put []baobabstep.Registration, gone []baobabstep.TargetID)
 	SetEvacuations(now time.Time, dataCentres []string)
@@ -160,7 +161,7 @@
 		change = heartbeat.NewRoutesChange(sc.table, table, cached.sum, next.announced(now))
 	}
 	sc.table, *cached = table, next
-	sc.confirmTable()
+	sc.passConfirmation(heartbeat.Routes)
 	sc.log.WithFields(log.Fields{
 		"version": table.Version, "rules": len(table.Rules), "source": from.source, "age_ms": now.Sub(from.confirmedAt).Milliseconds(),
 	}).Info("routing table in force")
@@ -282,6 +283,7 @@
 	cached.confirm(from.confirmedAt)
 	cached.unconfirmed = cached.unconfirmed || from.fromReplica
 	cached.revisionFromReplica = from.fromReplica
+	sc.passConfirmation(kind)
 	return oldSum
 }
 
@@ -449,16 +451,19 @@
 // caller holds sc.mu.
 func (sc *stateCache) confirm(kind heartbeat.Kind, at time.Time) {
 	sc.states[kind].confirm(at)
-	if kind == heartbeat.Routes {
-		sc.confirmTable()
-	}
+	sc.passConfirmation(kind)
 }
 
-// confirmTable passes to the router when the routing table in force was last confirmed. The caller
-// holds sc.mu.
-func (sc *stateCache) confirmTable() {
-	if cached := &sc.states[heartbeat.Routes]; cached.isKnown() && !cached.unconfirmed {
+// passConfirmation tells the router whether the cached state of a kind is confirmed, and since when.
+// The caller holds sc.mu.
+func (sc *stateCache) passConfirmation(kind heartbeat.Kind) {
+	cached := &sc.states[kind]
+	switch {
+	case !cached.isKnown() || cached.unconfirmed:
+	case kind == heartbeat.Routes:
 		sc.router.ConfirmTable(cached.confirmedAt)
+	case kind == heartbeat.Targets:
+		sc.router.ConfirmTargets()
 	}
 }
 
--- a/entry/large_fleet_test.go
+++ b/entry/large_fleet_test.go
@@ -502,6 +502,7 @@
 // SetTable implements flowRouter.
 func (p *placementLog) SetTable(time.Time, *baobabstep.RoutingTable) bool { return true }
 func (p *placementLog) ConfirmTable(time.Time)                            {}
+func (p *placementLog) ConfirmTargets()                                   {}
 
 // SetEvacuations implements flowRouter.
 func (p *placementLog) SetEvacuations(time.Time, []string) {}
--- a/entry/node.go
+++ b/entry/node.go
@@ -131,6 +131,7 @@
 		Record:             n.logEvent,
 		EventEnabled:       n.wantsEvent,
 	})
+	n.router.AwaitTargets()
 	n.router.SetReturnsKnownSince(n.startedAt)
 	n.cache = newStateCache(n.router, n.log, o.LogLimiter)
 	n.peerTable = heartbeat.New(n.startedAt, heartbeat.Options{
--- a/entry/unconfirmed_test.go
+++ b/entry/unconfirmed_test.go
@@ -60,3 +60,20 @@
 	qt.Assert(t, err, qt.IsNil)
 	return messages
 }
+
+// Guards against refusals by registrations that are only known from a replica of the store.
+func TestTargetsOfReplicaRefuseNoFlow(t *testing.T) {
+	n := newQuietNode(new(countingMessages))
+	n.options.Settings.Token.DrainMS = 3000
+	n.router.SetTable(benchEpoch, testTable())
+	refuses := func() bool {
+		var out []baobabstep.OutgoingDatagram
+		n.router.Handle(benchEpoch, &baobabstep.Segment{Kind: baobabstep.KindOpen, Flow: baobabstep.FlowKey{Caller: peerAddress(8), Service: benchService}}, &out)
+		return len(out) > 0
+	}
+	replica := readOrigin(baobabstep.Recent, benchEpoch, n.applyBound(heartbeat.Targets))
+	qt.Assert(t, n.updateTargets(nil, baobabstep.Revision{Number: 5}, replica), qt.IsNil)
+	qt.Check(t, refuses(), qt.IsFalse)
+	qt.Assert(t, n.updateTargets(nil, baobabstep.Revision{Number: 5}, origin{source: sourceStore, confirmedAt: benchEpoch}), qt.IsNil)
+	qt.Check(t, refuses(), qt.IsTrue)
+}
