entry, heartbeat: many changes of one read are sent in steps

Cause: the first VM's read of all registrations overtook its watch. What lay between was one change of 4,000 registrations. No message holds that, so it was neither relayed nor sent on request, and every VM needed sections, which spread by doubling.

Change: the difference that a read makes is recorded in the history as steps of at most 200 targets, those of targets that are gone or leave first, each with a revision between the two. The store has had that many, as each target writes by itself. VMs that hear of the newer revision request the changes since theirs and get them in steps, as missed ones.

Why it works: what can be sent no longer depends on how many changes a read brings. A VM that loses a step, or holds the same changes from a watch in another order, requests what follows, and sections if its checksum is not known (TestStepsOfOneReadMeetWatchedChanges, with 2 % of the messages lost).

--- a/core/heartbeat/history_test.go
+++ b/core/heartbeat/history_test.go
@@ -1,6 +1,7 @@
 package heartbeat
 
 import (
+	"slices"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -111,3 +112,26 @@
 	_, ok = h.Since(revisionOf(430))
 	qt.Assert(t, ok, qt.IsFalse)
 }
+
+// Guards against parts of a difference that lose a target, or tell late which targets leave.
+func TestSplitDifference(t *testing.T) {
+	d := Difference{Removed: []baobabstep.TargetID{901, 902, 903}}
+	for id := range baobabstep.TargetID(10) {
+		d.Put = append(d.Put, baobabstep.Registration{ID: id + 1, Draining: id%4 == 3})
+	}
+	parts := d.Split(3)
+	var merged Difference
+	staying := false
+	for _, part := range parts {
+		qt.Check(t, len(part.Put)+len(part.Removed) <= 3, qt.IsTrue)
+		for _, r := range part.Put {
+			qt.Check(t, staying && r.Draining, qt.IsFalse)
+			staying = staying || !r.Draining
+		}
+		merged.Merge(part)
+	}
+	qt.Check(t, parts[0].Removed, qt.DeepEquals, d.Removed)
+	SortTargets(merged.Put)
+	qt.Check(t, slices.Equal(merged.Put, d.Put), qt.IsTrue)
+	qt.Check(t, merged.Removed, qt.DeepEquals, d.Removed)
+}
--- a/core/heartbeat/registrations.go
+++ b/core/heartbeat/registrations.go
@@ -125,6 +125,28 @@
 	d.Put, d.Removed = append(d.Put, later.Put...), append(d.Removed, later.Removed...)
 }
 
+// Split divides d into consecutive differences of at most size registrations and target IDs each,
+// those of targets that leave or are gone first.
+func (d *Difference) Split(size int) (parts []Difference) {
+	leaving, staying := make([]baobabstep.Registration, 0, len(d.Put)), make([]baobabstep.Registration, 0, len(d.Put))
+	for _, r := range d.Put {
+		if r.Draining {
+			leaving = append(leaving, r)
+		} else {
+			staying = append(staying, r)
+		}
+	}
+	for part := range slices.Chunk(d.Removed, size) {
+		parts = append(parts, Difference{Removed: part})
+	}
+	for _, list := range [][]baobabstep.Registration{leaving, staying} {
+		for part := range slices.Chunk(list, size) {
+			parts = append(parts, Difference{Put: part})
+		}
+	}
+	return parts
+}
+
 // DiffTo returns the difference that changes r into others.
 func (r *Registrations) DiffTo(others *Registrations) Difference {
 	var d Difference
--- a/entry/cache.go
+++ b/entry/cache.go
@@ -224,7 +224,9 @@
 	var d heartbeat.Difference
 	if !first {
 		d = sc.targets.DiffTo(next)
-		sc.history.Add(cached.revision, revision, next.Checksum(), d)
+		if err := sc.recordDifference(d, next.Checksum(), revision); err != nil {
+			return false, nil, err
+		}
 	}
 	sc.targets = next
 	oldSum := sc.setContent(now, heartbeat.Targets, next.Checksum(), revision, from)
@@ -238,6 +240,35 @@
 	return true, change, nil
 }
 
+// recordDifference adds the difference from the cached registrations to those of a revision, with a
+// checksum, to the history. The cached registrations are no longer valid afterwards.
+//
+// A read can make more changes at once than a message holds. They are recorded as several changes,
+// each with a revision of its own, so that other VMs get them in steps. The store has had that many
+// revisions in between, as each target writes its registration itself; a VM that loses a step
+// requests the following ones. The caller holds sc.mu.
+func (sc *stateCache) recordDifference(d heartbeat.Difference, sum uint64, revision baobabstep.Revision) error {
+	from := sc.states[heartbeat.Targets].revision
+	parts := []heartbeat.Difference{d}
+	if len(d.Put)+len(d.Removed) > maxStepTargets {
+		parts = d.Split(maxStepTargets)
+	}
+	if from.Era != revision.Era || revision.Number < from.Number+uint64(len(parts)) {
+		parts = []heartbeat.Difference{d}
+	}
+	last := len(parts) - 1
+	for i, part := range parts[:last] {
+		if err := sc.targets.Apply(part); err != nil {
+			return err
+		}
+		to := baobabstep.Revision{Era: revision.Era, Number: revision.Number - uint64(last-i)}
+		sc.history.Add(from, to, sc.targets.Checksum(), part)
+		from = to
+	}
+	sc.history.Add(from, revision, sum, parts[last])
+	return nil
+}
+
 // mergeHistory applies to next, which was read from the store at an older revision, the
 // changes in the history since then. It returns nil if the history does not reach back that
 // far or on an error. Without the merge, no read would confirm the cached targets while
--- a/entry/repair_test.go
+++ b/entry/repair_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"math/rand/v2"
 	"net/netip"
 	"testing"
 	"time"
@@ -194,6 +195,34 @@
 	qt.Assert(t, f.kinds["section"]+f.kinds["piece"], qt.Equals, 0)
 }
 
+// Guards against VMs that stay behind because the steps of one read, which the store never held, meet
+// the same changes as another VM watched them, or are lost.
+func TestStepsOfOneReadMeetWatchedChanges(t *testing.T) {
+	const changed = 1000
+	f := newDataCentreFleet(t, 20, 3000)
+	newest := benchRegistrations(3000)
+	var watched []baobabstep.RegistrationChange
+	for i := range changed {
+		newest[i].Draining = true
+		watched = append(watched, baobabstep.RegistrationChange{Registration: newest[i], Revision: baobabstep.Revision{Number: uint64(i + 2)}})
+	}
+	random := rand.New(rand.NewPCG(1, 2))
+	f.drop = func(modelMessage) bool { return random.IntN(50) == 0 }
+	err := f.nodes[0].updateTargets(newest, baobabstep.Revision{Number: 1 + changed}, origin{source: sourceStore, confirmedAt: f.now})
+	qt.Assert(t, err, qt.IsNil)
+	f.runUntilEqual(1)
+	for _, batch := range splitChanges(watched[:changed-100], watched[changed-101].Revision) {
+		changed, change, err := f.nodes[1].cache.applyTargetChanges(f.now, batch.changes, batch.revision)
+		qt.Assert(t, err, qt.IsNil)
+		if changed {
+			f.nodes[1].publishChange(change, true)
+		}
+		f.runUntilEqual(1)
+	}
+	f.runUntilEqual(60)
+	qt.Assert(t, f.outdatedVMs(), qt.Equals, 0)
+}
+
 // Guards against VMs that start from a replica and request changes that no peer holds.
 func TestReplicaIsReplacedBySections(t *testing.T) {
 	f := newDataCentreFleet(t, 12, 1000)
