entry: steps of a read start from a confirmed base only

Cause: sends the many changes of one read in steps, also if the VM's registrations before were only known from a replica. Few other VMs hold that base. Those that do got steps, held content of no other VM until the last one, were confirmed by nobody and read the store themselves.

Change: only what a read changes in confirmed registrations is recorded in steps.

TestManyChangesOfOneReadAreSentAsChanges passes as before.

--- a/entry/cache.go
+++ b/entry/cache.go
@@ -246,11 +246,13 @@
 // A read can make more changes at once than a message holds. They are recorded as several changes,
 // each with a revision of its own, so that other VMs get them in steps. The store has had that many
 // revisions in between, as each target writes its registration itself; a VM that loses a step
-// requests the following ones. The caller holds sc.mu.
+// requests the following ones. Few others hold a base that is unconfirmed, so steps from it would only
+// keep them from the sections that they need. The caller holds sc.mu.
 func (sc *stateCache) recordDifference(d heartbeat.Difference, sum uint64, revision baobabstep.Revision) error {
-	from := sc.states[heartbeat.Targets].revision
+	cached := &sc.states[heartbeat.Targets]
+	from := cached.revision
 	parts := []heartbeat.Difference{d}
-	if len(d.Put)+len(d.Removed) > maxStepTargets {
+	if len(d.Put)+len(d.Removed) > maxStepTargets && !cached.unconfirmed {
 		parts = d.Split(maxStepTargets)
 	}
 	if from.Era != revision.Era || revision.Number < from.Number+uint64(len(parts)) {
