token: a flow at an unreachable target of a service without targets ends no VM

What callers saw: nothing so far; the process would end, and its flows move to other VMs.

Cause: whether a flow at an unreachable target is reset depends on the other targets of its service. If all of them have been gone for as long as flows may last, the service has no pool, which was read without asking.

Evidence: TestUnreachableTargetOfServiceWithoutTargets panics in confirmedUnreachable: a flow waits at the target, other VMs report it silent, and its registration and all others of the service have been missing for the longest duration of a flow.

Change: without a pool there is no other target that shows the VM's own link to work, so the flow is not reset.

Result: the test passes. Found by reading, by the review; no play has shown it.

--- a/core/token/avoid_test.go
+++ b/core/token/avoid_test.go
@@ -1,6 +1,7 @@
 package token
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -158,3 +159,24 @@
 	qt.Assert(t, ended[0].Seq, qt.Equals, waiting.Acked)
 	qt.Assert(t, tick(), qt.HasLen, 0)
 }
+
+// Guards against a crash of the VM: a flow waits at an unreachable target of a service that has no
+// registered target any more.
+func TestUnreachableTargetOfServiceWithoutTargets(t *testing.T) {
+	r := New(Options{DataCentre: "a", Rand: rand.New(rand.NewPCG(1, 2)), MaxFlowDuration: time.Millisecond})
+	r.SetTable(start, table(1, singleRule(results, "results")))
+	r.SetRegistrations(start, threeTargets())
+	key := flowFrom(1, results)
+	_, token := open(t, r, start, key)
+	handle(r, start, data(key, token))
+	unreachable := r.current.Load().targets[3]
+	now := start.Add(time.Second)
+	r.SetRegistrations(now, nil)
+	now = now.Add(time.Second)
+	r.SetRegistrations(now, nil)
+	qt.Assert(t, r.current.Load().pools["results"], qt.IsNil)
+	unreachable.load.setSilence(baobabstep.TargetLoad{SilenceReports: silenceReports(3, 1, now)})
+	var ended []baobabstep.OutgoingDatagram
+	r.Tick(now, &ended)
+	qt.Check(t, ended, qt.HasLen, 0, qt.Commentf("no other target shows that this VM's own link works"))
+}
--- a/core/token/flow_tracking.go
+++ b/core/token/flow_tracking.go
@@ -100,7 +100,11 @@
 	if !v.settled || !unreachable {
 		return false
 	}
-	targets := s.pools[t.registration.Service].targets
+	p := s.pools[t.registration.Service]
+	if p == nil {
+		return false
+	}
+	targets := p.targets
 	return !r.pathMayBeSlow(now, targets, t) && slices.ContainsFunc(targets, func(other *target) bool {
 		return other != t && now.Sub(lastHeardLocally(other)) < maxHearingAge && !other.load.unreachable(now, alone)
 	})
