entry: the grace for missing targets after an outage is given once

What callers saw: nothing so far; new flows would go to targets that are gone for up to 2.5 of the 3 s in which they must have left.

Cause: after an outage of the store, targets whose registrations lapsed get flows for 2.5 s more. A VM decided that an outage is over by whether its own last read had failed. While other VMs keep its registrations fresh it does not read again, so each of their changes began another grace period.

Change: a failed read begins the outage for the VM. The first registrations that the store is known to have held after it end it, whoever read them.

--- a/entry/distribution.go
+++ b/entry/distribution.go
@@ -206,7 +206,7 @@
 func (n *Node) applyChange(now time.Time, sender netip.AddrPort, c *heartbeat.Change) (changed bool) {
 	sameBase := c.BaseChecksum == n.cache.state(c.Kind).sum
 	if c.Kind == heartbeat.Targets && sameBase {
-		n.notifyStoreRecovery(now)
+		n.notifyStoreRecovery(now, now.Add(-c.Result.Age()))
 	}
 	from := origin{source: sourcePeer, confirmedAt: now.Add(-c.Result.Age())}
 	if c.Kind == heartbeat.Routes {
@@ -283,7 +283,7 @@
 }
 
 func (n *Node) updateTargets(list []baobabstep.Registration, revision baobabstep.Revision, from origin) error {
-	n.notifyStoreRecovery(n.clock.Now())
+	n.notifyStoreRecovery(n.clock.Now(), from.confirmedAt)
 	changed, change, err := n.cache.updateTargets(n.clock.Now(), list, revision, from)
 	if changed {
 		n.setRequestFullList(false)
@@ -293,10 +293,17 @@
 }
 
 // notifyStoreRecovery tells the router that the store is available again, if this VM could not
-// read it before: the registrations that follow are the first ones since.
-func (n *Node) notifyStoreRecovery(now time.Time) {
-	if n.storeUnreadable[heartbeat.Targets].Load() {
-		n.router.StoreReconnected(now)
+// read it before: the registrations that follow are the first ones since. They end the outage for
+// this VM once the store is known to have held them after the last failed read. Another VM may
+// read the store all the while, and each of its changes would begin a new grace period.
+func (n *Node) notifyStoreRecovery(now, confirmedAt time.Time) {
+	failedAt := n.targetsReadFailedAt.Load()
+	if failedAt == nil {
+		return
+	}
+	n.router.StoreReconnected(now)
+	if confirmedAt.After(*failedAt) {
+		n.targetsReadFailedAt.CompareAndSwap(failedAt, nil)
 	}
 }
 
--- a/entry/node.go
+++ b/entry/node.go
@@ -95,7 +95,10 @@
 	stopping  atomic.Bool
 	// storeUnreadable is set for a kind while the store cannot be read.
 	storeUnreadable [heartbeat.NumKinds]atomic.Bool
-	observers       atomic.Pointer[observers]
+	// targetsReadFailedAt is when a read of the registrations last failed, nil if none did since
+	// the store was known to be available.
+	targetsReadFailedAt atomic.Pointer[time.Time]
+	observers           atomic.Pointer[observers]
 	// lastPacket is when the fabric last sent a packet, in nanoseconds since the start.
 	lastPacket atomic.Int64
 	done       chan struct{}
--- a/entry/store_sync.go
+++ b/entry/store_sync.go
@@ -324,6 +324,9 @@
 		err = nil // the store responded
 	}
 	unavailable := err != nil
+	if now := s.node.clock.Now(); unavailable && q.primaryKind() == heartbeat.Targets {
+		s.node.targetsReadFailedAt.Store(&now)
+	}
 	switch {
 	case s.node.storeUnreadable[q.primaryKind()].Swap(unavailable) == unavailable:
 		return
