entry: the test of the grace after an outage reaches the second VM

The test now hands the changes over itself, with targets of the VM's own data centre.

Result: without the condition in notifyStoreRecovery the check of the second removal fails, with it the test passes.

--- a/entry/recovery_test.go
+++ b/entry/recovery_test.go
@@ -7,13 +7,15 @@
 	qt "github.com/frankban/quicktest"
 
 	"baobabstep"
+	"baobabstep/core/heartbeat"
 )
 
 // getsNewFlows reports whether a VM places some of 100 new flows at a target.
 func getsNewFlows(n *Node, now time.Time, id baobabstep.TargetID) bool {
-	for port := range uint16(100) {
+	first := int(now.Sub(benchEpoch)/time.Second) * 100
+	for port := range 100 {
 		var out []baobabstep.OutgoingDatagram
-		n.router.Handle(now, &baobabstep.Segment{Kind: baobabstep.KindOpen, Flow: baobabstep.FlowKey{Caller: peerAddress(int(port)), Service: benchService}}, &out)
+		n.router.Handle(now, &baobabstep.Segment{Kind: baobabstep.KindOpen, Flow: baobabstep.FlowKey{Caller: peerAddress(first + port), Service: benchService}}, &out)
 		if len(out) > 0 && out[0].Target == id {
 			return true
 		}
@@ -24,26 +26,33 @@
 // Guards against new flows to targets that are gone, through a VM that the store turns away while
 // another VM reads it: every change of the other began a new grace period for missing targets.
 func TestGraceAfterOutageIsGivenOnce(t *testing.T) {
+	f := newDataCentreFleet(t, 2, 0)
 	list := benchRegistrations(4)
-	f := newDataCentreFleet(t, 2, len(list))
+	for i := range list {
+		list[i].DataCentre = "dc-0"
+	}
 	n := f.nodes[1]
 	n.router.SetTable(f.now, testTable())
 	query := n.syncer.targetsQuery()
 	fail := func() {
 		n.syncer.recordStoreStatus(query, baobabstep.Errorf(baobabstep.CodePlatformUnavailable, "test", "turned away"))
 	}
-	fail()
-	remove := func(after time.Duration, removed int) {
+	revision := uint64(1)
+	put := func(after time.Duration, list []baobabstep.Registration) {
 		f.now = f.now.Add(after)
-		err := f.nodes[0].updateTargets(list[removed+1:], baobabstep.Revision{Number: uint64(10 + removed)}, origin{source: sourceStore, confirmedAt: f.now})
+		revision++
+		_, change, err := f.nodes[0].cache.updateTargets(f.now, list, baobabstep.Revision{Number: revision}, origin{source: sourceStore, confirmedAt: f.now})
 		qt.Assert(t, err, qt.IsNil)
-		f.deliver()
+		n.handleChange(f.now, peerAddress(0), change)
+		qt.Assert(t, n.cache.state(heartbeat.Targets).revision.Number, qt.Equals, revision)
 	}
-	remove(time.Second, 0)
+	put(0, list)
+	fail()
+	put(time.Second, list[1:])
 	qt.Check(t, getsNewFlows(n, f.now, list[0].ID), qt.IsTrue, qt.Commentf("it may have lapsed while the store was down"))
-	remove(10*time.Second, 1)
+	put(10*time.Second, list[2:])
 	qt.Check(t, getsNewFlows(n, f.now, list[1].ID), qt.IsFalse)
 	fail()
-	remove(10*time.Second, 2)
+	put(10*time.Second, list[3:])
 	qt.Check(t, getsNewFlows(n, f.now, list[2].ID), qt.IsTrue, qt.Commentf("another outage"))
 }
