--- a/enum_string.go
+++ b/enum_string.go
@@ -35,7 +35,6 @@
 	}
 	return _Kind_name[_Kind_index[idx]:_Kind_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -55,7 +54,6 @@
 	}
 	return _Class_name[_Class_index[idx]:_Class_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -79,7 +77,6 @@
 	}
 	return _Purpose_name[_Purpose_index[idx]:_Purpose_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -101,7 +98,6 @@
 	}
 	return _Dest_name[_Dest_index[idx]:_Dest_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
