soak: outdated replicas, flows on added routes, targets that become cold in an evacuation

Replicas of the store were never behind, an added route was used by one flow without requests, and no target became cold while its data centre was evacuated.

The judge's bounds are unchanged.

--- a/soak/fault.go
+++ b/soak/fault.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
+	"sync"
 	"syscall"
 	"time"
 
@@ -46,6 +47,8 @@
 	{"link_slow", true, linkTrouble(linkSlow)},
 	{"config_change", false, changeRoutes},
 	{"evacuate", false, evacuate},
+	{"evacuate_cold", false, evacuateCold},
+	{"replica_lag", true, lagReplicas},
 	{"target_cold", false, coldTarget},
 }
 
@@ -221,6 +224,47 @@
 	f.store.EndEvacuation(name)
 }
 
+// reportDelay is the most that a target takes to report that it has become cold.
+const reportDelay = 1200 * time.Millisecond
+
+// evacuateCold empties a data centre, lets its targets become cold and takes it back before they
+// report that.
+func evacuateCold(ctx context.Context, f *fleet, r *rand.Rand) {
+	name := dataCentres[r.IntN(len(dataCentres))]
+	f.store.Evacuate(name)
+	f.judge.evacuated(name, time.Now())
+	sleep(ctx, newsBound+faultTime(r))
+	f.judge.evacuated(name, time.Time{})
+	cold, until := f.live(), time.Now().Add(coldLasts)
+	cold = slices.DeleteFunc(cold, func(t *target) bool { return t.registration.DataCentre != name })
+	for _, t := range cold {
+		f.judge.startedCold(t.registration.ID, time.Now(), coldLasts)
+	}
+	f.store.EndEvacuation(name)
+	sleep(ctx, upTo(r, reportDelay))
+	for _, t := range cold {
+		f.report(t, time.Until(until))
+	}
+}
+
+// report writes the registration of a target that stays, with the time that it is still cold.
+func (f *fleet) report(t *target, left time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !t.gone && !t.registration.Draining {
+		t.registration.WarmupLeft = left
+		f.store.Register(t.registration)
+	}
+}
+
+// lagReplicas lets reads of replicas see an older content for longer than a change takes.
+func lagReplicas(ctx context.Context, f *fleet, r *rand.Rand) {
+	f.store.SetReplicaLag(true)
+	sleep(ctx, newsBound+faultTime(r))
+	f.store.SetReplicaLag(false)
+	f.judge.uneasy(time.Now())
+}
+
 // coldTarget lets a target fall silent and come back cold, as another run.
 func coldTarget(ctx context.Context, f *fleet, r *rand.Rand) {
 	t := f.anyTarget(r)
@@ -250,6 +294,7 @@
 	f.mu.Unlock()
 	sleep(ctx, newsBound)
 	f.checkRoute(ctx, address, standin.Answered, "an added route")
+	f.useRoute(ctx, address, r)
 	f.mu.Lock()
 	f.routes = slices.DeleteFunc(f.routes, func(x standin.Route) bool { return x.Address == address })
 	f.putRoutes()
@@ -258,6 +303,19 @@
 	f.checkRoute(ctx, address, standin.Refused, "a dropped route")
 }
 
+// routeRequests is the number of requests on each flow of an added route.
+const routeRequests = 30
+
+// useRoute opens a flow from each caller, sends requests on it and closes it.
+func (f *fleet) useRoute(ctx context.Context, address netip.AddrPort, r *rand.Rand) {
+	var flows sync.WaitGroup
+	for _, c := range f.callers {
+		random := rand.New(rand.NewPCG(r.Uint64(), r.Uint64()))
+		flows.Go(func() { f.load.flow(ctx, c, address, routeRequests, random) })
+	}
+	flows.Wait()
+}
+
 // checkRoute opens a flow from each caller and compares how it ends.
 func (f *fleet) checkRoute(ctx context.Context, address netip.AddrPort, want standin.Outcome, what string) {
 	for _, c := range f.callers {
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -84,6 +84,7 @@
 	fabric  *standin.Fabric
 	callers []*standin.Caller
 	judge   *judge
+	load    *load
 
 	mu      sync.Mutex
 	targets []*target
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -105,6 +105,7 @@
 	}
 	go f.keepRunning(running)
 	l := &load{fleet: f, finished: make(chan struct{})}
+	f.load = l
 	users := 0
 	for n, c := range f.callers {
 		for u := range o.Users {
