token: a margin for passed-on confirmations; refusals ask what is unconfirmed first

The time at which the store last held nothing newer is late by the transit of each message that passes it on, so an established flow without a route is reset only if that time is 0.2 s after its segment. TestFlowOfNewerTableIsNotReset has the limit.

Whether a refusal rests on unconfirmed state is asked before the targets of the service are counted: a refusal of a VM that has run for a while costs what it did before.

--- a/core/heartbeat/outgoing.go
+++ b/core/heartbeat/outgoing.go
@@ -15,7 +15,8 @@
 	Versions                 [NumKinds]VersionInfo
 	// Loads is the load that this VM sends to targets.
 	Loads []baobabstep.TargetLoad
-	// Returns is what this VM knows of ended evacuations, nil if that does not matter.
+	// Returns are the returned data centres and targets that this VM knows of, nil if they do not
+	// matter.
 	Returns *baobabstep.Returns
 }
 
--- a/core/token/choose.go
+++ b/core/token/choose.go
@@ -62,6 +62,7 @@
 	// anyLocal is set if targets of all data centres count as local, because the local ones
 	// are evacuated. Otherwise all VMs of the data centre would choose among all targets.
 	anyLocal bool
+	// snapshot is the one of the pool, nil if limit is.
 	snapshot *snapshot
 }
 
--- a/core/token/unconfirmed.go
+++ b/core/token/unconfirmed.go
@@ -13,6 +13,10 @@
 // refusalUnconfirmed reports whether a new flow of a rule finds no target only by what this VM does
 // not know for certain, and the event to record. The caller's copy decides then.
 func (r *Router) refusalUnconfirmed(now time.Time, s *snapshot, route *rule) (kind EventKind, unconfirmed bool) {
+	cold := r.awaitsReturns(now, s, route)
+	if !cold && !r.targetsUnconfirmed.Load() {
+		return 0, false
+	}
 	accepting := 0
 	for _, share := range route.shares {
 		if p := s.pools[share.Service]; p != nil {
@@ -22,5 +26,5 @@
 	if accepting == 0 {
 		return EventTargetsUnconfirmed, r.targetsUnconfirmed.Load()
 	}
-	return EventColdUnknown, r.awaitsReturns(now, s, route)
+	return EventColdUnknown, cold
 }
--- a/core/token/unrouted.go
+++ b/core/token/unrouted.go
@@ -42,6 +42,10 @@
 	return confirmed != nil && !confirmed.Before(since)
 }
 
+// confirmationSlack is how much later than a segment the store must have lacked its route. The time
+// of a confirmation that VMs pass on is late by the transit time of their messages.
+const confirmationSlack = 200 * time.Millisecond
+
 // maxUnroutedFlows limits the established flows without a route that a shard records. Segments of
 // further ones are dropped.
 const maxUnroutedFlows = 1024
@@ -63,11 +67,11 @@
 	mark, marked := s.unrouted[p.Flow]
 	switch {
 	case !marked && len(s.unrouted) >= maxUnroutedFlows:
-		return now
+		return now.Add(confirmationSlack)
 	case known:
 		mark.since = time.Time{}
 	case !marked:
-		mark.since = now
+		mark.since = now.Add(confirmationSlack)
 	}
 	if s.unrouted == nil {
 		s.unrouted = make(map[baobabstep.FlowKey]unroutedFlow)
--- a/core/token/unrouted_test.go
+++ b/core/token/unrouted_test.go
@@ -58,7 +58,9 @@
 	r.ConfirmTable(start.Add(900 * time.Millisecond))
 	assertDropped(t, r, later.Add(200*time.Millisecond), data(key, 5))
 	r.ConfirmTable(later.Add(-time.Hour)) // a delayed message
-	r.ConfirmTable(later.Add(300 * time.Millisecond))
+	r.ConfirmTable(later.Add(confirmationSlack - 1))
+	assertDropped(t, r, later.Add(400*time.Millisecond), data(key, 5))
+	r.ConfirmTable(later.Add(confirmationSlack))
 	assertReset(t, r, later.Add(600*time.Millisecond), data(key, 5))
 
 	t.Run("a flow that this VM routed is reset at once, and again if the reset is lost", func(t *testing.T) {
