--- a/soak/fault.go
+++ b/soak/fault.go
@@ -216,12 +216,17 @@
 
 // evacuate empties a data centre and takes that back.
 func evacuate(ctx context.Context, f *fleet, r *rand.Rand) {
-	name := dataCentres[r.IntN(len(dataCentres))]
+	f.store.EndEvacuation(f.empty(ctx, r))
+}
+
+// empty evacuates a data centre for a while and returns its name. The caller ends the evacuation.
+func (f *fleet) empty(ctx context.Context, r *rand.Rand) (name string) {
+	name = dataCentres[r.IntN(len(dataCentres))]
 	f.store.Evacuate(name)
 	f.judge.evacuated(name, time.Now())
 	sleep(ctx, newsBound+faultTime(r))
 	f.judge.evacuated(name, time.Time{})
-	f.store.EndEvacuation(name)
+	return name
 }
 
 // reportDelay is the most that a target takes to report that it has become cold.
@@ -230,11 +235,7 @@
 // evacuateCold empties a data centre, lets its targets become cold and takes it back before they
 // report that.
 func evacuateCold(ctx context.Context, f *fleet, r *rand.Rand) {
-	name := dataCentres[r.IntN(len(dataCentres))]
-	f.store.Evacuate(name)
-	f.judge.evacuated(name, time.Now())
-	sleep(ctx, newsBound+faultTime(r))
-	f.judge.evacuated(name, time.Time{})
+	name := f.empty(ctx, r)
 	cold, until := f.live(), time.Now().Add(coldLasts)
 	cold = slices.DeleteFunc(cold, func(t *target) bool { return t.registration.DataCentre != name })
 	for _, t := range cold {
