--- a/core/token/snapshot.go
+++ b/core/token/snapshot.go
@@ -37,7 +37,7 @@
 	evacuated map[string]bool
 	// coldLimits are the limits on cold targets, by service.
 	coldLimits map[string]*coldLimit
-	// returns are the known ends of evacuations.
+	// returns are the known returns of data centres and targets.
 	returns baobabstep.Returns
 	// lapseGraceUntil is the end of the grace period for registrations that go missing.
 	lapseGraceUntil time.Time
