--- a/review/lab/fleet.go
+++ b/review/lab/fleet.go
@@ -53,11 +53,8 @@
 	vms  int
 }
 
-// The zones of the deployments tjffo-draw and talho-norte.
-var (
-	tjffoZones = []zone{{"hobart-a", 2}, {"kingston-b", 3}, {"glenorchy-c", 1}}
-	talhoZones = []zone{{"braga-a", 3}, {"braga-b", 4}, {"guimaraes", 2}}
-)
+// tjffoZones are the zones of the deployment tjffo-draw.
+var tjffoZones = []zone{{"hobart-a", 2}, {"kingston-b", 3}, {"glenorchy-c", 1}}
 
 // vm is one VM of the system.
 type vm struct {
--- a/review/lab/fullhost.go
+++ b/review/lab/fullhost.go
@@ -12,15 +12,15 @@
 	maxFlowsOfHost = 2000
 	// crowdAddresses share the flows that fill the first host; each opens one flow
 	// every crowdPause.
-	crowdAddresses = 25
-	crowdPause     = 100 * time.Millisecond
+	crowdAddresses = 40
+	crowdPause     = 120 * time.Millisecond
 	// calmFlows is how many flows the crowd opens without the disruption.
 	calmFlows = 200
 	// settle is how long the second host is known before new clients come.
 	settle = 1500 * time.Millisecond
 	// newcomers come one every newcomerPause, for rush.
-	rush          = 5 * time.Second
-	newcomerPause = 40 * time.Millisecond
+	rush          = 6500 * time.Millisecond
+	newcomerPause = 80 * time.Millisecond
 	// seniorPause is the mean time between two requests on the flows of the crowd.
 	seniorPause = 300 * time.Millisecond
 	firstWork   = 5 * time.Millisecond
@@ -48,12 +48,12 @@
 	if err := f.putConfig(2, maxFlowsOfHost, orders); err != nil {
 		return err
 	}
-	first, err := newHost(r, f.store, "first", orders.service, talhoZones[clientZone].name, f.at(hostNet+clientZone, 1, hostPort))
+	first, err := newHost(r, f.store, "first", orders.service, tjffoZones[clientZone].name, f.at(hostNet+clientZone, 1, hostPort))
 	if err != nil {
 		return err
 	}
 	defer first.close()
-	if err := f.startVMs(talhoZones); err != nil {
+	if err := f.startVMs(tjffoZones); err != nil {
 		return err
 	}
 	time.Sleep(2 * time.Second)
@@ -70,7 +70,7 @@
 	}
 	held, _ := first.count()
 	r.notef("host first holds %d flows", held)
-	second, err := newHost(r, f.store, "second", orders.service, talhoZones[clientZone].name, f.at(hostNet+clientZone, 2, hostPort))
+	second, err := newHost(r, f.store, "second", orders.service, tjffoZones[clientZone].name, f.at(hostNet+clientZone, 2, hostPort))
 	if err != nil {
 		return err
 	}
