token: events tell silence on open flows from silence to first segments

A repeated request on an open flow and a first segment that nothing followed looked the same there, and so did what other VMs reported. So a target that answers nothing and one that only accepts no flow could not be told apart.

Change: target_silent, target_avoided and flow_ended have requests_unanswered, and for other VMs' reports others_opens_unanswered, others_requests_unanswered and others_silent.

--- a/core/token/event.go
+++ b/core/token/event.go
@@ -98,10 +98,11 @@
 	DataCentre string
 	// Requests are the recent requests of all VMs at the target.
 	Requests float64
-	// Unanswered and Opens are the counts of unanswered flows and first segments at the
-	// target seen by this VM, OthersUnanswered the unanswered flows reported by other VMs
-	// of the data centre.
-	Unanswered, Opens, OthersUnanswered int
+	// Unanswered, Opens and UnansweredRequests are the counts of unanswered flows, first
+	// segments and requests on open flows at the target seen by this VM. The others are those
+	// reported by other VMs of the data centre.
+	Unanswered, Opens, UnansweredRequests                          int
+	OthersUnanswered, OthersOpens, OthersRequests, OthersVMsSilent int
 	// SinceHeard is the time since the target was last heard from, negative if it never
 	// was.
 	SinceHeard time.Duration
@@ -145,11 +146,16 @@
 	if t != nil {
 		e.Target, e.Service, e.DataCentre = t.id, t.registration.Service, t.registration.DataCentre
 		_, e.Requests = t.load.requests(now)
-		e.Unanswered, e.Opens, e.OthersUnanswered, e.SinceHeard = t.load.evidence(now)
+		e.setEvidence(t.load.evidence(now))
 	}
 	return e
 }
 
+func (e *Event) setEvidence(found evidence) {
+	e.Unanswered, e.Opens, e.UnansweredRequests, e.SinceHeard = found.unanswered, found.opens, found.requests, found.sinceHeard
+	e.OthersUnanswered, e.OthersOpens, e.OthersRequests, e.OthersVMsSilent = found.others.unanswered, found.others.opens, found.others.requests, found.others.vms
+}
+
 // countTargets counts the targets of a rule's services by the reason why they get no new
 // flows.
 func (e *Event) countTargets(now time.Time, s *snapshot, route *rule) {
--- a/core/token/health.go
+++ b/core/token/health.go
@@ -145,9 +145,9 @@
 // silenceSummary combines the reports of other VMs of the data centre on a target.
 type silenceSummary struct {
 	// vms is the number of VMs that found the target silent; unanswered counts the flows of
-	// all of them, opens the first segments among these, and vanished the flows that it
-	// seems to have refused.
-	vms, unanswered, opens, vanished int
+	// all of them, opens the first segments among these, vanished the flows that it seems to
+	// have refused, and requests the repeated requests.
+	vms, unanswered, opens, vanished, requests int
 }
 
 // evaluateReport returns when the last segment of a report was first sent, and whether the report
@@ -187,6 +187,7 @@
 		sum.unanswered += min(r.Unanswered, maxCountPerVM)
 		sum.opens += min(r.UnansweredOpens, maxCountPerVM)
 		sum.vanished += min(r.NotRetransmitted, maxCountPerVM)
+		sum.requests += min(r.Unanswered-r.UnansweredOpens-r.NotRetransmitted, maxCountPerVM)
 	}
 	return sum
 }
--- a/core/token/load.go
+++ b/core/token/load.go
@@ -345,17 +345,25 @@
 	return l.health.unanswered, l.health.opens
 }
 
-// evidence returns the counts of unanswered flows and first segments seen here and of
-// unanswered flows reported by other VMs, and the time since the target was last heard
-// from, negative if it never was.
-func (l *load) evidence(now time.Time) (unanswered, opens, others int, heard time.Duration) {
+// evidence is what is known of the silence of a target, for events.
+type evidence struct {
+	// unanswered, opens and requests are the unanswered flows, first segments and requests on
+	// open flows that this VM saw; others are those reported by other VMs.
+	unanswered, opens, requests int
+	others                      silenceSummary
+	// sinceHeard is the time since the target was last heard from, negative if it never was.
+	sinceHeard time.Duration
+}
+
+func (l *load) evidence(now time.Time) evidence {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	heard = -1
-	if !l.health.heardAt.IsZero() {
-		heard = now.Sub(l.health.heardAt)
+	h := &l.health
+	e := evidence{unanswered: h.unanswered, opens: h.opens, requests: h.unanswered - h.opens - h.vanished, others: h.summariseReports(now), sinceHeard: -1}
+	if !h.heardAt.IsZero() {
+		e.sinceHeard = now.Sub(h.heardAt)
 	}
-	return l.health.unanswered, l.health.opens, l.health.summariseReports(now).unanswered, heard
+	return e
 }
 
 // inheritedShare is the part of the mean load of other VMs that a new target is assumed to
--- a/entry/logging.go
+++ b/entry/logging.go
@@ -53,7 +53,9 @@
 		}
 	}
 	if e.Unanswered > 0 || e.OthersUnanswered > 0 {
-		fields["unanswered"], fields["opens_unanswered"], fields["others_unanswered"] = e.Unanswered, e.Opens, e.OthersUnanswered
+		fields["unanswered"], fields["opens_unanswered"], fields["requests_unanswered"] = e.Unanswered, e.Opens, e.UnansweredRequests
+		fields["others_unanswered"], fields["others_opens_unanswered"] = e.OthersUnanswered, e.OthersOpens
+		fields["others_requests_unanswered"], fields["others_silent"] = e.OthersRequests, e.OthersVMsSilent
 	}
 	if e.LinkCause != "" {
 		fields["cause"] = e.LinkCause
