token: open flows end by silence on open flows, not by that of first segments

What callers saw: a target that holds as many flows as it may loses open ones.

Cause: an unanswered first segment counted 2 of the 4 that make a target unreachable, on the assumption that a live target accepts flows at once. A full one sends nothing to a first segment. Two of them, or one here and one in another VM's report, ended all open flows.

Change: two unanswered requests on open flows are required besides the first segment, from this VM or from others' reports, whichever way the verdict is reached: alone, with one other VM, by three others' word, or by two others' from a congested link. The second repetition of one request counts, so that a caller that is alone is told after 600 ms. Requests have a time of their own, here and in reports (one more optional value): a sign of life since then takes them back, however many first segments follow. Evidence lasts 3 s instead of 1 s, less than the 4 s for which the platform excuses a link, as first segments no longer renew it. Programs of before send no such time; theirs counts as that of the report. A count of open flows was not used: after a restart, or where callers leave without a word, it is too low, and open flows would be reset again.

--- a/core/heartbeat/alarm.go
+++ b/core/heartbeat/alarm.go
@@ -69,6 +69,9 @@
 		r.silence = baobabstep.SilenceReport{
 			Unanswered: int(l.Unanswered), UnansweredOpens: int(l.UnansweredOpens), NotRetransmitted: int(l.NotRetransmitted), LastUnansweredAt: ago(l.LastUnansweredMS),
 		}
+		if l.RequestSilenceMS > 0 {
+			r.silence.RequestUnansweredAt = ago(l.RequestSilenceMS - 1)
+		}
 	}
 	return r
 }
--- a/core/heartbeat/load.go
+++ b/core/heartbeat/load.go
@@ -207,6 +207,9 @@
 		}
 		if load.Unanswered > 0 {
 			load.LastUnansweredMS = uint16(min(max(0, now.Sub(l.LastUnansweredAt).Milliseconds()), maxLeftMS))
+			if !l.RequestUnansweredAt.IsZero() {
+				load.RequestSilenceMS = uint16(min(max(0, now.Sub(l.RequestUnansweredAt).Milliseconds()), maxLeftMS-1)) + 1
+			}
 		}
 		if l.Answers > 0 {
 			load.AnswerTenths, load.FailedTenths = toTenths(l.Answers), toTenths(min(l.Failed, l.Answers))
@@ -289,17 +292,18 @@
 }
 
 // numDetails is the number of values in the details.
-const numDetails = 9
+const numDetails = 10
 
 // details returns the values of the details in their order on the wire.
 func (l Load) details() [numDetails]uint16 {
-	return [...]uint16{uint16(l.Unanswered), uint16(l.UnansweredOpens), l.HeardMS, l.AnswerTenths, l.FailedTenths, l.LatencyMS, l.Callers, l.LastUnansweredMS, uint16(l.NotRetransmitted)}
+	return [...]uint16{uint16(l.Unanswered), uint16(l.UnansweredOpens), l.HeardMS, l.AnswerTenths, l.FailedTenths, l.LatencyMS, l.Callers, l.LastUnansweredMS, uint16(l.NotRetransmitted), l.RequestSilenceMS}
 }
 
 // setDetails sets the values of the details, given in their order on the wire.
 func (l *Load) setDetails(v [numDetails]uint16) {
 	l.Unanswered, l.UnansweredOpens, l.NotRetransmitted = uint8(min(v[0], maxCount)), uint8(min(v[1], maxCount)), uint8(min(v[8], maxCount))
 	l.HeardMS, l.AnswerTenths, l.FailedTenths, l.LatencyMS, l.Callers, l.LastUnansweredMS = v[2], v[3], v[4], v[5], v[6], v[7]
+	l.RequestSilenceMS = v[9]
 }
 
 // UnmarshalBinary implements [encoding.BinaryUnmarshaler]. Errors: CodeMalformed.
--- a/core/heartbeat/load_test.go
+++ b/core/heartbeat/load_test.go
@@ -21,6 +21,7 @@
 			})
 			if l := &want[len(want)-1]; l.Unanswered > 0 {
 				l.LastUnansweredMS, l.NotRetransmitted = rapid.Uint16().Draw(t, "left"), rapid.Uint8().Draw(t, "vanished")
+				l.RequestSilenceMS = rapid.Uint16().Draw(t, "request silence")
 			}
 			if l := &want[len(want)-1]; l.AnswerTenths > 0 {
 				l.FailedTenths, l.LatencyMS = rapid.Uint16().Draw(t, "failed"), rapid.Uint16().Draw(t, "took")
--- a/core/heartbeat/message.go
+++ b/core/heartbeat/message.go
@@ -180,6 +180,9 @@
 	// NotRetransmitted is the number of consecutive flows that the target seems to have
 	// refused.
 	NotRetransmitted uint8
+	// RequestSilenceMS is 1 more than the time in milliseconds since the last unanswered
+	// request on an open flow, 0 if there is none.
+	RequestSilenceMS uint16
 }
 
 // Loads are loads sorted by target.
--- a/core/token/health.go
+++ b/core/token/health.go
@@ -17,9 +17,13 @@
 	suspectThreshold = 2
 	// unreachableThreshold is the count from which a target is considered gone or
 	// unreachable, and its flows are reset. A repeated request counts 1 and a repeated
-	// first segment 2. At least one repeated first segment is required: a live target
-	// accepts flows at once whatever its load, while an answer may take long.
+	// first segment 2. At least one repeated first segment is required, as an answer may
+	// take long whatever the state of the target.
 	unreachableThreshold = 4
+	// minSilentRequests is the number of repeated requests that are required besides. A
+	// target that holds as many flows as it can leaves all first segments unanswered and
+	// still answers on its open flows.
+	minSilentRequests = 2
 	// maxCountPerVM bounds both the flows and the first segments counted from the report of
 	// one other VM. If that VM's own link is full or broken, every target seems silent to
 	// it.
@@ -34,7 +38,9 @@
 	// and is reported to other VMs. A VM may have no packets for a target for minutes; its
 	// old evidence must not end a flow that was opened through another VM after the target
 	// recovered. While the target stays silent, each repeated request renews the evidence.
-	evidenceLifetime = time.Second
+	evidenceLifetime = 3 * time.Second
+	// maxReportedCount bounds each count in a report, which holds up to 100 flows in all.
+	maxReportedCount = 30
 	// minTrialPause and maxTrialPause bound the time after which a suspect target gets one
 	// trial flow. Each trial of a target that is still unreachable costs a caller 200 ms.
 	minTrialPause = time.Second
@@ -61,6 +67,10 @@
 	// unanswered counts consecutive unanswered flows; opens and vanished count those of
 	// kind openRepeated and openVanished among them.
 	unanswered, opens, vanished int
+	// requests counts the repeated requests, the second repetition of a request included.
+	// requestsAt is when the latest of them was repeated.
+	requests   int
+	requestsAt time.Time
 	// reports are the reports of other VMs of the data centre that found the target silent.
 	reports []baobabstep.SilenceReport
 	// othersHeardAt is when one of these VMs last heard from the target, by their reports.
@@ -107,6 +117,8 @@
 		h.repeatedAt = now
 	}
 	switch kind {
+	case requestRepeated:
+		h.requests, h.requestsAt = h.requests+1, now
 	case openRepeated:
 		h.opens++
 	case openVanished:
@@ -122,6 +134,21 @@
 	}
 }
 
+// renewUnanswered renews the evidence after a further repetition of a counted request.
+func (h *health) renewUnanswered(now time.Time) {
+	h.unansweredAt, h.repeatedAt, h.requestsAt = now, now, now
+	h.requests = min(h.requests+1, max(h.requests, minSilentRequests))
+}
+
+// silentRequests returns the number of repeated requests while they count as evidence: not once
+// another VM has heard from the target since, however many first segments are unanswered.
+func (h *health) silentRequests(now time.Time) int {
+	if now.Sub(h.requestsAt) >= evidenceLifetime || h.othersHeardAt.After(h.requestsAt.Add(-minRetransmissionDelay)) {
+		return 0
+	}
+	return h.requests
+}
+
 // needsProbe reports whether the next new flow should go to the target as a probe: requests
 // are unanswered, and it is not known whether the target accepts flows. An unreachable
 // target is so detected within 200 ms, and its flows can be reset. Each VM sends one probe;
@@ -162,14 +189,13 @@
 // contradictsReports reports whether the usable reports of other VMs may reset flows of
 // the target although this VM has heard from it since and no VM has reported that.
 func (h *health) contradictsReports(now time.Time) bool {
-	unanswered, opens := 0, 0
-	for _, r := range h.reports {
-		if sentAt, usable := evaluateReport(now, r); usable && h.heardAt.After(sentAt) && !h.othersHeardAt.After(sentAt) {
-			unanswered += min(r.Unanswered, maxCountPerVM)
-			opens += min(r.UnansweredOpens, maxCountPerVM)
+	var sum silenceSummary
+	for i := range h.reports {
+		if sentAt, usable := evaluateReport(now, h.reports[i]); usable && h.heardAt.After(sentAt) && !h.othersHeardAt.After(sentAt) {
+			sum.add(&h.reports[i], h.reports[i].Requests())
 		}
 	}
-	return opens > 0 && unanswered+opens >= unreachableThreshold
+	return sum.requests > 0 && sum.opens > 0 && sum.unanswered+sum.opens >= unreachableThreshold
 }
 
 // summariseReports returns the sum of the other VMs' fresh reports, without those that are
@@ -178,20 +204,37 @@
 	if now.Sub(h.knownSince) < newIncarnationGrace {
 		return silenceSummary{}
 	}
-	for _, r := range h.reports {
-		sentAt, usable := evaluateReport(now, r)
+	for i := range h.reports {
+		sentAt, usable := evaluateReport(now, h.reports[i])
 		if !usable || h.heardAt.After(sentAt) || h.othersHeardAt.After(sentAt) {
 			continue
 		}
-		sum.vms++
-		sum.unanswered += min(r.Unanswered, maxCountPerVM)
-		sum.opens += min(r.UnansweredOpens, maxCountPerVM)
-		sum.vanished += min(r.NotRetransmitted, maxCountPerVM)
-		sum.requests += min(r.Unanswered-r.UnansweredOpens-r.NotRetransmitted, maxCountPerVM)
+		sum.add(&h.reports[i], h.requestsIn(now, &h.reports[i]))
 	}
 	return sum
 }
 
+// requestsIn returns the repeated requests in a report, 0 if they are older than the latest sign of
+// life from the target.
+func (h *health) requestsIn(now time.Time, r *baobabstep.SilenceReport) int {
+	sentAt := r.RequestUnansweredAt.Add(-callerRetransmissionDelay)
+	switch {
+	case r.RequestUnansweredAt.IsZero(): // a VM of an earlier version
+	case now.Sub(r.RequestUnansweredAt) >= evidenceLifetime, h.heardAt.After(sentAt), h.othersHeardAt.After(sentAt):
+		return 0
+	}
+	return r.Requests()
+}
+
+// add adds the report of one VM, with the given number of repeated requests.
+func (s *silenceSummary) add(r *baobabstep.SilenceReport, requests int) {
+	s.vms++
+	s.unanswered += min(r.Unanswered, maxCountPerVM)
+	s.opens += min(r.UnansweredOpens, maxCountPerVM)
+	s.vanished += min(r.NotRetransmitted, maxCountPerVM)
+	s.requests += min(requests, maxCountPerVM)
+}
+
 // suspect reports whether new flows should avoid the target.
 func (h *health) suspect(now time.Time) bool {
 	suspect, _ := h.status(now)
@@ -221,13 +264,19 @@
 
 // isConclusive reports whether the reports of other VMs suffice without own evidence.
 func (s silenceSummary) isConclusive() bool {
-	return s.vms >= conclusiveVMs && s.opens > 0 && s.unanswered+s.opens >= unreachableThreshold
+	return s.vms >= conclusiveVMs && s.isSufficient()
 }
 
 // isCorroborated reports whether the reports of other VMs suffice together with own evidence
 // from a congested link, which is weaker than evidence from an uncongested one.
 func (s silenceSummary) isCorroborated() bool {
-	return s.vms >= corroboratingVMs && s.opens > 0 && s.unanswered+s.opens >= unreachableThreshold
+	return s.vms >= corroboratingVMs && s.isSufficient()
+}
+
+// isSufficient reports whether the target left enough requests and first segments unanswered to
+// count as unreachable.
+func (s silenceSummary) isSufficient() bool {
+	return s.requests >= minSilentRequests && s.opens > 0 && s.unanswered+s.opens >= unreachableThreshold
 }
 
 // verdict is the result of evaluating the evidence on whether a target is unreachable.
@@ -271,6 +320,8 @@
 		return true
 	case h.unanswered == 0 || h.opens+others.opens == 0:
 		return false
+	case h.silentRequests(now)+others.requests < minSilentRequests:
+		return false // the target may only be full
 	case now.Sub(h.repeatedAt) >= evidenceLifetime:
 		return false // vanished flows may continue through other VMs
 	case h.othersHeardAt.After(h.unansweredAt.Add(-minRetransmissionDelay)):
--- a/core/token/load.go
+++ b/core/token/load.go
@@ -175,7 +175,7 @@
 		return false
 	}
 	l.markActive()
-	l.health.unansweredAt, l.health.repeatedAt = now, now
+	l.health.renewUnanswered(now)
 	return true
 }
 
@@ -270,7 +270,13 @@
 	h := &l.health
 	report := baobabstep.TargetLoad{HeardAt: h.heardAt, ReportedSilent: len(h.reports) > 0 || h.recentlyAvoided(now)}
 	if now.Sub(h.unansweredAt) < evidenceLifetime {
-		report.Unanswered, report.UnansweredOpens, report.NotRetransmitted, report.LastUnansweredAt = h.unanswered, h.opens, h.vanished, h.unansweredAt
+		requests := min(h.silentRequests(now), maxReportedCount)
+		report.UnansweredOpens, report.NotRetransmitted = min(h.opens, maxReportedCount), min(h.vanished, maxReportedCount)
+		report.Unanswered = requests + report.UnansweredOpens + report.NotRetransmitted
+		report.LastUnansweredAt = h.unansweredAt
+		if requests > 0 {
+			report.RequestUnansweredAt = h.requestsAt
+		}
 	}
 	return report
 }
@@ -359,7 +365,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	h := &l.health
-	e := evidence{unanswered: h.unanswered, opens: h.opens, requests: h.unanswered - h.opens - h.vanished, others: h.summariseReports(now), sinceHeard: -1}
+	e := evidence{unanswered: h.unanswered, opens: h.opens, requests: h.silentRequests(now), others: h.summariseReports(now), sinceHeard: -1}
 	if !h.heardAt.IsZero() {
 		e.sinceHeard = now.Sub(h.heardAt)
 	}
--- a/directory.go
+++ b/directory.go
@@ -188,8 +188,9 @@
 	// NotRetransmitted counts those whose first segment was not even
 	// retransmitted: most likely the target refused them.
 	NotRetransmitted int
-	// LastUnansweredAt is when the target last left a flow unanswered.
-	LastUnansweredAt time.Time
+	// LastUnansweredAt is when the target last left a flow unanswered, RequestUnansweredAt when
+	// it last left a request on an open flow unanswered; zero if it left none.
+	LastUnansweredAt, RequestUnansweredAt time.Time
 	// SilenceReports, in a summary of other VMs, has the reports of each VM
 	// of the own data centre that found flows unanswered.
 	SilenceReports []SilenceReport
@@ -212,8 +213,13 @@
 // unanswered. The fields are as in TargetLoad.
 type SilenceReport struct {
 	Unanswered, UnansweredOpens, NotRetransmitted int
-	LastUnansweredAt                              time.Time
+	LastUnansweredAt, RequestUnansweredAt         time.Time
 	// CongestedAt is when that VM's own link was last congested; zero if it was not
 	// lately.
 	CongestedAt time.Time
 }
+
+// Requests returns the number of requests on open flows among what was unanswered.
+func (r *SilenceReport) Requests() int {
+	return max(0, r.Unanswered-r.UnansweredOpens-r.NotRetransmitted)
+}
