token: a full target gets no new flows, and a service of full ones refuses at once

Cause: what shows that a target is alive also counted as accepting flows. Each answer on an open flow ended the avoidance, and a first segment that a full target had left unanswered counted as lost if the target was heard from since.

Change: first segments left unanswered by a target that is heard from on open flows are counted apart until it accepts a flow (full.go). From two on it gets one new flow after 1 s, 2 s, 4 s, and with more VMs at longer intervals, and one at once when a caller ends a flow there. From four on, at all targets that a new flow could go to, the flow is refused at once, unless it is a copy, whose caller may have opened the flow. Being full counts as the silent first segment that a verdict needs, so that a full target that dies is found without a probe. No count of flows and no configured limit enters: records are lost in restarts, and callers leave without a word.

--- a/core/token/avoid_test.go
+++ b/core/token/avoid_test.go
@@ -116,7 +116,7 @@
 		l := r.current.Load().targets[1].load
 		l.health.reports = silenceReports(2, 1, now)
 		l.startAvoidance(now, 10, 0.5)
-		r.noteAnswer(later, r.current.Load().targets[1])
+		r.noteAnswer(later, r.current.Load().targets[1], false)
 		told := r.TakeAlarms(later)
 		qt.Assert(t, told, qt.HasLen, 1)
 		qt.Assert(t, told[0].HeardAt, qt.Equals, later)
@@ -149,7 +149,7 @@
 	}
 	now := start.Add(time.Second)
 	unreachable := r.current.Load().targets[1]
-	r.current.Load().targets[2].load.noteAnswer(now)
+	r.current.Load().targets[2].load.noteAnswer(now, false)
 	tick := func() (ended []baobabstep.OutgoingDatagram) {
 		r.Tick(now, &ended)
 		return ended
--- a/core/token/choose.go
+++ b/core/token/choose.go
@@ -26,10 +26,11 @@
 
 // chooseTarget returns the target of a new flow, nil if there is none. admitted is false if
 // the flow has to be refused, even if there is a target. previous is the target of the
-// caller's previous try; it is chosen only if there is no other.
+// caller's previous try; it is chosen only if there is no other. retransmitted is set if the
+// caller may have opened the flow already; it is then not refused because targets are full.
 //
 // busy is the estimated share of the target's slots that is busy.
-func (r *Router) chooseTarget(now time.Time, s *snapshot, route *rule, h flowHash, previous *target) (t *target, busy float64, admitted bool) {
+func (r *Router) chooseTarget(now time.Time, s *snapshot, route *rule, h flowHash, previous *target, retransmitted bool) (t *target, busy float64, admitted bool) {
 	p := s.pools[route.pickService(r.randomUint64())]
 	if p == nil || len(p.targets) == 0 {
 		return nil, 0, false
@@ -42,6 +43,7 @@
 	window := p.window(start, maxScannedTargets, limit)
 	window.anyLocal = s.evacuated[r.options.DataCentre]
 	window.snapshot = s
+	window.fullAllowed = retransmitted
 	best, busy, latency := r.bestCandidate(now, route, window, previous)
 	if best == nil && len(p.targets) > maxScannedTargets {
 		window.count = len(p.targets)
@@ -64,6 +66,8 @@
 	anyLocal bool
 	// snapshot is the one of the pool, nil if limit is.
 	snapshot *snapshot
+	// fullAllowed is set if the flow goes to a full target rather than to none.
+	fullAllowed bool
 }
 
 // window returns a window of at most the given number of targets. Identifiers are random,
@@ -103,6 +107,9 @@
 			return nil, 0, 0
 		}
 	}
+	if !window.fullAllowed && r.enabled(MechanismSilence) && allFull(list) {
+		return nil, 0, 0
+	}
 	params := r.newScoreParams(route, list)
 	for required := criteriaAll; required <= criteriaNone; required++ {
 		if at := r.leastLoaded(now, params, list, required); at >= 0 {
--- a/core/token/choose_test.go
+++ b/core/token/choose_test.go
@@ -263,7 +263,7 @@
 			route := s.rules[fixtures]
 			h := hashFlow(flowFrom(1, fixtures))
 			for b.Loop() {
-				if t, _, _ := r.chooseTarget(start, s, route, h, nil); t == nil {
+				if t, _, _ := r.chooseTarget(start, s, route, h, nil, false); t == nil {
 					b.Fatal("no target")
 				}
 			}
--- a/core/token/cold_test.go
+++ b/core/token/cold_test.go
@@ -102,7 +102,7 @@
 			target.load.mu.Lock()
 			target.load.health.avoidedAt, target.load.health.avoidUntil = start, later
 			target.load.mu.Unlock()
-			r.noteAnswer(later, target)
+			r.noteAnswer(later, target, false)
 		}},
 		{"another VM hears from it again", []baobabstep.Registration{registration(1, "fixtures", "a")}, func(r *Router) {
 			target := r.current.Load().targets[1]
--- a/core/token/doc.go
+++ b/core/token/doc.go
@@ -25,7 +25,8 @@
 // A new flow goes to the target with the lowest share of busy slots, estimated from its
 // recent requests and their service times (choose.go). Targets that leave flows unanswered
 // become suspect or unreachable, by the combined reports of all VMs of the data centre
-// (health.go, alarm.go), and are retried by one VM at a time (avoid.go). Targets that
+// (health.go, alarm.go), and are retried by one VM at a time (avoid.go). Targets that leave
+// first segments unanswered and answer on open flows are full (full.go). Targets that
 // answer but fail more often than their peers are scored as busier (answers.go; package
 // answer computes their health). When even the best target answers too late, ordinary flows
 // are refused (admission.go). When targets reject requests for lack of room, ordinary flows
--- a/core/token/event.go
+++ b/core/token/event.go
@@ -92,7 +92,7 @@
 	Latency, LatencyObjective time.Duration
 	// Known, Draining, Gone and Evacuated count the targets of the service, where none
 	// could take a new flow.
-	Known, Draining, Gone, Evacuated int
+	Known, Draining, Gone, Evacuated, Full int
 	// Target is 0 if there is none; DataCentre is the target's.
 	Target     baobabstep.TargetID
 	DataCentre string
@@ -173,6 +173,8 @@
 				e.Draining++
 			case t.evacuated:
 				e.Evacuated++
+			case t.load.assess(now).certainlyFull:
+				e.Full++
 			}
 			e.Known++
 		}
--- a/core/token/flow_tracking.go
+++ b/core/token/flow_tracking.go
@@ -31,9 +31,9 @@
 	return !f.target.sameIncarnation(present) || !present.acceptsNewFlows(now) || f.target.load.suspect(now) || f.target.load.unheardSinceAvoided()
 }
 
-// noteAnswer records that a target was heard from.
-func (r *Router) noteAnswer(now time.Time, t *target) {
-	recovered, wasSuspect, disputed := t.load.noteAnswer(now)
+// noteAnswer records that a target was heard from; accepted is set if it accepted a flow.
+func (r *Router) noteAnswer(now time.Time, t *target, accepted bool) {
+	recovered, wasSuspect, disputed := t.load.noteAnswer(now, accepted)
 	if recovered {
 		r.presumeCold(now, t)
 	}
@@ -59,6 +59,9 @@
 		r.countOutcome(now, f, answer.Refused)
 	}
 	if here, elsewhere := t.load.lastHeard(); here.After(f.requestSentAt) || elsewhere.After(f.requestSentAt) {
+		if kind == openRepeated {
+			t.load.noteRefused(now, f.requestSentAt)
+		}
 		return
 	}
 	t.load.noteUnanswered(now, kind)
@@ -208,7 +211,7 @@
 	case !f.target.sameIncarnation(t):
 		// Either the flow was opened at another target than the one this VM last sent it
 		// to, or the target has restarted and will tell the caller that the flow is gone.
-		r.noteAnswer(now, t)
+		r.noteAnswer(now, t, false)
 		shard.add(p.Flow, newAdoptedFlow(now, t, route, p))
 	default:
 		r.updateFlow(now, f, p)
@@ -218,6 +221,7 @@
 	r.trackUpload(now, f, p)
 	if p.Kind == baobabstep.KindReset || p.Kind == baobabstep.KindClose {
 		f.close()
+		t.load.noteFlowEnded(now)
 	}
 }
 
@@ -234,7 +238,7 @@
 	progress := p.Kind != baobabstep.KindReset && seqAfter(p.Acked, f.acked)
 	if f.opening || progress {
 		f.countedUnanswered = false
-		r.noteAnswer(now, f.target)
+		r.noteAnswer(now, f.target, f.opening)
 	}
 	if progress && !f.opening && f.answerPending && r.bulkGate.Active() {
 		f.rule.requestSizes.Add(f.sentEnd - f.requestStart)
--- a/core/token/health.go
+++ b/core/token/health.go
@@ -90,6 +90,7 @@
 	unreachableSince time.Time
 	// delayed is the evidence of silence from while this VM's own link was congested.
 	delayed delayedSilence
+	full    fullness
 	avoidance
 }
 
@@ -104,9 +105,17 @@
 	return true
 }
 
-// noteAnswer records that the target was heard from, which clears the evidence against it.
+// noteAnswer records that the target was heard from on an open flow, which clears the evidence
+// against it. If it left first segments unanswered meanwhile, it may be full.
 func (h *health) noteAnswer(now time.Time) {
-	*h = health{heardAt: now, reports: h.reports, othersHeardAt: h.othersHeardAt, knownSince: h.knownSince, avoidance: h.lifted()}
+	h.full.noteRefused(now, h.opens)
+	*h = health{heardAt: now, reports: h.reports, othersHeardAt: h.othersHeardAt, knownSince: h.knownSince, full: h.full, avoidance: h.lifted()}
+}
+
+// noteAccepted records that the target accepted a flow.
+func (h *health) noteAccepted(now time.Time) {
+	h.noteAnswer(now)
+	h.full.noteAccepted(now)
 }
 
 // noteUnanswered records a flow that the target left unanswered.
@@ -248,7 +257,7 @@
 	manyUnanswered := h.unanswered+others.unanswered >= suspectThreshold
 	trialWaiting := now.Before(h.trialAt)
 	needsProbe = manyUnanswered && !trialWaiting && h.opens+h.vanished+others.opens+others.vanished == 0
-	suspect = now.Before(h.avoidUntil) || manyUnanswered && (h.unanswered < suspectThreshold || trialWaiting)
+	suspect = h.full.acceptsNone(now) || now.Before(h.avoidUntil) || manyUnanswered && (h.unanswered < suspectThreshold || trialWaiting)
 	return suspect && !needsProbe, needsProbe
 }
 
@@ -315,10 +324,11 @@
 }
 
 func (h *health) unreachableWith(now time.Time, alone bool, others silenceSummary) bool {
+	full := h.full.silentOpens(now)
 	switch {
 	case others.isConclusive():
 		return true
-	case h.unanswered == 0 || h.opens+others.opens == 0:
+	case h.unanswered == 0 || h.opens+others.opens+full == 0:
 		return false
 	case h.silentRequests(now)+others.requests < minSilentRequests:
 		return false // the target may only be full
@@ -329,7 +339,8 @@
 	case others.vms == 0 && !alone:
 		return false
 	}
-	return h.unanswered+h.opens+others.cappedWeight() >= unreachableThreshold
+	own := max(h.unanswered, h.opens+h.vanished+h.silentRequests(now)) + h.opens + 2*full
+	return own+others.cappedWeight() >= unreachableThreshold
 }
 
 // noteTrial records that the target gets a flow. A suspect target gets no other flow until
--- a/core/token/health_test.go
+++ b/core/token/health_test.go
@@ -132,7 +132,7 @@
 	assertPassed(t, r, now, heard, 2)
 	assertReset(t, r, now, next)
 	t.Run("not once the target is heard from again", func(t *testing.T) {
-		r.current.Load().targets[1].load.noteAnswer(now)
+		r.current.Load().targets[1].load.noteAnswer(now, false)
 		assertPassed(t, r, now, next, 1)
 	})
 }
@@ -152,7 +152,7 @@
 		silent.noteUnanswered(start, requestRepeated)
 	}
 	later := start.Add(evidenceLifetime)
-	r.current.Load().targets[2].load.noteAnswer(later)
+	r.current.Load().targets[2].load.noteAnswer(later, false)
 	assertReset(t, r, later.Add(-1), data(key, token))
 	assertPassed(t, r, later, data(key, token), 1)
 	qt.Assert(t, silent.silenceReport(later).Unanswered, qt.Equals, 0)
--- a/core/token/load.go
+++ b/core/token/load.go
@@ -78,7 +78,9 @@
 type assessment struct {
 	// suspect and needsProbe are as in health; ownRequests are the recent requests of this
 	// VM, otherRequests those of other VMs.
-	suspect, needsProbe        bool
+	suspect, needsProbe bool
+	// certainlyFull is set if a new flow to the target would be lost.
+	certainlyFull              bool
 	ownRequests, otherRequests float64
 	// latency is the mean latency of a request in seconds, answers the weight of the
 	// answers that it was measured from.
@@ -100,7 +102,7 @@
 		suspect, needsProbe = true, false
 	}
 	return assessment{
-		suspect: suspect, needsProbe: needsProbe,
+		suspect: suspect, needsProbe: needsProbe, certainlyFull: !needsProbe && l.health.full.isCertain(now),
 		ownRequests: l.ownRequests.read(now), otherRequests: max(l.otherRequests, l.inheritedRequests.read(now)),
 		latency: answers.Latency.Seconds(), answers: answers.Answers - answers.Failed,
 		penalty: l.answerHealth.Penalty, onTrial: onTrial, trialDue: onTrial && !now.Before(l.nextTrial),
@@ -145,16 +147,20 @@
 // minReportedFailures is the weight of failures below which none are reported.
 const minReportedFailures = 0.2
 
-// noteAnswer records that the target was heard from. It reports whether the target had been
+// noteAnswer records that the target was heard from; accepted is set if it accepted a flow. It reports whether the target had been
 // avoided without being heard from since, whether it had been suspect, and whether other
 // VMs report it as silent and need a report of the answer.
-func (l *load) noteAnswer(now time.Time) (recovered, wasSuspect, disputed bool) {
+func (l *load) noteAnswer(now time.Time, accepted bool) (recovered, wasSuspect, disputed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	recovered = l.health.unheardSinceAvoided()
 	wasSuspect = l.health.unanswered >= suspectThreshold
 	disputed = l.health.summariseReports(now).vms > 0 || now.Before(l.health.avoidUntil)
-	l.health.noteAnswer(now)
+	if accepted {
+		l.health.noteAccepted(now)
+	} else {
+		l.health.noteAnswer(now)
+	}
 	return recovered, wasSuspect, disputed
 }
 
@@ -166,6 +172,23 @@
 	l.health.noteUnanswered(now, kind)
 }
 
+// noteRefused records that the target, which is alive, left a first segment of a flow unanswered
+// that was sent at a time.
+func (l *load) noteRefused(now, sentAt time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.health.full.acceptedAt.After(sentAt) {
+		l.health.full.noteRefused(now, 1)
+	}
+}
+
+// noteFlowEnded records that a caller ended a flow at the target.
+func (l *load) noteFlowEnded(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.health.full.noteFlowEnded(now)
+}
+
 // renewUnanswered renews the evidence against the target after a further repetition of a
 // counted segment, and reports whether it did. sentAt is when the segment was sent before.
 func (l *load) renewUnanswered(now, sentAt time.Time) bool {
@@ -301,12 +324,13 @@
 
 // countNewFlow counts the first request of a new flow. A target on trial may get its next
 // flow after trialInterval.
-func (l *load) countNewFlow(now time.Time, trialInterval time.Duration) {
+func (l *load) countNewFlow(now time.Time, vms int, trialInterval time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.markActive()
 	l.ownRequests.add(now, 1)
 	l.health.noteTrial(now)
+	l.health.full.notePlaced(now, vms)
 	l.health.delayed.trialAt = now.Add(minTrialPause)
 	l.nextTrial = now.Add(trialInterval)
 }
--- a/core/token/returns_test.go
+++ b/core/token/returns_test.go
@@ -51,7 +51,7 @@
 		target.load.mu.Lock()
 		target.load.health.avoidedAt, target.load.health.avoidUntil = start.Add(-time.Second), start
 		target.load.mu.Unlock()
-		running.noteAnswer(start, target)
+		running.noteAnswer(start, target, false)
 		known, _ := running.Returns(start.Add(time.Second))
 		qt.Assert(t, known.Targets, qt.DeepEquals, map[baobabstep.TargetID]time.Time{1: start})
 
--- a/core/token/router.go
+++ b/core/token/router.go
@@ -311,7 +311,7 @@
 // placeFlow chooses a target for a new flow and sends it the first segment. The caller
 // holds the lock of the flow's shard.
 func (r *Router) placeFlow(now time.Time, s *snapshot, route *rule, h flowHash, previous *target, p *baobabstep.Segment, out *[]baobabstep.OutgoingDatagram) {
-	t, busy, admitted := r.chooseTarget(now, s, route, h, previous)
+	t, busy, admitted := r.chooseTarget(now, s, route, h, previous, r.isRetransmitted(h, p) || p.Acked > 0)
 	if t == nil {
 		if kind, unconfirmed := r.refusalUnconfirmed(now, s, route); unconfirmed {
 			r.record(now, kind, s, route, nil, p)
@@ -338,7 +338,7 @@
 	f := &flow{key: p.Flow, target: t, rule: route, opening: true, lastPacketAt: now, requestSentAt: now, seq: p.Seq}
 	r.flows.shard(h).add(p.Flow, f)
 	r.openingFlows.add(now, p.Flow.Caller.Addr(), f)
-	t.load.countNewFlow(now, r.trialInterval())
+	t.load.countNewFlow(now, r.vmCount(), r.trialInterval())
 	r.consumeColdShare(now, s, t)
 	r.record(now, EventPlaced, s, route, t, p)
 	appendForward(t, h, p, out)
--- a/entry/logging.go
+++ b/entry/logging.go
@@ -41,7 +41,7 @@
 	}
 	if e.Kind == token.EventRefused {
 		fields["service"], fields["known"], fields["draining"], fields["gone"] = e.Service, e.Known, e.Draining, e.Gone
-		fields["evacuated"] = e.Evacuated
+		fields["evacuated"], fields["full"] = e.Evacuated, e.Full
 		n.addAge(now, fields, "targets_age_ms", heartbeat.Targets)
 	}
 	if e.Target != 0 {
