entry: the log says when missing targets get a grace period, and after which failed read

No line told whether a removal was taken for a lapse in an outage, or which failed read it was ascribed to.

--- a/entry/distribution.go
+++ b/entry/distribution.go
@@ -302,9 +302,11 @@
 		return
 	}
 	n.router.StoreReconnected(now)
-	if confirmedAt.After(*failedAt) {
+	ended := confirmedAt.After(*failedAt)
+	if ended {
 		n.targetsReadFailedAt.CompareAndSwap(failedAt, nil)
 	}
+	n.log.WithFields(log.Fields{"failed_ms": now.Sub(*failedAt).Milliseconds(), "confirmed_ms": now.Sub(confirmedAt).Milliseconds(), "ended": ended}).Info("missing targets get a grace period")
 }
 
 // publishChange distributes new state to other VMs. A change that came from the store is sent
