entry: an outage of the store ends for a VM whose registrations stay the same

Cause: a VM notes a failed read of the registrations, and only an update ends the note. After an outage without changes the other VMs are told by heartbeats that theirs are the newest; they read and update nothing, and keep the note. The next removal counts as a lapse in the outage and gives the target 2.5 s more.

Change: a heartbeat that confirms the registrations as of a moment after the failed read ends the outage too; the grace period begins then. It holds for any length of outage and any time until the removal, since it no longer waits for a change.

Test: TestOutageEndsWithoutChange, which fails without the call.

--- a/entry/distribution.go
+++ b/entry/distribution.go
@@ -309,6 +309,19 @@
 	n.log.WithFields(log.Fields{"failed_ms": now.Sub(*failedAt).Milliseconds(), "confirmed_ms": now.Sub(confirmedAt).Milliseconds(), "ended": ended}).Info("missing targets get a grace period")
 }
 
+// endOutage ends an outage of the store for this VM once the cached registrations are known to be
+// those that the store held after the last failed read, although nothing has changed. Otherwise
+// the next change, however late, would count as the first one after the outage.
+func (n *Node) endOutage(now time.Time, kind heartbeat.Kind) {
+	failedAt := n.targetsReadFailedAt.Load()
+	if kind != heartbeat.Targets || failedAt == nil {
+		return
+	}
+	if cached := n.cache.state(kind); !cached.unconfirmed && cached.confirmedAt.After(*failedAt) {
+		n.notifyStoreRecovery(now, cached.confirmedAt)
+	}
+}
+
 // publishChange distributes new state to other VMs. A change that came from the store is sent
 // itself, so that they need not request it; otherwise heartbeats announce the new revision.
 func (n *Node) publishChange(change *heartbeat.Change, fromStore bool) {
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -214,6 +214,7 @@
 	if age, same := h.ConfirmedAge(kind, cached.sum); same {
 		if cached.isKnown() {
 			n.cache.confirmByPeer(now, kind, h.VersionOf(kind).Revision(), now.Add(-age), n.applyBound(kind))
+			n.endOutage(now, kind)
 		}
 		return
 	}
--- a/entry/recovery_test.go
+++ b/entry/recovery_test.go
@@ -8,8 +8,53 @@
 
 	"baobabstep"
 	"baobabstep/core/heartbeat"
+	"baobabstep/core/token"
 )
 
+// Guards against new flows to a target that is gone, long after an outage. The registrations had
+// stayed the same in it, so the VM read nothing and learned from heartbeats alone that it was over;
+// the next change, whenever it came, counted as the first one after the outage.
+func TestOutageEndsWithoutChange(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// confirmed is when the other VM last read the same registrations, counted from the
+		// failed read; wait is the time from the heartbeat that says so to the removal.
+		confirmed, wait time.Duration
+		grace           bool
+	}{
+		{"removal long after the outage", time.Second, 10 * time.Second, false},
+		{"removal soon after the outage", time.Second, token.ReregistrationGrace / 2, true},
+		{"not read since the outage", -time.Second, 10 * time.Second, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newDataCentreFleet(t, 2, 0)
+			list := benchRegistrations(4)
+			for i := range list {
+				list[i].DataCentre = "dc-0"
+			}
+			n := f.nodes[1]
+			n.router.SetTable(f.now, testTable())
+			revision := uint64(1)
+			put := func(list []baobabstep.Registration) {
+				revision++
+				_, change, err := f.nodes[0].cache.updateTargets(f.now, list, baobabstep.Revision{Number: revision}, origin{source: sourceStore, confirmedAt: f.now})
+				qt.Assert(t, err, qt.IsNil)
+				n.handleChange(f.now, peerAddress(0), change)
+			}
+			put(list)
+			f.now = f.now.Add(5 * time.Second)
+			n.syncer.recordStoreStatus(n.syncer.targetsQuery(), baobabstep.Errorf(baobabstep.CodePlatformUnavailable, "test", "down"))
+			held := f.nodes[0].cache.state(heartbeat.Targets)
+			held.confirmedAt = f.now.Add(test.confirmed)
+			f.now = f.now.Add(2 * time.Second)
+			n.compareHeld(f.now, heartbeat.Targets, &heartbeat.Heartbeat{Versions: [2]heartbeat.VersionInfo{heartbeat.Targets: held.announced(f.now)}})
+			f.now = f.now.Add(test.wait)
+			put(list[1:])
+			qt.Assert(t, getsNewFlows(n, f.now, list[0].ID), qt.Equals, test.grace)
+		})
+	}
+}
+
 // getsNewFlows reports whether a VM places some of 100 new flows at a target.
 func getsNewFlows(n *Node, now time.Time, id baobabstep.TargetID) bool {
 	first := int(now.Sub(benchEpoch)/time.Second) * 100
