token: a segment with the token of another target goes to where its flow is open

Cause: a target accepts a flow and its answer is lost; the copy of the first segment comes to another VM, which places it at a second target. The caller opens the flow at the one whose answer comes first, the other repeats its own, and the caller echoes the token that came last. VMs followed that token to the second target, which resets.

Change: a VM that has seen the end of the handshake, or an answer acknowledged, knows where the flow is open. Later segments whose sequence and acknowledgement numbers continue it go there whatever token they have, with the token of that target, so that the next answer sets the caller right (token_stray). Without such a record the token is followed as before.

Tests: TestStrayTokenDoesNotMoveOpenFlow, TestTokenIsFollowedUnlessHomeIsKnown. The first fails without the call.

--- a/core/token/event.go
+++ b/core/token/event.go
@@ -40,6 +40,9 @@
 	EventEnded // flow_ended
 	// EventUnknownToken: no target matches the flow's token; the segment was dropped.
 	EventUnknownToken // token_unknown
+	// EventStrayToken: a segment of an open flow has the token of another target; it was sent to
+	// the one where the flow is open.
+	EventStrayToken // token_stray
 	// EventUnready: routes or targets are not known yet; the segment was dropped.
 	EventUnready // segment_unready
 	// EventSilent: a target left a flow unanswered.
--- a/core/token/event_string.go
+++ b/core/token/event_string.go
@@ -19,26 +19,27 @@
 	_ = x[EventRouteUnconfirmed-8]
 	_ = x[EventEnded-9]
 	_ = x[EventUnknownToken-10]
-	_ = x[EventUnready-11]
-	_ = x[EventSilent-12]
-	_ = x[EventHeard-13]
-	_ = x[EventAvoided-14]
-	_ = x[EventFailing-15]
-	_ = x[EventOnTrial-16]
-	_ = x[EventTrusted-17]
-	_ = x[EventSilenceIgnored-18]
-	_ = x[EventLinkHeld-19]
-	_ = x[EventLinkReleased-20]
-	_ = x[EventLinkRefused-21]
-	_ = x[EventYielded-22]
-	_ = x[EventRoomShort-23]
-	_ = x[EventRoomBack-24]
-	_ = x[numEvents-25]
+	_ = x[EventStrayToken-11]
+	_ = x[EventUnready-12]
+	_ = x[EventSilent-13]
+	_ = x[EventHeard-14]
+	_ = x[EventAvoided-15]
+	_ = x[EventFailing-16]
+	_ = x[EventOnTrial-17]
+	_ = x[EventTrusted-18]
+	_ = x[EventSilenceIgnored-19]
+	_ = x[EventLinkHeld-20]
+	_ = x[EventLinkReleased-21]
+	_ = x[EventLinkRefused-22]
+	_ = x[EventYielded-23]
+	_ = x[EventRoomShort-24]
+	_ = x[EventRoomBack-25]
+	_ = x[numEvents-26]
 }
 
-const _EventKind_name = "flow_placedflow_repeatedflow_movedflow_refusedcold_unknowntargets_unconfirmedflow_no_roomflow_unroutedroute_unconfirmedflow_endedtoken_unknownsegment_unreadytarget_silenttarget_heardtarget_avoidedtarget_failingtarget_on_trialtarget_trustedsilence_ignoredflow_link_heldflow_link_releasedflow_link_refusedflow_yieldedroom_shortroom_backnumEvents"
+const _EventKind_name = "flow_placedflow_repeatedflow_movedflow_refusedcold_unknowntargets_unconfirmedflow_no_roomflow_unroutedroute_unconfirmedflow_endedtoken_unknowntoken_straysegment_unreadytarget_silenttarget_heardtarget_avoidedtarget_failingtarget_on_trialtarget_trustedsilence_ignoredflow_link_heldflow_link_releasedflow_link_refusedflow_yieldedroom_shortroom_backnumEvents"
 
-var _EventKind_index = [...]uint16{0, 11, 24, 34, 46, 58, 77, 89, 102, 119, 129, 142, 157, 170, 182, 196, 210, 225, 239, 254, 268, 286, 303, 315, 325, 334, 343}
+var _EventKind_index = [...]uint16{0, 11, 24, 34, 46, 58, 77, 89, 102, 119, 129, 142, 153, 168, 181, 193, 207, 221, 236, 250, 265, 279, 297, 314, 326, 336, 345, 354}
 
 func (i EventKind) String() string {
 	idx := int(i) - 0
--- a/core/token/flow.go
+++ b/core/token/flow.go
@@ -16,6 +16,9 @@
 	opening bool
 	// retransmitted is set once the first segment was retransmitted.
 	retransmitted bool
+	// homeKnown is set once it is certain that the flow is open at target: the caller completed the
+	// handshake with its token, or acknowledged an answer on it.
+	homeKnown bool
 	// closed is set once the caller closed or reset the flow. The record is kept for
 	// closedRetention, so that late packets do not count as another flow.
 	closed bool
--- a/core/token/flow_tracking.go
+++ b/core/token/flow_tracking.go
@@ -202,21 +202,23 @@
 	return here
 }
 
-// trackSegment updates the record of a flow from a later packet.
-func (r *Router) trackSegment(now time.Time, shard *shard, t *target, route *rule, p *baobabstep.Segment) {
-	f := shard.flows[p.Flow]
+// trackSegment updates the record f of a flow, nil if there is none, from a later packet to t.
+func (r *Router) trackSegment(now time.Time, shard *shard, f *flow, t *target, route *rule, p *baobabstep.Segment) {
 	switch {
 	case f == nil:
-		shard.add(p.Flow, newAdoptedFlow(now, t, route, p))
+		f = newAdoptedFlow(now, t, route, p)
+		shard.add(p.Flow, f)
 	case !f.target.sameIncarnation(t):
 		// Either the flow was opened at another target than the one this VM last sent it
 		// to, or the target has restarted and will tell the caller that the flow is gone.
 		r.noteAnswer(now, t, false)
-		shard.add(p.Flow, newAdoptedFlow(now, t, route, p))
+		adopted := newAdoptedFlow(now, t, route, p)
+		adopted.homeKnown = f.completesHandshake(p)
+		f = adopted
+		shard.add(p.Flow, f)
 	default:
 		r.updateFlow(now, f, p)
 	}
-	f = shard.flows[p.Flow]
 	r.bulkGate.Withdraw(p.Flow) // another VM opened the flow
 	r.trackUpload(now, f, p)
 	if p.Kind == baobabstep.KindReset || p.Kind == baobabstep.KindClose {
@@ -225,6 +227,39 @@
 	}
 }
 
+// maxSequenceGap is the largest difference between the sequence numbers of two segments of a flow
+// that this VM sees one after the other: it may see few of them.
+const maxSequenceGap = 1 << 20
+
+// homeOf returns the target at which the flow of a later segment is open if this VM knows that it is
+// another one than t, which the segment's token names, else nil.
+//
+// If two targets answered copies of a first segment, both repeat their answers, and the caller
+// echoes the token that came last in its next segment. The target that it did not choose would
+// reset the flow. The segment's acknowledgement number belongs to the target that it did choose.
+func (f *flow) homeOf(t *target, p *baobabstep.Segment) *target {
+	if f == nil || !f.homeKnown || f.closed || f.target.sameIncarnation(t) || !f.continuesWith(p) {
+		return nil
+	}
+	return f.target
+}
+
+// continuesWith reports whether a segment belongs to the same connection as the record's last one,
+// at the same target.
+func (f *flow) continuesWith(p *baobabstep.Segment) bool {
+	near := func(a, b uint32) bool {
+		distance := int32(a - b)
+		return -maxSequenceGap < distance && distance < maxSequenceGap
+	}
+	return p.Kind != baobabstep.KindReset && near(p.Acked, f.acked) && near(p.Seq, f.sentEnd)
+}
+
+// completesHandshake reports whether a segment is the end of the handshake of an opening flow. The
+// caller sends it as soon as a target answers, so its token is that of the target that it chose.
+func (f *flow) completesHandshake(p *baobabstep.Segment) bool {
+	return f.opening && p.Kind == baobabstep.KindData && p.Size == 0 && p.Seq == f.seq+1
+}
+
 // newAdoptedFlow returns the record of a flow that this VM did not place.
 func newAdoptedFlow(now time.Time, t *target, route *rule, p *baobabstep.Segment) *flow {
 	return &flow{
@@ -236,6 +271,7 @@
 func (r *Router) updateFlow(now time.Time, f *flow, p *baobabstep.Segment) {
 	// The acknowledgement number of a caller's reset is undefined.
 	progress := p.Kind != baobabstep.KindReset && seqAfter(p.Acked, f.acked)
+	f.homeKnown = f.homeKnown || progress && !f.opening || f.completesHandshake(p)
 	if f.opening || progress {
 		f.countedUnanswered = false
 		r.noteAnswer(now, f.target, f.opening)
--- a/core/token/health.go
+++ b/core/token/health.go
@@ -108,6 +108,10 @@
 // noteAnswer records that the target was heard from on an open flow, which clears the evidence
 // against it. If it left first segments unanswered meanwhile, it may be full.
 func (h *health) noteAnswer(now time.Time) {
+	if h.unanswered == 0 && h.delayed.flows == 0 && h.trialAt.IsZero() && h.avoidUntil.IsZero() && h.unreachableSince.IsZero() {
+		h.heardAt = now // nothing to clear, as with nearly all segments
+		return
+	}
 	h.full.noteRefused(now, h.opens)
 	*h = health{heardAt: now, reports: h.reports, othersHeardAt: h.othersHeardAt, knownSince: h.knownSince, full: h.full, avoidance: h.lifted()}
 }
@@ -324,11 +328,15 @@
 }
 
 func (h *health) unreachableWith(now time.Time, alone bool, others silenceSummary) bool {
+	if others.isConclusive() {
+		return true
+	}
+	if h.unanswered == 0 {
+		return false
+	}
 	full := h.full.silentOpens(now)
 	switch {
-	case others.isConclusive():
-		return true
-	case h.unanswered == 0 || h.opens+others.opens+full == 0:
+	case h.opens+others.opens+full == 0:
 		return false
 	case h.silentRequests(now)+others.requests < minSilentRequests:
 		return false // the target may only be full
--- a/core/token/router.go
+++ b/core/token/router.go
@@ -369,7 +369,12 @@
 	}
 	shard := r.flows.shard(h)
 	shard.mu.Lock()
-	r.trackSegment(now, shard, t, route, p)
+	f := shard.flows[p.Flow]
+	if home := f.homeOf(t, p); home != nil && home.sameIncarnation(s.find(now, route, h, tokenFor(h, home.id))) {
+		r.record(now, EventStrayToken, s, route, home, p)
+		t = home
+	}
+	r.trackSegment(now, shard, f, t, route, p)
 	shard.mu.Unlock()
 	if p.Kind != baobabstep.KindReset && r.enabled(MechanismEndFlows) && r.confirmedUnreachable(now, s, t) {
 		r.record(now, EventEnded, s, route, t, p)
