token: the copy of a first segment goes where another VM placed the flow

Cause: only the VM that placed a flow sends the copies of its first segment to the same target. Another VM, which gets the copy because the first one joins or leaves the rotation, draws a target like for a new flow, although the copy says what it is. The first target may have accepted the flow and only its answer was lost; it repeats it, and so does the second.

Change: a VM that gets a copy of a first segment, and no record of its flow, holds it and asks the VMs of its data centre (48 at most, 8 KB/s). The one that placed the flow, or saw the end of its handshake, answers with the target. Without an answer within 30 ms, without other VMs, or beyond the limits the copy is placed as before, so that callers of a VM that was killed are served. A copy that the next segment of its flow has overtaken goes to the same target and no longer begins a second record. Mechanism "inquiries"; format version 6, of which earlier programs ignore the new parts.

Tests: TestCopyGoesWhereAnotherVMPlacedTheFlow, TestCopyIsPlacedIfNobodyKnowsTheFlow, TestOvertakenCopyGoesToSameTarget, entry.TestCopyIsPlacedWhereTheOtherVMSays (also a VM that is stopping, and a lost question), TestInquiryLoopEnds.

A copy without an answer waits 30 ms longer.

--- a/core/heartbeat/alarm.go
+++ b/core/heartbeat/alarm.go
@@ -116,6 +116,20 @@
 	alarmLoadBytes   = 14
 )
 
+// inquiryBytes is the size of an inquiry in bytes, including authentication and datagram headers.
+const inquiryBytes = 100
+
+// InquiryRecipients returns the VMs to ask for a flow, none if the rate limit is exceeded.
+func (t *PeerTable) InquiryRecipients(now time.Time) []netip.AddrPort {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	to := t.alarmRecipients(now)
+	if !t.inquiryLimiter.AllowN(now, len(to)*inquiryBytes) {
+		return nil
+	}
+	return to
+}
+
 // alarmRecipients returns the VMs that get an alarm.
 func (t *PeerTable) alarmRecipients(now time.Time) []netip.AddrPort {
 	to := t.liveNearAddresses(now)
--- a/core/heartbeat/message.go
+++ b/core/heartbeat/message.go
@@ -31,7 +31,7 @@
 // zero. So a new field needs a new number, and zero must mean that it is not set; a number
 // is never reused. The version only distinguishes a later message with a part that this
 // program does not know from a malformed one.
-const formatVersion = 5
+const formatVersion = 6
 
 // Message is one message between VMs. Exactly one of its parts is set.
 type Message struct {
@@ -46,6 +46,8 @@
 	Evacuations *EvacuationList `cbor:"7,keyasint,omitempty"`
 	Fragment    *Fragment       `cbor:"8,keyasint,omitempty"`
 	Section     *Section        `cbor:"9,keyasint,omitempty"`
+	Inquiry     *Inquiry        `cbor:"10,keyasint,omitempty"`
+	Placement   *Placement      `cbor:"11,keyasint,omitempty"`
 }
 
 // Heartbeat is the state that a VM reports to others.
@@ -215,6 +217,30 @@
 	return baobabstep.Revision{Era: r.Era, Number: r.Number}
 }
 
+// Inquiry asks whether the receiver placed a flow of which the sender got a copy of the first
+// segment only. A VM that did not place it sends no answer.
+type Inquiry struct {
+	Caller  netip.AddrPort `cbor:"1,keyasint"`
+	Service netip.AddrPort `cbor:"2,keyasint"`
+	Seq     uint32         `cbor:"3,keyasint,omitempty"`
+}
+
+// MakeInquiry returns an inquiry about a flow.
+func MakeInquiry(o baobabstep.Opening) Inquiry {
+	return Inquiry{Caller: o.Flow.Caller, Service: o.Flow.Service, Seq: o.Seq}
+}
+
+// Opening returns the flow that is asked for.
+func (i *Inquiry) Opening() baobabstep.Opening {
+	return baobabstep.Opening{Flow: baobabstep.FlowKey{Caller: i.Caller, Service: i.Service}, Seq: i.Seq}
+}
+
+// Placement is the answer to an inquiry: the target at which the sender placed the flow.
+type Placement struct {
+	Inquiry
+	Target baobabstep.TargetID `cbor:"4,keyasint"`
+}
+
 // Chunk is one part of the encoded content of a kind.
 type Chunk struct {
 	Kind        Kind        `cbor:"1,keyasint,omitempty"`
@@ -358,6 +384,15 @@
 			return false
 		}
 	}
+	if i := m.Inquiry; i != nil {
+		parts++
+	}
+	if p := m.Placement; p != nil {
+		parts++
+		if p.Target == 0 {
+			return false
+		}
+	}
 	return parts == 1 && m.Version > 0
 }
 
--- a/core/heartbeat/peers.go
+++ b/core/heartbeat/peers.go
@@ -114,6 +114,8 @@
 	changedTargets map[baobabstep.TargetID]struct{}
 	// alarmLimiter limits the bytes of alarms.
 	alarmLimiter *rate.Limiter
+	// inquiryLimiter limits the bytes of inquiries.
+	inquiryLimiter *rate.Limiter
 	// lastNewNearPeer is when a VM of the own data centre was first heard, initially the
 	// start time, and view is the latest result of View.
 	lastNewNearPeer time.Time
@@ -132,7 +134,7 @@
 func New(now time.Time, o Options) *PeerTable {
 	o.setDefaults()
 	b := &PeerTable{
-		options: o, peers: make(map[netip.AddrPort]*peer), loadSums: make(targetSums), changedTargets: make(map[baobabstep.TargetID]struct{}), alarmLimiter: rate.NewLimiter(alarmRate, alarmBurst), answerLimiter: rate.NewLimiter(answerRate, answerBurst),
+		options: o, peers: make(map[netip.AddrPort]*peer), loadSums: make(targetSums), changedTargets: make(map[baobabstep.TargetID]struct{}), alarmLimiter: rate.NewLimiter(alarmRate, alarmBurst), inquiryLimiter: rate.NewLimiter(alarmRate, alarmBurst), answerLimiter: rate.NewLimiter(answerRate, answerBurst),
 		lastNewNearPeer: now, started: now, lastHeard: now, unseenSeeds: make(map[netip.AddrPort]bool),
 	}
 	for _, seed := range o.Seeds {
--- a/core/token/doc.go
+++ b/core/token/doc.go
@@ -15,6 +15,9 @@
 // identifier. A VM finds the target of a packet by computing the token of each target of
 // the service until one matches, so no VM needs per-flow state.
 //
+// The copy of a first segment that comes to another VM goes where the first VM placed the flow, if
+// that one can still be asked (inquiry.go).
+//
 // The flow record that a VM keeps is only a cache. It sends retransmitted first packets to
 // the same target, counts the load of targets, and collects evidence of targets that do not
 // answer. A newly started VM serves every flow as soon as it has the routing table and the
--- a/core/token/flow.go
+++ b/core/token/flow.go
@@ -42,7 +42,8 @@
 	// repeatedAt is when a segment of the flow was last repeated after it was counted.
 	repeatedAt time.Time
 	// seq is the sequence number of the first packet: a caller that reuses its port starts
-	// with another one.
+	// with another one. For a flow that this VM did not place, it is as if the record had been
+	// made with the end of the handshake or the first request.
 	seq uint32
 	key baobabstep.FlowKey
 	// rule is the rule of the flow's address when the record was made.
--- a/core/token/flow_tracking.go
+++ b/core/token/flow_tracking.go
@@ -263,7 +263,7 @@
 // newAdoptedFlow returns the record of a flow that this VM did not place.
 func newAdoptedFlow(now time.Time, t *target, route *rule, p *baobabstep.Segment) *flow {
 	return &flow{
-		key: p.Flow, target: t, rule: route, lastPacketAt: now, requestSentAt: now, acked: p.Acked, requestAcked: p.Acked, requestStart: p.Seq, sentEnd: p.Seq + uint32(p.Size),
+		key: p.Flow, seq: p.Seq - 1, target: t, rule: route, lastPacketAt: now, requestSentAt: now, acked: p.Acked, requestAcked: p.Acked, requestStart: p.Seq, sentEnd: p.Seq + uint32(p.Size),
 	}
 }
 
--- a/core/token/mechanism.go
+++ b/core/token/mechanism.go
@@ -58,6 +58,9 @@
 	// MechanismPacing: what a VM sends waits, small datagrams first, where its own link
 	// would lose it.
 	MechanismPacing // pacing
+	// MechanismInquiries: a VM that gets the copy of a first segment asks the others where the
+	// flow was placed.
+	MechanismInquiries // inquiries
 	numMechanisms
 )
 
--- a/core/token/mechanism_string.go
+++ b/core/token/mechanism_string.go
@@ -30,12 +30,13 @@
 	_ = x[MechanismLinkAdmission-19]
 	_ = x[MechanismRoom-20]
 	_ = x[MechanismPacing-21]
-	_ = x[numMechanisms-22]
+	_ = x[MechanismInquiries-22]
+	_ = x[numMechanisms-23]
 }
 
-const _Mechanism_name = "other_loadsown_loadstimescoldnearfewnext_trybegin_loadsilenceend_flowswitnessesanswersshared_answerstrialsadmissionalarmsavoidancecold_limitscongestionlink_admissionroompacingnumMechanisms"
+const _Mechanism_name = "other_loadsown_loadstimescoldnearfewnext_trybegin_loadsilenceend_flowswitnessesanswersshared_answerstrialsadmissionalarmsavoidancecold_limitscongestionlink_admissionroompacinginquiriesnumMechanisms"
 
-var _Mechanism_index = [...]uint8{0, 11, 20, 25, 29, 33, 36, 44, 54, 61, 70, 79, 86, 100, 106, 115, 121, 130, 141, 151, 165, 169, 175, 188}
+var _Mechanism_index = [...]uint8{0, 11, 20, 25, 29, 33, 36, 44, 54, 61, 70, 79, 86, 100, 106, 115, 121, 130, 141, 151, 165, 169, 175, 184, 197}
 
 func (i Mechanism) String() string {
 	idx := int(i) - 0
--- a/core/token/router.go
+++ b/core/token/router.go
@@ -61,6 +61,7 @@
 	targetsUnconfirmed atomic.Bool
 	flows              *flowTable
 	openingFlows       *openingFlows
+	inquiries          *inquiries
 	counts             counts
 	// bulkGate admits bulk flows to the VM's own link.
 	bulkGate *bulk.Gate
@@ -94,7 +95,7 @@
 // New returns a router without routes and targets.
 func New(o Options) *Router {
 	o.setDefaults()
-	r := &Router{options: o, flows: newFlowTable(), openingFlows: newOpeningFlows(), alarms: newAlarmQueue(), readyChan: make(chan struct{})}
+	r := &Router{options: o, flows: newFlowTable(), openingFlows: newOpeningFlows(), inquiries: newInquiries(), alarms: newAlarmQueue(), readyChan: make(chan struct{})}
 	r.current.Store(newSnapshot(&r.options))
 	r.vmsHeard.Store(&map[string]int{})
 	r.bulkGate = newBulkGate(&r.options)
@@ -302,6 +303,11 @@
 			return
 		}
 		r.record(now, EventMoved, s, route, f.target, p)
+	} else if f != nil && f.seq == p.Seq && !f.closed {
+		appendForward(f.target, h, p, out) // a copy that the next segment of its flow has overtaken
+		return
+	} else if r.asksFor(f, p) && r.waitsOrIsHome(now, s, route, h, p, out) {
+		return
 	} else if !r.admitsToLink(now, s, route, p, out) {
 		return
 	}
@@ -335,6 +341,12 @@
 		appendReset(p, out)
 		return
 	}
+	r.place(now, s, route, h, t, p, out)
+}
+
+// place records a new flow at a target and sends it the first segment. The caller holds the lock of
+// the flow's shard.
+func (r *Router) place(now time.Time, s *snapshot, route *rule, h flowHash, t *target, p *baobabstep.Segment, out *[]baobabstep.OutgoingDatagram) {
 	f := &flow{key: p.Flow, target: t, rule: route, opening: true, lastPacketAt: now, requestSentAt: now, seq: p.Seq}
 	r.flows.shard(h).add(p.Flow, f)
 	r.openingFlows.add(now, p.Flow.Caller.Addr(), f)
--- a/entry/node.go
+++ b/entry/node.go
@@ -220,6 +220,7 @@
 		func() error { return n.serveReady(ctx, listener) },
 		func() error { return n.tickLoop(ctx) },
 		func() error { return n.releaseLoop(ctx) },
+		func() error { return n.inquiryLoop(ctx) },
 		func() error { return n.syncer.watchLoop(ctx, desired) },
 		func() error { return n.syncer.watchLoop(ctx, targets) },
 		func() error { return n.serveMetrics(ctx) },
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -170,6 +170,10 @@
 		n.handleFragment(now, from, m.Fragment)
 	case m.Section != nil:
 		n.handleSection(now, from, m.Section)
+	case m.Inquiry != nil:
+		n.answerInquiry(from, m.Inquiry)
+	case m.Placement != nil:
+		n.settleInquiry(now, m.Placement)
 	}
 }
 
--- a/segment.go
+++ b/segment.go
@@ -31,6 +31,13 @@
 	Raw []byte
 }
 
+// Opening identifies a flow that is being opened, by its addresses and the number of its first
+// segment.
+type Opening struct {
+	Flow FlowKey
+	Seq  uint32
+}
+
 // OutgoingDatagram is one datagram to send: a segment to a target,
 // or a reset to a caller.
 type OutgoingDatagram struct {
