--- a/entry/recovery_test.go
+++ b/entry/recovery_test.go
@@ -11,6 +11,47 @@
 	"baobabstep/core/token"
 )
 
+// outageFleet are two VMs with four targets. The first one reads the store, the second one may not
+// be able to.
+type outageFleet struct {
+	*dataCentreFleet
+	reader, other *Node
+	targets       []baobabstep.Registration
+	revision      uint64
+}
+
+func newOutageFleet(t testing.TB) *outageFleet {
+	f := &outageFleet{dataCentreFleet: newDataCentreFleet(t, 2, 0), targets: benchRegistrations(4), revision: 1}
+	for i := range f.targets {
+		f.targets[i].DataCentre = "dc-0"
+	}
+	f.reader, f.other = f.nodes[0], f.nodes[1]
+	f.other.router.SetTable(f.now, testTable())
+	f.put(0, f.targets)
+	return f
+}
+
+// put replaces the registrations after some time, and tells the other VM.
+func (f *outageFleet) put(after time.Duration, list []baobabstep.Registration) {
+	f.t.Helper()
+	f.now = f.now.Add(after)
+	f.revision++
+	_, change, err := f.reader.cache.updateTargets(f.now, list, baobabstep.Revision{Number: f.revision}, origin{source: sourceStore, confirmedAt: f.now})
+	qt.Assert(f.t, err, qt.IsNil)
+	f.other.handleChange(f.now, peerAddress(0), change)
+	qt.Assert(f.t, f.other.cache.state(heartbeat.Targets).revision.Number, qt.Equals, f.revision)
+}
+
+// fail makes a read of the other VM fail.
+func (f *outageFleet) fail() {
+	f.other.syncer.recordStoreStatus(f.other.syncer.targetsQuery(), baobabstep.Errorf(baobabstep.CodePlatformUnavailable, "test", "turned away"))
+}
+
+// serves reports whether the other VM places new flows at a target.
+func (f *outageFleet) serves(target int) bool {
+	return getsNewFlows(f.other, f.now, f.targets[target].ID)
+}
+
 // Guards against new flows to a target that is gone, long after an outage. The registrations had
 // stayed the same in it, so the VM read nothing and learned from heartbeats alone that it was over;
 // the next change, whenever it came, counted as the first one after the outage.
@@ -27,30 +68,15 @@
 		{"not read since the outage", -time.Second, 10 * time.Second, true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			f := newDataCentreFleet(t, 2, 0)
-			list := benchRegistrations(4)
-			for i := range list {
-				list[i].DataCentre = "dc-0"
-			}
-			n := f.nodes[1]
-			n.router.SetTable(f.now, testTable())
-			revision := uint64(1)
-			put := func(list []baobabstep.Registration) {
-				revision++
-				_, change, err := f.nodes[0].cache.updateTargets(f.now, list, baobabstep.Revision{Number: revision}, origin{source: sourceStore, confirmedAt: f.now})
-				qt.Assert(t, err, qt.IsNil)
-				n.handleChange(f.now, peerAddress(0), change)
-			}
-			put(list)
+			f := newOutageFleet(t)
 			f.now = f.now.Add(5 * time.Second)
-			n.syncer.recordStoreStatus(n.syncer.targetsQuery(), baobabstep.Errorf(baobabstep.CodePlatformUnavailable, "test", "down"))
-			held := f.nodes[0].cache.state(heartbeat.Targets)
+			f.fail()
+			held := f.reader.cache.state(heartbeat.Targets)
 			held.confirmedAt = f.now.Add(test.confirmed)
 			f.now = f.now.Add(2 * time.Second)
-			n.compareHeld(f.now, heartbeat.Targets, &heartbeat.Heartbeat{Versions: [2]heartbeat.VersionInfo{heartbeat.Targets: held.announced(f.now)}})
-			f.now = f.now.Add(test.wait)
-			put(list[1:])
-			qt.Assert(t, getsNewFlows(n, f.now, list[0].ID), qt.Equals, test.grace)
+			f.other.compareHeld(f.now, heartbeat.Targets, &heartbeat.Heartbeat{Versions: [2]heartbeat.VersionInfo{heartbeat.Targets: held.announced(f.now)}})
+			f.put(test.wait, f.targets[1:])
+			qt.Assert(t, f.serves(0), qt.Equals, test.grace)
 		})
 	}
 }
@@ -71,33 +97,13 @@
 // Guards against new flows to targets that are gone, through a VM that the store turns away while
 // another VM reads it: every change of the other began a new grace period for missing targets.
 func TestGraceAfterOutageIsGivenOnce(t *testing.T) {
-	f := newDataCentreFleet(t, 2, 0)
-	list := benchRegistrations(4)
-	for i := range list {
-		list[i].DataCentre = "dc-0"
-	}
-	n := f.nodes[1]
-	n.router.SetTable(f.now, testTable())
-	query := n.syncer.targetsQuery()
-	fail := func() {
-		n.syncer.recordStoreStatus(query, baobabstep.Errorf(baobabstep.CodePlatformUnavailable, "test", "turned away"))
-	}
-	revision := uint64(1)
-	put := func(after time.Duration, list []baobabstep.Registration) {
-		f.now = f.now.Add(after)
-		revision++
-		_, change, err := f.nodes[0].cache.updateTargets(f.now, list, baobabstep.Revision{Number: revision}, origin{source: sourceStore, confirmedAt: f.now})
-		qt.Assert(t, err, qt.IsNil)
-		n.handleChange(f.now, peerAddress(0), change)
-		qt.Assert(t, n.cache.state(heartbeat.Targets).revision.Number, qt.Equals, revision)
-	}
-	put(0, list)
-	fail()
-	put(time.Second, list[1:])
-	qt.Check(t, getsNewFlows(n, f.now, list[0].ID), qt.IsTrue, qt.Commentf("it may have lapsed while the store was down"))
-	put(10*time.Second, list[2:])
-	qt.Check(t, getsNewFlows(n, f.now, list[1].ID), qt.IsFalse)
-	fail()
-	put(10*time.Second, list[3:])
-	qt.Check(t, getsNewFlows(n, f.now, list[2].ID), qt.IsTrue, qt.Commentf("another outage"))
+	f := newOutageFleet(t)
+	f.fail()
+	f.put(time.Second, f.targets[1:])
+	qt.Check(t, f.serves(0), qt.IsTrue, qt.Commentf("it may have lapsed while the store was down"))
+	f.put(10*time.Second, f.targets[2:])
+	qt.Check(t, f.serves(1), qt.IsFalse)
+	f.fail()
+	f.put(10*time.Second, f.targets[3:])
+	qt.Check(t, f.serves(2), qt.IsTrue, qt.Commentf("another outage"))
 }
