--- a/soak/fault.go
+++ b/soak/fault.go
@@ -50,6 +50,7 @@
 	{"evacuate_cold", false, evacuateCold},
 	{"replica_lag", true, lagReplicas},
 	{"target_cold", false, coldTarget},
+	{"target_full", false, fullTarget},
 }
 
 // faultNamed returns a fault, nil if there is none of that name.
@@ -114,6 +115,17 @@
 	f.mark(t, func(time.Time) {})
 }
 
+// fullTarget lets a target accept no new flows for a while. Its open flows may not break.
+func fullTarget(ctx context.Context, f *fleet, r *rand.Rand) {
+	t := f.anyTarget(r)
+	if t == nil {
+		return
+	}
+	t.SetFull(true)
+	sleep(ctx, faultTime(r))
+	t.SetFull(false)
+}
+
 func drainTarget(ctx context.Context, f *fleet, r *rand.Rand) {
 	t := f.anyTarget(r)
 	if t == nil {
@@ -312,7 +324,7 @@
 	var flows sync.WaitGroup
 	for _, c := range f.callers {
 		random := rand.New(rand.NewPCG(r.Uint64(), r.Uint64()))
-		flows.Go(func() { f.load.flow(ctx, c, address, routeRequests, random) })
+		flows.Go(func() { f.load.flow(ctx, c, address, routeRequests, pause, random) })
 	}
 	flows.Wait()
 }
--- a/soak/load.go
+++ b/soak/load.go
@@ -13,10 +13,13 @@
 const (
 	// requestLimit is a caller's time limit.
 	requestLimit = 1500 * time.Millisecond
-	// pause is the mean time between two requests of one user.
-	pause = 40 * time.Millisecond
-	// longFlow is the number of requests on a long flow.
+	// pause is the mean time between two requests of one user, idlePause that on a flow which is
+	// idle most of the time.
+	pause     = 40 * time.Millisecond
+	idlePause = 700 * time.Millisecond
+	// longFlow is the number of requests on a long flow, idleFlow that on an idle one.
 	longFlow = 60
+	idleFlow = 8
 )
 
 // load drives requests through the fleet.
@@ -26,21 +29,24 @@
 	finished chan struct{}
 }
 
-// user opens flows from one caller until ctx ends, short ones and long ones in
-// turn, and leaves a flow only after its last request.
+// user opens flows from one caller until ctx ends, short ones, long ones and idle ones
+// in turn, and leaves a flow only after its last request.
 func (l *load) user(ctx context.Context, c *standin.Caller, random *rand.Rand) {
 	defer func() { l.finished <- struct{}{} }()
 	for ctx.Err() == nil {
-		requests := 1
-		if random.IntN(4) == 0 {
+		requests, wait := 1, pause
+		switch random.IntN(8) {
+		case 0, 1:
 			requests = 1 + random.IntN(longFlow)
+		case 2:
+			requests, wait = 1+random.IntN(idleFlow), idlePause
 		}
-		l.flow(ctx, c, serviceAddress(random.IntN(len(services))), requests, random)
+		l.flow(ctx, c, serviceAddress(random.IntN(len(services))), requests, wait, random)
 	}
 }
 
-// flow opens one flow and sends requests on it.
-func (l *load) flow(ctx context.Context, c *standin.Caller, service netip.AddrPort, requests int, random *rand.Rand) {
+// flow opens one flow and sends requests on it, with the given mean pause between them.
+func (l *load) flow(ctx context.Context, c *standin.Caller, service netip.AddrPort, requests int, wait time.Duration, random *rand.Rand) {
 	f, outcome := c.Open(ctx, service)
 	defer f.Close()
 	if outcome != standin.Answered {
@@ -57,7 +63,7 @@
 		if n == 0 {
 			l.fleet.judge.placed(t, time.Now())
 		}
-		sleep(ctx, time.Duration(random.Float64()*2*float64(pause)))
+		sleep(ctx, time.Duration(random.Float64()*2*float64(wait)))
 	}
 }
 
