--- a/core/token/load.go
+++ b/core/token/load.go
@@ -78,10 +78,10 @@
 type assessment struct {
 	// suspect and needsProbe are as in health; ownRequests are the recent requests of this
 	// VM, otherRequests those of other VMs.
-	suspect, needsProbe bool
-	// certainlyFull is set if a new flow to the target would be lost.
-	certainlyFull              bool
+	suspect, needsProbe        bool
 	ownRequests, otherRequests float64
+	// certainlyFull is set if a new flow to the target would be lost.
+	certainlyFull bool
 	// latency is the mean latency of a request in seconds, answers the weight of the
 	// answers that it was measured from.
 	latency, answers float64
@@ -147,9 +147,9 @@
 // minReportedFailures is the weight of failures below which none are reported.
 const minReportedFailures = 0.2
 
-// noteAnswer records that the target was heard from; accepted is set if it accepted a flow. It reports whether the target had been
-// avoided without being heard from since, whether it had been suspect, and whether other
-// VMs report it as silent and need a report of the answer.
+// noteAnswer records that the target was heard from; accepted is set if it accepted a flow. It
+// reports whether the target had been avoided without being heard from since, whether it had been
+// suspect, and whether other VMs report it as silent and need a report of the answer.
 func (l *load) noteAnswer(now time.Time, accepted bool) (recovered, wasSuspect, disputed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
