token: inquiries go on after a burst of them

What callers would see: after 256 flows were asked for within a second, as when a VM with many opening flows is killed, no later copy of a first segment is asked for, and a second target may accept it again until the VM restarts.

Cause: outcomes are kept for a second and count towards the limit, and only a further inquiry removed the old ones. At the limit there is none.

Change: at the limit the old outcomes are removed before a flow is turned away.

Test: a case of TestCopyIsPlacedIfNobodyKnowsTheFlow, which failed before.

--- a/core/token/inquiry.go
+++ b/core/token/inquiry.go
@@ -55,6 +55,9 @@
 	if known := q.flows[p.Flow]; known != nil && known.segment.Seq == p.Seq {
 		return known.home, !known.settled
 	}
+	if len(q.flows) >= maxInquiries {
+		q.forgetOld(now)
+	}
 	if len(q.flows) >= maxInquiries {
 		return 0, false
 	}
@@ -86,9 +89,7 @@
 func (q *inquiries) overdue(now time.Time, timeout time.Duration) (list []baobabstep.Opening) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	maps.DeleteFunc(q.flows, func(_ baobabstep.FlowKey, asked *inquiry) bool {
-		return now.Sub(asked.askedAt) >= inquiryRetention
-	})
+	q.forgetOld(now)
 	var late []*inquiry
 	for _, asked := range q.flows {
 		if !asked.settled && now.Sub(asked.askedAt) >= timeout {
@@ -102,6 +103,13 @@
 	return list
 }
 
+// forgetOld forgets the flows whose callers have given up. The caller holds q.mu.
+func (q *inquiries) forgetOld(now time.Time) {
+	maps.DeleteFunc(q.flows, func(_ baobabstep.FlowKey, asked *inquiry) bool {
+		return now.Sub(asked.askedAt) >= inquiryRetention
+	})
+}
+
 // waiting returns the number of segments that wait for an answer.
 func (q *inquiries) waiting() (n int) {
 	q.mu.Lock()
--- a/core/token/inquiry_test.go
+++ b/core/token/inquiry_test.go
@@ -112,6 +112,16 @@
 		}
 		qt.Assert(t, handle(f.routers[0], start, copyOf(f.nextKey(), 1)), qt.HasLen, 1)
 	})
+	t.Run("and others are asked again after such a burst", func(t *testing.T) {
+		f := newTestFleet(t, 2)
+		var out []baobabstep.OutgoingDatagram
+		for range maxInquiries {
+			assertDropped(t, f.routers[0], start, copyOf(f.nextKey(), 1))
+		}
+		f.routers[0].EndInquiries(start, true, &out)
+		qt.Assert(t, out, qt.HasLen, maxInquiries)
+		assertDropped(t, f.routers[0], start.Add(inquiryRetention), copyOf(f.nextKey(), 1))
+	})
 	t.Run("elsewhere if its target leaves", func(t *testing.T) {
 		f := newTestFleet(t, 2)
 		key := f.nextKey()
