entry: the log tells when a VM learns that a target leaves, and on which way

Why: the lines tell when the registrations changed, not which targets left with the change, nor whether a section, a change, a list or a change that does not apply yet said so.

Change: a line "targets leave" with the targets that were accepting new flows until then, the revision, the way and the age. No decision changes.

--- a/entry/leaving.go
+++ b/entry/leaving.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/apex/log"
+
 	"baobabstep"
 	"baobabstep/core/heartbeat"
 )
@@ -35,6 +37,7 @@
 	if len(leaving)+len(c.RemovedTargets) == 0 {
 		return
 	}
+	sc.logLeaving(now, heartbeat.Difference{Put: leaving, Removed: c.RemovedTargets}, c.Result.Revision(), viaMark, origin{source: sourcePeer})
 	sc.router.ChangeRegistrations(now, leaving, c.RemovedTargets)
 	sc.marks.add(leaving, c)
 }
@@ -72,3 +75,49 @@
 	sc.marks = leavingMarks{}
 	sc.router.ChangeRegistrations(now, present, gone)
 }
+
+// Ways in which a VM learns that targets leave, as they appear in the log.
+const (
+	viaList    = "list"
+	viaChange  = "change"
+	viaSection = "section"
+	// viaMark is a change that does not apply yet.
+	viaMark = "mark"
+)
+
+// leavingClass is the class of log lines about targets that leave.
+const leavingClass = "targets leave"
+
+// logLeaving logs the targets that a difference to the cached registrations keeps from new flows.
+// The caller holds sc.mu.
+func (sc *stateCache) logLeaving(now time.Time, d heartbeat.Difference, revision baobabstep.Revision, via string, from origin) {
+	draining, gone := sc.leavingIn(d)
+	if len(draining)+len(gone) == 0 || !sc.limits.Wanted(now, leavingClass) {
+		return
+	}
+	fields := log.Fields{"draining": draining, "gone": gone, "revision": revision.Number, "via": via, "source": from.source}
+	if !from.confirmedAt.IsZero() {
+		fields["age_ms"] = now.Sub(from.confirmedAt).Milliseconds()
+	}
+	sc.log.WithFields(fields).Info(leavingClass)
+}
+
+// leavingIn returns the names of the cached targets that get new flows until a difference applies:
+// those that it says are draining, and those that it removes. The caller holds sc.mu.
+func (sc *stateCache) leavingIn(d heartbeat.Difference) (draining, gone []string) {
+	accepting := func(id baobabstep.TargetID) bool {
+		known, ok := sc.targets.Get(id)
+		return ok && !known.Draining
+	}
+	for i := range d.Put {
+		if d.Put[i].Draining && accepting(d.Put[i].ID) {
+			draining = append(draining, targetName(d.Put[i].ID))
+		}
+	}
+	for _, id := range d.Removed {
+		if accepting(id) {
+			gone = append(gone, targetName(id))
+		}
+	}
+	return draining, gone
+}
--- a/entry/logging_test.go
+++ b/entry/logging_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"testing"
 	"time"
 
@@ -51,3 +52,26 @@
 	})
 	qt.Check(t, n.cache.outdatedCounts(), qt.DeepEquals, map[string]float64{"store": 1, "watch": 0, "peer": 0, "copy": 0})
 }
+
+// Guards against targets that leave without a line that tells when, and on which way, a VM learned of it.
+func TestLeavingTargetsAreLogged(t *testing.T) {
+	lines := memory.New()
+	n := newTestNode(new(countingMessages), &log.Logger{Handler: lines, Level: log.InfoLevel}, keepAllLines{})
+	list := benchRegistrations(3)
+	update := func(number uint64, list []baobabstep.Registration) {
+		qt.Assert(t, n.updateTargets(list, baobabstep.Revision{Number: number}, origin{source: sourceStore, confirmedAt: benchEpoch.Add(-20 * time.Millisecond)}), qt.IsNil)
+	}
+	update(500, list)
+	leaving := slices.Clone(list[1:])
+	leaving[0].Draining = true
+	update(501, leaving)
+	line := lines.Entries[len(lines.Entries)-2]
+	qt.Check(t, line.Message, qt.Equals, leavingClass)
+	qt.Check(t, line.Fields, qt.DeepEquals, log.Fields{
+		"draining": []string{targetName(list[1].ID)}, "gone": []string{targetName(list[0].ID)},
+		"revision": uint64(501), "via": viaList, "source": sourceStore, "age_ms": int64(20), "vm": "vm-0", "data_centre": "dc-0",
+	})
+	update(502, leaving[1:])
+	qt.Check(t, lines.Entries[len(lines.Entries)-1].Message, qt.Equals, "targets changed", qt.Commentf("a target that was draining leaves once"))
+	qt.Check(t, lines.Entries[len(lines.Entries)-2].Message, qt.Equals, "targets changed")
+}
--- a/entry/registrations.go
+++ b/entry/registrations.go
@@ -33,6 +33,7 @@
 	var d heartbeat.Difference
 	if !first {
 		d = sc.targets.DiffTo(next)
+		sc.logLeaving(now, d, revision, viaList, from)
 		if err := sc.recordDifference(d, next.Checksum(), revision); err != nil {
 			return false, nil, err
 		}
@@ -164,6 +165,7 @@
 // applyDifference applies a difference to the targets and the router, and returns the previous
 // checksum. The caller holds sc.mu.
 func (sc *stateCache) applyDifference(now time.Time, d heartbeat.Difference, revision baobabstep.Revision, from origin) (oldSum uint64, err error) {
+	sc.logLeaving(now, d, revision, viaChange, from)
 	if err := sc.targets.Apply(d); err != nil {
 		return 0, err
 	}
--- a/entry/section.go
+++ b/entry/section.go
@@ -42,6 +42,7 @@
 	if err != nil {
 		return false, false, err
 	}
+	sc.logLeaving(now, d, revision, viaSection, from)
 	if err := sc.targets.Apply(d); err != nil {
 		return false, false, err
 	}
