entry: the log tells which VM watches the store, and which messages of VMs are dropped

Sections and changes that cannot be decoded were counted only.

Change: "store watch" with the state running, waiting (no revision from which to watch) or idle, and "peer message malformed" with the sender and the reason. No decision changes.

--- a/entry/distribution.go
+++ b/entry/distribution.go
@@ -122,7 +122,7 @@
 	taken, complete, err := n.cache.applySection(now, s, from)
 	switch {
 	case err != nil:
-		n.counters.malformed.Add(1)
+		n.recordMalformed(now, sender, err)
 	case complete:
 		n.setRequestFullList(false)
 		n.applyWaitingChanges(now)
@@ -143,7 +143,7 @@
 
 // handleChunk adds a piece of content from a peer, and applies the content once it is
 // complete.
-func (n *Node) handleChunk(now time.Time, p *heartbeat.Chunk) {
+func (n *Node) handleChunk(now time.Time, sender netip.AddrPort, p *heartbeat.Chunk) {
 	n.exchange.mu.Lock()
 	content, held, complete := n.exchange.assembly[p.Kind].Add(now, p)
 	n.exchange.mu.Unlock()
@@ -165,7 +165,7 @@
 		}
 	}
 	if err != nil {
-		n.counters.malformed.Add(1)
+		n.recordMalformed(now, sender, err)
 	}
 }
 
@@ -226,7 +226,7 @@
 	case baobabstep.CodeOf(err) == baobabstep.CodeIncomplete:
 		n.holdChange(now, c)
 	case err != nil:
-		n.counters.malformed.Add(1)
+		n.recordMalformed(now, sender, err)
 	case changed && c.Kind == heartbeat.Targets:
 		n.setRequestFullList(false)
 	}
--- a/entry/logging.go
+++ b/entry/logging.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"net/netip"
 	"time"
 
 	"github.com/apex/log"
@@ -146,3 +147,27 @@
 
 // targetName formats a target's identifier as in its registration.
 func targetName(id baobabstep.TargetID) string { return fmt.Sprintf("%010x", uint64(id)) }
+
+// malformedMessageClass is the class of log lines about malformed messages of other VMs.
+const malformedMessageClass = "peer message malformed"
+
+// recordMalformed counts and logs a message of another VM that cannot be used.
+func (n *Node) recordMalformed(now time.Time, from netip.AddrPort, err error) {
+	n.counters.malformed.Add(1)
+	if n.options.LogLimiter.Wanted(now, malformedMessageClass) {
+		n.log.WithError(err).WithField("from", from.String()).Warn(malformedMessageClass)
+	}
+}
+
+// logWatchState logs when this VM begins or stops to watch a query, and when it would but knows no
+// revision from which to.
+func (s *storeSyncer) logWatchState(q *storeQuery, before, after watchState, revision *baobabstep.Revision) {
+	if before == after {
+		return
+	}
+	fields := log.Fields{"reading": q.name, "state": string(after)}
+	if revision != nil {
+		fields["revision"] = revision.Number
+	}
+	s.node.log.WithFields(fields).Info("store watch")
+}
--- a/entry/logging_test.go
+++ b/entry/logging_test.go
@@ -1,9 +1,11 @@
 package entry
 
 import (
+	"context"
 	"encoding/json"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/apex/log"
@@ -75,3 +77,35 @@
 	qt.Check(t, lines.Entries[len(lines.Entries)-1].Message, qt.Equals, "targets changed", qt.Commentf("a target that was draining leaves once"))
 	qt.Check(t, lines.Entries[len(lines.Entries)-2].Message, qt.Equals, "targets changed")
 }
+
+// Guards against a fleet that nobody watches the store for, without a line that tells who did and who waits.
+func TestWatchStatesAreLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lines := memory.New()
+		n := newTestNode(new(countingMessages), &log.Logger{Handler: lines, Level: log.InfoLevel}, keepAllLines{})
+		n.clock, n.syncer.directory = bubbleClock{}, new(pagedDirectory)
+		n.startedAt = time.Now().Add(-time.Minute)
+		n.peerTable = heartbeat.New(n.startedAt, heartbeat.Options{Self: 1})
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		defer cancel()
+		q := n.syncer.targetsQuery()
+		time.AfterFunc(time.Second, func() { q.advanceRevision(baobabstep.Revision{Number: 7}) })
+		qt.Assert(t, n.syncer.watchLoop(ctx, q), qt.IsNil)
+		var states []any
+		for _, line := range lines.Entries {
+			states = append(states, line.Fields["state"], line.Fields["revision"])
+		}
+		qt.Check(t, states, qt.DeepEquals, []any{"waiting", nil, "running", uint64(7)})
+	})
+}
+
+// Guards against messages of other VMs that are dropped without a line that tells why.
+func TestMalformedPeerMessageIsLogged(t *testing.T) {
+	lines := memory.New()
+	n := newTestNode(new(countingMessages), &log.Logger{Handler: lines, Level: log.InfoLevel}, keepAllLines{})
+	n.receive(benchEpoch, peerAddress(3), []byte("not a message"))
+	qt.Assert(t, lines.Entries, qt.HasLen, 1)
+	qt.Check(t, lines.Entries[0].Message, qt.Equals, malformedMessageClass)
+	qt.Check(t, lines.Entries[0].Fields["from"], qt.Equals, peerAddress(3).String())
+	qt.Check(t, lines.Entries[0].Fields["error"], qt.Not(qt.Equals), "")
+}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -144,7 +144,7 @@
 	m, err := heartbeat.Decode(raw)
 	if err != nil {
 		if baobabstep.CodeOf(err) != baobabstep.CodeForeignVersion {
-			n.counters.malformed.Add(1)
+			n.recordMalformed(now, from, err)
 		}
 		return
 	}
@@ -159,7 +159,7 @@
 	case m.Request != nil:
 		n.handleRequest(now, from, m.Request)
 	case m.Chunk != nil:
-		n.handleChunk(now, m.Chunk)
+		n.handleChunk(now, from, m.Chunk)
 	case m.Change != nil:
 		n.handleChange(now, from, m.Change)
 	case m.Evacuations != nil:
@@ -185,7 +185,7 @@
 	switch {
 	case baobabstep.CodeOf(err) == baobabstep.CodeForeignVersion:
 	case err != nil:
-		n.counters.malformed.Add(1)
+		n.recordMalformed(now, from, err)
 	case m != nil:
 		n.handleMessage(now, from, m)
 	}
--- a/entry/read_schedule.go
+++ b/entry/read_schedule.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"baobabstep"
 	"baobabstep/core/heartbeat"
 )
 
@@ -177,3 +178,27 @@
 func (s *storeSyncer) shouldWatch(now time.Time) bool {
 	return s.node.rank(now).First() && now.Sub(s.node.startedAt) >= rankSettleTime && s.node.peerTable.KnowsOthers(now)
 }
+
+// watchState is whether a VM watches a query of the store.
+type watchState string
+
+// Watch states, as they appear in the log.
+const (
+	// watchIdle: it is another VM's turn.
+	watchIdle watchState = "idle"
+	// watchWaiting: the VM knows no revision from which to watch.
+	watchWaiting watchState = "waiting"
+	watchRunning watchState = "running"
+)
+
+// nextWatchState returns whether this VM watches a query that it knows up to a revision, nil if none.
+func (s *storeSyncer) nextWatchState(now time.Time, after *baobabstep.Revision) watchState {
+	switch {
+	case !s.shouldWatch(now):
+		return watchIdle
+	case after == nil:
+		return watchWaiting
+	default:
+		return watchRunning
+	}
+}
--- a/entry/store_sync.go
+++ b/entry/store_sync.go
@@ -271,20 +271,23 @@
 // returns even if another VM becomes the first.
 func (s *storeSyncer) watchLoop(ctx context.Context, q *storeQuery) error {
 	delays := newRetryBackOff()
+	state := watchIdle
 	for ctx.Err() == nil {
 		now := s.node.clock.Now()
 		after := q.revision.Load()
-		if after == nil || !s.shouldWatch(now) {
+		next := s.nextWatchState(now, after)
+		s.logWatchState(q, state, next, after)
+		if state = next; state != watchRunning {
 			sleep(ctx, pollInterval, nil)
 			continue
 		}
-		next, changes, err := q.watch(ctx, *after)
+		to, changes, err := q.watch(ctx, *after)
 		if ctx.Err() != nil {
 			break
 		}
 		interrupted := err != nil || changes == 0 && s.node.clock.Now().Sub(now) < time.Duration(minEmptyWatchShare*float64(watchTimeout))
 		if !interrupted {
-			q.advanceRevision(next)
+			q.advanceRevision(to)
 			delays.Reset()
 			if changes < manyChanges {
 				sleep(ctx, q.batchDelay, nil)
