--- a/entry/large_fleet_test.go
+++ b/entry/large_fleet_test.go
@@ -25,8 +25,12 @@
 // with a share of a core need for them. The nodes' routers are replaced by placementLogs, which
 // need a fraction of the memory.
 type largeFleet struct {
-	size   fleetSize
-	store  *largeStore
+	size  fleetSize
+	store *largeStore
+	// startVM starts one more VM; run sets it.
+	startVM func(i int)
+
+	mu     sync.Mutex
 	vms    []*largeVM
 	byPeer map[netip.AddrPort]*largeVM
 }
@@ -45,6 +49,8 @@
 	loss float64
 	// storeLinkBytes is the rate of the store's link in bytes a second.
 	storeLinkBytes float64
+	// slowed are the VMs, out of every ten, that run slowedBy times slower than the others.
+	slowed, slowedBy int
 }
 
 // Costs of the model. A VM's processor time is divided by its share of a core.
@@ -83,6 +89,9 @@
 	if i%fastVMs == 0 {
 		mbps, vm.core = fastLinkMbps, fastCore
 	}
+	if f.isSlowed(i) {
+		vm.core /= float64(f.size.slowedBy)
+	}
 	vm.linkBytes = mbps * 1e6 / 8
 	vm.limiter = rate.NewLimiter(vmCallRate, vmCallSize)
 	vm.node = New(Options{
@@ -98,6 +107,8 @@
 	return vm
 }
 
+func (f *largeFleet) isSlowed(i int) bool { return i%10 < f.size.slowed }
+
 // bubbleClock reads the virtual time of a synctest bubble.
 type bubbleClock struct{}
 
@@ -109,30 +120,38 @@
 	var loops sync.WaitGroup
 	loops.Go(func() { f.store.run(ctx) })
 	time.Sleep(vmsAfter)
-	for i := range f.size.vms {
+	f.startVM = func(i int) {
 		vm := f.newVM(i)
+		f.mu.Lock()
 		f.vms, f.byPeer[vm.peer] = append(f.vms, vm), vm
-	}
-	for _, vm := range f.vms {
-		n := vm.node
-		desired, targets := n.syncer.desiredQuery(), n.syncer.targetsQuery()
-		for _, loop := range []func() error{
-			func() error { return n.syncer.readLoop(ctx, desired) },
-			func() error { return n.syncer.readLoop(ctx, targets) },
-			func() error { return n.syncer.watchLoop(ctx, desired) },
-			func() error { return n.syncer.watchLoop(ctx, targets) },
-			func() error { return n.receiveMessages(ctx) },
-			func() error { return n.tickLoop(ctx) },
-		} {
+		f.mu.Unlock()
+		for _, loop := range vm.loops(ctx) {
 			loops.Go(func() { _ = loop() })
 		}
 	}
+	for i := range f.size.vms {
+		f.startVM(i)
+	}
 	return func() {
 		cancel()
 		loops.Wait()
 	}
 }
 
+// loops returns the goroutines of a VM that its model runs.
+func (vm *largeVM) loops(ctx context.Context) []func() error {
+	n := vm.node
+	desired, targets := n.syncer.desiredQuery(), n.syncer.targetsQuery()
+	return []func() error{
+		func() error { return n.syncer.readLoop(ctx, desired) },
+		func() error { return n.syncer.readLoop(ctx, targets) },
+		func() error { return n.syncer.watchLoop(ctx, desired) },
+		func() error { return n.syncer.watchLoop(ctx, targets) },
+		func() error { return n.receiveMessages(ctx) },
+		func() error { return n.tickLoop(ctx) },
+	}
+}
+
 // largeVM is one VM with its link, its share of a core and its access to the store.
 type largeVM struct {
 	fleet     *largeFleet
@@ -179,7 +198,9 @@
 
 // Send implements MessageConn.
 func (vm *largeVM) Send(to netip.AddrPort, raw []byte) {
+	vm.fleet.mu.Lock()
 	other := vm.fleet.byPeer[to]
+	vm.fleet.mu.Unlock()
 	if other == nil {
 		return
 	}
@@ -255,6 +276,8 @@
 	reads    int
 	watches  int
 	refused  int
+	// readAt is when the newest registrations were last read.
+	readAt time.Time
 	// leftAt is when each target that leaves said so.
 	leftAt map[baobabstep.TargetID]time.Time
 }
@@ -381,7 +404,7 @@
 	all := s.current
 	if f == baobabstep.Recent {
 		all = s.replicas[0]
-	} else if s.reads++; !s.limiter.Allow() {
+	} else if s.reads, s.readAt = s.reads+1, time.Now(); !s.limiter.Allow() {
 		s.refused++
 		err = baobabstep.Errorf(baobabstep.CodeBudgetSpent, "model", "too many reads")
 	}
@@ -396,6 +419,13 @@
 	return list, more, revision, err
 }
 
+// unreadFor returns how long ago the newest registrations were last read.
+func (s *largeStore) unreadFor() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Since(s.readAt)
+}
+
 // FirstRegistrations implements baobabstep.Directory.
 func (vm *largeVM) FirstRegistrations(_ context.Context, f baobabstep.Freshness) (list []baobabstep.Registration, complete bool, revision baobabstep.Revision, err error) {
 	list, more, revision, err := vm.page(f, 0)
--- a/entry/leaving_target_test.go
+++ b/entry/leaving_target_test.go
@@ -66,3 +66,29 @@
 		qt.Check(t, f.currentVMs(f.size.drain), qt.Equals, f.size.vms)
 	})
 }
+
+// slowFleetSize returns a fleet of small VMs, half of which have become slower still. All registrations
+// fit one page.
+func slowFleetSize() fleetSize {
+	return fleetSize{
+		vms: 63, dataCentres: 4, targets: 150, drain: 5 * time.Second,
+		registeredAtStart: 150, loss: 0.01, storeLinkBytes: 125e6, slowed: 8, slowedBy: 60,
+	}
+}
+
+// Guards against a fleet in which nobody reads the store for longer than the bound, because VMs
+// that exchange heartbeats slowly take each other's registrations for fresher than they are.
+func TestSlowFleetReadsStoreInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newLargeFleet(t, slowFleetSize())
+		defer f.run(time.Second)()
+		time.Sleep(2 * f.size.drain)
+		unread := time.Duration(0)
+		for range 40 {
+			time.Sleep(f.size.drain / 10)
+			unread = max(unread, f.store.unreadFor())
+		}
+		t.Logf("longest time without a read %v; %s", unread, f.costs())
+		qt.Check(t, unread < f.size.drain, qt.IsTrue, qt.Commentf("%v", unread))
+	})
+}
