heartbeat, entry: a read of the store confirms registrations once, however often it is told

What callers saw: requests at targets that had said more than 5 s before that they leave, on fleets of small VMs.

Cause: a heartbeat tells how old its sender's content is, and the receiver counts from when it handles the message. The time in between is lost. The age then goes back to the sender, younger still: VMs that exchange heartbeats confirm each other although nobody reads the store, and reads are due by age. The slower the VMs, the later they read; only a watch hides it.

Change: what a VM says of its content names the read that it counts from. For one read, the earliest time of all messages about it holds, so a message can only make it older; circles bring back a read that is known. A program of an earlier version names none and is believed as before. A heartbeat has at most 49 loads instead of 50, as it has to fit one datagram; 50 are still accepted, and the test of the limit follows it.

--- a/core/heartbeat/message.go
+++ b/core/heartbeat/message.go
@@ -17,7 +17,9 @@
 // of [Options] a VM sends at most 18 KB of heartbeats per second, of a control traffic
 // limit of 20 KB per second (BenchmarkHeartbeats in package entry).
 const (
-	maxLoads = 50
+	// A receiver accepts maxLoads, which programs of earlier versions send.
+	maxLoads  = 50
+	sentLoads = maxLoads - 1
 	// maxFarLoads is the limit of loads for VMs of other data centres, which send few of
 	// their flows to the same targets.
 	maxFarLoads = 20
@@ -134,10 +136,18 @@
 	AgeMS uint32 `cbor:"3,keyasint,omitempty"`
 	// Era is the era of the store's revision, and 0 for routes.
 	Era uint64 `cbor:"4,keyasint,omitempty"`
+	// Read is the read of the store from which AgeMS counts, 0 if it is not known, as in
+	// messages of programs of earlier versions.
+	Read ReadID `cbor:"5,keyasint,omitempty"`
 }
 
+// ReadID identifies a read of the store by any VM. Ages alone would make the VMs of a fleet confirm
+// each other: each transfer takes time that the age does not include, and a VM cannot tell a later
+// read from an earlier one of which it hears again.
+type ReadID uint32
+
 // MakeVersionInfo returns the description of content with the given revision, checksum and
-// age.
+// age, by an unknown read.
 func MakeVersionInfo(revision baobabstep.Revision, sum uint64, age time.Duration) VersionInfo {
 	return VersionInfo{Number: revision.Number, Era: revision.Era, Checksum: sum, AgeMS: uint32(min(max(0, age.Milliseconds()), maxAgeMS))}
 }
--- a/core/heartbeat/outgoing.go
+++ b/core/heartbeat/outgoing.go
@@ -277,7 +277,7 @@
 }
 
 func nearHeartbeatOptions(t *PeerTable) heartbeatOptions {
-	return heartbeatOptions{loadLimit: maxLoads, turn: time.Duration(t.nearTurns) * t.options.NearInterval, peersOf: t.options.DataCentre}
+	return heartbeatOptions{loadLimit: sentLoads, turn: time.Duration(t.nearTurns) * t.options.NearInterval, peersOf: t.options.DataCentre}
 }
 
 func farHeartbeatOptions(t *PeerTable) heartbeatOptions {
--- a/core/heartbeat/peers_test.go
+++ b/core/heartbeat/peers_test.go
@@ -488,7 +488,7 @@
 	counts := map[bool]int{}
 	for _, o := range append(b.Tick(start, own), b.Announce(start, own, true)...) {
 		near, loads := b.IsNear(o.To), o.Message.Heartbeat.Loads
-		qt.Assert(t, loads, qt.HasLen, map[bool]int{true: maxLoads, false: maxFarLoads}[near])
+		qt.Assert(t, loads, qt.HasLen, map[bool]int{true: sentLoads, false: maxFarLoads}[near])
 		qt.Assert(t, int(loads[0].Target), qt.Equals, 2*maxLoads-len(loads)+1)
 		counts[near]++
 	}
@@ -512,7 +512,7 @@
 				h.Peers = append(h.Peers, netip.MustParseAddrPort("255.255.255.255:65535"))
 			}
 			for kind := range h.Versions {
-				h.Versions[kind] = VersionInfo{Number: 1<<64 - 1, Checksum: 1<<64 - 1, AgeMS: maxAgeMS, Era: 1<<64 - 1}
+				h.Versions[kind] = VersionInfo{Number: 1<<64 - 1, Checksum: 1<<64 - 1, AgeMS: maxAgeMS, Era: 1<<64 - 1, Read: 1<<32 - 1}
 			}
 			h.EvacuationsVersion = h.Versions[Targets]
 			var own []baobabstep.TargetLoad
--- a/core/heartbeat/returns.go
+++ b/core/heartbeat/returns.go
@@ -33,9 +33,9 @@
 // loadLimit returns the limit of loads in a heartbeat that contains returns.
 func loadLimit(known *baobabstep.Returns) int {
 	if known == nil {
-		return maxLoads
+		return sentLoads
 	}
-	return maxLoads - 1 - dataCentreReturnLoads*min(len(known.DataCentres), maxDataCentreReturns) - targetReturnLoads*min(len(known.Targets), maxTargetReturns)
+	return sentLoads - 1 - dataCentreReturnLoads*min(len(known.DataCentres), maxDataCentreReturns) - targetReturnLoads*min(len(known.Targets), maxTargetReturns)
 }
 
 // setReturns sets the returns that the sender knows of. A sender that knows of more than a heartbeat
--- a/entry/cache.go
+++ b/entry/cache.go
@@ -36,6 +36,7 @@
 
 	mu     sync.Mutex
 	states [heartbeat.NumKinds]cachedState
+	reads  readTimes
 	// era is the newest era of the store that is known. restoredAt is when it replaced an
 	// earlier era, or zero if it never did.
 	era        uint64
@@ -76,8 +77,10 @@
 	// content is the encoded content that is sent to other VMs; that of targets is encoded
 	// when a VM requests it.
 	content []byte
-	// confirmedAt is when the store was last known to hold nothing newer.
+	// confirmedAt is when the store was last known to hold nothing newer, by the read read, which
+	// is 0 if not known.
 	confirmedAt time.Time
+	read        heartbeat.ReadID
 	// unconfirmed is set while the content is only known to have been in a replica.
 	unconfirmed bool
 	// revisionFromReplica is set while the revision is known only from a replica of the store.
@@ -124,8 +127,10 @@
 
 // origin describes where an update came from and how fresh it is.
 type origin struct {
-	source      string
+	source string
+	// confirmedAt is when the store held nothing newer, by the read read, which is 0 if not known.
 	confirmedAt time.Time
+	read        heartbeat.ReadID
 	// fromReplica is set for content read from a replica of the store.
 	fromReplica bool
 }
@@ -141,11 +146,11 @@
 	case revision.Before(cached.revision):
 		sc.recordOutdated(now, heartbeat.Routes, revision, from)
 		if from.source == sourceStore {
-			sc.confirm(heartbeat.Routes, from.confirmedAt) // everything in the store is older
+			sc.confirm(heartbeat.Routes, from) // everything in the store is older
 		}
 		return false, nil, nil
 	case revision == cached.revision:
-		sc.confirm(heartbeat.Routes, from.confirmedAt)
+		sc.confirm(heartbeat.Routes, from)
 		return false, nil, nil
 	}
 	heartbeat.SortTable(table)
@@ -154,7 +159,8 @@
 		return false, nil, err
 	}
 	sc.router.SetTable(now, table)
-	next := cachedState{revision: revision, sum: heartbeat.Checksum(content), content: content, confirmedAt: from.confirmedAt, unconfirmed: from.fromReplica}
+	next := cachedState{revision: revision, sum: heartbeat.Checksum(content), content: content, unconfirmed: from.fromReplica}
+	next.confirmedAt, next.read = sc.reads.note(from.read, from.confirmedAt), from.read
 	if sc.table != nil {
 		change = heartbeat.NewRoutesChange(sc.table, table, cached.sum, next.announced(now))
 	}
@@ -213,7 +219,7 @@
 	case cached.isKnown() && sum == cached.sum:
 		sc.setRevision(now, kind, revision)
 		cached.revisionFromReplica = from.fromReplica
-		sc.confirm(kind, from.confirmedAt)
+		sc.confirm(kind, from)
 		return false
 	}
 	return true
@@ -226,7 +232,7 @@
 	oldSum = cached.sum
 	sc.setRevision(now, kind, revision)
 	cached.sum, cached.content = sum, nil
-	cached.confirm(from.confirmedAt)
+	sc.confirmState(kind, from)
 	cached.unconfirmed = cached.unconfirmed || from.fromReplica
 	cached.revisionFromReplica = from.fromReplica
 	sc.passConfirmation(kind)
@@ -318,5 +324,7 @@
 	if cs.revisionFromReplica {
 		revision.Number = replicaRevisionNumber
 	}
-	return heartbeat.MakeVersionInfo(revision, cs.sum, now.Sub(cs.confirmedAt))
+	held := heartbeat.MakeVersionInfo(revision, cs.sum, now.Sub(cs.confirmedAt))
+	held.Read = cs.read
+	return held
 }
--- a/entry/confirmation.go
+++ b/entry/confirmation.go
@@ -7,10 +7,10 @@
 	"baobabstep/core/heartbeat"
 )
 
-// confirm records that the store held nothing newer than the cached state of a kind at a time. The
-// caller holds sc.mu.
-func (sc *stateCache) confirm(kind heartbeat.Kind, at time.Time) {
-	sc.states[kind].confirm(at)
+// confirm records that the store held nothing newer than the cached state of a kind when it was read
+// as from says. The caller holds sc.mu.
+func (sc *stateCache) confirm(kind heartbeat.Kind, from origin) {
+	sc.confirmState(kind, from)
 	sc.passConfirmation(kind)
 }
 
@@ -27,15 +27,57 @@
 	}
 }
 
-// confirm is stateCache.confirm without telling the router.
-func (cs *cachedState) confirm(at time.Time) {
-	if at.After(cs.confirmedAt) {
-		cs.confirmedAt, cs.unconfirmed = at, false
+// confirmState is confirm without telling the router.
+func (sc *stateCache) confirmState(kind heartbeat.Kind, from origin) {
+	cs, at := &sc.states[kind], sc.reads.note(from.read, from.confirmedAt)
+	switch {
+	case from.read != 0 && from.read == cs.read:
+		cs.confirmedAt = at
+	case at.After(cs.confirmedAt):
+		cs.confirmedAt, cs.read, cs.unconfirmed = at, from.read, false
+	}
+}
+
+// maxReadTimes is the number of reads that are remembered. It exceeds the reads of a fleet that a
+// VM can hear of while heartbeats about one of them arrive.
+const maxReadTimes = 32
+
+// readTimes are the times of the latest known reads of the store, as far as this VM can tell. The zero
+// value is empty.
+type readTimes struct {
+	list [maxReadTimes]readTime
+	next int
+}
+
+type readTime struct {
+	read heartbeat.ReadID
+	at   time.Time
+}
+
+// note records when a read took place according to one message, and returns the earliest time
+// according to any. Each message puts it later than it was, by the time that it took. An unknown
+// read is not recorded.
+func (r *readTimes) note(read heartbeat.ReadID, at time.Time) time.Time {
+	if read == 0 {
+		return at
+	}
+	for i := range r.list {
+		known := &r.list[i]
+		if known.read != read {
+			continue
+		}
+		if at.Before(known.at) {
+			known.at = at
+		}
+		return known.at
 	}
+	r.list[r.next] = readTime{read: read, at: at}
+	r.next = (r.next + 1) % maxReadTimes
+	return at
 }
 
 // confirmByPeer records that another VM has the same content at a revision, and that the store
-// held nothing newer at a time.
+// held nothing newer when it was read as from says.
 //
 // An unconfirmed state stays so if the other VM knows as little: at a fleet's start all VMs hold
 // what a replica held, and each would take that of another for a confirmation that is already
@@ -44,7 +86,7 @@
 // The cached state takes over a newer revision: the end of an evacuation restores the content
 // from before it. If that kept its earlier revision, a delayed message of a third VM about the
 // evacuation itself would replace it, as if it had been confirmed.
-func (sc *stateCache) confirmByPeer(now time.Time, kind heartbeat.Kind, revision baobabstep.Revision, at time.Time, maxAge time.Duration) {
+func (sc *stateCache) confirmByPeer(now time.Time, kind heartbeat.Kind, revision baobabstep.Revision, from origin, maxAge time.Duration) {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
 	cached := &sc.states[kind]
@@ -52,7 +94,7 @@
 		sc.setRevision(now, kind, revision)
 		cached.revisionFromReplica = false
 	}
-	if !cached.unconfirmed || now.Sub(at) < maxAge {
-		sc.confirm(kind, at)
+	if !cached.unconfirmed || now.Sub(from.confirmedAt) < maxAge {
+		sc.confirm(kind, from)
 	}
 }
--- a/entry/confirmation_test.go
+++ b/entry/confirmation_test.go
@@ -18,7 +18,7 @@
 	reader := f.nodes[0]
 	f.now = f.now.Add(time.Second)
 	readAt := f.now
-	err := reader.updateTargets(benchRegistrations(10), baobabstep.Revision{Number: 2}, origin{source: sourceStore, confirmedAt: readAt})
+	err := reader.updateTargets(benchRegistrations(10), baobabstep.Revision{Number: 2}, reader.syncer.readOrigin(baobabstep.Newest, readAt, time.Second))
 	qt.Assert(t, err, qt.IsNil)
 	for range rounds {
 		for _, n := range f.nodes {
--- a/entry/distribution.go
+++ b/entry/distribution.go
@@ -118,7 +118,7 @@
 // handleSection applies a section from a peer. At the end of a response it requests the
 // sections that are still missing.
 func (n *Node) handleSection(now time.Time, sender netip.AddrPort, s *heartbeat.Section) {
-	from := n.peerOrigin(now, s.VersionInfo, n.options.Settings.Token.Drain())
+	from := peerContentOrigin(now, s.VersionInfo, n.options.Settings.Token.Drain())
 	taken, complete, err := n.cache.applySection(now, s, from)
 	switch {
 	case err != nil:
@@ -135,10 +135,17 @@
 	}
 }
 
-// peerOrigin returns the origin of content from a peer. If the peer's content was last
+// peerOrigin returns the origin of what a peer holds.
+func peerOrigin(now time.Time, held heartbeat.VersionInfo) origin {
+	return origin{source: sourcePeer, confirmedAt: now.Add(-held.Age()), read: held.Read}
+}
+
+// peerContentOrigin returns the origin of content from a peer. If the peer's content was last
 // confirmed at least maxAge ago, it counts as read from a replica of the store.
-func (n *Node) peerOrigin(now time.Time, held heartbeat.VersionInfo, maxAge time.Duration) origin {
-	return origin{source: sourcePeer, confirmedAt: now.Add(-held.Age()), fromReplica: held.Age() >= maxAge}
+func peerContentOrigin(now time.Time, held heartbeat.VersionInfo, maxAge time.Duration) origin {
+	from := peerOrigin(now, held)
+	from.fromReplica = held.Age() >= maxAge
+	return from
 }
 
 // handleChunk adds a piece of content from a peer, and applies the content once it is
@@ -150,7 +157,7 @@
 	if !complete {
 		return
 	}
-	from := n.peerOrigin(now, held, n.applyBound(p.Kind))
+	from := peerContentOrigin(now, held, n.applyBound(p.Kind))
 	var err error
 	switch p.Kind {
 	case heartbeat.Routes:
@@ -208,9 +215,9 @@
 	if c.Kind == heartbeat.Targets && sameBase {
 		n.notifyStoreRecovery(now, now.Add(-c.Result.Age()))
 	}
-	from := origin{source: sourcePeer, confirmedAt: now.Add(-c.Result.Age())}
+	from := peerOrigin(now, c.Result)
 	if c.Kind == heartbeat.Routes {
-		from = n.peerOrigin(now, c.Result, n.applyBound(c.Kind))
+		from = peerContentOrigin(now, c.Result, n.applyBound(c.Kind))
 	}
 	changed, err := n.cache.applyPeerChange(now, c, from)
 	switch {
--- a/entry/evacuation.go
+++ b/entry/evacuation.go
@@ -136,8 +136,8 @@
 // cached evacuations, as the watch may have missed another change.
 func (n *Node) applyWatchedEvacuations(changes []baobabstep.EvacuationChange) error {
 	dataCentres, revision := n.cache.evacuationsAfterChanges(changes)
-	confirmed := n.cache.state(heartbeat.Evacuations).confirmedAt
-	return n.updateEvacuations(dataCentres, revision, origin{source: sourceWatch, confirmedAt: confirmed})
+	held := n.cache.state(heartbeat.Evacuations)
+	return n.updateEvacuations(dataCentres, revision, origin{source: sourceWatch, confirmedAt: held.confirmedAt, read: held.read})
 }
 
 // applyEvacuations applies a list of evacuated data centres as of a revision, and reports
@@ -190,7 +190,7 @@
 		n.counters.malformed.Add(1)
 		return
 	}
-	changed, err := n.applyEvacuations(now, e.DataCentres, e.VersionInfo.Revision(), origin{source: sourcePeer, confirmedAt: now.Add(-e.VersionInfo.Age())})
+	changed, err := n.applyEvacuations(now, e.DataCentres, e.VersionInfo.Revision(), peerOrigin(now, e.VersionInfo))
 	if err != nil {
 		n.counters.malformed.Add(1)
 		return
--- a/entry/logging_test.go
+++ b/entry/logging_test.go
@@ -28,7 +28,7 @@
 	_, has := lines.Entries[0].Fields["routes_age_ms"]
 	qt.Check(t, has, qt.IsFalse)
 
-	n.cache.confirmByPeer(benchEpoch, heartbeat.Routes, baobabstep.Revision{}, benchEpoch.Add(-250*time.Millisecond), time.Second)
+	n.cache.confirmByPeer(benchEpoch, heartbeat.Routes, baobabstep.Revision{}, origin{confirmedAt: benchEpoch.Add(-250 * time.Millisecond)}, time.Second)
 	n.router.Handle(benchEpoch, &p, new([]baobabstep.OutgoingDatagram))
 	encoded, err := json.Marshal(lines.Entries[1].Fields)
 	qt.Assert(t, err, qt.IsNil)
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -215,9 +215,10 @@
 // newer revision is requested.
 func (n *Node) compareHeld(now time.Time, kind heartbeat.Kind, h *heartbeat.Heartbeat) {
 	cached := n.cache.state(kind)
-	if age, same := h.ConfirmedAge(kind, cached.sum); same {
+	if _, same := h.ConfirmedAge(kind, cached.sum); same {
 		if cached.isKnown() {
-			n.cache.confirmByPeer(now, kind, h.VersionOf(kind).Revision(), now.Add(-age), n.applyBound(kind))
+			held := h.VersionOf(kind)
+			n.cache.confirmByPeer(now, kind, held.Revision(), peerOrigin(now, held), n.applyBound(kind))
 			n.endOutage(now, kind)
 		}
 		return
--- a/entry/section.go
+++ b/entry/section.go
@@ -101,6 +101,7 @@
 	registrations *heartbeat.Registrations
 	revision      baobabstep.Revision
 	confirmedAt   time.Time
+	read          heartbeat.ReadID
 	pinnedAt      time.Time
 }
 
@@ -112,7 +113,7 @@
 		return
 	}
 	sc.pinned = &pinnedTargets{
-		registrations: sc.targets.Clone(), revision: cached.announced(now).Revision(), confirmedAt: cached.confirmedAt, pinnedAt: now,
+		registrations: sc.targets.Clone(), revision: cached.announced(now).Revision(), confirmedAt: cached.confirmedAt, read: cached.read, pinnedAt: now,
 	}
 }
 
@@ -126,6 +127,7 @@
 	sc.pin(now, requester, maxAge)
 	p := sc.pinned
 	info := heartbeat.MakeVersionInfo(p.revision, p.registrations.Checksum(), now.Sub(p.confirmedAt))
+	info.Read = p.read
 	return p.registrations.Sections(info, digests, int(uint64(self)%heartbeat.NumBuckets), maxResponseBytes)
 }
 
--- a/entry/store_query.go
+++ b/entry/store_query.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"baobabstep"
+	"baobabstep/core/heartbeat"
+	"baobabstep/core/mix"
 )
 
 func (s *storeSyncer) readDesired(ctx context.Context, freshness baobabstep.Freshness) (baobabstep.Revision, error) {
@@ -15,7 +17,7 @@
 	if state == nil {
 		return baobabstep.Revision{}, err
 	}
-	from := readOrigin(freshness, start, s.node.options.Settings.Token.DesiredApply())
+	from := s.readOrigin(freshness, start, s.node.options.Settings.Token.DesiredApply())
 	err = errors.Join(err, s.node.updateEvacuations(state.Evacuated, revision, from))
 	if state.Table == nil {
 		return baobabstep.Revision{}, err
@@ -25,11 +27,18 @@
 
 // readOrigin returns the origin of content that was read. Content of a replica counts as
 // maxAge old until the store or another VM confirms it.
-func readOrigin(freshness baobabstep.Freshness, start time.Time, maxAge time.Duration) origin {
+func (s *storeSyncer) readOrigin(freshness baobabstep.Freshness, start time.Time, maxAge time.Duration) origin {
 	if freshness == baobabstep.Recent {
 		return origin{source: sourceReplica, confirmedAt: start.Add(-maxAge), fromReplica: true}
 	}
-	return origin{source: sourceStore, confirmedAt: start}
+	return origin{source: sourceStore, confirmedAt: start, read: s.nextReadID()}
+}
+
+// nextReadID returns an identifier that no other read of any VM has, with high probability.
+func (s *storeSyncer) nextReadID() heartbeat.ReadID {
+	vm := uint64(s.node.options.Settings.VM().ID)
+	incarnation := mix.Uint64(uint64(s.node.startedAt.UnixMilli()))
+	return heartbeat.ReadID(max(1, uint32(mix.Uint64(vm^incarnation+s.readCount.Add(1)))))
 }
 
 func (s *storeSyncer) watchDesired(ctx context.Context, after baobabstep.Revision) (baobabstep.Revision, int, error) {
@@ -45,7 +54,7 @@
 		changes++
 		// The table was the newest one when the watch returned, as after a read. Changes that
 		// the watch may have missed arrive with the next read.
-		err = errors.Join(err, s.node.updateRoutes(change.Table, origin{source: sourceWatch, confirmedAt: s.node.clock.Now()}))
+		err = errors.Join(err, s.node.updateRoutes(change.Table, origin{source: sourceWatch, confirmedAt: s.node.clock.Now(), read: s.nextReadID()}))
 	}
 	return revision, changes, err
 }
@@ -59,7 +68,7 @@
 	case err != nil:
 		return baobabstep.Revision{}, err
 	case complete:
-		return revision, s.node.updateTargets(list, revision, readOrigin(freshness, start, s.node.options.Settings.Token.Drain()))
+		return revision, s.node.updateTargets(list, revision, s.readOrigin(freshness, start, s.node.options.Settings.Token.Drain()))
 	}
 	return baobabstep.Revision{}, s.node.cache.addIncompleteTargets(s.node.clock.Now(), list)
 }
@@ -70,7 +79,7 @@
 	if err != nil {
 		return baobabstep.Revision{}, err
 	}
-	return revision, s.node.updateTargets(list, revision, readOrigin(freshness, start, s.node.options.Settings.Token.Drain()))
+	return revision, s.node.updateTargets(list, revision, s.readOrigin(freshness, start, s.node.options.Settings.Token.Drain()))
 }
 
 func (s *storeSyncer) watchTargets(ctx context.Context, after baobabstep.Revision) (baobabstep.Revision, int, error) {
--- a/entry/store_sync.go
+++ b/entry/store_sync.go
@@ -70,6 +70,8 @@
 	// uniformSpread is drawn at the start from a uniform distribution from 0 to 1. expSpread
 	// is drawn with exponentialSpread, which gives few VMs less than half.
 	uniformSpread, expSpread float64
+	// readCount counts the reads of the store.
+	readCount atomic.Uint64
 }
 
 // spreadRate is the rate parameter of the distribution of storeSyncer.expSpread. The density
--- a/entry/unconfirmed_test.go
+++ b/entry/unconfirmed_test.go
@@ -25,7 +25,7 @@
 	n.options.Settings.Token.ConfigApplyMS = 3000
 	bound := n.applyBound(heartbeat.Routes)
 	n.router.SetRegistrations(benchEpoch, benchRegistrations(3))
-	replica := readOrigin(baobabstep.Recent, benchEpoch, bound)
+	replica := n.syncer.readOrigin(baobabstep.Recent, benchEpoch, bound)
 	qt.Assert(t, n.updateRoutes(testTable(), replica), qt.IsNil)
 	qt.Check(t, resetsUnrouted(n, benchEpoch), qt.IsFalse)
 
@@ -71,7 +71,7 @@
 		n.router.Handle(benchEpoch, &baobabstep.Segment{Kind: baobabstep.KindOpen, Flow: baobabstep.FlowKey{Caller: peerAddress(8), Service: benchService}}, &out)
 		return len(out) > 0
 	}
-	replica := readOrigin(baobabstep.Recent, benchEpoch, n.applyBound(heartbeat.Targets))
+	replica := n.syncer.readOrigin(baobabstep.Recent, benchEpoch, n.applyBound(heartbeat.Targets))
 	qt.Assert(t, n.updateTargets(nil, baobabstep.Revision{Number: 5}, replica), qt.IsNil)
 	qt.Check(t, refuses(), qt.IsFalse)
 	qt.Assert(t, n.updateTargets(nil, baobabstep.Revision{Number: 5}, origin{source: sourceStore, confirmedAt: benchEpoch}), qt.IsNil)
