entry: a VM that has not read the store takes over no watch, and a first VM reads at once

What callers saw: requests at targets that had said more than 5 s before that they leave.

Cause: the first VM by identifier watches the store for all. One that has just started comes first as soon as others hear it, so the former one stops watching; it has read a replica only, and a watch needs a revision of the store. Its next read was due by the age of its registrations, which others kept young.

No read of the registrations for 16.2 s.

Change: a VM that has not read the store itself since its start ranks after all that have. If it is the first nevertheless, it reads at once, unless its registrations are not confirmed: they are read soon anyway, and in a fleet that starts many VMs act as the first.

--- a/core/heartbeat/message.go
+++ b/core/heartbeat/message.go
@@ -63,7 +63,7 @@
 	Sequence    uint64 `cbor:"4,keyasint"`
 	// Leaving is set once the VM has begun a planned stop.
 	Leaving bool `cbor:"5,keyasint,omitempty"`
-	// StoreUnreadable is set while the sender cannot read the store.
+	// StoreUnreadable is set while the sender cannot read the store, and until it first has.
 	StoreUnreadable bool `cbor:"6,keyasint,omitempty"`
 	// Versions are the sender's versions of Routes and Targets.
 	Versions [chunkedKinds]VersionInfo `cbor:"7,keyasint"`
--- a/core/heartbeat/query.go
+++ b/core/heartbeat/query.go
@@ -27,7 +27,7 @@
 func (r Rank) First() bool { return r == Rank{} }
 
 // Rank returns the rank of this VM, in the order of VM identifiers. Leaving VMs are not
-// counted. VMs that cannot read the store rank after all that can; storeUnreadable is set
+// counted. VMs that cannot read the store, or have not yet, rank after all that can; storeUnreadable is set
 // if this VM cannot. They have ranks among each other, so that only a few of them keep
 // trying.
 func (t *PeerTable) Rank(now time.Time, storeUnreadable bool) Rank {
--- a/entry/node.go
+++ b/entry/node.go
@@ -93,8 +93,9 @@
 	counters  counters
 	startedAt time.Time
 	stopping  atomic.Bool
-	// storeUnreadable is set for a kind while the store cannot be read.
-	storeUnreadable [heartbeat.NumKinds]atomic.Bool
+	// storeUnreadable is set for a query, by its primary kind, while the store cannot be read, and
+	// storeRead once it was, not counting replicas.
+	storeUnreadable, storeRead [heartbeat.NumKinds]atomic.Bool
 	// targetsReadFailedAt is when a read of the registrations last failed, nil if none did since
 	// the store was known to be available.
 	targetsReadFailedAt atomic.Pointer[time.Time]
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -333,9 +333,16 @@
 	return n.peerTable.Rank(now, n.isStoreUnreadable())
 }
 
-// isStoreUnreadable reports whether the last read of the store failed for some kind.
+// isStoreUnreadable reports whether this VM has not read the store itself since its start, or
+// the last read failed, for some kind. A VM that has not read it cannot watch it either, so it does
+// not take over from one that does.
 func (n *Node) isStoreUnreadable() bool {
-	return n.storeUnreadable[heartbeat.Routes].Load() || n.storeUnreadable[heartbeat.Targets].Load()
+	for _, kind := range queryKinds {
+		if n.storeUnreadable[kind].Load() || !n.storeRead[kind].Load() {
+			return true
+		}
+	}
+	return false
 }
 
 // tickHeartbeats sends the heartbeats that are due, and passes the loads that peers announced
--- a/entry/read_schedule.go
+++ b/entry/read_schedule.go
@@ -70,6 +70,9 @@
 
 // dueAt returns when the query has to be read again.
 func (s *storeSyncer) dueAt(now time.Time, q *storeQuery) time.Time {
+	if s.lacksWatchRevision(now, q) {
+		return now
+	}
 	age := readAgeForRank(s.node.rank(now))
 	if !s.node.peerTable.KnowsOthers(now) {
 		age = max(age, backupReadAge) // in a fleet that starts, most VMs have received no heartbeat of a VM with a lower rank yet
@@ -83,6 +86,13 @@
 	return first.Add(s.queueDelay(now, q))
 }
 
+// lacksWatchRevision reports whether this VM is to watch a query and has not read it from the store
+// itself, so that nobody watches it until then. A state that is not confirmed either is read soon, and in
+// a fleet that starts many VMs act as the first one.
+func (s *storeSyncer) lacksWatchRevision(now time.Time, q *storeQuery) bool {
+	return q.revision.Load() == nil && s.shouldWatch(now) && !s.node.cache.state(q.primaryKind()).unconfirmed
+}
+
 // queueDelay returns how long a VM waits, beyond the age at which it reads, for the reads of those
 // before it in rank. Each of them can send its result to all others, while a store to which all
 // of a large fleet turn at the same time answers none of them in time: the results are then too
--- a/entry/store_sync.go
+++ b/entry/store_sync.go
@@ -133,6 +133,9 @@
 	}
 }
 
+// queryKinds are the primary kinds of all queries.
+var queryKinds = []heartbeat.Kind{heartbeat.Routes, heartbeat.Targets}
+
 // primaryKind returns the kind that identifies the query.
 func (q *storeQuery) primaryKind() heartbeat.Kind { return q.kinds[0] }
 
@@ -210,6 +213,7 @@
 	s.recordStoreStatus(q, err)
 	if err == nil && freshness == baobabstep.Newest {
 		q.advanceRevision(revision)
+		s.node.storeRead[q.primaryKind()].Store(true)
 	}
 	return err
 }
