registrations: one meaning of valid, for the store, changes, sections and whole lists

What callers saw: nothing yet; suspected of requests at targets that left.

Cause: the store's client took a registration of another writer with 2^31 slots and more, with a warm-up that overflows to a negative one, or with names of kilobytes. Sections with such a row were refused by other VMs, in whole and in each later round, or could not be sent at all, and with them the news of all other targets in them. Those VMs learned from their own reads alone.

A section of several rows ends before the row that would exceed it, so the longest names fit.

--- a/core/heartbeat/section.go
+++ b/core/heartbeat/section.go
@@ -18,9 +18,11 @@
 	bucketBits = 6
 	// digestBytes is the size of the digest of a bucket.
 	digestBytes = 4
-	// sectionBytes is the size of Rows at which a Section is closed, so that the
-	// encoded message stays below MaxMessage.
-	sectionBytes = 1000
+	// sectionBytes limits the size of a Section of several rows, so that the encoded message
+	// stays below MaxMessage.
+	sectionBytes = 1100
+	// maxRowBytes is the largest size of a row, without names.
+	maxRowBytes = 64
 	// sectionOverhead is the estimated size of an encoded Section without its Rows.
 	sectionOverhead = 200
 )
@@ -102,12 +104,12 @@
 	s := &Section{First: first, Last: last}
 	list = append(list, s)
 	for i, reg := range all {
-		s.appendRow(reg)
-		if s.size() >= sectionBytes && i+1 < len(all) {
-			s.Last = targetHash(reg.ID)
+		if i > 0 && s.size()+s.rowSize(reg) > sectionBytes && len(s.Rows) > 0 {
+			s.Last = targetHash(all[i-1].ID)
 			s = &Section{First: s.Last + 1, Last: last}
 			list = append(list, s)
 		}
+		s.appendRow(reg)
 	}
 	return list
 }
@@ -121,6 +123,16 @@
 	return bytes
 }
 
+// rowSize returns the most bytes by which appendRow increases the size.
+func (s *Section) rowSize(r *baobabstep.Registration) (bytes int) {
+	for _, name := range []string{r.Service, r.DataCentre, r.Release} {
+		if !slices.Contains(s.Names, name) {
+			bytes += len(name) + nameOverhead
+		}
+	}
+	return bytes + maxRowBytes
+}
+
 // nameOverhead is the size in bytes of the length of a name in Names.
 const nameOverhead = 2
 
@@ -189,16 +201,13 @@
 	r.Address = in.address()
 	r.Service, r.DataCentre, r.Release = in.name(s.Names), in.name(s.Names), in.name(s.Names)
 	slots, draining, warmup, startedMS := in.uvarint(), in.uvarint(), in.uvarint(), in.uvarint()
-	if in.failed || r.ID == 0 || !r.Address.IsValid() || slots < 1 || slots > maxSlots || draining > 1 || int64(warmup) < 0 {
+	r.Slots, r.Draining, r.WarmupLeft, r.StartedMS = int(slots), draining == 1, time.Duration(warmup), startedMS
+	if in.failed || draining > 1 || r.Check() != nil {
 		return r, nil, malformedSection("invalid registration in the last %d bytes", len(b))
 	}
-	r.Slots, r.Draining, r.WarmupLeft, r.StartedMS = int(slots), draining == 1, time.Duration(warmup), startedMS
 	return r, in.b, nil
 }
 
-// maxSlots is the largest number of slots accepted in a row.
-const maxSlots = 1 << 31
-
 // rowReader decodes values from b. failed is set once a value is missing or invalid.
 type rowReader struct {
 	b      []byte
--- a/core/heartbeat/transfer.go
+++ b/core/heartbeat/transfer.go
@@ -161,13 +161,11 @@
 }
 
 func (b *targetBody) registration() (baobabstep.Registration, error) {
-	if b.ID == 0 || !b.Address.IsValid() || b.Slots < 1 {
-		return baobabstep.Registration{}, baobabstep.Errorf(baobabstep.CodeMalformed, "heartbeat.targets", "got target %x at %v with %d slots, want an identifier, a valid address and at least one slot", uint64(b.ID), b.Address, b.Slots)
-	}
-	return baobabstep.Registration{
+	r := baobabstep.Registration{
 		ID: b.ID, Service: b.Service, Address: b.Address, DataCentre: b.DataCentre,
 		Release: b.Release, Slots: b.Slots, Draining: b.Draining, WarmupLeft: b.WarmupLeft, StartedMS: b.StartedMS,
-	}, nil
+	}
+	return r, r.Check()
 }
 
 // EncodeTargets encodes registrations.
