--- a/core/heartbeat/change.go
+++ b/core/heartbeat/change.go
@@ -37,6 +37,9 @@
 	if from == nil || c.BaseChecksum != fromSum {
 		return nil, conflict("base checksum mismatch in change of routes")
 	}
+	if c.IdleTimeout < 0 {
+		return nil, negativeIdleTimeout(c.IdleTimeout)
+	}
 	rules := make(map[string]baobabstep.Rule, len(from.Rules))
 	for _, r := range from.Rules {
 		rules[r.Name] = r
--- a/core/heartbeat/transfer.go
+++ b/core/heartbeat/transfer.go
@@ -99,8 +99,8 @@
 }
 
 func (b *ruleBody) rule() (baobabstep.Rule, error) {
-	if len(b.Shares) == 0 || !b.Address.IsValid() {
-		return baobabstep.Rule{}, baobabstep.Errorf(baobabstep.CodeMalformed, "heartbeat.routes", "rule %q: got address %v and %d shares, want a valid address and at least one share", b.Name, b.Address, len(b.Shares))
+	if len(b.Shares) == 0 || !b.Address.IsValid() || b.LatencyObjective < 0 {
+		return baobabstep.Rule{}, baobabstep.Errorf(baobabstep.CodeMalformed, "heartbeat.routes", "rule %q: got address %v, %d shares and a latency objective of %v, want a valid address, at least one share and an objective of at least 0", b.Name, b.Address, len(b.Shares), b.LatencyObjective)
 	}
 	shares := make([]baobabstep.Share, len(b.Shares))
 	for i, s := range b.Shares {
@@ -141,6 +141,9 @@
 	if err := largeDecMode.Unmarshal(b, &body); err != nil {
 		return nil, baobabstep.Errorf(baobabstep.CodeMalformed, "heartbeat.routes", "%w", err)
 	}
+	if body.IdleTimeout < 0 {
+		return nil, negativeIdleTimeout(body.IdleTimeout)
+	}
 	t := &baobabstep.RoutingTable{Version: body.Version, IdleTimeout: body.IdleTimeout, Rules: make([]baobabstep.Rule, len(body.Rules))}
 	for i := range body.Rules {
 		var err error
@@ -153,6 +156,10 @@
 	return t, err
 }
 
+func negativeIdleTimeout(got time.Duration) error {
+	return baobabstep.Errorf(baobabstep.CodeMalformed, "heartbeat.routes", "got an idle timeout of %v, want at least 0", got)
+}
+
 func makeTarget(r *baobabstep.Registration) targetBody {
 	return targetBody{
 		ID: r.ID, Service: r.Service, Address: r.Address, DataCentre: r.DataCentre,
--- a/core/heartbeat/transfer_test.go
+++ b/core/heartbeat/transfer_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -177,3 +178,25 @@
 		}
 	})
 }
+
+// Guards against routes of another VM with a negative time, by which idle flows would end at once.
+func TestNegativeTimesOfRoutesAreRefused(t *testing.T) {
+	for name, change := range map[string]func(*baobabstep.RoutingTable){
+		"idle timeout":      func(table *baobabstep.RoutingTable) { table.IdleTimeout = -1 },
+		"latency objective": func(table *baobabstep.RoutingTable) { table.Rules[0].LatencyObjective = -1 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := &baobabstep.RoutingTable{Version: 2, Rules: []baobabstep.Rule{{Name: "r", Address: address(1), Shares: []baobabstep.Share{{Service: "s", Weight: 1}}}}}
+			base := *table
+			base.Version, base.Rules = 1, slices.Clone(table.Rules)
+			change(table)
+			content, err := EncodeRoutes(table)
+			qt.Assert(t, err, qt.IsNil)
+			_, err = DecodeRoutes(content)
+			qt.Check(t, baobabstep.CodeOf(err), qt.Equals, baobabstep.CodeMalformed)
+			c := NewRoutesChange(&base, table, 9, MakeVersionInfo(baobabstep.Revision{Number: 2}, Checksum(content), 0))
+			_, err = c.ApplyRoutes(&base, 9)
+			qt.Check(t, baobabstep.CodeOf(err), qt.Equals, baobabstep.CodeMalformed)
+		})
+	}
+}
--- a/core/token/snapshot.go
+++ b/core/token/snapshot.go
@@ -61,7 +61,7 @@
 	// requestSizes learns the usual size of the rule's requests.
 	requestSizes *bulk.RequestSizes
 	shares       []baobabstep.Share
-	totalWeight  uint32
+	totalWeight  uint64 // the sum of any number of weights of 32 bits
 	// services are the services at which flows of the address may be, with the time until
 	// which they may: noExpiry for present services, a time for former ones.
 	services map[string]time.Time
@@ -104,7 +104,7 @@
 func newRule(from *baobabstep.Rule) *rule {
 	r := &rule{name: from.Name, repeatable: from.Repeatable, latencyObjective: from.LatencyObjective, answerSizes: new(answer.SizeHistogram), requestSizes: new(bulk.RequestSizes), shares: from.Shares, services: make(map[string]time.Time, len(from.Shares))}
 	for _, share := range from.Shares {
-		r.totalWeight += share.Weight
+		r.totalWeight += uint64(share.Weight)
 		r.services[share.Service] = noExpiry
 	}
 	return r
@@ -133,12 +133,13 @@
 	if r.totalWeight == 0 {
 		return r.shares[draw%uint64(len(r.shares))].Service
 	}
-	at := uint32(draw % uint64(r.totalWeight))
+	at := draw % r.totalWeight
 	for _, share := range r.shares {
-		if at < share.Weight {
+		weight := uint64(share.Weight)
+		if at < weight {
 			return share.Service
 		}
-		at -= share.Weight
+		at -= weight
 	}
 	return r.shares[len(r.shares)-1].Service
 }
--- a/core/token/snapshot_test.go
+++ b/core/token/snapshot_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
 	"baobabstep"
@@ -65,3 +66,12 @@
 		}
 	})
 }
+
+// Guards against weights whose sum exceeds 32 bits: all flows went to one of the services.
+func TestPickServiceWithLargeWeights(t *testing.T) {
+	r := newRule(&baobabstep.Rule{Shares: []baobabstep.Share{{Service: "a", Weight: 1 << 31}, {Service: "b", Weight: 1 << 31}, {Service: "none"}}})
+	for draw, want := range map[uint64]string{0: "a", 1<<31 - 1: "a", 1 << 31: "b", 1<<32 - 1: "b", 1 << 32: "a"} {
+		qt.Check(t, r.pickService(draw), qt.Equals, want, qt.Commentf("draw %d", draw))
+	}
+	qt.Check(t, r.leadsTo("none"), qt.IsFalse)
+}
