--- a/cmd/baobabstepd/main.go
+++ b/cmd/baobabstepd/main.go
@@ -40,8 +40,7 @@
 	// take much of the processor time for which callers wait.
 	startGCPercent = 400
 	// unreadableLogClass is the class by which log lines about malformed
-	// registrations are limited. A registration that stays malformed is reported at
-	// each read.
+	// registrations are limited.
 	unreadableLogClass = "registration_unreadable"
 	// exitFailed is the exit status if the VM could not start or failed.
 	exitFailed = 1
