entry: a change that waited does not count as fresher by that time

What callers saw: nothing by itself; part of the ages that were too low.

Cause: a change that arrives before the one that it is based on waits for up to 2 s. Its age was counted from when it applied, not from when it arrived.

Change: the read that it names is noted when it arrives, and the earliest time holds.

--- a/entry/confirmation.go
+++ b/entry/confirmation.go
@@ -38,6 +38,13 @@
 	}
 }
 
+// noteRead records when a read took place, of content that does not apply yet.
+func (sc *stateCache) noteRead(from origin) {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	sc.reads.note(from.read, from.confirmedAt)
+}
+
 // maxReadTimes is the number of reads that are remembered. It exceeds the reads of a fleet that a
 // VM can hear of while heartbeats about one of them arrive.
 const maxReadTimes = 32
--- a/entry/distribution.go
+++ b/entry/distribution.go
@@ -243,6 +243,7 @@
 // holdChange keeps a change until the content before it is known.
 func (n *Node) holdChange(now time.Time, c *heartbeat.Change) {
 	n.exchange.hold(now, c)
+	n.cache.noteRead(peerOrigin(now, c.Result)) // its age counts from now, not from when it applies
 	n.cache.markLeaving(now, c)
 }
 
