entry: older registrations do not end the marks of targets that leave

What callers saw: suspected, requests at targets that the VM had already known to leave.

Cause: a change that does not apply yet takes its leaving targets out of new flows at once. Registrations of a revision in between, by a read, a section or a change, put them back, as they are ready there; the mark stayed in the list and was applied no more. Targets that the VM did not know yet were not marked at all.

Change: as long as the registrations are older than the marks, each update is followed by the marks. They are kept for unknown targets too.

Measured: TestOlderRegistrationsDoNotEndMarks failed before with a list (targets 5 to 7) and with a section (target 6), passes now.

--- a/entry/leaving.go
+++ b/entry/leaving.go
@@ -14,7 +14,8 @@
 // leavingMarks are the targets that get no new flows because of changes that do not apply yet, and
 // the newest revision of these changes.
 type leavingMarks struct {
-	targets  map[baobabstep.TargetID]bool
+	// targets are the registrations of those that leave, nil for those that end.
+	targets  map[baobabstep.TargetID]*baobabstep.Registration
 	revision baobabstep.Revision
 }
 
@@ -32,35 +33,54 @@
 	defer sc.mu.Unlock()
 	leaving = slices.DeleteFunc(leaving, func(r baobabstep.Registration) bool {
 		known, ok := sc.targets.Get(r.ID)
-		return !ok || known.StartedMS != r.StartedMS
+		return ok && known.StartedMS != r.StartedMS
 	})
 	if len(leaving)+len(c.RemovedTargets) == 0 {
 		return
 	}
 	sc.logLeaving(now, heartbeat.Difference{Put: leaving, Removed: c.RemovedTargets}, c.Result.Revision(), viaMark, origin{source: sourcePeer})
-	sc.router.ChangeRegistrations(now, leaving, c.RemovedTargets)
 	sc.marks.add(leaving, c)
+	sc.applyMarks(now)
 }
 
 func (m *leavingMarks) add(leaving []baobabstep.Registration, c *heartbeat.Change) {
 	if m.targets == nil {
-		m.targets = make(map[baobabstep.TargetID]bool)
+		m.targets = make(map[baobabstep.TargetID]*baobabstep.Registration)
 	}
 	for i := range leaving {
-		m.targets[leaving[i].ID] = true
+		m.targets[leaving[i].ID] = &leaving[i]
 	}
 	for _, id := range c.RemovedTargets {
-		m.targets[id] = true
+		m.targets[id] = nil
 	}
 	if m.revision.Before(c.Result.Revision()) {
 		m.revision = c.Result.Revision()
 	}
 }
 
-// clearMarks applies the cached registrations of the marked targets once these are as new as the
-// changes that marked them. The caller holds sc.mu.
-func (sc *stateCache) clearMarks(now time.Time) {
-	if len(sc.marks.targets) == 0 || sc.states[heartbeat.Targets].revision.Before(sc.marks.revision) {
+// applyMarks keeps new flows from the marked targets. The caller holds sc.mu.
+func (sc *stateCache) applyMarks(now time.Time) {
+	var leaving []baobabstep.Registration
+	var gone []baobabstep.TargetID
+	for _, id := range slices.Sorted(maps.Keys(sc.marks.targets)) {
+		if r := sc.marks.targets[id]; r != nil {
+			leaving = append(leaving, *r)
+		} else {
+			gone = append(gone, id)
+		}
+	}
+	sc.router.ChangeRegistrations(now, leaving, gone)
+}
+
+// updateMarks applies the cached registrations of the marked targets once these are as new as the
+// changes that marked them. Older ones that the router has just got do not end the marks. The
+// caller holds sc.mu.
+func (sc *stateCache) updateMarks(now time.Time) {
+	if len(sc.marks.targets) == 0 {
+		return
+	}
+	if sc.states[heartbeat.Targets].revision.Before(sc.marks.revision) {
+		sc.applyMarks(now)
 		return
 	}
 	var present []baobabstep.Registration
--- a/entry/registrations.go
+++ b/entry/registrations.go
@@ -45,7 +45,7 @@
 	}
 	sc.pendingSections, sc.sectionsMissing = heartbeat.Difference{}, false
 	sc.router.SetRegistrations(now, list)
-	sc.clearMarks(now)
+	sc.updateMarks(now)
 	sc.logTargetsChanged(from)
 	return true, change, nil
 }
@@ -174,7 +174,7 @@
 	sc.history.Add(sc.states[heartbeat.Targets].revision, revision, sc.targets.Checksum(), d)
 	oldSum = sc.setContent(now, heartbeat.Targets, sc.targets.Checksum(), revision, from)
 	sc.router.ChangeRegistrations(now, d.Put, d.Removed)
-	sc.clearMarks(now)
+	sc.updateMarks(now)
 	sc.logTargetsChanged(from)
 	return oldSum, nil
 }
--- a/entry/repair_test.go
+++ b/entry/repair_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -98,6 +99,45 @@
 	assertAvailable(t, placement, list, func(i int) bool { return i >= 5 })
 }
 
+// Guards against new flows to targets that leave by a change that waits, because older registrations, in
+// which they are ready, arrive after it.
+func TestOlderRegistrationsDoNotEndMarks(t *testing.T) {
+	f := newDataCentreFleet(t, 3, 20)
+	list := benchRegistrations(20)
+	sender := f.nodes[1].options.Settings.PeerAddress
+	changes := changesTo(t, f.nodes[2], f.now, list[:5], list[5:8])
+	older := origin{source: sourceStore, confirmedAt: f.now}
+	for _, test := range []struct {
+		name   string
+		update func(n *Node, list []baobabstep.Registration)
+	}{
+		{"a list", func(n *Node, list []baobabstep.Registration) {
+			qt.Assert(t, n.updateTargets(list, baobabstep.Revision{Number: changes[1].Result.Number - 1}, older), qt.IsNil)
+		}},
+		{"a section", func(n *Node, list []baobabstep.Registration) {
+			held, err := heartbeat.NewRegistrations(list)
+			qt.Assert(t, err, qt.IsNil)
+			sections, _ := held.Sections(heartbeat.MakeVersionInfo(baobabstep.Revision{Number: changes[1].Result.Number - 1}, held.Checksum(), 0), n.cache.digests(), 0, 1<<20)
+			for _, s := range sections {
+				n.handleSection(f.now, sender, s)
+			}
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newDataCentreFleet(t, 3, 20)
+			n, placement := f.nodes[2], newPlacementLog()
+			placement.SetRegistrations(f.now, list)
+			n.cache.router = placement
+			n.handleChange(f.now, sender, changes[1])
+			qt.Assert(t, n.cache.state(heartbeat.Targets).revision.Before(changes[1].Result.Revision()), qt.IsTrue)
+			between := slices.Clone(list)
+			between[6].Slots, between[15].Slots = 9, 9 // a target that is leaving, and another
+			test.update(n, between)
+			assertAvailable(t, placement, list, func(i int) bool { return i < 5 || i >= 8 })
+		})
+	}
+}
+
 // Guards against new flows to targets that leave while a VM that has just started collects the
 // list.
 func TestLeavingTargetOfIncompleteList(t *testing.T) {
--- a/entry/section.go
+++ b/entry/section.go
@@ -60,7 +60,7 @@
 	sc.sectionsMissing = false
 	sc.setContent(now, heartbeat.Targets, s.VersionInfo.Checksum, revision, from)
 	sc.applyPendingSections(now)
-	sc.clearMarks(now)
+	sc.updateMarks(now)
 	sc.logTargetsChanged(from)
 	return true, true, nil
 }
@@ -72,6 +72,7 @@
 		return
 	}
 	sc.router.ChangeRegistrations(now, sc.pendingSections.Put, sc.pendingSections.Removed)
+	sc.updateMarks(now)
 	sc.pendingSections = heartbeat.Difference{}
 }
 
