entry: a target of a later incarnation that leaves is marked on a VM that knows an earlier one

What callers saw: suspected, requests at a target that had restarted under its identifier and left again.

Cause: the mark of a target that leaves compared the start times for equality. A VM that missed the restart ignored the leaving of the later incarnation until the changes before it arrived.

Change: only the leaving of an earlier incarnation than the known one is ignored.

Measured: TestLeavingTargetOfLaterIncarnation failed before, passes now.

--- a/entry/leaving.go
+++ b/entry/leaving.go
@@ -33,7 +33,7 @@
 	defer sc.mu.Unlock()
 	leaving = slices.DeleteFunc(leaving, func(r baobabstep.Registration) bool {
 		known, ok := sc.targets.Get(r.ID)
-		return ok && known.StartedMS != r.StartedMS
+		return ok && known.StartedMS > r.StartedMS // an earlier incarnation has left
 	})
 	if len(leaving)+len(c.RemovedTargets) == 0 {
 		return
--- a/entry/repair_test.go
+++ b/entry/repair_test.go
@@ -138,6 +138,21 @@
 	}
 }
 
+// Guards against flows to a target that restarted and leaves again, while a VM knows its earlier
+// incarnation only.
+func TestLeavingTargetOfLaterIncarnation(t *testing.T) {
+	f := newDataCentreFleet(t, 2, 20)
+	list := benchRegistrations(20)
+	n, placement := f.nodes[1], newPlacementLog()
+	placement.SetRegistrations(f.now, list)
+	n.cache.router = placement
+	restarted := slices.Clone(list[:1])
+	restarted[0].StartedMS = 1000
+	changes := changesTo(t, n, f.now, list[3:5], restarted)
+	n.handleChange(f.now, f.nodes[0].options.Settings.PeerAddress, changes[1])
+	assertAvailable(t, placement, list, func(i int) bool { return i != 0 })
+}
+
 // Guards against new flows to targets that leave while a VM that has just started collects the
 // list.
 func TestLeavingTargetOfIncompleteList(t *testing.T) {
