entry: a failed read of one VM is no outage of the store

What callers saw: suspected, requests at a target that is gone, for 2.5 s after the VM learned of it.

Cause: a VM whose read of the registrations failed gives targets that go missing next a grace period, as they may have lapsed while the store was down.

Change: an outage lies between two reads of any VM. Registrations lapse after three missed reports, so if the two are less than two report intervals apart, no live target can have lapsed and there is no grace period. The interval is a setting, token.target_report_ms. TestGraceAfterOutageIsGivenOnce had an outage of 1 s, in which nothing can lapse; it has one of 4 s now.

Measured: TestSingleFailedReadIsNoOutage: a removal 1.999 s after the read before gets no flows (it got some before), one after 2 s does.

--- a/entry/distribution.go
+++ b/entry/distribution.go
@@ -213,7 +213,7 @@
 func (n *Node) applyChange(now time.Time, sender netip.AddrPort, c *heartbeat.Change) (changed bool) {
 	sameBase := c.BaseChecksum == n.cache.state(c.Kind).sum
 	if c.Kind == heartbeat.Targets && sameBase {
-		n.notifyStoreRecovery(now, now.Add(-c.Result.Age()))
+		n.notifyStoreRecovery(now, n.cache.state(c.Kind).confirmedAt, now.Add(-c.Result.Age()))
 	}
 	from := peerOrigin(now, c.Result)
 	if c.Kind == heartbeat.Routes {
@@ -291,7 +291,7 @@
 }
 
 func (n *Node) updateTargets(list []baobabstep.Registration, revision baobabstep.Revision, from origin) error {
-	n.notifyStoreRecovery(n.clock.Now(), from.confirmedAt)
+	n.notifyStoreRecovery(n.clock.Now(), n.cache.state(heartbeat.Targets).confirmedAt, from.confirmedAt)
 	changed, change, err := n.cache.updateTargets(n.clock.Now(), list, revision, from)
 	if changed {
 		n.setRequestFullList(false)
@@ -304,29 +304,37 @@
 // read it before: the registrations that follow are the first ones since. They end the outage for
 // this VM once the store is known to have held them after the last failed read. Another VM may
 // read the store all the while, and each of its changes would begin a new grace period.
-func (n *Node) notifyStoreRecovery(now, confirmedAt time.Time) {
+//
+// An outage lies between two reads of any VM, at before and at confirmedAt. If these are so close that no
+// live target can have lapsed, the failed read concerned this VM alone.
+func (n *Node) notifyStoreRecovery(now, before, confirmedAt time.Time) {
 	failedAt := n.targetsReadFailedAt.Load()
 	if failedAt == nil {
 		return
 	}
-	n.router.StoreReconnected(now)
-	ended := confirmedAt.After(*failedAt)
+	ended, end := confirmedAt.After(*failedAt), now
 	if ended {
 		n.targetsReadFailedAt.CompareAndSwap(failedAt, nil)
+		end = confirmedAt
+	}
+	if end.Sub(before) < n.options.Settings.Token.LapseOutage() {
+		return
 	}
+	n.router.StoreReconnected(now)
 	n.log.WithFields(log.Fields{"failed_ms": now.Sub(*failedAt).Milliseconds(), "confirmed_ms": now.Sub(confirmedAt).Milliseconds(), "ended": ended}).Info("missing targets get a grace period")
 }
 
 // endOutage ends an outage of the store for this VM once the cached registrations are known to be
 // those that the store held after the last failed read, although nothing has changed. Otherwise
-// the next change, however late, would count as the first one after the outage.
-func (n *Node) endOutage(now time.Time, kind heartbeat.Kind) {
+// the next change, however late, would count as the first one after the outage. The read before was
+// at before.
+func (n *Node) endOutage(now, before time.Time, kind heartbeat.Kind) {
 	failedAt := n.targetsReadFailedAt.Load()
 	if kind != heartbeat.Targets || failedAt == nil {
 		return
 	}
 	if cached := n.cache.state(kind); !cached.unconfirmed && cached.confirmedAt.After(*failedAt) {
-		n.notifyStoreRecovery(now, cached.confirmedAt)
+		n.notifyStoreRecovery(now, before, cached.confirmedAt)
 	}
 }
 
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -219,7 +219,7 @@
 		if cached.isKnown() {
 			held := h.VersionOf(kind)
 			n.cache.confirmByPeer(now, kind, held.Revision(), peerOrigin(now, held), n.applyBound(kind))
-			n.endOutage(now, kind)
+			n.endOutage(now, cached.confirmedAt, kind)
 		}
 		return
 	}
--- a/entry/recovery_test.go
+++ b/entry/recovery_test.go
@@ -99,7 +99,7 @@
 func TestGraceAfterOutageIsGivenOnce(t *testing.T) {
 	f := newOutageFleet(t)
 	f.fail()
-	f.put(time.Second, f.targets[1:])
+	f.put(4*time.Second, f.targets[1:])
 	qt.Check(t, f.serves(0), qt.IsTrue, qt.Commentf("it may have lapsed while the store was down"))
 	f.put(10*time.Second, f.targets[2:])
 	qt.Check(t, f.serves(1), qt.IsFalse)
@@ -107,3 +107,34 @@
 	f.put(10*time.Second, f.targets[3:])
 	qt.Check(t, f.serves(2), qt.IsTrue, qt.Commentf("another outage"))
 }
+
+// Guards against new flows to a target that is gone, through a VM whose single read failed while others read
+// the store: no live target can have lapsed between two reads so close.
+func TestSingleFailedReadIsNoOutage(t *testing.T) {
+	const outage = 2 * time.Second // by the default interval of the targets' reports
+	for _, test := range []struct {
+		name  string
+		after time.Duration
+		grace bool
+	}{
+		{"read soon by another VM", outage - time.Millisecond, false},
+		{"not read by any VM for longer", outage, true},
+	} {
+		t.Run(test.name+", a removal", func(t *testing.T) {
+			f := newOutageFleet(t)
+			f.fail()
+			f.put(test.after, f.targets[1:])
+			qt.Check(t, f.serves(0), qt.Equals, test.grace)
+		})
+		t.Run(test.name+", no change", func(t *testing.T) {
+			f := newOutageFleet(t)
+			f.fail()
+			held := f.reader.cache.state(heartbeat.Targets)
+			f.now = f.now.Add(test.after)
+			held.confirmedAt, held.read = f.now, 77
+			f.other.compareHeld(f.now, heartbeat.Targets, &heartbeat.Heartbeat{Versions: [2]heartbeat.VersionInfo{heartbeat.Targets: held.announced(f.now)}})
+			f.put(time.Second, f.targets[1:])
+			qt.Check(t, f.serves(0), qt.Equals, test.grace)
+		})
+	}
+}
--- a/io/setting/token.go
+++ b/io/setting/token.go
@@ -29,6 +29,8 @@
 	// DrainMS is how soon a target that drains may get no new flow, and how
 	// long it serves at least.
 	DrainMS int `json:"drain_ms,omitempty"`
+	// TargetReportMS is the interval in which targets report to the store.
+	TargetReportMS int `json:"target_report_ms,omitempty"`
 	// FlowMaxS is the age past which a flow may be forgotten.
 	FlowMaxS float64 `json:"flow_max_s,omitempty"`
 	// StopGraceS is the time between the signal to stop and the kill.
@@ -44,8 +46,12 @@
 const (
 	defaultConfigApply = 3 * time.Second
 	defaultDrain       = 3 * time.Second
-	defaultFlowMax     = 60 * time.Second
-	defaultStopGrace   = 6 * time.Second
+	// defaultTargetReport is short, so that an outage counts rather than not.
+	defaultTargetReport = time.Second
+	// lapseReports is the number of missed reports by which a registration lapses.
+	lapseReports     = 3
+	defaultFlowMax   = 60 * time.Second
+	defaultStopGrace = 6 * time.Second
 	// defaultColdOvershoot leaves no room above the limit of a cold target.
 	defaultColdOvershoot = 1.0
 	// maxColdOvershoot and maxColdSlack are the largest that may be set.
@@ -85,6 +91,17 @@
 // Drain returns DrainMS as a duration.
 func (t *TokenSettings) Drain() time.Duration { return time.Duration(t.DrainMS) * time.Millisecond }
 
+// LapseOutage returns the shortest outage of the store in which the registration of a live target can
+// lapse. The target may have reported last one interval before the outage began.
+func (t *TokenSettings) LapseOutage() time.Duration {
+	return (lapseReports - 1) * t.TargetReport()
+}
+
+// TargetReport returns TargetReportMS as a duration.
+func (t *TokenSettings) TargetReport() time.Duration {
+	return cmp.Or(time.Duration(t.TargetReportMS)*time.Millisecond, defaultTargetReport)
+}
+
 // FlowMax returns FlowMaxS as a duration.
 func (t *TokenSettings) FlowMax() time.Duration { return seconds(t.FlowMaxS) }
 
@@ -128,6 +145,7 @@
 		{"token.config_apply_ms", t.ConfigApply()},
 		{"token.evacuate_ms", t.Evacuate()},
 		{"token.drain_ms", t.Drain()},
+		{"token.target_report_ms", t.TargetReport()},
 		{"token.flow_max_s", t.FlowMax()},
 		{"token.stop_grace_s", t.StopGrace()},
 	}
