entry: a test of leaving targets in a slow fleet whose first VM is new

Evidence: 68 VMs, eight in ten sixty times as slow, in virtual time; a VM that precedes all others joins, then 24 targets leave.

--- a/entry/large_fleet_test.go
+++ b/entry/large_fleet_test.go
@@ -152,6 +152,20 @@
 	}
 }
 
+// firstName returns a number by whose name a VM precedes all others in rank.
+func (f *largeFleet) firstName() int {
+	idOf := func(i int) baobabstep.VMID { return baobabstep.MakeVMID(fmt.Sprintf("vm-%d", i)) }
+	first := idOf(0)
+	for i := range f.size.vms {
+		first = min(first, idOf(i))
+	}
+	for i := f.size.vms; ; i++ {
+		if idOf(i) < first && !f.isSlowed(i) {
+			return i
+		}
+	}
+}
+
 // largeVM is one VM with its link, its share of a core and its access to the store.
 type largeVM struct {
 	fleet     *largeFleet
@@ -550,10 +564,13 @@
 	return max(0, p.lastAvailable[id].Sub(left))
 }
 
-// drainDelays returns, sorted, how long each VM kept on using each target that left.
-func (f *largeFleet) drainDelays() (delays []time.Duration) {
+// drainDelays returns, sorted, how long each VM that counts kept on using each target that left.
+func (f *largeFleet) drainDelays(counts func(i int) bool) (delays []time.Duration) {
 	now := time.Now()
-	for _, vm := range f.vms {
+	for i, vm := range f.vms {
+		if !counts(i) {
+			continue
+		}
 		for id, left := range f.store.leftAt {
 			delays = append(delays, vm.placement.availableAfter(now, id, left))
 		}
--- a/entry/leaving_target_test.go
+++ b/entry/leaving_target_test.go
@@ -14,6 +14,9 @@
 // some 10 GB of memory.
 var largeFleetVMs = flag.Int("large_fleet_vms", 60, "number of VMs in the tests of large fleets")
 
+// slowFleetVMs is the number of VMs in tests of fleets that have become slow.
+var slowFleetVMs = flag.Int("slow_fleet_vms", 68, "number of VMs in the tests of slow fleets")
+
 // largeFleetSize returns a fleet whose VMs together need 24 s of the store's link to read all
 // registrations, however many VMs there are.
 func largeFleetSize() fleetSize {
@@ -43,7 +46,7 @@
 			time.Sleep(time.Second)
 		}
 		time.Sleep(2 * f.size.drain)
-		delays := f.drainDelays()
+		delays := f.drainDelays(func(int) bool { return true })
 		last := delays[len(delays)-1]
 		t.Logf("targets used after they left: median %v, 99%% %v, last %v; %s", delays[len(delays)/2], delays[len(delays)*99/100], last, f.costs())
 		qt.Check(t, last <= f.size.drain, qt.IsTrue, qt.Commentf("last %v", last))
@@ -71,11 +74,34 @@
 // fit one page.
 func slowFleetSize() fleetSize {
 	return fleetSize{
-		vms: 63, dataCentres: 4, targets: 150, drain: 5 * time.Second,
+		vms: *slowFleetVMs, dataCentres: 4, targets: 150, drain: 5 * time.Second,
 		registeredAtStart: 150, loss: 0.01, storeLinkBytes: 125e6, slowed: 8, slowedBy: 60,
 	}
 }
 
+// Guards against targets that are used after they left, because a VM that starts takes over the watch of
+// the store and cannot watch, while VMs that exchange heartbeats slowly keep its registrations young.
+func TestLeavingTargetsReachSlowFleetWithNewFirstVM(t *testing.T) {
+	const leaving, leavingPerSecond = 12, 2
+	synctest.Test(t, func(t *testing.T) {
+		f := newLargeFleet(t, slowFleetSize())
+		defer f.run(time.Second)()
+		time.Sleep(2 * f.size.drain)
+		rng := rand.New(rand.NewPCG(1, 4))
+		f.startVM(f.firstName())
+		time.Sleep(500 * time.Millisecond) // the other VMs have heard it
+		for range leaving {
+			f.store.drain(rng, leavingPerSecond)
+			time.Sleep(time.Second)
+		}
+		time.Sleep(2 * f.size.drain)
+		delays := f.drainDelays(func(i int) bool { return !f.isSlowed(i) })
+		last := delays[len(delays)-1]
+		t.Logf("targets used after they left: median %v, 99%% %v, last %v; %s", delays[len(delays)/2], delays[len(delays)*99/100], last, f.costs())
+		qt.Check(t, last <= f.size.drain, qt.IsTrue, qt.Commentf("last %v", last))
+	})
+}
+
 // Guards against a fleet in which nobody reads the store for longer than the bound, because VMs
 // that exchange heartbeats slowly take each other's registrations for fresher than they are.
 func TestSlowFleetReadsStoreInTime(t *testing.T) {
