entry: the test of delays after reads records the revision of each read

TestDelayAfterRead updates the registrations itself instead of by a read of the query, which records the revision from which a watch continues. Without one a first VM reads at once since it takes over no watch otherwise. The test records it as a read does; its checks are the same.

--- a/entry/restore_model_test.go
+++ b/entry/restore_model_test.go
@@ -213,8 +213,10 @@
 	pauses := newRetryBackOff()
 	pauses.RandomizationFactor = 0
 	read := func(number uint64, confirmed time.Time) {
-		err := n.updateTargets(nil, baobabstep.Revision{Number: number}, origin{source: sourceStore, confirmedAt: confirmed})
+		revision := baobabstep.Revision{Number: number}
+		err := n.updateTargets(nil, revision, origin{source: sourceStore, confirmedAt: confirmed})
 		qt.Assert(t, err, qt.IsNil)
+		r.advanceRevision(revision)
 	}
 	read(500, benchEpoch)
 	qt.Check(t, n.syncer.delayAfterRead(benchEpoch, r, nil, pauses), qt.Equals, time.Duration(0))
