--- a/entry/cache.go
+++ b/entry/cache.go
@@ -36,7 +36,8 @@
 
 	mu     sync.Mutex
 	states [heartbeat.NumKinds]cachedState
-	reads  readTimes
+	// reads are the times of the reads that confirmed them.
+	reads readTimes
 	// era is the newest era of the store that is known. restoredAt is when it replaced an
 	// earlier era, or zero if it never did.
 	era        uint64
@@ -77,8 +78,8 @@
 	// content is the encoded content that is sent to other VMs; that of targets is encoded
 	// when a VM requests it.
 	content []byte
-	// confirmedAt is when the store was last known to hold nothing newer, by the read read, which
-	// is 0 if not known.
+	// confirmedAt is when the store was last known to hold nothing newer, and read the read of the
+	// store that showed it, 0 if it is not known.
 	confirmedAt time.Time
 	read        heartbeat.ReadID
 	// unconfirmed is set while the content is only known to have been in a replica.
@@ -128,7 +129,8 @@
 // origin describes where an update came from and how fresh it is.
 type origin struct {
 	source string
-	// confirmedAt is when the store held nothing newer, by the read read, which is 0 if not known.
+	// confirmedAt is when the store held nothing newer, and read the read of the store that showed
+	// it, 0 if it is not known.
 	confirmedAt time.Time
 	read        heartbeat.ReadID
 	// fromReplica is set for content read from a replica of the store.
--- a/entry/logging.go
+++ b/entry/logging.go
@@ -165,7 +165,7 @@
 	if before == after {
 		return
 	}
-	fields := log.Fields{"reading": q.name, "state": string(after)}
+	fields := log.Fields{"reading": q.name, "state": after.String()}
 	if revision != nil {
 		fields["revision"] = revision.Number
 	}
--- a/entry/read_schedule.go
+++ b/entry/read_schedule.go
@@ -190,15 +190,15 @@
 }
 
 // watchState is whether a VM watches a query of the store.
-type watchState string
+type watchState uint8
 
-// Watch states, as they appear in the log.
+// Watch states. The line comment of each is its name in logs.
 const (
 	// watchIdle: it is another VM's turn.
-	watchIdle watchState = "idle"
+	watchIdle watchState = iota // idle
 	// watchWaiting: the VM knows no revision from which to watch.
-	watchWaiting watchState = "waiting"
-	watchRunning watchState = "running"
+	watchWaiting // waiting
+	watchRunning // running
 )
 
 // nextWatchState returns whether this VM watches a query that it knows up to a revision, nil if none.
