soak: odd entries among the registrations

A fault of the soak and the demo, odd_entry, writes one of seven values that another writer may leave: nested 200,000 levels deep, with numbers out of range, with a port out of range, or unreadable.

--- a/soak/fault.go
+++ b/soak/fault.go
@@ -51,6 +51,7 @@
 	{"replica_lag", true, lagReplicas},
 	{"target_cold", false, coldTarget},
 	{"target_full", false, fullTarget},
+	{"odd_entry", false, func(_ context.Context, f *fleet, r *rand.Rand) { f.store.RegisterOdd(r.Uint64N(maxOddEntries)) }},
 }
 
 // faultNamed returns a fault, nil if there is none of that name.
@@ -62,6 +63,9 @@
 	return &Faults[i]
 }
 
+// maxOddEntries is the number of odd registrations that a run may have.
+const maxOddEntries = 32
+
 func (f *fleet) anyVM(r *rand.Rand) *vm { return f.vms[r.IntN(len(f.vms))] }
 
 // faultTime is how long a fault that ends lasts.
