entry: reads of the store are remembered for as long as a starting fleet tells of them

What callers saw: nothing; found by a test with VMs that are slower still.

Cause: a VM remembered 32 reads, to tell one of which it hears again from a new one. Where many VMs start together each reads routes and registrations, and a forgotten read counted as new.

Evidence: 32 VMs in virtual time, eight in ten ninety times as slow: no read for 16.5 and 11.5 s.

Change: 256 reads are remembered.

--- a/entry/confirmation.go
+++ b/entry/confirmation.go
@@ -45,9 +45,9 @@
 	sc.reads.note(from.read, from.confirmedAt)
 }
 
-// maxReadTimes is the number of reads that are remembered. It exceeds the reads of a fleet that a
-// VM can hear of while heartbeats about one of them arrive.
-const maxReadTimes = 32
+// maxReadTimes is the number of reads that are remembered: those that a fleet makes while heartbeats
+// about one of them arrive. Where many VMs start together, each may read routes and registrations.
+const maxReadTimes = 256
 
 // readTimes are the times of the latest known reads of the store, as far as this VM can tell. The zero
 // value is empty.
